--- /dev/null
+++ b/cmd/entry/doc.go
@@ -0,0 +1,2 @@
+// Command entry runs an entry host.
+package main
--- /dev/null
+++ b/cmd/spokectl/main.go
@@ -0,0 +1,3 @@
+package main
+
+func main() {}
--- /dev/null
+++ b/ids.go
@@ -0,0 +1,110 @@
+package spoke
+
+import (
+	"encoding/hex"
+
+	"github.com/rotisserie/eris"
+)
+
+type (
+	// HostID names an entry host.
+	HostID string
+	// DataCentreID names a data centre.
+	DataCentreID string
+	// RegionID names a group of data centres.
+	RegionID string
+	// UpstreamID names a model engine or a plain service instance.
+	UpstreamID string
+	// StoreHostID names a store host of the cache tiers.
+	StoreHostID string
+	// WorkspaceID names a workspace, the unit of isolation between customers.
+	WorkspaceID string
+	// ServiceName names a service that callers address.
+	ServiceName string
+	// ModelName names a model of a language service.
+	ModelName string
+	// ModelVersion names one set of weights of a model.
+	ModelVersion string
+	// AdapterName names an adapter of a model; it is empty for the base model.
+	AdapterName string
+	// RankName names a request rank.
+	RankName string
+	// RequestID identifies one request of a caller across all hosts.
+	RequestID string
+	// AttemptID identifies one try of a request at one upstream.
+	AttemptID string
+	// IdempotencyKey is the caller's key of a non-repeatable request.
+	IdempotencyKey string
+	// Fingerprint identifies a workspace and request content.
+	Fingerprint string
+	// LeaseName names a lease of the key-value service.
+	LeaseName string
+	// Address is an IP number and port in the form host:port.
+	Address string
+	// KeyHash is the SHA-256 of an API key in lower-case hexadecimal.
+	KeyHash string
+	// Checksum is the SHA-256 of a block's content in lower-case hexadecimal.
+	Checksum string
+
+	// TicketNumber orders change tickets; zero means that no ticket is in force.
+	TicketNumber uint64
+	// Revision is the version of a key in the key-value service; zero means absent.
+	Revision uint64
+	// FencingToken orders the holders of a lease.
+	FencingToken uint64
+	// Incarnation orders the process starts and self-refutations of one host.
+	Incarnation uint64
+	// Generation orders the committed contents of a block on a store host.
+	Generation uint64
+	// Sequence numbers the cache events of one upstream.
+	Sequence uint64
+
+	// TokenCount is a number of tokens.
+	TokenCount int64
+	// ByteSize is a number of bytes.
+	ByteSize int64
+	// TokenRate is in tokens per second.
+	TokenRate float64
+	// ByteRate is in bytes per second.
+	ByteRate float64
+	// Share is a fraction between 0 and 1.
+	Share float64
+	// Priority orders runs at an engine; lower values run first.
+	Priority int
+
+	// BlockKey identifies a prefix of a prompt up to and including one piece.
+	BlockKey [32]byte
+)
+
+const (
+	// BytesPerToken is the assumed size of a token of prompt text.
+	BytesPerToken ByteSize = 4
+	// PieceSize is the prompt text that one cache block covers, about 4,000 tokens.
+	PieceSize ByteSize = 16384
+	// PieceTokens is the number of tokens that one cache block covers.
+	PieceTokens TokenCount = TokenCount(PieceSize / BytesPerToken)
+)
+
+// String returns the key in lower-case hexadecimal.
+func (k BlockKey) String() string {
+	return hex.EncodeToString(k[:])
+}
+
+// ParseBlockKey reads a key of 64 hexadecimal digits.
+func ParseBlockKey(text string) (BlockKey, error) {
+	var key BlockKey
+	raw, err := hex.DecodeString(text)
+	if err != nil {
+		return key, eris.Wrapf(err, "block key %q", text)
+	}
+	if len(raw) != len(key) {
+		return key, eris.Errorf("block key %q has %d bytes, want %d", text, len(raw), len(key))
+	}
+	copy(key[:], raw)
+	return key, nil
+}
+
+// TokensOf estimates the number of tokens of a text.
+func TokensOf(text string) TokenCount {
+	return TokenCount((ByteSize(len(text)) + BytesPerToken - 1) / BytesPerToken)
+}
--- /dev/null
+++ b/members.go
@@ -0,0 +1,49 @@
+package spoke
+
+import "time"
+
+const (
+	// PeerAlive marks a peer that answers heartbeats.
+	PeerAlive PeerState = "alive"
+	// PeerSuspect marks a peer that missed heartbeats and still counts as a member.
+	PeerSuspect PeerState = "suspect"
+	// PeerLeaving marks a peer that drains and owns no upstream.
+	PeerLeaving PeerState = "leaving"
+	// PeerDead marks a peer that is removed.
+	PeerDead PeerState = "dead"
+)
+
+type (
+	// PeerState is the state of an entry host in the eyes of another.
+	PeerState string
+
+	// QuarantineMark refuses a fingerprint until it expires.
+	QuarantineMark struct {
+		Fingerprint Fingerprint
+		Deaths      int
+		Expires     time.Time
+	}
+
+	// Digest is what a host tells others in its heartbeats.
+	Digest struct {
+		Number TicketNumber
+		Loads  map[UpstreamID]LoadSummary
+		Marks  []QuarantineMark
+	}
+
+	// Peer is an entry host as another one sees it.
+	Peer struct {
+		ID          HostID
+		DataCentre  DataCentreID
+		Address     Address
+		Incarnation Incarnation
+		State       PeerState
+		Digest      Digest
+	}
+
+	// Membership is an immutable view of the entry hosts, the own one included.
+	Membership struct {
+		Self  HostID
+		Peers map[HostID]Peer
+	}
+)
--- /dev/null
+++ b/timer/doc.go
@@ -0,0 +1,2 @@
+// Package timer implements the timer service for the system clock and for tests.
+package timer
--- /dev/null
+++ b/timer/system.go
@@ -0,0 +1,40 @@
+package timer
+
+import (
+	"time"
+
+	"magnoliaspoke.example/spoke"
+)
+
+type (
+	// System is the timer service on the system clock.
+	System struct{}
+
+	ticker struct{ inner *time.Ticker }
+
+	single struct{ inner *time.Timer }
+)
+
+// NewSystem returns the timer service on the system clock.
+func NewSystem() *System { return &System{} }
+
+// Now returns the current time.
+func (*System) Now() time.Time { return time.Now() }
+
+// Every subscribes to periodic ticks; the period must be above zero.
+func (*System) Every(period time.Duration) spoke.Subscription {
+	return ticker{time.NewTicker(period)}
+}
+
+// After subscribes to a single tick.
+func (*System) After(delay time.Duration) spoke.Subscription {
+	return single{time.NewTimer(delay)}
+}
+
+func (t ticker) C() <-chan time.Time { return t.inner.C }
+
+func (t ticker) Stop() { t.inner.Stop() }
+
+func (s single) C() <-chan time.Time { return s.inner.C }
+
+func (s single) Stop() { s.inner.Stop() }
