Add membership, the internal protocol and the owner's tasks

Cause: entry hosts need to know each other, agree on one owner for each upstream, and hand runs to that owner.

Ruled out: following every upstream from every host, which at 60 hosts and 86 upstreams a data centre is 5,160 subscriptions; heartbeats that carry all records each time, which grow with hosts times records.

Change: pure membership table (push and pull of beats, records only where the other side lacks them), signed HTTP messages, streams as JSON lines with heartbeats, admission task, followers of owned upstreams, owner's runs.

Measured: `go test ./member` passes; the state machine drives 3 to 12 hosts through crashes, restarts and cuts and checks every view after the removal timeout.

--- /dev/null
+++ b/host/doc.go
@@ -0,0 +1,2 @@
+// Package host composes the tasks of an entry host.
+package host
--- /dev/null
+++ b/host/followers.go
@@ -0,0 +1,143 @@
+package host
+
+import (
+	"context"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"magnoliaspoke.example/spoke"
+)
+
+const (
+	// reconcilePeriod bounds how long a new owner takes to start following an upstream.
+	reconcilePeriod = 250 * time.Millisecond
+)
+
+type (
+	// followerTask keeps one follower for each owned upstream.
+	followerTask struct {
+		views     *viewTable
+		manifest  spoke.ManifestSource
+		admission *admissionTask
+		engine    spoke.Engine
+		timer     spoke.Timer
+		events    spoke.EventSink
+		watch     func(context.Context, spoke.Upstream)
+
+		followers map[spoke.UpstreamID]*follower
+		shared    atomic.Pointer[map[spoke.UpstreamID]*follower]
+		applied   *spoke.Manifest
+	}
+)
+
+func newFollowerTask(views *viewTable, manifest spoke.ManifestSource, admission *admissionTask, engine spoke.Engine, timer spoke.Timer, events spoke.EventSink) *followerTask {
+	task := &followerTask{
+		views: views, manifest: manifest, admission: admission, engine: engine, timer: timer, events: events,
+		followers: make(map[spoke.UpstreamID]*follower),
+	}
+	task.share()
+	return task
+}
+
+// Status returns what the own host observed of an upstream that it owns.
+func (t *followerTask) Status(id spoke.UpstreamID) (upstreamStatus, bool) {
+	follower, ok := (*t.shared.Load())[id]
+	if !ok {
+		return upstreamStatus{}, false
+	}
+	status := follower.status.Load()
+	if status == nil {
+		return upstreamStatus{}, false
+	}
+	return *status, true
+}
+
+func (t *followerTask) run(ctx context.Context) error {
+	ticks := t.timer.Every(reconcilePeriod)
+	defer ticks.Stop()
+	for {
+		t.reconcile(ctx)
+		select {
+		case <-ticks.C():
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (t *followerTask) reconcile(ctx context.Context) {
+	manifest := t.manifest.Current()
+	owned := make(map[spoke.UpstreamID]spoke.Upstream)
+	for _, upstream := range t.views.Owned() {
+		owned[upstream.ID] = upstream
+	}
+	changed := t.dropOthers(owned)
+	for id, upstream := range owned {
+		if _, ok := t.followers[id]; !ok {
+			t.start(ctx, manifest, upstream)
+			changed = true
+		}
+	}
+	if changed || manifest != t.applied {
+		t.configure(ctx, manifest)
+	}
+}
+
+// dropOthers ends the followers of upstreams that changed or have another owner.
+func (t *followerTask) dropOthers(owned map[spoke.UpstreamID]spoke.Upstream) bool {
+	changed := false
+	for id, follower := range t.followers {
+		if upstream, ok := owned[id]; !ok || upstream.Address != follower.upstream.Address {
+			follower.cancel()
+			delete(t.followers, id)
+			changed = true
+		}
+	}
+	return changed
+}
+
+func (t *followerTask) start(ctx context.Context, manifest *spoke.Manifest, upstream spoke.Upstream) {
+	service, _ := manifest.Service(upstream.Service)
+	ctx, cancel := context.WithCancel(ctx)
+	follower := &follower{
+		upstream: upstream, engine: t.engine, timer: t.timer, events: t.events, cancel: cancel,
+		isPlain: service.Kind == spoke.ServicePlain,
+		report: func(ctx context.Context, report spoke.LoadReport) {
+			t.admission.Send(ctx, spoke.ReportLoad{Upstream: upstream.ID, Report: report})
+		},
+	}
+	t.followers[upstream.ID] = follower
+	t.events.Record(spoke.Event{Kind: "upstream-owned", Upstream: upstream.ID})
+	go follower.run(ctx)
+	if t.watch != nil && !follower.isPlain {
+		go t.watch(ctx, upstream)
+	}
+}
+
+func (t *followerTask) configure(ctx context.Context, manifest *spoke.Manifest) {
+	t.applied = manifest
+	t.share()
+	t.admission.Send(ctx, spoke.ConfigureAdmission{
+		Ranks:      manifest.Ranks(),
+		Workspaces: manifest.Workspaces(),
+		Owned:      t.ownedIDs(),
+	})
+}
+
+func (t *followerTask) share() {
+	copied := make(map[spoke.UpstreamID]*follower, len(t.followers))
+	for id, follower := range t.followers {
+		copied[id] = follower
+	}
+	t.shared.Store(&copied)
+}
+
+func (t *followerTask) ownedIDs() []spoke.UpstreamID {
+	ids := make([]spoke.UpstreamID, 0, len(t.followers))
+	for id := range t.followers {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
--- /dev/null
+++ b/host/owner.go
@@ -0,0 +1,242 @@
+package host
+
+import (
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"magnoliaspoke.example/spoke"
+)
+
+const (
+	// streamBuffer absorbs bursts of an engine while the caller's connection drains.
+	streamBuffer = 32
+	// heartbeatPeriod tells the requester that a queued or slow run is alive.
+	heartbeatPeriod = time.Second
+	// deathProbeTimeout bounds the check whether a broken stream means a dead upstream.
+	deathProbeTimeout = 500 * time.Millisecond
+)
+
+type (
+	// blockLoader brings blocks of a prompt into an upstream's prefix cache.
+	blockLoader interface {
+		// Load imports what pays; it returns when the run should start.
+		Load(ctx context.Context, upstream spoke.Upstream, dispatch spoke.Dispatch)
+		// Ran reports a finished run, so that its blocks may be exported.
+		Ran(upstream spoke.Upstream, dispatch spoke.Dispatch, usage spoke.Usage, firstToken time.Duration)
+	}
+
+	// owner runs attempts at the upstreams that the host owns.
+	owner struct {
+		manifest  spoke.ManifestSource
+		admission *admissionTask
+		engine    spoke.Engine
+		blocks    blockLoader
+		timer     spoke.Timer
+		events    spoke.EventSink
+		life      context.Context
+	}
+
+	// ownedRun is the stream of one attempt.
+	ownedRun struct {
+		owner    *owner
+		dispatch spoke.Dispatch
+		upstream spoke.Upstream
+		out      chan runResult
+		// reader ends when the requester goes away.
+		reader context.Context
+		leave  context.CancelFunc
+		// work ends with reader or by preemption, which is then its cause.
+		work    context.Context
+		preempt context.CancelCauseFunc
+	}
+
+	runResult struct {
+		piece spoke.Piece
+		err   error
+	}
+)
+
+// Run starts an attempt at an upstream of the own data centre.
+func (o *owner) Run(ctx context.Context, dispatch spoke.Dispatch) (spoke.RunStream, error) {
+	upstream, ok := o.manifest.Current().Upstream(dispatch.Upstream)
+	if !ok {
+		return nil, spoke.NotRun(spoke.CodeNoUpstream, "upstream %s is not configured", dispatch.Upstream)
+	}
+	run := &ownedRun{owner: o, dispatch: dispatch, upstream: upstream, out: make(chan runResult, streamBuffer)}
+	run.reader, run.leave = context.WithCancel(ctx)
+	run.work, run.preempt = context.WithCancelCause(run.reader)
+	actions, err := o.admission.Submit(run.reader, run.item())
+	if err != nil {
+		run.leave()
+		return nil, err
+	}
+	go run.execute(actions)
+	return run, nil
+}
+
+func (r *ownedRun) item() spoke.WorkItem {
+	return spoke.WorkItem{
+		Attempt: r.dispatch.Spec.Attempt, Request: r.dispatch.Spec.Request,
+		Upstream: r.upstream.ID, Workspace: r.dispatch.Spec.Workspace,
+		Rank: r.dispatch.Rank, Cost: r.dispatch.Cost, Solo: r.dispatch.Solo,
+		Preemptible: r.dispatch.Preemptible, Enqueued: r.owner.timer.Now(),
+	}
+}
+
+// Next returns the next piece; a heartbeat is a piece without tokens.
+func (r *ownedRun) Next(ctx context.Context) (spoke.Piece, error) {
+	heartbeat := r.owner.timer.After(heartbeatPeriod)
+	defer heartbeat.Stop()
+	select {
+	case result := <-r.out:
+		return result.piece, result.err
+	case <-heartbeat.C():
+		return spoke.Piece{Attempt: r.dispatch.Spec.Attempt}, nil
+	case <-ctx.Done():
+		return spoke.Piece{}, ctx.Err()
+	}
+}
+
+// Close cancels the run if it is not finished.
+func (r *ownedRun) Close() error {
+	r.leave()
+	return nil
+}
+
+func (r *ownedRun) execute(actions <-chan spoke.AdmissionAction) {
+	granted, err := r.awaitGrant(actions)
+	if err != nil {
+		r.emit(runResult{err: err})
+		return
+	}
+	if !granted {
+		return
+	}
+	go r.watchPreemption(actions)
+	r.serve()
+}
+
+// awaitGrant returns false without an error when the requester went away.
+func (r *ownedRun) awaitGrant(actions <-chan spoke.AdmissionAction) (bool, error) {
+	select {
+	case action := <-actions:
+		if refuse, ok := action.(spoke.RefuseWork); ok {
+			r.record("run-refused", refuse.Refusal.Error())
+			return false, refuse.Refusal
+		}
+		return true, nil
+	case <-r.reader.Done():
+		r.owner.admission.Send(r.owner.life, spoke.WithdrawWork{Attempt: r.dispatch.Spec.Attempt})
+		return false, nil
+	}
+}
+
+func (r *ownedRun) watchPreemption(actions <-chan spoke.AdmissionAction) {
+	for {
+		select {
+		case action := <-actions:
+			if _, ok := action.(spoke.PreemptWork); ok {
+				r.preempt(spoke.ErrPreempted)
+				return
+			}
+		case <-r.work.Done():
+			return
+		}
+	}
+}
+
+func (r *ownedRun) serve() {
+	started := r.owner.timer.Now()
+	finish := spoke.FinishWork{Attempt: r.dispatch.Spec.Attempt}
+	r.record("run-granted", "")
+	if r.owner.blocks != nil {
+		r.owner.blocks.Load(r.work, r.upstream, r.dispatch)
+	}
+	usage, err := r.stream(started, &finish)
+	finish.Duration = r.owner.timer.Now().Sub(started)
+	r.settle(finish, usage, err)
+}
+
+// settle frees the place at the upstream before it tells the requester, so
+// that a retry finds the place free. A run ended from this side says nothing
+// about the upstream and counts as withdrawn.
+func (r *ownedRun) settle(finish spoke.FinishWork, usage spoke.Usage, err error) {
+	switch {
+	case errors.Is(err, io.EOF):
+		r.owner.admission.Send(r.owner.life, finish)
+		r.record("run-finished", "")
+		if r.owner.blocks != nil {
+			r.owner.blocks.Ran(r.upstream, r.dispatch, usage, finish.FirstToken)
+		}
+	case r.work.Err() != nil:
+		r.owner.admission.Send(r.owner.life, spoke.WithdrawWork{Attempt: finish.Attempt})
+		err = eris.Wrapf(context.Cause(r.work), "run at upstream %s", r.upstream.ID)
+		r.record("run-cancelled", err.Error())
+	default:
+		finish.Failed = true
+		r.owner.admission.Send(r.owner.life, finish)
+		err = r.explain(err)
+		r.record("run-failed", err.Error())
+	}
+	r.emit(runResult{err: err})
+}
+
+// stream passes the engine's pieces on until its end mark or an error.
+func (r *ownedRun) stream(started time.Time, finish *spoke.FinishWork) (spoke.Usage, error) {
+	answer, err := r.owner.engine.Run(r.work, r.upstream.Address, r.dispatch.Spec)
+	if err != nil {
+		return spoke.Usage{}, err
+	}
+	defer answer.Close()
+	idle := newIdleLimit(r.owner.timer, r.dispatch.Cost)
+	var usage spoke.Usage
+	for {
+		piece, err := idle.next(r.work, answer)
+		if err != nil {
+			return usage, err
+		}
+		if finish.FirstToken == 0 {
+			finish.FirstToken = r.owner.timer.Now().Sub(started)
+			r.record("first-token", "")
+		}
+		if piece.Finish != "" {
+			usage = piece.Usage
+		}
+		if !r.emit(runResult{piece: piece}) {
+			return usage, r.reader.Err()
+		}
+	}
+}
+
+// explain tells a dead upstream from a broken stream.
+func (r *ownedRun) explain(err error) error {
+	if errors.Is(err, spoke.ErrNotRun) || errors.Is(err, spoke.ErrSilent) {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(r.owner.life, deathProbeTimeout)
+	defer cancel()
+	if _, probe := r.owner.engine.Load(ctx, r.upstream.Address); errors.Is(probe, spoke.ErrNotRun) {
+		return eris.Wrapf(spoke.ErrUpstreamDied, "upstream %s: %v", r.upstream.ID, err)
+	}
+	return err
+}
+
+func (r *ownedRun) emit(result runResult) bool {
+	select {
+	case r.out <- result:
+		return true
+	case <-r.reader.Done():
+		return false
+	}
+}
+
+func (r *ownedRun) record(kind spoke.EventKind, detail string) {
+	r.owner.events.Record(spoke.Event{
+		Kind: kind, Request: r.dispatch.Spec.Request, Attempt: r.dispatch.Spec.Attempt,
+		Upstream: r.upstream.ID, Detail: detail,
+	})
+}
--- /dev/null
+++ b/member/doc.go
@@ -0,0 +1,3 @@
+// Package member keeps track of the entry hosts by heartbeats that spread
+// from host to host.
+package member
--- /dev/null
+++ b/member/messages.go
@@ -0,0 +1,75 @@
+package member
+
+import "magnoliaspoke.example/spoke"
+
+type (
+	// Beat is the freshness of one host's record.
+	Beat struct {
+		Incarnation spoke.Incarnation
+		// Count rises with every heartbeat round of the host.
+		Count uint64
+		// Version rises whenever the host's record changes.
+		Version uint64
+	}
+
+	// Record is what a host says about itself.
+	Record struct {
+		ID         spoke.HostID
+		DataCentre spoke.DataCentreID
+		Address    spoke.Address
+		Leaving    bool
+		Digest     spoke.Digest
+	}
+
+	// Heartbeat is exchanged between two hosts; both directions have the same form.
+	Heartbeat struct {
+		From spoke.HostID
+		// Beats is the sender's knowledge of all hosts in scope.
+		Beats map[spoke.HostID]Beat
+		// Records holds the records that the receiver lacks, and always the sender's own.
+		Records []Record
+		// Remote says that Beats covers the other data centres too.
+		Remote bool
+	}
+
+	// Message is an input of a Table.
+	Message interface{ isMessage() }
+
+	// Tick starts a heartbeat round.
+	Tick struct{}
+	// Received is a heartbeat request from another host.
+	Received struct{ Heartbeat Heartbeat }
+	// Answered is the other host's answer to a heartbeat.
+	Answered struct{ Heartbeat Heartbeat }
+	// Refused reports that a host's address refused a connection.
+	Refused struct{ Host spoke.HostID }
+	// SetDigest replaces the own digest.
+	SetDigest struct{ Digest spoke.Digest }
+	// Leave marks the own host as leaving.
+	Leave struct{}
+	// Spread sends a heartbeat at once, to every host of the data centre or to a few.
+	Spread struct{ Everyone bool }
+
+	// Action is an output of a Table.
+	Action interface{ isAction() }
+
+	// Send asks for a heartbeat to be sent.
+	Send struct {
+		Host      spoke.HostID
+		Address   spoke.Address
+		Heartbeat Heartbeat
+	}
+	// Reply answers the heartbeat in hand.
+	Reply struct{ Heartbeat Heartbeat }
+)
+
+func (Tick) isMessage()      {}
+func (Received) isMessage()  {}
+func (Answered) isMessage()  {}
+func (Refused) isMessage()   {}
+func (SetDigest) isMessage() {}
+func (Leave) isMessage()     {}
+func (Spread) isMessage()    {}
+
+func (Send) isAction()  {}
+func (Reply) isAction() {}
--- /dev/null
+++ b/member/options.go
@@ -0,0 +1,32 @@
+package member
+
+import "time"
+
+const (
+	defaultFanOut     = 3
+	defaultSuspect    = 2 * time.Second
+	defaultRemove     = 4 * time.Second
+	defaultRemoteSlow = 3
+	// remoteEvery is the number of rounds between heartbeats that carry the
+	// beats of other data centres, whose number grows with the whole fleet.
+	remoteEvery = 4
+)
+
+type (
+	// Option changes a setting of a Table.
+	Option interface{ apply(*Table) }
+
+	optionFunc func(*Table)
+)
+
+func (f optionFunc) apply(t *Table) { f(t) }
+
+// WithFanOut sets the number of hosts of the data centre that a round contacts.
+func WithFanOut(hosts int) Option {
+	return optionFunc(func(t *Table) { t.fanOut = hosts })
+}
+
+// WithTimeouts sets when a silent host is suspected and when it is removed.
+func WithTimeouts(suspect, remove time.Duration) Option {
+	return optionFunc(func(t *Table) { t.suspectAfter, t.removeAfter = suspect, remove })
+}
--- /dev/null
+++ b/member/table_test.go
@@ -0,0 +1,153 @@
+package member_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"magnoliaspoke.example/spoke"
+	"magnoliaspoke.example/spoke/member"
+)
+
+const (
+	round  = 500 * time.Millisecond
+	remove = 4 * time.Second
+)
+
+// cluster runs tables against each other with instant messages and cuts.
+type cluster struct {
+	now    time.Time
+	tables map[spoke.HostID]*member.Table
+	down   map[spoke.HostID]bool
+	cut    map[spoke.HostID]bool
+	starts spoke.Incarnation
+	ids    []spoke.HostID
+}
+
+func newCluster(hosts int) *cluster {
+	c := &cluster{
+		now:    time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC),
+		tables: make(map[spoke.HostID]*member.Table),
+		down:   make(map[spoke.HostID]bool),
+		cut:    make(map[spoke.HostID]bool),
+	}
+	for i := range hosts {
+		c.ids = append(c.ids, spoke.HostID(fmt.Sprintf("h%d", i)))
+	}
+	for _, id := range c.ids {
+		c.start(id)
+	}
+	return c
+}
+
+func (c *cluster) record(id spoke.HostID) member.Record {
+	return member.Record{ID: id, DataCentre: "dc1", Address: spoke.Address("10.0.0.1:" + string(id))}
+}
+
+func (c *cluster) start(id spoke.HostID) {
+	c.starts++
+	c.down[id] = false
+	contacts := []member.Record{c.record(c.ids[0]), c.record(c.ids[1])}
+	c.tables[id] = member.New(c.record(id), c.starts, contacts, uint64(c.starts))
+}
+
+func (c *cluster) run(span time.Duration) {
+	for end := c.now.Add(span); c.now.Before(end); c.now = c.now.Add(round) {
+		for _, id := range c.ids {
+			c.handle(id, member.Tick{})
+		}
+	}
+}
+
+func (c *cluster) handle(id spoke.HostID, message member.Message) {
+	if c.down[id] {
+		return
+	}
+	for _, action := range c.tables[id].Handle(c.now, message) {
+		send, ok := action.(member.Send)
+		if !ok {
+			continue
+		}
+		c.exchange(id, send)
+	}
+}
+
+func (c *cluster) exchange(from spoke.HostID, send member.Send) {
+	switch {
+	case c.down[send.Host]:
+		c.tables[from].Handle(c.now, member.Refused{Host: send.Host})
+	case c.cut[from] != c.cut[send.Host]:
+	default:
+		reply := c.tables[send.Host].Handle(c.now, member.Received{Heartbeat: send.Heartbeat})[0].(member.Reply)
+		c.tables[from].Handle(c.now, member.Answered{Heartbeat: reply.Heartbeat})
+	}
+}
+
+// Guards against a view that keeps dead or cut-off hosts, or loses live ones,
+// for longer than the removal timeout.
+func TestViewsConvergeAfterFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := newCluster(rapid.IntRange(3, 12).Draw(t, "hosts"))
+		c.run(3 * time.Second)
+		for range rapid.IntRange(1, 8).Draw(t, "faults") {
+			id := rapid.SampledFrom(c.ids).Draw(t, "host")
+			switch rapid.IntRange(0, 3).Draw(t, "fault") {
+			case 0:
+				c.down[id] = true
+			case 1:
+				c.start(id)
+			case 2:
+				c.cut[id] = !c.cut[id]
+			case 3:
+				digest := spoke.Digest{Number: spoke.TicketNumber(c.starts)}
+				c.handle(id, member.SetDigest{Digest: digest})
+			}
+			c.run(time.Duration(rapid.IntRange(0, 10).Draw(t, "rounds")) * round)
+		}
+		clear(c.cut)
+		c.run(2*remove + 3*time.Second)
+		c.checkViews(t)
+	})
+}
+
+func (c *cluster) checkViews(t *rapid.T) {
+	for _, viewer := range c.ids {
+		// A contact that is down leaves a host without one: it cannot join.
+		if c.down[viewer] || c.down[c.ids[0]] || c.down[c.ids[1]] {
+			continue
+		}
+		view := c.tables[viewer].View(c.now)
+		for _, id := range c.ids {
+			isAlive := view[id].State == spoke.PeerAlive
+			if isAlive == c.down[id] {
+				t.Fatalf("host %s sees %s as %q, down is %t", viewer, id, view[id].State, c.down[id])
+			}
+			if isAlive {
+				assert.DeepEqual(t, view[id].Digest, c.tables[id].View(c.now)[id].Digest)
+			}
+		}
+	}
+}
+
+// Guards against ownership that stays with a host whose address refuses connections.
+func TestRefusedHostOwnsNothingUntilItsNextHeartbeat(t *testing.T) {
+	c := newCluster(3)
+	c.run(2 * time.Second)
+	c.handle("h0", member.Refused{Host: "h2"})
+	assert.Equal(t, c.tables["h0"].View(c.now)["h2"].CanOwn(), false)
+	c.run(2 * time.Second)
+	assert.Equal(t, c.tables["h0"].View(c.now)["h2"].CanOwn(), true)
+}
+
+// Guards against a leaving host that others still count as an owner.
+func TestLeaveReachesEveryHostAtOnce(t *testing.T) {
+	c := newCluster(7)
+	c.run(3 * time.Second)
+	c.handle("h3", member.Leave{})
+	for _, id := range c.ids {
+		assert.Equal(t, c.tables[id].View(c.now)["h3"].State, spoke.PeerLeaving)
+	}
+}
--- a/members.go
+++ b/members.go
@@ -29,6 +29,8 @@
 		Number TicketNumber
 		Loads  map[UpstreamID]LoadSummary
 		Marks  []QuarantineMark
+		// Leaving lists the upstreams that the platform or the upstream itself reports as leaving.
+		Leaving []UpstreamID
 	}
 
 	// Peer is an entry host as another one sees it.
@@ -45,5 +47,12 @@
 	Membership struct {
 		Self  HostID
 		Peers map[HostID]Peer
+		// Epoch changes whenever the set of hosts that may own upstreams changes.
+		Epoch uint64
 	}
 )
+
+// CanOwn reports whether the peer takes part in the ownership of upstreams.
+func (p Peer) CanOwn() bool {
+	return p.State == PeerAlive || p.State == PeerSuspect
+}
--- /dev/null
+++ b/wire/client.go
@@ -0,0 +1,156 @@
+package wire
+
+import (
+	"bytes"
+	"compress/gzip"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"magnoliaspoke.example/spoke"
+	"magnoliaspoke.example/spoke/member"
+)
+
+const (
+	pathRuns       = "/internal/runs"
+	pathHeartbeats = "/internal/heartbeats"
+	pathManifest   = "/internal/manifest"
+
+	// manifestLimit is the platform's bound of 1 MB for a value, with room for JSON.
+	manifestLimit = 4 << 20
+	// heartbeatCompressAbove is the size in bytes from which gzip saves more than it costs.
+	heartbeatCompressAbove = 1024
+
+	dialTimeout      = time.Second
+	heartbeatTimeout = time.Second
+	manifestTimeout  = 2 * time.Second
+	idleConnections  = 64
+	idleConnTimeout  = 30 * time.Second
+)
+
+type (
+	// Client calls the internal API of other entry hosts.
+	Client struct {
+		http   *http.Client
+		signer Signer
+		timer  spoke.Timer
+		clock  spoke.HybridClock
+	}
+)
+
+// NewClient returns a client that signs its messages.
+func NewClient(signer Signer, timer spoke.Timer, clock spoke.HybridClock) *Client {
+	transport := &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxIdleConnsPerHost: idleConnections,
+		IdleConnTimeout:     idleConnTimeout,
+		DisableCompression:  true,
+	}
+	return &Client{http: &http.Client{Transport: transport}, signer: signer, timer: timer, clock: clock}
+}
+
+// Heartbeat exchanges heartbeats with a host; ErrNotRun marks a refused connection.
+func (c *Client) Heartbeat(ctx context.Context, at spoke.Address, beat member.Heartbeat) (member.Heartbeat, error) {
+	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
+	defer cancel()
+	body, err := EncodeHeartbeat(beat)
+	if err != nil {
+		return member.Heartbeat{}, err
+	}
+	answer, err := c.exchange(ctx, http.MethodPost, at, pathHeartbeats, body)
+	if err != nil {
+		return member.Heartbeat{}, err
+	}
+	return DecodeHeartbeat(answer)
+}
+
+// Manifest fetches the encoded configuration in force at a host.
+func (c *Client) Manifest(ctx context.Context, at spoke.Address) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, manifestTimeout)
+	defer cancel()
+	return c.exchange(ctx, http.MethodGet, at, pathManifest, nil)
+}
+
+func (c *Client) exchange(ctx context.Context, method string, at spoke.Address, path string, body []byte) ([]byte, error) {
+	resp, err := c.send(ctx, method, at, path, body)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, eris.Errorf("%s %s at %s answered %s", method, path, at, resp.Status)
+	}
+	return readBody(resp.Header, resp.Body, manifestLimit)
+}
+
+func (c *Client) send(ctx context.Context, method string, at spoke.Address, path string, body []byte) (*http.Response, error) {
+	payload, isCompressed := compress(body)
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+string(at)+path, bytes.NewReader(payload))
+	if err != nil {
+		return nil, eris.Wrapf(err, "%s %s at %s", method, path, at)
+	}
+	if isCompressed {
+		req.Header.Set("Content-Encoding", "gzip")
+	}
+	req.Header.Set("Accept-Encoding", "gzip")
+	req.Header.Set(headerClock, formatClock(c.clock.Now()))
+	c.signer.sign(req, payload, c.timer.Now())
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, classify(err, "%s %s at %s", method, path, at)
+	}
+	if clock, ok := parseClock(resp.Header.Get(headerClock)); ok {
+		c.clock.Observe(clock)
+	}
+	return resp, nil
+}
+
+// classify marks errors of requests of which no byte left this host.
+func classify(err error, format string, args ...any) error {
+	var op *net.OpError
+	isDial := errors.As(err, &op) && op.Op == "dial"
+	if isDial || errors.Is(err, syscall.ECONNREFUSED) {
+		return eris.Wrapf(errors.Join(spoke.ErrNotRun, err), format, args...)
+	}
+	return eris.Wrapf(err, format, args...)
+}
+
+func compress(body []byte) ([]byte, bool) {
+	if len(body) < heartbeatCompressAbove {
+		return body, false
+	}
+	var out bytes.Buffer
+	writer, err := gzip.NewWriterLevel(&out, gzip.BestSpeed)
+	if err != nil {
+		return body, false
+	}
+	_, writeErr := writer.Write(body)
+	if writeErr != nil || writer.Close() != nil {
+		return body, false
+	}
+	return out.Bytes(), true
+}
+
+func readBody(header http.Header, body io.Reader, limit int64) ([]byte, error) {
+	if header.Get("Content-Encoding") == "gzip" {
+		unzipped, err := gzip.NewReader(body)
+		if err != nil {
+			return nil, eris.Wrap(err, "read compressed body")
+		}
+		body = unzipped
+	}
+	content, err := io.ReadAll(io.LimitReader(body, limit+1))
+	if err != nil {
+		return nil, eris.Wrap(err, "read body")
+	}
+	if int64(len(content)) > limit {
+		return nil, eris.Errorf("body is over its limit of %d bytes", limit)
+	}
+	return content, nil
+}
--- /dev/null
+++ b/wire/server.go
@@ -0,0 +1,182 @@
+package wire
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+
+	"magnoliaspoke.example/spoke"
+	"magnoliaspoke.example/spoke/member"
+)
+
+const (
+	// dispatchLimit covers a prompt at the caller API's limit of 8 MiB in JSON form.
+	dispatchLimit = 20 << 20
+)
+
+type (
+	// Peer is what an entry host serves to others.
+	Peer interface {
+		// Heartbeat takes a heartbeat and returns the answer.
+		Heartbeat(ctx context.Context, beat member.Heartbeat) (member.Heartbeat, error)
+		// Manifest returns the encoded configuration in force, nil if there is none.
+		Manifest() ([]byte, error)
+		// Run starts an attempt at an upstream that the host owns.
+		Run(ctx context.Context, dispatch spoke.Dispatch) (spoke.RunStream, error)
+	}
+
+	// Server is the internal API of an entry host.
+	Server struct {
+		peer   Peer
+		signer Signer
+		timer  spoke.Timer
+		clock  spoke.HybridClock
+		mux    *http.ServeMux
+	}
+
+	bodyHandler func(w http.ResponseWriter, req *http.Request, body []byte)
+)
+
+// NewServer returns the internal API over a peer.
+func NewServer(peer Peer, signer Signer, timer spoke.Timer, clock spoke.HybridClock) *Server {
+	server := &Server{peer: peer, signer: signer, timer: timer, clock: clock, mux: http.NewServeMux()}
+	server.mux.Handle("POST "+pathHeartbeats, server.verified(server.heartbeat))
+	server.mux.Handle("GET "+pathManifest, server.verified(server.manifest))
+	server.mux.Handle("POST "+pathRuns, server.verified(server.run))
+	return server
+}
+
+// ServeHTTP answers one message.
+func (s *Server) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	s.mux.ServeHTTP(w, req)
+}
+
+func (s *Server) verified(handle bodyHandler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		payload, err := io.ReadAll(http.MaxBytesReader(w, req.Body, dispatchLimit))
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
+			return
+		}
+		if err := s.signer.verify(req, payload, s.timer.Now()); err != nil {
+			http.Error(w, err.Error(), http.StatusForbidden)
+			return
+		}
+		if clock, ok := parseClock(req.Header.Get(headerClock)); ok {
+			s.clock.Observe(clock)
+		}
+		body, err := expand(req.Header, payload)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		w.Header().Set(headerClock, formatClock(s.clock.Now()))
+		handle(w, req, body)
+	})
+}
+
+func (s *Server) heartbeat(w http.ResponseWriter, req *http.Request, body []byte) {
+	beat, err := DecodeHeartbeat(body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	answer, err := s.peer.Heartbeat(req.Context(), beat)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	encoded, err := EncodeHeartbeat(answer)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	writeCompressed(w, encoded)
+}
+
+func (s *Server) manifest(w http.ResponseWriter, _ *http.Request, _ []byte) {
+	encoded, err := s.peer.Manifest()
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	if encoded == nil {
+		http.Error(w, "no configuration in force", http.StatusNotFound)
+		return
+	}
+	writeCompressed(w, encoded)
+}
+
+func (s *Server) run(w http.ResponseWriter, req *http.Request, body []byte) {
+	dispatch, err := DecodeDispatch(body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	frames := newFrameWriter(w)
+	// The status line goes out before the run queues, so that the caller can
+	// tell a long queue from a lost owner.
+	if err := frames.write(frameJSON{Kind: frameHeartbeat}); err != nil {
+		return
+	}
+	stream, err := s.peer.Run(req.Context(), dispatch)
+	if err != nil {
+		_ = frames.write(encodeFailure(err))
+		return
+	}
+	defer stream.Close()
+	pump(req.Context(), stream, frames)
+}
+
+func pump(ctx context.Context, stream spoke.RunStream, frames frameWriter) {
+	for {
+		piece, err := stream.Next(ctx)
+		switch {
+		case errors.Is(err, io.EOF):
+			_ = frames.write(frameJSON{Kind: frameEnd})
+			return
+		case err != nil:
+			_ = frames.write(encodeFailure(err))
+			return
+		}
+		if frames.write(encodePiece(piece)) != nil {
+			return
+		}
+	}
+}
+
+type frameWriter struct {
+	encoder *json.Encoder
+	control *http.ResponseController
+}
+
+func newFrameWriter(w http.ResponseWriter) frameWriter {
+	w.Header().Set("Content-Type", "application/x-ndjson")
+	return frameWriter{encoder: json.NewEncoder(w), control: http.NewResponseController(w)}
+}
+
+func (f frameWriter) write(frame frameJSON) error {
+	if err := f.encoder.Encode(frame); err != nil {
+		return err
+	}
+	return f.control.Flush()
+}
+
+func expand(header http.Header, payload []byte) ([]byte, error) {
+	if header.Get("Content-Encoding") != "gzip" {
+		return payload, nil
+	}
+	return readBody(header, bytes.NewReader(payload), dispatchLimit)
+}
+
+func writeCompressed(w http.ResponseWriter, body []byte) {
+	payload, isCompressed := compress(body)
+	if isCompressed {
+		w.Header().Set("Content-Encoding", "gzip")
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(payload)
+}
