--- a/clock.go
+++ b/clock.go
@@ -4,6 +4,7 @@
 type HybridClock interface {
 	// Now advances the clock and returns its reading.
 	Now() HybridTime
-	// Observe moves the clock past a reading received from another process.
-	Observe(remote HybridTime)
+	// Observe moves the clock past a reading received from another process and
+	// reports false if the reading was too far ahead to be believed.
+	Observe(remote HybridTime) bool
 }
--- a/host/followers.go
+++ b/host/followers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -40,6 +41,11 @@
 	return task
 }
 
+// Owned lists the upstreams that the task follows.
+func (t *followerTask) Owned() []spoke.UpstreamID {
+	return sortedIDs(*t.shared.Load())
+}
+
 // Status returns what the own host observed of an upstream that it owns.
 func (t *followerTask) Status(id spoke.UpstreamID) (upstreamStatus, bool) {
 	follower, ok := (*t.shared.Load())[id]
@@ -121,23 +127,15 @@
 	t.admission.Send(ctx, spoke.ConfigureAdmission{
 		Ranks:      manifest.Ranks(),
 		Workspaces: manifest.Workspaces(),
-		Owned:      t.ownedIDs(),
+		Owned:      sortedIDs(t.followers),
 	})
 }
 
 func (t *followerTask) share() {
-	copied := make(map[spoke.UpstreamID]*follower, len(t.followers))
-	for id, follower := range t.followers {
-		copied[id] = follower
-	}
+	copied := maps.Clone(t.followers)
 	t.shared.Store(&copied)
 }
 
-func (t *followerTask) ownedIDs() []spoke.UpstreamID {
-	ids := make([]spoke.UpstreamID, 0, len(t.followers))
-	for id := range t.followers {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	return ids
+func sortedIDs(followers map[spoke.UpstreamID]*follower) []spoke.UpstreamID {
+	return slices.Sorted(maps.Keys(followers))
 }
