Add resumption, real cost and busy answers to admission types

Cause: the admission must tell a preempted run that is resumed from new work, correct fair queueing by real cost, and lower its limit when an upstream says that it is busy. One wait for all ranks makes the router spill urgent work when only the least urgent rank waits.

Ruled out: reading ErrBusy inside the admission (it sees messages, no errors), and guessing resumption from the age of an item.

Change: WorkItem.Resumed, FinishWork.Cost, FinishWork.Busy and LoadSummary.Waits. No existing name changes.

Conclusion: all four are optional; their zero values mean unknown.

--- a/decisions.go
+++ b/decisions.go
@@ -11,10 +11,12 @@
 		Limit int
 		// ExpectedWait is the predicted queueing time of new work of the lowest rank.
 		ExpectedWait time.Duration
-		Versions     map[ModelName]ModelVersion
-		Draining     bool
-		Dead         bool
-		AsOf         time.Time
+		// Waits holds the predicted queueing time by rank; a missing rank means unknown.
+		Waits    map[RankName]time.Duration
+		Versions map[ModelName]ModelVersion
+		Draining bool
+		Dead     bool
+		AsOf     time.Time
 	}
 
 	// UpstreamView is an upstream as one entry host sees it.
@@ -58,7 +60,10 @@
 		Solo bool
 		// Preemptible says that the run can be cancelled and resumed.
 		Preemptible bool
-		Enqueued    time.Time
+		// Resumed marks the rest of a run whose first token was delivered; no
+		// first-token target and no workspace limit applies to it again.
+		Resumed  bool
+		Enqueued time.Time
 	}
 
 	// AdmissionMessage is an input of an Admission.
@@ -74,7 +79,11 @@
 		// FirstToken is the time from grant to first token; zero if none came.
 		FirstToken time.Duration
 		Duration   time.Duration
-		Failed     bool
+		// Cost is the real work in token equivalents; zero means unknown.
+		Cost   TokenCount
+		Failed bool
+		// Busy says that the upstream refused the item because it was at its limit.
+		Busy bool
 	}
 	// ConfigureAdmission sets ranks, workspaces and the upstreams that the host owns.
 	ConfigureAdmission struct {
