--- /dev/null
+++ b/route/hash.go
@@ -0,0 +1,55 @@
+package route
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"magnoliaspoke.example/spoke"
+)
+
+// score is the rendezvous weight of a node for a key; the highest wins.
+func score(key []byte, node string) uint64 {
+	var digest xxhash.Digest
+	digest.Reset()
+	_, _ = digest.Write(key)
+	// The separator keeps the boundary between key and node unambiguous.
+	_, _ = digest.Write([]byte{0})
+	_, _ = digest.WriteString(node)
+	return digest.Sum64()
+}
+
+// Owner returns the host that queues for an upstream, empty if there are no hosts.
+func Owner(upstream spoke.UpstreamID, hosts []spoke.HostID) spoke.HostID {
+	var owner spoke.HostID
+	var best uint64
+	for _, host := range hosts {
+		s := score([]byte(upstream), string(host))
+		// Equal scores go to the lower name so that all hosts agree.
+		if owner == "" || s > best || (s == best && host < owner) {
+			owner, best = host, s
+		}
+	}
+	return owner
+}
+
+// byHash sorts views by rendezvous weight for a key, the highest first.
+func byHash(key spoke.BlockKey, views []spoke.UpstreamView) []spoke.UpstreamView {
+	type scored struct {
+		view  spoke.UpstreamView
+		score uint64
+	}
+	list := make([]scored, len(views))
+	for i, view := range views {
+		list[i] = scored{view, score(key[:], string(view.Upstream.ID))}
+	}
+	slices.SortFunc(list, func(a, b scored) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.view.Upstream.ID, b.view.Upstream.ID))
+	})
+	sorted := make([]spoke.UpstreamView, len(list))
+	for i, s := range list {
+		sorted[i] = s.view
+	}
+	return sorted
+}
