First version: sched with ranks, floors, limits and refusals

Cause: the owner of an upstream decides which work it gets and when.

Ruled out: a limit set by hand, and strict priority without floors (a flood of urgent work would starve the other ranks).

Conclusion: usable for composition; constants are still to be measured.

--- /dev/null
+++ b/sched/admission.go
@@ -0,0 +1,225 @@
+package sched
+
+import (
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"magnoliaspoke.example/spoke"
+)
+
+// Admission implements spoke.Admission for the upstreams of one host.
+type Admission struct {
+	settings   settings
+	random     *rand.Rand
+	ranks      map[spoke.RankName]spoke.Rank
+	workspaces map[spoke.WorkspaceID]spoke.Workspace
+	queues     map[spoke.UpstreamID]*queue
+	// order lists the queues by upstream so that actions come in a fixed order.
+	order      []*queue
+	entries    map[spoke.AttemptID]*entry
+	inProgress map[spoke.WorkspaceID]int
+	actions    []spoke.AdmissionAction
+}
+
+var _ spoke.Admission = (*Admission)(nil)
+
+// NewAdmission returns an admission that owns no upstream yet.
+func NewAdmission(options ...Option) *Admission {
+	s := newSettings(options)
+	return &Admission{
+		settings:   s,
+		random:     rand.New(rand.NewPCG(s.seed, s.seed)),
+		ranks:      make(map[spoke.RankName]spoke.Rank),
+		workspaces: make(map[spoke.WorkspaceID]spoke.Workspace),
+		queues:     make(map[spoke.UpstreamID]*queue),
+		entries:    make(map[spoke.AttemptID]*entry),
+		inProgress: make(map[spoke.WorkspaceID]int),
+	}
+}
+
+// Handle takes one message and returns the actions that follow from it.
+func (a *Admission) Handle(now time.Time, message spoke.AdmissionMessage) []spoke.AdmissionAction {
+	a.actions = nil
+	switch m := message.(type) {
+	case spoke.SubmitWork:
+		a.submit(now, m.Item)
+	case spoke.WithdrawWork:
+		a.withdraw(now, m.Attempt)
+	case spoke.FinishWork:
+		a.finish(now, m)
+	case spoke.ConfigureAdmission:
+		a.configure(now, m)
+	case spoke.ReportLoad:
+		a.reportLoad(now, m)
+	case spoke.AdmissionTick:
+		for _, q := range a.order {
+			a.advance(now, q)
+		}
+	}
+	return a.actions
+}
+
+func (a *Admission) submit(now time.Time, item spoke.WorkItem) {
+	if a.entries[item.Attempt] != nil {
+		return
+	}
+	item.Cost = max(item.Cost, 1)
+	if item.Enqueued.IsZero() || item.Enqueued.After(now) {
+		item.Enqueued = now
+	}
+	e := &entry{item: item}
+	q := a.queues[item.Upstream]
+	if q == nil || !q.owned || q.draining {
+		a.emitRefusal(e, a.noUpstream(item.Upstream))
+		return
+	}
+	if refusal := a.workspaceRefusal(q, item); refusal != nil {
+		a.emitRefusal(e, refusal)
+		return
+	}
+	a.enqueue(q, e)
+	// The item is queued before its prediction so that a free place wins over a stale rate.
+	a.grantAll(now, q)
+	if !e.running {
+		a.checkEntry(now, e, e.class.ahead(e.tag()))
+	}
+	a.preempt(now, q)
+}
+
+func (a *Admission) enqueue(q *queue, e *entry) {
+	c := q.class(a.rank(e.item.Rank))
+	key := flowKey{e.item.Workspace, e.item.Solo}
+	c.push(e, c.flow(key, a.weight(e.item.Workspace)))
+	e.queue = q
+	q.waiting++
+	a.entries[e.item.Attempt] = e
+	a.inProgress[e.item.Workspace]++
+}
+
+func (a *Admission) withdraw(now time.Time, attempt spoke.AttemptID) {
+	e := a.entries[attempt]
+	if e == nil {
+		return
+	}
+	a.remove(e)
+	a.advance(now, e.queue)
+}
+
+func (a *Admission) finish(now time.Time, m spoke.FinishWork) {
+	e := a.entries[m.Attempt]
+	if e == nil || !e.running {
+		return
+	}
+	q := e.queue
+	limited := q.waiting > 0 || len(q.running) >= q.limit.Value()
+	a.remove(e)
+	switch {
+	case m.Busy:
+		q.limit.ObserveBusy(now)
+		e.class.charge(e, -e.item.Cost)
+	case !m.Failed && !e.preempted:
+		a.observe(now, e, m, limited)
+	}
+	a.advance(now, q)
+}
+
+func (a *Admission) observe(now time.Time, e *entry, m spoke.FinishWork, limited bool) {
+	cost := e.item.Cost
+	if m.Cost > 0 {
+		cost = m.Cost
+		e.class.charge(e, m.Cost-e.item.Cost)
+	}
+	if m.FirstToken > 0 {
+		e.class.firstToken = blend(e.class.firstToken, m.FirstToken.Seconds(), ratioGain)
+	}
+	if m.Duration > 0 {
+		e.queue.observeRate(cost, m.Duration)
+	}
+	e.queue.limit.Observe(now, LatencySample{
+		Cost: cost, FirstToken: m.FirstToken, Duration: m.Duration,
+		Concurrency: e.concurrency, Limited: limited,
+	})
+}
+
+func (a *Admission) reportLoad(now time.Time, m spoke.ReportLoad) {
+	q := a.queues[m.Upstream]
+	if q == nil || m.Report.AsOf.Before(q.report.AsOf) {
+		return
+	}
+	q.report = m.Report
+	q.report.Versions = maps.Clone(m.Report.Versions)
+	q.draining = m.Report.Draining
+	q.limit.ObserveLoad(now, m.Report)
+	if q.draining {
+		a.refuseWaiting(q)
+	}
+	a.advance(now, q)
+}
+
+// advance grants what fits, renews predictions and preempts.
+func (a *Admission) advance(now time.Time, q *queue) {
+	a.grantAll(now, q)
+	if now.Sub(q.lastCheck) >= a.settings.recheck {
+		q.lastCheck = now
+		a.checkWaiting(now, q)
+	}
+	a.preempt(now, q)
+}
+
+func (a *Admission) grantAll(now time.Time, q *queue) {
+	for q.owned && !q.draining && q.waiting > 0 && q.hasPlace() {
+		c, f := q.next()
+		if c == nil {
+			return
+		}
+		e := q.grant(now, c, f)
+		a.actions = append(a.actions, spoke.GrantWork{Attempt: e.item.Attempt})
+	}
+}
+
+func (a *Admission) preempt(now time.Time, q *queue) {
+	if q.waiting == 0 || q.hasPlace() {
+		return
+	}
+	for _, e := range q.preemptions(now) {
+		a.actions = append(a.actions, spoke.PreemptWork{Attempt: e.item.Attempt})
+	}
+}
+
+// remove forgets an entry, waiting or running.
+func (a *Admission) remove(e *entry) {
+	if e.running {
+		e.queue.release(e)
+	} else {
+		e.queue.drop(e)
+	}
+	delete(a.entries, e.item.Attempt)
+	a.inProgress[e.item.Workspace]--
+	if a.inProgress[e.item.Workspace] == 0 {
+		delete(a.inProgress, e.item.Workspace)
+	}
+	if !e.queue.owned && len(e.queue.running) == 0 {
+		a.forget(e.queue)
+	}
+}
+
+func (a *Admission) forget(q *queue) {
+	delete(a.queues, q.upstream)
+	a.order = slices.DeleteFunc(a.order, func(other *queue) bool { return other == q })
+}
+
+func (a *Admission) rank(name spoke.RankName) spoke.Rank {
+	if rank, ok := a.ranks[name]; ok {
+		return rank
+	}
+	return a.settings.unknownRank(name)
+}
+
+func (a *Admission) weight(id spoke.WorkspaceID) float64 {
+	if weight := a.workspaces[id].Weight; weight > 0 {
+		return weight
+	}
+	return 1
+}
--- /dev/null
+++ b/sched/predict.go
@@ -0,0 +1,155 @@
+package sched
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"magnoliaspoke.example/spoke"
+)
+
+const (
+	// Shares of ranks are measured over about this time.
+	shareWindow = 2 * time.Second
+	// Costs and durations are averaged over about this many items.
+	rateGain = 0.05
+	// A rank with floor zero in a flood still has to get a finite prediction.
+	minShare = 0.01
+	// First tokens are taken to use at most this part of a target; otherwise a target
+	// below the bare service time would refuse all work.
+	maxServicePart = 0.5
+)
+
+type (
+	// decayed is an exponentially decayed sum.
+	decayed struct {
+		sum float64
+		at  time.Time
+	}
+
+	// profile gives the cost that start-time fair queueing serves before a start tag.
+	profile struct {
+		tags, served, slopes []float64
+	}
+)
+
+func (d *decayed) value(now time.Time) float64 {
+	if d.sum == 0 {
+		return 0
+	}
+	return d.sum * math.Exp(-now.Sub(d.at).Seconds()/shareWindow.Seconds())
+}
+
+func (d *decayed) add(now time.Time, amount float64) {
+	d.sum = d.value(now) + amount
+	d.at = now
+}
+
+// ahead returns the waiting cost that is served before an item with the start tag.
+func (c *class) ahead(tag float64) float64 {
+	var cost float64
+	for _, f := range c.active {
+		cost += min(max(tag-f.start, 0)*f.weight, float64(f.backlog))
+	}
+	return cost
+}
+
+// profile prepares ahead for many tags.
+func (c *class) profile() profile {
+	type change struct{ tag, slope float64 }
+	changes := make([]change, 0, 2*len(c.active))
+	for _, f := range c.active {
+		changes = append(changes,
+			change{f.start, f.weight},
+			change{f.start + float64(f.backlog)/f.weight, -f.weight})
+	}
+	slices.SortFunc(changes, func(a, b change) int {
+		switch {
+		case a.tag < b.tag:
+			return -1
+		case a.tag > b.tag:
+			return 1
+		}
+		return 0
+	})
+	var p profile
+	var served, slope, last float64
+	for _, ch := range changes {
+		served += slope * (ch.tag - last)
+		slope, last = slope+ch.slope, ch.tag
+		p.tags = append(p.tags, ch.tag)
+		p.served = append(p.served, served)
+		p.slopes = append(p.slopes, slope)
+	}
+	return p
+}
+
+func (p profile) ahead(tag float64) float64 {
+	i, found := slices.BinarySearch(p.tags, tag)
+	if found {
+		return p.served[i]
+	}
+	if i == 0 {
+		return 0
+	}
+	return p.served[i-1] + p.slopes[i-1]*(tag-p.tags[i-1])
+}
+
+// drainRate returns the cost per second of the upstream at its limit, zero if unknown.
+func (q *queue) drainRate() float64 {
+	if q.meanDuration == 0 {
+		return 0
+	}
+	return q.meanCost / q.meanDuration * float64(q.limit.Value())
+}
+
+// share returns the part of capacity that more urgent grants and floors leave to a class.
+func (q *queue) share(now time.Time, c *class, rate float64) float64 {
+	left := 1.0
+	for _, other := range q.classes {
+		switch {
+		case other.rank.Order < c.rank.Order:
+			left -= other.granted.value(now) / (shareWindow.Seconds() * rate)
+		case other != c && other.waiting > 0:
+			left -= float64(other.rank.Floor)
+		}
+	}
+	return max(left, minShare)
+}
+
+// wait predicts the time until an item starts that has some cost of its class ahead:
+// by order of urgency or by the floor, whichever is sooner.
+func (q *queue) wait(now time.Time, c *class, ahead, cost float64) time.Duration {
+	rate := q.drainRate()
+	if rate == 0 || (q.hasPlace() && q.waiting == 0) {
+		return 0
+	}
+	residual := float64(q.excess()) * q.meanCost
+	if !q.hasPlace() && !q.mayPreemptFor(now, c) {
+		residual += q.meanCost
+	}
+	var urgent float64
+	for _, other := range q.classes {
+		if other.rank.Order < c.rank.Order {
+			urgent += float64(other.backlog)
+		}
+	}
+	wait := (ahead/q.share(now, c, rate) + urgent + residual) / rate
+	if floor := float64(c.rank.Floor); floor > 0 {
+		owed := max(ahead+cost-c.credit, 0)
+		wait = min(wait, (owed/floor+residual)/rate)
+	}
+	return seconds(wait)
+}
+
+// budget returns the queueing time that leaves room for the first token itself.
+func (c *class) budget() time.Duration {
+	target := c.rank.FirstTokenTarget
+	service := min(seconds(c.firstToken), time.Duration(float64(target)*maxServicePart))
+	return target - service
+}
+
+func (q *queue) observeRate(cost spoke.TokenCount, duration time.Duration) {
+	q.meanCost = blend(q.meanCost, float64(max(cost, 1)), rateGain)
+	q.meanDuration = blend(q.meanDuration, duration.Seconds(), rateGain)
+}
