Add the backend and the retry budget to the root interfaces

The caller API and the request runner are written as separate packages and need one interface between them. Backend serves authenticated language requests and plain calls; RetryBudget lets the runner bound its retries without knowledge of the admission code. No existing name changes; the root package builds.

--- a/dispatch.go
+++ b/dispatch.go
@@ -51,6 +51,15 @@
 		Call(ctx context.Context, dispatch CallDispatch) (PlainAnswer, error)
 	}
 
+	// RetryBudget bounds the attempts that follow a failure to a share of the requests;
+	// it is safe for concurrent use.
+	RetryBudget interface {
+		// Deposit counts a request's first attempt.
+		Deposit(workspace WorkspaceID)
+		// Withdraw takes one retry; false means that the budget is used up.
+		Withdraw(workspace WorkspaceID) bool
+	}
+
 	// ManifestSource gives the configuration in force.
 	ManifestSource interface {
 		// Current returns the snapshot in force, nil before the first one.
--- a/request.go
+++ b/request.go
@@ -1,7 +1,9 @@
 package spoke
 
 import (
+	"context"
 	"fmt"
+	"net/http"
 	"time"
 )
 
@@ -87,6 +89,33 @@
 		Received time.Time
 	}
 
+	// ServiceCall is a caller's call of a plain service after authentication and lookup.
+	ServiceCall struct {
+		ID        RequestID
+		Workspace WorkspaceID
+		Service   ServiceName
+		Rank      RankName
+		Method    string
+		// Path starts with a slash and may carry a query.
+		Path   string
+		Header http.Header
+		Body   []byte
+		// Key is the caller's idempotency key; it may be empty.
+		Key IdempotencyKey
+		// Deadline is the caller's limit; the zero time means none.
+		Deadline time.Time
+		Received time.Time
+	}
+
+	// Backend serves authenticated requests; its errors and those of its streams are a *Refusal.
+	Backend interface {
+		// Complete starts a language request, which ends with ctx or with the stream's Close.
+		// Pieces without tokens and without Finish are heartbeats.
+		Complete(ctx context.Context, request Request) (RunStream, error)
+		// Call makes a call of a plain service.
+		Call(ctx context.Context, call ServiceCall) (PlainAnswer, error)
+	}
+
 	// Usage counts the tokens of one run.
 	Usage struct {
 		Prompt     TokenCount
