Read and validate the settings of an entry host

Cause: entry hosts learn addresses, peers and credentials from TOML settings. Ruled out: decoding into tagged structs, because the decoder stops at the first value of a wrong type and hides the other findings. Conclusion: programs can load settings; tuning keys have documented defaults.

--- /dev/null
+++ b/config/decode.go
@@ -0,0 +1,105 @@
+package config
+
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/BurntSushi/toml"
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+
+	"magnoliaspoke.example/spoke"
+	"magnoliaspoke.example/spoke/check"
+)
+
+// Load reads and validates a settings file; the error is a *check.Report if the content is at fault.
+func Load(path string) (Entry, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Entry{}, eris.Wrapf(err, "read settings %q", path)
+	}
+	return Decode(path, text)
+}
+
+// Decode reads and validates settings; file names the source in the findings, all of
+// which are in the *check.Report that is returned as the error.
+func Decode(file string, text []byte) (Entry, error) {
+	var report check.Report
+	values := make(map[string]any)
+	if _, err := toml.Decode(string(text), &values); err != nil {
+		report.Addf(file, "%s", describeSyntax(err))
+		return Entry{}, report.Err()
+	}
+	root := newTable(file+": ", values, &report)
+	entry := readEntry(root)
+	entry.Peers = readPeers(root)
+	root.finish()
+	validate(root, entry)
+	if err := report.Err(); err != nil {
+		return Entry{}, err
+	}
+	return entry, nil
+}
+
+func readEntry(t *table) Entry {
+	entry := Defaults()
+	entry.Host = spoke.HostID(t.text(keyHost))
+	entry.Region = spoke.RegionID(t.text(keyRegion))
+	entry.DataCentre = spoke.DataCentreID(t.text(keyDataCentre))
+	entry.Caller = spoke.Address(t.text(keyCaller))
+	entry.Internal = spoke.Address(t.text(keyInternal))
+	entry.Admin = spoke.Address(t.text(keyAdmin))
+	entry.Metrics = spoke.Address(t.text(keyMetrics))
+	entry.Platform = spoke.Address(t.text(keyPlatform))
+	entry.PeerSecret = Secret(t.text(keyPeerSecret))
+	for _, hash := range t.texts(keyAdminKeys) {
+		entry.AdminKeys = append(entry.AdminKeys, spoke.KeyHash(hash))
+	}
+	entry.OrderCredential = Secret(t.text(keyOrderCredential))
+	entry.LogLevel = readLevel(t, entry.LogLevel)
+	t.duration(keyDrainDelay, &entry.DrainDelay)
+	t.duration(keyDrainDeadline, &entry.DrainDeadline)
+	t.whole(keyEventCapacity, &entry.EventCapacity)
+	t.duration(keyHeartbeat, &entry.HeartbeatInterval)
+	t.duration(keySuspectAfter, &entry.SuspectAfter)
+	t.duration(keyRemoveAfter, &entry.RemoveAfter)
+	return entry
+}
+
+func readLevel(t *table, level logrus.Level) logrus.Level {
+	text := t.text(keyLogLevel)
+	if text == "" {
+		return level
+	}
+	parsed, err := logrus.ParseLevel(text)
+	if err != nil {
+		t.report.Addf(t.at(keyLogLevel), "%q is no log level such as \"info\"", text)
+		return level
+	}
+	return parsed
+}
+
+func readPeers(t *table) []Peer {
+	var peers []Peer
+	for i, values := range t.tables(keyPeers) {
+		inner := newTable(fmt.Sprintf("%s%s[%d].", t.place, keyPeers, i), values, t.report)
+		peer := Peer{
+			Host:       spoke.HostID(inner.text(keyHost)),
+			DataCentre: spoke.DataCentreID(inner.text(keyDataCentre)),
+			Address:    spoke.Address(inner.text(keyAddress)),
+		}
+		inner.finish()
+		validatePeer(inner, peer)
+		peers = append(peers, peer)
+	}
+	return peers
+}
+
+func describeSyntax(err error) string {
+	var syntax toml.ParseError
+	if errors.As(err, &syntax) {
+		return fmt.Sprintf("line %d: %s", syntax.Position.Line, syntax.Message)
+	}
+	return err.Error()
+}
--- /dev/null
+++ b/config/entry.go
@@ -0,0 +1,100 @@
+package config
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"magnoliaspoke.example/spoke"
+)
+
+const (
+	// MinSecretLength is the shortest peer secret in bytes; 16 bytes are 128 bits,
+	// which is beyond guessing over the network.
+	MinSecretLength = 16
+
+	// DefaultLogLevel keeps one line per noteworthy change and none per request.
+	DefaultLogLevel = logrus.InfoLevel
+	// DefaultDrainDelay is how long a draining host still accepts work, so that the
+	// load balancer sees it as not ready first.
+	DefaultDrainDelay = 5 * time.Second
+	// DefaultDrainDeadline is how long a draining host waits for its streams.
+	DefaultDrainDeadline = 60 * time.Second
+	// DefaultEventCapacity keeps about 2 MB of events in memory.
+	DefaultEventCapacity = 8192
+	// DefaultHeartbeatInterval is the period of heartbeats to peers.
+	DefaultHeartbeatInterval = 500 * time.Millisecond
+	// DefaultSuspectAfter is the age of the last heartbeat at which a peer is suspected.
+	DefaultSuspectAfter = 2 * time.Second
+	// DefaultRemoveAfter is the age of the last heartbeat at which a peer is removed.
+	DefaultRemoveAfter = 4 * time.Second
+
+	redacted = "redacted"
+)
+
+type (
+	// Secret is a credential that formatting verbs do not print.
+	Secret string
+
+	// Peer is an entry host that the settings name as a first contact.
+	Peer struct {
+		Host       spoke.HostID
+		DataCentre spoke.DataCentreID
+		// Address is the peer's internal address as this host reaches it.
+		Address spoke.Address
+	}
+
+	// Entry holds the settings of one entry host.
+	Entry struct {
+		Host       spoke.HostID
+		Region     spoke.RegionID
+		DataCentre spoke.DataCentreID
+
+		// Caller, Internal, Admin and Metrics are listening addresses; port 0 lets the
+		// system choose.
+		Caller   spoke.Address
+		Internal spoke.Address
+		Admin    spoke.Address
+		Metrics  spoke.Address
+
+		// Platform is the address of the key-value service.
+		Platform spoke.Address
+		Peers    []Peer
+
+		// PeerSecret authenticates entry hosts to each other.
+		PeerSecret Secret
+		// AdminKeys are the hashes of the keys that the administration API accepts.
+		AdminKeys []spoke.KeyHash
+		// OrderCredential authenticates orders at the upstreams that check their caller.
+		OrderCredential Secret
+
+		LogLevel      logrus.Level
+		DrainDelay    time.Duration
+		DrainDeadline time.Duration
+		// EventCapacity is the number of events that the time line keeps.
+		EventCapacity int
+
+		HeartbeatInterval time.Duration
+		SuspectAfter      time.Duration
+		RemoveAfter       time.Duration
+	}
+)
+
+// Defaults returns settings with the default of every key that may be left out.
+func Defaults() Entry {
+	return Entry{
+		LogLevel:          DefaultLogLevel,
+		DrainDelay:        DefaultDrainDelay,
+		DrainDeadline:     DefaultDrainDeadline,
+		EventCapacity:     DefaultEventCapacity,
+		HeartbeatInterval: DefaultHeartbeatInterval,
+		SuspectAfter:      DefaultSuspectAfter,
+		RemoveAfter:       DefaultRemoveAfter,
+	}
+}
+
+// String hides the secret.
+func (Secret) String() string { return redacted }
+
+// GoString hides the secret from %#v.
+func (Secret) GoString() string { return redacted }
