--- /dev/null
+++ b/events/filter.go
@@ -0,0 +1,50 @@
+package events
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"magnoliaspoke.example/spoke"
+)
+
+// Filter selects events; fields with their zero value select all.
+type Filter struct {
+	Request  spoke.RequestID
+	Upstream spoke.UpstreamID
+	Ticket   spoke.TicketNumber
+	// Since and Until bound the wall time; Until is exclusive.
+	Since time.Time
+	Until time.Time
+}
+
+// Matches reports whether the event passes all conditions.
+func (f Filter) Matches(event spoke.Event) bool {
+	at := time.Unix(0, event.At.Wall)
+	return (f.Request == "" || event.Request == f.Request) &&
+		(f.Upstream == "" || event.Upstream == f.Upstream) &&
+		(f.Ticket == 0 || event.Ticket == f.Ticket) &&
+		(f.Since.IsZero() || !at.Before(f.Since)) &&
+		(f.Until.IsZero() || at.Before(f.Until))
+}
+
+// Merge returns the events of several processes in causal order; an event that several
+// lists hold is returned once.
+func Merge(lists ...[]spoke.Event) []spoke.Event {
+	merged := slices.Concat(lists...)
+	slices.SortStableFunc(merged, compare)
+	return slices.Compact(merged)
+}
+
+// compare orders by clock reading; readings of one host never repeat, so host and reading
+// are a total order.
+func compare(a, b spoke.Event) int {
+	if a.At.Before(b.At) {
+		return -1
+	}
+	if b.At.Before(a.At) {
+		return 1
+	}
+	return cmp.Or(strings.Compare(string(a.Host), string(b.Host)), strings.Compare(string(a.Kind), string(b.Kind)))
+}
