Derive block keys from a chain over scope and pieces

Routing, import and the engine must name the same prefix by the same key, and a key of one workspace or version must never equal that of another. A hash over concatenated fields was ruled out: fields with moved borders would collide, so each field is written with its length. The salt folds service, workspace and adapter, because the engine protocol carries only model, version and salt; the engine stand-in can then compute the chain. Conclusion: one function, cache.Chain, serves entry hosts and engines.

--- /dev/null
+++ b/cache/keys.go
@@ -0,0 +1,84 @@
+package cache
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"hash"
+
+	"magnoliaspoke.example/spoke"
+)
+
+const (
+	saltDomain  = "spoke-salt-1"
+	chainDomain = "spoke-chain-1"
+)
+
+type (
+	// Salt separates the prefix caches of services, workspaces and adapters at an engine.
+	Salt string
+
+	// Scope is everything besides the text that a block belongs to.
+	Scope struct {
+		Service   spoke.ServiceName
+		Workspace spoke.WorkspaceID
+		Model     spoke.ModelName
+		Version   spoke.ModelVersion
+		Adapter   spoke.AdapterName
+	}
+)
+
+// ScopeOf returns the scope of a run.
+func ScopeOf(spec spoke.RunSpec) Scope {
+	return Scope{
+		Service:   spec.Service,
+		Workspace: spec.Workspace,
+		Model:     spec.Model,
+		Version:   spec.Version,
+		Adapter:   spec.Adapter,
+	}
+}
+
+// Salt returns the digest of service, workspace and adapter that engines get with each run.
+func (s Scope) Salt() Salt {
+	digest := sha256.New()
+	writeFields(digest, saltDomain, string(s.Service), string(s.Workspace), string(s.Adapter))
+	return Salt(hex.EncodeToString(digest.Sum(nil)))
+}
+
+// Keys returns the block keys of a prompt, the shortest prefix first; a last piece that is
+// not whole gets no key.
+func (s Scope) Keys(prompt string) []spoke.BlockKey {
+	return Chain(s.Salt(), s.Model, s.Version, prompt)
+}
+
+// Chain returns the block keys of a prompt as an engine computes them from the salt of a run.
+func Chain(salt Salt, model spoke.ModelName, version spoke.ModelVersion, prompt string) []spoke.BlockKey {
+	pieces := len(prompt) / int(spoke.PieceSize)
+	if pieces == 0 {
+		return nil
+	}
+	keys := make([]spoke.BlockKey, 0, pieces)
+	digest := sha256.New()
+	writeFields(digest, chainDomain, string(salt), string(model), string(version))
+	var link spoke.BlockKey
+	digest.Sum(link[:0])
+	for i := range pieces {
+		digest.Reset()
+		digest.Write(link[:])
+		digest.Write([]byte(prompt[i*int(spoke.PieceSize) : (i+1)*int(spoke.PieceSize)]))
+		digest.Sum(link[:0])
+		keys = append(keys, link)
+	}
+	return keys
+}
+
+// writeFields writes each field with its length, so that no two lists of fields read the same.
+func writeFields(digest hash.Hash, fields ...string) {
+	var length [8]byte
+	for _, field := range fields {
+		binary.BigEndian.PutUint64(length[:], uint64(len(field)))
+		digest.Write(length[:])
+		digest.Write([]byte(field))
+	}
+}
