--- /dev/null
+++ b/engine/doc.go
@@ -0,0 +1,3 @@
+// Package engine implements the HTTP client of model engines: runs as server-sent events,
+// cancellation, load reports, cache events, block transfer and orders.
+package engine
