--- a/host/idle.go
+++ b/host/idle.go
@@ -36,6 +36,18 @@
 	return &idleLimit{timer: timer, first: max(minFirstIdle, prefill)}
 }
 
+// start runs an open call under the limit for a first token; the cancel function
+// ends the call and later the stream.
+func (l *idleLimit) start(cancel context.CancelCauseFunc, open func() (spoke.RunStream, error)) (spoke.RunStream, error) {
+	silent := eris.Wrapf(spoke.ErrSilent, "no answer within %s", l.first)
+	guard := time.AfterFunc(l.first, func() { cancel(silent) })
+	stream, err := open()
+	if !guard.Stop() {
+		return nil, silent
+	}
+	return stream, err
+}
+
 // next reads a piece or fails with spoke.ErrSilent.
 func (l *idleLimit) next(ctx context.Context, stream spoke.RunStream) (spoke.Piece, error) {
 	limit := l.limit()
--- a/host/owner.go
+++ b/host/owner.go
@@ -83,7 +83,8 @@
 		Attempt: r.dispatch.Spec.Attempt, Request: r.dispatch.Spec.Request,
 		Upstream: r.upstream.ID, Workspace: r.dispatch.Spec.Workspace,
 		Rank: r.dispatch.Rank, Cost: r.dispatch.Cost, Solo: r.dispatch.Solo,
-		Preemptible: r.dispatch.Preemptible, Enqueued: r.owner.timer.Now(),
+		Preemptible: r.dispatch.Preemptible, Resumed: r.dispatch.Spec.ResumeFrom > 0,
+		Enqueued: r.owner.timer.Now(),
 	}
 }
 
@@ -167,6 +168,7 @@
 func (r *ownedRun) settle(finish spoke.FinishWork, usage spoke.Usage, err error) {
 	switch {
 	case errors.Is(err, io.EOF):
+		finish.Cost = usage.Prompt - usage.Cached + usage.Completion
 		r.owner.admission.Send(r.owner.life, finish)
 		r.record("run-finished", "")
 		if r.owner.blocks != nil {
@@ -178,6 +180,7 @@
 		r.record("run-cancelled", err.Error())
 	default:
 		finish.Failed = true
+		finish.Busy = errors.Is(err, spoke.ErrBusy)
 		r.owner.admission.Send(r.owner.life, finish)
 		err = r.explain(err)
 		r.record("run-failed", err.Error())
@@ -187,15 +190,19 @@
 
 // stream passes the engine's pieces on until its end mark or an error.
 func (r *ownedRun) stream(started time.Time, finish *spoke.FinishWork) (spoke.Usage, error) {
-	answer, err := r.owner.engine.Run(r.work, r.upstream.Address, r.dispatch.Spec)
+	idle := newIdleLimit(r.owner.timer, r.dispatch.Cost)
+	ctx, cancel := context.WithCancelCause(r.work)
+	defer cancel(nil)
+	answer, err := idle.start(cancel, func() (spoke.RunStream, error) {
+		return r.owner.engine.Run(ctx, r.upstream.Address, r.dispatch.Spec)
+	})
 	if err != nil {
 		return spoke.Usage{}, err
 	}
 	defer answer.Close()
-	idle := newIdleLimit(r.owner.timer, r.dispatch.Cost)
 	var usage spoke.Usage
 	for {
-		piece, err := idle.next(r.work, answer)
+		piece, err := idle.next(ctx, answer)
 		if err != nil {
 			return usage, err
 		}
--- a/wire/frame_codec.go
+++ b/wire/frame_codec.go
@@ -22,9 +22,18 @@
 	failureSilent    = "silent"
 	failureBroken    = "incomplete"
 	failureNotRun    = "not-run"
+	failureVersion   = "wrong-version"
+	failureDraining  = "draining"
+	failureBusy      = "busy"
 )
 
 type (
+	// failure pairs a name on the wire with the errors that it stands for.
+	failure struct {
+		kind  string
+		marks []error
+	}
+
 	frameJSON struct {
 		Kind    string       `json:"kind"`
 		Attempt string       `json:"attempt,omitempty"`
@@ -93,15 +102,11 @@
 		}}
 	}
 	kind := failureBroken
-	switch {
-	case errors.Is(err, spoke.ErrUpstreamDied):
-		kind = failureDied
-	case errors.Is(err, spoke.ErrPreempted):
-		kind = failurePreempted
-	case errors.Is(err, spoke.ErrSilent):
-		kind = failureSilent
-	case errors.Is(err, spoke.ErrNotRun):
-		kind = failureNotRun
+	for _, failure := range failures() {
+		if matchesAll(err, failure.marks) {
+			kind = failure.kind
+			break
+		}
 	}
 	return frameJSON{Kind: frameFailure, Failure: kind, Message: err.Error()}
 }
@@ -114,18 +119,34 @@
 			RetryAfter: time.Duration(f.Refusal.RetryAfter) * time.Millisecond,
 		}
 	}
-	cause := spoke.ErrIncomplete
-	switch f.Failure {
-	case failureDied:
-		cause = spoke.ErrUpstreamDied
-	case failurePreempted:
-		cause = spoke.ErrPreempted
-	case failureSilent:
-		cause = spoke.ErrSilent
-	case failureNotRun:
-		cause = spoke.ErrNotRun
+	for _, failure := range failures() {
+		if failure.kind == f.Failure {
+			return eris.Wrap(errors.Join(failure.marks...), f.Message)
+		}
+	}
+	return eris.Wrap(spoke.ErrIncomplete, f.Message)
+}
+
+// failures lists the marks that cross the wire, the most specific first.
+func failures() []failure {
+	return []failure{
+		{failureDied, []error{spoke.ErrUpstreamDied}},
+		{failurePreempted, []error{spoke.ErrPreempted}},
+		{failureSilent, []error{spoke.ErrSilent}},
+		{failureVersion, []error{spoke.ErrNotRun, spoke.ErrWrongVersion}},
+		{failureDraining, []error{spoke.ErrNotRun, spoke.ErrDraining}},
+		{failureBusy, []error{spoke.ErrNotRun, spoke.ErrBusy}},
+		{failureNotRun, []error{spoke.ErrNotRun}},
+	}
+}
+
+func matchesAll(err error, marks []error) bool {
+	for _, mark := range marks {
+		if !errors.Is(err, mark) {
+			return false
+		}
 	}
-	return eris.Wrap(cause, f.Message)
+	return true
 }
 
 func decodeFrame(line []byte) (frameJSON, error) {
--- a/wire/heartbeat_codec.go
+++ b/wire/heartbeat_codec.go
@@ -38,6 +38,7 @@
 		Running  int               `json:"running,omitempty"`
 		Limit    int               `json:"limit,omitempty"`
 		Wait     int64             `json:"wait-us,omitempty"`
+		Waits    map[string]int64  `json:"waits-us,omitempty"`
 		Versions map[string]string `json:"versions,omitempty"`
 		Draining bool              `json:"draining,omitempty"`
 		Dead     bool              `json:"dead,omitempty"`
@@ -133,7 +134,12 @@
 }
 
 func encodeLoad(load spoke.LoadSummary) loadJSON {
+	waits := make(map[string]int64, len(load.Waits))
+	for rank, wait := range load.Waits {
+		waits[string(rank)] = wait.Microseconds()
+	}
 	return loadJSON{
+		Waits:  waits,
 		Queued: load.Queued, Running: load.Running, Limit: load.Limit,
 		Wait: load.ExpectedWait.Microseconds(), Versions: encodeVersions(load.Versions),
 		Draining: load.Draining, Dead: load.Dead, AsOf: load.AsOf.UnixMilli(),
@@ -141,7 +147,12 @@
 }
 
 func decodeLoad(in loadJSON) spoke.LoadSummary {
+	waits := make(map[spoke.RankName]time.Duration, len(in.Waits))
+	for rank, micros := range in.Waits {
+		waits[spoke.RankName(rank)] = time.Duration(micros) * time.Microsecond
+	}
 	return spoke.LoadSummary{
+		Waits:  waits,
 		Queued: in.Queued, Running: in.Running, Limit: in.Limit,
 		ExpectedWait: time.Duration(in.Wait) * time.Microsecond, Versions: decodeVersions(in.Versions),
 		Draining: in.Draining, Dead: in.Dead, AsOf: time.UnixMilli(in.AsOf),
