Add the stand-in of the key-value service

A mock of spoke.KeyValue was ruled out, since it would leave the HTTP client and its failure classes untested. kvsvc.New returns an http.Handler with keys, watches, leases, the lagging host list, faults and call counters; NewTransport carries calls without a socket, so that tests run in the virtual time of testing/synctest.

--- /dev/null
+++ b/fake/kvsvc/codec.go
@@ -0,0 +1,96 @@
+package kvsvc
+
+import (
+	"encoding/json"
+	"net/http"
+)
+
+type (
+	pairBody struct {
+		Key      string `json:"key"`
+		Value    []byte `json:"value"`
+		Revision uint64 `json:"revision"`
+	}
+
+	pairsBody struct {
+		Pairs    []pairBody `json:"pairs"`
+		Revision uint64     `json:"revision"`
+	}
+
+	putBody struct {
+		Value    []byte `json:"value"`
+		Expected uint64 `json:"expected-revision"`
+		TTL      int64  `json:"ttl-ms"`
+	}
+
+	revisionBody struct {
+		Revision uint64 `json:"revision"`
+	}
+
+	leaseBody struct {
+		Holder string `json:"holder,omitempty"`
+		Token  uint64 `json:"token"`
+		TTL    int64  `json:"ttl-ms"`
+	}
+
+	hostBody struct {
+		Name    string `json:"name"`
+		Address string `json:"address"`
+		State   string `json:"state"`
+	}
+
+	hostsBody struct {
+		Hosts []hostBody `json:"hosts"`
+		// Lag delays the moment from which GET /hosts shows the list.
+		Lag int64 `json:"lag-ms,omitempty"`
+	}
+
+	// Faults is the body of POST /faults; it replaces all faults set before.
+	Faults struct {
+		// Outage is empty, "refuse" (503 at once) or "hold" (no answer until the outage ends).
+		Outage string `json:"outage"`
+		// DelayMs delays each call; a delayed write takes effect even if its caller has gone.
+		DelayMs int64 `json:"delay-ms"`
+		// LoseAnswers is the probability that a write takes effect and its answer is lost.
+		LoseAnswers float64 `json:"lose-answers"`
+		// LoseNext is the number of next writes whose answers are lost.
+		LoseNext int `json:"lose-next"`
+		// StaleReads is the probability that a read shows each key as it was before its last write.
+		StaleReads float64 `json:"stale-reads"`
+	}
+
+	// Calls is the answer of GET /calls.
+	Calls struct {
+		Reads  int64 `json:"reads"`
+		Writes int64 `json:"writes"`
+		// Watches counts the watches started.
+		Watches int64 `json:"watches"`
+		// WaitingWatches is the number of watches waiting now.
+		WaitingWatches int64 `json:"waiting-watches"`
+		LeaseCalls     int64 `json:"lease-calls"`
+		// ValueBytes is the sum of all values written.
+		ValueBytes int64 `json:"value-bytes"`
+	}
+
+	errorBody struct {
+		Error string `json:"error"`
+	}
+)
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+func writeError(w http.ResponseWriter, status int, text string) {
+	writeJSON(w, status, errorBody{text})
+}
+
+func readJSON(w http.ResponseWriter, r *http.Request, into any) bool {
+	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody)).Decode(into)
+	if err != nil {
+		writeError(w, http.StatusBadRequest, err.Error())
+	}
+	return err == nil
+}
--- /dev/null
+++ b/fake/kvsvc/leases.go
@@ -0,0 +1,81 @@
+package kvsvc
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+)
+
+type lease struct {
+	holder  string
+	token   uint64
+	expires time.Time
+}
+
+// acquire grants a free or lapsed lease; the holder itself gets it again with a new token,
+// so that a restarted process supersedes its predecessor.
+func (s *Service) acquire(w http.ResponseWriter, r *http.Request) {
+	var body leaseBody
+	if !readJSON(w, r, &body) {
+		return
+	}
+	name := r.PathValue("name")
+	s.mu.Lock()
+	now := s.timer.Now()
+	held := s.leases[name]
+	free := held.holder == "" || held.holder == body.Holder || !now.Before(held.expires)
+	if free {
+		s.tokens++
+		held = lease{holder: body.Holder, token: s.tokens, expires: now.Add(time.Duration(body.TTL) * time.Millisecond)}
+		s.leases[name] = held
+	}
+	s.mu.Unlock()
+	if !free {
+		writeError(w, http.StatusConflict, "held by another holder")
+		return
+	}
+	writeJSON(w, http.StatusOK, leaseBody{Token: held.token, TTL: body.TTL})
+}
+
+func (s *Service) renew(w http.ResponseWriter, r *http.Request) {
+	var body leaseBody
+	if !readJSON(w, r, &body) {
+		return
+	}
+	name := r.PathValue("name")
+	s.mu.Lock()
+	now := s.timer.Now()
+	held := s.leases[name]
+	current := held.holder == body.Holder && held.token == body.Token && now.Before(held.expires)
+	if current {
+		held.expires = now.Add(time.Duration(body.TTL) * time.Millisecond)
+		s.leases[name] = held
+	}
+	s.mu.Unlock()
+	if !current {
+		writeError(w, http.StatusConflict, "lease lost")
+		return
+	}
+	writeJSON(w, http.StatusOK, leaseBody{Token: body.Token, TTL: body.TTL})
+}
+
+func (s *Service) release(w http.ResponseWriter, r *http.Request) {
+	token, err := strconv.ParseUint(r.URL.Query().Get("token"), 10, 64)
+	if err != nil {
+		writeError(w, http.StatusBadRequest, "token: "+err.Error())
+		return
+	}
+	name := r.PathValue("name")
+	s.mu.Lock()
+	held := s.leases[name]
+	current := held.holder == r.URL.Query().Get("holder") && held.token == token
+	if current {
+		delete(s.leases, name)
+	}
+	s.mu.Unlock()
+	if !current {
+		writeError(w, http.StatusConflict, "lease lost")
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
