Add the HTTP client of the key-value service

Hosts need keys, leases and the host list of the platform over HTTP, with calls that certainly had no effect told from calls that may have had one.

--- /dev/null
+++ b/coord/leases.go
@@ -0,0 +1,85 @@
+package coord
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"magnoliaspoke.example/spoke"
+)
+
+// Acquire takes a free or lapsed lease or fails with ErrLeaseHeld.
+func (c *Client) Acquire(
+	ctx context.Context, name spoke.LeaseName, holder spoke.HostID, ttl time.Duration,
+) (spoke.Lease, error) {
+	acquire := call{
+		method: http.MethodPost,
+		path:   leasePath(name),
+		body:   leaseBody{Holder: string(holder), TTL: int64(ttl / time.Millisecond)},
+	}
+	sent := c.timer.Now()
+	status, content, err := c.do(ctx, acquire)
+	if err != nil {
+		return spoke.Lease{}, err
+	}
+	if status == http.StatusConflict {
+		return spoke.Lease{}, eris.Wrapf(spoke.ErrLeaseHeld, "lease %q for %q", name, holder)
+	}
+	return grantedLease(acquire, content, spoke.Lease{Name: name, Holder: holder}, sent)
+}
+
+// Renew extends a held lease or fails with ErrLeaseLost.
+func (c *Client) Renew(ctx context.Context, lease spoke.Lease, ttl time.Duration) (spoke.Lease, error) {
+	renew := call{
+		method: http.MethodPut,
+		path:   leasePath(lease.Name),
+		body: leaseBody{
+			Holder: string(lease.Holder),
+			Token:  uint64(lease.Fence),
+			TTL:    int64(ttl / time.Millisecond),
+		},
+	}
+	sent := c.timer.Now()
+	status, content, err := c.do(ctx, renew)
+	if err != nil {
+		return spoke.Lease{}, err
+	}
+	if status == http.StatusConflict || status == http.StatusNotFound {
+		return spoke.Lease{}, eris.Wrapf(spoke.ErrLeaseLost, "lease %q with token %d", lease.Name, lease.Fence)
+	}
+	return grantedLease(renew, content, lease, sent)
+}
+
+// Release gives a lease up; it fails with ErrLeaseLost if it is no longer held.
+func (c *Client) Release(ctx context.Context, lease spoke.Lease) error {
+	query := url.Values{
+		"holder": {string(lease.Holder)},
+		"token":  {strconv.FormatUint(uint64(lease.Fence), 10)},
+	}
+	status, _, err := c.do(ctx, call{method: http.MethodDelete, path: leasePath(lease.Name) + "?" + query.Encode()})
+	if err != nil {
+		return err
+	}
+	if status == http.StatusConflict || status == http.StatusNotFound {
+		return eris.Wrapf(spoke.ErrLeaseLost, "lease %q with token %d", lease.Name, lease.Fence)
+	}
+	return nil
+}
+
+// grantedLease counts the expiry from before the request was sent, which is never later
+// than the service's own count.
+func grantedLease(call call, content []byte, lease spoke.Lease, sent time.Time) (spoke.Lease, error) {
+	var body leaseBody
+	if err := decode(call, content, &body); err != nil {
+		return spoke.Lease{}, err
+	}
+	lease.Fence = spoke.FencingToken(body.Token)
+	lease.Expires = sent.Add(time.Duration(body.TTL) * time.Millisecond)
+	return lease, nil
+}
+
+func leasePath(name spoke.LeaseName) string { return "/leases/" + url.PathEscape(string(name)) }
