First version: accept change tickets and keep the manifest view

Operators need numbered tickets accepted atomically while they race, answers get lost and reads lag. The ticket's content, its objects and the manifest are stored apart; one compare-and-swap on the manifest accepts.

--- /dev/null
+++ b/ticket/codec.go
@@ -0,0 +1,133 @@
+package ticket
+
+import (
+	"cmp"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"slices"
+
+	"github.com/rotisserie/eris"
+
+	"magnoliaspoke.example/spoke"
+	"magnoliaspoke.example/spoke/check"
+)
+
+type (
+	objectEnvelope struct {
+		Kind  spoke.ObjectKind `json:"kind"`
+		Value json.RawMessage  `json:"value"`
+	}
+
+	keyBody struct {
+		Kind spoke.ObjectKind `json:"kind"`
+		Name string           `json:"name"`
+	}
+
+	ticketBody struct {
+		Number  spoke.TicketNumber `json:"number"`
+		Author  string             `json:"author"`
+		Objects []objectEnvelope   `json:"objects"`
+		Removed []keyBody          `json:"removed"`
+	}
+
+	entryBody struct {
+		Kind  spoke.ObjectKind   `json:"kind"`
+		SetBy spoke.TicketNumber `json:"set-by"`
+		Value json.RawMessage    `json:"value"`
+	}
+
+	manifestBody struct {
+		Number  spoke.TicketNumber `json:"number"`
+		Entries []entryBody        `json:"entries"`
+	}
+)
+
+// EncodeTicket returns the JSON form of a ticket; equal tickets give equal bytes
+// whatever the order of their objects.
+func EncodeTicket(t spoke.Ticket) ([]byte, error) {
+	body := ticketBody{Number: t.Number, Author: t.Author, Objects: []objectEnvelope{}, Removed: []keyBody{}}
+	for _, object := range slices.SortedFunc(slices.Values(t.Objects), byKey) {
+		raw, err := encodeObject(object)
+		if err != nil {
+			return nil, eris.Wrapf(err, "ticket %d", t.Number)
+		}
+		body.Objects = append(body.Objects, objectEnvelope{Kind: object.Key().Kind, Value: raw})
+	}
+	for _, key := range slices.SortedFunc(slices.Values(t.Removed), compareKeys) {
+		body.Removed = append(body.Removed, keyBody(key))
+	}
+	return json.Marshal(body)
+}
+
+// DecodeTicket reads a ticket; the error is a *check.Report of all findings.
+func DecodeTicket(data []byte) (spoke.Ticket, error) {
+	var report check.Report
+	var body ticketBody
+	decodeFields(&report, "", data, &body)
+	t := spoke.Ticket{Number: body.Number, Author: body.Author}
+	for i, envelope := range body.Objects {
+		place := fmt.Sprintf("objects[%d]", i)
+		if object := decodeObject(&report, place, envelope.Kind, envelope.Value); object != nil {
+			t.Objects = append(t.Objects, object)
+		}
+	}
+	for _, key := range body.Removed {
+		t.Removed = append(t.Removed, spoke.ObjectKey(key))
+	}
+	return t, report.Err()
+}
+
+// EncodeManifest returns the JSON form of a whole manifest, as hosts exchange it.
+func EncodeManifest(m *spoke.Manifest) ([]byte, error) {
+	body := manifestBody{Number: m.Number, Entries: []entryBody{}}
+	for _, key := range sortedKeys(m) {
+		entry := m.Entries[key]
+		raw, err := encodeObject(entry.Object)
+		if err != nil {
+			return nil, eris.Wrapf(err, "manifest %d", m.Number)
+		}
+		body.Entries = append(body.Entries, entryBody{Kind: key.Kind, SetBy: entry.SetBy, Value: raw})
+	}
+	return json.Marshal(body)
+}
+
+// DecodeManifest reads a whole manifest; the error is a *check.Report of all findings.
+func DecodeManifest(data []byte) (*spoke.Manifest, error) {
+	var report check.Report
+	var body manifestBody
+	decodeFields(&report, "", data, &body)
+	m := &spoke.Manifest{Number: body.Number, Entries: make(map[spoke.ObjectKey]spoke.ManifestEntry, len(body.Entries))}
+	for i, entry := range body.Entries {
+		place := fmt.Sprintf("entries[%d]", i)
+		if object := decodeObject(&report, place, entry.Kind, entry.Value); object != nil {
+			m.Entries[object.Key()] = spoke.ManifestEntry{Object: object, SetBy: entry.SetBy}
+		}
+	}
+	if err := report.Err(); err != nil {
+		return nil, err
+	}
+	return m, nil
+}
+
+// digest is the SHA-256 of content in lower-case hexadecimal.
+func digest(content []byte) string {
+	sum := sha256.Sum256(content)
+	return hex.EncodeToString(sum[:])
+}
+
+func byKey(a, b spoke.Object) int { return compareKeys(a.Key(), b.Key()) }
+
+func compareKeys(a, b spoke.ObjectKey) int {
+	return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Name, b.Name))
+}
+
+func sortedKeys(m *spoke.Manifest) []spoke.ObjectKey {
+	keys := make([]spoke.ObjectKey, 0, len(m.Entries))
+	for key := range m.Entries {
+		keys = append(keys, key)
+	}
+	slices.SortFunc(keys, compareKeys)
+	return keys
+}
--- /dev/null
+++ b/ticket/head_codec.go
@@ -0,0 +1,65 @@
+package ticket
+
+import (
+	"encoding/json"
+
+	"github.com/rotisserie/eris"
+
+	"magnoliaspoke.example/spoke"
+)
+
+type (
+	referenceBody struct {
+		Kind   spoke.ObjectKind   `json:"kind"`
+		Name   string             `json:"name"`
+		SetBy  spoke.TicketNumber `json:"set-by"`
+		Digest string             `json:"digest"`
+	}
+
+	acceptedBody struct {
+		Number spoke.TicketNumber `json:"number"`
+		Author string             `json:"author"`
+		Digest string             `json:"digest"`
+	}
+
+	headBody struct {
+		Number  spoke.TicketNumber `json:"number"`
+		Entries []referenceBody    `json:"entries"`
+		Recent  []acceptedBody     `json:"recent"`
+	}
+)
+
+func encodeHead(h head) ([]byte, error) {
+	body := headBody{Number: h.number, Entries: []referenceBody{}, Recent: []acceptedBody{}}
+	for _, r := range h.references {
+		body.Entries = append(body.Entries, referenceBody{r.key.Kind, r.key.Name, r.setBy, r.digest})
+	}
+	for _, a := range h.recent {
+		body.Recent = append(body.Recent, acceptedBody(a))
+	}
+	return json.Marshal(body)
+}
+
+func decodeHead(data []byte) (head, error) {
+	var body headBody
+	if err := json.Unmarshal(data, &body); err != nil {
+		return head{}, eris.Wrapf(err, "manifest %q", manifestKey)
+	}
+	h := head{number: body.Number}
+	for _, entry := range body.Entries {
+		key := spoke.ObjectKey{Kind: entry.Kind, Name: entry.Name}
+		h.references = append(h.references, reference{key: key, setBy: entry.SetBy, digest: entry.Digest})
+	}
+	for _, a := range body.Recent {
+		h.recent = append(h.recent, accepted(a))
+	}
+	return h, nil
+}
+
+func encodeAccepted(a accepted) ([]byte, error) { return json.Marshal(acceptedBody(a)) }
+
+func decodeAccepted(data []byte) (accepted, error) {
+	var body acceptedBody
+	err := json.Unmarshal(data, &body)
+	return accepted(body), eris.Wrap(err, "ticket record")
+}
