Compose the entry host

Tasks for membership, admission, followers, digest and configuration run in one group; a drain keeps the internal listener open until the runs that peers read have ended.

--- /dev/null
+++ b/host/drain.go
@@ -0,0 +1,105 @@
+package host
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"magnoliaspoke.example/spoke"
+	"magnoliaspoke.example/spoke/member"
+)
+
+const (
+	// announceLimit bounds how long a stopping host waits for its peers to hear of it.
+	announceLimit = time.Second
+)
+
+type (
+	// drainer stops a host without cutting off a request.
+	drainer struct {
+		caller   *http.Server
+		internal *http.Server
+		members  *memberTask
+		timer    spoke.Timer
+		events   spoke.EventSink
+		log      logrus.FieldLogger
+		delay    time.Duration
+		deadline time.Duration
+		draining atomic.Bool
+		begin    chan struct{}
+		force    <-chan struct{}
+	}
+)
+
+// Begin starts the drain; further calls have no effect.
+func (d *drainer) Begin() {
+	select {
+	case d.begin <- struct{}{}:
+	default:
+	}
+}
+
+// run waits for Begin or the end of the context and then drains.
+func (d *drainer) run(ctx context.Context) error {
+	select {
+	case <-d.begin:
+	case <-ctx.Done():
+	}
+	d.drain()
+	return nil
+}
+
+func (d *drainer) drain() {
+	ctx, cancel := context.WithTimeout(context.Background(), d.delay+d.deadline)
+	defer cancel()
+	go func() {
+		select {
+		case <-d.force:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	d.announce(ctx)
+	d.pause(ctx)
+	// The internal listener closes last, because peers still read runs that
+	// this host owns.
+	d.shutdown(ctx, "caller", d.caller)
+	d.shutdown(ctx, "internal", d.internal)
+	d.events.Record(spoke.Event{Kind: "drain-finished"})
+}
+
+func (d *drainer) announce(ctx context.Context) {
+	d.draining.Store(true)
+	// Callers then open a new connection for each request, which the load
+	// balancer takes elsewhere, and no idle connection is left to race with the end.
+	d.caller.SetKeepAlivesEnabled(false)
+	d.events.Record(spoke.Event{Kind: "drain-started"})
+	d.log.Info("drain started")
+	ctx, cancel := context.WithTimeout(ctx, announceLimit)
+	defer cancel()
+	if err := d.members.Announce(ctx, member.Leave{}); err != nil {
+		d.log.WithError(err).Warn("not every peer heard of the drain")
+	}
+}
+
+func (d *drainer) pause(ctx context.Context) {
+	tick := d.timer.After(d.delay)
+	defer tick.Stop()
+	select {
+	case <-tick.C():
+	case <-ctx.Done():
+	}
+}
+
+func (d *drainer) shutdown(ctx context.Context, name string, server *http.Server) {
+	err := server.Shutdown(ctx)
+	if err == nil {
+		return
+	}
+	d.events.Record(spoke.Event{Kind: "drain-forced", Detail: name + " listener: " + err.Error()})
+	d.log.WithError(err).WithField("listener", name).Error("drain forced, open requests are cut off")
+	_ = server.Close()
+}
--- /dev/null
+++ b/host/host.go
@@ -0,0 +1,188 @@
+package host
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/oklog/run"
+	"github.com/sirupsen/logrus"
+
+	"magnoliaspoke.example/spoke"
+	"magnoliaspoke.example/spoke/config"
+	"magnoliaspoke.example/spoke/coord"
+	"magnoliaspoke.example/spoke/engine"
+	"magnoliaspoke.example/spoke/events"
+	"magnoliaspoke.example/spoke/member"
+	"magnoliaspoke.example/spoke/openai"
+	"magnoliaspoke.example/spoke/route"
+	"magnoliaspoke.example/spoke/runner"
+	"magnoliaspoke.example/spoke/sched"
+	"magnoliaspoke.example/spoke/ticket"
+	"magnoliaspoke.example/spoke/wire"
+)
+
+const (
+	// headerTimeout ends connections that send no whole header.
+	headerTimeout = 10 * time.Second
+)
+
+type (
+	// Host is an entry host.
+	Host struct {
+		settings  config.Entry
+		listeners Listeners
+		log       logrus.FieldLogger
+		timer     spoke.Timer
+		events    *events.Recorder
+
+		view      *ticket.View
+		members   *memberTask
+		manifest  *manifestTask
+		views     *viewTable
+		admission *admissionTask
+		followers *followerTask
+		digest    *digestTask
+		owner     *owner
+		platform  *coord.Client
+		drainer   *drainer
+		caller    *http.Server
+		internal  *http.Server
+		metrics   *http.Server
+
+		// life ends when the host is drained; work ends with it.
+		life context.Context
+		end  context.CancelFunc
+	}
+)
+
+// New composes a host; force ends a drain that takes too long.
+func New(settings config.Entry, listeners Listeners, log logrus.FieldLogger, timer spoke.Timer, force <-chan struct{}) *Host {
+	h := &Host{settings: settings, listeners: listeners, log: log, timer: timer}
+	h.life, h.end = context.WithCancel(context.Background())
+	h.events = events.NewRecorder(settings.Host, timer, settings.EventCapacity)
+	h.platform = coord.New(settings.Platform, coord.WithTimer(timer))
+	h.composeMembership()
+	h.composeOwner()
+	h.composeServers(force)
+	return h
+}
+
+func (h *Host) composeMembership() {
+	signer := wire.NewSigner(string(h.settings.PeerSecret))
+	client := wire.NewClient(signer, h.timer, h.events)
+	// A restarted host must outrank its earlier process, so its start time is its incarnation.
+	incarnation := spoke.Incarnation(h.timer.Now().UnixMilli())
+	self := member.Record{
+		ID:         h.settings.Host,
+		DataCentre: h.settings.DataCentre,
+		Address:    address(h.listeners.Internal),
+	}
+	table := member.New(self, incarnation, contacts(h.settings.Peers), uint64(incarnation),
+		member.WithTimeouts(h.settings.SuspectAfter, h.settings.RemoveAfter))
+	h.members = newMemberTask(h.settings.Host, table, client, h.timer, h.settings.HeartbeatInterval)
+	h.view = ticket.NewView()
+	h.manifest = &manifestTask{
+		self: h.settings.Host, dc: h.settings.DataCentre,
+		view: h.view, loader: ticket.NewLoader(h.platform), store: h.platform, list: h.platform,
+		members: h.members, timer: h.timer, events: h.events, log: h.log,
+	}
+}
+
+func (h *Host) composeOwner() {
+	engines := engine.New(engine.WithTimer(h.timer))
+	h.views = newViewTable(h.view, h.members.View, route.Owner)
+	h.admission = newAdmissionTask(sched.NewAdmission(sched.WithSeed(uint64(h.timer.Now().UnixNano()))), h.timer)
+	h.followers = newFollowerTask(h.views, h.view, h.admission, engines, h.timer, h.events)
+	h.views.status = h.followers.Status
+	h.owner = &owner{
+		manifest: h.view, admission: h.admission, engine: engines,
+		timer: h.timer, events: h.events, life: h.life,
+	}
+	h.digest = &digestTask{
+		manifest: h.view, admission: h.admission, followers: h.followers, members: h.members,
+		marks: func(time.Time) []spoke.QuarantineMark { return nil }, leaving: h.manifest.leaving.Upstreams,
+		timer: h.timer,
+	}
+}
+
+func (h *Host) composeServers(force <-chan struct{}) {
+	signer := wire.NewSigner(string(h.settings.PeerSecret))
+	dispatcher := &dispatcher{
+		self: h.settings.Host, manifest: h.view, views: h.views, members: h.members,
+		owner: h.owner, client: h.members.client,
+	}
+	requests := runner.New(runner.Parts{
+		Manifests: h.view, Views: h.views, Router: route.NewAffinity(), Dispatcher: dispatcher, Timer: h.timer,
+	},
+		runner.WithDataCentre(h.settings.DataCentre),
+		runner.WithBudget(newRetryBudget(h.timer)),
+		runner.WithEvents(h.events),
+	)
+	front := openai.New(requests, h.view, openai.WithLog(h.log))
+	h.caller = server(h.ready(front))
+	h.internal = server(wire.NewServer(peerAPI{h}, signer, h.timer, h.events))
+	h.metrics = server(newMetrics(h))
+	h.drainer = &drainer{
+		caller: h.caller, internal: h.internal, members: h.members, timer: h.timer,
+		events: h.events, log: h.log, delay: h.settings.DrainDelay, deadline: h.settings.DrainDeadline,
+		begin: make(chan struct{}, 1), force: force,
+	}
+}
+
+func server(handler http.Handler) *http.Server {
+	return &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+}
+
+func contacts(peers []config.Peer) []member.Record {
+	records := make([]member.Record, 0, len(peers))
+	for _, peer := range peers {
+		records = append(records, member.Record{ID: peer.Host, DataCentre: peer.DataCentre, Address: peer.Address})
+	}
+	return records
+}
+
+// Run serves until the context ends, drains, and returns when everything has stopped.
+func (h *Host) Run(ctx context.Context) error {
+	var group run.Group
+	for _, task := range []func(context.Context) error{
+		h.members.run, h.admission.run, h.followers.run, h.digest.run,
+		h.manifest.runPeers, h.manifest.runPlatform, h.manifest.runHostList,
+	} {
+		group.Add(func() error { return task(h.life) }, func(error) { h.end() })
+	}
+	for _, serve := range []func() error{
+		func() error { return h.caller.Serve(h.listeners.Caller) },
+		func() error { return h.internal.Serve(h.listeners.Internal) },
+		func() error { return h.metrics.Serve(h.listeners.Metrics) },
+	} {
+		h.addServer(&group, serve)
+	}
+	group.Add(func() error { return h.drainer.run(ctx) }, func(error) { h.drainer.Begin() })
+	err := group.Run()
+	h.listeners.Close()
+	_ = h.metrics.Close()
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+// addServer keeps the group running when a server is shut down by the drain,
+// because requests may still be in progress.
+func (h *Host) addServer(group *run.Group, serve func() error) {
+	group.Add(func() error {
+		err := serve()
+		if errors.Is(err, http.ErrServerClosed) {
+			<-h.life.Done()
+			return nil
+		}
+		return err
+	}, func(error) { h.end() })
+}
+
+// IsReady reports whether the host accepts work.
+func (h *Host) IsReady() bool {
+	return h.view.Current() != nil && !h.drainer.draining.Load()
+}
--- /dev/null
+++ b/host/peer.go
@@ -0,0 +1,53 @@
+package host
+
+import (
+	"context"
+	"net/http"
+
+	"magnoliaspoke.example/spoke"
+	"magnoliaspoke.example/spoke/member"
+	"magnoliaspoke.example/spoke/ticket"
+)
+
+// peerAPI is what the host serves to other entry hosts.
+type peerAPI struct{ host *Host }
+
+// Heartbeat takes a heartbeat and returns the answer.
+func (p peerAPI) Heartbeat(ctx context.Context, beat member.Heartbeat) (member.Heartbeat, error) {
+	return p.host.members.Heartbeat(ctx, beat)
+}
+
+// Manifest returns the encoded configuration in force, nil if there is none.
+func (p peerAPI) Manifest() ([]byte, error) {
+	manifest := p.host.view.Current()
+	if manifest == nil {
+		return nil, nil
+	}
+	return ticket.EncodeManifest(manifest)
+}
+
+// Run starts an attempt at an upstream that the host owns.
+func (p peerAPI) Run(ctx context.Context, dispatch spoke.Dispatch) (spoke.RunStream, error) {
+	return p.host.owner.Run(ctx, dispatch)
+}
+
+// ready adds the load balancer's check to the caller API.
+func (h *Host) ready(front http.Handler) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/", front)
+	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
+		if !h.IsReady() {
+			http.Error(w, h.reason(), http.StatusServiceUnavailable)
+			return
+		}
+		_, _ = w.Write([]byte("ready\n"))
+	})
+	return mux
+}
+
+func (h *Host) reason() string {
+	if h.drainer.draining.Load() {
+		return "host is draining"
+	}
+	return "no configuration is in force: neither the platform nor a peer has given one"
+}
--- a/member/messages.go
+++ b/member/messages.go
@@ -45,6 +45,8 @@
 	Refused struct{ Host spoke.HostID }
 	// SetDigest replaces the own digest.
 	SetDigest struct{ Digest spoke.Digest }
+	// SetNumber replaces the configuration number of the own digest.
+	SetNumber struct{ Number spoke.TicketNumber }
 	// Leave marks the own host as leaving.
 	Leave struct{}
 	// Spread sends a heartbeat at once, to every host of the data centre or to a few.
@@ -68,6 +70,7 @@
 func (Answered) isMessage()  {}
 func (Refused) isMessage()   {}
 func (SetDigest) isMessage() {}
+func (SetNumber) isMessage() {}
 func (Leave) isMessage()     {}
 func (Spread) isMessage()    {}
 
--- a/member/table.go
+++ b/member/table.go
@@ -62,7 +62,13 @@
 	case Refused:
 		t.refuse(m.Host)
 	case SetDigest:
-		t.changeSelf(func(r *Record) { r.Digest = m.Digest })
+		t.changeSelf(func(r *Record) {
+			// A digest collected before a change of the number must not take it back.
+			m.Digest.Number = max(r.Digest.Number, m.Digest.Number)
+			r.Digest = m.Digest
+		})
+	case SetNumber:
+		t.changeSelf(func(r *Record) { r.Digest.Number = max(r.Digest.Number, m.Number) })
 	case Leave:
 		t.changeSelf(func(r *Record) { r.Leaving = true })
 		return t.spread(true)
