--- /dev/null
+++ b/openai/errors.go
@@ -0,0 +1,106 @@
+package openai
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"magnoliaspoke.example/spoke"
+)
+
+// statusClientClosed answers requests whose caller went away; the number is the
+// usual one in access logs and never reaches a caller.
+const statusClientClosed = 499
+
+var statuses = map[spoke.RefusalCode]int{
+	spoke.CodeBadRequest:          http.StatusBadRequest,
+	spoke.CodeTooLarge:            http.StatusRequestEntityTooLarge,
+	spoke.CodeUnauthorized:        http.StatusUnauthorized,
+	spoke.CodeForbidden:           http.StatusForbidden,
+	spoke.CodeNotFound:            http.StatusNotFound,
+	spoke.CodeOverloaded:          http.StatusServiceUnavailable,
+	spoke.CodeWorkspaceLimit:      http.StatusTooManyRequests,
+	spoke.CodeNoUpstream:          http.StatusServiceUnavailable,
+	spoke.CodeQuarantined:         http.StatusUnprocessableEntity,
+	spoke.CodeNotReady:            http.StatusServiceUnavailable,
+	spoke.CodePlatformUnavailable: http.StatusServiceUnavailable,
+	spoke.CodeAlreadyRun:          http.StatusConflict,
+	spoke.CodeInProgress:          http.StatusConflict,
+	spoke.CodeKeyConflict:         http.StatusUnprocessableEntity,
+	spoke.CodeUpstreamFailed:      http.StatusBadGateway,
+	spoke.CodeDeadline:            http.StatusGatewayTimeout,
+	spoke.CodeCancelled:           statusClientClosed,
+}
+
+func statusOf(refusal *spoke.Refusal) int {
+	if refusal.Code == spoke.CodeTooLarge && refusal.Param == "header" {
+		return http.StatusRequestHeaderFieldsTooLarge
+	}
+	if status, ok := statuses[refusal.Code]; ok {
+		return status
+	}
+	return http.StatusInternalServerError
+}
+
+func errorType(code spoke.RefusalCode) string {
+	switch code {
+	case spoke.CodeUnauthorized:
+		return "authentication_error"
+	case spoke.CodeForbidden:
+		return "permission_error"
+	case spoke.CodeWorkspaceLimit:
+		return "rate_limit_error"
+	}
+	if statuses[code] < http.StatusInternalServerError {
+		return "invalid_request_error"
+	}
+	return "server_error"
+}
+
+// refuse gives a refusal as the whole answer.
+func (x *exchange) refuse(err error) {
+	refusal := x.refusalOf(err)
+	header := x.w.Header()
+	if refusal.RetryAfter > 0 {
+		// Retry-After counts whole seconds; rounding up keeps callers from coming early.
+		seconds := (refusal.RetryAfter + time.Second - 1) / time.Second
+		header.Set("Retry-After", strconv.FormatInt(int64(seconds), 10))
+	} else {
+		// Stock clients repeat 409 and 5xx on their own; without a hint a repeat is no use.
+		header.Set("X-Should-Retry", "false")
+	}
+	if refusal.Code == spoke.CodeUnauthorized {
+		header.Set("WWW-Authenticate", "Bearer")
+	}
+	x.writeJSON(statusOf(refusal), encodeRefusal(refusal))
+}
+
+// writeJSON gives a whole answer; its length shows the caller whether it is complete.
+func (x *exchange) writeJSON(status int, body any) {
+	raw, err := json.Marshal(body)
+	if err != nil {
+		x.log.WithError(err).WithField("request-id", x.id).Error("answer cannot be encoded")
+		panic(http.ErrAbortHandler)
+	}
+	x.writeWhole(status, "application/json", raw)
+}
+
+func (x *exchange) writeWhole(status int, contentType string, raw []byte) {
+	header := x.w.Header()
+	if contentType != "" {
+		header.Set("Content-Type", contentType)
+	}
+	header.Set("Content-Length", strconv.Itoa(len(raw)))
+	x.extendWrite()
+	x.w.WriteHeader(status)
+	if _, err := x.w.Write(raw); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// extendWrite gives the caller time to read the next part of the answer.
+func (x *exchange) extendWrite() {
+	// Writers without deadlines, such as recorders in tests, have no slow reader.
+	_ = http.NewResponseController(x.w).SetWriteDeadline(time.Now().Add(x.writeTimeout))
+}
--- /dev/null
+++ b/openai/service.go
@@ -0,0 +1,108 @@
+package openai
+
+import (
+	"net/http"
+	"net/url"
+	"path"
+	"strings"
+
+	"magnoliaspoke.example/spoke"
+)
+
+// notForwarded are the request headers that concern only the caller's own
+// connection or its credentials.
+var notForwarded = []string{
+	"Authorization", "Connection", "Keep-Alive", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade", "Content-Length", "Idempotency-Key", "X-Attempt-Id", "X-Spoke-Rank", "X-Spoke-Deadline-Ms",
+}
+
+// notReturned are the answer headers that concern only the connection to the service.
+var notReturned = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Trailer": true, "Transfer-Encoding": true,
+	"Upgrade": true, "Content-Length": true, "X-Request-Id": true, "X-Not-Run": true,
+}
+
+// service makes a call of a plain service.
+func (x *exchange) service() error {
+	service, err := x.plainService()
+	if err != nil {
+		return err
+	}
+	rank, err := x.rank(service)
+	if err != nil {
+		return err
+	}
+	target, err := x.servicePath()
+	if err != nil {
+		return err
+	}
+	body, err := x.readBody()
+	if err != nil {
+		return err
+	}
+	header := x.r.Header.Clone()
+	for _, name := range notForwarded {
+		header.Del(name)
+	}
+	answer, err := x.backend.Call(x.r.Context(), spoke.ServiceCall{
+		ID:        x.id,
+		Workspace: x.workspace.ID,
+		Service:   service.Name,
+		Rank:      rank,
+		Method:    x.r.Method,
+		Path:      target,
+		Header:    header,
+		Body:      body,
+		Key:       spoke.IdempotencyKey(x.r.Header.Get("Idempotency-Key")),
+		Deadline:  x.deadline,
+		Received:  x.received,
+	})
+	if err != nil {
+		return err
+	}
+	x.pass(answer)
+	return nil
+}
+
+func (x *exchange) plainService() (spoke.Service, error) {
+	if x.r.Method != http.MethodGet && x.r.Method != http.MethodPost {
+		return spoke.Service{}, badField("method", "services take GET and POST, not %s", x.r.Method)
+	}
+	name := spoke.ServiceName(x.r.PathValue("service"))
+	service, ok := x.manifest.Service(name)
+	if !ok || service.Kind != spoke.ServicePlain {
+		return service, spoke.NotRun(spoke.CodeNotFound, "unknown plain service %q", name)
+	}
+	if !x.allowed(name) {
+		return service, spoke.NotRun(spoke.CodeForbidden, "workspace %s may not use service %s", x.workspace.ID, name)
+	}
+	return service, nil
+}
+
+// servicePath returns the path and query below the service's name. The path is
+// encoded anew from its decoded form and must be clean, so that no other spelling
+// of a non-repeatable call escapes its pattern.
+func (x *exchange) servicePath() (string, error) {
+	target := "/" + x.r.PathValue("path")
+	if clean := path.Clean(target); clean != target && clean+"/" != target {
+		return "", badField("path", "the path %q is not in its shortest form", target)
+	}
+	if strings.ContainsAny(target, "\x00\\") {
+		return "", badField("path", "the path %q contains a forbidden character", target)
+	}
+	encoded := (&url.URL{Path: target}).EscapedPath()
+	if x.r.URL.RawQuery != "" {
+		encoded += "?" + x.r.URL.RawQuery
+	}
+	return encoded, nil
+}
+
+func (x *exchange) pass(answer spoke.PlainAnswer) {
+	header := x.w.Header()
+	for name, values := range answer.Header {
+		if !notReturned[http.CanonicalHeaderKey(name)] {
+			header[http.CanonicalHeaderKey(name)] = values
+		}
+	}
+	x.writeWhole(answer.Status, "", answer.Body)
+}
