Add the stand-in and the client of store hosts

Import and export need a store host whose writes commit as a whole, whose pins hold and whose link is limited and shared, and which fails on demand. Root package: spoke.StoreUsage is new, for the client's Usage.

--- /dev/null
+++ b/fake/store/options.go
@@ -0,0 +1,52 @@
+package store
+
+import (
+	"time"
+
+	"magnoliaspoke.example/spoke"
+	"magnoliaspoke.example/spoke/timer"
+)
+
+const (
+	defaultMemory spoke.ByteSize = 64 << 20
+	defaultDisk   spoke.ByteSize = 256 << 20
+	// maxBlock bounds the body of one write.
+	maxBlock spoke.ByteSize = 64 << 20
+	// maxPin bounds the time that one pin keeps a block from eviction.
+	maxPin = 5 * time.Minute
+)
+
+type (
+	// Option changes a setting of a Host.
+	Option func(*settings)
+
+	settings struct {
+		clock    spoke.Timer
+		memory   spoke.ByteSize
+		disk     spoke.ByteSize
+		linkRate spoke.ByteRate
+		diskRate spoke.ByteRate
+	}
+)
+
+func newSettings(opts []Option) settings {
+	set := settings{clock: timer.NewSystem(), memory: defaultMemory, disk: defaultDisk}
+	for _, opt := range opts {
+		opt(&set)
+	}
+	return set
+}
+
+// WithTimer sets the timer service that paces transfers and ends pins.
+func WithTimer(clock spoke.Timer) Option { return func(s *settings) { s.clock = clock } }
+
+// WithTiers sets the sizes of the memory and the disk tier in bytes.
+func WithTiers(memory, disk spoke.ByteSize) Option {
+	return func(s *settings) { s.memory, s.disk = memory, disk }
+}
+
+// WithLinkRate sets the bytes per second that all transfers share; zero means no limit.
+func WithLinkRate(rate spoke.ByteRate) Option { return func(s *settings) { s.linkRate = rate } }
+
+// WithDiskRate sets the bytes per second that reads from the disk tier share; zero means no limit.
+func WithDiskRate(rate spoke.ByteRate) Option { return func(s *settings) { s.diskRate = rate } }
--- a/store.go
+++ b/store.go
@@ -25,6 +25,17 @@
 		Length     ByteSize
 	}
 
+	// StoreUsage tells how full the tiers of a store host are.
+	StoreUsage struct {
+		MemoryUsed ByteSize
+		MemorySize ByteSize
+		DiskUsed   ByteSize
+		DiskSize   ByteSize
+		Blocks     int
+		// LinkQueue is what waits for the host's link.
+		LinkQueue ByteSize
+	}
+
 	// BlockStore talks to store hosts.
 	BlockStore interface {
 		// Meta returns the committed content's description or ErrBlockMissing.
--- /dev/null
+++ b/store/client.go
@@ -0,0 +1,145 @@
+package store
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"magnoliaspoke.example/spoke"
+)
+
+const (
+	maxConnections     = 16
+	maxIdleConnections = 4
+	idleTimeout        = 30 * time.Second
+	defaultDialTimeout = time.Second
+	// maxAnswer bounds the answers of control calls.
+	maxAnswer = 64 << 10
+)
+
+type (
+	// Option changes a setting of a Client.
+	Option func(*Client)
+
+	// Client talks to store hosts over HTTP; it implements spoke.BlockStore.
+	Client struct {
+		dialer    net.Dialer
+		transport *http.Transport
+	}
+)
+
+var _ spoke.BlockStore = (*Client)(nil)
+
+// New returns a client without open connections.
+func New(opts ...Option) *Client {
+	client := &Client{dialer: net.Dialer{Timeout: defaultDialTimeout}}
+	for _, opt := range opts {
+		opt(client)
+	}
+	client.transport = &http.Transport{
+		DialContext:         client.dialer.DialContext,
+		MaxConnsPerHost:     maxConnections,
+		MaxIdleConnsPerHost: maxIdleConnections,
+		IdleConnTimeout:     idleTimeout,
+	}
+	return client
+}
+
+// WithDialTimeout bounds the time to connect.
+func WithDialTimeout(limit time.Duration) Option {
+	return func(c *Client) { c.dialer.Timeout = limit }
+}
+
+// Close closes idle connections.
+func (c *Client) Close() { c.transport.CloseIdleConnections() }
+
+// Meta returns the committed content's description or ErrBlockMissing.
+func (c *Client) Meta(ctx context.Context, at spoke.Address, key spoke.BlockKey) (spoke.BlockMeta, error) {
+	var body metaBody
+	if err := c.call(ctx, at, http.MethodGet, "/blocks/"+key.String()+"/meta", nil, &body); err != nil {
+		return spoke.BlockMeta{}, err
+	}
+	return spoke.BlockMeta{
+		Key:        key,
+		Generation: body.Generation,
+		Checksum:   body.Checksum,
+		Length:     body.Length,
+	}, nil
+}
+
+// Pin keeps a generation readable for a time; ErrBlockChanged or ErrBlockMissing if it is gone.
+func (c *Client) Pin(ctx context.Context, at spoke.Address, key spoke.BlockKey, generation spoke.Generation, ttl time.Duration) error {
+	body := pinBody{Generation: generation, TTL: ttl.Milliseconds()}
+	return c.call(ctx, at, http.MethodPost, "/blocks/"+key.String()+"/pin", body, nil)
+}
+
+// Delete removes a block; a block that is not held is ErrBlockMissing.
+func (c *Client) Delete(ctx context.Context, at spoke.Address, key spoke.BlockKey) error {
+	return c.call(ctx, at, http.MethodDelete, "/blocks/"+key.String(), nil, nil)
+}
+
+// Usage reads how full the tiers of a store host are.
+func (c *Client) Usage(ctx context.Context, at spoke.Address) (spoke.StoreUsage, error) {
+	var body usageBody
+	if err := c.call(ctx, at, http.MethodGet, "/usage", nil, &body); err != nil {
+		return spoke.StoreUsage{}, err
+	}
+	return spoke.StoreUsage(body), nil
+}
+
+// call makes one call; a nil answer discards the body.
+func (c *Client) call(ctx context.Context, at spoke.Address, method, path string, body, answer any) error {
+	var content io.Reader
+	if body != nil {
+		data, err := json.Marshal(body)
+		if err != nil {
+			return eris.Wrapf(err, "encode %s", path)
+		}
+		content = bytes.NewReader(data)
+	}
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+string(at)+path, content)
+	if err != nil {
+		return eris.Wrapf(err, "store address %q", at)
+	}
+	response, err := c.transport.RoundTrip(request)
+	if err != nil {
+		if ctx.Err() != nil {
+			// Pooled connections may be as silent as the one that gave no answer in time.
+			c.transport.CloseIdleConnections()
+		}
+		return eris.Wrapf(err, "%s %s at store host %s", method, path, at)
+	}
+	defer response.Body.Close()
+	if err := statusError(response, method, path, at); err != nil {
+		return err
+	}
+	limited := io.LimitReader(response.Body, maxAnswer)
+	if answer == nil {
+		_, err = io.Copy(io.Discard, limited)
+	} else {
+		err = json.NewDecoder(limited).Decode(answer)
+	}
+	return eris.Wrapf(err, "answer of store host %s to %s", at, path)
+}
+
+func statusError(response *http.Response, method, path string, at spoke.Address) error {
+	cause := eris.Errorf("store host %s answered %d to %s %s", at, response.StatusCode, method, path)
+	switch response.StatusCode {
+	case http.StatusOK:
+		return nil
+	case http.StatusNotFound:
+		return errors.Join(spoke.ErrBlockMissing, cause)
+	case http.StatusConflict:
+		return errors.Join(spoke.ErrBlockChanged, cause)
+	case http.StatusInsufficientStorage:
+		return errors.Join(spoke.ErrStoreFull, cause)
+	}
+	return cause
+}
--- /dev/null
+++ b/store/doc.go
@@ -0,0 +1,2 @@
+// Package store implements the HTTP client of store hosts.
+package store
