Hash API keys where settings are defined

Cause: settings and generated set-ups need the same hash of a key. Ruled out: a second copy of the hash in each user of it. Change: config.HashKey; the test's misspelt key is replaced by one that the linter accepts and that is equally unknown. Measured: go test -race -count=5 ./config passes and the linter reports 0 issues. Conclusion: one place defines how keys are hashed.

--- a/config/decode_test.go
+++ b/config/decode_test.go
@@ -55,7 +55,7 @@
 typo = 1
 [[peers]]
 host-id = "entry-1"
-adress = "127.0.0.1:1"
+adr = "127.0.0.1:1"
 `
 	_, err := config.Decode("e.toml", []byte(text))
 	var report *check.Report
@@ -65,7 +65,7 @@
 e.toml: admin-key-hashes: element 3 is int64, want a string
 e.toml: log-level: "loud" is no log level such as "info"
 e.toml: drain-delay: "5" is no duration such as "5s"
-e.toml: peers[0].adress: is not a known key
+e.toml: peers[0].adr: is not a known key
 e.toml: peers[0].data-centre: is empty
 e.toml: peers[0].address: is empty
 e.toml: typo: is not a known key
--- /dev/null
+++ b/config/hash.go
@@ -0,0 +1,14 @@
+package config
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+
+	"magnoliaspoke.example/spoke"
+)
+
+// HashKey returns the hash under which settings and tickets keep an API key.
+func HashKey(key string) spoke.KeyHash {
+	sum := sha256.Sum256([]byte(key))
+	return spoke.KeyHash(hex.EncodeToString(sum[:]))
+}
