--- /dev/null
+++ b/fleet/frozen.go
@@ -0,0 +1,48 @@
+package fleet
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// stoppedState is the letter by which the system marks a process stopped by a signal.
+const stoppedState = 'T'
+
+// waitFrozen waits until the process is stopped or no longer stopped, because signals take
+// effect only after the call that sends them has returned.
+func (p *Process) waitFrozen(want bool) error {
+	check := time.NewTicker(signalCheck)
+	defer check.Stop()
+	limit := time.NewTimer(signalLimit)
+	defer limit.Stop()
+	for {
+		frozen, err := p.frozen()
+		if err != nil || frozen == want {
+			return err
+		}
+		select {
+		case <-check.C:
+		case <-p.exited:
+			return eris.Errorf("process %q has ended", p.command.Name)
+		case <-limit.C:
+			return eris.Errorf("process %q: frozen is still %t after %v", p.command.Name, frozen, signalLimit)
+		}
+	}
+}
+
+// frozen reads the state letter, which follows the program name in parentheses.
+func (p *Process) frozen() (bool, error) {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.ID()))
+	if err != nil {
+		return false, eris.Wrapf(err, "state of process %q", p.command.Name)
+	}
+	_, rest, found := bytes.Cut(text[bytes.LastIndexByte(text, ')')+1:], []byte(" "))
+	if !found || len(rest) == 0 {
+		return false, eris.Errorf("state of process %q: %q has no state letter", p.command.Name, text)
+	}
+	return rest[0] == stoppedState, nil
+}
