--- a/events/filter.go
+++ b/events/filter.go
@@ -4,30 +4,12 @@
 	"cmp"
 	"slices"
 	"strings"
-	"time"
 
 	"magnoliaspoke.example/spoke"
 )
 
 // Filter selects events; fields with their zero value select all.
-type Filter struct {
-	Request  spoke.RequestID
-	Upstream spoke.UpstreamID
-	Ticket   spoke.TicketNumber
-	// Since and Until bound the wall time; Until is exclusive.
-	Since time.Time
-	Until time.Time
-}
-
-// Matches reports whether the event passes all conditions.
-func (f Filter) Matches(event spoke.Event) bool {
-	at := time.Unix(0, event.At.Wall)
-	return (f.Request == "" || event.Request == f.Request) &&
-		(f.Upstream == "" || event.Upstream == f.Upstream) &&
-		(f.Ticket == 0 || event.Ticket == f.Ticket) &&
-		(f.Since.IsZero() || !at.Before(f.Since)) &&
-		(f.Until.IsZero() || at.Before(f.Until))
-}
+type Filter = spoke.EventFilter
 
 // Merge returns the events of several processes in causal order; an event that several
 // lists hold is returned once.
--- a/timeline.go
+++ b/timeline.go
@@ -27,6 +27,16 @@
 		Duration time.Duration
 	}
 
+	// EventFilter selects events; fields with their zero value select all.
+	EventFilter struct {
+		Request  RequestID
+		Upstream UpstreamID
+		Ticket   TicketNumber
+		// Since and Until bound the wall time; Until is exclusive.
+		Since time.Time
+		Until time.Time
+	}
+
 	// EventSink takes events of the time line; Record never blocks.
 	EventSink interface {
 		// Record stamps the event with time and host and keeps it.
@@ -41,3 +51,13 @@
 	}
 	return t.Logical < other.Logical
 }
+
+// Matches reports whether the event passes all conditions.
+func (f EventFilter) Matches(event Event) bool {
+	at := time.Unix(0, event.At.Wall)
+	return (f.Request == "" || event.Request == f.Request) &&
+		(f.Upstream == "" || event.Upstream == f.Upstream) &&
+		(f.Ticket == 0 || event.Ticket == f.Ticket) &&
+		(f.Since.IsZero() || !at.Before(f.Since)) &&
+		(f.Until.IsZero() || at.Before(f.Until))
+}
