--- a/cmd/entry/main.go
+++ b/cmd/entry/main.go
@@ -24,7 +24,7 @@
 
 type (
 	arguments struct {
-		Settings string `arg:"positional,required" help:"TOML file with the settings of the host" placeholder:"FILE"`
+		Settings string `arg:"--settings,required" help:"TOML file with the settings of the host" placeholder:"FILE"`
 		Check    bool   `arg:"--check" help:"validate the settings, report every finding and exit"`
 	}
 )
@@ -37,7 +37,7 @@
 // Epilogue returns the foot of the help text.
 func (arguments) Epilogue() string {
 	return "The first SIGTERM drains the host, the second one ends it at once.\n\n" +
-		"Examples:\n  entry /etc/magnoliaspoke/entry.toml\n  entry --check entry.toml"
+		"Examples:\n  entry --settings /etc/magnoliaspoke/entry.toml\n  entry --check --settings entry.toml"
 }
 
 func main() {
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -32,6 +32,7 @@
 	}
 
 	listenArgs struct {
+		ID     string `arg:"--id" help:"name of the stand-in, shown in the list of processes" placeholder:"NAME"`
 		Listen string `arg:"--listen" default:"127.0.0.1:0" help:"address to listen on" placeholder:"IP:PORT"`
 	}
 
--- a/host/host.go
+++ b/host/host.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"magnoliaspoke.example/spoke"
+	"magnoliaspoke.example/spoke/admin"
 	"magnoliaspoke.example/spoke/config"
 	"magnoliaspoke.example/spoke/coord"
 	"magnoliaspoke.example/spoke/engine"
@@ -49,7 +50,10 @@
 		drainer   *drainer
 		caller    *http.Server
 		internal  *http.Server
-		metrics   *http.Server
+		admin     *http.Server
+		exporter  *http.Server
+		metrics   *metrics
+		started   time.Time
 
 		// life ends when the host is drained; work ends with it.
 		life context.Context
@@ -59,7 +63,7 @@
 
 // New composes a host; force ends a drain that takes too long.
 func New(settings config.Entry, listeners Listeners, log logrus.FieldLogger, timer spoke.Timer, force <-chan struct{}) *Host {
-	h := &Host{settings: settings, listeners: listeners, log: log, timer: timer}
+	h := &Host{settings: settings, listeners: listeners, log: log, timer: timer, started: timer.Now()}
 	h.life, h.end = context.WithCancel(context.Background())
 	h.events = events.NewRecorder(settings.Host, timer, settings.EventCapacity)
 	h.platform = coord.New(settings.Platform, coord.WithTimer(timer))
@@ -121,9 +125,12 @@
 		runner.WithEvents(h.events),
 	)
 	front := openai.New(requests, h.view, openai.WithLog(h.log))
-	h.caller = server(h.ready(front))
+	h.metrics = newMetrics(h)
+	h.caller = server(h.ready(h.metrics.counted(front)))
 	h.internal = server(wire.NewServer(peerAPI{h}, signer, h.timer, h.events))
-	h.metrics = server(newMetrics(h))
+	h.exporter = server(h.metrics)
+	operators := administration{host: h, acceptor: ticket.NewAcceptor(h.platform)}
+	h.admin = server(admin.NewHandler(operators, ticketCodec{}, h.settings.AdminKeys, admin.WithLog(h.log)))
 	h.drainer = &drainer{
 		caller: h.caller, internal: h.internal, members: h.members, timer: h.timer,
 		events: h.events, log: h.log, delay: h.settings.DrainDelay, deadline: h.settings.DrainDeadline,
@@ -155,14 +162,16 @@
 	for _, serve := range []func() error{
 		func() error { return h.caller.Serve(h.listeners.Caller) },
 		func() error { return h.internal.Serve(h.listeners.Internal) },
-		func() error { return h.metrics.Serve(h.listeners.Metrics) },
+		func() error { return h.admin.Serve(h.listeners.Admin) },
+		func() error { return h.exporter.Serve(h.listeners.Metrics) },
 	} {
 		h.addServer(&group, serve)
 	}
 	group.Add(func() error { return h.drainer.run(ctx) }, func(error) { h.drainer.Begin() })
 	err := group.Run()
 	h.listeners.Close()
-	_ = h.metrics.Close()
+	_ = h.admin.Close()
+	_ = h.exporter.Close()
 	if errors.Is(err, context.Canceled) {
 		return nil
 	}
--- a/host/metrics.go
+++ b/host/metrics.go
@@ -4,6 +4,8 @@
 	"expvar"
 	"net/http"
 	"runtime"
+	"strconv"
+	"sync/atomic"
 
 	"magnoliaspoke.example/spoke"
 )
@@ -11,15 +13,17 @@
 type (
 	// metrics publishes the state of a host.
 	metrics struct {
-		mux     *http.ServeMux
-		started *expvar.Map
+		mux *http.ServeMux
+		// open is the number of requests in progress.
+		open     atomic.Int64
+		answered *expvar.Map
 	}
 )
 
 // newMetrics returns the handler of the metrics listener. The variables are
 // not registered globally, so that a process can hold several hosts.
 func newMetrics(h *Host) *metrics {
-	m := &metrics{mux: http.NewServeMux(), started: new(expvar.Map).Init()}
+	m := &metrics{mux: http.NewServeMux(), answered: new(expvar.Map).Init()}
 	vars := new(expvar.Map).Init()
 	vars.Set("configuration-number", expvar.Func(func() any { return h.view.Number() }))
 	vars.Set("peers", expvar.Func(func() any { return peerStates(h.members.View()) }))
@@ -27,7 +31,8 @@
 	vars.Set("draining", expvar.Func(func() any { return h.drainer.draining.Load() }))
 	vars.Set("events-recorded", expvar.Func(func() any { return h.events.Recorded() }))
 	vars.Set("goroutines", expvar.Func(func() any { return runtime.NumGoroutine() }))
-	vars.Set("requests", m.started)
+	vars.Set("requests-open", expvar.Func(func() any { return m.open.Load() }))
+	vars.Set("requests-by-status", m.answered)
 	m.mux.HandleFunc("GET /debug/vars", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json; charset=utf-8")
 		_, _ = w.Write([]byte(`{"memory": ` + memory() + `, "host": ` + vars.String() + "}\n"))
@@ -52,3 +57,29 @@
 	}
 	return states
 }
+
+// counted counts the requests in progress and the answers by status.
+func (m *metrics) counted(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		m.open.Add(1)
+		defer m.open.Add(-1)
+		watched := &statusWriter{ResponseWriter: w, status: http.StatusOK}
+		defer func() { m.answered.Add(strconv.Itoa(watched.status), 1) }()
+		next.ServeHTTP(watched, req)
+	})
+}
+
+// statusWriter remembers the status of an answer.
+type statusWriter struct {
+	http.ResponseWriter
+	status int
+}
+
+// WriteHeader sends the status.
+func (w *statusWriter) WriteHeader(status int) {
+	w.status = status
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Unwrap gives http.ResponseController access to the connection.
+func (w *statusWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
