--- a/openai/refusal_test.go
+++ b/openai/refusal_test.go
@@ -45,6 +45,7 @@
 	{name: "language service", path: "/services/quotes/y", status: 404, code: "not-found"},
 	{name: "service of another", path: "/services/secret/y", status: 403, code: "forbidden"},
 	{name: "method", method: "DELETE", path: "/services/orders/y", status: 400, code: "bad-request", param: "method"},
+	{name: "long key", path: "/services/orders/y", header: map[string]string{"Idempotency-Key": strings.Repeat("k", 256)}, status: 400, code: "bad-request", param: "Idempotency-Key"},
 	{name: "hidden parent", path: "/services/orders/x%2F..%2Fbookings", status: 400, code: "bad-request", param: "path"},
 }
 
--- a/openai/service.go
+++ b/openai/service.go
@@ -9,6 +9,9 @@
 	"magnoliaspoke.example/spoke"
 )
 
+// maxKeyLength bounds idempotency keys, because many claims share one stored value.
+const maxKeyLength = 255
+
 // notForwarded are the request headers that concern only the caller's own
 // connection or its credentials.
 var notForwarded = []string{
@@ -36,6 +39,10 @@
 	if err != nil {
 		return err
 	}
+	key := x.r.Header.Get("Idempotency-Key")
+	if len(key) > maxKeyLength {
+		return badField("Idempotency-Key", "the key has %d bytes, the limit is %d", len(key), maxKeyLength)
+	}
 	body, err := x.readBody()
 	if err != nil {
 		return err
@@ -53,7 +60,7 @@
 		Path:      target,
 		Header:    header,
 		Body:      body,
-		Key:       spoke.IdempotencyKey(x.r.Header.Get("Idempotency-Key")),
+		Key:       spoke.IdempotencyKey(key),
 		Deadline:  x.deadline,
 		Received:  x.received,
 	})
