Measure the cost of control and describe the trial set-ups

Cause: the size that decides the design bounds control to 2.7% of a core, 128 MB and 29 KB/s a node; nothing said how far the design is from it.

--- /dev/null
+++ b/cmd/trial/capacity.go
@@ -0,0 +1,156 @@
+package main
+
+import (
+	"context"
+	"os"
+
+	"magnoliaspoke.example/spoke/cmd/trial/slope"
+)
+
+const (
+	// The size that decides the design, docs/design.md section 1.
+	targetHosts             = 420.0
+	targetDataCentres       = 7.0
+	targetHostsPerCentre    = 60.0
+	targetUpstreamsPerHost  = 600.0 / 420
+	targetUpstreamsOfCentre = 86.0
+	targetRequests          = 2500.0
+	targetChangesPerDay     = 2200.0
+	targetObjects           = 1100.0
+	secondsPerDay           = 86400.0
+
+	// measuredRounds of heartbeats give a mean that varies by a few percent.
+	measuredRounds = 20
+)
+
+type (
+	capacityArgs struct {
+		JSON string `arg:"--json" help:"write the slopes to a file" placeholder:"FILE"`
+	}
+)
+
+func controlBudgets() []slope.Budget {
+	return []slope.Budget{
+		{Unit: slope.Processor, Bound: 0.027},
+		{Unit: slope.Traffic, Bound: 29_000},
+		{Unit: slope.Memory, Bound: 128_000_000},
+	}
+}
+
+func (a *capacityArgs) run(context.Context) error {
+	rows, err := measureRows()
+	if err != nil {
+		return err
+	}
+	if err := slope.Print(os.Stdout, rows, controlBudgets()); err != nil {
+		return err
+	}
+	if a.JSON != "" {
+		if err := slope.Write(a.JSON, rows); err != nil {
+			return err
+		}
+	}
+	return slope.Check(rows, controlBudgets())
+}
+
+func measureRows() ([]slope.Row, error) {
+	rows, err := membershipRows()
+	if err != nil {
+		return nil, err
+	}
+	manifests, err := manifestRows()
+	if err != nil {
+		return nil, err
+	}
+	return append(append(rows, manifests...), decisionRows()...), nil
+}
+
+// membershipRows measures hosts within a data centre with two data centres,
+// and adds the further five by their own slope.
+func membershipRows() ([]slope.Row, error) {
+	local := [3][]slope.Point{}
+	for _, hosts := range []int{7, 15, 30, 60} {
+		cost, err := slope.MeasureMembership(2, hosts, measuredRounds)
+		if err != nil {
+			return nil, err
+		}
+		addCost(&local, float64(hosts), cost)
+	}
+	remote := [3][]slope.Point{}
+	for _, centres := range []int{2, 4, 7} {
+		cost, err := slope.MeasureMembership(centres, 15, measuredRounds)
+		if err != nil {
+			return nil, err
+		}
+		addCost(&remote, float64(centres), cost)
+	}
+	units := []slope.Unit{slope.Processor, slope.Traffic, slope.Memory}
+	var rows []slope.Row
+	for i, unit := range units {
+		base := slope.Fit(remote[i]).At(2)
+		extra := make([]slope.Point, 0, len(remote[i]))
+		for _, p := range remote[i] {
+			extra = append(extra, slope.Point{Size: p.Size, Cost: p.Cost - base})
+		}
+		rows = append(rows,
+			slope.Row{
+				Role: "heartbeats, 2 data centres", Mechanism: "push and pull of beats, records on demand",
+				Unit: unit, Variable: "hosts of a data centre", Points: local[i], Target: targetHostsPerCentre, Scale: 1,
+			},
+			slope.Row{
+				Role: "heartbeats, further data centres", Mechanism: "beats of other data centres every fourth round",
+				Unit: unit, Variable: "data centres", Points: extra, Target: targetDataCentres, Scale: 1,
+			})
+	}
+	return rows, nil
+}
+
+func addCost(into *[3][]slope.Point, size float64, cost slope.MembershipCost) {
+	for i, value := range []float64{cost.Processor.Seconds(), float64(cost.Bytes), float64(cost.Heap)} {
+		into[i] = append(into[i], slope.Point{Size: size, Cost: value})
+	}
+}
+
+// manifestRows measures reading a configuration; a host reads it once a change
+// from the peer that announced it, in compressed form.
+func manifestRows() ([]slope.Row, error) {
+	var seconds, sizes []slope.Point
+	for _, objects := range []int{100, 300, 1000} {
+		spent, size, err := slope.ManifestCost(objects)
+		if err != nil {
+			return nil, err
+		}
+		seconds = append(seconds, slope.Point{Size: float64(objects), Cost: spent})
+		sizes = append(sizes, slope.Point{Size: float64(objects), Cost: size})
+	}
+	const changes = targetChangesPerDay / secondsPerDay
+	mechanism := "pulled once a change from the announcing peer"
+	return []slope.Row{
+		// One read and, on average, one answer to a peer.
+		{Role: "configuration", Mechanism: mechanism, Unit: slope.Processor, Variable: "objects", Points: seconds, Target: targetObjects, Scale: 2 * changes},
+		{Role: "configuration", Mechanism: mechanism, Unit: slope.Traffic, Variable: "objects", Points: sizes, Target: targetObjects, Scale: 2 * changes},
+		// The snapshot in force, its successor and the encoded form.
+		{Role: "configuration", Mechanism: mechanism, Unit: slope.Memory, Variable: "objects", Points: sizes, Target: targetObjects, Scale: 3},
+	}, nil
+}
+
+func decisionRows() []slope.Row {
+	var routes, queues []slope.Point
+	for _, upstreams := range []int{22, 43, 86} {
+		routes = append(routes, slope.Point{Size: float64(upstreams), Cost: slope.RouteCost(upstreams)})
+	}
+	for _, queued := range []int{10, 100, 1000} {
+		queues = append(queues, slope.Point{Size: float64(queued), Cost: slope.AdmissionCost(queued)})
+	}
+	const perHost = targetRequests / targetHosts
+	return []slope.Row{
+		{
+			Role: "routing", Mechanism: "one decision a request over the views of the data centre", Unit: slope.Processor,
+			Variable: "upstreams of a data centre", Points: routes, Target: targetUpstreamsOfCentre, Scale: perHost,
+		},
+		{
+			Role: "admission", Mechanism: "queue at the owner only", Unit: slope.Processor,
+			Variable: "queued items", Points: queues, Target: 200, Scale: perHost,
+		},
+	}
+}
--- /dev/null
+++ b/cmd/trial/demo.go
@@ -0,0 +1,262 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"magnoliaspoke.example/spoke"
+	"magnoliaspoke.example/spoke/cmd/trial/load"
+	"magnoliaspoke.example/spoke/cmd/trial/plans"
+	"magnoliaspoke.example/spoke/events"
+)
+
+const (
+	demoLifetime = 2 * time.Minute
+	// promptSize is six pieces of a catalogue.
+	promptSize   = 6 * spoke.PieceSize
+	answerTokens = 24
+	// fillers are enough prompts to evict the first one from all engines.
+	fillers      = 16
+	floodSize    = 40
+	settleLimit  = 5 * time.Second
+	timelineTail = 40
+)
+
+type (
+	demoArgs struct {
+		Trace string `arg:"--trace" help:"write the time line as a trace file for a browser's trace viewer" placeholder:"FILE"`
+	}
+
+	demo struct {
+		*session
+		rows []row
+	}
+
+	row struct {
+		step   string
+		answer load.Answer
+		note   string
+	}
+)
+
+func (a *demoArgs) run(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, demoLifetime)
+	defer cancel()
+	s, err := startSession(ctx, plans.Demo(demoLifetime), os.Stdout)
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	d := &demo{session: s}
+	d.printf("%d entry hosts in %d data centres serve ticket %d\n", len(s.hosts()), len(s.setup.Plan().DataCentres), s.ticket.Number)
+	for _, step := range []func(context.Context) error{
+		d.askAndReturn, d.urgentInFlood, d.bookTwice, d.swapVersion, d.killHost,
+	} {
+		if err := step(ctx); err != nil {
+			return err
+		}
+	}
+	d.printTable()
+	return d.printTimeline(ctx, a.Trace)
+}
+
+func ask(seed uint64, size spoke.ByteSize, rank spoke.RankName) load.Ask {
+	return load.Ask{
+		Key: plans.Key(plans.WorkspaceID(0)), Model: plans.Model, Rank: rank,
+		Prompt: load.Prompt(seed, size), MaxTokens: answerTokens,
+		Versions: []spoke.ModelVersion{plans.FirstVersion},
+	}
+}
+
+// send asks a host and adds the answer to the table.
+func (d *demo) send(ctx context.Context, step string, host spoke.HostID, request load.Ask) (load.Answer, error) {
+	caller, err := d.caller(host)
+	if err != nil {
+		return load.Answer{}, err
+	}
+	answer := caller.Send(ctx, request)
+	d.rows = append(d.rows, row{step: step, answer: answer})
+	if !answer.IsServed() {
+		return answer, eris.Errorf("%s: refusal %v, error %v", step, answer.Refusal, answer.Err)
+	}
+	return answer, nil
+}
+
+// askAndReturn sends a prompt, evicts it with others, and sends it again.
+func (d *demo) askAndReturn(ctx context.Context) error {
+	request := ask(1, promptSize, plans.RankNormal)
+	if _, err := d.send(ctx, "first ask", d.hosts()[0], request); err != nil {
+		return err
+	}
+	if _, err := d.send(ctx, "same prompt at once", d.hosts()[1], request); err != nil {
+		return err
+	}
+	for i := range fillers {
+		host := d.hosts()[i%len(d.hosts())]
+		caller, err := d.caller(host)
+		if err != nil {
+			return err
+		}
+		if answer := caller.Send(ctx, ask(uint64(100+i), promptSize, plans.RankNormal)); !answer.IsServed() {
+			return eris.Errorf("filler %d: refusal %v, error %v", i, answer.Refusal, answer.Err)
+		}
+	}
+	_, err := d.send(ctx, "same prompt after eviction", d.hosts()[0], request)
+	return err
+}
+
+// urgentInFlood sends an urgent request while the least urgent rank floods the set-up.
+func (d *demo) urgentInFlood(ctx context.Context) error {
+	var flood sync.WaitGroup
+	served := make(chan bool, floodSize)
+	for i := range floodSize {
+		caller, err := d.caller(d.hosts()[i%len(d.hosts())])
+		if err != nil {
+			return err
+		}
+		flood.Go(func() {
+			served <- caller.Send(ctx, ask(uint64(500+i), spoke.PieceSize, plans.RankBatch)).IsServed()
+		})
+	}
+	_, err := d.send(ctx, "urgent in a flood of batch", d.hosts()[0], ask(2, spoke.PieceSize, plans.RankUrgent))
+	flood.Wait()
+	close(served)
+	count := 0
+	for ok := range served {
+		if ok {
+			count++
+		}
+	}
+	d.rows[len(d.rows)-1].note = fmt.Sprintf("%d of %d flood requests served", count, floodSize)
+	return err
+}
+
+// bookTwice sends one booking through two hosts.
+func (d *demo) bookTwice(ctx context.Context) error {
+	booking := load.Call{
+		Key: plans.Key(plans.WorkspaceID(0)), Service: plans.Booking, Method: "POST", Path: "/bookings",
+		Body: `{"dusters":12}`, Idempotency: "order-4711",
+	}
+	for i, host := range d.hosts()[:2] {
+		caller, err := d.caller(host)
+		if err != nil {
+			return err
+		}
+		reply := caller.Call(ctx, booking)
+		if reply.Err != nil || reply.Status != 200 {
+			return eris.Errorf("booking %d: status %d, refusal %v, error %v", i+1, reply.Status, reply.Refusal, reply.Err)
+		}
+		d.printf("booking sent through %s: status %d, replayed %t\n", host, reply.Status, reply.Replayed)
+	}
+	return nil
+}
+
+// swapVersion changes the model version by a ticket and waits until answers have it.
+func (d *demo) swapVersion(ctx context.Context) error {
+	const next spoke.ModelVersion = "v2"
+	started := time.Now()
+	if err := d.change(ctx, spoke.Model{Name: plans.Model, Service: plans.Language, Version: next}); err != nil {
+		return err
+	}
+	for _, host := range d.hosts() {
+		if err := d.waitNumber(ctx, host); err != nil {
+			return err
+		}
+	}
+	d.printf("ticket %d in force on all hosts after %d ms\n", d.ticket.Number, time.Since(started).Milliseconds())
+	request := ask(3, spoke.PieceSize, plans.RankNormal)
+	request.Versions = []spoke.ModelVersion{next}
+	ctx, cancel := context.WithTimeout(ctx, settleLimit)
+	defer cancel()
+	for {
+		answer, err := d.send(ctx, "request after the version change", d.hosts()[0], request)
+		if err == nil {
+			d.printf("answer of version %s after %d ms\n", answer.Version, time.Since(started).Milliseconds())
+			return nil
+		}
+		d.rows = d.rows[:len(d.rows)-1]
+		if wait(ctx, pollPeriod) != nil {
+			return err
+		}
+	}
+}
+
+func (d *demo) waitNumber(ctx context.Context, host spoke.HostID) error {
+	operator, err := d.operator(host)
+	if err != nil {
+		return err
+	}
+	for {
+		status, err := operator.Status(ctx)
+		if err == nil && status.Host.Number >= d.ticket.Number {
+			return nil
+		}
+		if waitErr := wait(ctx, pollPeriod); waitErr != nil {
+			return eris.Wrapf(waitErr, "ticket %d on host %s", d.ticket.Number, host)
+		}
+	}
+}
+
+// killHost kills an entry host and asks another one at once.
+func (d *demo) killHost(ctx context.Context) error {
+	victim := d.hosts()[1]
+	process, err := d.setup.Process(string(victim))
+	if err != nil {
+		return err
+	}
+	process.Kill()
+	request := ask(4, spoke.PieceSize, plans.RankUrgent)
+	request.Versions = []spoke.ModelVersion{"v2"}
+	for range 4 {
+		if _, err := d.send(ctx, "after "+string(victim)+" was killed", d.hosts()[0], request); err != nil {
+			return err
+		}
+		request.Prompt += "?"
+	}
+	return nil
+}
+
+func (d *demo) printTable() {
+	table := tabwriter.NewWriter(d.out, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(table, "\nstep\tfirst token\ttotal\tprompt tokens\trecomputed\tnote")
+	for _, r := range d.rows {
+		_, _ = fmt.Fprintf(table, "%s\t%.1f ms\t%.1f ms\t%d\t%.0f%%\t%s\n", r.step,
+			milliseconds(r.answer.FirstToken), milliseconds(r.answer.Total), r.answer.Usage.Prompt,
+			100*recomputed(r.answer.Usage), r.note)
+	}
+	_ = table.Flush()
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+
+// recomputed is the share of the prompt that the engine did not find in its cache.
+func recomputed(usage spoke.Usage) float64 {
+	if usage.Prompt == 0 {
+		return 0
+	}
+	return float64(usage.Prompt-usage.Cached) / float64(usage.Prompt)
+}
+
+func (d *demo) printTimeline(ctx context.Context, trace string) error {
+	merged, err := d.timeline(ctx, spoke.EventFilter{})
+	if err != nil {
+		return err
+	}
+	tail := merged[max(0, len(merged)-timelineTail):]
+	d.printf("\nlast %d of %d events on the time line of %d hosts\n", len(tail), len(merged), len(d.running()))
+	if err := events.WriteText(d.out, tail); err != nil || trace == "" {
+		return err
+	}
+	file, err := os.Create(trace)
+	if err != nil {
+		return eris.Wrap(err, "trace file")
+	}
+	defer file.Close()
+	return events.WriteTrace(file, merged)
+}
--- /dev/null
+++ b/cmd/trial/plans/doc.go
@@ -0,0 +1,2 @@
+// Package plans describes the set-ups that trials start.
+package plans
--- a/host/host.go
+++ b/host/host.go
@@ -11,12 +11,14 @@
 
 	"magnoliaspoke.example/spoke"
 	"magnoliaspoke.example/spoke/admin"
+	"magnoliaspoke.example/spoke/claim"
 	"magnoliaspoke.example/spoke/config"
 	"magnoliaspoke.example/spoke/coord"
 	"magnoliaspoke.example/spoke/engine"
 	"magnoliaspoke.example/spoke/events"
 	"magnoliaspoke.example/spoke/member"
 	"magnoliaspoke.example/spoke/openai"
+	"magnoliaspoke.example/spoke/plain"
 	"magnoliaspoke.example/spoke/route"
 	"magnoliaspoke.example/spoke/runner"
 	"magnoliaspoke.example/spoke/sched"
@@ -47,6 +49,7 @@
 		digest    *digestTask
 		owner     *owner
 		platform  *coord.Client
+		claims    *claim.Claims
 		drainer   *drainer
 		caller    *http.Server
 		internal  *http.Server
@@ -67,6 +70,7 @@
 	h.life, h.end = context.WithCancel(context.Background())
 	h.events = events.NewRecorder(settings.Host, timer, settings.EventCapacity)
 	h.platform = coord.New(settings.Platform, coord.WithTimer(timer))
+	h.claims = claim.New(h.platform, claim.WithTimer(timer))
 	h.composeMembership()
 	h.composeOwner()
 	h.composeServers(force)
@@ -115,13 +119,24 @@
 	signer := wire.NewSigner(string(h.settings.PeerSecret))
 	dispatcher := &dispatcher{
 		self: h.settings.Host, manifest: h.view, views: h.views, members: h.members,
-		owner: h.owner, client: h.members.client,
+		owner: h.owner, client: h.members.client, plain: plain.NewClient(),
 	}
+	budget := newRetryBudget(h.timer)
+	calls := plain.NewExecutor(plain.Parts{
+		Manifests: h.view, Views: h.views, Router: route.NewAffinity(), Dispatcher: dispatcher,
+		Claims: h.claims, Timer: h.timer,
+	},
+		plain.WithHost(h.settings.Host),
+		plain.WithDataCentre(h.settings.DataCentre),
+		plain.WithBudget(budget),
+		plain.WithLog(h.log),
+	)
 	requests := runner.New(runner.Parts{
 		Manifests: h.view, Views: h.views, Router: route.NewAffinity(), Dispatcher: dispatcher, Timer: h.timer,
 	},
 		runner.WithDataCentre(h.settings.DataCentre),
-		runner.WithBudget(newRetryBudget(h.timer)),
+		runner.WithBudget(budget),
+		runner.WithCalls(calls.Call),
 		runner.WithEvents(h.events),
 	)
 	front := openai.New(requests, h.view, openai.WithLog(h.log))
