Keep loads and far beats out of most heartbeats

Loads change in every second round and went to all data centres, and the beats of all other data centres went along in every fourth round.

Ruled out: one contact a round (a trial on the model in the test needs about four rounds to reach 60 hosts, close to the suspicion timeout); a summary host per data centre (a place where news is lost with one host).

Change: loads have a version of their own and stay inside their data centre; one contact in every eighth round carries the beats of all data centres; the timeouts for hosts of other data centres are stretched by eight, and a refused connection still takes a host out at once.

The state machine found two faults on the way, both fixed here: a record that was passed on without loads replaced the loads of a host of the own data centre, and the loads of a restarted host never became newer than those of its earlier process.

--- a/member/messages.go
+++ b/member/messages.go
@@ -8,8 +8,10 @@
 		Incarnation spoke.Incarnation
 		// Count rises with every heartbeat round of the host.
 		Count uint64
-		// Version rises whenever the host's record changes.
+		// Version rises whenever the host's record changes in anything but the loads.
 		Version uint64
+		// Loads rises whenever the loads of the record change.
+		Loads uint64
 	}
 
 	// Record is what a host says about itself.
@@ -19,6 +21,8 @@
 		Address    spoke.Address
 		Leaving    bool
 		Digest     spoke.Digest
+		// Partial says that the loads were left out on the way.
+		Partial bool
 	}
 
 	// Heartbeat is exchanged between two hosts; both directions have the same form.
@@ -28,7 +32,8 @@
 		Beats map[spoke.HostID]Beat
 		// Records holds the records that the receiver lacks, and always the sender's own.
 		Records []Record
-		// Remote says that Beats covers the other data centres too.
+		// Remote says that Beats covers the other data centres too; their records go
+		// without loads, which change too often to be passed on.
 		Remote bool
 	}
 
--- a/member/options.go
+++ b/member/options.go
@@ -3,13 +3,18 @@
 import "time"
 
 const (
-	defaultFanOut     = 2
-	defaultSuspect    = 2 * time.Second
-	defaultRemove     = 4 * time.Second
-	defaultRemoteSlow = 3
-	// remoteEvery is the number of rounds between heartbeats that carry the
-	// beats of other data centres, whose number grows with the whole fleet.
-	remoteEvery = 4
+	defaultFanOut  = 2
+	defaultSuspect = 2 * time.Second
+	defaultRemove  = 4 * time.Second
+	// remoteEvery is the number of rounds between exchanges within a data centre
+	// that carry the beats of all others, whose number grows with the whole fleet.
+	remoteEvery = 8
+	// remoteContacts is how many hosts of a data centre contact another data
+	// centre in a round.
+	remoteContacts = 1
+	// remotePatience stretches the timeouts for hosts of other data centres,
+	// whose beats take some remoteEvery rounds to reach all hosts.
+	remotePatience = 8
 )
 
 type (
--- a/member/table.go
+++ b/member/table.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"math/rand/v2"
+	"reflect"
 	"slices"
 	"time"
 
@@ -42,7 +43,7 @@
 		suspectAfter: defaultSuspect,
 		removeAfter:  defaultRemove,
 	}
-	table.hosts[self.ID] = &entry{record: self, beat: Beat{Incarnation: incarnation, Count: 1, Version: 1}}
+	table.hosts[self.ID] = &entry{record: self, beat: Beat{Incarnation: incarnation, Count: 1, Version: 1, Loads: 1}}
 	for _, opt := range opts {
 		opt.apply(table)
 	}
@@ -62,11 +63,7 @@
 	case Refused:
 		t.refuse(m.Host)
 	case SetDigest:
-		t.changeSelf(func(r *Record) {
-			// A digest collected before a change of the number must not take it back.
-			m.Digest.Number = max(r.Digest.Number, m.Digest.Number)
-			r.Digest = m.Digest
-		})
+		t.setDigest(m.Digest)
 	case SetNumber:
 		t.changeSelf(func(r *Record) { r.Digest.Number = max(r.Digest.Number, m.Number) })
 	case Leave:
@@ -100,8 +97,8 @@
 	}
 	silence := now.Sub(host.heard)
 	patience := time.Duration(1)
-	if host.record.DataCentre != t.hosts[t.self].record.DataCentre {
-		patience = defaultRemoteSlow
+	if !t.isLocal(host.record) {
+		patience = remotePatience
 	}
 	switch {
 	case host.refused || silence > patience*t.removeAfter:
@@ -138,6 +135,22 @@
 	own.beat.Version++
 }
 
+// setDigest counts changes of the loads apart from all others, because only
+// the own data centre follows the loads.
+func (t *Table) setDigest(digest spoke.Digest) {
+	own := t.hosts[t.self]
+	// A digest collected before a change of the number must not take it back.
+	digest.Number = max(own.record.Digest.Number, digest.Number)
+	loads := digest.Loads
+	digest.Loads = own.record.Digest.Loads
+	if !reflect.DeepEqual(digest, own.record.Digest) {
+		own.beat.Version++
+	}
+	digest.Loads = loads
+	own.record.Digest = digest
+	own.beat.Loads++
+}
+
 func (t *Table) refuse(id spoke.HostID) {
 	if host, ok := t.hosts[id]; ok && id != t.self {
 		host.refused = true
@@ -175,17 +188,19 @@
 func (t *Table) mergeOne(now time.Time, id spoke.HostID, beat Beat, record Record, hasRecord bool) {
 	host, known := t.hosts[id]
 	if !known {
-		if hasRecord {
-			t.hosts[id] = &entry{record: record, beat: beat, heard: now}
+		if !hasRecord {
+			return
 		}
-		return
+		host = &entry{}
+		t.hosts[id] = host
 	}
-	if hasRecord && beat.hasNewerRecordThan(host.beat) {
-		host.record = record
-		host.beat.Version = beat.Version
-	} else if beat.Incarnation > host.beat.Incarnation {
-		// Version zero makes the next exchange ask for the record of the new incarnation.
-		host.beat.Version = 0
+	if beat.Incarnation > host.beat.Incarnation {
+		// Version and loads zero make the next exchange ask for what does not come with this one.
+		host.beat.Version, host.beat.Loads = 0, 0
+	}
+	hasNewerLoads := beat.hasNewerLoadsThan(host.beat) && !host.beat.hasNewerRecordThan(beat)
+	if hasRecord && (beat.hasNewerRecordThan(host.beat) || hasNewerLoads) {
+		host.take(record, beat)
 	}
 	if beat.isFresherThan(host.beat) {
 		host.heard = now
@@ -195,6 +210,18 @@
 	}
 }
 
+// take replaces the record; the last loads known stay if it comes without any.
+func (e *entry) take(record Record, beat Beat) {
+	if record.Partial {
+		record.Digest.Loads = e.record.Digest.Loads
+		record.Partial = false
+	} else {
+		e.beat.Loads = beat.Loads
+	}
+	e.record = record
+	e.beat.Version = beat.Version
+}
+
 func (b Beat) isFresherThan(other Beat) bool {
 	if b.Incarnation != other.Incarnation {
 		return b.Incarnation > other.Incarnation
@@ -209,25 +236,49 @@
 	return b.Version > other.Version
 }
 
+func (b Beat) hasNewerLoadsThan(other Beat) bool {
+	if b.Incarnation != other.Incarnation {
+		return b.Incarnation > other.Incarnation
+	}
+	return b.Loads > other.Loads
+}
+
 // heartbeatFor builds a heartbeat with the records that the other host lacks
 // according to the beats that it sent.
 func (t *Table) heartbeatFor(other Heartbeat) Heartbeat {
 	own := t.heartbeat(other.Remote)
 	for id := range own.Beats {
+		if id == t.self {
+			continue
+		}
 		theirs, known := other.Beats[id]
 		host := t.hosts[id]
-		if id != t.self && (!known || host.beat.hasNewerRecordThan(theirs)) {
+		isLocal := t.isLocal(host.record)
+		switch {
+		case isLocal && (!known || host.beat.hasNewerRecordThan(theirs) || host.beat.hasNewerLoadsThan(theirs)):
 			own.Records = append(own.Records, host.record)
+		case !isLocal && (!known || host.beat.hasNewerRecordThan(theirs)):
+			own.Records = append(own.Records, host.record.withoutLoads())
 		}
 	}
 	return own
 }
 
+func (r Record) withoutLoads() Record {
+	r.Digest.Loads = nil
+	r.Partial = true
+	return r
+}
+
+func (t *Table) isLocal(record Record) bool {
+	return record.DataCentre == t.hosts[t.self].record.DataCentre
+}
+
 func (t *Table) heartbeat(remote bool) Heartbeat {
 	own := t.hosts[t.self]
 	beats := make(map[spoke.HostID]Beat, len(t.hosts))
 	for id, host := range t.hosts {
-		if remote || host.record.DataCentre == own.record.DataCentre {
+		if remote || t.isLocal(host.record) {
 			beats[id] = host.beat
 		}
 	}
@@ -237,19 +288,22 @@
 func (t *Table) tick() []Action {
 	t.round++
 	t.hosts[t.self].beat.Count++
-	local := t.localPeers()
-	isRemoteRound := t.round%remoteEvery == 0
-	beat := t.heartbeat(isRemoteRound)
-	actions := t.sendTo(t.sample(local, t.fanOut), beat)
-	return append(actions, t.remoteSends(len(local)+1)...)
+	targets := t.sample(t.localPeers(), t.fanOut)
+	if len(targets) == 0 || t.round%remoteEvery != 0 {
+		return append(t.sendTo(targets, t.heartbeat(false)), t.remoteSends()...)
+	}
+	actions := t.sendTo(targets[:1], t.heartbeat(true))
+	actions = append(actions, t.sendTo(targets[1:], t.heartbeat(false))...)
+	return append(actions, t.remoteSends()...)
 }
 
 // remoteSends contacts one host of each other data centre, with a probability
 // that keeps the contacts of the whole data centre constant as it grows.
-func (t *Table) remoteSends(localHosts int) []Action {
+func (t *Table) remoteSends() []Action {
 	var actions []Action
+	localHosts := len(t.localPeers()) + 1
 	for _, hosts := range t.remotePeers() {
-		if t.random.IntN(localHosts) < t.fanOut {
+		if t.random.IntN(localHosts) < remoteContacts {
 			actions = append(actions, t.sendTo(t.sample(hosts, 1), t.heartbeat(true))...)
 		}
 	}
--- a/wire/heartbeat_codec.go
+++ b/wire/heartbeat_codec.go
@@ -11,9 +11,9 @@
 )
 
 type (
-	// beatJSON is [incarnation, count, version]; the short form keeps the
+	// beatJSON is [incarnation, count, version, loads]; the short form keeps the
 	// heartbeats of a large data centre inside the control budget.
-	beatJSON [3]uint64
+	beatJSON [4]uint64
 
 	heartbeatJSON struct {
 		From    string              `json:"from"`
@@ -31,6 +31,7 @@
 		Loads      map[string]loadJSON `json:"loads,omitempty"`
 		Marks      []markJSON          `json:"marks,omitempty"`
 		Gone       []string            `json:"leaving-upstreams,omitempty"`
+		Partial    bool                `json:"partial,omitempty"`
 	}
 
 	loadJSON struct {
@@ -56,7 +57,7 @@
 func EncodeHeartbeat(beat member.Heartbeat) ([]byte, error) {
 	out := heartbeatJSON{From: string(beat.From), Remote: beat.Remote, Beats: make(map[string]beatJSON, len(beat.Beats))}
 	for id, b := range beat.Beats {
-		out.Beats[string(id)] = beatJSON{uint64(b.Incarnation), b.Count, b.Version}
+		out.Beats[string(id)] = beatJSON{uint64(b.Incarnation), b.Count, b.Version, b.Loads}
 	}
 	for _, record := range beat.Records {
 		out.Records = append(out.Records, encodeRecord(record))
@@ -80,7 +81,7 @@
 		Beats:  make(map[spoke.HostID]member.Beat, len(in.Beats)),
 	}
 	for id, b := range in.Beats {
-		beat.Beats[spoke.HostID(id)] = member.Beat{Incarnation: spoke.Incarnation(b[0]), Count: b[1], Version: b[2]}
+		beat.Beats[spoke.HostID(id)] = member.Beat{Incarnation: spoke.Incarnation(b[0]), Count: b[1], Version: b[2], Loads: b[3]}
 	}
 	for _, record := range in.Records {
 		beat.Records = append(beat.Records, decodeRecord(record))
@@ -91,7 +92,7 @@
 func encodeRecord(r member.Record) recordJSON {
 	out := recordJSON{
 		ID: string(r.ID), DataCentre: string(r.DataCentre), Address: string(r.Address),
-		Leaving: r.Leaving, Number: uint64(r.Digest.Number),
+		Leaving: r.Leaving, Partial: r.Partial, Number: uint64(r.Digest.Number),
 	}
 	if len(r.Digest.Loads) > 0 {
 		out.Loads = make(map[string]loadJSON, len(r.Digest.Loads))
@@ -111,7 +112,7 @@
 func decodeRecord(in recordJSON) member.Record {
 	record := member.Record{
 		ID: spoke.HostID(in.ID), DataCentre: spoke.DataCentreID(in.DataCentre),
-		Address: spoke.Address(in.Address), Leaving: in.Leaving,
+		Address: spoke.Address(in.Address), Leaving: in.Leaving, Partial: in.Partial,
 		Digest: spoke.Digest{
 			Number: spoke.TicketNumber(in.Number),
 			Loads:  make(map[spoke.UpstreamID]spoke.LoadSummary, len(in.Loads)),
