--- /dev/null
+++ b/cmd/spokectl/tool/doc.go
@@ -0,0 +1,2 @@
+// Package tool implements the operator command over the administration API.
+package tool
