Run scenario scripts against a set-up of processes

Cause: whole-system failures need scripted scenarios over real processes. Ruled out: the names stop and kill for the project's commands, because testscript has commands of these names that cannot be replaced; they are called terminate and crash. Conclusion: the runner is ready; scenarios with the real programs need those programs and the ticket codec.

--- a/fleet/setup.go
+++ b/fleet/setup.go
@@ -195,3 +195,6 @@
 func listenAddress(centre int) spoke.Address {
 	return spoke.Address(fmt.Sprintf("127.0.%d.1:0", centre+1))
 }
+
+// Hosts returns the names of all entry hosts in the order of the plan.
+func (s *Setup) Hosts() []string { return s.hosts() }
--- a/fleet/setup_test.go
+++ b/fleet/setup_test.go
@@ -155,3 +155,12 @@
 	assert.ErrorContains(t, err, "entry-program: is empty\n")
 	assert.ErrorContains(t, err, `name "one-a" is also used by data-centre one: host`)
 }
+
+// Guards against misspelt keys in plan files that silently change a set-up.
+func TestDecodePlanReportsUnknownKeys(t *testing.T) {
+	decoded, err := fleet.DecodePlan("plan.toml", []byte("[[data-centres]]\nid = \"one\"\nhosts = [\"a\", \"b\"]\n"))
+	assert.NilError(t, err)
+	assert.DeepEqual(t, decoded.DataCentres[0].Hosts[1].ID, spoke.HostID("b"))
+	_, err = fleet.DecodePlan("plan.toml", []byte("relays = 1\n[[data-centres]]\nhost = []\n"))
+	assert.Error(t, err, "plan.toml: relays: is not a known key\nplan.toml: data-centres.host: is not a known key")
+}
--- /dev/null
+++ b/scene/doc.go
@@ -0,0 +1,2 @@
+// Package scene runs scenario scripts against a set-up of real processes on loopback.
+package scene
--- /dev/null
+++ b/scene/main_test.go
@@ -0,0 +1,35 @@
+package scene_test
+
+import (
+	"os/exec"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+	"gotest.tools/v3/assert"
+
+	"magnoliaspoke.example/spoke/scene"
+)
+
+// TestMain lets copies of the test binary stand for the programs.
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"entry":    runEntry,
+		"standin":  runStandin,
+		"spokectl": runSpokectl,
+	})
+}
+
+func programs(t *testing.T) scene.Programs {
+	t.Helper()
+	find := func(name string) string {
+		path, err := exec.LookPath(name)
+		assert.NilError(t, err)
+		return path
+	}
+	return scene.Programs{Entry: find("entry"), Standin: find("standin"), Spokectl: find("spokectl")}
+}
+
+// Guards against commands that do nothing to the processes and links they name.
+func TestCommands(t *testing.T) {
+	testscript.Run(t, scene.NewRunner(programs(t), codec{}).Params("testdata"))
+}
--- /dev/null
+++ b/scene/process.go
@@ -0,0 +1,115 @@
+package scene
+
+import (
+	"context"
+	"math"
+	"strconv"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+	"github.com/rotisserie/eris"
+
+	"magnoliaspoke.example/spoke"
+	"magnoliaspoke.example/spoke/fleet"
+)
+
+// start launches the set-up or starts ended processes again.
+func (s *stage) start(ts *testscript.TestScript, neg bool, args []string) {
+	if len(args) == 0 {
+		check(ts, neg, s.launch(ts))
+		return
+	}
+	s.needSetup(ts)
+	for _, name := range args {
+		check(ts, neg, s.setup.Start(s.ctx, name))
+	}
+}
+
+// terminate asks processes to end gracefully, which must give the exit code 0.
+func (s *stage) terminate(ts *testscript.TestScript, neg bool, args []string) {
+	s.eachProcess(ts, args, "terminate NAME...", func(process *fleet.Process) {
+		ctx, cancel := context.WithTimeout(s.ctx, stepLimit)
+		defer cancel()
+		code, err := process.Stop(ctx)
+		if err == nil && code != 0 {
+			err = eris.Errorf("process %q ended with exit code %d", process.Name(), code)
+		}
+		check(ts, neg, err)
+	})
+}
+
+// crash kills processes.
+func (s *stage) crash(ts *testscript.TestScript, _ bool, args []string) {
+	s.eachProcess(ts, args, "crash NAME...", (*fleet.Process).Kill)
+}
+
+func (s *stage) freeze(ts *testscript.TestScript, neg bool, args []string) {
+	s.eachProcess(ts, args, "freeze NAME...", func(process *fleet.Process) { check(ts, neg, process.Freeze()) })
+}
+
+func (s *stage) thaw(ts *testscript.TestScript, neg bool, args []string) {
+	s.eachProcess(ts, args, "thaw NAME...", func(process *fleet.Process) { check(ts, neg, process.Thaw()) })
+}
+
+func (s *stage) cut(ts *testscript.TestScript, _ bool, args []string) {
+	s.link(ts, args, "cut A [B]").Cut()
+}
+
+func (s *stage) restore(ts *testscript.TestScript, _ bool, args []string) {
+	s.link(ts, args, "restore A [B]").Restore()
+}
+
+func (s *stage) silence(ts *testscript.TestScript, _ bool, args []string) {
+	s.link(ts, args, "silence A [B]").Silence()
+}
+
+func (s *stage) reset(ts *testscript.TestScript, _ bool, args []string) {
+	s.link(ts, args, "reset A [B]").Reset()
+}
+
+// delay sets the one-way delay of a link, such as 50ms.
+func (s *stage) delay(ts *testscript.TestScript, _ bool, args []string) {
+	const usage = "delay DURATION A [B]"
+	want(ts, args, 2, 3, usage)
+	delay, err := time.ParseDuration(args[0])
+	ts.Check(eris.Wrap(err, usage))
+	s.link(ts, args[1:], usage).Delay(delay)
+}
+
+// limit sets the rate of a link in bytes per second; 0 removes the limit.
+func (s *stage) limit(ts *testscript.TestScript, _ bool, args []string) {
+	const usage = "limit BYTES-PER-SECOND A [B]"
+	want(ts, args, 2, 3, usage)
+	rate, err := strconv.ParseFloat(args[0], 64)
+	ts.Check(eris.Wrap(err, usage))
+	s.link(ts, args[1:], usage).Limit(spoke.ByteRate(rate))
+}
+
+func (s *stage) eachProcess(ts *testscript.TestScript, names []string, usage string, apply func(*fleet.Process)) {
+	want(ts, names, 1, math.MaxInt, usage)
+	s.needSetup(ts)
+	for _, name := range names {
+		process, err := s.setup.Process(name)
+		ts.Check(err)
+		apply(process)
+	}
+}
+
+// link takes two data centres, a data centre and the platform, or one relayed part.
+func (s *stage) link(ts *testscript.TestScript, sides []string, usage string) fleet.Link {
+	want(ts, sides, 1, 2, usage)
+	s.needSetup(ts)
+	far := ""
+	if len(sides) > 1 {
+		far = sides[1]
+	}
+	link, err := s.setup.Link(sides[0], far)
+	ts.Check(err)
+	return link
+}
+
+func (s *stage) needSetup(ts *testscript.TestScript) {
+	if s.setup == nil {
+		ts.Fatalf("no set-up; begin with start")
+	}
+}
