Refuse connections at a relay whose target has ended

Cause: a relay that accepts and then resets hides from its users that a process is dead; they could no longer tell that nothing ran. Ruled out: closing the listener alone, because the system may give its port to another process before the restart. Change: a socket that is bound but does not listen holds the port; the relay listens only while it has a target or is cut.

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"time"
@@ -33,17 +34,21 @@
 
 	// Relay listens on a stable port and forwards each connection to its target.
 	Relay struct {
-		timer    spoke.Timer
-		listener net.Listener
-		ctx      context.Context
-		cancel   context.CancelFunc
-		tasks    sync.WaitGroup
+		timer  spoke.Timer
+		port   *port
+		ctx    context.Context
+		cancel context.CancelFunc
+		tasks  sync.WaitGroup
 
 		mu     sync.Mutex
 		target spoke.Address
-		links  map[*link]struct{}
-		cut    bool
-		lanes  [directions]lane
+		// listener is nil while connections are refused.
+		listener net.Listener
+		// failure is the first error of a listener.
+		failure error
+		links   map[*link]struct{}
+		cut     bool
+		lanes   [directions]lane
 		// changed is closed and replaced on each change that waiting pumps must see.
 		changed chan struct{}
 	}
@@ -62,36 +67,39 @@
 	return func(r *Relay) { r.timer = service }
 }
 
-// New listens on the address, whose port may be 0, and forwards to the target, which may
-// be empty until SetTarget names it.
+// New takes the address, whose port may be 0, and forwards to the target. While the target
+// is empty, connections are refused.
 func New(listen, target spoke.Address, options ...Option) (*Relay, error) {
-	listener, err := net.Listen("tcp", string(listen))
+	held, err := holdPort(listen)
 	if err != nil {
-		return nil, eris.Wrapf(err, "listen for relay on %q", listen)
+		return nil, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &Relay{
-		timer:    timer.NewSystem(),
-		listener: listener,
-		ctx:      ctx,
-		cancel:   cancel,
-		target:   target,
-		links:    make(map[*link]struct{}),
-		changed:  make(chan struct{}),
+		timer:   timer.NewSystem(),
+		port:    held,
+		ctx:     ctx,
+		cancel:  cancel,
+		links:   make(map[*link]struct{}),
+		changed: make(chan struct{}),
 	}
 	for _, option := range options {
 		option(r)
 	}
-	r.tasks.Go(r.accept)
+	r.SetTarget(target)
+	if r.failure != nil {
+		return nil, eris.Wrap(r.Close(), "open relay")
+	}
 	return r, nil
 }
 
 // Address returns the address on which the relay listens.
 func (r *Relay) Address() spoke.Address {
-	return spoke.Address(r.listener.Addr().String())
+	return r.port.address
 }
 
-// SetTarget changes the target of new connections.
+// SetTarget changes the target of new connections; an empty one refuses them, as the
+// address of an ended process does.
 func (r *Relay) SetTarget(target spoke.Address) {
 	r.update(func() { r.target = target })
 }
@@ -145,23 +153,43 @@
 // Close ends the relay and all its connections.
 func (r *Relay) Close() error {
 	r.cancel()
-	err := r.listener.Close()
+	r.update(func() { r.target, r.cut = "", false })
 	r.Reset()
 	r.tasks.Wait()
-	return eris.Wrapf(err, "close relay %q", r.Address())
+	return errors.Join(r.failure, r.port.release())
 }
 
 func (r *Relay) update(change func()) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	change()
+	r.openOrRefuse()
 	close(r.changed)
 	r.changed = make(chan struct{})
 }
 
-func (r *Relay) accept() {
+// openOrRefuse listens if there is a target, and also during a cut, because a partition
+// does not refuse connections; the mutex must be held.
+func (r *Relay) openOrRefuse() {
+	wanted := (r.target != "" || r.cut) && r.ctx.Err() == nil
+	switch {
+	case wanted && r.listener == nil:
+		listener, err := r.port.listen()
+		if err != nil {
+			r.failure = errors.Join(r.failure, err)
+			return
+		}
+		r.listener = listener
+		r.tasks.Go(func() { r.accept(listener) })
+	case !wanted && r.listener != nil:
+		r.failure = errors.Join(r.failure, r.listener.Close())
+		r.listener = nil
+	}
+}
+
+func (r *Relay) accept(listener net.Listener) {
 	for {
-		conn, err := r.listener.Accept()
+		conn, err := listener.Accept()
 		if err != nil {
 			return
 		}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"os"
+	"syscall"
 	"testing"
 	"time"
 
@@ -23,7 +24,7 @@
 )
 
 // echo serves connections that send back what they read, prefixed by a name.
-func echo(t *testing.T, name string) spoke.Address {
+func echo(t testing.TB, name string) spoke.Address {
 	t.Helper()
 	listener, err := net.Listen("tcp", string(loopback))
 	assert.NilError(t, err)
@@ -152,6 +153,25 @@
 	assert.ErrorContains(t, err, "reset")
 }
 
+// Guards against a relay that hides the end of a process from those who connect, who must
+// be able to tell that nothing ran, and against a cut that tells them.
+func TestRefusesWithoutTarget(t *testing.T) {
+	r := open(t)
+	expect(t, dial(t, r), "a")
+	r.SetTarget("")
+	for range 3 {
+		_, err := net.Dial("tcp", string(r.Address()))
+		assert.ErrorIs(t, err, syscall.ECONNREFUSED)
+	}
+	r.Cut()
+	held := dial(t, r)
+	expectNothing(t, held)
+	r.SetTarget(echo(t, "b"))
+	r.Restore()
+	expect(t, held, "b")
+	expect(t, dial(t, r), "b")
+}
+
 // Guards against delay in the wrong direction and against bytes that overtake each other.
 func TestDelayIsOneWay(t *testing.T) {
 	clock := timer.NewManual(time.Unix(1000, 0))
