Test that children end with their parent; measure Record

Cause: nothing showed that processes end when their parent crashes, and the cost of an event was unknown. Ruled out: clean-up in the parent as the only safeguard, since a killed parent runs none. Change: a test that kills a parent and waits for the end of its child; a benchmark of Recorder.Record.

--- /dev/null
+++ b/events/bench_test.go
@@ -0,0 +1,20 @@
+package events_test
+
+import (
+	"testing"
+
+	"magnoliaspoke.example/spoke"
+	"magnoliaspoke.example/spoke/events"
+	"magnoliaspoke.example/spoke/timer"
+)
+
+// BenchmarkRecord measures what an event costs the task that records it.
+func BenchmarkRecord(b *testing.B) {
+	host := events.NewRecorder("a", timer.NewSystem(), 8192)
+	b.ReportAllocs()
+	b.RunParallel(func(loop *testing.PB) {
+		for loop.Next() {
+			host.Record(spoke.Event{Kind: "step", Request: "r-1"})
+		}
+	})
+}
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"magnoliaspoke.example/spoke/fleet"
 	"magnoliaspoke.example/spoke/ready"
@@ -115,3 +116,23 @@
 	_, err = f.Start(bounded(t), command("late"))
 	assert.ErrorIs(t, err, fleet.ErrClosed)
 }
+
+// Guards against children that go on after a crash of the process that started them.
+func TestNothingOutlivesTheParent(t *testing.T) {
+	f := open(t)
+	outer := command("parent", t.TempDir())
+	outer.Environment = []string{programVariable + "=" + parentValue}
+	process, err := f.Start(bounded(t), outer)
+	assert.NilError(t, err)
+	child := string(process.Address(childID))
+	assert.Assert(t, child != "")
+	process.Kill()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		text, err := os.ReadFile("/proc/" + child + "/stat")
+		// A dead child may stay as a zombie until the system's first process collects it.
+		if err != nil || strings.Contains(string(text), ") Z ") {
+			return poll.Success()
+		}
+		return poll.Continue("%s", text)
+	}, poll.WithTimeout(limit), poll.WithDelay(time.Millisecond))
+}
--- a/fleet/program_test.go
+++ b/fleet/program_test.go
@@ -1,26 +1,39 @@
 package fleet_test
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"os"
 	"os/signal"
+	"strconv"
 	"syscall"
 	"testing"
 
 	"magnoliaspoke.example/spoke"
 	"magnoliaspoke.example/spoke/config"
+	"magnoliaspoke.example/spoke/fleet"
 	"magnoliaspoke.example/spoke/ready"
 )
 
-const programVariable = "FLEET_TEST_PROGRAM"
+const (
+	programVariable = "FLEET_TEST_PROGRAM"
+	// parentValue makes the program a parent that starts another program.
+	parentValue = "parent"
+	// childID is the entry of a parent's ready line that holds its child's process id.
+	childID ready.Listener = "child-id"
+)
 
 // TestMain lets the test binary stand for the programs that a set-up starts.
 func TestMain(m *testing.M) {
 	if os.Getenv(programVariable) == "" {
 		os.Exit(m.Run())
 	}
-	if err := program(os.Args[1:]); err != nil {
+	run := program
+	if os.Getenv(programVariable) == parentValue {
+		run = parent
+	}
+	if err := run(os.Args[1:]); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(3)
 	}
@@ -76,3 +89,23 @@
 		conn.Close()
 	}
 }
+
+// parent starts a child through a fleet and waits to be killed.
+func parent(arguments []string) error {
+	child, err := fleet.New(arguments[0]).Start(context.Background(), fleet.Command{
+		Name:        "child",
+		Program:     os.Args[0],
+		Arguments:   []string{"engine", "--id", "child", "--listen", "127.0.0.1:0"},
+		Environment: []string{programVariable + "=1"},
+		Lifetime:    limit,
+	})
+	if err != nil {
+		return err
+	}
+	id := spoke.Address(strconv.Itoa(child.ID()))
+	if err := ready.Write(os.Stdout, ready.Line{Addresses: map[ready.Listener]spoke.Address{childID: id}}); err != nil {
+		return err
+	}
+	<-child.Exited()
+	return nil
+}
