Hold places for urgent work and for small workspaces

Ruled out: more preemption (each one repeats a prefill) and one reserved place per rank (it idles when a single workspace asks).

Change: one place in sixteen is kept for workspaces below their share of the most urgent rank in use; ranks below urgent ones that ask for all the rest get their floor only; floor credit survives an empty queue and is undone for the unused part of a preempted item; a load report with waiting work sets a ceiling that is probed again later; latencies from before a decrease are ignored; the limit starts at four until a load report comes; forecasts are computed once per class.

--- a/sched/admission.go
+++ b/sched/admission.go
@@ -9,6 +9,8 @@
 	"magnoliaspoke.example/spoke"
 )
 
+const forgetInterval = time.Second
+
 // Admission implements spoke.Admission for the upstreams of one host.
 type Admission struct {
 	settings   settings
@@ -21,6 +23,14 @@
 	entries    map[spoke.AttemptID]*entry
 	inProgress map[spoke.WorkspaceID]int
 	actions    []spoke.AdmissionAction
+	// hopeless is kept between calls to save its allocation.
+	hopeless []hopeless
+}
+
+// hopeless is an entry that cannot start in time.
+type hopeless struct {
+	entry *entry
+	wait  time.Duration
 }
 
 var _ spoke.Admission = (*Admission)(nil)
@@ -79,19 +89,24 @@
 		a.emitRefusal(e, refusal)
 		return
 	}
-	a.enqueue(q, e)
+	a.enqueue(now, q, e)
 	// The item is queued before its prediction so that a free place wins over a stale rate.
 	a.grantAll(now, q)
 	if !e.running {
-		a.checkEntry(now, e, e.class.ahead(e.tag()))
+		a.checkEntry(now, e)
 	}
 	a.preempt(now, q)
 }
 
-func (a *Admission) enqueue(q *queue, e *entry) {
+func (a *Admission) enqueue(now time.Time, q *queue, e *entry) {
 	c := q.class(a.rank(e.item.Rank))
 	key := flowKey{e.item.Workspace, e.item.Solo}
-	c.push(e, c.flow(key, a.weight(e.item.Workspace)))
+	f := c.flow(key, a.weight(e.item.Workspace))
+	f.seen = now
+	c.push(e, f)
+	if !e.item.Resumed {
+		c.offered.add(now, float64(e.item.Cost))
+	}
 	e.queue = q
 	q.waiting++
 	a.entries[e.item.Attempt] = e
@@ -103,7 +118,7 @@
 	if e == nil {
 		return
 	}
-	a.remove(e)
+	a.remove(now, e)
 	a.advance(now, e.queue)
 }
 
@@ -113,8 +128,8 @@
 		return
 	}
 	q := e.queue
-	limited := q.waiting > 0 || len(q.running) >= q.limit.Value()
-	a.remove(e)
+	limited := q.isLimited()
+	a.remove(now, e)
 	switch {
 	case m.Busy:
 		q.limit.ObserveBusy(now)
@@ -134,11 +149,13 @@
 	if m.FirstToken > 0 {
 		e.class.firstToken = blend(e.class.firstToken, m.FirstToken.Seconds(), ratioGain)
 	}
-	if m.Duration > 0 {
-		e.queue.observeRate(cost, m.Duration)
+	// The rest of a run lacks the prefill, so its times say little about its cost.
+	if e.item.Resumed || m.Duration <= 0 {
+		return
 	}
+	e.queue.observeRate(cost, m.Duration)
 	e.queue.limit.Observe(now, LatencySample{
-		Cost: cost, FirstToken: m.FirstToken, Duration: m.Duration,
+		Started: e.started, Cost: cost, FirstToken: m.FirstToken, Duration: m.Duration,
 		Concurrency: e.concurrency, Limited: limited,
 	})
 }
@@ -151,9 +168,9 @@
 	q.report = m.Report
 	q.report.Versions = maps.Clone(m.Report.Versions)
 	q.draining = m.Report.Draining
-	q.limit.ObserveLoad(now, m.Report)
+	q.limit.ObserveLoad(now, m.Report, len(q.running), q.isLimited())
 	if q.draining {
-		a.refuseWaiting(q)
+		a.refuseWaiting(now, q)
 	}
 	a.advance(now, q)
 }
@@ -161,6 +178,12 @@
 // advance grants what fits, renews predictions and preempts.
 func (a *Admission) advance(now time.Time, q *queue) {
 	a.grantAll(now, q)
+	if now.Sub(q.lastForget) >= forgetInterval {
+		q.lastForget = now
+		for _, c := range q.classes {
+			c.forgetIdle(now)
+		}
+	}
 	if now.Sub(q.lastCheck) >= a.settings.recheck {
 		q.lastCheck = now
 		a.checkWaiting(now, q)
@@ -170,11 +193,12 @@
 
 func (a *Admission) grantAll(now time.Time, q *queue) {
 	for q.owned && !q.draining && q.waiting > 0 && q.hasPlace() {
-		c, f := q.next()
+		c, f, byFloor := q.next(now)
 		if c == nil {
 			return
 		}
 		e := q.grant(now, c, f)
+		e.byFloor = byFloor
 		a.actions = append(a.actions, spoke.GrantWork{Attempt: e.item.Attempt})
 	}
 }
@@ -189,9 +213,9 @@
 }
 
 // remove forgets an entry, waiting or running.
-func (a *Admission) remove(e *entry) {
+func (a *Admission) remove(now time.Time, e *entry) {
 	if e.running {
-		e.queue.release(e)
+		e.queue.release(now, e)
 	} else {
 		e.queue.drop(e)
 	}
--- a/sched/configure.go
+++ b/sched/configure.go
@@ -17,14 +17,14 @@
 	for _, workspace := range m.Workspaces {
 		a.workspaces[workspace.ID] = workspace
 	}
-	a.own(m.Owned)
+	a.own(now, m.Owned)
 	for _, q := range slices.Clone(a.order) {
 		a.reconfigure(q)
 		a.advance(now, q)
 	}
 }
 
-func (a *Admission) own(owned []spoke.UpstreamID) {
+func (a *Admission) own(now time.Time, owned []spoke.UpstreamID) {
 	wanted := make(map[spoke.UpstreamID]bool, len(owned))
 	for _, upstream := range owned {
 		wanted[upstream] = true
@@ -40,15 +40,15 @@
 	})
 	for _, q := range slices.Clone(a.order) {
 		if !wanted[q.upstream] {
-			a.disown(q)
+			a.disown(now, q)
 		}
 	}
 }
 
 // disown refuses the waiting work; running work ends under the old owner.
-func (a *Admission) disown(q *queue) {
+func (a *Admission) disown(now time.Time, q *queue) {
 	q.owned = false
-	a.refuseWaiting(q)
+	a.refuseWaiting(now, q)
 	if len(q.running) == 0 {
 		a.forget(q)
 	}
@@ -64,6 +64,7 @@
 		for key, f := range c.flows {
 			f.weight = a.weight(key.workspace)
 		}
+		c.sumWeights()
 	}
 	q.classes = slices.DeleteFunc(q.classes, func(c *class) bool {
 		_, configured := a.ranks[c.rank.Name]
--- a/sched/flow.go
+++ b/sched/flow.go
@@ -16,8 +16,12 @@
 		flow    *flow
 		running bool
 		// preempted says that the holder was asked to cancel the item.
-		preempted   bool
-		granted     time.Time
+		preempted bool
+		// byFloor says that the floor decided the grant.
+		byFloor bool
+		// paid is the floor credit that the grant took.
+		paid        float64
+		started     time.Time
 		concurrency int
 	}
 
@@ -33,14 +37,20 @@
 		weight  float64
 		waiting []*entry
 		backlog spoke.TokenCount
+		running int
+		// seen is the time of the last submission.
+		seen time.Time
 		// start is the start tag of the head item in virtual time.
 		start float64
 	}
 
 	// class is the work of one rank at one upstream.
 	class struct {
-		rank    spoke.Rank
-		flows   map[flowKey]*flow
+		rank  spoke.Rank
+		flows map[flowKey]*flow
+		// weight is the sum of the weights of flows.
+		weight float64
+		// active holds the flows that wait.
 		active  []*flow
 		virtual float64
 		waiting int
@@ -54,13 +64,18 @@
 		meanCost float64
 		// granted is the decayed cost granted to the rank.
 		granted decayed
+		// offered is the decayed cost submitted to the rank, refused work included.
+		offered decayed
 		// firstToken is the mean time from grant to first token, in seconds.
 		firstToken float64
 	}
 )
 
 func newClass(rank spoke.Rank) *class {
-	return &class{rank: rank, flows: make(map[flowKey]*flow)}
+	return &class{
+		rank: rank, flows: make(map[flowKey]*flow),
+		granted: decayed{window: grantWindow}, offered: decayed{window: offerWindow},
+	}
 }
 
 func (c *class) flow(key flowKey, weight float64) *flow {
@@ -68,6 +83,7 @@
 	if f == nil {
 		f = &flow{key: key, weight: weight, start: c.virtual}
 		c.flows[key] = f
+		c.weight += weight
 	}
 	return f
 }
@@ -90,20 +106,20 @@
 	c.meanCost = blend(c.meanCost, float64(e.item.Cost), rateGain)
 }
 
-// earn adds floor credit. Credit is kept while nothing waits, so that a rank whose items
+// earn adds the floor's part of a granted cost to the credit. Credit is kept while nothing waits, so that a rank whose items
 // are refused for their predicted wait still gets its share; the bound keeps a rank
 // that comes back from holding up urgent work with more than a few items.
 func (c *class) earn(cost float64) {
-	const idleItems = 2
+	const idleItems = 4
 	bound := max(idleItems*c.meanCost, float64(c.backlog))
 	c.credit = min(c.credit+cost*float64(c.rank.Floor), bound)
 }
 
-// head returns the flow with the lowest start tag, nil if none may start.
-func (c *class) head(soloFree bool) *flow {
+// head returns the flow with the lowest start tag among those that may start, nil if there is none.
+func (c *class) head(mayStart func(*flow) bool) *flow {
 	var best *flow
 	for _, f := range c.active {
-		if f.key.solo && !soloFree {
+		if !mayStart(f) {
 			continue
 		}
 		if best == nil || f.start < best.start {
@@ -133,22 +149,32 @@
 	if len(f.waiting) == 0 {
 		c.active = slices.DeleteFunc(c.active, func(other *flow) bool { return other == f })
 	}
-	if c.waiting == 0 {
-		c.forgetIdle()
-	}
 }
 
 // charge moves the start tag of an entry's flow by a cost, which may be negative.
 func (c *class) charge(e *entry, cost spoke.TokenCount) {
-	f := c.flow(e.flow.key, e.flow.weight)
-	f.start += float64(cost) / f.weight
+	e.flow.start += float64(cost) / e.flow.weight
 }
 
-// forgetIdle drops flows that owe nothing in virtual time.
-func (c *class) forgetIdle() {
+// forgetIdle drops flows without any work for some time.
+func (c *class) forgetIdle(now time.Time) {
 	for key, f := range c.flows {
-		if len(f.waiting) == 0 && f.start <= c.virtual {
+		if len(f.waiting) == 0 && f.running == 0 && now.Sub(f.seen) > activeWindow {
 			delete(c.flows, key)
 		}
 	}
+	c.sumWeights()
+}
+
+func (c *class) sumWeights() {
+	weights := make([]float64, 0, len(c.flows))
+	for _, f := range c.flows {
+		weights = append(weights, f.weight)
+	}
+	// The order of a floating-point sum changes its value, and map order is random.
+	slices.Sort(weights)
+	c.weight = 0
+	for _, weight := range weights {
+		c.weight += weight
+	}
 }
--- a/sched/limit.go
+++ b/sched/limit.go
@@ -25,20 +25,42 @@
 	// Decreases wait for the effect of the one before, at least for this time.
 	minCooldown = 200 * time.Millisecond
 	costBuckets = 40
+	// Without a load report only latencies show overload, so growth starts from here.
+	unreportedLimit = 4
+	// Places that an engine did not have are tried again after this time, more at a time
+	// while that succeeds and more rarely while it fails;
+	// each try makes an item wait inside the engine, where order of urgency ends.
+	ceilingHold    = time.Minute
+	maxCeilingHold = 10 * time.Minute
+	waitingFactor  = 0.5
+	// A report that shows less work than this part of the limit says nothing about the limit.
+	fullPart = 0.75
+	// Growth per second while load reports show no waiting work.
+	growthRate = 0.25
 )
 
 type (
 	// Limit finds the concurrency of one upstream from latencies, busy answers and load reports.
 	Limit struct {
-		value, lowest, highest float64
-		slowStart              bool
-		firstToken, duration   latencyRatio
-		lastDecrease           time.Time
-		meanDuration           float64
+		value, initial       float64
+		lowest, highest      float64
+		slowStart            bool
+		firstToken, duration latencyRatio
+		// excess is the latency as a multiple of what is tolerated.
+		excess       float64
+		lastDecrease time.Time
+		lastLoad     time.Time
+		// ceiling is the number of items that the engine ran when work waited in it.
+		ceiling      float64
+		ceilingSince time.Time
+		hold         time.Duration
+		probe        float64
+		meanDuration float64
 	}
 
 	// LatencySample describes a finished item.
 	LatencySample struct {
+		Started              time.Time
 		Cost                 spoke.TokenCount
 		FirstToken, Duration time.Duration
 		// Concurrency is the number of items that ran when the item started.
@@ -54,9 +76,13 @@
 	}
 )
 
-// NewLimit returns a limit with a first value and bounds.
+// NewLimit returns a limit with bounds and a value for the first load report. It starts lower,
+// because an upstream that is overloaded from the start never shows its unloaded latency.
 func NewLimit(initial, lowest, highest float64) *Limit {
-	return &Limit{value: initial, lowest: lowest, highest: highest, slowStart: true}
+	return &Limit{
+		value: min(initial, max(unreportedLimit, lowest)), initial: initial,
+		lowest: lowest, highest: highest, slowStart: true,
+	}
 }
 
 // Value returns the number of items that may run.
@@ -64,19 +90,20 @@
 
 // Observe takes the latency of an item that ran to its end.
 func (l *Limit) Observe(now time.Time, s LatencySample) {
-	if s.Duration <= 0 {
+	// Items that started before the last decrease ran beside more work than now.
+	if s.Duration <= 0 || s.Started.Before(l.lastDecrease) {
 		return
 	}
 	idle := float64(s.Concurrency) <= max(1, l.value/4)
 	l.meanDuration = blend(l.meanDuration, s.Duration.Seconds(), ratioGain)
 	l.duration.observe(s.Cost, s.Duration.Seconds(), idle)
-	excess := l.duration.ratio / durationTolerance
+	l.excess = l.duration.ratio / durationTolerance
 	if s.FirstToken > 0 {
 		l.firstToken.observe(s.Cost, s.FirstToken.Seconds(), idle)
-		excess = max(l.duration.ratio, l.firstToken.ratio) / latencyTolerance
+		l.excess = max(l.duration.ratio, l.firstToken.ratio) / latencyTolerance
 	}
-	if excess > 1 {
-		l.decrease(now, max(overloadFactor, 1/excess))
+	if l.excess > 1 {
+		l.decrease(now, max(overloadFactor, 1/l.excess))
 		return
 	}
 	if s.Limited {
@@ -87,12 +114,60 @@
 // ObserveBusy takes an answer of the upstream that it is at its limit.
 func (l *Limit) ObserveBusy(now time.Time) { l.decrease(now, busyFactor) }
 
-// ObserveLoad takes a load report; waiting work in the engine means that the limit is too high.
-func (l *Limit) ObserveLoad(now time.Time, report spoke.LoadReport) {
-	if report.Waiting <= 0 || report.AsOf.Before(l.lastDecrease) {
+// ObserveLoad takes a load report, the number of items that run according to the admission,
+// and whether the limit holds work back. Waiting work in the engine shows that all places
+// of the engine are taken, and how many those are.
+func (l *Limit) ObserveLoad(now time.Time, report spoke.LoadReport, running int, limited bool) {
+	if report.Waiting > 0 {
+		l.observeWaiting(now, report, running)
 		return
 	}
-	l.decrease(now, max(overloadFactor, 1-float64(report.Waiting)/l.value))
+	if l.lastLoad.IsZero() && l.slowStart {
+		l.value = max(l.value, l.initial)
+	}
+	if l.ceiling > 0 && now.Sub(l.ceilingSince) >= l.hold {
+		l.ceiling += l.probe
+		l.ceilingSince = now
+		l.hold, l.probe = ceilingHold, 2*l.probe
+	}
+	if limited && l.excess <= 1 && float64(report.Running) >= fullPart*l.value {
+		l.grow(l.loadStep(now))
+	}
+	l.lastLoad = now
+}
+
+func (l *Limit) observeWaiting(now time.Time, report spoke.LoadReport, running int) {
+	l.slowStart = false
+	l.probe = 1
+	l.hold = min(max(2*l.hold, ceilingHold), maxCeilingHold)
+	l.ceiling, l.ceilingSince = max(float64(report.Running), l.lowest), now
+	if l.value > l.ceiling {
+		l.value = max(l.ceiling, l.value*waitingFactor, l.lowest)
+		l.settle(now)
+		return
+	}
+	// Work waits although no more runs than the engine has places for: another host sends
+	// work too. A report from before the last decrease, or work granted before it, says nothing.
+	if running <= l.Value() && !report.AsOf.Before(l.lastDecrease) {
+		l.decrease(now, max(overloadFactor, 1-float64(report.Waiting)/l.value))
+	}
+}
+
+// loadStep is the growth after a load report without waiting work.
+func (l *Limit) loadStep(now time.Time) float64 {
+	if l.slowStart {
+		return max(1, l.value/8)
+	}
+	return growthRate * min(now.Sub(l.lastLoad).Seconds(), 1)
+}
+
+// grow raises the limit up to its bound and to what the engine is known to run.
+func (l *Limit) grow(step float64) {
+	highest := l.highest
+	if l.ceiling > 0 {
+		highest = min(highest, l.ceiling)
+	}
+	l.value = max(l.value, min(l.value+step, highest))
 }
 
 func (l *Limit) increase() {
@@ -100,7 +175,7 @@
 	if l.slowStart {
 		step = 1
 	}
-	l.value = min(l.value+step, l.highest)
+	l.grow(step)
 }
 
 func (l *Limit) decrease(now time.Time, factor float64) {
@@ -108,9 +183,15 @@
 	if now.Sub(l.lastDecrease) < cooldown {
 		return
 	}
-	l.lastDecrease = now
 	l.slowStart = false
 	l.value = max(l.value*factor, l.lowest)
+	l.settle(now)
+}
+
+// settle forgets the latencies of work that ran under a higher limit.
+func (l *Limit) settle(now time.Time) {
+	l.lastDecrease = now
+	l.firstToken.ratio, l.duration.ratio, l.excess = 1, 1, 0
 }
 
 func (r *latencyRatio) observe(cost spoke.TokenCount, sample float64, idle bool) {
--- a/sched/options.go
+++ b/sched/options.go
@@ -7,7 +7,8 @@
 )
 
 const (
-	defaultInitialLimit = 8
+	// Near the common size of a batch; slow start doubles it within seconds.
+	defaultInitialLimit = 16
 	defaultMinLimit     = 1
 	defaultMaxLimit     = 256
 	// Preemption costs a second prefill, so a flood must not turn into constant preemption.
@@ -18,7 +19,7 @@
 	// Work of a rank that is missing from the configuration still has to end in bounded time.
 	defaultTarget = 10 * time.Second
 	// Waiting items are checked again at this interval; refusals are due within 50 ms.
-	defaultRecheck = 20 * time.Millisecond
+	defaultRecheck = 40 * time.Millisecond
 )
 
 type (
@@ -35,7 +36,8 @@
 	}
 )
 
-// WithLimits sets the first value and the bounds of the concurrency limit per upstream.
+// WithLimits sets the bounds of the concurrency limit per upstream and its value from the
+// first load report on; without reports it starts at four or less.
 func WithLimits(initial, lowest, highest int) Option {
 	return func(s *settings) {
 		s.minLimit = float64(max(lowest, 1))
--- a/sched/predict.go
+++ b/sched/predict.go
@@ -9,8 +9,11 @@
 )
 
 const (
-	// Shares of ranks are measured over about this time.
-	shareWindow = 2 * time.Second
+	// Granted shares enter the predicted waits; over a shorter time they vary so much that
+	// work is admitted and refused again.
+	grantWindow = 10 * time.Second
+	// Offered work decides whether places are held; a flood has to show within seconds.
+	offerWindow = 2 * time.Second
 	// Costs and durations are averaged over about this many items.
 	rateGain = 0.05
 	// A rank with floor zero in a flood still has to get a finite prediction.
@@ -23,8 +26,9 @@
 type (
 	// decayed is an exponentially decayed sum.
 	decayed struct {
-		sum float64
-		at  time.Time
+		sum    float64
+		at     time.Time
+		window time.Duration
 	}
 
 	// profile gives the cost that start-time fair queueing serves before a start tag.
@@ -37,9 +41,12 @@
 	if d.sum == 0 {
 		return 0
 	}
-	return d.sum * math.Exp(-now.Sub(d.at).Seconds()/shareWindow.Seconds())
+	return d.sum * math.Exp(-now.Sub(d.at).Seconds()/d.window.Seconds())
 }
 
+// rate is the mean amount per second.
+func (d *decayed) rate(now time.Time) float64 { return d.value(now) / d.window.Seconds() }
+
 func (d *decayed) add(now time.Time, amount float64) {
 	d.sum = d.value(now) + amount
 	d.at = now
@@ -72,7 +79,8 @@
 		}
 		return 0
 	})
-	var p profile
+	n := len(changes)
+	p := profile{make([]float64, 0, n), make([]float64, 0, n), make([]float64, 0, n)}
 	var served, slope, last float64
 	for _, ch := range changes {
 		served += slope * (ch.tag - last)
@@ -95,12 +103,12 @@
 	return p.served[i-1] + p.slopes[i-1]*(tag-p.tags[i-1])
 }
 
-// drainRate returns the cost per second of the upstream at its limit, zero if unknown.
+// drainRate returns the cost per second of the upstream at its limit without reserved places, zero if unknown.
 func (q *queue) drainRate() float64 {
 	if q.meanDuration == 0 {
 		return 0
 	}
-	return q.meanCost / q.meanDuration * float64(q.limit.Value())
+	return q.meanCost / q.meanDuration * float64(q.limit.Value()-q.reserve())
 }
 
 // share returns the part of capacity that more urgent grants and floors leave to a class.
@@ -109,7 +117,7 @@
 	for _, other := range q.classes {
 		switch {
 		case other.rank.Order < c.rank.Order:
-			left -= other.granted.value(now) / (shareWindow.Seconds() * rate)
+			left -= other.granted.rate(now) / rate
 		case other != c && other.waiting > 0:
 			left -= float64(other.rank.Floor)
 		}
@@ -117,27 +125,45 @@
 	return max(left, minShare)
 }
 
-// wait predicts the time until an item starts that has some cost of its class ahead:
-// by order of urgency or by the floor, whichever is sooner.
-func (q *queue) wait(now time.Time, c *class, ahead, cost float64) time.Duration {
+// forecast holds what the predicted waits of one class have in common.
+type forecast struct {
+	// rate is the cost per second of the upstream; zero means that work starts at once.
+	rate  float64
+	share float64
+	// before is the cost served before any waiting work of the class.
+	before, residual float64
+	floor, credit    float64
+}
+
+func (q *queue) forecast(now time.Time, c *class) forecast {
 	rate := q.drainRate()
-	if rate == 0 || (q.hasPlace() && q.waiting == 0) {
-		return 0
+	if rate == 0 || !q.isLimited() {
+		return forecast{}
 	}
-	residual := float64(q.excess()) * q.meanCost
-	if !q.hasPlace() && !q.mayPreemptFor(now, c) {
-		residual += q.meanCost
+	f := forecast{rate: rate, share: q.share(now, c, rate), floor: float64(c.rank.Floor), credit: c.credit}
+	lacking := len(q.running) + 1 - (q.limit.Value() - q.reserve())
+	if lacking > 0 {
+		lacking -= q.preemptible(now, c)
 	}
-	var urgent float64
+	f.residual = float64(max(lacking, 0)) * q.meanCost
 	for _, other := range q.classes {
 		if other.rank.Order < c.rank.Order {
-			urgent += float64(other.backlog)
+			f.before += float64(other.backlog)
 		}
 	}
-	wait := (ahead/q.share(now, c, rate) + urgent + residual) / rate
-	if floor := float64(c.rank.Floor); floor > 0 {
-		owed := max(ahead+cost-c.credit, 0)
-		wait = min(wait, (owed/floor+residual)/rate)
+	return f
+}
+
+// wait predicts the time until an item starts that has some cost of its class ahead:
+// by order of urgency or by the floor, whichever is sooner.
+func (f forecast) wait(ahead, cost float64) time.Duration {
+	if f.rate == 0 {
+		return 0
+	}
+	wait := (ahead/f.share + f.before + f.residual) / f.rate
+	if f.floor > 0 {
+		owed := max(ahead+cost-f.credit, 0)
+		wait = min(wait, (owed/f.floor+f.residual)/f.rate)
 	}
 	return seconds(wait)
 }
--- a/sched/queue.go
+++ b/sched/queue.go
@@ -7,6 +7,15 @@
 	"magnoliaspoke.example/spoke"
 )
 
+const (
+	// A workspace counts in the shares of a rank for this time after its last request.
+	activeWindow = 30 * time.Second
+	// One place in sixteen is the least that keeps a place free at common limits; below
+	// eight places a reserved one would cost too much of the capacity.
+	reservePart = 16
+	reserveFrom = 8
+)
+
 // queue is the waiting and running work of one upstream.
 type queue struct {
 	upstream spoke.UpstreamID
@@ -24,6 +33,7 @@
 	meanCost, meanDuration float64
 	preempt                bucket
 	lastCheck              time.Time
+	lastForget             time.Time
 }
 
 func newQueue(upstream spoke.UpstreamID, s settings) *queue {
@@ -64,26 +74,84 @@
 }
 
 // next chooses the class and flow of the next grant: a class whose floor owes it
-// its head item comes first, then the most urgent one.
-func (q *queue) next() (*class, *flow) {
+// its head item comes first, then the most urgent one. It reports whether the floor decided.
+func (q *queue) next(now time.Time) (*class, *flow, bool) {
+	reserved := len(q.running) >= q.limit.Value()-q.reserve()
+	held := q.heldFrom(now)
 	var chosen *class
 	var head *flow
-	for _, c := range q.classes {
+	mayBeUrgent := true
+	for i, c := range q.classes {
+		isUrgent := mayBeUrgent
+		mayBeUrgent = mayBeUrgent && len(c.flows) == 0
 		if c.waiting == 0 {
 			continue
 		}
-		f := c.head(!q.solo)
-		if f == nil {
-			continue
+		f := c.head(func(f *flow) bool { return !f.key.solo || !q.solo })
+		if f != nil && c.rank.Floor > 0 && c.credit >= float64(f.waiting[0].item.Cost) {
+			return c, f, !isUrgent
 		}
-		if c.rank.Floor > 0 && c.credit >= float64(f.waiting[0].item.Cost) {
-			return c, f
+		if reserved {
+			f = q.entitled(c, isUrgent)
 		}
-		if chosen == nil {
+		if chosen == nil && f != nil && i < held {
 			chosen, head = c, f
 		}
 	}
-	return chosen, head
+	return chosen, head, false
+}
+
+// heldFrom returns the index of the first class that gets its floor only, because the more
+// urgent ones ask for all the rest. Their queues are often empty for a moment, since work
+// that would wait too long is refused; a place that goes to long work in such a moment has
+// to be taken back by preemption.
+func (q *queue) heldFrom(now time.Time) int {
+	rate := q.drainRate()
+	if rate == 0 || len(q.running) < q.limit.Value()/2 {
+		return len(q.classes)
+	}
+	left := 1.0
+	for _, c := range q.classes[1:] {
+		if len(c.flows) > 0 {
+			left -= float64(c.rank.Floor)
+		}
+	}
+	for i, c := range q.classes {
+		left -= c.offered.rate(now) / rate
+		if left <= 0 {
+			return i + 1
+		}
+		if i+1 < len(q.classes) && len(q.classes[i+1].flows) > 0 {
+			left += float64(q.classes[i+1].rank.Floor)
+		}
+	}
+	return len(q.classes)
+}
+
+// reserve is the number of places kept free for workspaces below their share of the most
+// urgent rank in use; without it they would wait for a place behind every flood.
+func (q *queue) reserve() int {
+	limit := q.limit.Value()
+	if limit < reserveFrom {
+		return 0
+	}
+	return max(limit/reservePart, 1)
+}
+
+// isLimited reports whether the limit holds work back.
+func (q *queue) isLimited() bool {
+	return q.waiting > 0 || len(q.running) >= q.limit.Value()-q.reserve()
+}
+
+// entitled returns the flow of a class that may use a reserved place.
+func (q *queue) entitled(c *class, isUrgent bool) *flow {
+	if !isUrgent {
+		return nil
+	}
+	return c.head(func(f *flow) bool {
+		share := float64(q.limit.Value()) * f.weight / c.weight
+		return float64(f.running) < share && (!f.key.solo || !q.solo)
+	})
 }
 
 // grant starts the head of a flow and shares its cost out to the floors.
@@ -93,29 +161,48 @@
 	for _, other := range q.classes {
 		other.earn(cost)
 	}
-	c.credit = max(c.credit-cost, 0)
+	e.paid = min(max(c.credit, 0), cost)
+	c.credit -= e.paid
 	c.take(f)
 	q.waiting--
 	c.granted.add(now, cost)
 	c.running++
+	f.running++
 	c.runningCost += e.item.Cost
-	e.running, e.granted, e.concurrency = true, now, len(q.running)+1
+	e.running, e.started, e.concurrency = true, now, len(q.running)+1
 	q.running = append(q.running, e)
 	q.solo = q.solo || e.item.Solo
 	return e
 }
 
 // release frees the place of a running entry.
-func (q *queue) release(e *entry) {
+func (q *queue) release(now time.Time, e *entry) {
 	i := slices.Index(q.running, e)
 	q.running = slices.Delete(q.running, i, i+1)
 	e.class.running--
+	e.flow.running--
 	e.class.runningCost -= e.item.Cost
+	if e.preempted {
+		q.takeBack(now, e)
+	}
 	if e.item.Solo {
 		q.solo = false
 	}
 }
 
+// takeBack undoes the floor credit of the part of a preempted entry that did not run.
+func (q *queue) takeBack(now time.Time, e *entry) {
+	unused := 1.0
+	if q.meanDuration > 0 {
+		rate := q.meanCost / q.meanDuration
+		unused -= min(rate*now.Sub(e.started).Seconds()/float64(e.item.Cost), 1)
+	}
+	for _, c := range q.classes {
+		c.credit -= unused * float64(e.item.Cost) * float64(c.rank.Floor)
+	}
+	e.class.credit += unused * e.paid
+}
+
 // waitingEntries returns the waiting entries, the most urgent first.
 func (q *queue) waitingEntries() []*entry {
 	entries := make([]*entry, 0, q.waiting)
--- a/sched/refuse.go
+++ b/sched/refuse.go
@@ -15,6 +15,7 @@
 	maxRetry     = 30 * time.Second
 	// Hints are spread so that refused callers don't come back together.
 	retryJitter = 0.5
+	admitMargin = 1.15
 )
 
 // tag returns the start tag of a waiting entry.
@@ -30,32 +31,20 @@
 }
 
 // checkEntry refuses a waiting entry if it cannot start within its rank's target.
-func (a *Admission) checkEntry(now time.Time, e *entry, ahead float64) {
-	if refusal := a.overloadRefusal(now, e, ahead); refusal != nil {
-		a.refuse(e, refusal)
+func (a *Admission) checkEntry(now time.Time, e *entry) {
+	wait := e.queue.forecast(now, e.class).wait(e.class.ahead(e.tag()), float64(e.item.Cost))
+	// Predictions vary, so an item admitted at the very end of its budget would often be
+	// refused late.
+	if a.isHopeless(now, e, seconds(wait.Seconds()*admitMargin)) {
+		a.refuse(now, e, a.overloaded(now, e, wait))
 	}
 }
 
-func (a *Admission) overloadRefusal(now time.Time, e *entry, ahead float64) *spoke.Refusal {
-	q := e.queue
+func (a *Admission) isHopeless(now time.Time, e *entry, wait time.Duration) bool {
 	if e.item.Resumed {
-		return nil
-	}
-	if q.waiting > a.settings.maxQueued {
-		return a.overloaded(q, "queue of upstream %s is full", q.upstream)
-	}
-	waited := now.Sub(e.item.Enqueued)
-	wait := q.wait(now, e.class, ahead, float64(e.item.Cost))
-	budget := e.class.budget()
-	if waited+wait <= budget {
-		return nil
-	}
-	refusal := a.overloaded(q, "predicted wait of %s at upstream %s exceeds the %s of rank %s",
-		(waited + wait).Round(time.Millisecond), q.upstream, budget.Round(time.Millisecond), e.item.Rank)
-	if q.drainRate() > 0 {
-		refusal.RetryAfter = a.jitter(max(wait-budget, q.placeTime()))
+		return false
 	}
-	return refusal
+	return e.queue.waiting > a.settings.maxQueued || now.Sub(e.item.Enqueued)+wait > e.class.budget()
 }
 
 // checkWaiting renews the prediction of all waiting entries.
@@ -64,24 +53,39 @@
 		if c.waiting == 0 {
 			continue
 		}
-		p := c.profile()
-		for _, f := range append([]*flow(nil), c.active...) {
+		p, forecast := c.profile(), q.forecast(now, c)
+		for _, f := range c.active {
 			tag := f.start
-			for _, e := range append([]*entry(nil), f.waiting...) {
-				refusal := a.overloadRefusal(now, e, p.ahead(tag))
-				if refusal != nil {
-					a.refuse(e, refusal)
+			for _, e := range f.waiting {
+				wait := forecast.wait(p.ahead(tag), float64(e.item.Cost))
+				if a.isHopeless(now, e, wait) {
+					a.hopeless = append(a.hopeless, hopeless{e, wait})
 					continue
 				}
 				tag += float64(e.item.Cost) / f.weight
 			}
 		}
 	}
+	for _, h := range a.hopeless {
+		a.refuse(now, h.entry, a.overloaded(now, h.entry, h.wait))
+	}
+	clear(a.hopeless)
+	a.hopeless = a.hopeless[:0]
 }
 
-func (a *Admission) refuseWaiting(q *queue) {
+func (a *Admission) overloaded(now time.Time, e *entry, wait time.Duration) *spoke.Refusal {
+	budget := e.class.budget()
+	refusal := spoke.NotRun(spoke.CodeOverloaded,
+		"predicted wait of %s at upstream %s exceeds the %s that rank %s allows",
+		(now.Sub(e.item.Enqueued) + wait).Round(time.Millisecond), e.item.Upstream,
+		budget.Round(time.Millisecond), e.item.Rank)
+	refusal.RetryAfter = a.jitter(max(wait-budget, e.queue.placeTime()))
+	return refusal
+}
+
+func (a *Admission) refuseWaiting(now time.Time, q *queue) {
 	for _, e := range q.waitingEntries() {
-		a.refuse(e, a.noUpstream(q.upstream))
+		a.refuse(now, e, a.noUpstream(q.upstream))
 	}
 }
 
@@ -104,12 +108,6 @@
 	return seconds(q.meanDuration / float64(q.limit.Value()))
 }
 
-func (a *Admission) overloaded(q *queue, format string, args ...any) *spoke.Refusal {
-	refusal := spoke.NotRun(spoke.CodeOverloaded, format, args...)
-	refusal.RetryAfter = a.jitter(q.placeTime())
-	return refusal
-}
-
 func (a *Admission) noUpstream(upstream spoke.UpstreamID) *spoke.Refusal {
 	refusal := spoke.NotRun(spoke.CodeNoUpstream, "upstream %s takes no work at this host", upstream)
 	refusal.RetryAfter = a.jitter(retryNoUpstream)
@@ -121,8 +119,8 @@
 	return hint + time.Duration(a.random.Float64()*retryJitter*float64(hint))
 }
 
-func (a *Admission) refuse(e *entry, refusal *spoke.Refusal) {
-	a.remove(e)
+func (a *Admission) refuse(now time.Time, e *entry, refusal *spoke.Refusal) {
+	a.remove(now, e)
 	a.emitRefusal(e, refusal)
 }
 
--- a/sched/summary.go
+++ b/sched/summary.go
@@ -23,7 +23,7 @@
 		AsOf:     now,
 	}
 	for _, c := range q.classes {
-		summary.ExpectedWait = q.wait(now, c, float64(c.backlog), c.meanCost)
+		summary.ExpectedWait = q.forecast(now, c).wait(float64(c.backlog), c.meanCost)
 		summary.Waits[c.rank.Name] = summary.ExpectedWait
 	}
 	return summary
