Add benchmarks of the admission

Cause: the control budget of a host depends on the cost per message.

Ruled out: a benchmark of single messages; a request is a submission, a grant and an end.

Change: BenchmarkRequest and BenchmarkTick by owned upstreams and queue.

--- /dev/null
+++ b/sched/bench_test.go
@@ -0,0 +1,95 @@
+package sched_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"magnoliaspoke.example/spoke"
+	"magnoliaspoke.example/spoke/sched"
+)
+
+// filled returns an admission with full places and a number of waiting items per upstream,
+// the upstreams, and what runs there.
+func filled(owned, queued int) (*sched.Admission, []spoke.UpstreamID, [][]spoke.AttemptID) {
+	a := sched.NewAdmission(sched.WithMaxQueued(queued+1), sched.WithLimits(16, 16, 16))
+	const calm = 100000 * time.Hour
+	patient := []spoke.Rank{
+		{Name: "urgent", Order: 1, FirstTokenTarget: calm, Floor: 0.3},
+		{Name: "normal", Order: 2, FirstTokenTarget: calm, Floor: 0.2},
+		{Name: "batch", Order: 3, FirstTokenTarget: calm, Floor: 0.1},
+	}
+	var upstreams []spoke.UpstreamID
+	for u := range owned {
+		upstreams = append(upstreams, spoke.UpstreamID(fmt.Sprint("u", u)))
+	}
+	a.Handle(epoch, spoke.ConfigureAdmission{Ranks: patient, Owned: upstreams})
+	running := make([][]spoke.AttemptID, owned)
+	for u, upstream := range upstreams {
+		for i := range queued + 16 {
+			running[u] = append(running[u], grants(a.Handle(epoch, spoke.SubmitWork{Item: item(u, i, upstream)}))...)
+		}
+	}
+	return a, upstreams, running
+}
+
+func grants(actions []spoke.AdmissionAction) []spoke.AttemptID {
+	var granted []spoke.AttemptID
+	for _, action := range actions {
+		if grant, ok := action.(spoke.GrantWork); ok {
+			granted = append(granted, grant.Attempt)
+		}
+	}
+	return granted
+}
+
+func item(u, i int, upstream spoke.UpstreamID) spoke.WorkItem {
+	return spoke.WorkItem{
+		Attempt:  spoke.AttemptID(fmt.Sprintf("%d-%d", u, i)),
+		Upstream: upstream, Workspace: spoke.WorkspaceID(fmt.Sprint("w", i%30)),
+		Rank: calmRank(i), Cost: 1000, Enqueued: epoch,
+	}
+}
+
+func calmRank(i int) spoke.RankName { return []spoke.RankName{"urgent", "normal", "batch"}[i%3] }
+
+func sizes(b *testing.B, run func(b *testing.B, owned, queued int)) {
+	for _, owned := range []int{1, 10, 30} {
+		for _, queued := range []int{10, 100, 1000} {
+			b.Run(fmt.Sprintf("owned=%d/queued=%d", owned, queued), func(b *testing.B) { run(b, owned, queued) })
+		}
+	}
+}
+
+// BenchmarkRequest measures one request: its submission, its grant and its end.
+func BenchmarkRequest(b *testing.B) {
+	sizes(b, func(b *testing.B, owned, queued int) {
+		a, upstreams, running := filled(owned, queued)
+		now, n := epoch, queued+16
+		b.ResetTimer()
+		for b.Loop() {
+			n++
+			now = now.Add(time.Millisecond)
+			u := n % owned
+			submit := spoke.SubmitWork{Item: item(u, n, upstreams[u])}
+			running[u] = append(running[u], grants(a.Handle(now, submit))...)
+			done := running[u][0]
+			running[u] = running[u][1:]
+			finish := spoke.FinishWork{Attempt: done, FirstToken: 100 * time.Millisecond, Duration: time.Second}
+			running[u] = append(running[u], grants(a.Handle(now, finish))...)
+		}
+	})
+}
+
+// BenchmarkTick measures a tick that renews all predictions.
+func BenchmarkTick(b *testing.B) {
+	sizes(b, func(b *testing.B, owned, queued int) {
+		a, _, _ := filled(owned, queued)
+		now := epoch
+		b.ResetTimer()
+		for b.Loop() {
+			now = now.Add(50 * time.Millisecond)
+			a.Handle(now, spoke.AdmissionTick{})
+		}
+	})
+}
