--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"os"
+	"syscall"
 	"testing"
 	"time"
 
@@ -23,7 +24,7 @@
 )
 
 // echo serves connections that send back what they read, prefixed by a name.
-func echo(t *testing.T, name string) spoke.Address {
+func echo(t testing.TB, name string) spoke.Address {
 	t.Helper()
 	listener, err := net.Listen("tcp", string(loopback))
 	assert.NilError(t, err)
@@ -146,10 +147,40 @@
 	send(t, before, "same")
 	expect(t, before, "same")
 	r.SetTarget("127.0.0.1:1")
-	refused := dial(t, r)
-	assert.NilError(t, refused.SetReadDeadline(time.Now().Add(limit)))
-	_, err := refused.Read(make([]byte, 1))
-	assert.ErrorContains(t, err, "reset")
+	assert.ErrorIs(t, firstFailure(t, r), syscall.ECONNRESET)
+}
+
+// firstFailure returns the error of a new connection, which a reset may reach before the
+// dial has returned.
+func firstFailure(t *testing.T, r *relay.Relay) error {
+	t.Helper()
+	conn, err := net.Dial("tcp", string(r.Address()))
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	assert.NilError(t, conn.SetReadDeadline(time.Now().Add(limit)))
+	_, err = conn.Read(make([]byte, 1))
+	return err
+}
+
+// Guards against a relay that hides the end of a process from those who connect, who must
+// be able to tell that nothing ran, and against a cut that tells them.
+func TestRefusesWithoutTarget(t *testing.T) {
+	r := open(t)
+	expect(t, dial(t, r), "a")
+	r.SetTarget("")
+	for range 3 {
+		_, err := net.Dial("tcp", string(r.Address()))
+		assert.ErrorIs(t, err, syscall.ECONNREFUSED)
+	}
+	r.Cut()
+	held := dial(t, r)
+	expectNothing(t, held)
+	r.SetTarget(echo(t, "b"))
+	r.Restore()
+	expect(t, held, "b")
+	expect(t, dial(t, r), "b")
 }
 
 // Guards against delay in the wrong direction and against bytes that overtake each other.
