--- /dev/null
+++ b/cmd/trial/cases/doc.go
@@ -0,0 +1,2 @@
+// Package cases holds the measured cases of the benchmark.
+package cases
--- a/cmd/trial/demo.go
+++ b/cmd/trial/demo.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"os"
 	"sync"
 	"text/tabwriter"
@@ -13,6 +14,7 @@
 	"magnoliaspoke.example/spoke"
 	"magnoliaspoke.example/spoke/cmd/trial/load"
 	"magnoliaspoke.example/spoke/cmd/trial/plans"
+	"magnoliaspoke.example/spoke/cmd/trial/setup"
 	"magnoliaspoke.example/spoke/events"
 )
 
@@ -34,7 +36,8 @@
 	}
 
 	demo struct {
-		*session
+		*setup.Session
+		out  io.Writer
 		rows []row
 	}
 
@@ -48,13 +51,13 @@
 func (a *demoArgs) run(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, demoLifetime)
 	defer cancel()
-	s, err := startSession(ctx, plans.Demo(demoLifetime), os.Stdout)
+	s, err := setup.Start(ctx, plans.Demo(demoLifetime))
 	if err != nil {
 		return err
 	}
 	defer s.Close()
-	d := &demo{session: s}
-	d.printf("%d entry hosts in %d data centres serve ticket %d\n", len(s.hosts()), len(s.setup.Plan().DataCentres), s.ticket.Number)
+	d := &demo{Session: s, out: os.Stdout}
+	d.printf("%d entry hosts in %d data centres serve ticket %d\n", len(s.Hosts()), len(s.Fleet.Plan().DataCentres), s.Ticket.Number)
 	for _, step := range []func(context.Context) error{
 		d.askAndReturn, d.urgentInFlood, d.bookTwice, d.swapVersion, d.killHost,
 	} {
@@ -76,7 +79,7 @@
 
 // send asks a host and adds the answer to the table.
 func (d *demo) send(ctx context.Context, step string, host spoke.HostID, request load.Ask) (load.Answer, error) {
-	caller, err := d.caller(host)
+	caller, err := d.Caller(host)
 	if err != nil {
 		return load.Answer{}, err
 	}
@@ -91,15 +94,15 @@
 // askAndReturn sends a prompt, evicts it with others, and sends it again.
 func (d *demo) askAndReturn(ctx context.Context) error {
 	request := ask(1, promptSize, plans.RankNormal)
-	if _, err := d.send(ctx, "first ask", d.hosts()[0], request); err != nil {
+	if _, err := d.send(ctx, "first ask", d.Hosts()[0], request); err != nil {
 		return err
 	}
-	if _, err := d.send(ctx, "same prompt at once", d.hosts()[1], request); err != nil {
+	if _, err := d.send(ctx, "same prompt at once", d.Hosts()[1], request); err != nil {
 		return err
 	}
 	for i := range fillers {
-		host := d.hosts()[i%len(d.hosts())]
-		caller, err := d.caller(host)
+		host := d.Hosts()[i%len(d.Hosts())]
+		caller, err := d.Caller(host)
 		if err != nil {
 			return err
 		}
@@ -107,7 +110,7 @@
 			return eris.Errorf("filler %d: refusal %v, error %v", i, answer.Refusal, answer.Err)
 		}
 	}
-	_, err := d.send(ctx, "same prompt after eviction", d.hosts()[0], request)
+	_, err := d.send(ctx, "same prompt after eviction", d.Hosts()[0], request)
 	return err
 }
 
@@ -116,7 +119,7 @@
 	var flood sync.WaitGroup
 	served := make(chan bool, floodSize)
 	for i := range floodSize {
-		caller, err := d.caller(d.hosts()[i%len(d.hosts())])
+		caller, err := d.Caller(d.Hosts()[i%len(d.Hosts())])
 		if err != nil {
 			return err
 		}
@@ -124,7 +127,7 @@
 			served <- caller.Send(ctx, ask(uint64(500+i), spoke.PieceSize, plans.RankBatch)).IsServed()
 		})
 	}
-	_, err := d.send(ctx, "urgent in a flood of batch", d.hosts()[0], ask(2, spoke.PieceSize, plans.RankUrgent))
+	_, err := d.send(ctx, "urgent in a flood of batch", d.Hosts()[0], ask(2, spoke.PieceSize, plans.RankUrgent))
 	flood.Wait()
 	close(served)
 	count := 0
@@ -143,8 +146,8 @@
 		Key: plans.Key(plans.WorkspaceID(0)), Service: plans.Booking, Method: "POST", Path: "/bookings",
 		Body: `{"dusters":12}`, Idempotency: "order-4711",
 	}
-	for i, host := range d.hosts()[:2] {
-		caller, err := d.caller(host)
+	for i, host := range d.Hosts()[:2] {
+		caller, err := d.Caller(host)
 		if err != nil {
 			return err
 		}
@@ -161,52 +164,52 @@
 func (d *demo) swapVersion(ctx context.Context) error {
 	const next spoke.ModelVersion = "v2"
 	started := time.Now()
-	if err := d.change(ctx, spoke.Model{Name: plans.Model, Service: plans.Language, Version: next}); err != nil {
+	if err := d.Change(ctx, spoke.Model{Name: plans.Model, Service: plans.Language, Version: next}); err != nil {
 		return err
 	}
-	for _, host := range d.hosts() {
+	for _, host := range d.Hosts() {
 		if err := d.waitNumber(ctx, host); err != nil {
 			return err
 		}
 	}
-	d.printf("ticket %d in force on all hosts after %d ms\n", d.ticket.Number, time.Since(started).Milliseconds())
+	d.printf("ticket %d in force on all hosts after %d ms\n", d.Ticket.Number, time.Since(started).Milliseconds())
 	request := ask(3, spoke.PieceSize, plans.RankNormal)
 	request.Versions = []spoke.ModelVersion{next}
 	ctx, cancel := context.WithTimeout(ctx, settleLimit)
 	defer cancel()
 	for {
-		answer, err := d.send(ctx, "request after the version change", d.hosts()[0], request)
+		answer, err := d.send(ctx, "request after the version change", d.Hosts()[0], request)
 		if err == nil {
 			d.printf("answer of version %s after %d ms\n", answer.Version, time.Since(started).Milliseconds())
 			return nil
 		}
 		d.rows = d.rows[:len(d.rows)-1]
-		if wait(ctx, pollPeriod) != nil {
+		if setup.Wait(ctx, setup.PollPeriod) != nil {
 			return err
 		}
 	}
 }
 
 func (d *demo) waitNumber(ctx context.Context, host spoke.HostID) error {
-	operator, err := d.operator(host)
+	operator, err := d.Operator(host)
 	if err != nil {
 		return err
 	}
 	for {
 		status, err := operator.Status(ctx)
-		if err == nil && status.Host.Number >= d.ticket.Number {
+		if err == nil && status.Host.Number >= d.Ticket.Number {
 			return nil
 		}
-		if waitErr := wait(ctx, pollPeriod); waitErr != nil {
-			return eris.Wrapf(waitErr, "ticket %d on host %s", d.ticket.Number, host)
+		if waitErr := setup.Wait(ctx, setup.PollPeriod); waitErr != nil {
+			return eris.Wrapf(waitErr, "ticket %d on host %s", d.Ticket.Number, host)
 		}
 	}
 }
 
 // killHost kills an entry host and asks another one at once.
 func (d *demo) killHost(ctx context.Context) error {
-	victim := d.hosts()[1]
-	process, err := d.setup.Process(string(victim))
+	victim := d.Hosts()[1]
+	process, err := d.Fleet.Process(string(victim))
 	if err != nil {
 		return err
 	}
@@ -214,7 +217,7 @@
 	request := ask(4, spoke.PieceSize, plans.RankUrgent)
 	request.Versions = []spoke.ModelVersion{"v2"}
 	for range 4 {
-		if _, err := d.send(ctx, "after "+string(victim)+" was killed", d.hosts()[0], request); err != nil {
+		if _, err := d.send(ctx, "after "+string(victim)+" was killed", d.Hosts()[0], request); err != nil {
 			return err
 		}
 		request.Prompt += "?"
@@ -233,6 +236,10 @@
 	_ = table.Flush()
 }
 
+func (d *demo) printf(format string, args ...any) {
+	_, _ = fmt.Fprintf(d.out, format, args...)
+}
+
 func milliseconds(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
 
 // recomputed is the share of the prompt that the engine did not find in its cache.
@@ -244,12 +251,12 @@
 }
 
 func (d *demo) printTimeline(ctx context.Context, trace string) error {
-	merged, err := d.timeline(ctx, spoke.EventFilter{})
+	merged, err := d.Timeline(ctx, spoke.EventFilter{})
 	if err != nil {
 		return err
 	}
 	tail := merged[max(0, len(merged)-timelineTail):]
-	d.printf("\nlast %d of %d events on the time line of %d hosts\n", len(tail), len(merged), len(d.running()))
+	d.printf("\nlast %d of %d events on the time line of %d hosts\n", len(tail), len(merged), len(d.Running()))
 	if err := events.WriteText(d.out, tail); err != nil || trace == "" {
 		return err
 	}
--- a/cmd/trial/main.go
+++ b/cmd/trial/main.go
@@ -23,6 +23,7 @@
 	arguments struct {
 		Demo     *demoArgs     `arg:"subcommand:demo" help:"show the whole path in a small set-up"`
 		Up       *upArgs       `arg:"subcommand:up" help:"keep a small set-up running until interrupted"`
+		Bench    *benchArgs    `arg:"subcommand:bench" help:"measure the policy under load and faults beside baselines"`
 		Capacity *capacityArgs `arg:"subcommand:capacity" help:"measure how the cost of control grows and extrapolate it"`
 	}
 
--- /dev/null
+++ b/cmd/trial/setup/doc.go
@@ -0,0 +1,2 @@
+// Package setup starts set-ups for trials and talks to their entry hosts.
+package setup
--- a/cmd/trial/up.go
+++ b/cmd/trial/up.go
@@ -3,10 +3,11 @@
 import (
 	"context"
 	"errors"
-	"os"
+	"fmt"
 	"time"
 
 	"magnoliaspoke.example/spoke/cmd/trial/plans"
+	"magnoliaspoke.example/spoke/cmd/trial/setup"
 	"magnoliaspoke.example/spoke/ready"
 )
 
@@ -17,36 +18,36 @@
 )
 
 func (a *upArgs) run(ctx context.Context) error {
-	s, err := startSession(ctx, plans.Demo(a.Lifetime), os.Stdout)
+	s, err := setup.Start(ctx, plans.Demo(a.Lifetime))
 	if err != nil {
 		return err
 	}
 	defer s.Close()
-	if err := s.printAddresses(); err != nil {
+	if err := printAddresses(s); err != nil {
 		return err
 	}
-	if err := wait(ctx, a.Lifetime); !errors.Is(err, context.Canceled) {
+	if err := setup.Wait(ctx, a.Lifetime); !errors.Is(err, context.Canceled) {
 		return err
 	}
 	return nil
 }
 
-func (s *session) printAddresses() error {
-	for _, host := range s.hosts() {
-		at, err := s.address(host, ready.Caller)
+func printAddresses(s *setup.Session) error {
+	for _, host := range s.Hosts() {
+		at, err := s.Address(host, ready.Caller)
 		if err != nil {
 			return err
 		}
-		s.printf("OPENAI_BASE_URL=http://%s/v1\n", at)
-		s.printf("OPENAI_API_KEY=%s\n", plans.Key(plans.WorkspaceID(0)))
+		fmt.Printf("OPENAI_BASE_URL=http://%s/v1\n", at)
+		fmt.Printf("OPENAI_API_KEY=%s\n", plans.Key(plans.WorkspaceID(0)))
 	}
-	for _, host := range s.hosts() {
-		at, err := s.address(host, ready.Admin)
+	for _, host := range s.Hosts() {
+		at, err := s.Address(host, ready.Admin)
 		if err != nil {
 			return err
 		}
-		s.printf("SPOKE_ADMIN_ADDRESS=%s\n", at)
+		fmt.Printf("SPOKE_ADMIN_ADDRESS=%s\n", at)
 	}
-	s.printf("SPOKE_ADMIN_KEY=%s\n", s.setup.Plan().AdminKey)
+	fmt.Printf("SPOKE_ADMIN_KEY=%s\n", s.Fleet.Plan().AdminKey)
 	return nil
 }
