Check relays under changing conditions and for leaks

Cause: no test showed that a relay keeps bytes in order while its conditions change, or that closed relays and fleets leave no goroutine; two comments named sizes that did not follow from the measured 128 bytes per event. Ruled out: sleeps between the changes; the clock is manual. Change: a rapid test of random cuts, delays and limits, goleak in relay and fleet, corrected comments, and an error instead of a truncated answer when the administration client's limit is passed.

--- a/admin/client.go
+++ b/admin/client.go
@@ -17,7 +17,7 @@
 const (
 	// DefaultTimeout bounds a call; acceptance of a ticket takes two platform calls.
 	DefaultTimeout = 10 * time.Second
-	// maxAnswer bounds what the client reads; an events page of a full default ring is about 2 MB.
+	// maxAnswer bounds the memory that one answer can take.
 	maxAnswer = 64 << 20
 )
 
@@ -125,7 +125,7 @@
 		return nil, eris.Wrapf(err, "host at %s", c.address)
 	}
 	defer response.Body.Close()
-	text, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer))
+	text, err := io.ReadAll(http.MaxBytesReader(nil, response.Body, maxAnswer))
 	if err != nil {
 		return nil, eris.Wrapf(err, "answer of host at %s", c.address)
 	}
--- a/config/entry.go
+++ b/config/entry.go
@@ -20,7 +20,7 @@
 	DefaultDrainDelay = 5 * time.Second
 	// DefaultDrainDeadline is how long a draining host waits for its streams.
 	DefaultDrainDeadline = 60 * time.Second
-	// DefaultEventCapacity keeps about 2 MB of events in memory.
+	// DefaultEventCapacity takes 1 MB, at 128 bytes an event, and the texts of the events.
 	DefaultEventCapacity = 8192
 	// DefaultHeartbeatInterval is the period of heartbeats to peers.
 	DefaultHeartbeatInterval = 500 * time.Millisecond
--- a/config/validate.go
+++ b/config/validate.go
@@ -10,7 +10,8 @@
 
 const (
 	hashLength = 32
-	// maxEventCapacity bounds the time line to about 256 MB.
+	// maxEventCapacity takes 128 MB, at 128 bytes an event, and the texts of the events;
+	// more would leave nothing of a host's budget of 128 MB for other control state.
 	maxEventCapacity = 1 << 20
 	// maxDuration catches values whose unit was mistaken.
 	maxDuration = time.Hour
--- a/fleet/program_test.go
+++ b/fleet/program_test.go
@@ -10,6 +10,8 @@
 	"syscall"
 	"testing"
 
+	"go.uber.org/goleak"
+
 	"magnoliaspoke.example/spoke"
 	"magnoliaspoke.example/spoke/config"
 	"magnoliaspoke.example/spoke/fleet"
@@ -24,10 +26,12 @@
 	childID ready.Listener = "child-id"
 )
 
-// TestMain lets the test binary stand for the programs that a set-up starts.
+// TestMain lets the test binary stand for the programs that a set-up starts, and guards
+// against goroutines that a closed fleet leaves behind.
 func TestMain(m *testing.M) {
 	if os.Getenv(programVariable) == "" {
-		os.Exit(m.Run())
+		goleak.VerifyTestMain(m)
+		return
 	}
 	run := program
 	if os.Getenv(programVariable) == parentValue {
--- /dev/null
+++ b/relay/main_test.go
@@ -0,0 +1,10 @@
+package relay_test
+
+import (
+	"testing"
+
+	"go.uber.org/goleak"
+)
+
+// TestMain guards against goroutines that a closed relay leaves behind.
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -1,6 +1,7 @@
 package relay_test
 
 import (
+	"errors"
 	"io"
 	"net"
 	"os"
@@ -10,6 +11,7 @@
 
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
+	"pgregory.net/rapid"
 
 	"magnoliaspoke.example/spoke"
 	"magnoliaspoke.example/spoke/relay"
@@ -219,6 +221,60 @@
 	assert.Equal(t, early, "01234567890123456789")
 }
 
+// Guards against bytes that get lost, doubled or reordered while conditions change.
+func TestChangingConditionsKeepBytes(t *testing.T) {
+	target := echo(t, "")
+	rapid.Check(t, func(t *rapid.T) {
+		clock := timer.NewManual(time.Unix(1000, 0))
+		r, err := relay.New(loopback, target, relay.WithTimer(clock))
+		assert.NilError(t, err)
+		defer func() { assert.NilError(t, r.Close()) }()
+		conn, err := net.Dial("tcp", string(r.Address()))
+		assert.NilError(t, err)
+		defer conn.Close()
+		sent := ""
+		for range rapid.IntRange(1, 20).Draw(t, "steps") {
+			way := rapid.SampledFrom([]relay.Direction{relay.Forward, relay.Backward}).Draw(t, "direction")
+			amount := rapid.IntRange(0, 50).Draw(t, "amount")
+			switch rapid.SampledFrom([]string{"send", "cut", "restore", "delay", "limit", "advance"}).Draw(t, "step") {
+			case "send":
+				text := rapid.StringN(amount, amount, -1).Draw(t, "text")
+				_, err := conn.Write([]byte(text))
+				assert.NilError(t, err)
+				sent += text
+			case "cut":
+				r.Cut()
+			case "restore":
+				r.Restore()
+			case "delay":
+				r.Delay(way, time.Duration(amount)*time.Millisecond)
+			case "limit":
+				r.Limit(way, spoke.ByteRate(amount*1000))
+			default:
+				clock.Advance(time.Duration(amount) * time.Millisecond)
+			}
+		}
+		r.Restore()
+		assert.NilError(t, conn.(*net.TCPConn).CloseWrite())
+		assert.Equal(t, readAll(t, conn, clock), sent)
+	})
+}
+
+// readAll reads to the end of the stream while the clock moves on.
+func readAll(t assert.TestingT, conn net.Conn, clock *timer.Manual) string {
+	got, buffer := "", make([]byte, 1<<10)
+	for end := time.Now().Add(limit); time.Now().Before(end); clock.Advance(time.Second) {
+		assert.NilError(t, conn.SetReadDeadline(time.Now().Add(time.Millisecond)))
+		count, err := conn.Read(buffer)
+		got += string(buffer[:count])
+		if errors.Is(err, io.EOF) {
+			return got
+		}
+		assert.Assert(t, err == nil || errors.Is(err, os.ErrDeadlineExceeded), "%v", err)
+	}
+	return got + " and no end"
+}
+
 // Guards against half-closed streams that are cut short and links that are never given up.
 func TestHalfClose(t *testing.T) {
 	r := open(t)
