Delay only writes as a fault of the key-value stand-in

A delay of all calls makes a client give up at its read, so that hardly any write takes effect after its writer has left. The failure tests of claims need such writes. Faults has delay-writes-ms beside delay-ms; replacing delay-ms was ruled out, since slow reads are a fault of their own.

--- a/fake/kvsvc/codec.go
+++ b/fake/kvsvc/codec.go
@@ -51,6 +51,8 @@
 		Outage string `json:"outage"`
 		// DelayMs delays each call; a delayed write takes effect even if its caller has gone.
 		DelayMs int64 `json:"delay-ms"`
+		// DelayWritesMs delays the effect of each write of a key, reads not.
+		DelayWritesMs int64 `json:"delay-writes-ms"`
 		// LoseAnswers is the probability that a write takes effect and its answer is lost.
 		LoseAnswers float64 `json:"lose-answers"`
 		// LoseNext is the number of next writes whose answers are lost.
--- a/fake/kvsvc/faults.go
+++ b/fake/kvsvc/faults.go
@@ -24,6 +24,7 @@
 func (s *Service) write(next http.HandlerFunc) http.HandlerFunc {
 	return s.faulty(func(w http.ResponseWriter, r *http.Request) {
 		s.count(func(c *Calls) { c.Writes++ })
+		s.wait(func(f Faults) int64 { return f.DelayWritesMs })
 		s.losing(w, r, next)
 	})
 }
@@ -51,20 +52,25 @@
 			return
 		}
 		r.Body = io.NopCloser(bytes.NewReader(body))
-		s.mu.Lock()
-		delay := time.Duration(s.faults.DelayMs) * time.Millisecond
-		s.mu.Unlock()
-		if delay > 0 {
-			wait := s.timer.After(delay)
-			<-wait.C()
-			wait.Stop()
-		}
+		s.wait(func(f Faults) int64 { return f.DelayMs })
 		if s.passOutage(w, r) {
 			next(w, r)
 		}
 	}
 }
 
+// wait goes on when the caller has left, as a call that is already on its way does.
+func (s *Service) wait(milliseconds func(Faults) int64) {
+	s.mu.Lock()
+	delay := time.Duration(milliseconds(s.faults)) * time.Millisecond
+	s.mu.Unlock()
+	if delay > 0 {
+		wait := s.timer.After(delay)
+		<-wait.C()
+		wait.Stop()
+	}
+}
+
 // passOutage reports whether the call may go on, after a hold outage if there is one.
 func (s *Service) passOutage(w http.ResponseWriter, r *http.Request) bool {
 	for {
