--- /dev/null
+++ b/claim/claims_test.go
@@ -0,0 +1,189 @@
+package claim_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"magnoliaspoke.example/spoke"
+	"magnoliaspoke.example/spoke/claim"
+	"magnoliaspoke.example/spoke/coord"
+	"magnoliaspoke.example/spoke/fake/kvsvc"
+)
+
+// bubble hides the test's Deadline, which may not be asked for inside a synctest bubble.
+type bubble struct{ testing.TB }
+
+// hosts is the state machine: several hosts claim the same keys while the platform fails.
+type hosts struct {
+	service *kvsvc.Service
+	claims  []*claim.Claims
+
+	mu       sync.Mutex
+	attempts int
+	// holders maps each key to the grant that is not released.
+	holders map[spoke.IdempotencyKey]*grant
+	fault   string
+}
+
+type grant struct {
+	request  spoke.ClaimRequest
+	host     int
+	finished bool
+}
+
+var answer = spoke.PlainAnswer{Status: 201, Body: []byte("booked")}
+
+func newHosts(count int) *hosts {
+	h := &hosts{
+		service: kvsvc.New(),
+		holders: make(map[spoke.IdempotencyKey]*grant),
+	}
+	for range count {
+		client := coord.New("platform", coord.WithTransport(kvsvc.NewTransport(h.service)))
+		h.claims = append(h.claims, claim.New(client, claim.WithShards(2)))
+	}
+	return h
+}
+
+func (h *hosts) setFaults(t *rapid.T) {
+	h.service.SetFaults(kvsvc.Faults{
+		Outage:        rapid.SampledFrom([]string{"", "", "", kvsvc.OutageRefuse, kvsvc.OutageHold}).Draw(t, "outage"),
+		DelayMs:       rapid.SampledFrom([]int64{0, 0, 100, 400}).Draw(t, "delay"),
+		DelayWritesMs: rapid.SampledFrom([]int64{0, 200, 400, 700, 2000}).Draw(t, "delay-writes"),
+		LoseAnswers:   rapid.SampledFrom([]float64{0, 0.3, 0.8}).Draw(t, "lose"),
+		StaleReads:    rapid.SampledFrom([]float64{0, 0, 0.5}).Draw(t, "stale"),
+	})
+}
+
+func (h *hosts) race(t *rapid.T) {
+	var group sync.WaitGroup
+	for range rapid.IntRange(1, 5).Draw(t, "count") {
+		host := rapid.IntRange(0, len(h.claims)-1).Draw(t, "host")
+		key := rapid.SampledFrom([]spoke.IdempotencyKey{"k1", "k2", "k3"}).Draw(t, "key")
+		group.Go(func() { h.claim(host, key) })
+	}
+	group.Wait()
+	assert.Equal(t, h.fault, "")
+}
+
+func (h *hosts) claim(host int, key spoke.IdempotencyKey) {
+	h.mu.Lock()
+	h.attempts++
+	request := spoke.ClaimRequest{
+		ID:      spoke.ClaimID{Workspace: "w", Service: "orders", Key: key},
+		Content: "c", Attempt: spoke.AttemptID(fmt.Sprint(h.attempts)), Host: spoke.HostID(fmt.Sprint(host)),
+	}
+	h.mu.Unlock()
+	begin := time.Now()
+	granted, standing, err := h.claims[host].Claim(context.Background(), request)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.judge(host, request, granted, standing, err)
+	if took := time.Since(begin); took > 500*time.Millisecond {
+		h.fault = fmt.Sprintf("claim took %v", took)
+	}
+}
+
+func (h *hosts) judge(host int, request spoke.ClaimRequest, granted bool, standing spoke.ClaimRecord, err error) {
+	holder := h.holders[request.ID.Key]
+	var refusal *spoke.Refusal
+	switch {
+	case errors.As(err, &refusal):
+		if refusal.Code != spoke.CodePlatformUnavailable || refusal.Outcome != spoke.OutcomeNotRun {
+			h.fault = err.Error()
+		}
+	case err != nil:
+		h.fault = err.Error()
+	case granted && holder != nil:
+		h.fault = fmt.Sprintf("key %s granted to %s while %s holds it", request.ID.Key, request.Attempt, holder.request.Attempt)
+	case granted:
+		h.holders[request.ID.Key] = &grant{request: request, host: host}
+	case standing.State == spoke.ClaimDone && (holder == nil || !holder.finished || standing.Attempt != holder.request.Attempt):
+		h.fault = fmt.Sprintf("key %s answered as done by %s", request.ID.Key, standing.Attempt)
+	}
+}
+
+// end finishes or releases a grant and sends a finish and a release of another attempt beside it.
+func (h *hosts) end(t *rapid.T) {
+	key := rapid.SampledFrom([]spoke.IdempotencyKey{"k1", "k2", "k3"}).Draw(t, "key")
+	holder := h.holders[key]
+	if holder == nil || holder.finished {
+		return
+	}
+	other := holder.request
+	other.Attempt = "stranger"
+	claims := h.claims[holder.host]
+	_ = claims.Finish(context.Background(), other, spoke.PlainAnswer{Status: 500})
+	_ = claims.Release(context.Background(), other)
+	if rapid.Bool().Draw(t, "release") {
+		delete(h.holders, key)
+		_ = claims.Release(context.Background(), holder.request)
+		return
+	}
+	holder.finished = true
+	_ = claims.Finish(context.Background(), holder.request, answer)
+}
+
+// verify ends all faults, waits for the background work and repeats every key at every host.
+func (h *hosts) verify(t *rapid.T) {
+	h.service.SetFaults(kvsvc.Faults{})
+	<-time.After(10 * time.Second)
+	for _, key := range []spoke.IdempotencyKey{"k1", "k2", "k3"} {
+		for host, claims := range h.claims {
+			h.attempts++
+			request := spoke.ClaimRequest{
+				ID:      spoke.ClaimID{Workspace: "w", Service: "orders", Key: key},
+				Content: "other", Attempt: spoke.AttemptID(fmt.Sprint(h.attempts)),
+			}
+			granted, standing, err := claims.Claim(context.Background(), request)
+			assert.NilError(t, err)
+			holder := h.holders[key]
+			if holder == nil {
+				assert.Assert(t, granted, "key %s at host %d: a claim of %s that never runs stands", key, host, standing.Attempt)
+				h.holders[key] = &grant{request: request, host: host}
+				continue
+			}
+			assert.Assert(t, !granted)
+			assert.DeepEqual(t, standing.ClaimRequest, holder.request)
+			assert.Equal(t, standing.State == spoke.ClaimDone, holder.finished)
+			if holder.finished {
+				assert.DeepEqual(t, *standing.Answer, answer)
+			}
+		}
+	}
+	for _, claims := range h.claims {
+		assert.NilError(t, claims.Close(context.Background()))
+	}
+}
+
+// stop ends all goroutines, so that a failure is not hidden by the report of a leak.
+func (h *hosts) stop() {
+	h.service.SetFaults(kvsvc.Faults{})
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	for _, claims := range h.claims {
+		_ = claims.Close(ended)
+	}
+	<-time.After(time.Minute)
+}
+
+// Guards against a key granted twice, a claim that stands although its attempt was told not to run,
+// and a false answer to a repeat, while answers are lost or late and the platform is out.
+func TestHostsRace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rapid.Check(bubble{t}, func(t *rapid.T) {
+			h := newHosts(3)
+			t.Cleanup(h.stop)
+			t.Repeat(map[string]func(*rapid.T){"faults": h.setFaults, "race": h.race, "end": h.end})
+			h.verify(t)
+		})
+	})
+}
