Draw the jitter of retries from a seed

The backoff of tickets and claims drew from the global random source, so that a failed rapid test could not be repeated with the same waits. Both take WithSeed now and draw a random seed otherwise; one shared locked source was ruled out, since its order would depend on the scheduler. The order of calls at the same virtual instant still differs between runs, so not every failure can be repeated.

--- a/claim/claims.go
+++ b/claim/claims.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"fmt"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -43,6 +43,7 @@
 		limit  time.Duration
 		keep   time.Duration
 		retry  time.Duration
+		seed   uint64
 
 		ctx    context.Context
 		cancel context.CancelFunc
@@ -78,12 +79,15 @@
 // WithRetry sets how long a finish or release is retried in the background.
 func WithRetry(retry time.Duration) Option { return func(c *Claims) { c.retry = retry } }
 
+// WithSeed sets the seed of the backoff's jitter; the default is random.
+func WithSeed(seed uint64) Option { return func(c *Claims) { c.seed = seed } }
+
 // New returns claims kept in the key-value service.
 func New(store spoke.KeyValue, opts ...Option) *Claims {
 	c := &Claims{
 		store: store, timer: timer.NewSystem(),
 		shards: defaultShards, window: defaultWindow, limit: defaultLimit,
-		keep: defaultKeep, retry: defaultRetry,
+		keep: defaultKeep, retry: defaultRetry, seed: rand.Uint64(),
 		calls:   make(chan struct{}, defaultCalls),
 		workers: make(map[int]*worker),
 		refused: make(map[spoke.AttemptID]struct{}),
@@ -181,7 +185,7 @@
 	}
 	w := c.workers[index]
 	if w == nil {
-		w = newWorker(c, fmt.Sprintf("%s%05d", Prefix, index))
+		w = newWorker(c, index)
 		c.workers[index] = w
 	}
 	if w.add(o) {
--- a/claim/claims_test.go
+++ b/claim/claims_test.go
@@ -46,9 +46,9 @@
 		service: kvsvc.New(),
 		holders: make(map[spoke.IdempotencyKey]*grant),
 	}
-	for range count {
+	for seed := range uint64(count) {
 		client := coord.New("platform", coord.WithTransport(kvsvc.NewTransport(h.service)))
-		h.claims = append(h.claims, claim.New(client, claim.WithShards(2)))
+		h.claims = append(h.claims, claim.New(client, claim.WithShards(2), claim.WithSeed(seed)))
 	}
 	return h
 }
--- a/claim/worker.go
+++ b/claim/worker.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -28,7 +29,8 @@
 	owner *Claims
 	key   string
 	// floor is the highest revision seen; shards have no expiry, so revisions never fall.
-	floor spoke.Revision
+	floor  spoke.Revision
+	random *rand.Rand
 
 	mu      sync.Mutex
 	pending []*op
@@ -36,8 +38,13 @@
 	wake    chan struct{}
 }
 
-func newWorker(owner *Claims, key string) *worker {
-	return &worker{owner: owner, key: key, wake: make(chan struct{}, 1)}
+func newWorker(owner *Claims, index int) *worker {
+	return &worker{
+		owner:  owner,
+		key:    fmt.Sprintf("%s%05d", Prefix, index),
+		random: rand.New(rand.NewPCG(owner.seed, uint64(index))),
+		wake:   make(chan struct{}, 1),
+	}
 }
 
 // add queues the op and reports whether the worker must be started.
@@ -66,7 +73,7 @@
 		w.putBack(rest)
 		backoff = nextBackoff(backoff, err)
 		if backoff > 0 && len(rest) > 0 {
-			w.pause(backoff/2+rand.N(backoff/2), w.wake)
+			w.pause(backoff/2+time.Duration(w.random.Int64N(int64(backoff/2))), w.wake)
 		}
 	}
 }
--- a/ticket/acceptor.go
+++ b/ticket/acceptor.go
@@ -26,6 +26,7 @@
 		loader   *Loader
 		timer    spoke.Timer
 		attempts int
+		seed     uint64
 		// seen is the highest revision of the manifest seen; a read below it is stale.
 		seen atomic.Uint64
 	}
@@ -40,9 +41,15 @@
 // WithAttempts bounds how often a ticket is tried.
 func WithAttempts(n int) Option { return func(a *Acceptor) { a.attempts = n } }
 
+// WithSeed sets the seed of the backoff's jitter; the default is random.
+func WithSeed(seed uint64) Option { return func(a *Acceptor) { a.seed = seed } }
+
 // NewAcceptor returns an acceptor that writes to the key-value service.
 func NewAcceptor(store spoke.KeyValue, opts ...Option) *Acceptor {
-	a := &Acceptor{store: store, loader: NewLoader(store), timer: timer.NewSystem(), attempts: defaultAttempts}
+	a := &Acceptor{
+		store: store, loader: NewLoader(store), timer: timer.NewSystem(),
+		attempts: defaultAttempts, seed: rand.Uint64(),
+	}
 	for _, opt := range opts {
 		opt(a)
 	}
@@ -58,10 +65,11 @@
 	if err != nil {
 		return nil, err
 	}
+	random := rand.New(rand.NewPCG(a.seed, uint64(t.Number)))
 	var lost bool
 	var last error
 	for attempt := range a.attempts {
-		if attempt > 0 && !a.pause(ctx, attempt) {
+		if attempt > 0 && !a.pause(ctx, attempt, random) {
 			break
 		}
 		m, err := a.try(ctx, plan)
@@ -202,9 +210,9 @@
 }
 
 // pause backs off with jitter and reports whether to go on.
-func (a *Acceptor) pause(ctx context.Context, attempt int) bool {
+func (a *Acceptor) pause(ctx context.Context, attempt int, random *rand.Rand) bool {
 	limit := min(maxBackoff, firstBackoff<<min(attempt, 10))
-	wait := a.timer.After(limit/2 + rand.N(limit/2))
+	wait := a.timer.After(limit/2 + time.Duration(random.Int64N(int64(limit/2))))
 	defer wait.Stop()
 	select {
 	case <-wait.C():
--- a/ticket/acceptor_test.go
+++ b/ticket/acceptor_test.go
@@ -155,8 +155,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		rapid.Check(bubble{t}, func(t *rapid.T) {
 			o := &operators{service: kvsvc.New(), view: ticket.NewView(), top: 1}
-			for range 3 {
-				acceptor := ticket.NewAcceptor(newClient(o.service))
+			for seed := range uint64(3) {
+				acceptor := ticket.NewAcceptor(newClient(o.service), ticket.WithSeed(seed))
 				_, err := acceptor.Accept(context.Background(), baseTicket())
 				assert.NilError(t, err)
 				o.acceptors = append(o.acceptors, acceptor)
