--- a/Makefile
+++ b/Makefile
@@ -16,3 +16,15 @@
 		echo "lint $$module"; \
 		(cd $$module && GOFLAGS= $(LINT) run --config $(CURDIR)/.golangci.yml ./...) || exit 1; \
 	done
+
+demo: build
+	./bin/trial demo
+
+up: build
+	./bin/trial up
+
+bench: build
+	./bin/trial bench --json bench.json
+
+capacity: build
+	./bin/trial capacity --json capacity.json
--- a/prove/main_test.go
+++ b/cmd/trial/prove/main_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/rogpeppe/go-internal/testscript"
 
-	"magnoliaspoke.example/spoke/scene"
+	"magnoliaspoke.example/spoke/cmd/trial/scene"
 )
 
 // buildLimit bounds the compilation of all programs without a build cache.
--- a/scene/failing_test.go
+++ b/cmd/trial/scene/failing_test.go
@@ -12,7 +12,7 @@
 	"gotest.tools/v3/assert"
 	is "gotest.tools/v3/assert/cmp"
 
-	"magnoliaspoke.example/spoke/scene"
+	"magnoliaspoke.example/spoke/cmd/trial/scene"
 )
 
 // recorder is a testscript.T that keeps whether a scenario failed and what it said.
--- a/scene/main_test.go
+++ b/cmd/trial/scene/main_test.go
@@ -7,7 +7,7 @@
 	"github.com/rogpeppe/go-internal/testscript"
 	"gotest.tools/v3/assert"
 
-	"magnoliaspoke.example/spoke/scene"
+	"magnoliaspoke.example/spoke/cmd/trial/scene"
 )
 
 // TestMain lets copies of the test binary stand for the programs.
