Wait for held calls before an outage ends in a test

Cause: TestFailureClasses failed once in a full run with "revision conflict" in place of a lost answer. The stand-in still held a write whose caller had timed out, and let it take effect when the test ended the outage.

Ruled out: a retry inside net/http, which does not repeat a PUT.

Change: the stand-in counts the calls that it holds, and the test waits until none is left.

--- a/cmd/trial/prove/main_test.go
+++ b/cmd/trial/prove/main_test.go
@@ -29,7 +29,7 @@
 	defer os.RemoveAll(directory)
 	ctx, cancel := context.WithTimeout(context.Background(), buildLimit)
 	defer cancel()
-	if programs, err = scene.Build(ctx, "..", directory); err != nil {
+	if programs, err = scene.Build(ctx, "../../..", directory); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 1
 	}
--- a/coord/client_test.go
+++ b/coord/client_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"magnoliaspoke.example/spoke"
 	"magnoliaspoke.example/spoke/coord"
@@ -56,6 +57,13 @@
 	assert.ErrorIs(t, swap(0), spoke.ErrUnavailable)
 	service.SetFaults(kvsvc.Faults{Outage: kvsvc.OutageHold})
 	assert.ErrorIs(t, swap(0), spoke.ErrAnswerLost)
+	// A held write that still counts would take effect when the outage ends.
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if held := service.Held(); held > 0 {
+			return poll.Continue("%d calls held", held)
+		}
+		return poll.Success()
+	})
 	service.SetFaults(kvsvc.Faults{LoseNext: 1})
 	assert.ErrorIs(t, swap(0), spoke.ErrAnswerLost)
 	assert.ErrorIs(t, swap(0), spoke.ErrConflict)
--- a/fake/kvsvc/faults.go
+++ b/fake/kvsvc/faults.go
@@ -82,9 +82,7 @@
 			writeError(w, http.StatusServiceUnavailable, "outage")
 			return false
 		case OutageHold:
-			select {
-			case <-cleared:
-			case <-r.Context().Done():
+			if !s.hold(r, cleared) {
 				return false
 			}
 		default:
@@ -93,6 +91,22 @@
 	}
 }
 
+// hold waits for the end of the outage and reports false if the caller leaves first.
+func (s *Service) hold(r *http.Request, cleared <-chan struct{}) bool {
+	s.held.Add(1)
+	defer s.held.Add(-1)
+	select {
+	case <-cleared:
+		return true
+	case <-r.Context().Done():
+		return false
+	}
+}
+
+// Held returns the number of calls that an outage holds; a call that its caller
+// has given up may still take effect while it counts.
+func (s *Service) Held() int { return int(s.held.Load()) }
+
 // losing runs a write and closes the connection without an answer if the fault says so.
 func (s *Service) losing(w http.ResponseWriter, r *http.Request, next http.HandlerFunc) {
 	if !s.losesAnswer() {
--- a/fake/kvsvc/service.go
+++ b/fake/kvsvc/service.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 
 	"magnoliaspoke.example/spoke"
 	"magnoliaspoke.example/spoke/timer"
@@ -21,6 +22,7 @@
 	Service struct {
 		mux   *http.ServeMux
 		timer spoke.Timer
+		held  atomic.Int64
 
 		mu      sync.Mutex
 		random  *rand.Rand
