Bring engines to the wanted version under one orders lease

Cause: a ticket that changed a model version was in force everywhere and no engine ever loaded it; the demo waited in vain.

Ruled out: a lease for each data centre, since all engines load from one weight store of which two swaps at once are the limit.

Change: the watchers of the data centres compete for one lease; its holder reads what each engine reports, takes upstreams out of service through its digest, and gives fenced orders with a deadline inside the lease.

--- a/host/host.go
+++ b/host/host.go
@@ -47,6 +47,7 @@
 		admission *admissionTask
 		followers *followerTask
 		digest    *digestTask
+		swaps     *swapTask
 		owner     *owner
 		platform  *coord.Client
 		claims    *claim.Claims
@@ -108,9 +109,14 @@
 		manifest: h.view, admission: h.admission, engine: engines,
 		timer: h.timer, events: h.events, life: h.life,
 	}
+	h.swaps = &swapTask{
+		self: h.settings.Host, manifest: h.view, views: h.views, isWatcher: h.manifest.isWatcher,
+		leases: h.platform, engine: engines, credential: string(h.settings.OrderCredential),
+		timer: h.timer, events: h.events, log: h.log,
+	}
 	h.digest = &digestTask{
 		manifest: h.view, admission: h.admission, followers: h.followers, members: h.members,
-		marks: func(time.Time) []spoke.QuarantineMark { return nil }, leaving: h.manifest.leaving.Upstreams,
+		marks: func(time.Time) []spoke.QuarantineMark { return nil }, leaving: h.leavingUpstreams,
 		timer: h.timer,
 	}
 }
@@ -169,7 +175,7 @@
 func (h *Host) Run(ctx context.Context) error {
 	var group run.Group
 	for _, task := range []func(context.Context) error{
-		h.members.run, h.admission.run, h.followers.run, h.digest.run,
+		h.members.run, h.admission.run, h.followers.run, h.digest.run, h.swaps.run,
 		h.manifest.runPeers, h.manifest.runPlatform, h.manifest.runHostList,
 	} {
 		group.Add(func() error { return task(h.life) }, func(error) { h.end() })
@@ -210,3 +216,8 @@
 func (h *Host) IsReady() bool {
 	return h.view.Current() != nil && !h.drainer.draining.Load()
 }
+
+// leavingUpstreams lists what this host tells others to keep new work from.
+func (h *Host) leavingUpstreams() []spoke.UpstreamID {
+	return append(h.manifest.leaving.Upstreams(), h.swaps.OutOfService()...)
+}
