Choose the affinity key by the popularity of prefixes

Cause: with a fixed depth of two pieces, workspaces that share a longer catalogue sent all their prompts to one upstream, which then spilled.

Ruled out: the deepest key and depths of one, four and six pieces: each depth was bad for some length of the shared text (trials on a model).

Change: the key is the first one along the prompt that carries less than 15% of one upstream's mean traffic, from decayed counts per service. WithDepth keeps a fixed depth for comparison. An Affinity now has state and belongs to one goroutine.

--- a/route/affinity.go
+++ b/route/affinity.go
@@ -9,10 +9,6 @@
 )
 
 const (
-	// Prompts meet by their first two pieces: the first piece is often a text that all
-	// prompts of a workspace share, and a deeper key would move a prompt whenever it
-	// grows or differs from others after a long common part.
-	defaultDepth = 2
 	// An upstream may have this multiple of the mean load before it spills.
 	defaultBound = 1.25
 	// Below this load an upstream has free places, and spilling only costs cache hits.
@@ -22,7 +18,9 @@
 type (
 	// Affinity routes prompts with a common prefix to one upstream, within a load bound.
 	Affinity struct {
+		// depth is a fixed number of leading pieces; zero means that popularity decides.
 		depth        int
+		popular      map[spoke.ServiceName]*popular
 		bound, slack float64
 		random       *rand.Rand
 	}
@@ -33,7 +31,7 @@
 
 var _ spoke.Router = (*Affinity)(nil)
 
-// WithDepth sets the number of leading pieces by which prompts meet.
+// WithDepth makes prompts meet by a fixed number of leading pieces.
 func WithDepth(pieces int) Option {
 	return func(a *Affinity) { a.depth = max(pieces, 1) }
 }
@@ -49,9 +47,9 @@
 	return func(a *Affinity) { a.random = newRandom(seed) }
 }
 
-// NewAffinity returns a router with prefix affinity.
+// NewAffinity returns a router with prefix affinity; it belongs to one goroutine.
 func NewAffinity(options ...Option) *Affinity {
-	a := &Affinity{depth: defaultDepth, bound: defaultBound, slack: defaultSlack, random: newRandom(1)}
+	a := &Affinity{popular: make(map[spoke.ServiceName]*popular), bound: defaultBound, slack: defaultSlack, random: newRandom(1)}
 	for _, option := range options {
 		option(a)
 	}
@@ -61,44 +59,54 @@
 // Choose returns usable upstreams, the best first.
 func (a *Affinity) Choose(_ time.Time, query spoke.RouteQuery, views []spoke.UpstreamView) []spoke.UpstreamID {
 	p := usable(query, views)
-	limit := max(a.slack, a.bound*meanLoad(p))
-	return ids(a.order(query, p.known, limit), a.order(query, p.unknown, limit))
+	n := len(p.known) + len(p.unknown)
+	if n == 0 {
+		return nil
+	}
+	if len(query.Keys) == 0 {
+		rank := query.Rank.Name
+		return ids(twoChoices(a.random, rank, p.known), twoChoices(a.random, rank, p.unknown))
+	}
+	key, limit := a.key(query, n), max(a.slack, a.bound*meanLoad(p))
+	return ids(a.order(query.Rank, key, p.known, limit), a.order(query.Rank, key, p.unknown, limit))
 }
 
-// order puts upstreams within the bound first, in hash order, then the others by their wait.
-func (a *Affinity) order(query spoke.RouteQuery, views []spoke.UpstreamView, limit float64) []spoke.UpstreamView {
-	if len(query.Keys) == 0 {
-		return twoChoices(a.random, query.Rank.Name, views)
+func (a *Affinity) key(query spoke.RouteQuery, upstreams int) spoke.BlockKey {
+	if a.depth > 0 {
+		return query.Keys[min(a.depth, len(query.Keys))-1]
 	}
-	key := query.Keys[min(a.depth, len(query.Keys))-1]
+	if a.popular[query.Service] == nil {
+		a.popular[query.Service] = newPopular()
+	}
+	return a.popular[query.Service].affinityKey(query.Keys, upstreams)
+}
+
+// order puts upstreams within the bound first, in hash order, then the others by their wait.
+func (a *Affinity) order(rank spoke.Rank, key spoke.BlockKey, views []spoke.UpstreamView, limit float64) []spoke.UpstreamView {
 	var within, above []spoke.UpstreamView
 	for _, view := range byHash(key, views) {
-		if load(view) <= limit && a.meetsTarget(query.Rank, view) {
+		if load(view) <= limit && meetsTarget(rank, view) {
 			within = append(within, view)
 		} else {
 			above = append(above, view)
 		}
 	}
 	slices.SortStableFunc(above, func(x, y spoke.UpstreamView) int {
-		return compareLoad(query.Rank.Name, x, y)
+		return compareLoad(rank.Name, x, y)
 	})
 	return append(within, above...)
 }
 
-func (a *Affinity) meetsTarget(rank spoke.Rank, view spoke.UpstreamView) bool {
+func meetsTarget(rank spoke.Rank, view spoke.UpstreamView) bool {
 	return rank.FirstTokenTarget == 0 || wait(rank.Name, view) <= rank.FirstTokenTarget
 }
 
 func meanLoad(p pool) float64 {
-	n := len(p.known) + len(p.unknown)
-	if n == 0 {
-		return 0
-	}
 	var sum float64
 	for _, group := range [][]spoke.UpstreamView{p.known, p.unknown} {
 		for _, view := range group {
 			sum += load(view)
 		}
 	}
-	return sum / float64(n)
+	return sum / float64(len(p.known)+len(p.unknown))
 }
