Add strict priority to the baseline admission

Cause: first-in-first-out alone does not show what floors add to ranks.

Ruled out: a package of its own; the two baselines differ in the position of new items only.

Change: fifo.WithPriority serves urgent ranks strictly first.

--- a/sched/fifo/admission.go
+++ b/sched/fifo/admission.go
@@ -12,12 +12,18 @@
 type (
 	// Admission grants in order of arrival up to a fixed limit per upstream.
 	Admission struct {
-		limit   int
+		limit int
+		// byRank makes urgent ranks go first, without floors.
+		byRank  bool
+		orders  map[spoke.RankName]int
 		queues  map[spoke.UpstreamID]*queue
 		places  map[spoke.AttemptID]*queue
 		actions []spoke.AdmissionAction
 	}
 
+	// Option changes a setting of an Admission.
+	Option func(*Admission)
+
 	queue struct {
 		upstream spoke.UpstreamID
 		owned    bool
@@ -29,13 +35,21 @@
 
 var _ spoke.Admission = (*Admission)(nil)
 
+// WithPriority makes the baseline serve urgent ranks strictly first.
+func WithPriority() Option { return func(a *Admission) { a.byRank = true } }
+
 // NewAdmission returns a baseline that runs at most limit items per upstream.
-func NewAdmission(limit int) *Admission {
-	return &Admission{
+func NewAdmission(limit int, options ...Option) *Admission {
+	a := &Admission{
 		limit:  limit,
+		orders: make(map[spoke.RankName]int),
 		queues: make(map[spoke.UpstreamID]*queue),
 		places: make(map[spoke.AttemptID]*queue),
 	}
+	for _, option := range options {
+		option(a)
+	}
+	return a
 }
 
 // Handle takes one message and returns the actions that follow from it.
@@ -49,6 +63,10 @@
 	case spoke.FinishWork:
 		a.remove(m.Attempt)
 	case spoke.ConfigureAdmission:
+		clear(a.orders)
+		for _, rank := range m.Ranks {
+			a.orders[rank.Name] = rank.Order
+		}
 		a.configure(m.Owned)
 	case spoke.ReportLoad:
 		if q := a.queues[m.Upstream]; q != nil {
@@ -80,10 +98,22 @@
 		return
 	}
 	a.places[item.Attempt] = q
-	q.waiting = append(q.waiting, item)
+	q.waiting = slices.Insert(q.waiting, a.position(q, item), item)
 	a.grant(q)
 }
 
+// position is the index at which an item waits.
+func (a *Admission) position(q *queue, item spoke.WorkItem) int {
+	if a.byRank {
+		for i, other := range q.waiting {
+			if a.orders[other.Rank] > a.orders[item.Rank] {
+				return i
+			}
+		}
+	}
+	return len(q.waiting)
+}
+
 func (a *Admission) remove(attempt spoke.AttemptID) {
 	q := a.places[attempt]
 	if q == nil {
