Size the reserve by the requests of small workspaces

Cause: with one reserved place, three small workspaces beside one that asks twenty times as much had long waits where places become free slowly.

Ruled out: a larger fixed reserve, which costs capacity when nobody needs it.

Change: the number of reserved places within the most urgent rank in use follows the request rate of workspaces below their share, up to a quarter.

The new test fails with the fixed reserve.

--- a/sched/admission.go
+++ b/sched/admission.go
@@ -104,6 +104,7 @@
 	f := c.flow(key, a.weight(e.item.Workspace))
 	f.seen = now
 	c.push(e, f)
+	q.countSmall(now, c, f)
 	if !e.item.Resumed {
 		c.offered.add(now, float64(e.item.Cost))
 	}
--- a/sched/policy_test.go
+++ b/sched/policy_test.go
@@ -142,6 +142,24 @@
 	assert.Equal(t, len(a.Handle(epoch.Add(400*time.Millisecond), spoke.AdmissionTick{})), 0)
 }
 
+// Guards against small workspaces that wait for places behind a big one, however often they ask.
+func TestReserveFollowsSmallWorkspaces(t *testing.T) {
+	for requests, want := range map[int]int{0: 16, 1: 15, 40: 13} {
+		a, now, granted := place(16), epoch, 0
+		submit(a, now, "first")
+		for i := range requests {
+			now = now.Add(500 * time.Millisecond)
+			submit(a, now, fmt.Sprint(i), func(item *spoke.WorkItem) { item.Workspace = "b" })
+			a.Handle(now, spoke.FinishWork{Attempt: spoke.AttemptID(fmt.Sprint(i)), Duration: 4 * time.Second})
+		}
+		a.Handle(now, spoke.WithdrawWork{Attempt: "first"})
+		for i := range 20 {
+			granted += len(submit(a, now, fmt.Sprint("big", i), func(item *spoke.WorkItem) { item.Workspace = "a" }))
+		}
+		assert.Equal(t, granted, want, "after %d requests of a small workspace", requests)
+	}
+}
+
 // Guards against workspaces of one rank that get more than their weight: with all backlogged,
 // normalized service differs by no more than the largest cost of each.
 func TestFairQueueingBound(t *testing.T) {
--- a/sched/queue.go
+++ b/sched/queue.go
@@ -10,10 +10,6 @@
 const (
 	// A workspace counts in the shares of a rank for this time after its last request.
 	activeWindow = 30 * time.Second
-	// One place in sixteen is the least that keeps a place free at common limits; below
-	// eight places a reserved one would cost too much of the capacity.
-	reservePart = 16
-	reserveFrom = 8
 )
 
 // queue is the waiting and running work of one upstream.
@@ -29,6 +25,8 @@
 	running []*entry
 	waiting int
 	solo    bool
+	// small counts the submissions of workspaces below their share, decayed.
+	small decayed
 	// meanCost and meanDuration describe finished items; the duration is in seconds.
 	meanCost, meanDuration float64
 	preempt                bucket
@@ -41,11 +39,15 @@
 		upstream: upstream,
 		limit:    NewLimit(s.initialLimit, s.minLimit, s.maxLimit),
 		preempt:  newBucket(s.preemptRate, s.preemptBurst),
+		small:    decayed{window: smallWindow},
 	}
 }
 
 func (q *queue) hasPlace() bool { return len(q.running) < q.limit.Value() }
 
+// mayRun reports whether the head of a flow may run beside what runs: suspects run one at a time.
+func (q *queue) mayRun(f *flow) bool { return !f.key.solo || !q.solo }
+
 // excess is the number of items that run above a limit that has sunk.
 func (q *queue) excess() int { return max(len(q.running)-q.limit.Value(), 0) }
 
@@ -76,25 +78,21 @@
 // next chooses the class and flow of the next grant: a class whose floor owes it
 // its head item comes first, then the most urgent one. It reports whether the floor decided.
 func (q *queue) next(now time.Time) (*class, *flow, bool) {
-	reserved := len(q.running) >= q.limit.Value()-q.reserve()
 	held := q.heldFrom(now)
 	var chosen *class
 	var head *flow
-	mayBeUrgent := true
 	for i, c := range q.classes {
-		isUrgent := mayBeUrgent
-		mayBeUrgent = mayBeUrgent && len(c.flows) == 0
 		if c.waiting == 0 {
 			continue
 		}
-		f := c.head(func(f *flow) bool { return !f.key.solo || !q.solo })
+		f := c.head(q.mayRun)
 		if f != nil && c.rank.Floor > 0 && c.credit >= float64(f.waiting[0].item.Cost) {
-			return c, f, !isUrgent
+			return c, f, !q.isMostUrgent(c)
 		}
-		if reserved {
-			f = q.entitled(c, isUrgent)
+		if chosen != nil || i >= held {
+			continue
 		}
-		if chosen == nil && f != nil && i < held {
+		if f = c.head(q.mayUse(now, c)); f != nil {
 			chosen, head = c, f
 		}
 	}
@@ -128,32 +126,6 @@
 	return len(q.classes)
 }
 
-// reserve is the number of places kept free for workspaces below their share of the most
-// urgent rank in use; without it they would wait for a place behind every flood.
-func (q *queue) reserve() int {
-	limit := q.limit.Value()
-	if limit < reserveFrom {
-		return 0
-	}
-	return max(limit/reservePart, 1)
-}
-
-// isLimited reports whether the limit holds work back.
-func (q *queue) isLimited() bool {
-	return q.waiting > 0 || len(q.running) >= q.limit.Value()-q.reserve()
-}
-
-// entitled returns the flow of a class that may use a reserved place.
-func (q *queue) entitled(c *class, isUrgent bool) *flow {
-	if !isUrgent {
-		return nil
-	}
-	return c.head(func(f *flow) bool {
-		share := float64(q.limit.Value()) * f.weight / c.weight
-		return float64(f.running) < share && (!f.key.solo || !q.solo)
-	})
-}
-
 // grant starts the head of a flow and shares its cost out to the floors.
 func (q *queue) grant(now time.Time, c *class, f *flow) *entry {
 	e := f.waiting[0]
