--- a/sched/bench_test.go
+++ b/sched/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -13,11 +14,9 @@
 // the upstreams, and what runs there.
 func filled(owned, queued int) (*sched.Admission, []spoke.UpstreamID, [][]spoke.AttemptID) {
 	a := sched.NewAdmission(sched.WithMaxQueued(queued+1), sched.WithLimits(16, 16, 16))
-	const calm = 100000 * time.Hour
-	patient := []spoke.Rank{
-		{Name: "urgent", Order: 1, FirstTokenTarget: calm, Floor: 0.3},
-		{Name: "normal", Order: 2, FirstTokenTarget: calm, Floor: 0.2},
-		{Name: "batch", Order: 3, FirstTokenTarget: calm, Floor: 0.1},
+	patient := slices.Clone(ranks)
+	for i := range patient {
+		patient[i].FirstTokenTarget = 100000 * time.Hour
 	}
 	var upstreams []spoke.UpstreamID
 	for u := range owned {
@@ -47,12 +46,10 @@
 	return spoke.WorkItem{
 		Attempt:  spoke.AttemptID(fmt.Sprintf("%d-%d", u, i)),
 		Upstream: upstream, Workspace: spoke.WorkspaceID(fmt.Sprint("w", i%30)),
-		Rank: calmRank(i), Cost: 1000, Enqueued: epoch,
+		Rank: ranks[i%3].Name, Cost: 1000, Enqueued: epoch,
 	}
 }
 
-func calmRank(i int) spoke.RankName { return []spoke.RankName{"urgent", "normal", "batch"}[i%3] }
-
 func sizes(b *testing.B, run func(b *testing.B, owned, queued int)) {
 	for _, owned := range []int{1, 10, 30} {
 		for _, queued := range []int{10, 100, 1000} {
--- a/sched/machine_test.go
+++ b/sched/machine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -39,12 +40,11 @@
 }
 
 func newOracle() *oracle {
-	o := &oracle{
+	return &oracle{
 		now: epoch, admission: sched.NewAdmission(sched.WithLimits(3, 1, 6)),
 		items: map[spoke.AttemptID]spoke.WorkItem{}, state: map[spoke.AttemptID]int{},
 		preempted: map[spoke.AttemptID]bool{}, owned: map[spoke.UpstreamID]bool{},
 	}
-	return o
 }
 
 func (o *oracle) configure(t *rapid.T, owned ...spoke.UpstreamID) {
@@ -72,7 +72,7 @@
 		if !o.owned[item.Upstream] {
 			t.Fatalf("grant at %s, which is not owned", item.Upstream)
 		}
-		if item.Solo && o.solos(item.Upstream) > 1 {
+		if o.count(item.Upstream, running, true) > 1 {
 			t.Fatalf("two solo items run at %s", item.Upstream)
 		}
 	case spoke.RefuseWork:
@@ -89,27 +89,18 @@
 }
 
 func (o *oracle) move(t *rapid.T, attempt spoke.AttemptID, to int) {
-	from, ok := o.state[attempt]
-	if !ok || from != waiting {
+	if from, ok := o.state[attempt]; !ok || from != waiting {
 		t.Fatalf("attempt %s moves from %d to %d", attempt, from, to)
 	}
 	o.state[attempt] = to
 }
 
-func (o *oracle) count(upstream spoke.UpstreamID, state int) int {
+// count returns the number of items at an upstream, only of those that are solo or not if asked.
+func (o *oracle) count(upstream spoke.UpstreamID, state int, solo ...bool) int {
 	n := 0
 	for attempt, s := range o.state {
-		if s == state && o.items[attempt].Upstream == upstream {
-			n++
-		}
-	}
-	return n
-}
-
-func (o *oracle) solos(upstream spoke.UpstreamID) int {
-	n := 0
-	for attempt, s := range o.state {
-		if s == running && o.items[attempt].Upstream == upstream && o.items[attempt].Solo {
+		item := o.items[attempt]
+		if s == state && item.Upstream == upstream && (len(solo) == 0 || item.Solo == solo[0]) {
 			n++
 		}
 	}
@@ -119,11 +110,8 @@
 func (o *oracle) pick(t *rapid.T, states ...int) (spoke.AttemptID, bool) {
 	var found []spoke.AttemptID
 	for i := range o.next {
-		attempt := spoke.AttemptID(fmt.Sprint(i))
-		for _, state := range states {
-			if o.state[attempt] == state {
-				found = append(found, attempt)
-			}
+		if attempt := spoke.AttemptID(fmt.Sprint(i)); slices.Contains(states, o.state[attempt]) {
+			found = append(found, attempt)
 		}
 	}
 	if len(found) == 0 {
@@ -172,21 +160,12 @@
 				o.count(upstream, waiting), o.count(upstream, running))
 		}
 		// Reserved places and places held for urgent work are at most half of the limit.
-		if summary.Queued > 0 && summary.Running < summary.Limit/2 && !summary.Draining && o.nonSoloWaits(upstream) {
+		if summary.Queued > 0 && summary.Running < summary.Limit/2 && !summary.Draining && o.count(upstream, waiting, false) > 0 {
 			t.Fatalf("%s: work waits beside a free place: %+v", upstream, summary)
 		}
 	}
 }
 
-func (o *oracle) nonSoloWaits(upstream spoke.UpstreamID) bool {
-	for attempt, s := range o.state {
-		if s == waiting && o.items[attempt].Upstream == upstream && !o.items[attempt].Solo {
-			return true
-		}
-	}
-	return false
-}
-
 // Guards against lost items, second grants, grants above the limit, beside another solo item or
 // without ownership, answers after a refusal, and idle places beside waiting work.
 func TestAdmissionAgainstOracle(t *testing.T) {
--- a/sched/trial_test.go
+++ b/sched/trial_test.go
@@ -47,9 +47,12 @@
 
 // Guards against other ranks being starved by a flood of the most urgent work.
 func TestTrialFloorsInUrgentFlood(t *testing.T) {
-	m := newModel(sched.NewAdmission(), 2, urgent("a", 20), batch("b", 1.5),
-		load{workspace: "b", rank: "normal", perSecond: 2, prefill: 0.2, decode: 2.5}).run()
+	normal := load{workspace: "b", rank: "normal", perSecond: 2, prefill: 0.2, decode: 2.5}
+	m := newModel(sched.NewAdmission(), 2, urgent("a", 20), batch("b", 1.5), normal).run()
+	strict := newModel(fifo.NewAdmission(16, fifo.WithPriority()), 2, urgent("a", 20), batch("b", 1.5), normal).run()
 	report(t, "flood", m)
+	report(t, "strict priority", strict)
+	assert.Equal(t, strict.results["b/batch"].cost, spoke.TokenCount(0), "the baseline starves batch work")
 	var total spoke.TokenCount
 	for _, r := range m.results {
 		total += r.cost
@@ -74,6 +77,9 @@
 	report(t, "fifo", first)
 	base, got := alone.results["s1/urgent"].p95(), mixed.results["s1/urgent"].p95()
 	assert.Assert(t, got <= base*15/10, "p95 %s, alone %s", got, base)
+	for _, l := range small {
+		assert.Assert(t, mixed.results[string(l.workspace)+"/urgent"].refused <= 1)
+	}
 }
 
 // Guards against goodput that collapses in overload, and against late refusals.
@@ -95,22 +101,20 @@
 	assert.Assert(t, over.results["a/urgent"].refusalDelay <= ranks[0].FirstTokenTarget+50*time.Millisecond)
 }
 
-// Guards against a limit that only load reports can find: plain services have none.
-func TestTrialLimitFromLatencyAlone(t *testing.T) {
-	for _, initial := range []int{2, 60} {
-		m := newModel(sched.NewAdmission(sched.WithLimits(initial, 1, 256)), 6, batch("a", 4), batch("b", 4))
-		m.plain = true
-		m.run()
-		t.Logf("from %d: mean limit %.1f of 16 slots, %d finished", initial, m.limit(), len(m.results["a/batch"].firstTokens))
-		assert.Assert(t, m.limit() > 8 && m.limit() < 32, "mean limit %.1f", m.limit())
-	}
-}
-
-// Guards against a limit far from the slots of the upstream.
+// Guards against a limit far from the slots of the upstream, found from load reports, or from
+// latencies alone as plain services have no reports.
 func TestTrialLimitFindsSlots(t *testing.T) {
-	for _, initial := range []int{2, 8, 60} {
-		m := newModel(sched.NewAdmission(sched.WithLimits(initial, 1, 256)), 5, batch("a", 4), batch("b", 4)).run()
-		t.Logf("from %d: mean limit %.1f of 16 slots, %d finished", initial, m.limit(), len(m.results["a/batch"].firstTokens))
-		assert.Assert(t, m.limit() > 11 && m.limit() < 18, "mean limit %.1f", m.limit())
+	for _, plain := range []bool{false, true} {
+		for _, initial := range []int{2, 8, 60} {
+			m := newModel(sched.NewAdmission(sched.WithLimits(initial, 1, 256)), 5, batch("a", 4), batch("b", 4))
+			m.plain = plain
+			m.run()
+			t.Logf("plain %t, from %d: mean limit %.1f of 16 slots", plain, initial, m.limit())
+			if plain {
+				assert.Assert(t, m.limit() > 8 && m.limit() < 32)
+			} else {
+				assert.Assert(t, m.limit() > 15 && m.limit() < 17)
+			}
+		}
 	}
 }
--- a/swap/machine_test.go
+++ b/swap/machine_test.go
@@ -2,7 +2,7 @@
 
 import (
 	"fmt"
-	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -73,7 +73,7 @@
 		}
 		reports[u.ID] = spoke.LoadReport{Versions: map[spoke.ModelName]spoke.ModelVersion{"m": f.versions[u.ID]}, AsOf: as}
 	}
-	before := maps.Clone(f.out)
+	before := len(f.out)
 	for _, action := range f.reconciler.Handle(f.now, swap.Observe{
 		Models:    []spoke.Model{{Name: "m", Service: "s", Version: f.want}},
 		Upstreams: f.upstreams, Reports: reports, Lease: f.lease,
@@ -83,7 +83,7 @@
 			return fault
 		}
 	}
-	return f.fault(len(before))
+	return f.fault(before)
 }
 
 func (f *fleet) apply(action swap.Action) string {
@@ -100,12 +100,13 @@
 
 func (f *fleet) obey(a swap.GiveOrder) string {
 	f.orders++
+	i := slices.IndexFunc(f.upstreams, func(u spoke.Upstream) bool { return u.ID == a.Upstream })
 	switch {
 	case !f.lease.Held || f.lease.Remaining <= orderDeadline:
 		return fmt.Sprintf("order with lease %+v", f.lease)
 	case a.Order.Fence != f.lease.Fence || a.Order.Deadline.After(f.now.Add(f.lease.Remaining)):
 		return fmt.Sprintf("order %+v with lease %+v at %s", a.Order, f.lease, f.now)
-	case !f.find(a.Upstream).ChecksFencing && f.now.Sub(f.since) < ttl+orderDeadline:
+	case !f.upstreams[i].ChecksFencing && f.now.Sub(f.since) < ttl+orderDeadline:
 		return fmt.Sprintf("order to %s only %s after the lease began", a.Upstream, f.now.Sub(f.since))
 	case f.out[a.Upstream].IsZero():
 		return fmt.Sprintf("order to %s, which is in service", a.Upstream)
@@ -139,15 +140,6 @@
 	return ""
 }
 
-func (f *fleet) find(id spoke.UpstreamID) spoke.Upstream {
-	for _, u := range f.upstreams {
-		if u.ID == id {
-			return u
-		}
-	}
-	return spoke.Upstream{}
-}
-
 func (f *fleet) isDone() bool {
 	for _, version := range f.versions {
 		if version != f.want {
