Name the blocks of a prompt when it is routed

Cause: the demo recomputed the whole prompt when it came back at once through another host: without block keys the router had no prefix to hold on to.

--- a/host/host.go
+++ b/host/host.go
@@ -11,6 +11,7 @@
 
 	"magnoliaspoke.example/spoke"
 	"magnoliaspoke.example/spoke/admin"
+	"magnoliaspoke.example/spoke/cache"
 	"magnoliaspoke.example/spoke/claim"
 	"magnoliaspoke.example/spoke/config"
 	"magnoliaspoke.example/spoke/coord"
@@ -143,6 +144,7 @@
 		runner.WithDataCentre(h.settings.DataCentre),
 		runner.WithBudget(budget),
 		runner.WithCalls(calls.Call),
+		runner.WithKeys(blockKeys),
 		runner.WithEvents(h.events),
 	)
 	front := openai.New(requests, h.view, openai.WithLog(h.log))
@@ -221,3 +223,12 @@
 func (h *Host) leavingUpstreams() []spoke.UpstreamID {
 	return append(h.manifest.leaving.Upstreams(), h.swaps.OutOfService()...)
 }
+
+// blockKeys names the blocks of a prompt, so that routing finds the upstream that has them.
+func blockKeys(request spoke.Request, version spoke.ModelVersion) []spoke.BlockKey {
+	scope := cache.Scope{
+		Service: request.Service, Workspace: request.Workspace,
+		Model: request.Model, Version: version, Adapter: request.Adapter,
+	}
+	return scope.Keys(request.Prompt)
+}
