--- a/host/idle.go
+++ b/host/idle.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -54,7 +55,7 @@
 	ctx, cancel := context.WithTimeoutCause(ctx, limit, spoke.ErrSilent)
 	defer cancel()
 	piece, err := stream.Next(ctx)
-	if err != nil && context.Cause(ctx) == spoke.ErrSilent {
+	if err != nil && errors.Is(context.Cause(ctx), spoke.ErrSilent) {
 		return piece, eris.Wrapf(spoke.ErrSilent, "no piece within %s", limit)
 	}
 	l.observe(l.timer.Now())
--- a/member/table_test.go
+++ b/member/table_test.go
@@ -93,7 +93,7 @@
 	case c.cut[from] != c.cut[send.Host]:
 	default:
 		reply := c.tables[send.Host].Handle(c.now, member.Received{Heartbeat: send.Heartbeat})[0].(member.Reply)
-		c.tables[from].Handle(c.now, member.Answered{Heartbeat: reply.Heartbeat})
+		c.tables[from].Handle(c.now, member.Answered(reply))
 	}
 }
 
--- a/timer/manual.go
+++ b/timer/manual.go
@@ -79,8 +79,10 @@
 	}
 }
 
+// C returns the channel of ticks.
 func (s *manualSubscription) C() <-chan time.Time { return s.ticks }
 
+// Stop ends the subscription.
 func (s *manualSubscription) Stop() {
 	s.owner.mu.Lock()
 	defer s.owner.mu.Unlock()
--- a/timer/system.go
+++ b/timer/system.go
@@ -31,10 +31,14 @@
 	return single{time.NewTimer(delay)}
 }
 
+// C returns the channel of ticks.
 func (t ticker) C() <-chan time.Time { return t.inner.C }
 
+// Stop ends the subscription.
 func (t ticker) Stop() { t.inner.Stop() }
 
+// C returns the channel of ticks.
 func (s single) C() <-chan time.Time { return s.inner.C }
 
+// Stop ends the subscription.
 func (s single) Stop() { s.inner.Stop() }
