Make overlapping bookings in the plain test repeatable

With the release-after-unknown mutation, rapid reported "flaky test, can not reproduce a failure": calls that start together race for the claim in real scheduling order. The checks are the same.

--- a/plain/executor_test.go
+++ b/plain/executor_test.go
@@ -44,6 +44,9 @@
 		}
 		deadline := time.Duration(rapid.SampledFrom([]int{0, 200, 3000}).Draw(rt, "deadline")) * time.Millisecond
 		together := rapid.Bool().Draw(rt, "together")
+		if together {
+			u.delay = 120 * time.Millisecond
+		}
 		var results []result
 		synctest.Test(t, func(*testing.T) { results = book(newExecutor(u, table), calls, deadline, together) })
 		checkBookings(rt, u, results)
@@ -54,10 +57,16 @@
 	results := make([]result, len(calls))
 	done := make(chan struct{}, len(calls))
 	for i, call := range calls {
-		if deadline > 0 {
-			call.Deadline = time.Now().Add(deadline)
+		begin := time.Duration(0)
+		if together {
+			// Calls overlap in a fixed order, so that a failure can be reproduced.
+			begin = time.Duration(i) * 50 * time.Millisecond
 		}
 		go func() {
+			<-time.After(begin)
+			if deadline > 0 {
+				call.Deadline = time.Now().Add(deadline)
+			}
 			answer, err := e.Call(context.Background(), call)
 			results[i] = result{call.ID, call, answer, err}
 			done <- struct{}{}
--- a/plain/setup_test.go
+++ b/plain/setup_test.go
@@ -26,6 +26,8 @@
 		runs      map[spoke.IdempotencyKey]int
 		byRequest map[spoke.RequestID]int
 		seen      []spoke.CallDispatch
+		// delay is the time before a call runs.
+		delay time.Duration
 	}
 
 	// claims is a claim table in memory whose answers can get lost.
@@ -60,6 +62,9 @@
 }
 
 func (u *upstreams) Call(ctx context.Context, dispatch spoke.CallDispatch) (spoke.PlainAnswer, error) {
+	if u.delay > 0 {
+		<-time.After(u.delay)
+	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.seen = append(u.seen, dispatch)
