Quarantine requests that crash upstreams

A request that kills each upstream which runs it was retried like any other. Package crash counts deaths by fingerprint; spoke.Quarantine is its interface to the runner.

Counting every attempt that waits for a dead upstream was ruled out: in a flood the whole queue would become suspects and run one at a time. Only attempts that end with spoke.ErrUpstreamDied count, once per death.

--- /dev/null
+++ b/crash/fleet_test.go
@@ -0,0 +1,171 @@
+package crash_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"magnoliaspoke.example/spoke"
+	"magnoliaspoke.example/spoke/crash"
+	"magnoliaspoke.example/spoke/runner"
+	"magnoliaspoke.example/spoke/timer"
+)
+
+const (
+	poison       = "poison"
+	answerTokens = 6
+)
+
+type (
+	// fleet is a set of upstreams that a poisonous prompt kills; a killed one is
+	// back at once. It keeps suspects apart as the owners do.
+	fleet struct {
+		mu        sync.Mutex
+		manifest  *spoke.Manifest
+		upstreams map[spoke.UpstreamID]*engine
+		deaths    int
+		poisoned  int
+	}
+
+	engine struct {
+		down chan struct{}
+		solo spoke.AttemptID
+	}
+
+	session struct {
+		fleet    *fleet
+		engine   *engine
+		dispatch spoke.Dispatch
+		down     chan struct{}
+		next     spoke.TokenCount
+		ended    bool
+	}
+)
+
+// A fixed seed keeps runs repeatable; -rapid.seed on the command line takes precedence.
+func init() {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+}
+
+func newFleet(size int) *fleet {
+	f := &fleet{upstreams: make(map[spoke.UpstreamID]*engine)}
+	objects := []spoke.Object{
+		spoke.Service{Name: "quotes", Kind: spoke.ServiceLanguage},
+		spoke.Model{Name: "plume", Service: "quotes", Version: "v1"},
+		spoke.Rank{Name: "normal"},
+	}
+	for i := range size {
+		id := spoke.UpstreamID(fmt.Sprintf("engine-%d", i))
+		f.upstreams[id] = &engine{down: make(chan struct{})}
+		objects = append(objects, spoke.Upstream{ID: id, Service: "quotes"})
+	}
+	f.manifest = f.manifest.Apply(spoke.Ticket{Number: 1, Objects: objects})
+	return f
+}
+
+func (f *fleet) Current() *spoke.Manifest { return f.manifest }
+
+func (f *fleet) Views(spoke.ServiceName) []spoke.UpstreamView {
+	var views []spoke.UpstreamView
+	for _, upstream := range f.manifest.Upstreams() {
+		views = append(views, spoke.UpstreamView{Upstream: upstream})
+	}
+	return views
+}
+
+// Choose returns all upstreams that are not excluded, in the order of the views.
+func (*fleet) Choose(_ time.Time, query spoke.RouteQuery, views []spoke.UpstreamView) []spoke.UpstreamID {
+	var ids []spoke.UpstreamID
+	for _, view := range views {
+		if !query.Exclude[view.Upstream.ID] {
+			ids = append(ids, view.Upstream.ID)
+		}
+	}
+	return ids
+}
+
+func (f *fleet) Call(context.Context, spoke.CallDispatch) (spoke.PlainAnswer, error) {
+	return spoke.PlainAnswer{}, spoke.ErrNotRun
+}
+
+func (f *fleet) Dispatch(_ context.Context, dispatch spoke.Dispatch) (spoke.RunStream, error) {
+	return &session{fleet: f, engine: f.upstreams[dispatch.Upstream], dispatch: dispatch, next: dispatch.Spec.ResumeFrom}, nil
+}
+
+// start takes a place at the engine; a suspect waits for the only place of suspects.
+func (s *session) start() bool {
+	s.fleet.mu.Lock()
+	defer s.fleet.mu.Unlock()
+	if s.dispatch.Solo {
+		if s.engine.solo != "" && s.engine.solo != s.dispatch.Spec.Attempt {
+			return false
+		}
+		s.engine.solo = s.dispatch.Spec.Attempt
+	}
+	s.down = s.engine.down
+	if s.dispatch.Spec.Prompt == poison {
+		s.fleet.poisoned++
+	}
+	return true
+}
+
+func (s *session) Next(ctx context.Context) (spoke.Piece, error) {
+	if s.down == nil && !s.start() {
+		<-time.After(100 * time.Millisecond)
+		return spoke.Piece{}, ctx.Err()
+	}
+	if s.dispatch.Spec.Prompt == poison && s.next == 2 {
+		s.kill()
+	}
+	select {
+	case <-time.After(50 * time.Millisecond):
+	case <-s.down:
+		return spoke.Piece{}, spoke.ErrUpstreamDied
+	case <-ctx.Done():
+		return spoke.Piece{}, ctx.Err()
+	}
+	return s.piece()
+}
+
+func (s *session) piece() (spoke.Piece, error) {
+	if s.ended {
+		return spoke.Piece{}, io.EOF
+	}
+	piece := spoke.Piece{Attempt: s.dispatch.Spec.Attempt, Version: "v1", Offset: s.next}
+	if s.next == answerTokens {
+		s.ended = true
+		piece.Finish = spoke.FinishStop
+		return piece, nil
+	}
+	piece.Tokens, piece.Text = 1, fmt.Sprintf("%s/%d ", s.dispatch.Spec.Prompt, s.next)
+	s.next++
+	return piece, nil
+}
+
+func (s *session) kill() {
+	s.fleet.mu.Lock()
+	defer s.fleet.mu.Unlock()
+	s.fleet.deaths++
+	close(s.engine.down)
+	s.engine.down = make(chan struct{})
+}
+
+func (s *session) Close() error {
+	s.fleet.mu.Lock()
+	defer s.fleet.mu.Unlock()
+	if s.engine.solo == s.dispatch.Spec.Attempt {
+		s.engine.solo = ""
+	}
+	return nil
+}
+
+// host is an entry host with its own registry over the fleet.
+func (f *fleet) host(registry *crash.Registry) *runner.Runner {
+	parts := runner.Parts{Manifests: f, Views: f, Router: f, Dispatcher: f, Timer: timer.NewSystem()}
+	return runner.New(parts, runner.WithQuarantine(registry))
+}
--- a/dispatch.go
+++ b/dispatch.go
@@ -60,6 +60,29 @@
 		Withdraw(workspace WorkspaceID) bool
 	}
 
+	// Verdict says how a request may run with regard to the upstreams it has crashed.
+	Verdict struct {
+		// Solo demands that no other suspect runs on the upstream at the same time.
+		Solo bool
+		// Held says that a request with the same fingerprint runs alone now; ask again later.
+		Held bool
+		// Until is the end of the quarantine of a marked fingerprint, else zero.
+		Until time.Time
+	}
+
+	// Quarantine isolates requests that crash upstreams; it is safe for concurrent use.
+	Quarantine interface {
+		// Admit says how the request may run now. After a Solo verdict the request
+		// holds the only place of its fingerprint until Leave.
+		Admit(now time.Time, request RequestID, fingerprint Fingerprint) Verdict
+		// Begin reports that an attempt is handed to its upstream.
+		Begin(now time.Time, attempt AttemptID, upstream UpstreamID, fingerprint Fingerprint)
+		// End reports the end of an attempt and whether its upstream died while it ran.
+		End(now time.Time, attempt AttemptID, died bool)
+		// Leave reports the end of the request.
+		Leave(request RequestID, fingerprint Fingerprint)
+	}
+
 	// ManifestSource gives the configuration in force.
 	ManifestSource interface {
 		// Current returns the snapshot in force, nil before the first one.
--- a/request.go
+++ b/request.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"fmt"
+	"io"
 	"net/http"
 	"time"
 )
@@ -144,6 +147,18 @@
 	return fmt.Sprintf("%s (%s): %s", r.Code, r.Outcome, r.Message)
 }
 
+// Fingerprint identifies the workspace and the content of the request. The token
+// limit is left out, because a prompt that crashes an upstream does so with any limit.
+func (r Request) Fingerprint() Fingerprint {
+	hash := sha256.New()
+	for _, part := range []string{string(r.Workspace), string(r.Service), string(r.Model), string(r.Adapter)} {
+		// Writes to a hash never fail; lengths keep the parts apart.
+		_, _ = fmt.Fprintf(hash, "%d:%s", len(part), part)
+	}
+	_, _ = io.WriteString(hash, r.Prompt)
+	return Fingerprint(hex.EncodeToString(hash.Sum(nil)))
+}
+
 // NotRun returns a refusal of a request that nothing has run.
 func NotRun(code RefusalCode, format string, args ...any) *Refusal {
 	return &Refusal{Code: code, Outcome: OutcomeNotRun, Message: fmt.Sprintf(format, args...)}
--- a/runner/routing.go
+++ b/runner/routing.go
@@ -8,7 +8,7 @@
 )
 
 // plan answers a Route of the request's machine.
-func (r *Runner) plan(now time.Time, request spoke.Request, want Route) Routed {
+func (r *Runner) plan(now time.Time, request spoke.Request, fingerprint spoke.Fingerprint, want Route) Routed {
 	manifest := r.parts.Manifests.Current()
 	if manifest == nil {
 		return Routed{Refusal: spoke.NotRun(spoke.CodeNotReady, "no configuration is in force")}
@@ -21,6 +21,15 @@
 	if !ok {
 		return Routed{Refusal: spoke.NotRun(spoke.CodeNotFound, "rank %s is not configured", request.Rank)}
 	}
+	verdict := r.quarantine.Admit(now, request.ID, fingerprint)
+	if verdict.Until.After(now) {
+		refusal := spoke.NotRun(spoke.CodeQuarantined, "the request crashed the upstreams that ran it")
+		refusal.RetryAfter = verdict.Until.Sub(now)
+		return Routed{Refusal: refusal}
+	}
+	if verdict.Held {
+		return Routed{Held: true}
+	}
 	if want.Retry && !r.budget.Withdraw(request.Workspace) {
 		return Routed{Denied: true}
 	}
@@ -37,7 +46,9 @@
 		Rank:         rank,
 		Exclude:      want.Exclude,
 	}
-	return r.choose(now, request, query, versions, views, want.Prefer)
+	routed := r.choose(now, request, query, versions, views, want.Prefer)
+	routed.Solo = verdict.Solo
+	return routed
 }
 
 // choose asks the router for each version in order until one has upstreams.
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"magnoliaspoke.example/spoke"
 )
@@ -21,7 +22,7 @@
 		parts      Parts
 		dataCentre spoke.DataCentreID
 		budget     spoke.RetryBudget
-		quarantine Quarantine
+		quarantine spoke.Quarantine
 		calls      CallFunc
 		events     spoke.EventSink
 		keys       KeyFunc
@@ -41,15 +42,17 @@
 	CallFunc func(ctx context.Context, call spoke.ServiceCall) (spoke.PlainAnswer, error)
 
 	unlimited struct{}
+	trusting  struct{}
 )
 
 // New returns a runner without retry budget, quarantine and plain calls.
 func New(parts Parts, opts ...Option) *Runner {
 	r := &Runner{
-		parts:  parts,
-		budget: unlimited{},
-		keys:   func(spoke.Request, spoke.ModelVersion) []spoke.BlockKey { return nil },
-		cost:   promptAndAnswer,
+		parts:      parts,
+		budget:     unlimited{},
+		quarantine: trusting{},
+		keys:       func(spoke.Request, spoke.ModelVersion) []spoke.BlockKey { return nil },
+		cost:       promptAndAnswer,
 	}
 	for _, opt := range opts {
 		opt(r)
@@ -68,7 +71,7 @@
 }
 
 // WithQuarantine isolates and refuses requests that crash upstreams.
-func WithQuarantine(quarantine Quarantine) Option {
+func WithQuarantine(quarantine spoke.Quarantine) Option {
 	return func(r *Runner) { r.quarantine = quarantine }
 }
 
@@ -128,3 +131,13 @@
 
 func (unlimited) Deposit(spoke.WorkspaceID)       {}
 func (unlimited) Withdraw(spoke.WorkspaceID) bool { return true }
+
+func (trusting) Admit(time.Time, spoke.RequestID, spoke.Fingerprint) spoke.Verdict {
+	return spoke.Verdict{}
+}
+
+func (trusting) Begin(time.Time, spoke.AttemptID, spoke.UpstreamID, spoke.Fingerprint) {}
+
+func (trusting) End(time.Time, spoke.AttemptID, bool) {}
+
+func (trusting) Leave(spoke.RequestID, spoke.Fingerprint) {}
--- a/runner/stream.go
+++ b/runner/stream.go
@@ -13,31 +13,35 @@
 	stream struct {
 		runner  *Runner
 		request spoke.Request
-		machine *Machine
-		ctx     context.Context
-		cancel  context.CancelFunc
+		// fingerprint is the key of the request in the quarantine.
+		fingerprint spoke.Fingerprint
+		machine     *Machine
+		ctx         context.Context
+		cancel      context.CancelFunc
 		// inbox carries the messages of the attempt in progress; it is unbuffered,
 		// so a slow caller slows the upstream down instead of filling memory.
-		inbox    chan Message
-		attempts map[spoke.AttemptID]context.CancelFunc
-		ready    []spoke.Piece
-		done     bool
-		refusal  *spoke.Refusal
-		wake     spoke.Subscription
-		wakeAt   time.Time
+		inbox chan Message
+		// attempt is the attempt in progress and stop its end; both are empty without one.
+		attempt spoke.AttemptID
+		stop    context.CancelFunc
+		ready   []spoke.Piece
+		done    bool
+		refusal *spoke.Refusal
+		wake    spoke.Subscription
+		wakeAt  time.Time
 	}
 )
 
 func newStream(ctx context.Context, r *Runner, request spoke.Request) *stream {
 	ctx, cancel := context.WithCancel(ctx)
 	return &stream{
-		runner:   r,
-		request:  request,
-		machine:  NewMachine(request),
-		ctx:      ctx,
-		cancel:   cancel,
-		inbox:    make(chan Message),
-		attempts: make(map[spoke.AttemptID]context.CancelFunc),
+		runner:      r,
+		request:     request,
+		fingerprint: request.Fingerprint(),
+		machine:     NewMachine(request),
+		ctx:         ctx,
+		cancel:      cancel,
+		inbox:       make(chan Message),
 	}
 }
 
@@ -109,13 +113,14 @@
 	for _, action := range actions {
 		switch action := action.(type) {
 		case Route:
-			s.apply(s.machine.Handle(s.now(), s.runner.plan(s.now(), s.request, action)))
+			s.apply(s.machine.Handle(s.now(), s.runner.plan(s.now(), s.request, s.fingerprint, action)))
 		case StartAttempt:
 			s.start(action.Dispatch)
 		case StopAttempt:
-			s.stop(action.Attempt)
+			s.end(false)
 		case ReportDeath:
 			s.runner.record("upstream-death", s.request.ID, action.Attempt, "", "")
+			s.end(true)
 		case Deliver:
 			s.ready = append(s.ready, action.Piece)
 		case Finish:
@@ -125,20 +130,26 @@
 }
 
 func (s *stream) start(dispatch spoke.Dispatch) {
+	s.end(false)
 	ctx, cancel := context.WithCancel(s.ctx)
-	s.attempts[dispatch.Spec.Attempt] = cancel
-	s.runner.record("attempt-started", s.request.ID, dispatch.Spec.Attempt, dispatch.Upstream, "")
+	s.attempt, s.stop = dispatch.Spec.Attempt, cancel
+	s.runner.quarantine.Begin(s.now(), s.attempt, dispatch.Upstream, s.fingerprint)
+	s.runner.record("attempt-started", s.request.ID, s.attempt, dispatch.Upstream, "")
 	go s.read(ctx, dispatch)
 }
 
-func (s *stream) stop(attempt spoke.AttemptID) {
-	if cancel, ok := s.attempts[attempt]; ok {
-		cancel()
-		delete(s.attempts, attempt)
+// end cancels the attempt in progress, if any, and tells the quarantine how it ended.
+func (s *stream) end(died bool) {
+	if s.stop == nil {
+		return
 	}
+	s.stop()
+	s.stop = nil
+	s.runner.quarantine.End(s.now(), s.attempt, died)
 }
 
 func (s *stream) finish(refusal *spoke.Refusal) {
+	s.end(false)
 	s.done = true
 	s.refusal = refusal
 	detail := "complete"
@@ -146,6 +157,7 @@
 		detail = refusal.Error()
 	}
 	s.runner.record("request-finished", s.request.ID, "", "", detail)
+	s.runner.quarantine.Leave(s.request.ID, s.fingerprint)
 	s.cancel()
 	s.disarm()
 }
