--- a/cache/keys.go
+++ b/cache/keys.go
@@ -15,7 +15,7 @@
 )
 
 type (
-	// Salt separates the prefix caches of services, workspaces and adapters at an engine.
+	// Salt separates the prefix caches of services, workspaces, adapters and nonces at an engine.
 	Salt string
 
 	// Scope is everything besides the text that a block belongs to.
@@ -25,6 +25,8 @@
 		Model     spoke.ModelName
 		Version   spoke.ModelVersion
 		Adapter   spoke.AdapterName
+		// Nonce separates a run from the blocks of all others; it is empty for most runs.
+		Nonce string
 	}
 )
 
@@ -36,13 +38,14 @@
 		Model:     spec.Model,
 		Version:   spec.Version,
 		Adapter:   spec.Adapter,
+		Nonce:     spec.CacheNonce,
 	}
 }
 
-// Salt returns the digest of service, workspace and adapter that engines get with each run.
+// Salt returns the digest of service, workspace, adapter and nonce that engines get with each run.
 func (s Scope) Salt() Salt {
 	digest := sha256.New()
-	writeFields(digest, saltDomain, string(s.Service), string(s.Workspace), string(s.Adapter))
+	writeFields(digest, saltDomain, string(s.Service), string(s.Workspace), string(s.Adapter), s.Nonce)
 	return Salt(hex.EncodeToString(digest.Sum(nil)))
 }
 
--- a/upstream.go
+++ b/upstream.go
@@ -63,6 +63,9 @@
 		ResumeFrom TokenCount
 		// Delivered is the text of the tokens that the caller already has.
 		Delivered string
+		// CacheNonce, if not empty, gives the run a prefix cache of its own, away from blocks
+		// in doubt.
+		CacheNonce string
 	}
 
 	// RunStream is the answer of one attempt; it belongs to one goroutine.
