--- a/store.go
+++ b/store.go
@@ -69,6 +69,8 @@
 		Rank RankName
 		// Uses counts how often the prefix was seen within the history kept.
 		Uses int
+		// Returns is the share of the workspace's earlier prefixes that came back.
+		Returns Share
 		// LinkBusy is the share of the link's budget in use.
 		LinkBusy Share
 	}
