Import within a limit that a dead or slow link cannot exceed

Each call ends with the limit of the import; the engine gets a limit-ms of its own, so that its answer tells which blocks it holds.

--- a/engine/codec.go
+++ b/engine/codec.go
@@ -81,6 +81,8 @@
 
 	importBody struct {
 		Keys []importKey `json:"keys"`
+		// Limit makes the engine answer in time with what it has imported.
+		Limit int64 `json:"limit-ms,omitempty"`
 	}
 
 	importKey struct {
--- a/engine/control.go
+++ b/engine/control.go
@@ -16,6 +16,10 @@
 // maxAnswer bounds the answers of control calls; a snapshot of 100,000 keys has 7 MB.
 const maxAnswer = 16 << 20
 
+// importShare is the share of the remaining time that the engine gets for an import, so that
+// its answer about what it holds arrives before the context ends.
+const importShare = 0.8
+
 // Cancel ends an attempt; an unknown attempt is no error.
 func (c *Client) Cancel(ctx context.Context, at spoke.Address, attempt spoke.AttemptID) error {
 	return c.call(ctx, at, http.MethodPost, "/cancel", cancelBody{Attempt: attempt}, nil)
@@ -50,10 +54,16 @@
 	return spoke.CacheSnapshot{AsOf: body.AsOf, Keys: keys}, err
 }
 
-// Import makes the engine pull blocks; blocks that the answer does not name are rejected.
+// Import makes the engine pull blocks until shortly before the context's deadline; blocks that
+// the answer does not name are rejected.
 func (c *Client) Import(ctx context.Context, at spoke.Address, blocks []spoke.BlockImport) (spoke.ImportResult, error) {
 	var body importAnswer
-	if err := c.call(ctx, at, http.MethodPost, "/cache-import", encodeImport(blocks), &body); err != nil {
+	request := encodeImport(blocks)
+	if deadline, ok := ctx.Deadline(); ok {
+		remaining := deadline.Sub(c.clock.Now())
+		request.Limit = max(1, int64(importShare*float64(remaining.Milliseconds())))
+	}
+	if err := c.call(ctx, at, http.MethodPost, "/cache-import", request, &body); err != nil {
 		return spoke.ImportResult{}, err
 	}
 	imported, err := decodeKeys(body.Imported)
--- a/fake/model/codec.go
+++ b/fake/model/codec.go
@@ -90,7 +90,8 @@
 	}
 
 	importBody struct {
-		Keys []importKey `json:"keys"`
+		Keys  []importKey `json:"keys"`
+		Limit int64       `json:"limit-ms"`
 	}
 
 	importKey struct {
--- a/fake/model/transfer.go
+++ b/fake/model/transfer.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -21,9 +22,15 @@
 	if !decodeBody(w, r, &body) {
 		return
 	}
+	ctx := r.Context()
+	if body.Limit > 0 {
+		limited, cancel := context.WithTimeout(ctx, time.Duration(body.Limit)*time.Millisecond)
+		defer cancel()
+		ctx = limited
+	}
 	answer := importAnswer{Imported: []string{}, Rejected: []string{}}
 	for i, wanted := range body.Keys {
-		if err := e.pull(r.Context(), wanted); err != nil {
+		if err := e.pull(ctx, wanted); err != nil {
 			for _, rest := range body.Keys[i:] {
 				answer.Rejected = append(answer.Rejected, rest.Key)
 			}
