Test cancellation and the connection bound of the engine client

Two promises of the client had no test: a run ends at the engine when its reader leaves, and a run that only waited for a connection counts as not run. The loop on the load report ends with the test's own deadline; sleeping was ruled out.

--- a/engine/run_test.go
+++ b/engine/run_test.go
@@ -217,6 +217,50 @@
 	assert.Equal(t, text, model.Answer("moon", version, 0, 20))
 }
 
+// Guards against a run that goes on at the engine after its reader has left.
+func TestRunIsCancelledAtEngine(t *testing.T) {
+	leave := map[string]func(context.CancelFunc, spoke.RunStream){
+		"context": func(cancel context.CancelFunc, _ spoke.RunStream) { cancel() },
+		"close":   func(_ context.CancelFunc, stream spoke.RunStream) { _ = stream.Close() },
+	}
+	for name, end := range leave {
+		at, client := startEngine(t, model.WithDecodeRate(100)), startClient(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		spec := runSpec("a", "moon")
+		spec.MaxTokens = 1 << 20
+		stream, err := client.Run(ctx, at, spec)
+		assert.NilError(t, err)
+		end(cancel, stream)
+		for running := 1; running > 0; {
+			report, err := client.Load(t.Context(), at)
+			assert.NilError(t, err, name)
+			running = report.Running
+		}
+		assert.NilError(t, stream.Close())
+		_, err = stream.Next(t.Context())
+		assert.Assert(t, err != nil && !errors.Is(err, io.EOF), "%v", err)
+	}
+}
+
+// Guards against more connections to an engine than allowed, and against a run that waited for
+// one and counts as started.
+func TestRunWaitsForConnection(t *testing.T) {
+	at := startEngine(t, model.WithDecodeRate(100))
+	client := engine.New(engine.WithMaxConnections(1))
+	defer client.Close()
+	spec := runSpec("a", "moon")
+	spec.MaxTokens = 1 << 20
+	stream, err := client.Run(t.Context(), at, spec)
+	assert.NilError(t, err)
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	_, err = client.Run(ctx, at, runSpec("b", "moon"))
+	assert.ErrorIs(t, err, spoke.ErrNotRun)
+	assert.ErrorIs(t, err, context.DeadlineExceeded)
+	assert.NilError(t, stream.Close())
+}
+
 // Guards against a refusal that hides that nothing ran, or its class.
 func TestRunClassifiesRefusals(t *testing.T) {
 	client := startClient(t)
