--- a/ticket/codec.go
+++ b/ticket/codec.go
@@ -38,9 +38,12 @@
 		Value json.RawMessage    `json:"value"`
 	}
 
-	manifestBody struct {
+	// updateBody is a whole manifest if its base is zero.
+	updateBody struct {
+		Base    spoke.TicketNumber `json:"base"`
 		Number  spoke.TicketNumber `json:"number"`
 		Entries []entryBody        `json:"entries"`
+		Removed []keyBody          `json:"removed"`
 	}
 )
 
@@ -81,34 +84,50 @@
 
 // EncodeManifest returns the JSON form of a whole manifest, as hosts exchange it.
 func EncodeManifest(m *spoke.Manifest) ([]byte, error) {
-	body := manifestBody{Number: m.Number, Entries: []entryBody{}}
-	for _, key := range sortedKeys(m) {
-		entry := m.Entries[key]
+	return EncodeUpdate(UpdateBetween(nil, m))
+}
+
+// DecodeManifest reads a whole manifest; the error is a *check.Report of all findings.
+func DecodeManifest(data []byte) (*spoke.Manifest, error) {
+	update, err := DecodeUpdate(data)
+	if err != nil {
+		return nil, err
+	}
+	return update.Apply(nil)
+}
+
+// EncodeUpdate returns the JSON form of an update, as hosts exchange it.
+func EncodeUpdate(u Update) ([]byte, error) {
+	body := updateBody{Base: u.Base, Number: u.Number, Entries: []entryBody{}, Removed: []keyBody{}}
+	for _, entry := range u.Set {
 		raw, err := encodeObject(entry.Object)
 		if err != nil {
-			return nil, eris.Wrapf(err, "manifest %d", m.Number)
+			return nil, eris.Wrapf(err, "manifest %d", u.Number)
 		}
-		body.Entries = append(body.Entries, entryBody{Kind: key.Kind, SetBy: entry.SetBy, Value: raw})
+		body.Entries = append(body.Entries, entryBody{Kind: entry.Object.Key().Kind, SetBy: entry.SetBy, Value: raw})
+	}
+	for _, key := range u.Removed {
+		body.Removed = append(body.Removed, keyBody(key))
 	}
 	return json.Marshal(body)
 }
 
-// DecodeManifest reads a whole manifest; the error is a *check.Report of all findings.
-func DecodeManifest(data []byte) (*spoke.Manifest, error) {
+// DecodeUpdate reads an update; the error is a *check.Report of all findings.
+func DecodeUpdate(data []byte) (Update, error) {
 	var report check.Report
-	var body manifestBody
+	var body updateBody
 	decodeFields(&report, "", data, &body)
-	m := &spoke.Manifest{Number: body.Number, Entries: make(map[spoke.ObjectKey]spoke.ManifestEntry, len(body.Entries))}
+	update := Update{Base: body.Base, Number: body.Number}
 	for i, entry := range body.Entries {
 		place := fmt.Sprintf("entries[%d]", i)
 		if object := decodeObject(&report, place, entry.Kind, entry.Value); object != nil {
-			m.Entries[object.Key()] = spoke.ManifestEntry{Object: object, SetBy: entry.SetBy}
+			update.Set = append(update.Set, spoke.ManifestEntry{Object: object, SetBy: entry.SetBy})
 		}
 	}
-	if err := report.Err(); err != nil {
-		return nil, err
+	for _, key := range body.Removed {
+		update.Removed = append(update.Removed, spoke.ObjectKey(key))
 	}
-	return m, nil
+	return update, report.Err()
 }
 
 // digest is the SHA-256 of content in lower-case hexadecimal.
