Import and export cache blocks around runs and share quarantine marks

Cause: prompts that came back after eviction were recomputed, because the owner of an engine followed no cache events and used no store host; and a request that crashed engines was only known to the host that saw it.

Change: one task for the index of each owned engine, imports before a run with the policy of package cache, exports after it from a bounded queue; a quarantine mark goes to every host of the data centre before the caller gets its final answer.

--- /dev/null
+++ b/host/blocks.go
@@ -0,0 +1,196 @@
+package host
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"magnoliaspoke.example/spoke"
+	"magnoliaspoke.example/spoke/cache"
+	"magnoliaspoke.example/spoke/store"
+)
+
+const (
+	// exportQueue bounds the runs whose blocks wait for the link; a run beyond it exports nothing.
+	exportQueue = 64
+	// exportTimeout bounds the export of one run, so that a dead store host does not hold up others.
+	exportTimeout = 20 * time.Second
+)
+
+type (
+	// blockTask brings blocks into engines before runs and moves them out after runs.
+	blockTask struct {
+		manifest spoke.ManifestSource
+		timer    spoke.Timer
+		events   spoke.EventSink
+		engine   spoke.Engine
+		importer *cache.Importer
+		exporter *cache.Exporter
+		exports  chan exportRequest
+
+		indexes sync.Map
+		places  atomic.Pointer[placements]
+	}
+
+	exportRequest struct {
+		upstream spoke.Upstream
+		job      cache.ExportJob
+		request  spoke.RequestID
+	}
+
+	placeKey struct {
+		service spoke.ServiceName
+		centre  spoke.DataCentreID
+	}
+
+	// placements holds the store hosts of one manifest by service and data centre.
+	placements struct {
+		manifest *spoke.Manifest
+		byKey    map[placeKey]*cache.Placement
+	}
+)
+
+func newBlockTask(manifest spoke.ManifestSource, engine spoke.Engine, timer spoke.Timer, events spoke.EventSink) *blockTask {
+	stores := store.New()
+	links := cache.NewLinks(timer)
+	return &blockTask{
+		manifest: manifest, timer: timer, events: events, engine: engine,
+		importer: cache.NewImporter(stores, engine, links),
+		exporter: cache.NewExporter(stores, engine, links, cache.LikelyExport{}),
+		exports:  make(chan exportRequest, exportQueue),
+	}
+}
+
+// watch follows the cache events of an owned engine until the context ends.
+func (t *blockTask) watch(ctx context.Context, upstream spoke.Upstream) {
+	index := newIndexTask(upstream, t.engine, t.timer)
+	t.indexes.Store(upstream.ID, index)
+	index.run(ctx)
+	t.indexes.CompareAndDelete(upstream.ID, index)
+}
+
+// Load imports the missing blocks of a prompt if that pays, and returns the run to start.
+func (t *blockTask) Load(ctx context.Context, upstream spoke.Upstream, dispatch spoke.Dispatch) spoke.RunSpec {
+	spec := dispatch.Spec
+	if len(dispatch.Keys) == 0 {
+		return spec
+	}
+	t.exporter.Record(spec.Workspace, dispatch.Keys)
+	known := t.ask(ctx, upstream.ID, dispatch.Keys)
+	if known.isDoubtful {
+		spec.CacheNonce = string(spec.Attempt)
+		return spec
+	}
+	outcome := t.importer.Import(ctx, cache.ImportJob{
+		Engine: upstream.Address, Order: t.order(dispatch.Rank), Keys: dispatch.Keys,
+		Resident: known.resident, Place: t.place(upstream),
+	})
+	if outcome.Imported > 0 || outcome.Took > 0 {
+		t.events.Record(spoke.Event{
+			Kind: "blocks-imported", Request: spec.Request, Attempt: spec.Attempt, Upstream: upstream.ID,
+			Duration: outcome.Took, Detail: countDetail(outcome.Imported, len(dispatch.Keys)-known.resident),
+		})
+	}
+	if len(outcome.Doubtful) > 0 {
+		t.markDoubtful(ctx, upstream.ID, outcome.Doubtful)
+		spec.CacheNonce = string(spec.Attempt)
+	}
+	return spec
+}
+
+// Ran reports a finished run; took is the time from its start at the engine to its first token.
+func (t *blockTask) Ran(upstream spoke.Upstream, dispatch spoke.Dispatch, usage spoke.Usage, took time.Duration) {
+	t.importer.ObservePrefill(upstream.Address, usage.Prompt-usage.Cached, took)
+	place := t.place(upstream)
+	if len(dispatch.Keys) == 0 || place == nil {
+		return
+	}
+	request := exportRequest{
+		upstream: upstream, request: dispatch.Spec.Request,
+		job: cache.ExportJob{
+			Engine: upstream.Address, Workspace: dispatch.Spec.Workspace, Rank: dispatch.Rank,
+			Keys: dispatch.Keys, Computed: int(usage.Cached / spoke.PieceTokens), Place: place,
+		},
+	}
+	select {
+	case t.exports <- request:
+	default:
+		t.events.Record(spoke.Event{Kind: "export-skipped", Request: dispatch.Spec.Request, Upstream: upstream.ID, Detail: "export queue is full"})
+	}
+}
+
+func (t *blockTask) run(ctx context.Context) error {
+	for {
+		select {
+		case request := <-t.exports:
+			t.export(ctx, request)
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (t *blockTask) export(ctx context.Context, request exportRequest) {
+	ctx, cancel := context.WithTimeout(ctx, exportTimeout)
+	defer cancel()
+	started := t.timer.Now()
+	moved, err := t.exporter.Export(ctx, request.job)
+	event := spoke.Event{
+		Kind: "blocks-exported", Request: request.request, Upstream: request.upstream.ID,
+		Duration: t.timer.Now().Sub(started), Detail: countDetail(moved, len(request.job.Keys)-request.job.Computed),
+	}
+	if err != nil {
+		event.Kind = "export-failed"
+		event.Detail = err.Error()
+	}
+	if moved > 0 || err != nil {
+		t.events.Record(event)
+	}
+}
+
+func (t *blockTask) ask(ctx context.Context, id spoke.UpstreamID, keys []spoke.BlockKey) indexReply {
+	if index, ok := t.indexes.Load(id); ok {
+		return index.(*indexTask).ask(ctx, keys)
+	}
+	return indexReply{}
+}
+
+func (t *blockTask) markDoubtful(ctx context.Context, id spoke.UpstreamID, keys []spoke.BlockKey) {
+	if index, ok := t.indexes.Load(id); ok {
+		index.(*indexTask).markDoubtful(ctx, keys)
+	}
+}
+
+func (t *blockTask) order(name spoke.RankName) int {
+	rank, _ := t.manifest.Current().Rank(name)
+	return rank.Order
+}
+
+// place returns the store hosts of an upstream, nil if there are none.
+func (t *blockTask) place(upstream spoke.Upstream) *cache.Placement {
+	manifest := t.manifest.Current()
+	places := t.places.Load()
+	if places == nil || places.manifest != manifest {
+		places = newPlacements(manifest)
+		t.places.Store(places)
+	}
+	return places.byKey[placeKey{upstream.Service, upstream.DataCentre}]
+}
+
+func countDetail(done, wanted int) string {
+	return strconv.Itoa(done) + " of " + strconv.Itoa(wanted) + " blocks"
+}
+
+func newPlacements(manifest *spoke.Manifest) *placements {
+	places := &placements{manifest: manifest, byKey: make(map[placeKey]*cache.Placement)}
+	hosts := manifest.StoreHosts()
+	for _, host := range hosts {
+		key := placeKey{host.Service, host.DataCentre}
+		if places.byKey[key] == nil {
+			places.byKey[key] = cache.NewPlacement(hosts, host.Service, host.DataCentre)
+		}
+	}
+	return places
+}
--- a/host/host.go
+++ b/host/host.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/oklog/run"
@@ -15,6 +16,7 @@
 	"magnoliaspoke.example/spoke/claim"
 	"magnoliaspoke.example/spoke/config"
 	"magnoliaspoke.example/spoke/coord"
+	"magnoliaspoke.example/spoke/crash"
 	"magnoliaspoke.example/spoke/engine"
 	"magnoliaspoke.example/spoke/events"
 	"magnoliaspoke.example/spoke/member"
@@ -30,6 +32,8 @@
 const (
 	// headerTimeout ends connections that send no whole header.
 	headerTimeout = 10 * time.Second
+	// maxMarks bounds the quarantine marks of a heartbeat; one takes about 100 bytes.
+	maxMarks = 100
 )
 
 type (
@@ -49,6 +53,8 @@
 		followers *followerTask
 		digest    *digestTask
 		swaps     *swapTask
+		blocks    *blockTask
+		crashes   *crash.Registry
 		owner     *owner
 		platform  *coord.Client
 		claims    *claim.Claims
@@ -74,6 +80,7 @@
 	h.platform = coord.New(settings.Platform, coord.WithTimer(timer))
 	h.claims = claim.New(h.platform, claim.WithTimer(timer))
 	h.composeMembership()
+	h.composeQuarantine()
 	h.composeOwner()
 	h.composeServers(force)
 	return h
@@ -106,8 +113,10 @@
 	h.admission = newAdmissionTask(sched.NewAdmission(sched.WithSeed(uint64(h.timer.Now().UnixNano()))), h.timer)
 	h.followers = newFollowerTask(h.views, h.view, h.admission, engines, h.timer, h.events)
 	h.views.status = h.followers.Status
+	h.blocks = newBlockTask(h.view, engines, h.timer, h.events)
+	h.followers.watch = h.blocks.watch
 	h.owner = &owner{
-		manifest: h.view, admission: h.admission, engine: engines,
+		manifest: h.view, admission: h.admission, engine: engines, blocks: h.blocks,
 		timer: h.timer, events: h.events, life: h.life,
 	}
 	h.swaps = &swapTask{
@@ -117,11 +126,29 @@
 	}
 	h.digest = &digestTask{
 		manifest: h.view, admission: h.admission, followers: h.followers, members: h.members,
-		marks: func(time.Time) []spoke.QuarantineMark { return nil }, leaving: h.leavingUpstreams,
+		marks: h.marks, leaving: h.leavingUpstreams,
 		timer: h.timer,
 	}
 }
 
+// composeQuarantine shares suspects and marks with all hosts of the data centre
+// before the caller gets its final answer, since it may send the request again at once.
+func (h *Host) composeQuarantine() {
+	h.crashes = crash.New(crash.WithAnnounce(func(mark spoke.QuarantineMark) {
+		h.events.Record(spoke.Event{Kind: "quarantine-mark", Detail: strconv.Itoa(mark.Deaths) + " deaths"})
+		ctx, cancel := context.WithTimeout(h.life, announceLimit)
+		defer cancel()
+		if err := h.members.Announce(ctx, member.AddMark{Mark: mark}); err != nil {
+			h.log.WithError(err).Warn("not every peer heard of a quarantine mark")
+		}
+	}))
+	h.members.marks = func(marks []spoke.QuarantineMark) { h.crashes.Merge(h.timer.Now(), marks) }
+}
+
+func (h *Host) marks(now time.Time) []spoke.QuarantineMark {
+	return h.crashes.Marks(now, maxMarks)
+}
+
 func (h *Host) composeServers(force <-chan struct{}) {
 	signer := wire.NewSigner(string(h.settings.PeerSecret))
 	dispatcher := &dispatcher{
@@ -145,6 +172,7 @@
 		runner.WithBudget(budget),
 		runner.WithCalls(calls.Call),
 		runner.WithKeys(blockKeys),
+		runner.WithQuarantine(h.crashes),
 		runner.WithEvents(h.events),
 	)
 	front := openai.New(requests, h.view, openai.WithLog(h.log))
@@ -177,7 +205,7 @@
 func (h *Host) Run(ctx context.Context) error {
 	var group run.Group
 	for _, task := range []func(context.Context) error{
-		h.members.run, h.admission.run, h.followers.run, h.digest.run, h.swaps.run,
+		h.members.run, h.admission.run, h.followers.run, h.digest.run, h.swaps.run, h.blocks.run,
 		h.manifest.runPeers, h.manifest.runPlatform, h.manifest.runHostList,
 	} {
 		group.Add(func() error { return task(h.life) }, func(error) { h.end() })
--- a/host/members.go
+++ b/host/members.go
@@ -32,6 +32,16 @@
 		inbox    chan memberRequest
 		view     atomic.Pointer[spoke.Membership]
 		newer    chan spoke.Peer
+		// marks takes the quarantine marks of other hosts; it is set before the task runs.
+		marks func([]spoke.QuarantineMark)
+		seen  map[spoke.HostID]markState
+	}
+
+	// markState tells whether a host's marks were taken already.
+	markState struct {
+		incarnation spoke.Incarnation
+		count       int
+		last        spoke.QuarantineMark
 	}
 
 	memberRequest struct {
@@ -48,6 +58,8 @@
 		table: table, self: self, client: client, timer: timer, interval: interval,
 		inbox: make(chan memberRequest, memberInbox),
 		newer: make(chan spoke.Peer, 1),
+		marks: func([]spoke.QuarantineMark) {},
+		seen:  make(map[spoke.HostID]markState),
 	}
 	task.publish()
 	return task
@@ -157,6 +169,7 @@
 // publish replaces the view and points out a peer with a newer configuration.
 func (t *memberTask) publish() {
 	peers := t.table.View(t.timer.Now())
+	t.passMarks(peers)
 	t.view.Store(&spoke.Membership{Self: t.self, Peers: peers, Epoch: ownersEpoch(peers)})
 	if newest, ok := newestPeer(peers, t.self); ok {
 		select {
@@ -166,6 +179,21 @@
 	}
 }
 
+// passMarks hands on the marks of each host once.
+func (t *memberTask) passMarks(peers map[spoke.HostID]spoke.Peer) {
+	for id, peer := range peers {
+		marks := peer.Digest.Marks
+		if id == t.self || len(marks) == 0 {
+			continue
+		}
+		state := markState{peer.Incarnation, len(marks), marks[len(marks)-1]}
+		if t.seen[id] != state {
+			t.seen[id] = state
+			t.marks(marks)
+		}
+	}
+}
+
 func newestPeer(peers map[spoke.HostID]spoke.Peer, self spoke.HostID) (spoke.Peer, bool) {
 	best := peers[self]
 	for _, peer := range peers {
--- a/host/owner.go
+++ b/host/owner.go
@@ -23,10 +23,10 @@
 type (
 	// blockLoader brings blocks of a prompt into an upstream's prefix cache.
 	blockLoader interface {
-		// Load imports what pays; it returns when the run should start.
-		Load(ctx context.Context, upstream spoke.Upstream, dispatch spoke.Dispatch)
-		// Ran reports a finished run, so that its blocks may be exported.
-		Ran(upstream spoke.Upstream, dispatch spoke.Dispatch, usage spoke.Usage, firstToken time.Duration)
+		// Load imports what pays and returns the run to start.
+		Load(ctx context.Context, upstream spoke.Upstream, dispatch spoke.Dispatch) spoke.RunSpec
+		// Ran reports a finished run and the time to its first token, so that its blocks may be exported.
+		Ran(upstream spoke.Upstream, dispatch spoke.Dispatch, usage spoke.Usage, took time.Duration)
 	}
 
 	// owner runs attempts at the upstreams that the host owns.
@@ -154,26 +154,23 @@
 	started := r.owner.timer.Now()
 	finish := spoke.FinishWork{Attempt: r.dispatch.Spec.Attempt}
 	r.record("run-granted", "")
-	if r.owner.blocks != nil {
-		r.owner.blocks.Load(r.work, r.upstream, r.dispatch)
-	}
-	usage, err := r.stream(started, &finish)
+	spec := r.owner.blocks.Load(r.work, r.upstream, r.dispatch)
+	launched := r.owner.timer.Now()
+	usage, err := r.stream(spec, started, &finish)
 	finish.Duration = r.owner.timer.Now().Sub(started)
-	r.settle(finish, usage, err)
+	r.settle(finish, usage, launched.Sub(started), err)
 }
 
 // settle frees the place at the upstream before it tells the requester, so
 // that a retry finds the place free. A run ended from this side says nothing
 // about the upstream and counts as withdrawn.
-func (r *ownedRun) settle(finish spoke.FinishWork, usage spoke.Usage, err error) {
+func (r *ownedRun) settle(finish spoke.FinishWork, usage spoke.Usage, loading time.Duration, err error) {
 	switch {
 	case errors.Is(err, io.EOF):
 		finish.Cost = usage.Prompt - usage.Cached + usage.Completion
 		r.owner.admission.Send(r.owner.life, finish)
 		r.record("run-finished", "")
-		if r.owner.blocks != nil {
-			r.owner.blocks.Ran(r.upstream, r.dispatch, usage, finish.FirstToken)
-		}
+		r.owner.blocks.Ran(r.upstream, r.dispatch, usage, finish.FirstToken-loading)
 	case r.work.Err() != nil:
 		r.owner.admission.Send(r.owner.life, spoke.WithdrawWork{Attempt: finish.Attempt})
 		err = eris.Wrapf(context.Cause(r.work), "run at upstream %s", r.upstream.ID)
@@ -189,12 +186,12 @@
 }
 
 // stream passes the engine's pieces on until its end mark or an error.
-func (r *ownedRun) stream(started time.Time, finish *spoke.FinishWork) (spoke.Usage, error) {
+func (r *ownedRun) stream(spec spoke.RunSpec, started time.Time, finish *spoke.FinishWork) (spoke.Usage, error) {
 	idle := newIdleLimit(r.owner.timer, r.dispatch.Cost)
 	ctx, cancel := context.WithCancelCause(r.work)
 	defer cancel(nil)
 	answer, err := idle.start(cancel, func() (spoke.RunStream, error) {
-		return r.owner.engine.Run(ctx, r.upstream.Address, r.dispatch.Spec)
+		return r.owner.engine.Run(ctx, r.upstream.Address, spec)
 	})
 	if err != nil {
 		return spoke.Usage{}, err
--- a/member/messages.go
+++ b/member/messages.go
@@ -52,6 +52,8 @@
 	SetDigest struct{ Digest spoke.Digest }
 	// SetNumber replaces the configuration number of the own digest.
 	SetNumber struct{ Number spoke.TicketNumber }
+	// AddMark adds a quarantine mark to the own digest and tells every host of the data centre.
+	AddMark struct{ Mark spoke.QuarantineMark }
 	// Leave marks the own host as leaving.
 	Leave struct{}
 	// Spread sends a heartbeat at once, to every host of the data centre or to a few.
@@ -76,6 +78,7 @@
 func (Refused) isMessage()   {}
 func (SetDigest) isMessage() {}
 func (SetNumber) isMessage() {}
+func (AddMark) isMessage()   {}
 func (Leave) isMessage()     {}
 func (Spread) isMessage()    {}
 
--- a/member/table.go
+++ b/member/table.go
@@ -66,6 +66,9 @@
 		t.setDigest(m.Digest)
 	case SetNumber:
 		t.changeSelf(func(r *Record) { r.Digest.Number = max(r.Digest.Number, m.Number) })
+	case AddMark:
+		t.changeSelf(func(r *Record) { r.Digest.Marks = append(slices.Clone(r.Digest.Marks), m.Mark) })
+		return t.spread(true)
 	case Leave:
 		t.changeSelf(func(r *Record) { r.Leaving = true })
 		return t.spread(true)
