Keep the limit of loaded short calls from creeping up

Cause: on the model, a service of 40 ms calls without load reports at 1.7 times its capacity got a limit of 90 for 16 places, because the latency baseline rose with every loaded sample; and a quarter of the refusals came after more than a second, because each change of the limit changed the predicted drain rate.

Change: the baseline is the mean of samples at low concurrency and only sinks under load; the drain rate uses the mean of past limits; the tolerance for durations is 1.6; means run over fifty items.

The new trial fails without either change. `go test -race ./sched/...` passes.

--- a/sched/limit.go
+++ b/sched/limit.go
@@ -13,15 +13,13 @@
 	latencyTolerance = 2.0
 	// Without a first token to measure, waiting inside the upstream shows only in the
 	// duration, so less growth is tolerated.
-	durationTolerance = 1.4
-	// The baseline follows low samples quickly and high ones slowly, which approximates a
-	// low quantile; it rises faster only on samples taken at low concurrency.
-	baselineDown     = 0.2
-	baselineUpIdle   = 0.02
-	baselineUpLoaded = 0.0005
-	ratioGain        = 0.1
-	busyFactor       = 0.8
-	overloadFactor   = 0.7
+	durationTolerance = 1.6
+	// The baseline is the mean of samples taken at low concurrency. Under load it only sinks: a
+	// baseline that also rose made the limit of a service of 40 ms calls reach 90 for 16 places.
+	baselineGain   = 0.02
+	ratioGain      = 0.1
+	busyFactor     = 0.8
+	overloadFactor = 0.7
 	// Decreases wait for the effect of the one before, at least for this time.
 	minCooldown = 200 * time.Millisecond
 	costBuckets = 40
@@ -71,8 +69,8 @@
 
 	// latencyRatio compares latencies with unloaded ones of items of similar cost.
 	latencyRatio struct {
-		baseline [costBuckets]float64
-		ratio    float64
+		baseline, mean [costBuckets]float64
+		ratio          float64
 	}
 )
 
@@ -88,6 +86,9 @@
 // Value returns the number of items that may run.
 func (l *Limit) Value() int { return int(l.value) }
 
+// isGrowing reports whether no overload was seen yet.
+func (l *Limit) isGrowing() bool { return l.slowStart }
+
 // Observe takes the latency of an item that ran to its end.
 func (l *Limit) Observe(now time.Time, s LatencySample) {
 	// Items that started before the last decrease ran beside more work than now.
@@ -196,16 +197,13 @@
 
 func (r *latencyRatio) observe(cost spoke.TokenCount, sample float64, idle bool) {
 	bucket := min(int(math.Log2(float64(max(cost, 1)))), costBuckets-1)
-	base := &r.baseline[bucket]
+	mean, base := &r.mean[bucket], &r.baseline[bucket]
+	*mean = blend(*mean, sample, baselineGain)
 	switch {
-	case *base == 0:
-		*base = sample
-	case sample < *base:
-		*base += baselineDown * (sample - *base)
 	case idle:
-		*base += baselineUpIdle * (sample - *base)
-	default:
-		*base += baselineUpLoaded * (sample - *base)
+		*base = blend(*base, sample, baselineGain)
+	case *base == 0 || *mean < *base:
+		*base = *mean
 	}
 	r.ratio = blend(r.ratio, sample/(*base), ratioGain)
 }
--- a/sched/model_test.go
+++ b/sched/model_test.go
@@ -54,6 +54,7 @@
 		slots int
 		// plain stands for services without load reports and first tokens.
 		plain     bool
+		length    time.Duration
 		admission spoke.Admission
 		now       time.Time
 		loads     []load
@@ -69,7 +70,7 @@
 
 func newModel(admission spoke.Admission, seed uint64, loads ...load) *model {
 	m := &model{
-		slots: 16, admission: admission, now: epoch, loads: loads,
+		slots: 16, length: modelRun, admission: admission, now: epoch, loads: loads,
 		jobs: map[spoke.AttemptID]*job{}, results: map[string]*result{},
 	}
 	for i, l := range loads {
@@ -82,7 +83,7 @@
 
 func (m *model) run() *model {
 	m.send(spoke.ConfigureAdmission{Ranks: ranks, Owned: []spoke.UpstreamID{"u"}})
-	for m.now.Before(epoch.Add(modelRun)) {
+	for m.now.Before(epoch.Add(m.length)) {
 		m.now = m.now.Add(step)
 		m.arrive()
 		m.serve()
--- a/sched/predict.go
+++ b/sched/predict.go
@@ -14,8 +14,9 @@
 	grantWindow = 10 * time.Second
 	// Offered work decides whether places are held; a flood has to show within seconds.
 	offerWindow = 2 * time.Second
-	// Costs and durations are averaged over about this many items.
-	rateGain = 0.05
+	// Costs and durations are averaged over some fifty items; the spread of shorter means
+	// refuses work late.
+	rateGain = 0.02
 	// A rank with floor zero in a flood still has to get a finite prediction.
 	minShare = 0.01
 	// First tokens are taken to use at most this part of a target; otherwise a target
@@ -103,12 +104,12 @@
 	return p.served[i-1] + p.slopes[i-1]*(tag-p.tags[i-1])
 }
 
-// drainRate returns the cost per second of the upstream at its limit without reserved places, zero if unknown.
+// drainRate returns the cost per second of the upstream without its reserved places, zero if unknown.
 func (q *queue) drainRate() float64 {
 	if q.meanDuration == 0 {
 		return 0
 	}
-	return q.meanCost / q.meanDuration * float64(q.limit.Value()-q.reserve())
+	return q.meanCost / q.meanDuration * q.meanPlaces
 }
 
 // share returns the part of capacity that more urgent grants and floors leave to a class.
@@ -176,6 +177,15 @@
 }
 
 func (q *queue) observeRate(cost spoke.TokenCount, duration time.Duration) {
-	q.meanCost = blend(q.meanCost, float64(max(cost, 1)), rateGain)
-	q.meanDuration = blend(q.meanDuration, duration.Seconds(), rateGain)
+	q.finished++
+	gain := max(rateGain, 1/float64(q.finished))
+	q.meanCost = blend(q.meanCost, float64(max(cost, 1)), gain)
+	q.meanDuration = blend(q.meanDuration, duration.Seconds(), gain)
+	// The duration belongs to the limits of the past; together with the current one, each
+	// change of the limit would make waiting work look hopeless.
+	places := float64(q.limit.Value() - q.reserve())
+	if q.limit.isGrowing() {
+		q.meanPlaces = places
+	}
+	q.meanPlaces = blend(q.meanPlaces, places, gain)
 }
--- a/sched/queue.go
+++ b/sched/queue.go
@@ -27,8 +27,10 @@
 	solo    bool
 	// small counts the submissions of workspaces below their share, decayed.
 	small decayed
-	// meanCost and meanDuration describe finished items; the duration is in seconds.
+	// meanCost, meanDuration and meanPlaces are means over finished items; the duration is in seconds.
 	meanCost, meanDuration float64
+	meanPlaces             float64
+	finished               int
 	preempt                bucket
 	lastCheck              time.Time
 	lastForget             time.Time
--- a/sched/trial_test.go
+++ b/sched/trial_test.go
@@ -101,6 +101,20 @@
 	assert.Assert(t, over.results["a/urgent"].refusalDelay <= ranks[0].FirstTokenTarget+50*time.Millisecond)
 }
 
+// Guards against a limit that creeps up with the latency of a loaded service of short calls, and
+// against work that waits for a long time before it is refused.
+func TestTrialShortPlainCalls(t *testing.T) {
+	call := func(rank spoke.RankName, perSecond float64) load {
+		return load{workspace: "a", rank: rank, perSecond: perSecond, prefill: 0.02, decode: 0.02}
+	}
+	m := newModel(sched.NewAdmission(), 3, call("urgent", 100), call("batch", 490))
+	m.plain, m.length = true, 2*warmUp
+	report(t, "short calls", m.run())
+	assert.Assert(t, m.limit() > 12 && m.limit() < 24)
+	assert.Assert(t, m.results["a/urgent"].p95() < 50*time.Millisecond)
+	assert.Assert(t, m.results["a/batch"].lateRefusals < m.results["a/batch"].refused/20)
+}
+
 // Guards against a limit far from the slots of the upstream, found from load reports, or from
 // latencies alone as plain services have no reports.
 func TestTrialLimitFindsSlots(t *testing.T) {
