--- a/crash/crash_test.go
+++ b/crash/crash_test.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -24,27 +23,29 @@
 	took         time.Duration
 }
 
-func ask(r *runner.Runner, id int, prompt string) finding {
+func ask(r *runner.Runner, id int, prompt string) (f finding) {
 	began := time.Now()
-	request := spoke.Request{
+	f.prompt = prompt
+	defer func() { f.took = time.Since(began) }()
+	stream, err := r.Complete(context.Background(), spoke.Request{
 		ID: spoke.RequestID(fmt.Sprintf("r%d", id)), Workspace: "sialkot", Service: "quotes",
 		Model: "plume", Rank: "normal", Prompt: prompt, MaxTokens: answerTokens,
-	}
-	stream, err := r.Complete(context.Background(), request)
+	})
 	if err != nil {
-		return finding{prompt: prompt, err: err, took: time.Since(began)}
+		f.err = err
+		return f
 	}
 	defer func() { _ = stream.Close() }()
-	var text strings.Builder
 	for {
 		piece, err := stream.Next(context.Background())
 		if errors.Is(err, io.EOF) {
-			return finding{prompt: prompt, text: text.String(), took: time.Since(began)}
+			return f
 		}
 		if err != nil {
-			return finding{prompt: prompt, text: text.String(), err: err, took: time.Since(began)}
+			f.err = err
+			return f
 		}
-		text.WriteString(piece.Text)
+		f.text += piece.Text
 	}
 }
 
--- a/crash/fleet_test.go
+++ b/crash/fleet_test.go
@@ -5,6 +5,8 @@
 	"flag"
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -46,47 +48,29 @@
 )
 
 // A fixed seed keeps runs repeatable; -rapid.seed on the command line takes precedence.
-func init() {
-	if err := flag.Set("rapid.seed", "1"); err != nil {
-		panic(err)
-	}
-}
+var _ = flag.Set("rapid.seed", "1")
 
 func newFleet(size int) *fleet {
 	f := &fleet{upstreams: make(map[spoke.UpstreamID]*engine)}
-	objects := []spoke.Object{
+	for i := range size {
+		f.upstreams[spoke.UpstreamID(fmt.Sprintf("engine-%d", i))] = &engine{down: make(chan struct{})}
+	}
+	f.manifest = f.manifest.Apply(spoke.Ticket{Number: 1, Objects: []spoke.Object{
 		spoke.Service{Name: "quotes", Kind: spoke.ServiceLanguage},
 		spoke.Model{Name: "plume", Service: "quotes", Version: "v1"},
 		spoke.Rank{Name: "normal"},
-	}
-	for i := range size {
-		id := spoke.UpstreamID(fmt.Sprintf("engine-%d", i))
-		f.upstreams[id] = &engine{down: make(chan struct{})}
-		objects = append(objects, spoke.Upstream{ID: id, Service: "quotes"})
-	}
-	f.manifest = f.manifest.Apply(spoke.Ticket{Number: 1, Objects: objects})
+	}})
 	return f
 }
 
 func (f *fleet) Current() *spoke.Manifest { return f.manifest }
 
-func (f *fleet) Views(spoke.ServiceName) []spoke.UpstreamView {
-	var views []spoke.UpstreamView
-	for _, upstream := range f.manifest.Upstreams() {
-		views = append(views, spoke.UpstreamView{Upstream: upstream})
-	}
-	return views
-}
+func (*fleet) Views(spoke.ServiceName) []spoke.UpstreamView { return nil }
 
-// Choose returns all upstreams that are not excluded, in the order of the views.
-func (*fleet) Choose(_ time.Time, query spoke.RouteQuery, views []spoke.UpstreamView) []spoke.UpstreamID {
-	var ids []spoke.UpstreamID
-	for _, view := range views {
-		if !query.Exclude[view.Upstream.ID] {
-			ids = append(ids, view.Upstream.ID)
-		}
-	}
-	return ids
+// Choose returns all upstreams that are not excluded, in a fixed order.
+func (f *fleet) Choose(_ time.Time, query spoke.RouteQuery, _ []spoke.UpstreamView) []spoke.UpstreamID {
+	all := slices.Sorted(maps.Keys(f.upstreams))
+	return slices.DeleteFunc(all, func(id spoke.UpstreamID) bool { return query.Exclude[id] })
 }
 
 func (f *fleet) Call(context.Context, spoke.CallDispatch) (spoke.PlainAnswer, error) {
--- a/openai/refusal_test.go
+++ b/openai/refusal_test.go
@@ -64,17 +64,17 @@
 			assert.Equal(t, response.StatusCode, c.status, raw)
 			assert.Equal(t, b.asked.ID, spoke.RequestID(""))
 			assert.Equal(t, b.called.ID, spoke.RequestID(""))
-			checkError(t, raw, response.Header.Get("X-Request-Id"), c.code, c.param, "not-run")
+			checkError(t, raw, response.Header.Get("X-Request-Id"), c.code, c.param)
 		})
 	}
 }
 
-func checkError(t *testing.T, raw, id, code, param, outcome string) map[string]any {
+func checkError(t *testing.T, raw, id, code, param string) map[string]any {
 	t.Helper()
 	var body struct{ Error map[string]any }
 	assert.NilError(t, json.Unmarshal([]byte(raw), &body))
 	assert.Equal(t, body.Error["code"], code)
-	assert.Equal(t, body.Error["outcome"], outcome)
+	assert.Equal(t, body.Error["outcome"], "not-run")
 	assert.Equal(t, body.Error["request-id"], id)
 	assert.Assert(t, id != "")
 	if param != "" {
@@ -94,7 +94,7 @@
 		response, raw := send(t, server, "POST", "/v1/completions", body, nil)
 		assert.Equal(t, response.StatusCode, 503)
 		assert.Equal(t, response.Header.Get("Retry-After"), "2")
-		fields := checkError(t, raw, response.Header.Get("X-Request-Id"), "overloaded", "", "not-run")
+		fields := checkError(t, raw, response.Header.Get("X-Request-Id"), "overloaded", "")
 		assert.Equal(t, fields["retry-after-ms"], 1200.0)
 	}
 }
--- a/plain/executor.go
+++ b/plain/executor.go
@@ -51,6 +51,7 @@
 		log               logrus.FieldLogger
 		// background counts the runs and claim updates that outlive their caller.
 		background sync.WaitGroup
+		events     spoke.EventSink
 	}
 
 	// Option changes an Executor.
@@ -96,6 +97,11 @@
 	return func(e *Executor) { e.budget = budget }
 }
 
+// WithEvents records the attempts of each call.
+func WithEvents(events spoke.EventSink) Option {
+	return func(e *Executor) { e.events = events }
+}
+
 // WithTimeouts bounds one attempt of a repeatable and of a non-repeatable call.
 func WithTimeouts(repeatable, once time.Duration) Option {
 	return func(e *Executor) { e.repeatableTimeout, e.onceTimeout = repeatable, once }
@@ -192,6 +198,28 @@
 	}
 }
 
+// send makes one attempt and records its start and its end.
+func (j *job) send(ctx context.Context, dispatch spoke.CallDispatch) (spoke.PlainAnswer, error) {
+	event := spoke.Event{Request: j.call.ID, Attempt: dispatch.Call.Attempt, Upstream: dispatch.Upstream}
+	event.Kind = "call-started"
+	j.record(event)
+	began := j.parts.Timer.Now()
+	answer, err := j.parts.Dispatcher.Call(ctx, dispatch)
+	event.Kind = "call-ended"
+	event.Duration = j.parts.Timer.Now().Sub(began)
+	if err != nil {
+		event.Detail = err.Error()
+	}
+	j.record(event)
+	return answer, err
+}
+
+func (j *job) record(event spoke.Event) {
+	if j.events != nil {
+		j.events.Record(event)
+	}
+}
+
 func (j *job) attemptID(number int) spoke.AttemptID {
 	return spoke.AttemptID(fmt.Sprintf("%s-%d", j.call.ID, number))
 }
--- a/plain/once.go
+++ b/plain/once.go
@@ -29,7 +29,7 @@
 func (j *job) once(ctx context.Context, upstream spoke.UpstreamID) (spoke.PlainAnswer, *spoke.Refusal) {
 	limited, cancel := context.WithTimeout(ctx, j.onceTimeout)
 	defer cancel()
-	answer, err := j.parts.Dispatcher.Call(limited, j.dispatch(upstream, true))
+	answer, err := j.send(limited, j.dispatch(upstream, true))
 	if refusal := notRun(answer, err); refusal != nil {
 		return spoke.PlainAnswer{}, hinted(refusal)
 	}
@@ -73,7 +73,7 @@
 	done := make(chan outcome, 1)
 	j.inBackground(func() {
 		defer cancel()
-		answer, err := j.parts.Dispatcher.Call(detached, dispatch)
+		answer, err := j.send(detached, dispatch)
 		j.conclude(claim, answer, err, done)
 	})
 	select {
--- a/plain/repeat.go
+++ b/plain/repeat.go
@@ -45,7 +45,7 @@
 func (j *job) attempt(ctx context.Context, dispatch spoke.CallDispatch) (spoke.PlainAnswer, error) {
 	ctx, cancel := context.WithTimeout(ctx, j.repeatableTimeout)
 	defer cancel()
-	return j.parts.Dispatcher.Call(ctx, dispatch)
+	return j.send(ctx, dispatch)
 }
 
 func (j *job) withdraw() bool {
--- a/plain/setup_test.go
+++ b/plain/setup_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"io"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -37,16 +38,11 @@
 		records map[spoke.ClaimID]spoke.ClaimRecord
 	}
 
-	site  struct{ manifest *spoke.Manifest }
-	order struct{}
+	site struct{ manifest *spoke.Manifest }
 )
 
 // A fixed seed keeps runs repeatable; -rapid.seed on the command line takes precedence.
-func init() {
-	if err := flag.Set("rapid.seed", "1"); err != nil {
-		panic(err)
-	}
-}
+var _ = flag.Set("rapid.seed", "1")
 
 func take(acts *[]string) string {
 	if len(*acts) == 0 {
@@ -136,23 +132,12 @@
 
 func (s site) Current() *spoke.Manifest { return s.manifest }
 
-func (s site) Views(spoke.ServiceName) []spoke.UpstreamView {
-	var views []spoke.UpstreamView
-	for _, upstream := range s.manifest.Upstreams() {
-		views = append(views, spoke.UpstreamView{Upstream: upstream})
-	}
-	return views
-}
+func (site) Views(spoke.ServiceName) []spoke.UpstreamView { return nil }
 
-// Choose returns all upstreams that are not excluded, in the order of the views.
-func (order) Choose(_ time.Time, query spoke.RouteQuery, views []spoke.UpstreamView) []spoke.UpstreamID {
-	var ids []spoke.UpstreamID
-	for _, view := range views {
-		if !query.Exclude[view.Upstream.ID] {
-			ids = append(ids, view.Upstream.ID)
-		}
-	}
-	return ids
+// Choose returns all upstreams that are not excluded, in a fixed order.
+func (site) Choose(_ time.Time, query spoke.RouteQuery, _ []spoke.UpstreamView) []spoke.UpstreamID {
+	all := []spoke.UpstreamID{"order-1", "order-2", "order-3", "order-4"}
+	return slices.DeleteFunc(all, func(id spoke.UpstreamID) bool { return query.Exclude[id] })
 }
 
 func newExecutor(dispatcher spoke.Dispatcher, table *claims, opts ...plain.Option) *plain.Executor {
@@ -163,14 +148,10 @@
 			NonRepeatable: []spoke.CallPattern{{Method: "POST", PathPrefix: "/bookings"}},
 		},
 		spoke.Rank{Name: "normal"},
-		spoke.Upstream{ID: "order-1", Service: "orders"},
-		spoke.Upstream{ID: "order-2", Service: "orders"},
-		spoke.Upstream{ID: "order-3", Service: "orders"},
-		spoke.Upstream{ID: "order-4", Service: "orders"},
 	}})}
 	quiet := logrus.New()
 	quiet.SetOutput(io.Discard)
-	parts := plain.Parts{Manifests: here, Views: here, Router: order{}, Dispatcher: dispatcher, Claims: table, Timer: timer.NewSystem()}
+	parts := plain.Parts{Manifests: here, Views: here, Router: here, Dispatcher: dispatcher, Claims: table, Timer: timer.NewSystem()}
 	return plain.NewExecutor(parts, append([]plain.Option{plain.WithLog(quiet), plain.WithHost("host-1")}, opts...)...)
 }
 
--- a/runner/messages.go
+++ b/runner/messages.go
@@ -86,6 +86,13 @@
 	StateFinished State = "finished"
 )
 
+const (
+	eventAttemptStarted  spoke.EventKind = "attempt-started"
+	eventAttemptEnded    spoke.EventKind = "attempt-ended"
+	eventUpstreamDeath   spoke.EventKind = "upstream-death"
+	eventRequestFinished spoke.EventKind = "request-finished"
+)
+
 const (
 	// minIdle is the least idle limit; owners send a heartbeat every second, so
 	// a shorter limit would take one late heartbeat for silence.
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -145,3 +145,30 @@
 		assert.Equal(t, got, text("p", "v1", 0, answerTokens))
 	})
 }
+
+// Guards against an answer that mixes model versions while upstreams swap, and
+// against refusals while only the old version serves.
+func TestAnswersKeepTheirVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		old := map[spoke.UpstreamID]spoke.ModelVersion{
+			"engine-0": "v0", "engine-1": "v0", "engine-2": "v0", "engine-3": "v0", "engine-4": "v0",
+		}
+		got, err := gather(context.Background(), newRunner(&script{versions: old}), request("p"))
+		assert.NilError(t, err)
+		assert.Equal(t, got, text("p", "v0", 0, answerTokens))
+
+		s := &script{acts: []act{{end: "cut", stop: 5}, {end: "cut", stop: 7}}}
+		s.versions = map[spoke.UpstreamID]spoke.ModelVersion{"engine-1": "v0", "engine-2": "v0", "engine-3": "v0"}
+		got, err = gather(context.Background(), newRunner(s), request("p"))
+		assert.NilError(t, err)
+		assert.Equal(t, got, text("p", "v1", 0, answerTokens))
+		assert.Equal(t, s.seen[2].Upstream, spoke.UpstreamID("engine-4"))
+
+		s = &script{acts: []act{{end: "cut", stop: 5}, {end: "cut", stop: 7}}}
+		s.versions = map[spoke.UpstreamID]spoke.ModelVersion{"engine-1": "v0", "engine-2": "v0", "engine-3": "v0", "engine-4": "v0"}
+		s.acts = append(s.acts, act{end: "died", stop: 8})
+		got, err = gather(context.Background(), newRunner(s), request("p"))
+		assert.NilError(t, err)
+		assert.Equal(t, got, text("p", "v1", 0, answerTokens))
+	})
+}
--- a/runner/script_test.go
+++ b/runner/script_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/sha256"
+	"flag"
 	"fmt"
 	"io"
 	"time"
@@ -16,6 +17,18 @@
 
 const answerTokens = 12
 
+// A fixed seed keeps runs repeatable; -rapid.seed on the command line takes precedence.
+var _ = flag.Set("rapid.seed", "1")
+
+// faultsByEnd are the errors of the attempts that end early.
+var faultsByEnd = map[string]error{
+	"cut":        spoke.ErrIncomplete,
+	"short":      io.EOF,
+	"died":       spoke.ErrUpstreamDied,
+	"owner-lost": spoke.ErrOwnerLost,
+	"preempted":  spoke.ErrPreempted,
+}
+
 type (
 	// act is what one attempt does: it delivers tokens up to stop, with faults, and ends.
 	act struct {
@@ -47,7 +60,10 @@
 		begun   bool
 	}
 
-	setup struct{ manifest *spoke.Manifest }
+	setup struct {
+		*script
+		manifest *spoke.Manifest
+	}
 	order struct{}
 )
 
@@ -155,20 +171,12 @@
 }
 
 func (p *played) finish(ctx context.Context) (spoke.Piece, error) {
-	switch p.act.end {
-	case "silent":
+	if p.act.end == "silent" {
 		<-ctx.Done()
 		return spoke.Piece{}, ctx.Err()
-	case "cut":
-		return spoke.Piece{}, spoke.ErrIncomplete
-	case "short":
-		return spoke.Piece{}, io.EOF
-	case "died":
-		return spoke.Piece{}, spoke.ErrUpstreamDied
-	case "owner-lost":
-		return spoke.Piece{}, spoke.ErrOwnerLost
-	case "preempted":
-		return spoke.Piece{}, spoke.ErrPreempted
+	}
+	if err := faultsByEnd[p.act.end]; err != nil {
+		return spoke.Piece{}, err
 	}
 	if p.next > answerTokens {
 		return spoke.Piece{}, io.EOF
@@ -186,16 +194,17 @@
 func (s setup) Views(spoke.ServiceName) []spoke.UpstreamView {
 	var views []spoke.UpstreamView
 	for _, upstream := range s.manifest.Upstreams() {
-		views = append(views, spoke.UpstreamView{Upstream: upstream})
+		versions := map[spoke.ModelName]spoke.ModelVersion{"plume": s.versions[upstream.ID]}
+		views = append(views, spoke.UpstreamView{Upstream: upstream, Load: spoke.LoadSummary{Versions: versions}})
 	}
 	return views
 }
 
-// Choose returns all upstreams that are not excluded, in the order of the views.
+// Choose returns all upstreams of the version that are not excluded, in the order of the views.
 func (order) Choose(_ time.Time, query spoke.RouteQuery, views []spoke.UpstreamView) []spoke.UpstreamID {
 	var ids []spoke.UpstreamID
 	for _, view := range views {
-		if !query.Exclude[view.Upstream.ID] {
+		if !query.Exclude[view.Upstream.ID] && view.Load.Versions[query.Model] == query.Version {
 			ids = append(ids, view.Upstream.ID)
 		}
 	}
@@ -208,14 +217,18 @@
 		spoke.Model{Name: "plume", Service: "quotes", Version: "v1"},
 		spoke.Rank{Name: "normal"},
 	}
-	s.versions = make(map[spoke.UpstreamID]spoke.ModelVersion)
+	if s.versions == nil {
+		s.versions = make(map[spoke.UpstreamID]spoke.ModelVersion)
+	}
 	for i := range 5 {
 		id := spoke.UpstreamID(fmt.Sprintf("engine-%d", i))
-		s.versions[id] = "v1"
+		if s.versions[id] == "" {
+			s.versions[id] = "v1"
+		}
 		objects = append(objects, spoke.Upstream{ID: id, Service: "quotes"})
 	}
 	var none *spoke.Manifest
-	site := setup{none.Apply(spoke.Ticket{Number: 1, Objects: objects})}
+	site := setup{s, none.Apply(spoke.Ticket{Number: 1, Objects: objects})}
 	return runner.New(runner.Parts{Manifests: site, Views: site, Router: order{}, Dispatcher: s, Timer: timer.NewSystem()}, opts...)
 }
 
--- a/runner/stream.go
+++ b/runner/stream.go
@@ -106,6 +106,9 @@
 }
 
 func (s *stream) handle(message Message) {
+	if ended, ok := message.(Ended); ok {
+		s.runner.record(eventAttemptEnded, s.request.ID, ended.Stream, "", ended.Err.Error())
+	}
 	s.apply(s.machine.Handle(s.now(), message))
 }
 
@@ -119,7 +122,7 @@
 		case StopAttempt:
 			s.end(false)
 		case ReportDeath:
-			s.runner.record("upstream-death", s.request.ID, action.Attempt, "", "")
+			s.runner.record(eventUpstreamDeath, s.request.ID, action.Attempt, "", "")
 			s.end(true)
 		case Deliver:
 			s.ready = append(s.ready, action.Piece)
@@ -134,7 +137,7 @@
 	ctx, cancel := context.WithCancel(s.ctx)
 	s.attempt, s.stop = dispatch.Spec.Attempt, cancel
 	s.runner.quarantine.Begin(s.now(), s.attempt, dispatch.Upstream, s.fingerprint)
-	s.runner.record("attempt-started", s.request.ID, s.attempt, dispatch.Upstream, "")
+	s.runner.record(eventAttemptStarted, s.request.ID, s.attempt, dispatch.Upstream, "")
 	go s.read(ctx, dispatch)
 }
 
@@ -156,7 +159,7 @@
 	if refusal != nil {
 		detail = refusal.Error()
 	}
-	s.runner.record("request-finished", s.request.ID, "", "", detail)
+	s.runner.record(eventRequestFinished, s.request.ID, "", "", detail)
 	s.runner.quarantine.Leave(s.request.ID, s.fingerprint)
 	s.cancel()
 	s.disarm()
