Drop idle connections after a call without an answer

Open connections may go silent for good while new ones work. Each pooled one would then cost a timeout, and two of them a claim its 500 ms. After a failed call the client closes its idle connections, so that the next call dials. Health checks of idle connections were ruled out, since they cost calls of the platform's rates.

--- a/coord/call.go
+++ b/coord/call.go
@@ -47,6 +47,8 @@
 	request.Header.Set("Content-Type", "application/json")
 	answer, err := c.http.Do(request)
 	if err != nil {
+		// Connections that were opened together often go silent together; the next call dials anew.
+		c.http.CloseIdleConnections()
 		return 0, nil, failure(call, err)
 	}
 	defer answer.Body.Close()
