--- a/fake/kvsvc/codec.go
+++ b/fake/kvsvc/codec.go
@@ -90,7 +90,9 @@
 }
 
 func readJSON(w http.ResponseWriter, r *http.Request, into any) bool {
-	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody)).Decode(into)
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody))
+	decoder.DisallowUnknownFields()
+	err := decoder.Decode(into)
 	if err != nil {
 		writeError(w, http.StatusBadRequest, err.Error())
 	}
