--- a/ticket/watcher.go
+++ b/ticket/watcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -12,11 +13,12 @@
 
 const (
 	// watchWait is how long a watch waits at the platform; a waiting watch counts as a call.
-	watchWait = 20 * time.Second
-	// firstRetry and lastRetry keep a lagging read from delaying a change, and an outage
-	// from drawing many calls.
+	watchWait  = 20 * time.Second
 	firstRetry = 20 * time.Millisecond
-	lastRetry  = 2 * time.Second
+	// lagRetry is the longest wait after a stale read, which would delay a known change.
+	lagRetry = 100 * time.Millisecond
+	// lastRetry is the longest wait in an outage, which must not draw many calls.
+	lastRetry = 2 * time.Second
 )
 
 type (
@@ -108,7 +110,12 @@
 	retry := firstRetry
 	for ctx.Err() == nil {
 		m, revision, err := w.load(ctx)
-		if err != nil || revision < latest {
+		if errors.Is(err, spoke.ErrKeyMissing) || err == nil && revision < latest {
+			w.pause(ctx, retry)
+			retry = min(lagRetry, 2*retry)
+			continue
+		}
+		if err != nil {
 			w.pause(ctx, retry)
 			retry = min(lastRetry, 2*retry)
 			continue
