Release the signal context before the trial exits

The linter reported that os.Exit in cmd/trial/main.go skips a deferred cancel. A deferred call cannot stay beside os.Exit, so cancel now runs right after the command has returned.

--- a/cmd/trial/main.go
+++ b/cmd/trial/main.go
@@ -50,8 +50,8 @@
 		parser.Fail("name a command")
 	}
 	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer cancel()
 	err := chosen.run(ctx)
+	cancel()
 	var missed *slope.MissedError
 	switch {
 	case errors.As(err, &missed):
