Run scenarios against the real programs

Cause: the scenario runner was written against stubs. It had no ticket codec for the real programs, and it sent true and false where the platform stand-in takes an outage kind and probabilities.

Ruled out: a second runner beside testscript, and shell loops in the scenarios, because both would hide what a scenario waits for.

Change: TicketCodec is the codec of the programs; platform sends the faults in the stand-in's form; a default plan and default objects keep the scenario files short. New commands: configure, ask, book, insist, alias, post, flow, halt, quiet, race, within and audit. Answers of language requests are compared with the engine's fixed text byte for byte, each refusal that says not-run with the counts of the stand-ins, and the number in force of every host must never fall. A failing scenario prints the merged time line. make prove prints a line for each of the nine promises and the scenarios behind it; scenarios listed in KNOWN-RED.txt are run, printed and passed over.

Conclusion: promises can be proved over real processes.

--- a/Makefile
+++ b/Makefile
@@ -23,6 +23,13 @@
 up: build
 	./bin/trial up
 
+# The names of scenarios can be given, such as make prove RUN=once-repeat COUNT=10.
+RUN ?= .
+COUNT ?= 1
+
+prove:
+	cd cmd/trial/prove && go test -count=$(COUNT) -run 'TestScenarios/($(RUN))'
+
 bench: build
 	./bin/trial bench --json bench.json
 
--- a/cmd/trial/prove/main_test.go
+++ b/cmd/trial/prove/main_test.go
@@ -2,20 +2,27 @@
 
 import (
 	"context"
+	_ "embed"
 	"fmt"
 	"os"
 	"testing"
 	"time"
 
-	"github.com/rogpeppe/go-internal/testscript"
-
+	"magnoliaspoke.example/spoke/cmd/trial/plans"
+	"magnoliaspoke.example/spoke/cmd/trial/prove"
 	"magnoliaspoke.example/spoke/cmd/trial/scene"
 )
 
 // buildLimit bounds the compilation of all programs without a build cache.
 const buildLimit = 5 * time.Minute
 
-var programs scene.Programs
+//go:embed plan.toml
+var defaultPlan string
+
+var (
+	programs scene.Programs
+	report   *prove.Report
+)
 
 // TestMain builds the programs once for all scenarios.
 func TestMain(m *testing.M) { os.Exit(run(m)) }
@@ -33,10 +40,17 @@
 		fmt.Fprintln(os.Stderr, err)
 		return 1
 	}
-	return m.Run()
+	if report, err = prove.NewReport("testdata", "../../../KNOWN-RED.txt"); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	code := m.Run()
+	report.Write(os.Stdout)
+	return code
 }
 
 // Guards against programs that fail as a whole although their packages pass their tests.
 func TestScenarios(t *testing.T) {
-	testscript.Run(t, scene.NewRunner(programs, nil).Params("testdata"))
+	runner := scene.NewRunner(programs, scene.TicketCodec{}, scene.WithDefaults(defaultPlan, plans.Objects(2)))
+	report.Run(t, runner.Params("testdata"))
 }
--- /dev/null
+++ b/cmd/trial/prove/report.go
@@ -0,0 +1,229 @@
+package prove
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+	"github.com/rotisserie/eris"
+)
+
+const (
+	promiseCount = 9
+	// parallelScenarios keeps the processes of scenarios that run at a time under a hundred
+	// and their waits short on machines with few cores.
+	parallelScenarios = 3
+)
+
+const (
+	passed Outcome = "passed"
+	failed Outcome = "failed"
+	red    Outcome = "known red"
+)
+
+var (
+	promiseLine  = regexp.MustCompile(`(?m)^# Promises: ([0-9 ]+)$`)
+	measuredLine = regexp.MustCompile(`(?m)^measured: .*$`)
+)
+
+type (
+	// Outcome says how a scenario ended.
+	Outcome string
+
+	// Report collects the outcomes of scenarios for the promises that they prove.
+	Report struct {
+		known    []string
+		promises map[string][]int
+		running  chan struct{}
+
+		mu       sync.Mutex
+		outcomes map[string]Outcome
+		measured map[string][]string
+	}
+
+	// scenario is the testscript.T of one scenario.
+	scenario struct {
+		*testing.T
+		report *Report
+		name   string
+	}
+)
+
+// NewReport reads which promises the scenarios of a directory prove and which of them are
+// listed as known to fail.
+func NewReport(directory, knownRed string) (*Report, error) {
+	r := &Report{
+		promises: make(map[string][]int), running: make(chan struct{}, parallelScenarios),
+		outcomes: make(map[string]Outcome), measured: make(map[string][]string),
+	}
+	files, err := filepath.Glob(filepath.Join(directory, "*.txtar"))
+	if err != nil {
+		return nil, eris.Wrap(err, directory)
+	}
+	for _, file := range files {
+		if err := r.readPromises(file); err != nil {
+			return nil, err
+		}
+	}
+	r.known, err = readKnown(knownRed)
+	return r, err
+}
+
+func (r *Report) readPromises(file string) error {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return eris.Wrap(err, "scenario")
+	}
+	name := strings.TrimSuffix(filepath.Base(file), ".txtar")
+	r.promises[name] = nil
+	found := promiseLine.FindSubmatch(text)
+	if found == nil {
+		return nil
+	}
+	for _, field := range strings.Fields(string(found[1])) {
+		number, err := strconv.Atoi(field)
+		if err != nil || number < 1 || number > promiseCount {
+			return eris.Errorf("%s: no promise %q", file, field)
+		}
+		r.promises[name] = append(r.promises[name], number)
+	}
+	return nil
+}
+
+// readKnown returns the scenarios that KNOWN-RED.txt lists as TestScenarios/NAME.
+func readKnown(file string) ([]string, error) {
+	text, err := os.Open(file)
+	if err != nil {
+		return nil, eris.Wrap(err, "known failures")
+	}
+	defer text.Close()
+	var known []string
+	lines := bufio.NewScanner(text)
+	for lines.Scan() {
+		for _, field := range strings.Fields(lines.Text()) {
+			if name, ok := strings.CutPrefix(strings.Trim(field, ",;"), "TestScenarios/"); ok {
+				known = append(known, name)
+			}
+		}
+	}
+	return known, eris.Wrap(lines.Err(), "known failures")
+}
+
+// Run runs the scenarios of the parameters as tests below t.
+func (r *Report) Run(t *testing.T, params testscript.Params) {
+	testscript.RunT(&scenario{T: t, report: r}, params)
+}
+
+// Run runs one scenario.
+func (s *scenario) Run(name string, body func(testscript.T)) {
+	s.T.Run(name, func(t *testing.T) {
+		current := &scenario{T: t, report: s.report, name: name}
+		defer current.finish()
+		body(current)
+	})
+}
+
+// Parallel lets a few scenarios run at a time.
+func (s *scenario) Parallel() {
+	s.T.Parallel()
+	s.report.running <- struct{}{}
+	s.Cleanup(func() { <-s.report.running })
+}
+
+// Verbose reports whether passing scenarios print their log.
+func (s *scenario) Verbose() bool { return testing.Verbose() }
+
+// Failed reports whether the scenario has failed, also if its failure is known.
+func (s *scenario) Failed() bool { return s.T.Failed() || s.Skipped() }
+
+// Log prints and keeps the lines with measured figures.
+func (s *scenario) Log(args ...any) {
+	s.Helper()
+	text := fmt.Sprint(args...)
+	s.report.mu.Lock()
+	s.report.measured[s.name] = append(s.report.measured[s.name], measuredLine.FindAllString(text, -1)...)
+	s.report.mu.Unlock()
+	s.T.Log(text)
+}
+
+// Fatal fails the scenario.
+func (s *scenario) Fatal(args ...any) {
+	s.Helper()
+	s.Log(args...)
+	s.FailNow()
+}
+
+// FailNow fails the scenario, or marks it as skipped if its failure is known.
+func (s *scenario) FailNow() {
+	s.Helper()
+	if slices.Contains(s.report.known, s.name) {
+		s.Skip("this failure is listed in KNOWN-RED.txt")
+	}
+	s.T.FailNow()
+}
+
+func (s *scenario) finish() {
+	outcome := passed
+	switch {
+	case s.T.Failed():
+		outcome = failed
+	case s.Skipped():
+		outcome = red
+	}
+	s.report.mu.Lock()
+	defer s.report.mu.Unlock()
+	s.report.outcomes[s.name] = outcome
+}
+
+// Write prints one line for each promise with the scenarios behind it, then what was measured.
+func (r *Report) Write(output io.Writer) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for number := 1; number <= promiseCount; number++ {
+		var behind []string
+		verdict := "not covered"
+		for _, name := range r.names() {
+			if outcome, ran := r.outcomes[name]; ran && slices.Contains(r.promises[name], number) {
+				behind = append(behind, fmt.Sprintf("%s (%s)", name, outcome))
+				verdict = worse(verdict, outcome)
+			}
+		}
+		_, _ = fmt.Fprintf(output, "promise %d: %s: %s\n", number, verdict, strings.Join(behind, ", "))
+	}
+	for _, name := range r.names() {
+		if slices.Contains(r.known, name) && r.outcomes[name] != "" {
+			_, _ = fmt.Fprintf(output, "listed in KNOWN-RED.txt: %s (%s)\n", name, r.outcomes[name])
+		}
+		for _, line := range r.measured[name] {
+			_, _ = fmt.Fprintf(output, "%s: %s\n", name, line)
+		}
+	}
+}
+
+func worse(verdict string, outcome Outcome) string {
+	switch {
+	case outcome != passed:
+		return "failed"
+	case verdict == "not covered":
+		return "proved"
+	}
+	return verdict
+}
+
+func (r *Report) names() []string {
+	names := make([]string, 0, len(r.promises))
+	for name := range r.promises {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
--- a/cmd/trial/scene/exchange.go
+++ b/cmd/trial/scene/exchange.go
@@ -12,6 +12,7 @@
 	"github.com/rogpeppe/go-internal/testscript"
 	"github.com/rotisserie/eris"
 
+	"magnoliaspoke.example/spoke/cmd/trial/load"
 	"magnoliaspoke.example/spoke/ready"
 )
 
@@ -20,6 +21,11 @@
 type (
 	// exchange is a request of a scenario with what has been answered so far.
 	exchange struct {
+		// ask is set for language requests whose answer can be checked.
+		ask        *load.Ask
+		key        string
+		credential string
+
 		mu     sync.Mutex
 		status int
 		header http.Header
@@ -62,9 +68,7 @@
 		}
 		request.Header.Set(key, strings.TrimSpace(value))
 	}
-	current := &exchange{}
-	s.requests[name] = current
-	go current.run(request)
+	s.launchExchange(ts, name, request, &exchange{})
 }
 
 func (e *exchange) run(request *http.Request) {
--- a/cmd/trial/scene/expect.go
+++ b/cmd/trial/scene/expect.go
@@ -7,6 +7,7 @@
 	"regexp"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
 	"github.com/rotisserie/eris"
@@ -43,6 +44,18 @@
 	"exit":    {"expect exit PROCESS CODE", 2, false, (*stage).expectExit},
 	"ticket":  {"expect ticket NUMBER [HOST...]", 1, true, (*stage).expectTicket},
 	"ready":   {"expect ready HOST", 1, true, (*stage).expectReady},
+
+	"whole":      {"expect whole NAME", 1, false, (*stage).expectWhole},
+	"tokens":     {"expect tokens NAME LEAST", 2, false, (*stage).expectTokens},
+	"unfinished": {"expect unfinished NAME", 1, false, (*stage).expectUnfinished},
+	"cached":     {"expect cached NAME TOKENS", 2, false, (*stage).expectCached},
+	"refused":    {"expect refused NAME CODE OUTCOME", 3, false, (*stage).expectRefused},
+	"runs":       {"expect runs KEY COUNT", 2, true, (*stage).expectRuns},
+	"ran":        {"expect ran STANDIN COUNT", 2, true, (*stage).expectRan},
+	"served":     {"expect served FLOW LEAST", 2, true, (*stage).expectServed},
+	"open":       {"expect open HOST LEAST", 2, true, (*stage).expectOpen},
+	"written":    {"expect written LEAST", 1, true, (*stage).expectWritten},
+	"event":      {"expect event HOST KIND [PATTERN]", 2, true, (*stage).expectEvent},
 }
 
 // expect waits until a condition holds. With !, it waits until the condition can no
@@ -55,6 +68,11 @@
 		ts.Fatalf("unknown condition %q", args[0])
 	}
 	want(ts, args[1:], kind.least, math.MaxInt, kind.usage)
+	for i, name := range args {
+		if real, ok := s.aliases[name]; ok {
+			args[i] = real
+		}
+	}
 	holds, err := kind.build(s, args[1:])
 	ts.Check(err)
 	if !neg {
@@ -76,6 +94,20 @@
 	}), strings.Join(args, " ")))
 }
 
+// within waits as expect does and fails if a condition holds later than after the duration.
+func (s *stage) within(ts *testscript.TestScript, neg bool, args []string) {
+	want(ts, args, 2, math.MaxInt, "within DURATION CONDITION ARGUMENTS...")
+	limit, err := time.ParseDuration(args[0])
+	ts.Check(err)
+	started := time.Now()
+	s.expect(ts, neg, args[1:])
+	elapsed := time.Since(started).Round(time.Millisecond)
+	ts.Logf("measured: %s after %v, limit %v", strings.Join(args[1:], " "), elapsed, limit)
+	if elapsed > limit {
+		ts.Fatalf("%s took %v, limit %v", strings.Join(args[1:], " "), elapsed, limit)
+	}
+}
+
 func (s *stage) exchange(name string) (*exchange, error) {
 	current, ok := s.requests[name]
 	if !ok {
--- a/cmd/trial/scene/process.go
+++ b/cmd/trial/scene/process.go
@@ -21,6 +21,8 @@
 	}
 	s.needSetup(ts)
 	for _, name := range args {
+		name, err := s.resolve(name)
+		ts.Check(err)
 		check(ts, neg, s.setup.Start(s.ctx, name))
 	}
 }
@@ -89,6 +91,8 @@
 	want(ts, names, 1, math.MaxInt, usage)
 	s.needSetup(ts)
 	for _, name := range names {
+		name, err := s.resolve(name)
+		ts.Check(err)
 		process, err := s.setup.Process(name)
 		ts.Check(err)
 		apply(process)
@@ -103,7 +107,9 @@
 	if len(sides) > 1 {
 		far = sides[1]
 	}
-	link, err := s.setup.Link(sides[0], far)
+	near, err := s.resolve(sides[0])
+	ts.Check(err)
+	link, err := s.setup.Link(near, far)
 	ts.Check(err)
 	return link
 }
--- a/cmd/trial/scene/runner.go
+++ b/cmd/trial/scene/runner.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"magnoliaspoke.example/spoke"
+	"magnoliaspoke.example/spoke/config"
 	"magnoliaspoke.example/spoke/fleet"
 	"magnoliaspoke.example/spoke/ready"
 )
@@ -34,14 +35,24 @@
 	Runner struct {
 		programs Programs
 		codec    spoke.TicketCodec
+		plan     string
+		objects  []spoke.Object
 	}
 
+	// Option changes a Runner.
+	Option func(*Runner)
+
 	// stage is the state of one scenario.
 	stage struct {
 		runner   *Runner
 		ctx      context.Context
 		setup    *fleet.Setup
 		requests map[string]*exchange
+		flows    map[string]*flow
+		aliases  map[string]string
+		// writes is the platform's count of writes when its faults were last set.
+		writes  int64
+		numbers numbers
 	}
 
 	stageKey struct{}
@@ -50,8 +61,18 @@
 )
 
 // NewRunner returns a runner of scenarios with the programs and the codec of tickets.
-func NewRunner(programs Programs, codec spoke.TicketCodec) *Runner {
-	return &Runner{programs: programs, codec: codec}
+func NewRunner(programs Programs, codec spoke.TicketCodec, opts ...Option) *Runner {
+	r := &Runner{programs: programs, codec: codec}
+	for _, opt := range opts {
+		opt(r)
+	}
+	return r
+}
+
+// WithDefaults sets the text of plan.toml and the objects of the first ticket for scenarios
+// that have no files of these.
+func WithDefaults(plan string, objects []spoke.Object) Option {
+	return func(r *Runner) { r.plan, r.objects = plan, objects }
 }
 
 // Params returns parameters that run the scenarios of a directory. A scenario holds
@@ -73,8 +94,20 @@
 		"limit":     (*stage).limit,
 		"send":      (*stage).send,
 		"expect":    (*stage).expect,
+		"within":    (*stage).within,
 		"ticket":    (*stage).ticket,
 		"platform":  (*stage).platform,
+		"configure": (*stage).configure,
+		"ask":       (*stage).ask,
+		"alias":     (*stage).alias,
+		"book":      (*stage).book,
+		"post":      (*stage).post,
+		"flow":      (*stage).flow,
+		"halt":      (*stage).halt,
+		"insist":    (*stage).insist,
+		"race":      (*stage).race,
+		"quiet":     (*stage).quiet,
+		"audit":     (*stage).audit,
 	}
 	params := testscript.Params{
 		Dir:                directory,
@@ -92,16 +125,22 @@
 
 func (r *Runner) prepare(env *testscript.Env) error {
 	ctx, cancel := context.WithTimeout(context.Background(), scenarioLimit)
-	s := &stage{runner: r, ctx: ctx, requests: make(map[string]*exchange)}
+	s := &stage{runner: r, ctx: ctx, requests: make(map[string]*exchange), flows: make(map[string]*flow), aliases: make(map[string]string)}
+	s.numbers.highest = make(map[string]spoke.TicketNumber)
 	env.Values[stageKey{}] = s
 	env.Setenv("PATH", filepath.Dir(r.programs.Spokectl)+string(os.PathListSeparator)+env.Getenv("PATH"))
 	env.Defer(func() {
+		failed, ok := env.T().(interface{ Failed() bool })
+		show := s.setup != nil && ok && failed.Failed()
+		if show {
+			s.showTimeline(env.T())
+		}
 		cancel()
 		if s.setup == nil {
 			return
 		}
 		s.setup.Close()
-		if failed, ok := env.T().(interface{ Failed() bool }); ok && failed.Failed() {
+		if show {
 			s.showLogs(env.T())
 		}
 	})
@@ -128,16 +167,44 @@
 		}
 		addresses = append(addresses, string(address))
 	}
+	s.nameAddresses(ts)
 	ts.Setenv("SPOKE_HOSTS", strings.Join(addresses, ","))
 	ts.Setenv("SPOKE_ADMIN_KEY", s.setup.Plan().AdminKey)
 	return nil
 }
 
+// nameAddresses gives tickets the addresses of upstreams and store hosts as
+// ADDRESS_ with the name, in which _ stands for -.
+func (s *stage) nameAddresses(ts *testscript.TestScript) {
+	ticket, err := s.setup.Ticket(firstTicket, author)
+	ts.Check(err)
+	for _, object := range ticket.Objects {
+		switch part := object.(type) {
+		case spoke.Upstream:
+			ts.Setenv(addressName(string(part.ID)), string(part.Address))
+		case spoke.StoreHost:
+			ts.Setenv(addressName(string(part.ID)), string(part.Address))
+		}
+	}
+}
+
+func addressName(part string) string { return "ADDRESS_" + strings.ReplaceAll(part, "-", "_") }
+
 func (s *stage) plan(ts *testscript.TestScript) (fleet.Plan, error) {
-	plan, err := fleet.DecodePlan(planFile, []byte(ts.ReadFile(planFile)))
+	text := s.runner.plan
+	if _, err := os.Stat(ts.MkAbs(planFile)); err == nil || text == "" {
+		text = ts.ReadFile(planFile)
+	}
+	plan, err := fleet.DecodePlan(planFile, []byte(text))
 	if err != nil {
 		return plan, err
 	}
+	for _, centre := range plan.DataCentres {
+		for i := range centre.Hosts {
+			centre.Hosts[i].Tune = func(settings *config.Entry) { settings.DrainDelay = drainDelay }
+		}
+	}
+	plan.Objects = s.runner.objects
 	if _, err := os.Stat(ts.MkAbs(objectsFile)); err == nil {
 		objects, err := s.runner.codec.DecodeTicket([]byte(ts.ReadFile(objectsFile)))
 		if err != nil {
@@ -153,6 +220,10 @@
 
 // address returns the present address of a process's listener, past all relays.
 func (s *stage) address(name string, listener ready.Listener) (spoke.Address, error) {
+	name, err := s.resolve(name)
+	if err != nil {
+		return "", err
+	}
 	process, err := s.setup.Process(name)
 	if err != nil {
 		return "", err
@@ -164,27 +235,6 @@
 	return address, nil
 }
 
-func (s *stage) showLogs(t testscript.T) {
-	plan := s.setup.Plan()
-	names := []string{fleet.PlatformName}
-	for _, centre := range plan.DataCentres {
-		for _, host := range centre.Hosts {
-			names = append(names, string(host.ID))
-		}
-		for _, upstream := range centre.Upstreams {
-			names = append(names, string(upstream.ID))
-		}
-		for _, store := range centre.Stores {
-			names = append(names, string(store.ID))
-		}
-	}
-	for _, name := range names {
-		if process, err := s.setup.Process(name); err == nil {
-			t.Log("log of " + name + " ends with:\n" + process.LogTail())
-		}
-	}
-}
-
 // check ends the scenario if an error came where none was wanted, or the other way round.
 func check(ts *testscript.TestScript, neg bool, err error) {
 	switch {
--- a/cmd/trial/scene/ticket.go
+++ b/cmd/trial/scene/ticket.go
@@ -1,20 +1,17 @@
 package scene
 
 import (
-	"bytes"
 	"encoding/json"
 	"errors"
-	"io"
 	"math"
 	"net/http"
-	"strings"
+	"os"
+	"strconv"
 
 	"github.com/rogpeppe/go-internal/testscript"
-	"github.com/rotisserie/eris"
 
 	"magnoliaspoke.example/spoke"
 	"magnoliaspoke.example/spoke/fleet"
-	"magnoliaspoke.example/spoke/ready"
 )
 
 const firstWord = "first"
@@ -31,18 +28,23 @@
 	ts.Check(err)
 	_, err = client.Submit(s.ctx, text)
 	check(ts, neg, err)
-	if len(args) < 3 {
-		return
+	if len(args) > 2 && codeOf(err) != args[2] {
+		ts.Fatalf("ticket failed with %v, want code %s", err, args[2])
 	}
+}
+
+// codeOf returns the code of a refusal by the administration API, empty for other errors.
+func codeOf(err error) string {
 	var failure *spoke.AdminError
-	if !errors.As(err, &failure) || string(failure.Code) != args[2] {
-		ts.Fatalf("ticket failed with %v, want code %s", err, args[2])
+	if !errors.As(err, &failure) {
+		return ""
 	}
+	return string(failure.Code)
 }
 
 func (s *stage) ticketText(ts *testscript.TestScript, file string) ([]byte, error) {
 	if file != firstWord {
-		return []byte(ts.ReadFile(file)), nil
+		return []byte(os.Expand(ts.ReadFile(file), ts.Getenv)), nil
 	}
 	ticket, err := s.setup.Ticket(firstTicket, author)
 	if err != nil {
@@ -51,47 +53,24 @@
 	return s.runner.codec.EncodeTicket(ticket)
 }
 
-// platform sets the faults of the platform stand-in: NAME=VALUE with values in JSON; faults
-// that are not named end.
+// platform sets the faults of the platform stand-in; faults that are not named end. A value
+// that is not JSON is taken as a string.
 func (s *stage) platform(ts *testscript.TestScript, neg bool, args []string) {
-	const usage = "platform [outage=true] [delay-ms=500] [lose-answers=true] [stale-reads=true]"
+	const usage = "platform [outage=refuse|hold] [delay-ms=N] [delay-writes-ms=N] [lose-answers=SHARE] [lose-next=N] [stale-reads=SHARE]"
 	want(ts, args, 0, math.MaxInt, usage)
 	s.needSetup(ts)
-	faults := map[string]json.RawMessage{
-		"outage": json.RawMessage("false"), "delay-ms": json.RawMessage("0"),
-		"lose-answers": json.RawMessage("false"), "stale-reads": json.RawMessage("false"),
-	}
-	for _, text := range args {
-		name, value, found := strings.Cut(text, "=")
-		if _, known := faults[name]; !known || !found || !json.Valid([]byte(value)) {
-			ts.Fatalf("usage: %s", usage)
+	known := []string{"outage", "delay-ms", "delay-writes-ms", "lose-answers", "lose-next", "stale-reads"}
+	faults := make(map[string]json.RawMessage)
+	for name, value := range readOptions(ts, args, usage, known...) {
+		if !json.Valid([]byte(value)) {
+			value = strconv.Quote(value)
 		}
 		faults[name] = json.RawMessage(value)
 	}
-	check(ts, neg, s.setFaults(faults))
-}
-
-func (s *stage) setFaults(faults map[string]json.RawMessage) error {
-	address, err := s.address(fleet.PlatformName, ready.Service)
-	if err != nil {
-		return err
-	}
 	body, err := json.Marshal(faults)
-	if err != nil {
-		return eris.Wrap(err, "faults")
-	}
-	request, err := http.NewRequestWithContext(s.ctx, http.MethodPost, "http://"+string(address)+"/faults", bytes.NewReader(body))
-	if err != nil {
-		return eris.Wrap(err, "faults")
-	}
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return eris.Wrap(err, "faults")
-	}
-	defer response.Body.Close()
-	if response.StatusCode >= http.StatusBadRequest {
-		text, _ := io.ReadAll(response.Body)
-		return eris.Errorf("platform answered %d: %s", response.StatusCode, text)
-	}
-	return nil
+	ts.Check(err)
+	// The stub platform of the runner's own tests has no counters.
+	s.writes, _ = s.platformWrites()
+	_, err = s.standin(http.MethodPost, fleet.PlatformName, "/faults", string(body))
+	check(ts, neg, err)
 }
