Ask for the version that most upstreams serve during a roll-out

Cause: a new request asked for the version in force as soon as one upstream served it, so that the first swapped upstream would get all requests; and the router, which now learns popular prefixes, was used by many goroutines.

Change: swap.RequestVersion decides, then the version in force, then others; requests share the router behind a lock.

Measured: `make test` passes.

--- a/host/host.go
+++ b/host/host.go
@@ -156,8 +156,9 @@
 		owner: h.owner, client: h.members.client, plain: plain.NewClient(),
 	}
 	budget := newRetryBudget(h.timer)
+	router := &sharedRouter{router: route.NewAffinity()}
 	calls := plain.NewExecutor(plain.Parts{
-		Manifests: h.view, Views: h.views, Router: route.NewAffinity(), Dispatcher: dispatcher,
+		Manifests: h.view, Views: h.views, Router: router, Dispatcher: dispatcher,
 		Claims: h.claims, Timer: h.timer,
 	},
 		plain.WithHost(h.settings.Host),
@@ -166,7 +167,7 @@
 		plain.WithLog(h.log),
 	)
 	requests := runner.New(runner.Parts{
-		Manifests: h.view, Views: h.views, Router: route.NewAffinity(), Dispatcher: dispatcher, Timer: h.timer,
+		Manifests: h.view, Views: h.views, Router: router, Dispatcher: dispatcher, Timer: h.timer,
 	},
 		runner.WithDataCentre(h.settings.DataCentre),
 		runner.WithBudget(budget),
--- a/runner/routing.go
+++ b/runner/routing.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"magnoliaspoke.example/spoke"
+	"magnoliaspoke.example/spoke/swap"
 )
 
 // plan answers a Route of the request's machine.
@@ -72,28 +73,21 @@
 	return routed
 }
 
-// candidates lists the version in force and then those that upstreams still
-// serve, the most frequent first: during a swap the old version serves until
-// enough upstreams have the new one.
+// candidates lists the versions that a new request may ask for: the one that
+// most usable upstreams serve, then the one in force and the others. With the
+// one in force first, the first upstream of a roll-out would get all requests.
 func candidates(model spoke.Model, views []spoke.UpstreamView) []spoke.ModelVersion {
-	counts := make(map[spoke.ModelVersion]int)
+	versions := []spoke.ModelVersion{swap.RequestVersion(model, views), model.Version}
 	for _, view := range views {
-		if version := view.Load.Versions[model.Name]; version != "" && version != model.Version {
-			counts[version]++
+		if version := view.Load.Versions[model.Name]; version != "" {
+			versions = append(versions, version)
 		}
 	}
-	versions := make([]spoke.ModelVersion, 0, len(counts)+1)
-	for version := range counts {
-		versions = append(versions, version)
-	}
-	slices.SortFunc(versions, func(a, b spoke.ModelVersion) int {
-		if counts[a] != counts[b] {
-			return counts[b] - counts[a]
-		}
-		if a < b {
-			return -1
-		}
-		return 1
+	slices.Sort(versions[2:])
+	seen := make(map[spoke.ModelVersion]bool)
+	return slices.DeleteFunc(versions, func(version spoke.ModelVersion) bool {
+		isRepeated := seen[version]
+		seen[version] = true
+		return isRepeated
 	})
-	return slices.Insert(versions, 0, model.Version)
 }
