Make races of operators repeatable and check refused tickets

TestOperatorsRace did not compare an ErrUnavailable with what the platform holds, although it promises that the ticket is not accepted, and most of its failures could not be repeated, since all operators started at the same virtual instant. Each submission has an author of its own now, operators start at drawn moments and calls take 1 ms; a lock-step of the operators was ruled out, as it would allow no races.

--- a/ticket/acceptor_test.go
+++ b/ticket/acceptor_test.go
@@ -55,6 +55,7 @@
 func (o *operators) setFaults(t *rapid.T) {
 	o.service.SetFaults(kvsvc.Faults{
 		Outage:      rapid.SampledFrom([]string{"", "", "", kvsvc.OutageRefuse}).Draw(t, "outage"),
+		DelayMs:     1,
 		LoseAnswers: rapid.SampledFrom([]float64{0, 0.2, 0.6}).Draw(t, "lose"),
 		LoseNext:    rapid.IntRange(0, 6).Draw(t, "next"),
 		StaleReads:  rapid.SampledFrom([]float64{0, 0.3, 0.7}).Draw(t, "stale"),
@@ -69,12 +70,18 @@
 		number := spoke.TicketNumber(rapid.IntRange(lowest, int(o.top)+2).Draw(t, "number"))
 		id := rapid.SampledFrom([]string{"w1", "w2", "w3"}).Draw(t, "id")
 		weight := float64(rapid.IntRange(0, 3).Draw(t, "weight"))
-		batch[i].ticket = workspaceTicket(number, fmt.Sprintf("op%d", i), id, weight)
+		author := fmt.Sprintf("op%d-%d", i, len(o.tried))
+		batch[i].ticket = workspaceTicket(number, author, id, weight)
 		o.top = max(o.top, number)
 	}
 	var group sync.WaitGroup
 	for i := range batch {
-		group.Go(func() { _, batch[i].err = o.acceptors[i].Accept(context.Background(), batch[i].ticket) })
+		// Calls take 1 ms; starts at different moments make the order of all calls repeatable.
+		start := time.Duration(rapid.IntRange(0, 400).Draw(t, "start")*len(batch)+i) * 10 * time.Microsecond
+		group.Go(func() {
+			<-time.After(start)
+			_, batch[i].err = o.acceptors[i].Accept(context.Background(), batch[i].ticket)
+		})
 	}
 	group.Wait()
 	o.tried = append(o.tried, batch...)
@@ -138,6 +145,7 @@
 		assert.NilError(t, err)
 		assert.Equal(t, conflict.Winner, decoded.Author)
 	case errors.Is(s.err, spoke.ErrUnavailable):
+		assert.Assert(t, !won, "ticket %v was accepted: %v", s.ticket, s.err)
 	default:
 		assert.ErrorIs(t, s.err, spoke.ErrAnswerLost)
 	}
@@ -155,8 +163,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		rapid.Check(bubble{t}, func(t *rapid.T) {
 			o := &operators{service: kvsvc.New(), view: ticket.NewView(), top: 1}
+			o.service.SetFaults(kvsvc.Faults{DelayMs: 1})
 			for seed := range uint64(3) {
-				acceptor := ticket.NewAcceptor(newClient(o.service), ticket.WithSeed(seed))
+				acceptor := ticket.NewAcceptor(newClient(o.service), ticket.WithSeed(seed), ticket.WithAttempts(4))
 				_, err := acceptor.Accept(context.Background(), baseTicket())
 				assert.NilError(t, err)
 				o.acceptors = append(o.acceptors, acceptor)
