Make races of claims repeatable

Claims of TestHostsRace started at the same virtual instant, so that the scheduler chose their order and failures could not always be repeated. They start at drawn moments now and calls take 1 ms; the faults and checks are as before.

--- a/claim/claims_test.go
+++ b/claim/claims_test.go
@@ -46,6 +46,7 @@
 		service: kvsvc.New(),
 		holders: make(map[spoke.IdempotencyKey]*grant),
 	}
+	h.service.SetFaults(kvsvc.Faults{DelayMs: 1})
 	for seed := range uint64(count) {
 		client := coord.New("platform", coord.WithTransport(kvsvc.NewTransport(h.service)))
 		h.claims = append(h.claims, claim.New(client, claim.WithShards(2), claim.WithSeed(seed)))
@@ -56,7 +57,7 @@
 func (h *hosts) setFaults(t *rapid.T) {
 	h.service.SetFaults(kvsvc.Faults{
 		Outage:        rapid.SampledFrom([]string{"", "", "", kvsvc.OutageRefuse, kvsvc.OutageHold}).Draw(t, "outage"),
-		DelayMs:       rapid.SampledFrom([]int64{0, 0, 100, 400}).Draw(t, "delay"),
+		DelayMs:       rapid.SampledFrom([]int64{1, 1, 100, 400}).Draw(t, "delay"),
 		DelayWritesMs: rapid.SampledFrom([]int64{0, 200, 400, 700, 2000}).Draw(t, "delay-writes"),
 		LoseAnswers:   rapid.SampledFrom([]float64{0, 0.3, 0.8}).Draw(t, "lose"),
 		StaleReads:    rapid.SampledFrom([]float64{0, 0, 0.5}).Draw(t, "stale"),
@@ -65,10 +66,15 @@
 
 func (h *hosts) race(t *rapid.T) {
 	var group sync.WaitGroup
-	for range rapid.IntRange(1, 5).Draw(t, "count") {
+	for i := range rapid.IntRange(1, 5).Draw(t, "count") {
 		host := rapid.IntRange(0, len(h.claims)-1).Draw(t, "host")
 		key := rapid.SampledFrom([]spoke.IdempotencyKey{"k1", "k2", "k3"}).Draw(t, "key")
-		group.Go(func() { h.claim(host, key) })
+		// Calls take 1 ms; starts at different moments make the order of all calls repeatable.
+		start := time.Duration(rapid.IntRange(0, 400).Draw(t, "start")*5+i) * 10 * time.Microsecond
+		group.Go(func() {
+			<-time.After(start)
+			h.claim(host, key)
+		})
 	}
 	group.Wait()
 	assert.Equal(t, h.fault, "")
