Spread configurations as updates that hosts push and fetch

Cause: a host fetched the whole configuration from the peer with the highest number, and a failed fetch was tried again at the same peer.

Change: the manifest task runs ticket.Spread and ticket.Watcher; peers carry updates from one number to the next; a process start has a lease holder name of its own, because the platform grants a held lease again to its holder.

--- a/cmd/trial/slope/members.go
+++ b/cmd/trial/slope/members.go
@@ -173,8 +173,11 @@
 	return actions[0].(member.Reply).Heartbeat, nil
 }
 
-// Manifest returns no configuration.
-func (p *nodePeer) Manifest() ([]byte, error) { return nil, nil }
+// Update returns no configuration.
+func (p *nodePeer) Update(context.Context, spoke.TicketNumber) ([]byte, error) { return nil, nil }
+
+// TakeUpdate ignores updates.
+func (p *nodePeer) TakeUpdate(context.Context, spoke.HostID, []byte) error { return nil }
 
 // Run refuses all runs.
 func (p *nodePeer) Run(context.Context, spoke.Dispatch) (spoke.RunStream, error) {
--- a/host/admin.go
+++ b/host/admin.go
@@ -29,7 +29,7 @@
 		return adminError(err)
 	}
 	a.host.events.Record(spoke.Event{Kind: "ticket-accepted", Ticket: submitted.Number, Detail: "by " + submitted.Author})
-	a.host.manifest.offer(a.host.life, manifest, "own administration API")
+	a.host.manifest.Accepted(ctx, manifest)
 	return nil
 }
 
--- a/host/host.go
+++ b/host/host.go
@@ -102,8 +102,10 @@
 	h.view = ticket.NewView()
 	h.manifest = &manifestTask{
 		self: h.settings.Host, dc: h.settings.DataCentre,
-		view: h.view, loader: ticket.NewLoader(h.platform), store: h.platform, list: h.platform,
+		view: h.view, spread: ticket.NewSpread(h.settings.Host, h.settings.DataCentre),
+		watcher: ticket.NewWatcher(h.platform, h.view, ticket.WithWatcherTimer(h.timer)), list: h.platform,
 		members: h.members, timer: h.timer, events: h.events, log: h.log,
+		inbox: make(chan manifestRequest, manifestInbox),
 	}
 }
 
@@ -120,7 +122,10 @@
 		timer: h.timer, events: h.events, life: h.life,
 	}
 	h.swaps = &swapTask{
-		self: h.settings.Host, manifest: h.view, views: h.views, isWatcher: h.manifest.isWatcher,
+		// A lease holder must differ between two processes of one host, since the
+		// platform grants a held lease again to the same holder.
+		holder:   spoke.HostID(string(h.settings.Host) + "/" + strconv.FormatInt(h.started.UnixNano(), 10)),
+		manifest: h.view, views: h.views, isWatcher: h.manifest.isWatcher,
 		leases: h.platform, engine: engines, credential: string(h.settings.OrderCredential),
 		timer: h.timer, events: h.events, log: h.log,
 	}
@@ -207,7 +212,7 @@
 	var group run.Group
 	for _, task := range []func(context.Context) error{
 		h.members.run, h.admission.run, h.followers.run, h.digest.run, h.swaps.run, h.blocks.run,
-		h.manifest.runPeers, h.manifest.runPlatform, h.manifest.runHostList,
+		h.manifest.run, h.manifest.watcher.Run, h.manifest.runHostList,
 	} {
 		group.Add(func() error { return task(h.life) }, func(error) { h.end() })
 	}
--- a/host/manifest.go
+++ b/host/manifest.go
@@ -17,93 +17,180 @@
 	// watchersPerDataCentre bounds the platform calls of a data centre; the
 	// second watcher covers the first one's death until membership notices it.
 	watchersPerDataCentre = 2
-	// watchWait is the length of one long poll.
-	watchWait = 10 * time.Second
-	// watchRetry spaces the tries while the platform is out.
-	watchRetry = time.Second
-	// loadTimeout bounds one read of the configuration.
-	loadTimeout = 3 * time.Second
 	// hostListPeriod bounds the delay that the watcher adds to the platform's list.
 	hostListPeriod = time.Second
+
+	manifestInbox = 64
 )
 
 type (
-	// manifestTask brings the configuration in force up to date from the
-	// platform, if the host is a watcher of its data centre, and from peers.
+	// manifestTask puts configurations in force and passes them on to other hosts.
 	manifestTask struct {
 		self    spoke.HostID
 		dc      spoke.DataCentreID
 		view    *ticket.View
-		loader  *ticket.Loader
-		store   spoke.KeyValue
+		spread  *ticket.Spread
+		watcher *ticket.Watcher
 		list    spoke.HostList
 		members *memberTask
 		timer   spoke.Timer
 		events  spoke.EventSink
 		log     logrus.FieldLogger
 
-		revision spoke.Revision
-		leaving  leavingList
+		inbox   chan manifestRequest
+		leaving leavingList
+	}
+
+	// manifestRequest is a message to the spread, or asks for an update since a number.
+	manifestRequest struct {
+		message ticket.SpreadMessage
+		// done is closed when the message has been handled.
+		done   chan<- struct{}
+		since  spoke.TicketNumber
+		answer chan<- ticket.Update
 	}
 )
 
-// runPeers fetches the configuration of peers that have a newer one.
-func (t *manifestTask) runPeers(ctx context.Context) error {
+func (t *manifestTask) run(ctx context.Context) error {
 	for {
 		select {
-		case peer := <-t.members.newer:
-			if peer.Digest.Number > t.view.Number() {
-				t.fetch(ctx, peer)
-			}
+		case manifest := <-t.watcher.Manifests():
+			t.handle(ctx, ticket.ManifestRead{Manifest: manifest})
+		case <-t.members.seen:
+			t.watcher.SetActive(t.isWatcher())
+			t.handle(ctx, ticket.PeersSeen{Membership: *t.members.View()})
+		case request := <-t.inbox:
+			t.serve(ctx, request)
 		case <-ctx.Done():
 			return ctx.Err()
 		}
 	}
 }
 
-func (t *manifestTask) fetch(ctx context.Context, peer spoke.Peer) {
-	encoded, err := t.members.client.Manifest(ctx, peer.Address)
-	if err != nil {
-		t.log.WithError(err).WithField("peer", peer.ID).Warn("configuration of peer not read")
+func (t *manifestTask) serve(ctx context.Context, request manifestRequest) {
+	if request.answer != nil {
+		update, _ := t.spread.UpdateSince(request.since)
+		request.answer <- update
 		return
 	}
-	manifest, err := ticket.DecodeManifest(encoded)
+	t.handle(ctx, request.message)
+	if request.done != nil {
+		close(request.done)
+	}
+}
+
+func (t *manifestTask) handle(ctx context.Context, message ticket.SpreadMessage) {
+	for _, action := range t.spread.Handle(t.timer.Now(), message) {
+		switch a := action.(type) {
+		case ticket.Install:
+			t.install(ctx, a.Manifest)
+		case ticket.PushUpdate:
+			go t.push(ctx, a)
+		case ticket.FetchUpdate:
+			go t.fetch(ctx, a)
+		}
+	}
+}
+
+func (t *manifestTask) install(ctx context.Context, manifest *spoke.Manifest) {
+	if !t.view.Offer(manifest) {
+		return
+	}
+	t.events.Record(spoke.Event{Kind: "configuration-in-force", Ticket: manifest.Number})
+	t.log.WithField("ticket", manifest.Number).Info("configuration in force")
+	_ = t.members.post(ctx, memberRequest{message: member.SetNumber{Number: manifest.Number}})
+}
+
+func (t *manifestTask) push(ctx context.Context, action ticket.PushUpdate) {
+	encoded, err := ticket.EncodeUpdate(action.Update)
+	if err == nil {
+		err = t.members.client.PushUpdate(ctx, action.To.Address, t.self, encoded)
+	}
 	if err != nil {
-		t.log.WithError(err).WithField("peer", peer.ID).Error("configuration of peer not decoded")
+		// The peer sees the number in heartbeats and fetches what it missed.
+		t.log.WithError(err).WithField("peer", action.To.ID).Debug("update not pushed")
+	}
+}
+
+func (t *manifestTask) fetch(ctx context.Context, action ticket.FetchUpdate) {
+	var update ticket.Update
+	encoded, err := t.members.client.FetchUpdate(ctx, action.From.Address, action.After)
+	if err == nil {
+		update, err = ticket.DecodeUpdate(encoded)
+	}
+	if err != nil {
+		t.log.WithError(err).WithField("peer", action.From.ID).Warn("update of peer not read")
+		_ = t.post(ctx, manifestRequest{message: ticket.FetchFailed{From: action.From.ID}})
 		return
 	}
-	t.offer(ctx, manifest, "peer "+string(peer.ID))
+	_ = t.post(ctx, manifestRequest{message: ticket.UpdateReceived{From: action.From.ID, Update: update}})
 }
 
-// runPlatform watches the platform while the host is a watcher.
-func (t *manifestTask) runPlatform(ctx context.Context) error {
-	t.load(ctx)
-	for ctx.Err() == nil {
-		if !t.isWatcher() {
-			t.pause(ctx, watchRetry)
-			continue
-		}
-		_, revision, err := t.store.Watch(ctx, ticket.ManifestKey, t.revision, watchWait)
-		if err != nil || !t.load(ctx) {
-			t.pause(ctx, watchRetry)
-			continue
-		}
-		t.revision = max(t.revision, revision)
+// Accepted puts the manifest of a ticket that this host has accepted in force and
+// returns when it is.
+func (t *manifestTask) Accepted(ctx context.Context, manifest *spoke.Manifest) {
+	done := make(chan struct{})
+	if t.post(ctx, manifestRequest{message: ticket.ManifestRead{Manifest: manifest}, done: done}) != nil {
+		return
+	}
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
+// TakeUpdate takes an encoded update that another host pushes.
+func (t *manifestTask) TakeUpdate(ctx context.Context, from spoke.HostID, encoded []byte) error {
+	update, err := ticket.DecodeUpdate(encoded)
+	if err != nil {
+		return err
+	}
+	return t.post(ctx, manifestRequest{message: ticket.UpdateReceived{From: from, Update: update}})
+}
+
+// UpdateSince returns the encoded update that follows a number, nil before the
+// first configuration.
+func (t *manifestTask) UpdateSince(ctx context.Context, after spoke.TicketNumber) ([]byte, error) {
+	if t.view.Current() == nil {
+		return nil, nil
+	}
+	answer := make(chan ticket.Update, 1)
+	if err := t.post(ctx, manifestRequest{since: after, answer: answer}); err != nil {
+		return nil, err
+	}
+	select {
+	case update := <-answer:
+		return ticket.EncodeUpdate(update)
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (t *manifestTask) post(ctx context.Context, request manifestRequest) error {
+	select {
+	case t.inbox <- request:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
 	}
-	return ctx.Err()
 }
 
 // runHostList reads the platform's list of hosts while the host is a watcher.
 func (t *manifestTask) runHostList(ctx context.Context) error {
-	for ctx.Err() == nil {
+	ticks := t.timer.Every(hostListPeriod)
+	defer ticks.Stop()
+	for {
 		// A former watcher goes on while it reports leaving upstreams, so that they
 		// stay excluded even if its successor cannot reach the platform.
 		if t.isWatcher() || len(t.leaving.Upstreams()) > 0 {
 			t.readList(ctx)
 		}
-		t.pause(ctx, hostListPeriod)
+		select {
+		case <-ticks.C():
+		case <-ctx.Done():
+			return ctx.Err()
+		}
 	}
-	return ctx.Err()
 }
 
 func (t *manifestTask) readList(ctx context.Context) {
@@ -115,35 +202,6 @@
 	t.leaving.update(listed, t.view.Current())
 }
 
-func (t *manifestTask) load(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
-	defer cancel()
-	manifest, revision, err := t.loader.Load(ctx)
-	if err != nil {
-		t.log.WithError(err).Debug("configuration not read from the platform")
-		return false
-	}
-	t.revision = max(t.revision, revision)
-	if manifest.Number > 0 {
-		t.offer(ctx, manifest, "platform")
-	}
-	return true
-}
-
-// offer puts a manifest in force if it is newer, and tells the peers at once.
-func (t *manifestTask) offer(ctx context.Context, manifest *spoke.Manifest, source string) {
-	if !t.view.Offer(manifest) {
-		return
-	}
-	if err := t.loader.Seed(manifest); err != nil {
-		t.log.WithError(err).Error("configuration not cached")
-	}
-	t.events.Record(spoke.Event{Kind: "configuration-in-force", Ticket: manifest.Number, Detail: "from " + source})
-	t.log.WithFields(logrus.Fields{"ticket": manifest.Number, "source": source}).Info("configuration in force")
-	_ = t.members.post(ctx, memberRequest{message: member.SetNumber{Number: manifest.Number}})
-	_ = t.members.post(ctx, memberRequest{message: member.Spread{}})
-}
-
 // isWatcher ranks the live hosts of the data centre by the same hash as
 // ownership, so that no lease call is needed to agree on the watchers.
 func (t *manifestTask) isWatcher() bool {
@@ -163,12 +221,3 @@
 	}
 	return false
 }
-
-func (t *manifestTask) pause(ctx context.Context, delay time.Duration) {
-	tick := t.timer.After(delay)
-	defer tick.Stop()
-	select {
-	case <-tick.C():
-	case <-ctx.Done():
-	}
-}
--- a/host/members.go
+++ b/host/members.go
@@ -31,10 +31,11 @@
 		interval time.Duration
 		inbox    chan memberRequest
 		view     atomic.Pointer[spoke.Membership]
-		newer    chan spoke.Peer
+		// seen is signalled after each change of the view.
+		seen chan struct{}
 		// marks takes the quarantine marks of other hosts; it is set before the task runs.
 		marks func([]spoke.QuarantineMark)
-		seen  map[spoke.HostID]markState
+		known map[spoke.HostID]markState
 	}
 
 	// markState tells whether a host's marks were taken already.
@@ -57,9 +58,9 @@
 	task := &memberTask{
 		table: table, self: self, client: client, timer: timer, interval: interval,
 		inbox: make(chan memberRequest, memberInbox),
-		newer: make(chan spoke.Peer, 1),
+		seen:  make(chan struct{}, 1),
 		marks: func([]spoke.QuarantineMark) {},
-		seen:  make(map[spoke.HostID]markState),
+		known: make(map[spoke.HostID]markState),
 	}
 	task.publish()
 	return task
@@ -166,16 +167,14 @@
 	}
 }
 
-// publish replaces the view and points out a peer with a newer configuration.
+// publish replaces the view.
 func (t *memberTask) publish() {
 	peers := t.table.View(t.timer.Now())
 	t.passMarks(peers)
 	t.view.Store(&spoke.Membership{Self: t.self, Peers: peers, Epoch: ownersEpoch(peers)})
-	if newest, ok := newestPeer(peers, t.self); ok {
-		select {
-		case t.newer <- newest:
-		default:
-		}
+	select {
+	case t.seen <- struct{}{}:
+	default:
 	}
 }
 
@@ -187,23 +186,13 @@
 			continue
 		}
 		state := markState{peer.Incarnation, len(marks), marks[len(marks)-1]}
-		if t.seen[id] != state {
-			t.seen[id] = state
+		if t.known[id] != state {
+			t.known[id] = state
 			t.marks(marks)
 		}
 	}
 }
 
-func newestPeer(peers map[spoke.HostID]spoke.Peer, self spoke.HostID) (spoke.Peer, bool) {
-	best := peers[self]
-	for _, peer := range peers {
-		if peer.State != spoke.PeerDead && peer.Digest.Number > best.Digest.Number {
-			best = peer
-		}
-	}
-	return best, best.ID != self
-}
-
 // ownersEpoch is a hash of the hosts that may own upstreams, so that equal
 // sets have equal epochs on all hosts.
 func ownersEpoch(peers map[spoke.HostID]spoke.Peer) uint64 {
--- a/host/peer.go
+++ b/host/peer.go
@@ -6,7 +6,6 @@
 
 	"magnoliaspoke.example/spoke"
 	"magnoliaspoke.example/spoke/member"
-	"magnoliaspoke.example/spoke/ticket"
 )
 
 // peerAPI is what the host serves to other entry hosts.
@@ -17,13 +16,15 @@
 	return p.host.members.Heartbeat(ctx, beat)
 }
 
-// Manifest returns the encoded configuration in force, nil if there is none.
-func (p peerAPI) Manifest() ([]byte, error) {
-	manifest := p.host.view.Current()
-	if manifest == nil {
-		return nil, nil
-	}
-	return ticket.EncodeManifest(manifest)
+// Update returns the encoded update that follows a ticket number, nil before the
+// first configuration.
+func (p peerAPI) Update(ctx context.Context, after spoke.TicketNumber) ([]byte, error) {
+	return p.host.manifest.UpdateSince(ctx, after)
+}
+
+// TakeUpdate takes an encoded update that another host pushes.
+func (p peerAPI) TakeUpdate(ctx context.Context, from spoke.HostID, update []byte) error {
+	return p.host.manifest.TakeUpdate(ctx, from, update)
 }
 
 // Run starts an attempt at an upstream that the host owns.
--- a/host/swaps.go
+++ b/host/swaps.go
@@ -37,7 +37,7 @@
 type (
 	// swapTask brings engines to the wanted model versions while it holds the orders lease.
 	swapTask struct {
-		self       spoke.HostID
+		holder     spoke.HostID
 		manifest   spoke.ManifestSource
 		views      *viewTable
 		isWatcher  func() bool
@@ -116,7 +116,7 @@
 	switch isWatcher := t.isWatcher(); {
 	case isWatcher && t.keeper == nil:
 		ctx, cancel := context.WithCancel(ctx)
-		t.keeper = lease.New(t.leases, ordersLease, t.self, ordersTTL, lease.WithTimer(t.timer))
+		t.keeper = lease.New(t.leases, ordersLease, t.holder, ordersTTL, lease.WithTimer(t.timer))
 		t.stopKeeper = cancel
 		go func(keeper *lease.Keeper) { _ = keeper.Run(ctx) }(t.keeper)
 	case !isWatcher && t.keeper != nil:
--- a/member/messages.go
+++ b/member/messages.go
@@ -54,10 +54,8 @@
 	SetNumber struct{ Number spoke.TicketNumber }
 	// AddMark adds a quarantine mark to the own digest and tells every host of the data centre.
 	AddMark struct{ Mark spoke.QuarantineMark }
-	// Leave marks the own host as leaving.
+	// Leave marks the own host as leaving and tells every host of the data centre.
 	Leave struct{}
-	// Spread sends a heartbeat at once, to every host of the data centre or to a few.
-	Spread struct{ Everyone bool }
 
 	// Action is an output of a Table.
 	Action interface{ isAction() }
@@ -80,7 +78,6 @@
 func (SetNumber) isMessage() {}
 func (AddMark) isMessage()   {}
 func (Leave) isMessage()     {}
-func (Spread) isMessage()    {}
 
 func (Send) isAction()  {}
 func (Reply) isAction() {}
--- a/member/table.go
+++ b/member/table.go
@@ -68,12 +68,10 @@
 		t.changeSelf(func(r *Record) { r.Digest.Number = max(r.Digest.Number, m.Number) })
 	case AddMark:
 		t.changeSelf(func(r *Record) { r.Digest.Marks = append(slices.Clone(r.Digest.Marks), m.Mark) })
-		return t.spread(true)
+		return t.spread()
 	case Leave:
 		t.changeSelf(func(r *Record) { r.Leaving = true })
-		return t.spread(true)
-	case Spread:
-		return t.spread(m.Everyone)
+		return t.spread()
 	}
 	return nil
 }
@@ -313,14 +311,10 @@
 	return actions
 }
 
-func (t *Table) spread(everyone bool) []Action {
-	local := t.localPeers()
-	count := t.fanOut
-	if everyone {
-		count = len(local)
-	}
+// spread contacts every host of the data centre and one of each other one.
+func (t *Table) spread() []Action {
 	t.hosts[t.self].beat.Count++
-	actions := t.sendTo(t.sample(local, count), t.heartbeat(false))
+	actions := t.sendTo(t.localPeers(), t.heartbeat(false))
 	for _, hosts := range t.remotePeers() {
 		actions = append(actions, t.sendTo(t.sample(hosts, 1), t.heartbeat(true))...)
 	}
--- a/wire/client.go
+++ b/wire/client.go
@@ -8,6 +8,8 @@
 	"io"
 	"net"
 	"net/http"
+	"net/url"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -22,11 +24,14 @@
 	pathHeartbeats = "/internal/heartbeats"
 	pathManifest   = "/internal/manifest"
 
+	paramAfter = "after"
+	paramFrom  = "from"
+
 	// manifestLimit is the platform's bound of 1 MB for a value, with room for JSON.
 	manifestLimit    = 4 << 20
 	dialTimeout      = time.Second
 	heartbeatTimeout = time.Second
-	manifestTimeout  = 2 * time.Second
+	updateTimeout    = time.Second
 	idleConnections  = 64
 	idleConnTimeout  = 30 * time.Second
 )
@@ -67,11 +72,21 @@
 	return DecodeHeartbeat(answer)
 }
 
-// Manifest fetches the encoded configuration in force at a host.
-func (c *Client) Manifest(ctx context.Context, at spoke.Address) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, manifestTimeout)
+// FetchUpdate fetches the encoded update that follows a ticket number.
+func (c *Client) FetchUpdate(ctx context.Context, at spoke.Address, after spoke.TicketNumber) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, updateTimeout)
+	defer cancel()
+	query := url.Values{paramAfter: {strconv.FormatUint(uint64(after), 10)}}
+	return c.exchange(ctx, http.MethodGet, at, pathManifest+"?"+query.Encode(), nil)
+}
+
+// PushUpdate sends an encoded update to a host.
+func (c *Client) PushUpdate(ctx context.Context, at spoke.Address, from spoke.HostID, update []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, updateTimeout)
 	defer cancel()
-	return c.exchange(ctx, http.MethodGet, at, pathManifest, nil)
+	query := url.Values{paramFrom: {string(from)}}
+	_, err := c.exchange(ctx, http.MethodPost, at, pathManifest+"?"+query.Encode(), update)
+	return err
 }
 
 func (c *Client) exchange(ctx context.Context, method string, at spoke.Address, path string, body []byte) ([]byte, error) {
--- a/wire/server.go
+++ b/wire/server.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 
 	"magnoliaspoke.example/spoke"
 	"magnoliaspoke.example/spoke/member"
@@ -22,8 +23,11 @@
 	Peer interface {
 		// Heartbeat takes a heartbeat and returns the answer.
 		Heartbeat(ctx context.Context, beat member.Heartbeat) (member.Heartbeat, error)
-		// Manifest returns the encoded configuration in force, nil if there is none.
-		Manifest() ([]byte, error)
+		// Update returns the encoded update that follows a ticket number, nil before the
+		// first configuration.
+		Update(ctx context.Context, after spoke.TicketNumber) ([]byte, error)
+		// TakeUpdate takes an encoded update that another host pushes.
+		TakeUpdate(ctx context.Context, from spoke.HostID, update []byte) error
 		// Run starts an attempt at an upstream that the host owns.
 		Run(ctx context.Context, dispatch spoke.Dispatch) (spoke.RunStream, error)
 	}
@@ -44,7 +48,8 @@
 func NewServer(peer Peer, signer Signer, timer spoke.Timer, clock spoke.HybridClock) *Server {
 	server := &Server{peer: peer, signer: signer, timer: timer, clock: clock, mux: http.NewServeMux()}
 	server.mux.Handle("POST "+pathHeartbeats, server.verified(server.heartbeat))
-	server.mux.Handle("GET "+pathManifest, server.verified(server.manifest))
+	server.mux.Handle("GET "+pathManifest, server.verified(server.update))
+	server.mux.Handle("POST "+pathManifest, server.verified(server.takeUpdate))
 	server.mux.Handle("POST "+pathRuns, server.verified(server.run))
 	return server
 }
@@ -97,17 +102,28 @@
 	writeCompressed(w, encoded)
 }
 
-func (s *Server) manifest(w http.ResponseWriter, _ *http.Request, _ []byte) {
-	encoded, err := s.peer.Manifest()
+func (s *Server) update(w http.ResponseWriter, req *http.Request, _ []byte) {
+	after, err := strconv.ParseUint(req.URL.Query().Get(paramAfter), 10, 64)
 	if err != nil {
-		http.Error(w, err.Error(), http.StatusInternalServerError)
+		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	if encoded == nil {
+	encoded, err := s.peer.Update(req.Context(), spoke.TicketNumber(after))
+	switch {
+	case err != nil:
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+	case encoded == nil:
 		http.Error(w, "no configuration in force", http.StatusNotFound)
-		return
+	default:
+		writeCompressed(w, encoded)
+	}
+}
+
+func (s *Server) takeUpdate(w http.ResponseWriter, req *http.Request, body []byte) {
+	from := spoke.HostID(req.URL.Query().Get(paramFrom))
+	if err := s.peer.TakeUpdate(req.Context(), from, body); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
 	}
-	writeCompressed(w, encoded)
 }
 
 func (s *Server) run(w http.ResponseWriter, req *http.Request, body []byte) {
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -27,6 +28,7 @@
 	final  error
 	got    spoke.Dispatch
 	beat   member.Heartbeat
+	update string
 }
 
 func (s *scripted) Heartbeat(_ context.Context, beat member.Heartbeat) (member.Heartbeat, error) {
@@ -34,7 +36,14 @@
 	return beat, nil
 }
 
-func (s *scripted) Manifest() ([]byte, error) { return []byte(`{"number":7}`), nil }
+func (s *scripted) Update(_ context.Context, after spoke.TicketNumber) ([]byte, error) {
+	return fmt.Appendf(nil, "update after %d", after), nil
+}
+
+func (s *scripted) TakeUpdate(_ context.Context, from spoke.HostID, update []byte) error {
+	s.update = string(from) + ": " + string(update)
+	return nil
+}
 
 func (s *scripted) Run(_ context.Context, dispatch spoke.Dispatch) (spoke.RunStream, error) {
 	s.got = dispatch
@@ -190,6 +199,17 @@
 	assert.DeepEqual(t, answer, beat)
 }
 
+// Guards against updates that lose their number, sender or content on the way.
+func TestUpdatesCross(t *testing.T) {
+	peer := &scripted{}
+	client, at := serve(t, peer)
+	fetched, err := client.FetchUpdate(context.Background(), at, 41)
+	assert.NilError(t, err)
+	assert.Equal(t, string(fetched), "update after 41")
+	assert.NilError(t, client.PushUpdate(context.Background(), at, "h 2", []byte("next")))
+	assert.Equal(t, peer.update, "h 2: next")
+}
+
 func lastError(t *testing.T, client *wire.Client, at spoke.Address) error {
 	t.Helper()
 	stream, err := client.Run(context.Background(), at, sampleDispatch())
