Outlast dead owners and bound the marks of an answer

A lost owner counted as a failure of the upstream and the request asked for the same upstream again, so four fast errors ended it before the 4 s in which a dead owner is replaced. A lost owner now sends the request elsewhere and, with none left, into the paused rounds, bounded at 32 losses. The marks that trim overlapping pieces are bounded at 512 a stream. Counting losses without a bound was ruled out, since each attempt takes from the retry budget.

--- a/runner/answer.go
+++ b/runner/answer.go
@@ -8,6 +8,10 @@
 	"magnoliaspoke.example/spoke"
 )
 
+// maxMarks bounds the pieces that an overlap can be matched with; an overlap comes
+// from a resume or a repeated piece and does not reach far back.
+const maxMarks = 256
+
 type (
 	// answer is the text that the caller has, with the byte offset of each
 	// piece's first token, so that an overlapping piece can be trimmed.
@@ -40,6 +44,9 @@
 		piece.Text = ""
 		return piece, nil
 	}
+	if len(a.starts) == 2*maxMarks {
+		a.starts = append(a.starts[:0], a.starts[maxMarks:]...)
+	}
 	a.starts = append(a.starts, mark{a.tokens, a.text.Len()})
 	a.text.WriteString(piece.Text)
 	a.tokens += piece.Tokens
--- a/runner/failure.go
+++ b/runner/failure.go
@@ -36,27 +36,29 @@
 		m.preemptions++
 		return m.ask()
 	}
+	m.retry = true
+	if errors.Is(err, spoke.ErrOwnerLost) && m.ownerLosses < maxOwnerLosses {
+		m.ownerLosses++
+		m.exclude[failed.upstream] = true
+		return m.ask()
+	}
 	m.failures++
 	var actions []Action
 	if errors.Is(err, spoke.ErrUpstreamDied) {
 		actions = append(actions, ReportDeath{Attempt: failed.id})
 		m.exclude[failed.upstream] = true
 	}
-	m.blame(failed.upstream, err)
+	m.blame(failed.upstream)
 	if m.failures >= maxFailures {
 		return append(actions, m.finish(m.final(m.brokenRefusal("no attempt is left")))...)
 	}
-	m.retry = true
 	return append(actions, m.ask()...)
 }
 
 // blame keeps the request on its upstream after one broken stream and takes it
 // elsewhere after more.
-func (m *Machine) blame(upstream spoke.UpstreamID, err error) {
+func (m *Machine) blame(upstream spoke.UpstreamID) {
 	m.prefer = upstream
-	if errors.Is(err, spoke.ErrOwnerLost) {
-		return
-	}
 	m.broken[upstream]++
 	if m.broken[upstream] >= sameUpstreamTries {
 		m.exclude[upstream] = true
--- a/runner/machine.go
+++ b/runner/machine.go
@@ -30,6 +30,7 @@
 
 		ran         bool
 		failures    int
+		ownerLosses int
 		preemptions int
 		rounds      int
 		refused     []*spoke.Refusal
--- a/runner/messages.go
+++ b/runner/messages.go
@@ -113,9 +113,13 @@
 	maxPreemptions = 64
 	// maxRounds bounds how often a request that has run waits for a place to resume.
 	maxRounds = 12
-	// maxRoundsUndelivered is the same bound while the caller has no token yet; a
-	// final answer with a retry hint serves it better than a long wait.
-	maxRoundsUndelivered = 4
+	// maxRoundsUndelivered is the same bound while the caller has no token yet. Its
+	// 5 s outlast the 4 s after which a dead owner is replaced; beyond that, a
+	// final answer with a retry hint serves the caller better.
+	maxRoundsUndelivered = 6
+	// maxOwnerLosses bounds the attempts whose owner was lost. They do not count
+	// as failures of the upstream: a dead owner fails fast until it is replaced.
+	maxOwnerLosses = 32
 	// sameUpstreamTries is how often one upstream may break a stream before the
 	// request leaves it; a single broken connection says little about the upstream.
 	sameUpstreamTries = 2
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -146,6 +146,20 @@
 	})
 }
 
+// Guards against requests given up in the seconds before a dead owner is replaced.
+func TestLostOwnersAreOutlasted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &script{}
+		for range 25 {
+			s.acts = append(s.acts, act{end: "owner-lost"})
+		}
+		got, err := gather(context.Background(), newRunner(s), request("p"))
+		assert.NilError(t, err)
+		assert.Equal(t, got, text("p", "v1", 0, answerTokens))
+		assert.Equal(t, s.started, 26)
+	})
+}
+
 // Guards against an answer that mixes model versions while upstreams swap, and
 // against refusals while only the old version serves.
 func TestAnswersKeepTheirVersion(t *testing.T) {
@@ -164,9 +178,8 @@
 		assert.Equal(t, got, text("p", "v1", 0, answerTokens))
 		assert.Equal(t, s.seen[2].Upstream, spoke.UpstreamID("engine-4"))
 
-		s = &script{acts: []act{{end: "cut", stop: 5}, {end: "cut", stop: 7}}}
+		s = &script{acts: []act{{end: "cut", stop: 5}, {end: "cut", stop: 7}, {end: "died", stop: 8}}}
 		s.versions = map[spoke.UpstreamID]spoke.ModelVersion{"engine-1": "v0", "engine-2": "v0", "engine-3": "v0", "engine-4": "v0"}
-		s.acts = append(s.acts, act{end: "died", stop: 8})
 		got, err = gather(context.Background(), newRunner(s), request("p"))
 		assert.NilError(t, err)
 		assert.Equal(t, got, text("p", "v1", 0, answerTokens))
--- a/runner/script_test.go
+++ b/runner/script_test.go
@@ -41,6 +41,7 @@
 
 	// script is a dispatcher that plays one act for each attempt, then whole answers.
 	script struct {
+		spoke.Dispatcher
 		acts     []act
 		started  int
 		ran      int
@@ -81,10 +82,6 @@
 	return all
 }
 
-func (s *script) Call(context.Context, spoke.CallDispatch) (spoke.PlainAnswer, error) {
-	return spoke.PlainAnswer{}, spoke.ErrNotRun
-}
-
 func (s *script) Dispatch(_ context.Context, dispatch spoke.Dispatch) (spoke.RunStream, error) {
 	current := act{end: "whole"}
 	if s.started < len(s.acts) {
