Quarantine plain calls that crash upstreams

A repeatable call that kills its upstream was repeated up to three times. The executor takes a spoke.Quarantine: two deaths refuse the call, and a twin of a suspect is refused as overloaded instead of held, since plain calls have no stream to keep open. Solo was ruled out: CallDispatch has no such field and plain services run no batch.

--- a/plain/client_test.go
+++ b/plain/client_test.go
@@ -18,14 +18,11 @@
 
 // direct sends all attempts to one address.
 type direct struct {
+	spoke.Dispatcher
 	client *plain.Client
 	at     spoke.Address
 }
 
-func (d direct) Dispatch(context.Context, spoke.Dispatch) (spoke.RunStream, error) {
-	return nil, spoke.ErrNotRun
-}
-
 func (d direct) Call(ctx context.Context, dispatch spoke.CallDispatch) (spoke.PlainAnswer, error) {
 	return d.client.Call(ctx, d.at, dispatch.Call)
 }
@@ -107,7 +104,7 @@
 	service := standin.New(standin.WithFaults(standin.Faults{Refuse: 1}))
 	_, at := start(t, service)
 	table := newClaims()
-	e := newExecutor(direct{client, at}, table, plain.WithTimeouts(time.Second, 200*time.Millisecond))
+	e := newExecutor(direct{client: client, at: at}, table, plain.WithTimeouts(time.Second, 200*time.Millisecond))
 	defer e.Wait()
 
 	_, err := e.Call(context.Background(), booking("r1", "a", "x"))
--- a/plain/executor.go
+++ b/plain/executor.go
@@ -52,6 +52,7 @@
 		// background counts the runs and claim updates that outlive their caller.
 		background sync.WaitGroup
 		events     spoke.EventSink
+		quarantine spoke.Quarantine
 	}
 
 	// Option changes an Executor.
@@ -61,6 +62,7 @@
 	job struct {
 		*Executor
 		call     spoke.ServiceCall
+		content  spoke.Fingerprint
 		service  spoke.Service
 		rank     spoke.Rank
 		attempts int
@@ -102,6 +104,11 @@
 	return func(e *Executor) { e.events = events }
 }
 
+// WithQuarantine refuses calls that crash the upstreams which run them.
+func WithQuarantine(quarantine spoke.Quarantine) Option {
+	return func(e *Executor) { e.quarantine = quarantine }
+}
+
 // WithTimeouts bounds one attempt of a repeatable and of a non-repeatable call.
 func WithTimeouts(repeatable, once time.Duration) Option {
 	return func(e *Executor) { e.repeatableTimeout, e.onceTimeout = repeatable, once }
@@ -117,7 +124,7 @@
 
 // Call makes a call of a plain service; its errors are a *spoke.Refusal.
 func (e *Executor) Call(ctx context.Context, call spoke.ServiceCall) (spoke.PlainAnswer, error) {
-	j := &job{Executor: e, call: call}
+	j := &job{Executor: e, call: call, content: contentOf(call)}
 	if refusal := j.prepare(); refusal != nil {
 		return spoke.PlainAnswer{}, j.final(refusal)
 	}
@@ -126,6 +133,7 @@
 		ctx, cancel = context.WithTimeout(ctx, call.Deadline.Sub(e.parts.Timer.Now()))
 		defer cancel()
 	}
+	defer j.leave()
 	answer, refusal := j.run(ctx)
 	if refusal != nil {
 		return spoke.PlainAnswer{}, j.final(refusal)
@@ -134,6 +142,9 @@
 }
 
 func (j *job) run(ctx context.Context) (spoke.PlainAnswer, *spoke.Refusal) {
+	if refusal := j.quarantined(); refusal != nil {
+		return spoke.PlainAnswer{}, refusal
+	}
 	if !j.isNonRepeatable() {
 		return j.repeatable(ctx)
 	}
@@ -204,7 +215,9 @@
 	event.Kind = "call-started"
 	j.record(event)
 	began := j.parts.Timer.Now()
+	j.begin(dispatch)
 	answer, err := j.parts.Dispatcher.Call(ctx, dispatch)
+	j.end(dispatch, err)
 	event.Kind = "call-ended"
 	event.Duration = j.parts.Timer.Now().Sub(began)
 	if err != nil {
--- a/plain/executor_test.go
+++ b/plain/executor_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,6 +13,7 @@
 	"pgregory.net/rapid"
 
 	"magnoliaspoke.example/spoke"
+	"magnoliaspoke.example/spoke/crash"
 	"magnoliaspoke.example/spoke/plain"
 )
 
@@ -55,31 +57,24 @@
 
 func book(e *plain.Executor, calls []spoke.ServiceCall, deadline time.Duration, together bool) []result {
 	results := make([]result, len(calls))
-	done := make(chan struct{}, len(calls))
+	var group sync.WaitGroup
 	for i, call := range calls {
-		begin := time.Duration(0)
-		if together {
-			// Calls overlap in a fixed order, so that a failure can be reproduced.
-			begin = time.Duration(i) * 50 * time.Millisecond
-		}
-		go func() {
-			<-time.After(begin)
+		group.Go(func() {
+			if together {
+				// Calls overlap in a fixed order, so that a failure can be reproduced.
+				<-time.After(time.Duration(i) * 50 * time.Millisecond)
+			}
 			if deadline > 0 {
 				call.Deadline = time.Now().Add(deadline)
 			}
 			answer, err := e.Call(context.Background(), call)
 			results[i] = result{call.ID, call, answer, err}
-			done <- struct{}{}
-		}()
+		})
 		if !together {
-			<-done
-		}
-	}
-	for range calls {
-		if together {
-			<-done
+			group.Wait()
 		}
 	}
+	group.Wait()
 	e.Wait()
 	return results
 }
@@ -199,6 +194,21 @@
 	})
 }
 
+// Guards against a call that kills upstream after upstream.
+func TestCrashingCallIsQuarantined(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		u := newUpstreams("died", "died", "died")
+		e := newExecutor(u, newClaims(), plain.WithQuarantine(crash.New()))
+		lookup := booking("r1", "", "")
+		lookup.Path = "/stock/7"
+		for range 2 {
+			_, err := e.Call(context.Background(), lookup)
+			assert.Equal(t, refusalIn(err).Code, spoke.CodeQuarantined)
+			assert.Equal(t, len(u.seen), 2)
+		}
+	})
+}
+
 // Guards against a slow platform that holds a booking back, and against an
 // encoded path that passes for a repeatable call.
 func TestPlatformOutAndEncodedPath(t *testing.T) {
--- a/plain/once.go
+++ b/plain/once.go
@@ -152,7 +152,7 @@
 func (j *job) claimRequest() spoke.ClaimRequest {
 	return spoke.ClaimRequest{
 		ID:      spoke.ClaimID{Workspace: j.call.Workspace, Service: j.call.Service, Key: j.call.Key},
-		Content: contentOf(j.call),
+		Content: j.content,
 		Attempt: j.attemptID(1),
 		Host:    j.host,
 	}
--- a/plain/repeat.go
+++ b/plain/repeat.go
@@ -36,6 +36,9 @@
 		if ctx.Err() != nil {
 			return spoke.PlainAnswer{}, interrupted(ctx)
 		}
+		if refusal := j.quarantined(); refusal != nil {
+			return spoke.PlainAnswer{}, refusal
+		}
 		if failures >= maxAttempts || !j.withdraw() {
 			return spoke.PlainAnswer{}, hinted(failed(err))
 		}
--- a/plain/setup_test.go
+++ b/plain/setup_test.go
@@ -22,6 +22,7 @@
 type (
 	// upstreams plays one act for each attempt and counts the runs.
 	upstreams struct {
+		spoke.Dispatcher
 		mu        sync.Mutex
 		acts      []string
 		runs      map[spoke.IdempotencyKey]int
@@ -53,10 +54,6 @@
 	return act
 }
 
-func (u *upstreams) Dispatch(context.Context, spoke.Dispatch) (spoke.RunStream, error) {
-	return nil, spoke.ErrNotRun
-}
-
 func (u *upstreams) Call(ctx context.Context, dispatch spoke.CallDispatch) (spoke.PlainAnswer, error) {
 	if u.delay > 0 {
 		<-time.After(u.delay)
@@ -78,6 +75,8 @@
 	switch act {
 	case "cut":
 		return spoke.PlainAnswer{}, errLost
+	case "died":
+		return spoke.PlainAnswer{}, spoke.ErrUpstreamDied
 	case "silent":
 		u.mu.Unlock()
 		<-ctx.Done()
@@ -149,8 +148,7 @@
 		},
 		spoke.Rank{Name: "normal"},
 	}})}
-	quiet := logrus.New()
-	quiet.SetOutput(io.Discard)
+	quiet := &logrus.Logger{Out: io.Discard}
 	parts := plain.Parts{Manifests: here, Views: here, Router: here, Dispatcher: dispatcher, Claims: table, Timer: timer.NewSystem()}
 	return plain.NewExecutor(parts, append([]plain.Option{plain.WithLog(quiet), plain.WithHost("host-1")}, opts...)...)
 }
