--- a/openai/errors.go
+++ b/openai/errors.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"magnoliaspoke.example/spoke"
 )
 
@@ -61,6 +63,7 @@
 // refuse gives a refusal as the whole answer.
 func (x *exchange) refuse(err error) {
 	refusal := x.refusalOf(err)
+	x.logRefusal(refusal).Info("request refused")
 	header := x.w.Header()
 	if refusal.RetryAfter > 0 {
 		// Retry-After counts whole seconds; rounding up keeps callers from coming early.
@@ -76,6 +79,16 @@
 	x.writeJSON(statusOf(refusal), encodeRefusal(refusal))
 }
 
+func (x *exchange) logRefusal(refusal *spoke.Refusal) *logrus.Entry {
+	return x.log.WithFields(logrus.Fields{
+		"request-id": x.id,
+		"workspace":  x.workspace.ID,
+		"code":       refusal.Code,
+		"outcome":    refusal.Outcome,
+		"reason":     refusal.Message,
+	})
+}
+
 // writeJSON gives a whole answer; its length shows the caller whether it is complete.
 func (x *exchange) writeJSON(status int, body any) {
 	raw, err := json.Marshal(body)
--- a/openai/stream.go
+++ b/openai/stream.go
@@ -95,8 +95,10 @@
 	if !e.open {
 		return err
 	}
+	refusal := e.x.refusalOf(err)
+	e.x.logRefusal(refusal).Warn("stream broken")
 	e.buffer.Reset()
-	e.add(encodeRefusal(e.x.refusalOf(err)))
+	e.add(encodeRefusal(refusal))
 	_ = e.flush()
 	panic(http.ErrAbortHandler)
 }
