Quarantine plain calls and finish claims before a host exits

Cause: plain calls bypassed the quarantine, and answers of non-repeatable calls that outlive their caller could be lost with the process.

Change: the executor of plain calls uses the shared quarantine, the caller server takes the limits of package openai, and a drained host waits up to 5 s for calls and claims.

--- a/host/host.go
+++ b/host/host.go
@@ -34,6 +34,8 @@
 	headerTimeout = 10 * time.Second
 	// maxMarks bounds the quarantine marks of a heartbeat; one takes about 100 bytes.
 	maxMarks = 100
+	// claimsLimit bounds how long a stopped host waits for the platform.
+	claimsLimit = 5 * time.Second
 )
 
 type (
@@ -58,6 +60,7 @@
 		owner     *owner
 		platform  *coord.Client
 		claims    *claim.Claims
+		calls     *plain.Executor
 		drainer   *drainer
 		caller    *http.Server
 		internal  *http.Server
@@ -162,13 +165,15 @@
 	}
 	budget := newRetryBudget(h.timer)
 	router := &sharedRouter{router: route.NewAffinity()}
-	calls := plain.NewExecutor(plain.Parts{
+	h.calls = plain.NewExecutor(plain.Parts{
 		Manifests: h.view, Views: h.views, Router: router, Dispatcher: dispatcher,
 		Claims: h.claims, Timer: h.timer,
 	},
 		plain.WithHost(h.settings.Host),
 		plain.WithDataCentre(h.settings.DataCentre),
 		plain.WithBudget(budget),
+		plain.WithQuarantine(h.crashes),
+		plain.WithEvents(h.events),
 		plain.WithLog(h.log),
 	)
 	requests := runner.New(runner.Parts{
@@ -176,14 +181,15 @@
 	},
 		runner.WithDataCentre(h.settings.DataCentre),
 		runner.WithBudget(budget),
-		runner.WithCalls(calls.Call),
+		runner.WithCalls(h.calls.Call),
 		runner.WithKeys(blockKeys),
 		runner.WithQuarantine(h.crashes),
 		runner.WithEvents(h.events),
 	)
 	front := openai.New(requests, h.view, openai.WithLog(h.log))
 	h.metrics = newMetrics(h)
-	h.caller = server(h.ready(h.metrics.counted(front)))
+	h.caller = openai.NewServer(front)
+	h.caller.Handler = h.ready(h.metrics.counted(front))
 	h.internal = server(wire.NewServer(peerAPI{h}, signer, h.timer, h.events))
 	h.exporter = server(h.metrics)
 	operators := administration{host: h, acceptor: ticket.NewAcceptor(h.platform)}
@@ -226,6 +232,7 @@
 	}
 	group.Add(func() error { return h.drainer.run(ctx) }, func(error) { h.drainer.Begin() })
 	err := group.Run()
+	h.finishClaims()
 	h.listeners.Close()
 	_ = h.admin.Close()
 	_ = h.exporter.Close()
@@ -235,6 +242,25 @@
 	return err
 }
 
+// finishClaims lets recorded answers of non-repeatable calls reach the platform.
+func (h *Host) finishClaims() {
+	ctx, cancel := context.WithTimeout(context.Background(), claimsLimit)
+	defer cancel()
+	finished := make(chan struct{})
+	go func() {
+		defer close(finished)
+		h.calls.Wait()
+	}()
+	select {
+	case <-finished:
+	case <-ctx.Done():
+		h.log.Warn("calls still run at the end of the drain")
+	}
+	if err := h.claims.Close(ctx); err != nil {
+		h.log.WithError(err).Warn("claims not finished")
+	}
+}
+
 // addServer keeps the group running when a server is shut down by the drain,
 // because requests may still be in progress.
 func (h *Host) addServer(group *run.Group, serve func() error) {
