Halve the headroom of the heap and shrink stream buffers

Cause: an open stream took 184 KB, of which a profile shows buffers of 4 KB in each direction of each internal connection and garbage up to the size of the live heap.

--- a/cmd/entry/main.go
+++ b/cmd/entry/main.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/signal"
 	"runtime"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/alexflint/go-arg"
@@ -21,6 +22,9 @@
 const (
 	exitFailed   = 1
 	exitSettings = 2
+	// gcPercent halves the headroom of the heap: an open stream took 153 KB in place of
+	// 184 KB, and the processor time did not change measurably.
+	gcPercent = 50
 )
 
 type (
@@ -61,6 +65,7 @@
 
 func serve(settings config.Entry) error {
 	runtime.GOMAXPROCS(settings.MaxProcessors)
+	debug.SetGCPercent(gcPercent)
 	listeners, err := host.Listen(settings)
 	if err != nil {
 		return err
--- a/engine/client.go
+++ b/engine/client.go
@@ -19,6 +19,9 @@
 	maxControlConnections = 8
 	maxIdleConnections    = 16
 	idleTimeout           = 30 * time.Second
+	// streamBuffer holds a few events of a token each; the default of 4096 bytes in
+	// each direction was a tenth of the memory of an open stream.
+	streamBuffer = 1024
 	// maxPools bounds the engines with pooled connections; a data centre has about 90.
 	maxPools = 1024
 	// defaultDialTimeout is far above a round trip between data centres of one region.
@@ -113,6 +116,8 @@
 		MaxConnsPerHost:     limit,
 		MaxIdleConnsPerHost: maxIdleConnections,
 		IdleConnTimeout:     idleTimeout,
+		ReadBufferSize:      streamBuffer,
+		WriteBufferSize:     streamBuffer,
 		DisableCompression:  true,
 	}
 }
--- a/wire/client.go
+++ b/wire/client.go
@@ -34,6 +34,8 @@
 	updateTimeout    = time.Second
 	idleConnections  = 64
 	idleConnTimeout  = 30 * time.Second
+	// streamBuffer holds a few frames of a token each.
+	streamBuffer = 1024
 )
 
 type (
@@ -53,6 +55,8 @@
 		MaxIdleConnsPerHost: idleConnections,
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
+		ReadBufferSize:      streamBuffer,
+		WriteBufferSize:     streamBuffer,
 	}
 	return &Client{http: &http.Client{Transport: transport}, signer: signer, timer: timer, clock: clock}
 }
