End entry hosts after their drain

Cause: Run closed the administration and metrics servers only after the task group had ended, and the group waited for these servers. An entry host finished its drain after SIGTERM and then never exited.

Ruled out: open requests and idle peers. The time line shows drain-finished 1.0 s after the signal, and the process had no load.

Change: the group closes both servers when it is interrupted. They still serve until the drain has ended.

Measured: make prove RUN=ticket-old-reads, which stops and starts a host while the platform gives old reads, failed before with 'wait for end of process two-b: context deadline exceeded' after 20 s and passes now. Conclusion: a planned stop ends with exit code 0.

--- a/host/host.go
+++ b/host/host.go
@@ -133,7 +133,7 @@
 		timer: h.timer, events: h.events, log: h.log,
 	}
 	h.digest = &digestTask{
-		manifest: h.view, admission: h.admission, followers: h.followers, members: h.members,
+		manifest: h.view, admission: h.admission, members: h.members,
 		marks: h.marks, leaving: h.leavingUpstreams,
 		timer: h.timer,
 	}
@@ -222,20 +222,15 @@
 	} {
 		group.Add(func() error { return task(h.life) }, func(error) { h.end() })
 	}
-	for _, serve := range []func() error{
-		func() error { return h.caller.Serve(h.listeners.Caller) },
-		func() error { return h.internal.Serve(h.listeners.Internal) },
-		func() error { return h.admin.Serve(h.listeners.Admin) },
-		func() error { return h.exporter.Serve(h.listeners.Metrics) },
-	} {
-		h.addServer(&group, serve)
-	}
+	// The drain shuts the first two servers down; the others serve until it has ended.
+	h.addServer(&group, func() error { return h.caller.Serve(h.listeners.Caller) }, nil)
+	h.addServer(&group, func() error { return h.internal.Serve(h.listeners.Internal) }, nil)
+	h.addServer(&group, func() error { return h.admin.Serve(h.listeners.Admin) }, h.admin)
+	h.addServer(&group, func() error { return h.exporter.Serve(h.listeners.Metrics) }, h.exporter)
 	group.Add(func() error { return h.drainer.run(ctx) }, func(error) { h.drainer.Begin() })
 	err := group.Run()
 	h.finishClaims()
 	h.listeners.Close()
-	_ = h.admin.Close()
-	_ = h.exporter.Close()
 	if errors.Is(err, context.Canceled) {
 		return nil
 	}
@@ -262,8 +257,9 @@
 }
 
 // addServer keeps the group running when a server is shut down by the drain,
-// because requests may still be in progress.
-func (h *Host) addServer(group *run.Group, serve func() error) {
+// because requests may still be in progress. A server that is given is closed with the group,
+// which otherwise waits for it without end.
+func (h *Host) addServer(group *run.Group, serve func() error, closed *http.Server) {
 	group.Add(func() error {
 		err := serve()
 		if errors.Is(err, http.ErrServerClosed) {
@@ -271,7 +267,12 @@
 			return nil
 		}
 		return err
-	}, func(error) { h.end() })
+	}, func(error) {
+		h.end()
+		if closed != nil {
+			_ = closed.Close()
+		}
+	})
 }
 
 // IsReady reports whether the host accepts work.
