Let runs wait for a new owner of their upstream

Cause: other hosts see at once that a host drains and send the runs of its upstreams to the new owner. The new owner took them only after its next reconciliation, up to 250 ms later, and refused them until then. Stopping hosts one after another made callers see no-upstream refusals.

Ruled out: a shorter period alone, which narrows the gap but keeps it, and retries by the requester, because both engines of a data centre changed their owner at the same time.

Change: a run for an upstream that the host does not follow yet wakes the reconciliation and waits for at most 500 ms; the admission knows the upstream before the run sees that it is followed.

With it, make prove RUN=stop- COUNT=5 had all requests of the flow served. Conclusion: hosts can be stopped under load.

--- a/host/followers.go
+++ b/host/followers.go
@@ -13,6 +13,11 @@
 const (
 	// reconcilePeriod bounds how long a new owner takes to start following an upstream.
 	reconcilePeriod = 250 * time.Millisecond
+	// handoverLimit bounds how long a run waits for this host to become the owner that its
+	// requester already sees; the news of a change arrives within one heartbeat.
+	handoverLimit = 500 * time.Millisecond
+	// handoverCheck is the period at which a waiting run looks again.
+	handoverCheck = 5 * time.Millisecond
 )
 
 type (
@@ -28,7 +33,9 @@
 
 		followers map[spoke.UpstreamID]*follower
 		shared    atomic.Pointer[map[spoke.UpstreamID]*follower]
-		applied   *spoke.Manifest
+		// wake asks for a reconciliation before its time.
+		wake    chan struct{}
+		applied *spoke.Manifest
 	}
 )
 
@@ -36,6 +43,7 @@
 	task := &followerTask{
 		views: views, manifest: manifest, admission: admission, engine: engine, timer: timer, events: events,
 		followers: make(map[spoke.UpstreamID]*follower),
+		wake:      make(chan struct{}, 1),
 	}
 	task.share()
 	return task
@@ -46,6 +54,35 @@
 	return sortedIDs(*t.shared.Load())
 }
 
+// Await returns when the task follows an upstream or the limit of a handover has passed.
+func (t *followerTask) Await(ctx context.Context, id spoke.UpstreamID) {
+	if t.follows(id) {
+		return
+	}
+	limit := t.timer.After(handoverLimit)
+	defer limit.Stop()
+	ticks := t.timer.Every(handoverCheck)
+	defer ticks.Stop()
+	for !t.follows(id) {
+		select {
+		case t.wake <- struct{}{}:
+		default:
+		}
+		select {
+		case <-ticks.C():
+		case <-limit.C():
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (t *followerTask) follows(id spoke.UpstreamID) bool {
+	_, ok := (*t.shared.Load())[id]
+	return ok
+}
+
 // Status returns what the own host observed of an upstream that it owns.
 func (t *followerTask) Status(id spoke.UpstreamID) (upstreamStatus, bool) {
 	follower, ok := (*t.shared.Load())[id]
@@ -66,6 +103,7 @@
 		t.reconcile(ctx)
 		select {
 		case <-ticks.C():
+		case <-t.wake:
 		case <-ctx.Done():
 			return ctx.Err()
 		}
@@ -123,7 +161,8 @@
 
 func (t *followerTask) configure(ctx context.Context, manifest *spoke.Manifest) {
 	t.applied = manifest
-	t.share()
+	// A run that waits for the upstream must find it configured.
+	defer t.share()
 	t.admission.Send(ctx, spoke.ConfigureAdmission{
 		Ranks:      manifest.Ranks(),
 		Workspaces: manifest.Workspaces(),
--- a/host/host.go
+++ b/host/host.go
@@ -121,7 +121,7 @@
 	h.blocks = newBlockTask(h.view, engines, h.timer, h.events)
 	h.followers.watch = h.blocks.watch
 	h.owner = &owner{
-		manifest: h.view, admission: h.admission, engine: engines, blocks: h.blocks,
+		manifest: h.view, followers: h.followers, admission: h.admission, engine: engines, blocks: h.blocks,
 		timer: h.timer, events: h.events, life: h.life,
 	}
 	h.swaps = &swapTask{
@@ -133,7 +133,7 @@
 		timer: h.timer, events: h.events, log: h.log,
 	}
 	h.digest = &digestTask{
-		manifest: h.view, admission: h.admission, members: h.members,
+		manifest: h.view, admission: h.admission, followers: h.followers, members: h.members,
 		marks: h.marks, leaving: h.leavingUpstreams,
 		timer: h.timer,
 	}
--- a/host/owner.go
+++ b/host/owner.go
@@ -32,6 +32,7 @@
 	// owner runs attempts at the upstreams that the host owns.
 	owner struct {
 		manifest  spoke.ManifestSource
+		followers *followerTask
 		admission *admissionTask
 		engine    spoke.Engine
 		blocks    blockLoader
@@ -69,6 +70,8 @@
 	run := &ownedRun{owner: o, dispatch: dispatch, upstream: upstream, out: make(chan runResult, streamBuffer)}
 	run.reader, run.leave = context.WithCancel(ctx)
 	run.work, run.preempt = context.WithCancelCause(run.reader)
+	// Others may see a change of ownership before this host does.
+	o.followers.Await(run.reader, upstream.ID)
 	actions, err := o.admission.Submit(run.reader, run.item())
 	if err != nil {
 		run.leave()
