Keep the worst outcome and all figures of repeated scenarios

With COUNT above 1 the summary showed the outcome of the last run only, and figures of passing scenarios were dropped because testscript keeps their log only in verbose mode. The report now keeps the worst outcome of a scenario and prints every line that begins with 'measured:'.

--- a/cmd/trial/prove/report.go
+++ b/cmd/trial/prove/report.go
@@ -139,8 +139,8 @@
 	s.Cleanup(func() { <-s.report.running })
 }
 
-// Verbose reports whether passing scenarios print their log.
-func (s *scenario) Verbose() bool { return testing.Verbose() }
+// Verbose keeps the log of passing scenarios, which holds what they measured.
+func (s *scenario) Verbose() bool { return true }
 
 // Failed reports whether the scenario has failed, also if its failure is known.
 func (s *scenario) Failed() bool { return s.T.Failed() || s.Skipped() }
@@ -181,7 +181,10 @@
 	}
 	s.report.mu.Lock()
 	defer s.report.mu.Unlock()
-	s.report.outcomes[s.name] = outcome
+	// A scenario that runs several times keeps its worst outcome.
+	if s.report.outcomes[s.name] == "" || outcome != passed {
+		s.report.outcomes[s.name] = outcome
+	}
 }
 
 // Write prints one line for each promise with the scenarios behind it, then what was measured.
