Free the place of a preempted run with a slow reader

Cause: a preempted run waited in emit until its reader took a piece or left, since only the end of the reader ended the wait. With a full buffer the place at the upstream stayed taken, so that the urgent run went on waiting. Ruled out: dropping pieces of the buffer, which the reader may still deliver; the attempt that follows resumes at the offset delivered. Change: pieces wait for the run's own context; the final error still waits for the reader.

--- a/host/owner.go
+++ b/host/owner.go
@@ -111,7 +111,7 @@
 func (r *ownedRun) execute(actions <-chan spoke.AdmissionAction) {
 	granted, err := r.awaitGrant(actions)
 	if err != nil {
-		r.emit(runResult{err: err})
+		r.emit(r.reader, runResult{err: err})
 		return
 	}
 	if !granted {
@@ -182,7 +182,7 @@
 		err = r.explain(err)
 		r.record("run-failed", err.Error())
 	}
-	r.emit(runResult{err: err})
+	r.emit(r.reader, runResult{err: err})
 }
 
 // stream passes the engine's pieces on until its end mark or an error.
@@ -210,8 +210,9 @@
 		if piece.Finish != "" {
 			usage = piece.Usage
 		}
-		if !r.emit(runResult{piece: piece}) {
-			return usage, r.reader.Err()
+		// A slow reader must not keep a preempted run at its place.
+		if !r.emit(r.work, runResult{piece: piece}) {
+			return usage, context.Cause(r.work)
 		}
 	}
 }
@@ -229,11 +230,12 @@
 	return err
 }
 
-func (r *ownedRun) emit(result runResult) bool {
+// emit passes a result to the reader; false means that the context ended first.
+func (r *ownedRun) emit(ctx context.Context, result runResult) bool {
 	select {
 	case r.out <- result:
 		return true
-	case <-r.reader.Done():
+	case <-ctx.Done():
 		return false
 	}
 }
