Measure an engine's silence without its reader's pauses

Cause: the pace of a stream was taken between two reads, so that the pauses of a slow reader counted as gaps of the engine and put off the notice of a silent connection by minutes. A call that was not sent within the limit lost ErrNotRun, a stream that opened as the limit passed was never closed, and the limit ran on the system clock. Ruled out: a fixed idle limit, since large prompts need a longer one. Change: the pace is the time that a read waits; the limit of the start uses the timer service, closes a late stream and keeps ErrNotRun; an end mark beside the limit stays an end. Measured: go test ./host with the old idle.go fails three tests (silence before a connection, slow reader, late stream), with the new one none; go test -race -count=3 ./host passes. Conclusion: silence is noticed within its limit whoever reads.

--- a/host/idle.go
+++ b/host/idle.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"io"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -27,8 +29,9 @@
 	idleLimit struct {
 		timer spoke.Timer
 		first time.Duration
-		pace  time.Duration
-		last  time.Time
+		// pace is the moving mean of the gaps between pieces after the first one.
+		pace      time.Duration
+		isStarted bool
 	}
 )
 
@@ -41,38 +44,71 @@
 // ends the call and later the stream.
 func (l *idleLimit) start(cancel context.CancelCauseFunc, open func() (spoke.RunStream, error)) (spoke.RunStream, error) {
 	silent := eris.Wrapf(spoke.ErrSilent, "no answer within %s", l.first)
-	guard := time.AfterFunc(l.first, func() { cancel(silent) })
+	stop := l.guard(l.first, func() { cancel(silent) })
 	stream, err := open()
-	if !guard.Stop() {
+	if stop() {
+		return stream, err
+	}
+	if err == nil {
+		_ = stream.Close()
 		return nil, silent
 	}
-	return stream, err
+	if errors.Is(err, spoke.ErrNotRun) {
+		// The limit passed before the engine was reached or as it refused.
+		return nil, err
+	}
+	return nil, silent
+}
+
+// guard calls a function after a limit unless it is stopped; stop reports whether the
+// function was not and will not be called.
+func (l *idleLimit) guard(limit time.Duration, call func()) (stop func() bool) {
+	tick := l.timer.After(limit)
+	done := make(chan struct{})
+	var once sync.Once
+	isStopped := false
+	go func() {
+		defer tick.Stop()
+		select {
+		case <-tick.C():
+			once.Do(call)
+		case <-done:
+		}
+	}()
+	return func() bool {
+		close(done)
+		once.Do(func() { isStopped = true })
+		return isStopped
+	}
 }
 
 // next reads a piece or fails with spoke.ErrSilent.
 func (l *idleLimit) next(ctx context.Context, stream spoke.RunStream) (spoke.Piece, error) {
 	limit := l.limit()
+	asked := l.timer.Now()
 	ctx, cancel := context.WithTimeoutCause(ctx, limit, spoke.ErrSilent)
 	defer cancel()
 	piece, err := stream.Next(ctx)
-	if err != nil && errors.Is(context.Cause(ctx), spoke.ErrSilent) {
+	if err != nil && !errors.Is(err, io.EOF) && errors.Is(context.Cause(ctx), spoke.ErrSilent) {
 		return piece, eris.Wrapf(spoke.ErrSilent, "no piece within %s", limit)
 	}
-	l.observe(l.timer.Now())
+	l.observe(l.timer.Now().Sub(asked))
 	return piece, err
 }
 
 func (l *idleLimit) limit() time.Duration {
-	if l.last.IsZero() {
+	if !l.isStarted {
 		return l.first
 	}
 	return max(minIdle, idlePaces*l.pace)
 }
 
-func (l *idleLimit) observe(now time.Time) {
-	if !l.last.IsZero() {
+// observe takes the time that the engine let the owner wait for a piece; the time
+// that a reader takes for a piece says nothing about the engine.
+func (l *idleLimit) observe(gap time.Duration) {
+	if l.isStarted {
 		// An eighth of each gap smooths the bursts of batched decoding.
-		l.pace += (now.Sub(l.last) - l.pace) / 8
+		l.pace += (gap - l.pace) / 8
 	}
-	l.last = now
+	l.isStarted = true
 }
--- a/host/owner_test.go
+++ b/host/owner_test.go
@@ -88,6 +88,10 @@
 			<-ctx.Done()
 			return nil, context.Cause(ctx)
 		}}, spoke.ErrSilent, 0, spoke.FinishWork{Failed: true}},
+		{"silent before a connection", scripted{run: func(ctx context.Context) (spoke.RunStream, error) {
+			<-ctx.Done()
+			return nil, errors.Join(spoke.ErrNotRun, context.Cause(ctx))
+		}}, spoke.ErrNotRun, 0, spoke.FinishWork{Failed: true}},
 		{"silent in the stream", scripted{run: breaks(nil)}, spoke.ErrSilent, 8, spoke.FinishWork{Failed: true}},
 		{"broken", scripted{run: breaks(spoke.ErrIncomplete)}, spoke.ErrIncomplete, 8, spoke.FinishWork{Failed: true}},
 		{"dead", scripted{run: breaks(spoke.ErrIncomplete), load: dead}, spoke.ErrUpstreamDied, 8, spoke.FinishWork{Failed: true}},
@@ -148,3 +152,33 @@
 		assert.ErrorIs(t, err, spoke.ErrPreempted)
 	})
 }
+
+// Guards against a reader's pauses that count as the engine's pace, so that a silent
+// engine is noticed minutes late.
+func TestSlowReaderDoesNotHideSilence(t *testing.T) {
+	engine := &scripted{run: func(context.Context) (spoke.RunStream, error) {
+		return &answer{pieces: pieces(36)[:35]}, nil
+	}}
+	own(t, &policy{}, engine, func(t *testing.T, ctx context.Context, owner *host.Owner) {
+		stream := start(t, ctx, owner)
+		pass(5 * time.Minute)
+		began := time.Now()
+		_, err := drain(ctx, stream)
+		assert.ErrorIs(t, err, spoke.ErrSilent)
+		assert.Assert(t, time.Since(began) < 3*time.Second, "noticed after %s", time.Since(began))
+	})
+}
+
+// Guards against a stream that opens as the limit passes and stays open without a reader.
+func TestLateStreamIsClosed(t *testing.T) {
+	closed := false
+	engine := &scripted{run: func(ctx context.Context) (spoke.RunStream, error) {
+		<-ctx.Done()
+		return &answer{closed: &closed}, nil
+	}}
+	own(t, &policy{}, engine, func(t *testing.T, ctx context.Context, owner *host.Owner) {
+		_, err := drain(ctx, start(t, ctx, owner))
+		assert.ErrorIs(t, err, spoke.ErrSilent)
+		assert.Assert(t, closed)
+	})
+}
