Start each turn of the orders lease with fresh swaps

Cause: a host that stopped competing for the lease and began again went on with the swaps of its earlier turn, but no longer kept work from their upstreams, so that an order could reach an upstream in service. Its failed orders could also count against the fence of the next turn. A stopped host did not wait for the release of its lease. The task wrote failures to the channel that it reads, which would block it for ever with a full buffer, and kept the reports of upstreams that had left the configuration. Ruled out: sharing the marks again at the next turn, since the reconciler's timing assumes that they stood meanwhile. The full buffer is out of reach with two swaps at a time, so no test shows it. Change: the end of a turn stops the keeper, waits for the release and drops swaps, marks and reports; orders end with their turn; a failure to give is handled in place.

--- a/host/swaps.go
+++ b/host/swaps.go
@@ -50,7 +50,10 @@
 
 		reconciler *swap.Reconciler
 		keeper     *lease.Keeper
-		stopKeeper context.CancelFunc
+		// turn ends when the task stops competing for the lease.
+		turn context.Context
+		// stopKeeper ends the keeper and returns when it has given the lease up.
+		stopKeeper func()
 		reports    map[spoke.UpstreamID]spoke.LoadReport
 		observed   time.Time
 		isBusy     bool
@@ -75,10 +78,9 @@
 }
 
 func (t *swapTask) run(ctx context.Context) error {
-	t.reconciler = swap.NewReconciler()
-	t.reports = make(map[spoke.UpstreamID]spoke.LoadReport)
-	t.out = make(map[spoke.UpstreamID]time.Time)
-	t.failed = make(chan swap.OrderFailed, observeParallel)
+	t.reset()
+	t.failed = make(chan swap.OrderFailed)
+	defer t.endTurn()
 	ticks := t.timer.Every(swapPeriod)
 	defer ticks.Stop()
 	for {
@@ -86,7 +88,7 @@
 		case <-ticks.C():
 			t.tick(ctx)
 		case failure := <-t.failed:
-			t.apply(ctx, t.reconciler.Handle(t.timer.Now(), failure))
+			t.apply(t.reconciler.Handle(t.timer.Now(), failure))
 		case <-ctx.Done():
 			return ctx.Err()
 		}
@@ -103,7 +105,7 @@
 	if state.Held {
 		t.observe(ctx, manifest)
 	}
-	t.apply(ctx, t.reconciler.Handle(t.timer.Now(), swap.Observe{
+	t.apply(t.reconciler.Handle(t.timer.Now(), swap.Observe{
 		Models: manifest.Models(), Upstreams: engines(manifest), Reports: t.reports,
 		Lease: state, UrgentWaiting: t.urgentWaiting(manifest),
 	}))
@@ -115,18 +117,45 @@
 func (t *swapTask) compete(ctx context.Context) {
 	switch isWatcher := t.isWatcher(); {
 	case isWatcher && t.keeper == nil:
-		ctx, cancel := context.WithCancel(ctx)
-		t.keeper = lease.New(t.leases, ordersLease, t.holder, ordersTTL, lease.WithTimer(t.timer))
-		t.stopKeeper = cancel
-		go func(keeper *lease.Keeper) { _ = keeper.Run(ctx) }(t.keeper)
+		t.beginTurn(ctx)
 	case !isWatcher && t.keeper != nil:
-		t.stopKeeper()
-		t.keeper = nil
-		clear(t.out)
-		t.share()
+		t.endTurn()
 	}
 }
 
+func (t *swapTask) beginTurn(ctx context.Context) {
+	turn, cancel := context.WithCancel(ctx)
+	keeper := lease.New(t.leases, ordersLease, t.holder, ordersTTL, lease.WithTimer(t.timer))
+	released := make(chan struct{})
+	go func() {
+		defer close(released)
+		_ = keeper.Run(turn)
+	}()
+	t.keeper, t.turn = keeper, turn
+	t.stopKeeper = func() {
+		cancel()
+		<-released
+	}
+}
+
+// endTurn gives the lease up and forgets the swaps: an upstream that is back in service
+// must be taken out again before its next order.
+func (t *swapTask) endTurn() {
+	if t.keeper == nil {
+		return
+	}
+	t.stopKeeper()
+	t.keeper = nil
+	t.reset()
+}
+
+func (t *swapTask) reset() {
+	t.reconciler = swap.NewReconciler()
+	t.reports = make(map[spoke.UpstreamID]spoke.LoadReport)
+	t.out = make(map[spoke.UpstreamID]time.Time)
+	t.share()
+}
+
 func (t *swapTask) leaseState() swap.LeaseState {
 	now := t.timer.Now()
 	held, ok := t.keeper.Held(now, 0)
@@ -148,9 +177,9 @@
 	upstreams := engines(manifest)
 	results := t.readReports(ctx, upstreams)
 	t.isBusy = len(t.out) > 0
+	clear(t.reports)
 	for _, result := range results {
 		if result.err != nil {
-			delete(t.reports, result.id)
 			continue
 		}
 		// The reporter's clock may differ; the time of the read is an upper bound.
@@ -213,7 +242,7 @@
 	return waiting
 }
 
-func (t *swapTask) apply(ctx context.Context, actions []swap.Action) {
+func (t *swapTask) apply(actions []swap.Action) {
 	for _, action := range actions {
 		switch a := action.(type) {
 		case swap.TakeOut:
@@ -226,36 +255,41 @@
 			t.events.Record(spoke.Event{Kind: "swap-back-in-service", Upstream: a.Upstream})
 			delete(t.out, a.Upstream)
 		case swap.GiveOrder:
-			t.give(ctx, a)
+			t.give(a)
 		}
 	}
 	t.share()
 }
 
-func (t *swapTask) give(ctx context.Context, action swap.GiveOrder) {
+func (t *swapTask) give(action swap.GiveOrder) {
 	upstream, ok := t.manifest.Current().Upstream(action.Upstream)
 	remaining := action.Order.Deadline.Sub(t.timer.Now())
 	_, isHeld := t.keeper.Held(t.timer.Now(), remaining)
 	if !ok || !isHeld {
-		t.failed <- swap.OrderFailed{Upstream: action.Upstream}
+		t.apply(t.reconciler.Handle(t.timer.Now(), swap.OrderFailed{Upstream: action.Upstream}))
 		return
 	}
 	order := action.Order
 	order.Credential = t.credential
 	t.events.Record(spoke.Event{Kind: "order-given", Upstream: upstream.ID, Detail: string(order.Kind) + " " + string(order.Version)})
-	go t.send(ctx, upstream, order, remaining)
+	go t.send(t.turn, upstream, order, remaining)
 }
 
+// send gives an order; the end of a turn drops its failure, which must not count
+// against the fence of the next turn.
 func (t *swapTask) send(ctx context.Context, upstream spoke.Upstream, order spoke.Order, limit time.Duration) {
-	ctx, cancel := context.WithTimeout(ctx, limit)
+	orderCtx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	err := t.engine.Order(ctx, upstream.Address, order)
+	err := t.engine.Order(orderCtx, upstream.Address, order)
 	if err == nil {
 		return
 	}
 	t.log.WithError(err).WithField("upstream", upstream.ID).Warn("order not taken")
 	t.events.Record(spoke.Event{Kind: "order-failed", Upstream: upstream.ID, Detail: err.Error()})
-	t.failed <- swap.OrderFailed{Upstream: upstream.ID, StaleFence: errors.Is(err, spoke.ErrStaleFence)}
+	select {
+	case t.failed <- swap.OrderFailed{Upstream: upstream.ID, StaleFence: errors.Is(err, spoke.ErrStaleFence)}:
+	case <-ctx.Done():
+	}
 }
 
 // expire ends the marks that were not renewed.
