Test ownership, leaves and configurations of several hosts

Cause: package host had no test of what several hosts agree on; ownership, leaving upstreams, digests and the spread of configurations were seen only in scenarios with processes. Ruled out: sockets, since calls over them do not run in virtual time; a simulated membership, which would leave out the tasks.

--- a/host/export_test.go
+++ b/host/export_test.go
@@ -3,13 +3,21 @@
 import (
 	"context"
 	"io"
+	"net"
+	"net/http"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"magnoliaspoke.example/spoke"
+	"magnoliaspoke.example/spoke/config"
+	"magnoliaspoke.example/spoke/coord"
 	"magnoliaspoke.example/spoke/events"
 	"magnoliaspoke.example/spoke/route"
+	"magnoliaspoke.example/spoke/ticket"
+	"magnoliaspoke.example/spoke/timer"
+	"magnoliaspoke.example/spoke/wire"
 )
 
 type (
@@ -44,14 +52,93 @@
 // NewSwaps returns a swap task of a holder of the orders lease.
 func NewSwaps(holder spoke.HostID, manifest spoke.ManifestSource, leases spoke.Leases, engine spoke.Engine, isWatcher func() bool, timer spoke.Timer) Swaps {
 	none := func() *spoke.Membership { return &spoke.Membership{} }
-	log := logrus.New()
-	log.SetOutput(io.Discard)
 	return Swaps{&swapTask{
 		holder: holder, manifest: manifest, views: newViewTable(manifest, none, route.Owner),
 		isWatcher: isWatcher, leases: leases, engine: engine, timer: timer,
-		events: events.NewRecorder(holder, timer, 64), log: log,
+		events: events.NewRecorder(holder, timer, 64), log: Quiet(),
 	}}
 }
 
 // Run competes for the lease and gives orders until the context ends.
 func (s Swaps) Run(ctx context.Context) { _ = s.run(ctx) }
+
+// Quiet returns a log without output.
+func Quiet() *logrus.Logger {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return log
+}
+
+type (
+	// Virtual is a host without listeners, whose parts meet a network of the test.
+	Virtual struct{ *Host }
+
+	unopened struct {
+		net.Listener
+		address spoke.Address
+	}
+)
+
+// Addr returns the address that the host tells its peers.
+func (u unopened) Addr() net.Addr { return u }
+
+// Network returns the network of the address.
+func (u unopened) Network() string { return "tcp" }
+
+// String returns the address.
+func (u unopened) String() string { return string(u.address) }
+
+// NewVirtual composes a host as New does; network carries the calls of other hosts and of
+// the platform.
+func NewVirtual(settings config.Entry, network http.RoundTripper, engine spoke.Engine) Virtual {
+	clock := timer.NewSystem()
+	h := &Host{
+		settings: settings, listeners: Listeners{Internal: unopened{address: settings.Internal}},
+		log: Quiet(), timer: clock, started: clock.Now(),
+	}
+	h.life, h.end = context.WithCancel(context.Background())
+	h.events = events.NewRecorder(settings.Host, clock, settings.EventCapacity)
+	h.platform = coord.New(settings.Platform, coord.WithTimer(clock), coord.WithTransport(network))
+	h.composeMembership()
+	h.members.client = wire.NewClient(wire.NewSigner(string(settings.PeerSecret)), clock, h.events, wire.WithTransport(network))
+	h.composeQuarantine()
+	h.composeOwner()
+	h.owner.engine, h.followers.engine, h.swaps.engine, h.blocks.engine = engine, engine, engine, engine
+	h.composeServers(nil)
+	return Virtual{h}
+}
+
+// Run runs the tasks until Stop and returns when all have ended.
+func (v Virtual) Run() {
+	var tasks sync.WaitGroup
+	for _, task := range v.tasks() {
+		tasks.Go(func() { _ = task(v.life) })
+	}
+	tasks.Wait()
+}
+
+// Stop ends the host as a crash does.
+func (v Virtual) Stop() { v.end() }
+
+// Drain announces the leave of the host to its peers.
+func (v Virtual) Drain(ctx context.Context) { v.drainer.announce(ctx) }
+
+// Internal returns the handler of the internal API.
+func (v Virtual) Internal() http.Handler { return v.internal.Handler }
+
+// Caller returns the handler of the caller API.
+func (v Virtual) Caller() http.Handler { return v.caller.Handler }
+
+// Operators returns what the host offers to operators.
+func (v Virtual) Operators() spoke.Administration {
+	return administration{host: v.Host, acceptor: ticket.NewAcceptor(v.platform)}
+}
+
+// Views returns the upstreams of a service as the host sees them.
+func (v Virtual) Views(service spoke.ServiceName) []spoke.UpstreamView { return v.views.Views(service) }
+
+// Owned lists the upstreams that the host follows.
+func (v Virtual) Owned() []spoke.UpstreamID { return v.followers.Owned() }
+
+// Members returns the membership as the host sees it.
+func (v Virtual) Members() *spoke.Membership { return v.members.View() }
--- a/host/host.go
+++ b/host/host.go
@@ -216,10 +216,7 @@
 // Run serves until the context ends, drains, and returns when everything has stopped.
 func (h *Host) Run(ctx context.Context) error {
 	var group run.Group
-	for _, task := range []func(context.Context) error{
-		h.members.run, h.admission.run, h.followers.run, h.digest.run, h.swaps.run, h.blocks.run,
-		h.manifest.run, h.manifest.watcher.Run, h.manifest.runHostList,
-	} {
+	for _, task := range h.tasks() {
 		group.Add(func() error { return task(h.life) }, func(error) { h.end() })
 	}
 	for _, serve := range []func() error{
@@ -242,6 +239,14 @@
 	return err
 }
 
+// tasks lists what runs for as long as the host lives.
+func (h *Host) tasks() []func(context.Context) error {
+	return []func(context.Context) error{
+		h.members.run, h.admission.run, h.followers.run, h.digest.run, h.swaps.run, h.blocks.run,
+		h.manifest.run, h.manifest.watcher.Run, h.manifest.runHostList,
+	}
+}
+
 // finishClaims lets recorded answers of non-repeatable calls reach the platform.
 func (h *Host) finishClaims() {
 	ctx, cancel := context.WithTimeout(context.Background(), claimsLimit)
--- a/wire/client.go
+++ b/wire/client.go
@@ -44,17 +44,29 @@
 		timer  spoke.Timer
 		clock  spoke.HybridClock
 	}
+
+	// ClientOption changes a Client.
+	ClientOption func(*Client)
 )
 
+// WithTransport replaces the connections, for tests in virtual time.
+func WithTransport(transport http.RoundTripper) ClientOption {
+	return func(c *Client) { c.http.Transport = transport }
+}
+
 // NewClient returns a client that signs its messages.
-func NewClient(signer Signer, timer spoke.Timer, clock spoke.HybridClock) *Client {
+func NewClient(signer Signer, timer spoke.Timer, clock spoke.HybridClock, opts ...ClientOption) *Client {
 	transport := &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxIdleConnsPerHost: idleConnections,
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
 	}
-	return &Client{http: &http.Client{Transport: transport}, signer: signer, timer: timer, clock: clock}
+	client := &Client{http: &http.Client{Transport: transport}, signer: signer, timer: timer, clock: clock}
+	for _, opt := range opts {
+		opt(client)
+	}
+	return client
 }
 
 // Heartbeat exchanges heartbeats with a host; ErrNotRun marks a refused connection.
