Meet the handover of an upstream behind an interface

Change: an interface for the wait, with a stand-in in the tests; the load client's report of arrived tokens is optional.

--- a/cmd/trial/load/caller.go
+++ b/cmd/trial/load/caller.go
@@ -83,10 +83,10 @@
 
 // Send sends a request and reads its whole answer.
 func (c *Caller) Send(ctx context.Context, ask Ask) Answer {
-	return c.Watch(ctx, ask, func(spoke.TokenCount) {})
+	return c.Watch(ctx, ask, nil)
 }
 
-// Watch does as Send and reports the tokens of each part as it arrives.
+// Watch does as Send and reports the tokens of each part as it arrives; arrived may be nil.
 func (c *Caller) Watch(ctx context.Context, ask Ask, arrived func(spoke.TokenCount)) Answer {
 	answer := Answer{Sent: time.Now(), arrived: arrived}
 	body, err := encodeAsk(ask)
@@ -176,8 +176,11 @@
 		if a.Tokens == 0 {
 			a.FirstToken = time.Since(a.Sent)
 		}
-		a.arrived(spoke.TokensOf(choice.Text))
-		a.Tokens += spoke.TokensOf(choice.Text)
+		tokens := spoke.TokensOf(choice.Text)
+		a.Tokens += tokens
+		if a.arrived != nil {
+			a.arrived(tokens)
+		}
 		text.WriteString(choice.Text)
 	}
 }
--- a/host/export_test.go
+++ b/host/export_test.go
@@ -26,6 +26,9 @@
 
 	// NoBlocks is a block loader without blocks.
 	NoBlocks struct{}
+
+	// NoHandover is the handover of a host that already follows its upstreams.
+	NoHandover struct{}
 )
 
 // NewOwner starts an owner's admission task, which ends with the context.
@@ -34,7 +37,8 @@
 	go func() { _ = admission.run(ctx) }()
 	return &Owner{owner{
 		manifest: manifest, admission: admission, engine: engine, blocks: NoBlocks{},
-		timer: timer, events: events, life: ctx,
+		followers: NoHandover{},
+		timer:     timer, events: events, life: ctx,
 	}}
 }
 
@@ -43,6 +47,9 @@
 	return dispatch.Spec
 }
 
+// Await does not wait.
+func (NoHandover) Await(context.Context, spoke.UpstreamID) {}
+
 // Ran does nothing.
 func (NoBlocks) Ran(spoke.Upstream, spoke.Dispatch, spoke.Usage, time.Duration) {}
 
--- a/host/owner.go
+++ b/host/owner.go
@@ -29,10 +29,16 @@
 		Ran(upstream spoke.Upstream, dispatch spoke.Dispatch, usage spoke.Usage, took time.Duration)
 	}
 
+	// handover waits until the host has taken over an upstream that it owns by membership.
+	handover interface {
+		// Await returns when the host follows the upstream or has waited long enough.
+		Await(ctx context.Context, id spoke.UpstreamID)
+	}
+
 	// owner runs attempts at the upstreams that the host owns.
 	owner struct {
 		manifest  spoke.ManifestSource
-		followers *followerTask
+		followers handover
 		admission *admissionTask
 		engine    spoke.Engine
 		blocks    blockLoader
