Count the platform calls of idle hosts and of claims

Cause: the key-value service gives several hundred writes and about 2,000 reads per second to everybody, and the capacity run did not count any.

--- a/cmd/trial/capacity.go
+++ b/cmd/trial/capacity.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"os"
+	"slices"
 
+	"magnoliaspoke.example/spoke/cmd/trial/cost"
 	"magnoliaspoke.example/spoke/cmd/trial/slope"
 )
 
@@ -18,6 +20,8 @@
 	targetChangesPerDay     = 2200.0
 	targetObjects           = 1100.0
 	secondsPerDay           = 86400.0
+	// assumedBookings is an assumption: 4% of the peak of requests may not be repeated.
+	assumedBookings = 100.0
 
 	// measuredRounds of heartbeats give a mean that varies by a few percent.
 	measuredRounds = 20
@@ -34,11 +38,13 @@
 		{Unit: slope.Processor, Bound: 0.027},
 		{Unit: slope.Traffic, Bound: 29_000},
 		{Unit: slope.Memory, Bound: 128_000_000},
+		{Unit: slope.PlatformReads, Bound: 2000},
+		{Unit: slope.PlatformWrites, Bound: 300},
 	}
 }
 
-func (a *capacityArgs) run(context.Context) error {
-	rows, err := measureRows()
+func (a *capacityArgs) run(ctx context.Context) error {
+	rows, err := measureRows(ctx)
 	if err != nil {
 		return err
 	}
@@ -53,7 +59,7 @@
 	return slope.Check(rows, controlBudgets())
 }
 
-func measureRows() ([]slope.Row, error) {
+func measureRows(ctx context.Context) ([]slope.Row, error) {
 	rows, err := membershipRows()
 	if err != nil {
 		return nil, err
@@ -62,7 +68,39 @@
 	if err != nil {
 		return nil, err
 	}
-	return append(append(rows, manifests...), decisionRows()...), nil
+	platform, err := platformRows(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return slices.Concat(rows, manifests, decisionRows(), platform), nil
+}
+
+// platformRows measures calls of the key-value service, which all hosts share.
+func platformRows(ctx context.Context) ([]slope.Row, error) {
+	var reads, writes []slope.Point
+	for _, centres := range []int{1, 2, 3} {
+		idle, err := cost.MeasureIdleCalls(ctx, centres)
+		if err != nil {
+			return nil, err
+		}
+		reads = append(reads, slope.Point{Size: float64(centres), Cost: idle.Reads})
+		writes = append(writes, slope.Point{Size: float64(centres), Cost: idle.Writes})
+	}
+	claims, err := cost.MeasureClaimCalls(ctx)
+	if err != nil {
+		return nil, err
+	}
+	perCall := func(calls float64) []slope.Point {
+		return []slope.Point{{Size: 0, Cost: 0}, {Size: 1, Cost: calls}}
+	}
+	const watchers = "two watchers a data centre, one orders lease"
+	const commits = "group commit by shard"
+	return []slope.Row{
+		{Role: "watchers", Mechanism: watchers, Unit: slope.PlatformReads, Variable: "data centres", Points: reads, Target: targetDataCentres, Scale: 1},
+		{Role: "watchers", Mechanism: watchers, Unit: slope.PlatformWrites, Variable: "data centres", Points: writes, Target: targetDataCentres, Scale: 1},
+		{Role: "claims", Mechanism: commits, Unit: slope.PlatformReads, Variable: "bookings/s", Points: perCall(claims.Reads), Target: assumedBookings, Scale: 1},
+		{Role: "claims", Mechanism: commits, Unit: slope.PlatformWrites, Variable: "bookings/s", Points: perCall(claims.Writes), Target: assumedBookings, Scale: 1},
+	}, nil
 }
 
 // membershipRows measures hosts within a data centre with two data centres,
--- a/cmd/trial/plans/cost.go
+++ b/cmd/trial/plans/cost.go
@@ -28,3 +28,24 @@
 		DataCentres: []fleet.DataCentre{centre},
 	}
 }
+
+// Centres returns data centres of three entry hosts, an engine and a plain service each.
+func Centres(count int) fleet.Plan {
+	plan := fleet.Plan{Lifetime: costLifetime, Objects: Objects(1), AdminKey: AdminKey}
+	for dc := 1; dc <= count; dc++ {
+		name := fmt.Sprintf("dc%d", dc)
+		centre := fleet.DataCentre{ID: spoke.DataCentreID(name), Region: "punjab"}
+		for i := range 3 {
+			centre.Hosts = append(centre.Hosts, fleet.Host{ID: spoke.HostID(fmt.Sprintf("%s-entry%d", name, i+1)), Tune: tune})
+		}
+		centre.Upstreams = []fleet.Upstream{
+			{
+				ID: spoke.UpstreamID(name + "-engine"), Service: Language, Kind: fleet.KindEngine, ChecksFencing: true,
+				Arguments: []string{"--model", string(Model) + "=" + string(FirstVersion)},
+			},
+			{ID: spoke.UpstreamID(name + "-booking"), Service: Booking, Kind: fleet.KindPlain},
+		}
+		plan.DataCentres = append(plan.DataCentres, centre)
+	}
+	return plan
+}
