Keep an owner in place that refuses a single run

Cause: a host took an owner out of its ownership after any answer with an error status, so that one request which every owner refuses moved all upstreams of the host away from their owners for up to a heartbeat. Such a request exists: the JSON form of a dispatch escapes <, > and & to six bytes each, so that a prompt within the caller's limit of 8 MiB can pass the 20 MiB limit. Ruled out: a larger limit, which would only move the bound. Change: only ErrOwnerLost costs the ownership, and a refused connection now matches it beside ErrNotRun; a dispatch is encoded without escapes for HTML. Conclusion: no request of a caller changes the ownership.

--- /dev/null
+++ b/host/dispatch_test.go
@@ -0,0 +1,69 @@
+package host_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"magnoliaspoke.example/spoke"
+)
+
+// remote returns a host and a dispatch to an upstream that another host owns.
+func (c *cluster) remote(id spoke.HostID) (spoke.Dispatch, spoke.HostID) {
+	c.t.Helper()
+	for _, view := range c.hosts[id].Views("quotes") {
+		if view.Owner != id {
+			spec := spoke.RunSpec{Request: "r", Attempt: "r-1", Workspace: "w", Service: "quotes", Model: "m", Version: "v1"}
+			return spoke.Dispatch{Spec: spec, Upstream: view.Upstream.ID, Rank: "urgent", Cost: 1}, view.Owner
+		}
+	}
+	c.t.Fatal("no upstream has another owner")
+	return spoke.Dispatch{}, ""
+}
+
+// Guards against pieces that are lost between an owner and another host.
+func TestDispatchThroughOwner(t *testing.T) {
+	inCluster(t, 2, func(t *testing.T, c *cluster) {
+		dispatch, _ := c.remote("h1")
+		stream, err := c.hosts["h1"].Dispatch(context.Background(), dispatch)
+		assert.NilError(t, err)
+		defer stream.Close()
+		tokens, err := drain(context.Background(), stream)
+		assert.ErrorIs(t, err, io.EOF)
+		assert.Equal(t, tokens, spoke.TokenCount(3))
+	})
+}
+
+// Guards against an owner that loses its upstreams because it refused one request, and
+// against one that keeps them although nothing listens at its address.
+func TestOnlyUnreachableOwnersAreDistrusted(t *testing.T) {
+	inCluster(t, 2, func(t *testing.T, c *cluster) {
+		dispatch, owner := c.remote("h1")
+		internal := c.hosts[owner].Internal()
+		// Off the period of heartbeats, which would bring the owner back.
+		pass(100 * time.Millisecond)
+		for _, peer := range []struct {
+			handler http.Handler
+			state   spoke.PeerState
+		}{
+			{http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				http.Error(w, "body is over its limit", http.StatusBadRequest)
+			}), spoke.PeerAlive},
+			{nil, spoke.PeerDead},
+		} {
+			c.join(string(addressOf(owner)), peer.handler)
+			_, err := c.hosts["h1"].Dispatch(context.Background(), dispatch)
+			assert.ErrorIs(t, err, spoke.ErrNotRun)
+			synctest.Wait()
+			assert.Equal(t, c.hosts["h1"].Members().Peers[owner].State, peer.state)
+			c.join(string(addressOf(owner)), internal)
+		}
+		pass(settled)
+		c.assertAgreed()
+	})
+}
--- a/host/dispatcher.go
+++ b/host/dispatcher.go
@@ -42,13 +42,13 @@
 	return stream, nil
 }
 
-// distrust takes a host that refuses connections out of the ownership at once;
-// its next heartbeat brings it back.
+// distrust takes a host that does not answer out of the ownership at once; its next
+// heartbeat brings it back. A host that refuses one run goes on owning.
 func (d *dispatcher) distrust(ctx context.Context, host spoke.HostID, err error) {
 	if ctx.Err() != nil {
 		return
 	}
-	if errors.Is(err, spoke.ErrNotRun) || errors.Is(err, spoke.ErrOwnerLost) {
+	if errors.Is(err, spoke.ErrOwnerLost) {
 		_ = d.members.post(ctx, memberRequest{message: member.Refused{Host: host}})
 	}
 }
--- a/host/export_test.go
+++ b/host/export_test.go
@@ -142,3 +142,12 @@
 
 // Members returns the membership as the host sees it.
 func (v Virtual) Members() *spoke.Membership { return v.members.View() }
+
+// Dispatch hands an attempt to the owner of its upstream as the host sees it.
+func (v Virtual) Dispatch(ctx context.Context, dispatch spoke.Dispatch) (spoke.RunStream, error) {
+	d := &dispatcher{
+		self: v.settings.Host, manifest: v.view, views: v.views, members: v.members,
+		owner: v.owner, client: v.members.client,
+	}
+	return d.Dispatch(ctx, dispatch)
+}
--- a/wire/dispatch_codec.go
+++ b/wire/dispatch_codec.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"bytes"
 	"encoding/json"
 	"time"
 
@@ -46,8 +47,12 @@
 	for _, key := range d.Keys {
 		out.Keys = append(out.Keys, key.String())
 	}
-	body, err := json.Marshal(out)
-	return body, eris.Wrap(err, "encode dispatch")
+	var body bytes.Buffer
+	encoder := json.NewEncoder(&body)
+	// Escapes for HTML take six bytes for one, which lets a prompt outgrow dispatchLimit.
+	encoder.SetEscapeHTML(false)
+	err := encoder.Encode(out)
+	return body.Bytes(), eris.Wrap(err, "encode dispatch")
 }
 
 // DecodeDispatch reads the JSON form of a dispatch.
--- a/wire/stream.go
+++ b/wire/stream.go
@@ -40,7 +40,8 @@
 	}
 )
 
-// Run starts an attempt at the upstream's owner; errors follow the rule of spoke.Dispatcher.
+// Run starts an attempt at the upstream's owner; errors follow the rule of spoke.Dispatcher
+// and match ErrOwnerLost if the owner did not answer.
 func (c *Client) Run(ctx context.Context, owner spoke.Address, dispatch spoke.Dispatch) (spoke.RunStream, error) {
 	body, err := EncodeDispatch(dispatch)
 	if err != nil {
@@ -80,9 +81,6 @@
 		return eris.Wrapf(spoke.ErrOwnerLost, "no status line within %s", headerLimit)
 	default:
 	}
-	if errors.Is(err, spoke.ErrNotRun) {
-		return err
-	}
 	return errors.Join(spoke.ErrOwnerLost, err)
 }
 
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -221,3 +221,19 @@
 		}
 	}
 }
+
+// Guards against prompts that outgrow the limit of the body by the escapes of HTML.
+func TestLongPromptCrosses(t *testing.T) {
+	peer := &scripted{final: io.EOF}
+	client, at := serve(t, peer)
+	dispatch := sampleDispatch()
+	dispatch.Spec.Prompt = strings.Repeat("<", 4<<20)
+	stream, err := client.Run(context.Background(), at, dispatch)
+	assert.NilError(t, err)
+	defer stream.Close()
+	_, err = stream.Next(context.Background())
+	assert.NilError(t, err)
+	_, err = stream.Next(context.Background())
+	assert.ErrorIs(t, err, io.EOF)
+	assert.Equal(t, peer.got.Spec.Prompt, dispatch.Spec.Prompt)
+}
