Read an upstream's service after the upstream itself

Cause: the follower task read the configuration before it listed the owned upstreams. If a configuration came into force in between, a plain upstream had no service yet and was polled as an engine from then on, and counted as dead. An upstream that moved to another service kept the follower of the old one. Ruled out: a check in the follower at each poll, which costs a lookup for each poll and would hide the order of the reads. Change: the configuration is read after the list, and another service starts another follower. Conclusion: followers match the kind of their upstream.

--- a/host/export_test.go
+++ b/host/export_test.go
@@ -151,3 +151,31 @@
 	}
 	return d.Dispatch(ctx, dispatch)
 }
+
+// Followers gives tests access to the followers of one host.
+type Followers struct{ *followerTask }
+
+// NewFollowers returns the followers of a host that owns all upstreams.
+func NewFollowers(manifest spoke.ManifestSource, policy spoke.Admission, engine spoke.Engine) Followers {
+	clock := timer.NewSystem()
+	members := &spoke.Membership{Self: "h1", Peers: map[spoke.HostID]spoke.Peer{
+		"h1": {ID: "h1", DataCentre: "dc1", State: spoke.PeerAlive},
+	}}
+	views := newViewTable(manifest, func() *spoke.Membership { return members }, route.Owner)
+	sink := events.NewRecorder("h1", clock, 64)
+	return Followers{newFollowerTask(views, manifest, newAdmissionTask(policy, clock), engine, clock, sink)}
+}
+
+// Run follows and admits until the context ends.
+func (f Followers) Run(ctx context.Context) {
+	var tasks sync.WaitGroup
+	tasks.Go(func() { _ = f.admission.run(ctx) })
+	tasks.Go(func() { _ = f.run(ctx) })
+	tasks.Wait()
+}
+
+// Seen returns what the host observed of an upstream: whether it is known and whether it is dead.
+func (f Followers) Seen(id spoke.UpstreamID) (known, dead bool) {
+	status, known := f.Status(id)
+	return known, status.dead
+}
--- a/host/follow.go
+++ b/host/follow.go
@@ -45,6 +45,11 @@
 	}
 )
 
+// follows reports whether the follower's observations hold for a configured upstream.
+func (f *follower) follows(upstream spoke.Upstream) bool {
+	return upstream.Address == f.upstream.Address && upstream.Service == f.upstream.Service
+}
+
 // overlay replaces what heartbeats say by what the own host saw itself.
 func (s upstreamStatus) overlay(load *spoke.LoadSummary) {
 	if !s.known {
--- a/host/followers.go
+++ b/host/followers.go
@@ -73,11 +73,12 @@
 }
 
 func (t *followerTask) reconcile(ctx context.Context) {
-	manifest := t.manifest.Current()
 	owned := make(map[spoke.UpstreamID]spoke.Upstream)
 	for _, upstream := range t.views.Owned() {
 		owned[upstream.ID] = upstream
 	}
+	// The configuration is read after the upstreams, so that it holds their services.
+	manifest := t.manifest.Current()
 	changed := t.dropOthers(owned)
 	for id, upstream := range owned {
 		if _, ok := t.followers[id]; !ok {
@@ -94,7 +95,7 @@
 func (t *followerTask) dropOthers(owned map[spoke.UpstreamID]spoke.Upstream) bool {
 	changed := false
 	for id, follower := range t.followers {
-		if upstream, ok := owned[id]; !ok || upstream.Address != follower.upstream.Address {
+		if upstream, ok := owned[id]; !ok || !follower.follows(upstream) {
 			follower.cancel()
 			delete(t.followers, id)
 			changed = true
