Read cache events beside the task that answers runs

Cause: the task of an engine's index called the engine itself, so that each run that asked for resident blocks meanwhile waited for that call, up to 1 s with a slow engine, before it could start. Measured: TestIndexFollowsEngine fails with the old task, whose answer came only after the 900 ms call; go test -race -run Index -count=10 ./host passes. Conclusion: a slow engine delays its index, no longer the runs.

--- a/host/export_test.go
+++ b/host/export_test.go
@@ -179,3 +179,23 @@
 	status, known := f.Status(id)
 	return known, status.dead
 }
+
+// Index gives tests access to the index of an engine's prefix cache.
+type Index struct{ *indexTask }
+
+// NewIndex returns the index of an engine.
+func NewIndex(engine spoke.Engine) Index {
+	return Index{newIndexTask(spoke.Upstream{ID: "u1"}, engine, timer.NewSystem())}
+}
+
+// Run follows the engine until the context ends.
+func (x Index) Run(ctx context.Context) { x.run(ctx) }
+
+// Ask returns how many leading blocks are resident and whether one is in doubt.
+func (x Index) Ask(ctx context.Context, keys ...spoke.BlockKey) (resident int, isDoubtful bool) {
+	reply := x.ask(ctx, keys)
+	return reply.resident, reply.isDoubtful
+}
+
+// MarkDoubtful marks blocks that no run may use.
+func (x Index) MarkDoubtful(ctx context.Context, keys ...spoke.BlockKey) { x.markDoubtful(ctx, keys) }
--- a/host/index.go
+++ b/host/index.go
@@ -33,6 +33,16 @@
 		reply    chan<- indexReply
 	}
 
+	// indexRead is a call to the engine and its answer.
+	indexRead struct {
+		isEvents bool
+		after    spoke.Sequence
+		batch    spoke.CacheEventBatch
+		ticket   cache.SnapshotTicket
+		snapshot spoke.CacheSnapshot
+		err      error
+	}
+
 	indexReply struct {
 		resident   int
 		isDoubtful bool
@@ -51,11 +61,21 @@
 	defer close(t.done)
 	ticks := t.timer.Every(indexPeriod)
 	defer ticks.Stop()
-	t.refresh(ctx)
+	reads := make(chan indexRead)
+	t.begin(ctx, reads, false)
+	isReading := true
 	for {
 		select {
 		case <-ticks.C():
-			t.refresh(ctx)
+			if !isReading {
+				t.begin(ctx, reads, t.index.IsKnown())
+				isReading = true
+			}
+		case read := <-reads:
+			isReading = !t.apply(read)
+			if isReading {
+				t.begin(ctx, reads, false)
+			}
 		case request := <-t.inbox:
 			t.answer(request)
 		case <-ctx.Done():
@@ -64,6 +84,44 @@
 	}
 }
 
+// begin reads the events since the last ones or the whole content. The call runs beside
+// the task, because a run that asks must not wait for a slow engine.
+func (t *indexTask) begin(ctx context.Context, reads chan<- indexRead, isEvents bool) {
+	read := indexRead{isEvents: isEvents, after: t.index.Position()}
+	if !isEvents {
+		read.ticket = t.index.BeginSnapshot()
+	}
+	go func() {
+		t.fetch(ctx, &read)
+		select {
+		case reads <- read:
+		case <-ctx.Done():
+		}
+	}()
+}
+
+func (t *indexTask) fetch(ctx context.Context, read *indexRead) {
+	ctx, cancel := context.WithTimeout(ctx, indexTimeout)
+	defer cancel()
+	if read.isEvents {
+		read.batch, read.err = t.engine.CacheEvents(ctx, t.upstream.Address, read.after)
+		return
+	}
+	read.snapshot, read.err = t.engine.CacheSnapshot(ctx, t.upstream.Address)
+}
+
+// apply takes what was read and reports false if the whole content is needed at once.
+func (t *indexTask) apply(read indexRead) bool {
+	switch {
+	case read.err != nil:
+		return true
+	case read.isEvents:
+		return t.index.ApplyEvents(read.after, read.batch)
+	}
+	t.index.ApplySnapshot(read.ticket, read.snapshot)
+	return true
+}
+
 func (t *indexTask) answer(request indexRequest) {
 	t.index.MarkDoubtful(request.doubtful)
 	if request.reply == nil {
@@ -76,23 +134,6 @@
 	}
 }
 
-// refresh reads the events since the last ones; after a gap it reads the whole content.
-func (t *indexTask) refresh(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, indexTimeout)
-	defer cancel()
-	if t.index.IsKnown() {
-		after := t.index.Position()
-		batch, err := t.engine.CacheEvents(ctx, t.upstream.Address, after)
-		if err != nil || t.index.ApplyEvents(after, batch) {
-			return
-		}
-	}
-	ticket := t.index.BeginSnapshot()
-	if snapshot, err := t.engine.CacheSnapshot(ctx, t.upstream.Address); err == nil {
-		t.index.ApplySnapshot(ticket, snapshot)
-	}
-}
-
 // ask returns what the index says of the keys; a task that has ended knows nothing.
 func (t *indexTask) ask(ctx context.Context, keys []spoke.BlockKey) indexReply {
 	reply := make(chan indexReply, 1)
--- /dev/null
+++ b/host/index_test.go
@@ -0,0 +1,121 @@
+package host_test
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"magnoliaspoke.example/spoke"
+	"magnoliaspoke.example/spoke/host"
+)
+
+// prefixCache is an engine with cache events; its calls take a time.
+type prefixCache struct {
+	spoke.Engine
+	mu     sync.Mutex
+	events []spoke.CacheEvent
+	lost   int
+	delay  time.Duration
+	snaps  int
+}
+
+func (p *prefixCache) store(keys ...spoke.BlockKey) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, key := range keys {
+		p.events = append(p.events, spoke.CacheEvent{Sequence: spoke.Sequence(len(p.events) + 1), Kind: spoke.BlockStored, Key: key})
+	}
+}
+
+// change sets the time of calls and how many of the first events are lost.
+func (p *prefixCache) change(delay time.Duration, lost int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.delay, p.lost = delay, lost
+}
+
+func (p *prefixCache) wait(ctx context.Context) error {
+	p.mu.Lock()
+	delay := p.delay
+	p.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, delay)
+	defer cancel()
+	<-ctx.Done()
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return ctx.Err()
+	}
+	return nil
+}
+
+func (p *prefixCache) CacheEvents(ctx context.Context, _ spoke.Address, after spoke.Sequence) (spoke.CacheEventBatch, error) {
+	err := p.wait(ctx)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return spoke.CacheEventBatch{
+		Events: p.events[max(int(after), min(p.lost, len(p.events))):], Next: spoke.Sequence(len(p.events)),
+	}, err
+}
+
+func (p *prefixCache) CacheSnapshot(ctx context.Context, _ spoke.Address) (spoke.CacheSnapshot, error) {
+	err := p.wait(ctx)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.snaps++
+	snapshot := spoke.CacheSnapshot{AsOf: spoke.Sequence(len(p.events))}
+	for _, event := range p.events {
+		snapshot.Keys = append(snapshot.Keys, event.Key)
+	}
+	return snapshot, err
+}
+
+// Guards against runs that wait for an engine that answers slowly, against an index that
+// misses blocks after a gap, and against doubtful blocks that count as good.
+func TestIndexFollowsEngine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer synctest.Wait()
+		defer cancel()
+		engine := &prefixCache{}
+		index := host.NewIndex(engine)
+		go index.Run(ctx)
+		assertIndex := func(want int, wantDoubt bool) {
+			t.Helper()
+			asked := time.Now()
+			resident, isDoubtful := index.Ask(ctx, spoke.BlockKey{1}, spoke.BlockKey{2})
+			assert.Equal(t, resident, want)
+			assert.Equal(t, isDoubtful, wantDoubt)
+			assert.Equal(t, time.Since(asked), time.Duration(0), "a run waited for the engine")
+		}
+		// Off the period of the reads, which would race with the changes.
+		pass(1100 * time.Millisecond)
+		engine.store(spoke.BlockKey{1})
+		pass(time.Second)
+		assertIndex(1, false)
+
+		engine.change(900*time.Millisecond, 0)
+		engine.store(spoke.BlockKey{2})
+		pass(600 * time.Millisecond)
+		assertIndex(1, false)
+		pass(2 * time.Second)
+		assertIndex(2, false)
+
+		engine.change(0, 4)
+		engine.store(spoke.BlockKey{3}, spoke.BlockKey{4}, spoke.BlockKey{5})
+		pass(2 * time.Second)
+		assertIndex(2, false)
+		assert.Equal(t, engine.snaps, 2, "the gap needs one snapshot")
+
+		index.MarkDoubtful(ctx, spoke.BlockKey{2})
+		assertIndex(0, true)
+		pass(time.Second)
+		assertIndex(2, true)
+		cancel()
+		synctest.Wait()
+		assertIndex(0, false)
+	})
+}
