--- a/host/owner.go
+++ b/host/owner.go
@@ -29,9 +29,16 @@
 		Ran(upstream spoke.Upstream, dispatch spoke.Dispatch, usage spoke.Usage, took time.Duration)
 	}
 
+	// handover waits until the host has taken over an upstream that it owns by membership.
+	handover interface {
+		// Await returns when the host follows the upstream or has waited long enough.
+		Await(ctx context.Context, id spoke.UpstreamID)
+	}
+
 	// owner runs attempts at the upstreams that the host owns.
 	owner struct {
 		manifest  spoke.ManifestSource
+		followers handover
 		admission *admissionTask
 		engine    spoke.Engine
 		blocks    blockLoader
@@ -69,6 +76,8 @@
 	run := &ownedRun{owner: o, dispatch: dispatch, upstream: upstream, out: make(chan runResult, streamBuffer)}
 	run.reader, run.leave = context.WithCancel(ctx)
 	run.work, run.preempt = context.WithCancelCause(run.reader)
+	// Others may see a change of ownership before this host does.
+	o.followers.Await(run.reader, upstream.ID)
 	actions, err := o.admission.Submit(run.reader, run.item())
 	if err != nil {
 		run.leave()
--- a/wire/client.go
+++ b/wire/client.go
@@ -34,6 +34,8 @@
 	updateTimeout    = time.Second
 	idleConnections  = 64
 	idleConnTimeout  = 30 * time.Second
+	// streamBuffer holds a few frames of a token each.
+	streamBuffer = 1024
 )
 
 type (
@@ -61,6 +63,8 @@
 		MaxIdleConnsPerHost: idleConnections,
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
+		ReadBufferSize:      streamBuffer,
+		WriteBufferSize:     streamBuffer,
 	}
 	client := &Client{http: &http.Client{Transport: transport}, signer: signer, timer: timer, clock: clock}
 	for _, opt := range opts {
