Scan the hosts for leaving upstreams once per membership

Cause: each request scanned the digests of all hosts for leaving upstreams to build the views of its service. Ruled out: holding the set in the ownership, which stays the same while the digests change. Change: the view table keeps the set of one membership.

--- a/host/export_test.go
+++ b/host/export_test.go
@@ -206,3 +206,8 @@
 
 // MarkDoubtful marks blocks that no run may use.
 func (x Index) MarkDoubtful(ctx context.Context, keys ...spoke.BlockKey) { x.markDoubtful(ctx, keys) }
+
+// NewViews returns the views of a host by service.
+func NewViews(manifest spoke.ManifestSource, members func() *spoke.Membership) func(spoke.ServiceName) []spoke.UpstreamView {
+	return newViewTable(manifest, members, route.Owner).Views
+}
--- a/host/views.go
+++ b/host/views.go
@@ -17,6 +17,13 @@
 		status   func(spoke.UpstreamID) (upstreamStatus, bool)
 		owner    ownerFunc
 		cached   atomic.Pointer[ownership]
+		leaving  atomic.Pointer[leavingSet]
+	}
+
+	// leavingSet holds the upstreams that one membership reports as leaving.
+	leavingSet struct {
+		members *spoke.Membership
+		ids     map[spoke.UpstreamID]bool
 	}
 
 	// ownership is the assignment of upstreams to hosts for one manifest and one set of hosts.
@@ -39,7 +46,7 @@
 func (v *viewTable) Views(service spoke.ServiceName) []spoke.UpstreamView {
 	members := v.members()
 	assigned := v.ownership(members).byService[service]
-	leaving := leavingUpstreams(members)
+	leaving := v.leavingUpstreams(members)
 	views := make([]spoke.UpstreamView, len(assigned))
 	for i, view := range assigned {
 		view.Load = members.Peers[view.Owner].Digest.Loads[view.Upstream.ID]
@@ -107,7 +114,12 @@
 	return result
 }
 
-func leavingUpstreams(members *spoke.Membership) map[spoke.UpstreamID]bool {
+// leavingUpstreams keeps its result for one membership, since a scan of all hosts for each
+// request is most of what the views cost.
+func (v *viewTable) leavingUpstreams(members *spoke.Membership) map[spoke.UpstreamID]bool {
+	if known := v.leaving.Load(); known != nil && known.members == members {
+		return known.ids
+	}
 	leaving := make(map[spoke.UpstreamID]bool)
 	for _, peer := range members.Peers {
 		if peer.State == spoke.PeerDead {
@@ -117,5 +129,6 @@
 			leaving[id] = true
 		}
 	}
+	v.leaving.Store(&leavingSet{members, leaving})
 	return leaving
 }
