--- a/host/export_test.go
+++ b/host/export_test.go
@@ -149,3 +149,65 @@
 
 // Members returns the membership as the host sees it.
 func (v Virtual) Members() *spoke.Membership { return v.members.View() }
+
+// Dispatch hands an attempt to the owner of its upstream as the host sees it.
+func (v Virtual) Dispatch(ctx context.Context, dispatch spoke.Dispatch) (spoke.RunStream, error) {
+	d := &dispatcher{
+		self: v.settings.Host, manifest: v.view, views: v.views, members: v.members,
+		owner: v.owner, client: v.members.client,
+	}
+	return d.Dispatch(ctx, dispatch)
+}
+
+// Followers gives tests access to the followers of one host.
+type Followers struct{ *followerTask }
+
+// NewFollowers returns the followers of a host that owns all upstreams.
+func NewFollowers(manifest spoke.ManifestSource, policy spoke.Admission, engine spoke.Engine) Followers {
+	clock := timer.NewSystem()
+	members := &spoke.Membership{Self: "h1", Peers: map[spoke.HostID]spoke.Peer{
+		"h1": {ID: "h1", DataCentre: "dc1", State: spoke.PeerAlive},
+	}}
+	views := newViewTable(manifest, func() *spoke.Membership { return members }, route.Owner)
+	sink := events.NewRecorder("h1", clock, 64)
+	return Followers{newFollowerTask(views, manifest, newAdmissionTask(policy, clock), engine, clock, sink)}
+}
+
+// Run follows and admits until the context ends.
+func (f Followers) Run(ctx context.Context) {
+	var tasks sync.WaitGroup
+	tasks.Go(func() { _ = f.admission.run(ctx) })
+	tasks.Go(func() { _ = f.run(ctx) })
+	tasks.Wait()
+}
+
+// Seen returns what the host observed of an upstream: whether it is known and whether it is dead.
+func (f Followers) Seen(id spoke.UpstreamID) (known, dead bool) {
+	status, known := f.Status(id)
+	return known, status.dead
+}
+
+// Index gives tests access to the index of an engine's prefix cache.
+type Index struct{ *indexTask }
+
+// NewIndex returns the index of an engine.
+func NewIndex(engine spoke.Engine) Index {
+	return Index{newIndexTask(spoke.Upstream{ID: "u1"}, engine, timer.NewSystem())}
+}
+
+// Run follows the engine until the context ends.
+func (x Index) Run(ctx context.Context) { x.run(ctx) }
+
+// Ask returns how many leading blocks are resident and whether one is in doubt.
+func (x Index) Ask(ctx context.Context, keys ...spoke.BlockKey) (resident int, isDoubtful bool) {
+	reply := x.ask(ctx, keys)
+	return reply.resident, reply.isDoubtful
+}
+
+// MarkDoubtful marks blocks that no run may use.
+func (x Index) MarkDoubtful(ctx context.Context, keys ...spoke.BlockKey) { x.markDoubtful(ctx, keys) }
+
+// NewViews returns the views of a host by service.
+func NewViews(manifest spoke.ManifestSource, members func() *spoke.Membership) func(spoke.ServiceName) []spoke.UpstreamView {
+	return newViewTable(manifest, members, route.Owner).Views
+}
