Read the reports of all engines once a minute unless versions differ

Cause: the holder of the orders lease read the report of every engine every 5 s, and twice a second during any roll-out; at 600 engines that is 120 to 1,200 polls a second, far over the bound of 29 KB/s.

Ruled out: the loads in heartbeats, which stay inside their data centre and say what an owner saw, not what the engine says now.

Change: an observer reads the engines of a service in which versions differ once a second, all others once a minute at staggered times, at most 40 a tick; the capacity run counts the polls of owners and of the holder.

--- a/cmd/trial/capacity.go
+++ b/cmd/trial/capacity.go
@@ -20,6 +20,9 @@
 	targetChangesPerDay     = 2200.0
 	targetObjects           = 1100.0
 	secondsPerDay           = 86400.0
+	// restReports is one report a minute of each of 600 engines, as a number of
+	// followed upstreams with six polls a second each.
+	restReports = 600.0 / 60 / 6
 	// assumedBookings is an assumption: 4% of the peak of requests may not be repeated.
 	assumedBookings = 100.0
 
@@ -68,11 +71,37 @@
 	if err != nil {
 		return nil, err
 	}
+	follow, err := followRows()
+	if err != nil {
+		return nil, err
+	}
 	platform, err := platformRows(ctx)
 	if err != nil {
 		return nil, err
 	}
-	return slices.Concat(rows, manifests, decisionRows(), platform), nil
+	return slices.Concat(rows, manifests, follow, decisionRows(), platform), nil
+}
+
+// followRows measures what an owner pays for the load and the cache events of its
+// upstreams, and the holder of the orders lease for the reports of all engines.
+func followRows() ([]slope.Row, error) {
+	var seconds, bytes []slope.Point
+	for _, upstreams := range []int{1, 2, 4, 8} {
+		spent, traffic, err := slope.FollowCost(upstreams)
+		if err != nil {
+			return nil, err
+		}
+		seconds = append(seconds, slope.Point{Size: float64(upstreams), Cost: spent})
+		bytes = append(bytes, slope.Point{Size: float64(upstreams), Cost: traffic})
+	}
+	const owner = "one owner for each upstream"
+	const holder = "a report a minute of each engine, a second during a roll-out"
+	return []slope.Row{
+		{Role: "followed upstreams", Mechanism: owner, Unit: slope.Processor, Variable: "owned upstreams", Points: seconds, Target: targetUpstreamsPerHost, Scale: 1},
+		{Role: "followed upstreams", Mechanism: owner, Unit: slope.Traffic, Variable: "owned upstreams", Points: bytes, Target: targetUpstreamsPerHost, Scale: 1},
+		{Role: "orders holder, at rest", Mechanism: holder, Unit: slope.Processor, Variable: "owned upstreams", Points: seconds, Target: restReports, Scale: 1},
+		{Role: "orders holder, at rest", Mechanism: holder, Unit: slope.Traffic, Variable: "owned upstreams", Points: bytes, Target: restReports, Scale: 1},
+	}, nil
 }
 
 // platformRows measures calls of the key-value service, which all hosts share.
--- a/host/swaps.go
+++ b/host/swaps.go
@@ -23,13 +23,6 @@
 	ordersTTL = 6 * time.Second
 
 	swapPeriod = 250 * time.Millisecond
-	// observePeriod spaces the load reports that the holder reads of every engine
-	// while versions differ, and restPeriod while none does.
-	observePeriod = 500 * time.Millisecond
-	restPeriod    = 5 * time.Second
-	// observeParallel bounds the reports read at the same time.
-	observeParallel = 16
-	observeTimeout  = time.Second
 	// urgentWait is the predicted wait of the most urgent rank that counts as waiting.
 	urgentWait = 200 * time.Millisecond
 )
@@ -54,19 +47,11 @@
 		turn context.Context
 		// stopKeeper ends the keeper and returns when it has given the lease up.
 		stopKeeper func()
-		reports    map[spoke.UpstreamID]spoke.LoadReport
-		observed   time.Time
-		isBusy     bool
+		observer   *observer
 		failed     chan swap.OrderFailed
 		out        map[spoke.UpstreamID]time.Time
 		shared     atomic.Pointer[[]spoke.UpstreamID]
 	}
-
-	observation struct {
-		id     spoke.UpstreamID
-		report spoke.LoadReport
-		err    error
-	}
 )
 
 // OutOfService lists the upstreams that wait for their swap.
@@ -102,11 +87,14 @@
 		return
 	}
 	state := t.leaseState()
+	if !state.Held && len(t.out) == 0 {
+		return
+	}
 	if state.Held {
-		t.observe(ctx, manifest)
+		t.observer.observe(ctx, t.timer.Now(), manifest, t.out)
 	}
 	t.apply(t.reconciler.Handle(t.timer.Now(), swap.Observe{
-		Models: manifest.Models(), Upstreams: engines(manifest), Reports: t.reports,
+		Models: manifest.Models(), Upstreams: engines(manifest), Reports: t.observer.reports,
 		Lease: state, UrgentWaiting: t.urgentWaiting(manifest),
 	}))
 	t.expire()
@@ -151,7 +139,7 @@
 
 func (t *swapTask) reset() {
 	t.reconciler = swap.NewReconciler()
-	t.reports = make(map[spoke.UpstreamID]spoke.LoadReport)
+	t.observer = newObserver(t.engine)
 	t.out = make(map[spoke.UpstreamID]time.Time)
 	t.share()
 }
@@ -162,62 +150,6 @@
 	return swap.LeaseState{Held: ok, Fence: held.Fence, Remaining: held.Expires.Sub(now), TTL: ordersTTL}
 }
 
-// observe reads what every engine says of itself, as the versions that count
-// are those that the engines report.
-func (t *swapTask) observe(ctx context.Context, manifest *spoke.Manifest) {
-	now := t.timer.Now()
-	period := restPeriod
-	if t.isBusy {
-		period = observePeriod
-	}
-	if now.Sub(t.observed) < period {
-		return
-	}
-	t.observed = now
-	upstreams := engines(manifest)
-	results := t.readReports(ctx, upstreams)
-	t.isBusy = len(t.out) > 0
-	clear(t.reports)
-	for _, result := range results {
-		if result.err != nil {
-			continue
-		}
-		// The reporter's clock may differ; the time of the read is an upper bound.
-		result.report.AsOf = now
-		t.reports[result.id] = result.report
-		t.isBusy = t.isBusy || differs(manifest, result.report)
-	}
-}
-
-func (t *swapTask) readReports(ctx context.Context, upstreams []spoke.Upstream) []observation {
-	ctx, cancel := context.WithTimeout(ctx, observeTimeout)
-	defer cancel()
-	results := make(chan observation, len(upstreams))
-	slots := make(chan struct{}, observeParallel)
-	for _, upstream := range upstreams {
-		slots <- struct{}{}
-		go func() {
-			defer func() { <-slots }()
-			report, err := t.engine.Load(ctx, upstream.Address)
-			results <- observation{upstream.ID, report, err}
-		}()
-	}
-	all := make([]observation, 0, len(upstreams))
-	for range upstreams {
-		all = append(all, <-results)
-	}
-	return all
-}
-
-func differs(manifest *spoke.Manifest, report spoke.LoadReport) bool {
-	for name, version := range report.Versions {
-		if model, ok := manifest.Model(name); ok && model.Version != version {
-			return true
-		}
-	}
-	return false
-}
-
 func engines(manifest *spoke.Manifest) []spoke.Upstream {
 	return slices.DeleteFunc(manifest.Upstreams(), func(upstream spoke.Upstream) bool {
 		service, _ := manifest.Service(upstream.Service)
@@ -250,7 +182,6 @@
 				t.events.Record(spoke.Event{Kind: "swap-out-of-service", Upstream: a.Upstream})
 			}
 			t.out[a.Upstream] = a.Until
-			t.isBusy = true
 		case swap.PutBack:
 			t.events.Record(spoke.Event{Kind: "swap-back-in-service", Upstream: a.Upstream})
 			delete(t.out, a.Upstream)
