Add scenario commands for swaps, blocks and crashes

Cause: scenarios could not name the host that gave the last order, wait for a loaded version, free blocks of a store host, or count engines that have died.

Change: alias-event, free, changes and patience are new commands, loaded, busy and ended new conditions. The audit compares the version and salt of every cached block that an engine used with those of its run. Messages of failed checks show the cached tokens.

--- a/cmd/trial/scene/alias.go
+++ b/cmd/trial/scene/alias.go
@@ -2,13 +2,18 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 
 	"github.com/rogpeppe/go-internal/testscript"
 	"github.com/rotisserie/eris"
 
+	"magnoliaspoke.example/spoke"
+	"magnoliaspoke.example/spoke/cmd/trial/plans"
+	"magnoliaspoke.example/spoke/events"
 	"magnoliaspoke.example/spoke/fleet"
 )
 
@@ -39,6 +44,74 @@
 	ts.Logf("%s runs at %s, owned by %s", args[0], engine, s.aliases["@owner"])
 }
 
+// aliasEvent names the host whose time line has the last event of a kind, as @last.
+func (s *stage) aliasEvent(ts *testscript.TestScript, _ bool, args []string) {
+	want(ts, args, 1, 1, "alias-event KIND")
+	s.needSetup(ts)
+	ts.Check(s.await(func() (bool, string) {
+		var latest spoke.Event
+		for _, event := range events.Merge(s.timelines()...) {
+			if string(event.Kind) == args[0] {
+				latest = event
+			}
+		}
+		s.aliases["@last"] = string(latest.Host)
+		return latest.Host != "", "no event " + args[0]
+	}))
+	ts.Logf("the last event %s is of host %s", args[0], s.aliases["@last"])
+}
+
+// expectLoaded holds when engines report a version of the model, by default all running ones.
+func (s *stage) expectLoaded(args []string) (condition, error) {
+	return func() (bool, bool, string) {
+		for _, engine := range s.engines(args[1:]) {
+			text, err := s.standin(http.MethodGet, engine, "/load", "")
+			var load struct {
+				Versions map[string]string `json:"versions"`
+			}
+			if err == nil {
+				err = json.Unmarshal(text, &load)
+			}
+			if got := load.Versions[string(plans.Model)]; err != nil || got != args[0] {
+				return false, false, fmt.Sprintf("%s has version %q, %v", engine, got, err)
+			}
+		}
+		return true, false, "version " + args[0]
+	}, nil
+}
+
+// expectEnded compares how many engines have died.
+func (s *stage) expectEnded(args []string) (condition, error) {
+	wanted, err := strconv.Atoi(args[0])
+	return func() (bool, bool, string) {
+		ended := 0
+		for _, centre := range s.setup.Plan().DataCentres {
+			for _, upstream := range centre.Upstreams {
+				if process, err := s.setup.Process(string(upstream.ID)); err == nil && !process.Running() {
+					ended++
+				}
+			}
+		}
+		return ended == wanted, false, fmt.Sprintf("%d engines have ended", ended)
+	}, eris.Wrap(err, "engines")
+}
+
+func (s *stage) engines(named []string) []string {
+	if len(named) > 0 {
+		return named
+	}
+	var running []string
+	for _, centre := range s.setup.Plan().DataCentres {
+		for _, upstream := range centre.Upstreams {
+			process, err := s.setup.Process(string(upstream.ID))
+			if err == nil && upstream.Kind == fleet.KindEngine && process.Running() {
+				running = append(running, string(upstream.ID))
+			}
+		}
+	}
+	return running
+}
+
 func (s *stage) aliasOwner(engine string) error {
 	for _, host := range s.runningHosts() {
 		status, err := s.statusOf(host)
@@ -74,21 +147,15 @@
 // engineOf returns the engine that started the last attempt of a request.
 func (s *stage) engineOf(request string) string {
 	latest, engine := "", ""
-	for _, centre := range s.setup.Plan().DataCentres {
-		for _, upstream := range centre.Upstreams {
-			process, err := s.setup.Process(string(upstream.ID))
-			if err != nil || upstream.Kind != fleet.KindEngine || !process.Running() {
-				continue
-			}
-			text, err := s.standin(http.MethodGet, string(upstream.ID), "/counters", "")
-			var runs engineRuns
-			if err != nil || json.Unmarshal(text, &runs) != nil {
-				continue
-			}
-			for _, run := range runs.Runs {
-				if strings.HasPrefix(run.Attempt, request+"-") && run.Attempt >= latest {
-					latest, engine = run.Attempt, string(upstream.ID)
-				}
+	for _, name := range s.engines(nil) {
+		text, err := s.standin(http.MethodGet, name, "/counters", "")
+		var runs engineRuns
+		if err != nil || json.Unmarshal(text, &runs) != nil {
+			continue
+		}
+		for _, run := range runs.Runs {
+			if strings.HasPrefix(run.Attempt, request+"-") && run.Attempt >= latest {
+				latest, engine = run.Attempt, name
 			}
 		}
 	}
--- a/cmd/trial/scene/ask.go
+++ b/cmd/trial/scene/ask.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"math"
 	"net/http"
 	"slices"
@@ -63,8 +64,9 @@
 	want(ts, args, 2, math.MaxInt, askUsage)
 	s.needSetup(ts)
 	set := readOptions(ts, args[2:], askUsage, "workspace", "seed", "bytes", "tokens", "rank", "version", "mark")
+	workspace := plans.WorkspaceID(set.number(ts, "workspace", 0))
 	ask := load.Ask{
-		Key:       plans.Key(plans.WorkspaceID(set.number(ts, "workspace", 0))),
+		Key:       plans.Key(workspace),
 		Model:     plans.Model,
 		Rank:      spoke.RankName(set.text("rank", string(plans.RankNormal))),
 		Prompt:    load.Prompt(uint64(set.number(ts, "seed", 1)), spoke.ByteSize(set.number(ts, "bytes", defaultPrompt))),
@@ -77,7 +79,7 @@
 	request := s.callerRequest(ts, args[1], http.MethodPost, "/v1/completions", body)
 	request.Header.Set("Authorization", "Bearer "+ask.Key)
 	request.Header.Set("X-Spoke-Rank", string(ask.Rank))
-	s.launchExchange(ts, args[0], request, &exchange{ask: &ask})
+	s.launchExchange(ts, args[0], request, &exchange{ask: &ask, workspace: workspace})
 }
 
 // book sends a non-repeatable call with an idempotency key.
@@ -125,7 +127,7 @@
 	return func() (bool, bool, string) {
 		now := current.progress()
 		answer := now.answer(*current.ask)
-		return holds(now, answer), now.done, now.String() + ", check: " + checked(answer)
+		return holds(now, answer), now.done, fmt.Sprintf("%s, check: %s, cached %d", now, checked(answer), answer.Usage.Cached)
 	}, nil
 }
 
--- a/cmd/trial/scene/audit.go
+++ b/cmd/trial/scene/audit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"sync"
@@ -102,7 +103,8 @@
 
 // audit waits for the end of all requests and checks what holds in every scenario: whole
 // answers have the right text, refusals that say not-run are true, no attempt and no key of
-// one workspace ran twice, and no host went back to an older ticket.
+// one workspace ran twice, no run used blocks of another version or workspace, and no host
+// went back to an older ticket.
 func (s *stage) audit(ts *testscript.TestScript, _ bool, args []string) {
 	want(ts, args, 0, 0, "audit")
 	s.needSetup(ts)
@@ -121,6 +123,7 @@
 		}
 	}
 	ts.Check(s.auditKeys())
+	ts.Check(s.auditBlocks())
 	ts.Check(s.numbers.err())
 }
 
@@ -158,6 +161,22 @@
 	return nil
 }
 
+// auditBlocks compares the cached blocks that runs used with their version and salt.
+func (s *stage) auditBlocks() error {
+	var wrong error
+	err := count(s, fleet.KindEngine, "/counters", func(counted engineRuns) {
+		for _, run := range counted.Runs {
+			for i, version := range run.BlockVersions {
+				if version != run.Version || run.BlockSalts[i] != run.Salt {
+					wrong = eris.Errorf("attempt %s of version %s used a block of version %s, salts %s and %s",
+						run.Attempt, run.Version, version, run.Salt, run.BlockSalts[i])
+				}
+			}
+		}
+	})
+	return errors.Join(err, wrong)
+}
+
 func (s *stage) plainAttempts() (map[string]int, error) {
 	result := make(map[string]int)
 	err := count(s, fleet.KindPlain, "/runs", func(runs plainRuns) {
--- a/cmd/trial/scene/exchange.go
+++ b/cmd/trial/scene/exchange.go
@@ -12,6 +12,7 @@
 	"github.com/rogpeppe/go-internal/testscript"
 	"github.com/rotisserie/eris"
 
+	"magnoliaspoke.example/spoke"
 	"magnoliaspoke.example/spoke/cmd/trial/load"
 	"magnoliaspoke.example/spoke/ready"
 )
@@ -23,6 +24,7 @@
 	exchange struct {
 		// ask is set for language requests whose answer can be checked.
 		ask        *load.Ask
+		workspace  spoke.WorkspaceID
 		key        string
 		credential string
 
--- a/cmd/trial/scene/expect.go
+++ b/cmd/trial/scene/expect.go
@@ -52,9 +52,12 @@
 	"refused":    {"expect refused NAME CODE OUTCOME", 3, false, (*stage).expectRefused},
 	"runs":       {"expect runs KEY COUNT", 2, true, (*stage).expectRuns},
 	"ran":        {"expect ran STANDIN COUNT", 2, true, (*stage).expectRan},
+	"ended":      {"expect ended ENGINES", 1, true, (*stage).expectEnded},
 	"served":     {"expect served FLOW LEAST", 2, true, (*stage).expectServed},
 	"open":       {"expect open HOST LEAST", 2, true, (*stage).expectOpen},
 	"written":    {"expect written LEAST", 1, true, (*stage).expectWritten},
+	"loaded":     {"expect loaded VERSION [ENGINE...]", 1, true, (*stage).expectLoaded},
+	"busy":       {"expect busy STORE", 1, true, (*stage).expectBusy},
 	"event":      {"expect event HOST KIND [PATTERN]", 2, true, (*stage).expectEvent},
 }
 
@@ -108,6 +111,14 @@
 	}
 }
 
+// setPatience bounds the waits that follow, for what the product does only after long limits.
+func (s *stage) setPatience(ts *testscript.TestScript, _ bool, args []string) {
+	want(ts, args, 1, 1, "patience DURATION")
+	limit, err := time.ParseDuration(args[0])
+	ts.Check(err)
+	s.patience = limit
+}
+
 func (s *stage) exchange(name string) (*exchange, error) {
 	current, ok := s.requests[name]
 	if !ok {
--- a/cmd/trial/scene/flow.go
+++ b/cmd/trial/scene/flow.go
@@ -34,6 +34,9 @@
 	balancerDelay = drainDelay / 2
 )
 
+// flowVersions lets a flow go on while a ticket changes the version.
+var flowVersions = []spoke.ModelVersion{plans.FirstVersion, "v2", "v3"}
+
 type (
 	// flow is a steady load of language requests or bookings at some hosts.
 	flow struct {
@@ -164,7 +167,7 @@
 	answer := caller.Send(f.stage.ctx, load.Ask{
 		Key: plans.Key(plans.WorkspaceID(0)), Model: plans.Model, Rank: plans.RankUrgent,
 		Prompt: load.Prompt(number%flowPrompts, defaultPrompt), MaxTokens: flowTokens,
-		Versions: []spoke.ModelVersion{plans.FirstVersion},
+		Versions: flowVersions,
 	})
 	if answer.IsServed() {
 		return nil
--- a/cmd/trial/scene/repeat.go
+++ b/cmd/trial/scene/repeat.go
@@ -14,6 +14,7 @@
 	"github.com/rotisserie/eris"
 
 	"magnoliaspoke.example/spoke"
+	"magnoliaspoke.example/spoke/cmd/trial/plans"
 	"magnoliaspoke.example/spoke/fleet"
 )
 
@@ -92,6 +93,34 @@
 	}
 }
 
+// changes submits tickets with a range of numbers one after the other, each one again until
+// the platform takes it.
+func (s *stage) changes(ts *testscript.TestScript, _ bool, args []string) {
+	const usage = "changes HOST FROM TO"
+	want(ts, args, 3, 3, usage)
+	s.needSetup(ts)
+	first, err := strconv.ParseUint(args[1], 10, 64)
+	ts.Check(eris.Wrap(err, usage))
+	last, err := strconv.ParseUint(args[2], 10, 64)
+	ts.Check(eris.Wrap(err, usage))
+	client, err := s.admin(args[0])
+	ts.Check(err)
+	for number := first; number <= last; number++ {
+		change := spoke.Ticket{Number: spoke.TicketNumber(number), Author: author, Objects: []spoke.Object{spoke.Rank{
+			Name: plans.RankBatch, Order: 2, FirstTokenTarget: time.Duration(number) * time.Second, Floor: 0.05, Worth: 1,
+		}}}
+		text, err := s.runner.codec.EncodeTicket(change)
+		ts.Check(err)
+		ts.Check(s.await(func() (bool, string) {
+			_, err := client.Submit(s.ctx, text)
+			if err != nil && codeOf(err) != string(spoke.AdminUnavailable) {
+				ts.Check(err)
+			}
+			return err == nil, fmt.Sprint(err)
+		}))
+	}
+}
+
 // quiet fails if a stand-in starts a run later than the duration from now, while a flow has
 // the given number of requests served after that.
 func (s *stage) quiet(ts *testscript.TestScript, _ bool, args []string) {
--- a/cmd/trial/scene/runner.go
+++ b/cmd/trial/scene/runner.go
@@ -17,7 +17,7 @@
 )
 
 const (
-	// stepLimit bounds every wait of a scenario.
+	// stepLimit bounds every wait of a scenario that does not set its patience.
 	stepLimit = 20 * time.Second
 	// stepCheck is the period at which a wait looks at its condition.
 	stepCheck = 5 * time.Millisecond
@@ -51,8 +51,10 @@
 		flows    map[string]*flow
 		aliases  map[string]string
 		// writes is the platform's count of writes when its faults were last set.
-		writes  int64
-		numbers numbers
+		writes int64
+		// patience bounds every wait.
+		patience time.Duration
+		numbers  numbers
 	}
 
 	stageKey struct{}
@@ -95,19 +97,24 @@
 		"send":      (*stage).send,
 		"expect":    (*stage).expect,
 		"within":    (*stage).within,
+		"patience":  (*stage).setPatience,
 		"ticket":    (*stage).ticket,
 		"platform":  (*stage).platform,
 		"configure": (*stage).configure,
 		"ask":       (*stage).ask,
 		"alias":     (*stage).alias,
-		"book":      (*stage).book,
-		"post":      (*stage).post,
-		"flow":      (*stage).flow,
-		"halt":      (*stage).halt,
-		"insist":    (*stage).insist,
-		"race":      (*stage).race,
-		"quiet":     (*stage).quiet,
-		"audit":     (*stage).audit,
+
+		"alias-event": (*stage).aliasEvent,
+		"book":        (*stage).book,
+		"post":        (*stage).post,
+		"free":        (*stage).free,
+		"flow":        (*stage).flow,
+		"halt":        (*stage).halt,
+		"insist":      (*stage).insist,
+		"race":        (*stage).race,
+		"changes":     (*stage).changes,
+		"quiet":       (*stage).quiet,
+		"audit":       (*stage).audit,
 	}
 	params := testscript.Params{
 		Dir:                directory,
@@ -125,7 +132,7 @@
 
 func (r *Runner) prepare(env *testscript.Env) error {
 	ctx, cancel := context.WithTimeout(context.Background(), scenarioLimit)
-	s := &stage{runner: r, ctx: ctx, requests: make(map[string]*exchange), flows: make(map[string]*flow), aliases: make(map[string]string)}
+	s := &stage{runner: r, ctx: ctx, requests: make(map[string]*exchange), flows: make(map[string]*flow), aliases: make(map[string]string), patience: stepLimit}
 	s.numbers.highest = make(map[string]spoke.TicketNumber)
 	env.Values[stageKey{}] = s
 	env.Setenv("PATH", filepath.Dir(r.programs.Spokectl)+string(os.PathListSeparator)+env.Getenv("PATH"))
@@ -256,7 +263,7 @@
 
 // await waits for a condition; the error says what was seen last.
 func (s *stage) await(condition func() (bool, string)) error {
-	limit := time.NewTimer(stepLimit)
+	limit := time.NewTimer(s.patience)
 	defer limit.Stop()
 	tick := time.NewTicker(stepCheck)
 	defer tick.Stop()
@@ -268,7 +275,7 @@
 		select {
 		case <-tick.C:
 		case <-limit.C:
-			return eris.Errorf("not so after %v: %s", stepLimit, seen)
+			return eris.Errorf("not so after %v: %s", s.patience, seen)
 		case <-s.ctx.Done():
 			return eris.Wrapf(context.Cause(s.ctx), "last seen: %s", seen)
 		}
--- a/cmd/trial/scene/show.go
+++ b/cmd/trial/scene/show.go
@@ -20,6 +20,15 @@
 
 // showTimeline prints the merged events of all hosts that still answer.
 func (s *stage) showTimeline(t testscript.T) {
+	var text strings.Builder
+	if err := events.WriteText(&text, events.Merge(s.timelines()...)); err != nil {
+		t.Log(err)
+	}
+	t.Log("time line of the hosts:\n" + text.String())
+}
+
+// timelines reads the events of the hosts; one that does not answer in time gives none.
+func (s *stage) timelines() [][]spoke.Event {
 	var lists [][]spoke.Event
 	for _, host := range s.runningHosts() {
 		client, err := s.admin(host)
@@ -29,17 +38,11 @@
 		ctx, cancel := context.WithTimeout(s.ctx, showLimit)
 		page, err := client.Events(ctx, spoke.EventFilter{})
 		cancel()
-		if err != nil {
-			t.Log("no events of " + host + ": " + err.Error())
-			continue
+		if err == nil {
+			lists = append(lists, page.Events)
 		}
-		lists = append(lists, page.Events)
-	}
-	var text strings.Builder
-	if err := events.WriteText(&text, events.Merge(lists...)); err != nil {
-		t.Log(err)
 	}
-	t.Log("time line of the hosts:\n" + text.String())
+	return lists
 }
 
 func (s *stage) showLogs(t testscript.T) {
--- a/cmd/trial/scene/standin.go
+++ b/cmd/trial/scene/standin.go
@@ -13,7 +13,9 @@
 	"github.com/rotisserie/eris"
 
 	"magnoliaspoke.example/spoke"
+	"magnoliaspoke.example/spoke/cache"
 	"magnoliaspoke.example/spoke/cmd/trial/load"
+	"magnoliaspoke.example/spoke/cmd/trial/plans"
 	"magnoliaspoke.example/spoke/fleet"
 	"magnoliaspoke.example/spoke/ready"
 )
@@ -28,10 +30,17 @@
 
 	// engineRuns is the part of GET /counters of engine stand-ins that scenarios look at.
 	engineRuns struct {
-		Started int `json:"runs-started"`
-		Runs    []struct {
-			Attempt string `json:"attempt-id"`
-		} `json:"runs"`
+		Started int         `json:"runs-started"`
+		Runs    []engineRun `json:"runs"`
+	}
+
+	// engineRun says which cached blocks a run used.
+	engineRun struct {
+		Attempt       string   `json:"attempt-id"`
+		Version       string   `json:"version"`
+		BlockVersions []string `json:"block-versions"`
+		BlockSalts    []string `json:"block-salts"`
+		Salt          string   `json:"salt"`
 	}
 )
 
@@ -72,6 +81,22 @@
 	return text, eris.Wrap(err, name)
 }
 
+// free deletes the blocks of a request's prompt at a store host.
+func (s *stage) free(ts *testscript.TestScript, neg bool, args []string) {
+	want(ts, args, 2, 2, "free STORE REQUEST")
+	s.needSetup(ts)
+	current, err := s.exchange(args[1])
+	ts.Check(err)
+	scope := cache.Scope{
+		Service: plans.Language, Workspace: current.workspace,
+		Model: current.ask.Model, Version: current.ask.Versions[0],
+	}
+	for _, key := range scope.Keys(current.ask.Prompt) {
+		_, err := s.standin(http.MethodDelete, args[0], "/blocks/"+key.String(), "")
+		check(ts, neg, err)
+	}
+}
+
 // count reads a counter of every running stand-in of a kind.
 func count[T any](s *stage, kind fleet.PartKind, path string, add func(T)) error {
 	for _, centre := range s.setup.Plan().DataCentres {
@@ -154,6 +179,20 @@
 	return runs.Total + runs.Started, eris.Wrap(err, name)
 }
 
+// expectBusy holds while transfers wait for the link of a store host.
+func (s *stage) expectBusy(args []string) (condition, error) {
+	return func() (bool, bool, string) {
+		text, err := s.standin(http.MethodGet, args[0], "/usage", "")
+		var usage struct {
+			Queue int64 `json:"link-queue"`
+		}
+		if err == nil {
+			err = json.Unmarshal(text, &usage)
+		}
+		return err == nil && usage.Queue > 0, false, fmt.Sprintf("%s has %d bytes waiting, %v", args[0], usage.Queue, err)
+	}, nil
+}
+
 func (s *stage) kindOf(name string) fleet.PartKind {
 	for _, centre := range s.setup.Plan().DataCentres {
 		for _, upstream := range centre.Upstreams {
