Give repeats of a booking with a lost answer their final answer

Cause: when the service ran a booking and its answer was lost, the claim stayed held, and each repeat of the key was told for 24 hours to come back later although nothing more could come.

Ruled out: a second try, which could run the booking twice; a shorter expiry of claims, which would allow that later.

Change: the claim is finished without an answer, and a repeat gets `already-run` with an unknown outcome and no retry hint.

Conclusion: claims of a host that died between claim and answer still say `in-progress` until they expire.

--- a/plain/client_test.go
+++ b/plain/client_test.go
@@ -116,7 +116,9 @@
 		_, err = e.Call(context.Background(), booking("r2", key, "x"))
 		assert.Equal(t, refusalIn(err).Outcome, spoke.OutcomeUnknown)
 		_, err = e.Call(context.Background(), booking("r3", key, "x"))
-		assert.Equal(t, refusalIn(err).Code, spoke.CodeInProgress)
+		assert.Equal(t, refusalIn(err).Code, spoke.CodeAlreadyRun)
+		assert.Equal(t, refusalIn(err).Outcome, spoke.OutcomeUnknown)
+		assert.Equal(t, refusalIn(err).RetryAfter, time.Duration(0))
 		assert.Equal(t, service.Runs().ByKey[key], 1)
 	}
 }
--- a/plain/once.go
+++ b/plain/once.go
@@ -93,14 +93,16 @@
 		j.updateThen(claim, "release", j.parts.Claims.Release, func() { done <- outcome{refusal: hinted(refusal)} })
 		return
 	}
+	result := outcome{answer: answer}
 	if err != nil {
-		done <- outcome{refusal: failed(err)}
-		return
+		// Without a record of the lost answer, repeats would be told to come back until
+		// the claim expires.
+		answer, result = spoke.PlainAnswer{}, outcome{refusal: failed(err)}
 	}
 	finish := func(ctx context.Context, claim spoke.ClaimRequest) error {
 		return j.parts.Claims.Finish(ctx, claim, answer)
 	}
-	j.updateThen(claim, "finish", finish, func() { done <- outcome{answer: answer} })
+	j.updateThen(claim, "finish", finish, func() { done <- result })
 }
 
 func (j *job) update(claim spoke.ClaimRequest, name string, send func(context.Context, spoke.ClaimRequest) error) {
@@ -139,6 +141,8 @@
 		return spoke.PlainAnswer{}, hinted(spoke.Unknown(spoke.CodeInProgress, "a request with the same idempotency key is in progress"))
 	case record.Answer == nil:
 		return spoke.PlainAnswer{}, spoke.Unknown(spoke.CodeAlreadyRun, "the request with this idempotency key has run; its answer was not recorded")
+	case record.Answer.Status == 0:
+		return spoke.PlainAnswer{}, spoke.Unknown(spoke.CodeAlreadyRun, "the answer to the request with this idempotency key was lost after it may have run")
 	}
 	answer := *record.Answer
 	answer.Header = answer.Header.Clone()
