Show caches and store hosts in the status of a host

Cause: `spokectl status` had empty tables for caches and store hosts, since the host did not fill them; the addresses of `make up` did not have the form that spokectl reads from the environment.

Change: the status asks the index tasks and, for 300 ms at most, the store hosts of the data centre; `make up` prints SPOKE_HOSTS.

Measured: with `make up` running, `spokectl status` shows an indexed cache for each owned engine and the store host as reachable.

--- a/cmd/trial/up.go
+++ b/cmd/trial/up.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"time"
 
 	"magnoliaspoke.example/spoke/cmd/trial/plans"
@@ -41,13 +42,15 @@
 		fmt.Printf("OPENAI_BASE_URL=http://%s/v1\n", at)
 		fmt.Printf("OPENAI_API_KEY=%s\n", plans.Key(plans.WorkspaceID(0)))
 	}
+	var operators []string
 	for _, host := range s.Hosts() {
 		at, err := s.Address(host, ready.Admin)
 		if err != nil {
 			return err
 		}
-		fmt.Printf("SPOKE_ADMIN_ADDRESS=%s\n", at)
+		operators = append(operators, string(at))
 	}
+	fmt.Printf("SPOKE_HOSTS=%s\n", strings.Join(operators, ","))
 	fmt.Printf("SPOKE_ADMIN_KEY=%s\n", s.Fleet.Plan().AdminKey)
 	return nil
 }
--- a/host/admin.go
+++ b/host/admin.go
@@ -60,7 +60,7 @@
 }
 
 // Status returns the state of this host and of what it sees.
-func (a administration) Status(context.Context) (spoke.Status, error) {
+func (a administration) Status(ctx context.Context) (spoke.Status, error) {
 	h := a.host
 	members := h.members.View()
 	self := members.Peers[members.Self]
@@ -75,6 +75,13 @@
 	for _, service := range h.view.Current().Services() {
 		status.Upstreams = append(status.Upstreams, h.views.Views(service.Name)...)
 	}
+	status.Caches = h.blocks.Caches(ctx)
+	for i := range status.Caches {
+		if seen, ok := h.followers.Status(status.Caches[i].Upstream); ok {
+			status.Caches[i].Used, status.Caches[i].Size = seen.report.CacheUsed, seen.report.CacheSize
+		}
+	}
+	status.Stores = h.blocks.Stores(ctx, h.settings.DataCentre)
 	return status, nil
 }
 
--- a/host/blocks.go
+++ b/host/blocks.go
@@ -28,6 +28,8 @@
 		engine   spoke.Engine
 		importer *cache.Importer
 		exporter *cache.Exporter
+		stores   *store.Client
+		links    *cache.Links
 		exports  chan exportRequest
 
 		indexes sync.Map
@@ -60,6 +62,7 @@
 		importer: cache.NewImporter(stores, engine, links),
 		exporter: cache.NewExporter(stores, engine, links, cache.LikelyExport{}),
 		exports:  make(chan exportRequest, exportQueue),
+		stores:   stores, links: links,
 	}
 }
 
--- /dev/null
+++ b/host/status.go
@@ -0,0 +1,48 @@
+package host
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"magnoliaspoke.example/spoke"
+)
+
+const (
+	// probeTimeout bounds what a status waits for a store host that does not answer.
+	probeTimeout = 300 * time.Millisecond
+)
+
+// Caches describes the index of each owned engine's prefix cache.
+func (t *blockTask) Caches(ctx context.Context) []spoke.CacheStatus {
+	var caches []spoke.CacheStatus
+	t.indexes.Range(func(_, index any) bool {
+		caches = append(caches, index.(*indexTask).ask(ctx, nil).status)
+		return true
+	})
+	return caches
+}
+
+// Stores asks the store hosts of a data centre how they are.
+func (t *blockTask) Stores(ctx context.Context, centre spoke.DataCentreID) []spoke.StoreStatus {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	var stores []spoke.StoreStatus
+	var addresses []spoke.Address
+	for _, host := range t.manifest.Current().StoreHosts() {
+		if host.DataCentre == centre {
+			stores = append(stores, spoke.StoreStatus{Store: host.ID, Service: host.Service, LinkRate: t.links.Rate(host.Address)})
+			addresses = append(addresses, host.Address)
+		}
+	}
+	var probes sync.WaitGroup
+	for i := range stores {
+		probes.Go(func() {
+			usage, err := t.stores.Usage(ctx, addresses[i])
+			stores[i].Reachable = err == nil
+			stores[i].LinkQueue = usage.LinkQueue
+		})
+	}
+	probes.Wait()
+	return stores
+}
