Recognise engines that die a moment after their streams

Cause: a broken stream counted as a death only if one connection attempt right after it failed. A crashing process may keep its listener for some milliseconds; then the death was missed, the crashing request was not suspected and took down more engines. Marks also reached other data centres only with the next heartbeats.

Ruled out: the relays of the set-up; crash scenarios use direct connections. A probe in the owner, because control calls do not tell a refused connection from other errors.

Change: the client tries four times within 75 ms before it takes a broken stream for that of a living engine; resumption after such a break starts that much later. A mark is sent to every known host at once, not only to those of the data centre, before the caller gets its answer.

--- a/engine/run.go
+++ b/engine/run.go
@@ -15,9 +15,15 @@
 	"magnoliaspoke.example/spoke"
 )
 
-// silenceLimit is the silence after which a cancelled wait makes pooled connections to the
-// same engine doubtful: a fault of the path hits them all, and new ones may work.
-const silenceLimit = time.Second
+const (
+	// silenceLimit is the silence after which a cancelled wait makes pooled connections to the
+	// same engine doubtful: a fault of the path hits them all, and new ones may work.
+	silenceLimit = time.Second
+	// deathTries and deathPause cover the time that a crashing process takes to end; a broken
+	// stream of a living engine is resumed that much later.
+	deathTries = 4
+	deathPause = 25 * time.Millisecond
+)
 
 // Run starts an attempt and returns when the engine has admitted it. The context governs the
 // whole stream. Errors match ErrNotRun only if no connection was made or the engine refused.
@@ -71,12 +77,30 @@
 
 // brokenError classifies a connection that broke after the request may have been sent.
 func (c *Client) brokenError(ctx context.Context, at spoke.Address, cause error) error {
-	if !c.isReachable(ctx, at) && ctx.Err() == nil {
+	if c.hasDied(ctx, at) {
 		return errors.Join(spoke.ErrIncomplete, spoke.ErrUpstreamDied, cause)
 	}
 	return errors.Join(spoke.ErrIncomplete, cause)
 }
 
+// hasDied tries several connections, because the listener of a dying process may outlive its
+// streams for a moment.
+func (c *Client) hasDied(ctx context.Context, at spoke.Address) bool {
+	pause := c.clock.Every(deathPause)
+	defer pause.Stop()
+	for range deathTries {
+		if !c.isReachable(ctx, at) {
+			return ctx.Err() == nil
+		}
+		select {
+		case <-pause.C():
+		case <-ctx.Done():
+			return false
+		}
+	}
+	return false
+}
+
 // doubtPool drops pooled connections to an engine that has been silent since a time.
 func (c *Client) doubtPool(at spoke.Address, since time.Time) {
 	if c.clock.Now().Sub(since) >= silenceLimit {
--- a/member/messages.go
+++ b/member/messages.go
@@ -52,7 +52,7 @@
 	SetDigest struct{ Digest spoke.Digest }
 	// SetNumber replaces the configuration number of the own digest.
 	SetNumber struct{ Number spoke.TicketNumber }
-	// AddMark adds a quarantine mark to the own digest and tells every host of the data centre.
+	// AddMark adds a quarantine mark to the own digest and tells every known host.
 	AddMark struct{ Mark spoke.QuarantineMark }
 	// Leave marks the own host as leaving and tells every host of the data centre.
 	Leave struct{}
--- a/member/table.go
+++ b/member/table.go
@@ -68,7 +68,7 @@
 		t.changeSelf(func(r *Record) { r.Digest.Number = max(r.Digest.Number, m.Number) })
 	case AddMark:
 		t.changeSelf(func(r *Record) { r.Digest.Marks = append(slices.Clone(r.Digest.Marks), m.Mark) })
-		return t.spread()
+		return t.tellAll()
 	case Leave:
 		t.changeSelf(func(r *Record) { r.Leaving = true })
 		return t.spread()
@@ -321,6 +321,17 @@
 	return actions
 }
 
+// tellAll sends a heartbeat to every known host, for rare news that must be known everywhere
+// before a caller can act on its answer.
+func (t *Table) tellAll() []Action {
+	t.hosts[t.self].beat.Count++
+	actions := t.sendTo(t.localPeers(), t.heartbeat(false))
+	for _, hosts := range t.remotePeers() {
+		actions = append(actions, t.sendTo(hosts, t.heartbeat(true))...)
+	}
+	return actions
+}
+
 func (t *Table) sendTo(targets []Record, beat Heartbeat) []Action {
 	actions := make([]Action, 0, len(targets))
 	for _, target := range targets {
