Count upstreams as serving only when hosts know it

Cause: at the moment when one pair of engines was put back and the next pair was taken out, hosts heard of the second before the first and refused requests although half of the engines served.

Ruled out: a fixed pause between swaps, which would slow roll-outs of large services that have enough other upstreams.

Change: an upstream that was put back less than the notice time ago does not count as serving when the next one is to be taken out.

--- a/swap/plan.go
+++ b/swap/plan.go
@@ -36,7 +36,7 @@
 		return false
 	}
 	_, wrong := v.wrongModel(upstream)
-	return wrong && r.mayOrder(now, lease, v, upstream) && r.mayTakeOut(v, upstream)
+	return wrong && r.mayOrder(now, lease, v, upstream) && r.mayTakeOut(now, v, upstream)
 }
 
 // mayOrder reports whether an order to the upstream is safe now.
@@ -53,15 +53,17 @@
 }
 
 // mayTakeOut reports whether at least half of the service's upstreams serve without this one.
-// A service with one upstream has no choice but to pause.
-func (r *Reconciler) mayTakeOut(v view, upstream spoke.Upstream) bool {
+// A service with one upstream has no choice but to pause. One that was just put back does not
+// count yet, because entry hosts may hear of the next ones taken out before they hear of it.
+func (r *Reconciler) mayTakeOut(now time.Time, v view, upstream spoke.Upstream) bool {
 	total, serving := 0, 0
 	for _, other := range v.upstreams {
 		if other.Service != upstream.Service || other.State == spoke.UpstreamLeaving {
 			continue
 		}
 		total++
-		if other.ID != upstream.ID && r.swaps[other.ID] == nil && v.isServing(other.ID) {
+		isKnown := now.Sub(r.returned[other.ID]) >= r.settings.notice
+		if other.ID != upstream.ID && r.swaps[other.ID] == nil && isKnown && v.isServing(other.ID) {
 			serving++
 		}
 	}
--- a/swap/reconciler.go
+++ b/swap/reconciler.go
@@ -1,6 +1,7 @@
 package swap
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -33,7 +34,9 @@
 		swaps    map[spoke.UpstreamID]*swapping
 		// paused holds the time until which an upstream that failed is left alone.
 		paused map[spoke.UpstreamID]time.Time
-		fence  spoke.FencingToken
+		// returned holds the time at which an upstream was put back after its swap.
+		returned map[spoke.UpstreamID]time.Time
+		fence    spoke.FencingToken
 		// holderSince is the time when the fence was first seen.
 		holderSince time.Time
 		// stale says that an upstream knows a later fence.
@@ -50,6 +53,7 @@
 		settings: newSettings(options),
 		swaps:    make(map[spoke.UpstreamID]*swapping),
 		paused:   make(map[spoke.UpstreamID]time.Time),
+		returned: make(map[spoke.UpstreamID]time.Time),
 	}
 }
 
@@ -77,7 +81,7 @@
 func (r *Reconciler) observe(now time.Time, o Observe) {
 	r.follow(now, o.Lease)
 	v := newView(now, r.settings, o)
-	r.dropUnknown(v)
+	r.dropUnknown(now, v)
 	for _, upstream := range v.upstreams {
 		if s := r.swaps[upstream.ID]; s != nil {
 			r.advance(now, o.Lease, v, upstream, s)
@@ -98,7 +102,7 @@
 }
 
 // dropUnknown forgets the swaps of upstreams that left the configuration.
-func (r *Reconciler) dropUnknown(v view) {
+func (r *Reconciler) dropUnknown(now time.Time, v view) {
 	var gone []spoke.UpstreamID
 	for id := range r.swaps {
 		if _, ok := v.byID[id]; !ok {
@@ -107,8 +111,9 @@
 	}
 	slices.SortFunc(gone, func(a, b spoke.UpstreamID) int { return strings.Compare(string(a), string(b)) })
 	for _, id := range gone {
-		r.putBack(id)
+		r.putBack(now, id)
 	}
+	maps.DeleteFunc(r.returned, func(_ spoke.UpstreamID, at time.Time) bool { return now.Sub(at) >= r.settings.notice })
 }
 
 // advance takes the next step of an upstream that is out of service.
@@ -120,7 +125,7 @@
 			r.retry(now, upstream.ID, s)
 		}
 	case v.isFresh(upstream.ID) && !wrong:
-		r.putBack(upstream.ID)
+		r.putBack(now, upstream.ID)
 		return
 	case s.phase == phaseOrdered:
 		if now.Sub(s.ordered) > r.settings.orderDeadline+r.settings.loadTime {
@@ -129,7 +134,7 @@
 	case !r.mayOrder(now, lease, v, upstream):
 		// Without the right to order, serving on with the old version is better than idling.
 		if !lease.Held || now.Sub(s.since) > r.settings.drain+r.settings.loadTime {
-			r.putBack(upstream.ID)
+			r.putBack(now, upstream.ID)
 			return
 		}
 	case wrong && r.isDrained(now, v, upstream.ID, s):
@@ -162,7 +167,7 @@
 	s.phase = phaseOut
 	if s.orders >= r.settings.attempts {
 		r.paused[id] = now.Add(r.settings.pause)
-		r.putBack(id)
+		r.putBack(now, id)
 	}
 }
 
@@ -174,7 +179,8 @@
 	r.actions = append(r.actions, TakeOut{id, s.until})
 }
 
-func (r *Reconciler) putBack(id spoke.UpstreamID) {
+func (r *Reconciler) putBack(now time.Time, id spoke.UpstreamID) {
 	delete(r.swaps, id)
+	r.returned[id] = now
 	r.actions = append(r.actions, PutBack{id})
 }
