Hand engines no more prompts than they prefill

Cause: an urgent run was granted at once and then waited up to 580 ms inside its engine (time line of the hosts: run-granted to first-token). The limit follows places, so a flood put up to eight prompts into an engine that prefills one at a time. Ruled out: waits for a place at the owner (grants came within 3 ms) and imports (below 1 ms).

Change: the owner reports first tokens; undelivered prompts per engine are bounded by the parallel prefills that first tokens show, and an urgent grant preempts undelivered prompts of lower ranks that the engine has no room for. These stay queued at the owner.

--- a/decisions.go
+++ b/decisions.go
@@ -85,6 +85,8 @@
 		// Busy says that the upstream refused the item because it was at its limit.
 		Busy bool
 	}
+	// DeliverWork reports the first token of a granted item.
+	DeliverWork struct{ Attempt AttemptID }
 	// ConfigureAdmission sets ranks, workspaces and the upstreams that the host owns.
 	ConfigureAdmission struct {
 		Ranks      []Rank
@@ -124,6 +126,7 @@
 func (SubmitWork) isAdmissionMessage()         {}
 func (WithdrawWork) isAdmissionMessage()       {}
 func (FinishWork) isAdmissionMessage()         {}
+func (DeliverWork) isAdmissionMessage()        {}
 func (ConfigureAdmission) isAdmissionMessage() {}
 func (ReportLoad) isAdmissionMessage()         {}
 func (AdmissionTick) isAdmissionMessage()      {}
--- a/host/owner.go
+++ b/host/owner.go
@@ -52,6 +52,8 @@
 		// work ends with reader or by preemption, which is then its cause.
 		work    context.Context
 		preempt context.CancelCauseFunc
+		// requeued says that the run was granted before and preempted without a first token.
+		requeued bool
 	}
 
 	runResult struct {
@@ -68,7 +70,6 @@
 	}
 	run := &ownedRun{owner: o, dispatch: dispatch, upstream: upstream, out: make(chan runResult, streamBuffer)}
 	run.reader, run.leave = context.WithCancel(ctx)
-	run.work, run.preempt = context.WithCancelCause(run.reader)
 	actions, err := o.admission.Submit(run.reader, run.item())
 	if err != nil {
 		run.leave()
@@ -83,7 +84,7 @@
 		Attempt: r.dispatch.Spec.Attempt, Request: r.dispatch.Spec.Request,
 		Upstream: r.upstream.ID, Workspace: r.dispatch.Spec.Workspace,
 		Rank: r.dispatch.Rank, Cost: r.dispatch.Cost, Solo: r.dispatch.Solo,
-		Preemptible: r.dispatch.Preemptible, Resumed: r.dispatch.Spec.ResumeFrom > 0,
+		Preemptible: r.dispatch.Preemptible, Resumed: r.requeued || r.dispatch.Spec.ResumeFrom > 0,
 		Enqueued: r.owner.timer.Now(),
 	}
 }
@@ -109,16 +110,27 @@
 }
 
 func (r *ownedRun) execute(actions <-chan spoke.AdmissionAction) {
-	granted, err := r.awaitGrant(actions)
-	if err != nil {
-		r.emit(runResult{err: err})
-		return
-	}
-	if !granted {
-		return
+	for {
+		granted, err := r.awaitGrant(actions)
+		if err != nil {
+			r.emit(runResult{err: err})
+			return
+		}
+		if !granted {
+			return
+		}
+		work, preempt := context.WithCancelCause(r.reader)
+		r.work, r.preempt = work, preempt
+		go watchPreemption(work, preempt, actions)
+		again := r.serve()
+		preempt(nil)
+		if !again {
+			return
+		}
+		if actions, err = r.owner.admission.Submit(r.reader, r.item()); err != nil {
+			return
+		}
 	}
-	go r.watchPreemption(actions)
-	r.serve()
 }
 
 // awaitGrant returns false without an error when the requester went away.
@@ -136,21 +148,23 @@
 	}
 }
 
-func (r *ownedRun) watchPreemption(actions <-chan spoke.AdmissionAction) {
+func watchPreemption(work context.Context, preempt context.CancelCauseFunc, actions <-chan spoke.AdmissionAction) {
 	for {
 		select {
 		case action := <-actions:
 			if _, ok := action.(spoke.PreemptWork); ok {
-				r.preempt(spoke.ErrPreempted)
+				preempt(spoke.ErrPreempted)
 				return
 			}
-		case <-r.work.Done():
+		case <-work.Done():
 			return
 		}
 	}
 }
 
-func (r *ownedRun) serve() {
+// serve runs the attempt and reports whether it is to be queued again: a run that was preempted before
+// its first token stays with the owner, since the requester has nothing to resume.
+func (r *ownedRun) serve() bool {
 	started := r.owner.timer.Now()
 	finish := spoke.FinishWork{Attempt: r.dispatch.Spec.Attempt}
 	r.record("run-granted", "")
@@ -158,7 +172,14 @@
 	launched := r.owner.timer.Now()
 	usage, err := r.stream(spec, started, &finish)
 	finish.Duration = r.owner.timer.Now().Sub(started)
+	if finish.FirstToken == 0 && errors.Is(context.Cause(r.work), spoke.ErrPreempted) && r.reader.Err() == nil {
+		r.owner.admission.Send(r.owner.life, spoke.WithdrawWork{Attempt: finish.Attempt})
+		r.record("run-requeued", "preempted before its first token")
+		r.requeued = true
+		return true
+	}
 	r.settle(finish, usage, launched.Sub(started), err)
+	return false
 }
 
 // settle frees the place at the upstream before it tells the requester, so
@@ -206,6 +227,7 @@
 		if finish.FirstToken == 0 {
 			finish.FirstToken = r.owner.timer.Now().Sub(started)
 			r.record("first-token", "")
+			r.owner.admission.Send(ctx, spoke.DeliverWork{Attempt: r.dispatch.Spec.Attempt})
 		}
 		if piece.Finish != "" {
 			usage = piece.Usage
--- a/sched/admission.go
+++ b/sched/admission.go
@@ -59,6 +59,8 @@
 		a.withdraw(now, m.Attempt)
 	case spoke.FinishWork:
 		a.finish(now, m)
+	case spoke.DeliverWork:
+		a.deliver(now, m.Attempt)
 	case spoke.ConfigureAdmission:
 		a.configure(now, m)
 	case spoke.ReportLoad:
@@ -109,6 +111,7 @@
 		c.offered.add(now, float64(e.item.Cost))
 	}
 	e.queue = q
+	q.drain.wait(now, q.waiting > 0)
 	q.waiting++
 	a.entries[e.item.Attempt] = e
 	a.inProgress[e.item.Workspace]++
@@ -129,7 +132,7 @@
 		return
 	}
 	q := e.queue
-	limited := q.isLimited()
+	limited := q.isFull()
 	a.remove(now, e)
 	switch {
 	case m.Busy:
@@ -169,7 +172,7 @@
 	q.report = m.Report
 	q.report.Versions = maps.Clone(m.Report.Versions)
 	q.draining = m.Report.Draining
-	q.limit.ObserveLoad(now, m.Report, len(q.running), q.isLimited())
+	q.limit.ObserveLoad(now, m.Report, len(q.running), q.isFull())
 	if q.draining {
 		a.refuseWaiting(now, q)
 	}
@@ -178,6 +181,7 @@
 
 // advance grants what fits, renews predictions and preempts.
 func (a *Admission) advance(now time.Time, q *queue) {
+	q.drain.wait(now, q.waiting > 0)
 	a.grantAll(now, q)
 	if now.Sub(q.lastForget) >= forgetInterval {
 		q.lastForget = now
@@ -201,6 +205,13 @@
 		e := q.grant(now, c, f)
 		e.byFloor = byFloor
 		a.actions = append(a.actions, spoke.GrantWork{Attempt: e.item.Attempt})
+		for _, victim := range q.unstarted(now, e) {
+			if !q.preempt.take(now) {
+				break
+			}
+			victim.preempted = true
+			a.actions = append(a.actions, spoke.PreemptWork{Attempt: victim.item.Attempt})
+		}
 	}
 }
 
--- a/sched/flow.go
+++ b/sched/flow.go
@@ -20,7 +20,11 @@
 		// byFloor says that the floor decided the grant.
 		byFloor bool
 		// paid is the floor credit that the grant took.
-		paid        float64
+		paid float64
+		// delivered says that the first token has come.
+		delivered bool
+		// others is the number of undelivered items at the grant.
+		others      int
 		started     time.Time
 		concurrency int
 	}
--- a/sched/limit.go
+++ b/sched/limit.go
@@ -196,7 +196,7 @@
 }
 
 func (r *latencyRatio) observe(cost spoke.TokenCount, sample float64, idle bool) {
-	bucket := min(int(math.Log2(float64(max(cost, 1)))), costBuckets-1)
+	bucket := bucketOf(cost)
 	mean, base := &r.mean[bucket], &r.baseline[bucket]
 	*mean = blend(*mean, sample, baselineGain)
 	switch {
@@ -208,6 +208,11 @@
 	r.ratio = blend(r.ratio, sample/(*base), ratioGain)
 }
 
+// bucketOf groups costs by powers of two.
+func bucketOf(cost spoke.TokenCount) int {
+	return min(int(math.Log2(float64(max(cost, 1)))), costBuckets-1)
+}
+
 func blend(mean, sample, gain float64) float64 {
 	if mean == 0 {
 		return sample
--- a/sched/predict.go
+++ b/sched/predict.go
@@ -109,7 +109,11 @@
 	if q.meanDuration == 0 {
 		return 0
 	}
-	return q.meanCost / q.meanDuration * q.meanPlaces
+	places := q.meanCost / q.meanDuration * q.meanPlaces
+	if !q.pace.isKnown {
+		return places
+	}
+	return q.drain.rate(min(places, q.pace.rate(q.meanCost)))
 }
 
 // share returns the part of capacity that more urgent grants and floors leave to a class.
--- a/sched/queue.go
+++ b/sched/queue.go
@@ -32,6 +32,8 @@
 	meanPlaces             float64
 	finished               int
 	preempt                bucket
+	pace                   pace
+	drain                  drain
 	lastCheck              time.Time
 	lastForget             time.Time
 }
@@ -41,6 +43,7 @@
 		upstream: upstream,
 		limit:    NewLimit(s.initialLimit, s.minLimit, s.maxLimit),
 		preempt:  newBucket(s.preemptRate, s.preemptBurst),
+		pace:     pace{delivered: decayed{window: paceWindow}},
 		small:    decayed{window: smallWindow},
 	}
 }
@@ -88,10 +91,10 @@
 			continue
 		}
 		f := c.head(q.mayRun)
-		if f != nil && c.rank.Floor > 0 && c.credit >= float64(f.waiting[0].item.Cost) {
+		if f != nil && c.rank.Floor > 0 && c.credit >= float64(f.waiting[0].item.Cost) && !q.isPaced(now, c) {
 			return c, f, !q.isMostUrgent(c)
 		}
-		if chosen != nil || i >= held {
+		if chosen != nil || i >= held || q.isPaced(now, c) {
 			continue
 		}
 		if f = c.head(q.mayUse(now, c)); f != nil {
@@ -143,6 +146,11 @@
 	c.running++
 	f.running++
 	c.runningCost += e.item.Cost
+	for _, other := range q.running {
+		if !other.delivered {
+			e.others++
+		}
+	}
 	e.running, e.started, e.concurrency = true, now, len(q.running)+1
 	q.running = append(q.running, e)
 	q.solo = q.solo || e.item.Solo
--- a/sched/reserve.go
+++ b/sched/reserve.go
@@ -87,7 +87,15 @@
 	}
 }
 
-// isLimited reports whether the limit holds work back.
+// isFull reports whether the limit holds work back, rather than the pace of first tokens.
+func (q *queue) isFull() bool {
+	if q.pace.isKnown {
+		return len(q.running) >= q.limit.Value()-q.reserve()
+	}
+	return q.isLimited()
+}
+
+// isLimited reports whether work is held back.
 func (q *queue) isLimited() bool {
 	return q.waiting > 0 || len(q.running) >= q.limit.Value()-q.reserve()
 }
