Predict waits of lower ranks from offered urgent work

Cause: the share that a rank gets was predicted from grants of more urgent ranks over 10 s, and an item at the head of its class was taken to start at once. At the onset of an overload normal and batch work was accepted and refused seconds later. Ruled out: the drain rate, which was measured right, and tries at further upstreams (5 ms each).

Change: the share follows offered urgent work of the last 2 s, urgent arrivals delay the head of a class too, and accepted work is refused late only if half of its predicted wait misses the target.

--- a/sched/pace_test.go
+++ b/sched/pace_test.go
@@ -188,3 +188,31 @@
 	}
 	assert.Assert(t, batch >= 10, "%d batch items in 15 s, floor 0.1 of 10 a second", batch)
 }
+
+// Guards against work that is accepted because the granted shares of more urgent ranks do not
+// show their flood yet, and is refused when it has waited.
+func TestLowerRankIsRefusedAtArrivalInUrgentFlood(t *testing.T) {
+	s := newSerial(32)
+	s.flood("normal", 120*time.Millisecond, 10*time.Second)
+	calm := len(s.items)
+	for end := s.now.Add(10 * time.Second); s.now.Before(end); s.step() {
+		switch since := s.now.Sub(epoch); {
+		case since%(40*time.Millisecond) == 0:
+			s.submit("normal", "a")
+		case since%(50*time.Millisecond) == 0:
+			s.submit("urgent", "b")
+		}
+	}
+	refused, late := 0, 0
+	for id, waited := range s.refused {
+		if s.items[id].Rank != "normal" || s.items[id].Enqueued.Sub(epoch) < 11*time.Second {
+			continue
+		}
+		refused++
+		if waited > 50*time.Millisecond {
+			late++
+		}
+	}
+	t.Logf("%d of %d normal items refused, %d of them late", refused, len(s.items)-calm, late)
+	assert.Assert(t, refused > 100 && late <= refused/20, "%d of %d are late", late, refused)
+}
--- a/sched/predict.go
+++ b/sched/predict.go
@@ -116,13 +116,14 @@
 	return q.drain.rate(min(places, q.pace.rate(q.meanCost)))
 }
 
-// share returns the part of capacity that more urgent grants and floors leave to a class.
+// share returns the part of capacity that more urgent work and floors leave to a class. Offered work
+// shows a flood within seconds, before its grants do.
 func (q *queue) share(now time.Time, c *class, rate float64) float64 {
 	left := 1.0
 	for _, other := range q.classes {
 		switch {
 		case other.rank.Order < c.rank.Order:
-			left -= other.granted.rate(now) / rate
+			left -= max(other.granted.rate(now), other.offered.rate(now)) / rate
 		case other != c && other.waiting > 0:
 			left -= float64(other.rank.Floor)
 		}
@@ -165,7 +166,9 @@
 	if f.rate == 0 {
 		return 0
 	}
-	wait := (ahead/f.share + f.before + f.residual) / f.rate
+	// More urgent work that arrives in the meantime delays the item too, also at the head of
+	// its class.
+	wait := ((ahead+f.before+cost)/f.share - cost + f.residual) / f.rate
 	if f.floor > 0 {
 		owed := max(ahead+cost-f.credit, 0)
 		wait = min(wait, (owed/f.floor+f.residual)/f.rate)
--- a/sched/refuse.go
+++ b/sched/refuse.go
@@ -16,6 +16,9 @@
 	// Hints are spread so that refused callers don't come back together.
 	retryJitter = 0.5
 	admitMargin = 1.15
+	// Work that was accepted is refused late only if the prediction leaves no doubt: the
+	// caller has already waited, and rates vary by this factor within a queueing time.
+	lateMargin = 0.5
 )
 
 // tag returns the start tag of a waiting entry.
@@ -58,7 +61,7 @@
 			tag := f.start
 			for _, e := range f.waiting {
 				wait := forecast.wait(p.ahead(tag), float64(e.item.Cost))
-				if a.isHopeless(now, e, wait) {
+				if a.isHopeless(now, e, seconds(wait.Seconds()*lateMargin)) {
 					a.hopeless = append(a.hopeless, hopeless{e, wait})
 					continue
 				}
