Hand a prompt over when the engine is nearly free

Cause: the second prompt of the window waits inside the engine for a whole prefill, and a prompt of a small workspace or an urgent one that arrives meanwhile comes after both. Ruled out: shares split over several owners (one owner queues for each engine, and its order was right) and a burst of refusals (none of the small ones is refused).

Change: a class above its share hands over the next prompt when the one before has used 60% of its time alone; workspaces up to their share of what runs are not held. The floor of the most urgent rank no longer lets a large workspace pass the reserved places.

--- a/sched/pace.go
+++ b/sched/pace.go
@@ -13,6 +13,9 @@
 	paceWindow = time.Second
 	// The window keeps this multiple of the parallel work that was seen, so that it can grow.
 	paceHeadroom = 1.25
+	// A prompt is handed over when the one before it has used this part of its time alone, so
+	// that the engine does not run dry between them; the rest covers a tick and a round trip.
+	nearlyDone = 0.6
 )
 
 // pace bounds the granted prompts that wait for their first token. An engine that prefills one
@@ -26,6 +29,8 @@
 	// is the number of prompts that the engine works on at a time.
 	delivered decayed
 	isKnown   bool
+	// last is the time of the last first token.
+	last time.Time
 }
 
 // observe takes the time to first token of an item; others is the number of undelivered items
@@ -36,7 +41,7 @@
 		*alone = blend(*alone, took.Seconds(), ratioGain)
 	}
 	p.delivered.add(now, *alone)
-	p.isKnown = true
+	p.isKnown, p.last = true, now
 }
 
 // parallel is the number of prompts that the engine works on at a time.
@@ -78,6 +83,34 @@
 	return q.pace.isKnown && q.undelivered(c) >= q.pace.window(now)
 }
 
+// isBusy reports whether the prompts of a class and of more urgent ones keep the engine busy for
+// longer than a hand-over takes. One that is handed over earlier only waits inside the engine,
+// where it delays whatever comes next of a more urgent rank or of a workspace below its share.
+func (q *queue) isBusy(now time.Time, c *class) bool {
+	if !q.pace.isKnown {
+		return false
+	}
+	busy := 0
+	for _, e := range q.running {
+		if e.delivered || e.preempted || !e.byFloor && e.class.rank.Order > c.rank.Order {
+			continue
+		}
+		// Until the last first token came, the engine may have worked on that one.
+		since := now.Sub(latest(e.started, q.pace.last)).Seconds()
+		if since < nearlyDone*q.pace.alone[bucketOf(e.item.Cost)] {
+			busy++
+		}
+	}
+	return busy >= q.pace.parallel(now)
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // unstarted returns the items to preempt so that an urgent one just granted finds a free
 // prefill: undelivered ones of lower ranks, as many as the engine has no room for beside it.
 // With fewer, another one that waits inside the engine takes the place that becomes free.
--- a/sched/pace_test.go
+++ b/sched/pace_test.go
@@ -216,3 +216,28 @@
 	t.Logf("%d of %d normal items refused, %d of them late", refused, len(s.items)-calm, late)
 	assert.Assert(t, refused > 100 && late <= refused/20, "%d of %d are late", late, refused)
 }
+
+// Guards against a workspace that keeps prompts waiting inside the engine, where those of
+// workspaces below their share come after them.
+func TestSmallWorkspaceWaitsForOnePrompt(t *testing.T) {
+	s := newSerial(32)
+	var small []spoke.AttemptID
+	for s.now.Before(epoch.Add(20 * time.Second)) {
+		since := s.now.Sub(epoch)
+		if since%(20*time.Millisecond) == 0 {
+			s.submit("normal", "a")
+		}
+		if since%(635*time.Millisecond) == 330*time.Millisecond {
+			small = append(small, s.submit("normal", "b"))
+		}
+		s.step()
+	}
+	late := 0
+	for _, id := range small {
+		if s.first[id] > prefill*24/10 {
+			late++
+		}
+	}
+	assert.Assert(t, late <= len(small)/10, "%d of %d are late", late, len(small))
+	assert.Assert(t, len(s.first) > 190, "the engine idles: %d first tokens in 20 s", len(s.first))
+}
--- a/sched/queue.go
+++ b/sched/queue.go
@@ -90,7 +90,11 @@
 		if c.waiting == 0 {
 			continue
 		}
-		f := c.head(q.mayRun)
+		mayStart := q.mayRun
+		if q.isMostUrgent(c) {
+			mayStart = q.mayUse(now, c)
+		}
+		f := c.head(mayStart)
 		if f != nil && c.rank.Floor > 0 && c.credit >= float64(f.waiting[0].item.Cost) && !q.isPaced(now, c) {
 			return c, f, !q.isMostUrgent(c)
 		}
--- a/sched/reserve.go
+++ b/sched/reserve.go
@@ -53,6 +53,12 @@
 	return float64(f.running) < float64(q.limit.Value())*f.weight/c.weight
 }
 
+// isBelowUse reports whether a workspace runs at most its share of what the class runs. Where
+// prefill is scarce, places are not, and a share of all of them would hold nothing back.
+func (c *class) isBelowUse(f *flow) bool {
+	return float64(f.running) < float64(c.running)*f.weight/c.weight+1
+}
+
 // isMostUrgent reports whether no class before this one was in use lately.
 func (q *queue) isMostUrgent(c *class) bool {
 	for _, other := range q.classes {
@@ -74,11 +80,13 @@
 // their share, or none.
 func (q *queue) mayUse(now time.Time, c *class) func(*flow) bool {
 	free := q.limit.Value() - len(q.running)
-	isUrgent := q.isMostUrgent(c)
+	isUrgent, isBusy := q.isMostUrgent(c), q.isBusy(now, c)
 	return func(f *flow) bool {
 		switch {
 		case !q.mayRun(f):
 			return false
+		case isBusy:
+			return isUrgent && c.isBelowUse(f)
 		case isUrgent:
 			return free > q.reserveWithin(now) || q.isBelowShare(c, f)
 		default:
