--- a/cmd/trial/cases/faults.go
+++ b/cmd/trial/cases/faults.go
@@ -17,8 +17,6 @@
 )
 
 const (
-	// recovery is the time after a death within which goodput must be back.
-	recovery = 5 * time.Second
 	// linkRecovery is the time after a link's return within which imports must pay again.
 	linkRecovery = 10 * time.Second
 	steadyShare  = 0.5
@@ -69,57 +67,6 @@
 	}
 }
 
-// engineDies measures goodput before and after the death of one engine.
-func (s *Suite) engineDies(ctx context.Context) error {
-	lost := 1 / float64(s.User.Engines)
-	return s.dies(ctx, "engine-dies", lost, func(t *traffic) error {
-		return t.kill("dc1-engine1")
-	})
-}
-
-// hostDies measures goodput before and after the death of one entry host; its
-// callers are taken to other hosts, as a load balancer does.
-func (s *Suite) hostDies(ctx context.Context) error {
-	hosts := 0
-	for _, count := range s.User.Hosts {
-		hosts += count
-	}
-	return s.dies(ctx, "host-dies", 1/float64(hosts), func(t *traffic) error {
-		t.callers = t.callers[1:]
-		return t.kill("dc1-entry1")
-	})
-}
-
-func (t *traffic) kill(name string) error {
-	process, err := t.session.Fleet.Process(name)
-	if err != nil {
-		return err
-	}
-	process.Kill()
-	return nil
-}
-
-// dies compares the goodput of the seconds after a death, and of the seconds
-// after the recovery time, with that before.
-func (s *Suite) dies(ctx context.Context, name string, lost float64, kill func(*traffic) error) error {
-	flow := small(plans.RankNormal, 0, steadyShare*s.capacity())
-	return s.within(ctx, s.User.Plan(), func(t *traffic) error {
-		before := t.run(ctx, recovery, flow)
-		if err := kill(t); err != nil {
-			return err
-		}
-		during := t.run(ctx, recovery, flow)
-		after := t.run(ctx, recovery, flow)
-		whole := share(before.Goodput(targets()), len(before))
-		early, late := share(during.Goodput(targets()), len(during)), share(after.Goodput(targets()), len(after))
-		s.add(name, "goodput in the 5 s after", early/whole, AtLeast, 1-lost-0.05,
-			fmt.Sprintf("%.1f%% of %d, %d broken", 100*early, len(during), len(during.Broken())), fmt.Sprintf("before %.1f%%", 100*whole))
-		s.add(name, "goodput from 5 s to 10 s after", late/whole, AtLeast, 0.99,
-			fmt.Sprintf("%.1f%% of %d", 100*late, len(after)), fmt.Sprintf("before %.1f%%", 100*whole))
-		return nil
-	})
-}
-
 // platformOut compares repeatable work with and without the platform.
 func (s *Suite) platformOut(ctx context.Context) error {
 	flow := small(plans.RankNormal, 0, steadyShare*s.capacity())
--- a/cmd/trial/cases/sample.go
+++ b/cmd/trial/cases/sample.go
@@ -15,6 +15,8 @@
 		Rank      spoke.RankName
 		Workspace int
 		Answer    load.Answer
+		// Ended is when the caller had the answer or its failure.
+		Ended time.Time
 	}
 
 	// Samples are the requests of a phase.
--- a/cmd/trial/cases/traffic.go
+++ b/cmd/trial/cases/traffic.go
@@ -75,12 +75,25 @@
 		if setup.Wait(sending, time.Until(next)) != nil {
 			return
 		}
-		caller := t.callers[random.IntN(len(t.callers))]
+		caller := t.pick(random)
 		ask := t.ask(flow)
 		t.pending.Go(func() { t.measure(ctx, caller, flow, ask) })
 	}
 }
 
+func (t *traffic) pick(random *rand.Rand) *load.Caller {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.callers[random.IntN(len(t.callers))]
+}
+
+// setCallers changes the hosts that later requests go to.
+func (t *traffic) setCallers(callers []*load.Caller) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.callers = callers
+}
+
 func (t *traffic) measure(ctx context.Context, caller *load.Caller, flow Flow, ask load.Ask) {
 	ctx, cancel := context.WithTimeout(ctx, answerLimit)
 	defer cancel()
@@ -89,7 +102,7 @@
 	answer.Text = ""
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.samples = append(t.samples, Sample{Rank: flow.Rank, Workspace: flow.Workspace, Answer: answer})
+	t.samples = append(t.samples, Sample{Rank: flow.Rank, Workspace: flow.Workspace, Answer: answer, Ended: time.Now()})
 }
 
 // ask returns a request with a prompt that no earlier one had.
