--- /dev/null
+++ b/host/owner_test.go
@@ -0,0 +1,111 @@
+package host_test
+
+import (
+	"context"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"magnoliaspoke.example/spoke"
+	"magnoliaspoke.example/spoke/events"
+	"magnoliaspoke.example/spoke/host"
+	"magnoliaspoke.example/spoke/timer"
+)
+
+type (
+	// preempting grants each item and preempts the first one at the next tick.
+	preempting struct {
+		submitted []spoke.WorkItem
+		withdrawn int
+		delivered int
+	}
+
+	// stuck is an engine whose first run gives no token.
+	stuck struct {
+		spoke.Engine
+		runs int
+	}
+
+	hanging struct{ ctx context.Context }
+
+	whole struct{ pieces []spoke.Piece }
+
+	fixed struct{ manifest *spoke.Manifest }
+)
+
+func (p *preempting) Handle(_ time.Time, message spoke.AdmissionMessage) []spoke.AdmissionAction {
+	switch m := message.(type) {
+	case spoke.SubmitWork:
+		p.submitted = append(p.submitted, m.Item)
+		return []spoke.AdmissionAction{spoke.GrantWork{Attempt: m.Item.Attempt}}
+	case spoke.WithdrawWork:
+		p.withdrawn++
+	case spoke.DeliverWork:
+		p.delivered++
+	case spoke.AdmissionTick:
+		if len(p.submitted) == 1 && p.withdrawn == 0 {
+			return []spoke.AdmissionAction{spoke.PreemptWork{Attempt: p.submitted[0].Attempt}}
+		}
+	}
+	return nil
+}
+
+func (p *preempting) Summary(time.Time, spoke.UpstreamID) spoke.LoadSummary {
+	return spoke.LoadSummary{}
+}
+
+func (e *stuck) Run(ctx context.Context, _ spoke.Address, spec spoke.RunSpec) (spoke.RunStream, error) {
+	e.runs++
+	if e.runs == 1 {
+		return hanging{ctx}, nil
+	}
+	return &whole{[]spoke.Piece{{Attempt: spec.Attempt, Tokens: 1, Text: "tok ", Finish: spoke.FinishLength}}}, nil
+}
+
+func (h hanging) Next(context.Context) (spoke.Piece, error) {
+	<-h.ctx.Done()
+	return spoke.Piece{}, context.Cause(h.ctx)
+}
+
+func (hanging) Close() error { return nil }
+
+func (w *whole) Next(context.Context) (spoke.Piece, error) {
+	if len(w.pieces) == 0 {
+		return spoke.Piece{}, io.EOF
+	}
+	next := w.pieces[0]
+	w.pieces = w.pieces[1:]
+	return next, nil
+}
+
+func (*whole) Close() error { return nil }
+
+func (f fixed) Current() *spoke.Manifest { return f.manifest }
+
+// Guards against a run that is preempted before its first token and then refused for its
+// wait, or answered twice: it is queued again at the owner and its stream goes on.
+func TestPreemptedPromptStaysAtTheOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		var none *spoke.Manifest
+		manifest := none.Apply(spoke.Ticket{Number: 1, Objects: []spoke.Object{spoke.Upstream{ID: "u", Address: "engine"}}})
+		policy, clock := &preempting{}, timer.NewSystem()
+		run := host.StartOwner(ctx, fixed{manifest}, policy, &stuck{}, clock, events.NewRecorder("h", clock, 16))
+		stream, err := run(ctx, spoke.Dispatch{Upstream: "u", Spec: spoke.RunSpec{Attempt: "a-1"}, Preemptible: true})
+		assert.NilError(t, err)
+		piece, err := stream.Next(ctx)
+		assert.NilError(t, err)
+		assert.Equal(t, piece.Text, "tok ")
+		_, err = stream.Next(ctx)
+		assert.ErrorIs(t, err, io.EOF)
+		synctest.Wait()
+		assert.Equal(t, len(policy.submitted), 2)
+		assert.Assert(t, !policy.submitted[0].Resumed && policy.submitted[1].Resumed)
+		assert.Equal(t, policy.withdrawn, 1)
+		assert.Equal(t, policy.delivered, 1)
+	})
+}
