Make baselines of admission, routing and imports selectable

The first-in-first-out baseline has eight places for each upstream, a common size of a batch.

go test ./config ./host: ok; the round trip and the list of findings fail without the new keys.

--- a/config/codec.go
+++ b/config/codec.go
@@ -30,6 +30,9 @@
 	keyHeartbeat       = "heartbeat-interval"
 	keySuspectAfter    = "suspect-after"
 	keyRemoveAfter     = "remove-after"
+	keyAdmission       = "admission"
+	keyRouting         = "routing"
+	keyImports         = "imports"
 )
 
 type (
@@ -58,6 +61,9 @@
 		Heartbeat       string      `toml:"heartbeat-interval"`
 		SuspectAfter    string      `toml:"suspect-after"`
 		RemoveAfter     string      `toml:"remove-after"`
+		Admission       string      `toml:"admission"`
+		Routing         string      `toml:"routing"`
+		Imports         string      `toml:"imports"`
 		Peers           []peerCodec `toml:"peers"`
 	}
 )
@@ -83,6 +89,9 @@
 		Heartbeat:       entry.HeartbeatInterval.String(),
 		SuspectAfter:    entry.SuspectAfter.String(),
 		RemoveAfter:     entry.RemoveAfter.String(),
+		Admission:       string(entry.Admission),
+		Routing:         string(entry.Routing),
+		Imports:         string(entry.Imports),
 		Peers:           encodePeers(entry.Peers),
 	}
 	var text bytes.Buffer
--- a/config/decode.go
+++ b/config/decode.go
@@ -64,9 +64,19 @@
 	t.duration(keyHeartbeat, &entry.HeartbeatInterval)
 	t.duration(keySuspectAfter, &entry.SuspectAfter)
 	t.duration(keyRemoveAfter, &entry.RemoveAfter)
+	readPolicy(t, keyAdmission, &entry.Admission)
+	readPolicy(t, keyRouting, &entry.Routing)
+	readPolicy(t, keyImports, &entry.Imports)
 	return entry
 }
 
+func readPolicy(t *table, key string, target *Policy) {
+	text := t.text(key)
+	if t.has(key) && !t.bad[key] {
+		*target = Policy(text)
+	}
+}
+
 func readLevel(t *table, level logrus.Level) logrus.Level {
 	text := t.text(keyLogLevel)
 	if text == "" {
--- a/config/decode_test.go
+++ b/config/decode_test.go
@@ -22,6 +22,7 @@
 	entry.PeerSecret = "0123456789abcdef"
 	entry.AdminKeys = []spoke.KeyHash{spoke.KeyHash(strings.Repeat("0a", 32))}
 	entry.OrderCredential = "order-key"
+	entry.Admission, entry.Routing, entry.Imports = config.AdmissionFIFO, config.RoutingRoundRobin, config.ImportsNever
 	entry.DrainDelay = 250 * time.Millisecond
 	entry.Peers = []config.Peer{{Host: "entry-2", DataCentre: "sialkot-2", Address: "127.0.2.1:7001"}}
 	return entry
@@ -52,6 +53,8 @@
 event-capacity = 0
 log-level = "loud"
 heartbeat-interval = "3s"
+admission = "lifo"
+imports = 1
 typo = 1
 [[peers]]
 host-id = "entry-1"
@@ -65,6 +68,7 @@
 e.toml: admin-key-hashes: element 3 is int64, want a string
 e.toml: log-level: "loud" is no log level such as "info"
 e.toml: drain-delay: "5" is no duration such as "5s"
+e.toml: imports: is int64, want a string
 e.toml: peers[0].adr: is not a known key
 e.toml: peers[0].data-centre: is empty
 e.toml: peers[0].address: is empty
@@ -80,6 +84,7 @@
 e.toml: order-credential: is empty
 e.toml: drain-deadline: 1h30m0s is not between 1ms and 1h0m0s
 e.toml: heartbeat-interval: 3s is not below suspect-after, which is 2s
+e.toml: admission: "lifo" is none of ["fair" "fifo"]
 e.toml: event-capacity: 0 is not between 1 and 1048576`))
 }
 
--- a/config/entry.go
+++ b/config/entry.go
@@ -77,6 +77,11 @@
 		HeartbeatInterval time.Duration
 		SuspectAfter      time.Duration
 		RemoveAfter       time.Duration
+
+		// Admission, Routing and Imports choose between the rules of the system and baselines.
+		Admission Policy
+		Routing   Policy
+		Imports   Policy
 	}
 )
 
@@ -90,6 +95,9 @@
 		HeartbeatInterval: DefaultHeartbeatInterval,
 		SuspectAfter:      DefaultSuspectAfter,
 		RemoveAfter:       DefaultRemoveAfter,
+		Admission:         AdmissionFair,
+		Routing:           RoutingAffinity,
+		Imports:           ImportsCheaper,
 	}
 }
 
--- a/config/validate.go
+++ b/config/validate.go
@@ -26,6 +26,7 @@
 	validatePeers(t, entry)
 	validateCredentials(t, entry)
 	validateTimes(t, entry)
+	validatePolicies(t, entry)
 	if entry.EventCapacity < 1 || entry.EventCapacity > maxEventCapacity {
 		t.report.Addf(t.at(keyEventCapacity), "%d is not between 1 and %d", entry.EventCapacity, maxEventCapacity)
 	}
--- a/host/blocks.go
+++ b/host/blocks.go
@@ -52,12 +52,13 @@
 	}
 )
 
-func newBlockTask(manifest spoke.ManifestSource, engine spoke.Engine, timer spoke.Timer, events spoke.EventSink) *blockTask {
+func newBlockTask(manifest spoke.ManifestSource, engine spoke.Engine, timer spoke.Timer, events spoke.EventSink,
+	opts ...cache.ImporterOption) *blockTask {
 	stores := store.New()
 	links := cache.NewLinks(timer)
 	return &blockTask{
 		manifest: manifest, timer: timer, events: events, engine: engine,
-		importer: cache.NewImporter(stores, engine, links),
+		importer: cache.NewImporter(stores, engine, links, opts...),
 		exporter: cache.NewExporter(stores, engine, links, cache.LikelyExport{}),
 		exports:  make(chan exportRequest, exportQueue),
 	}
--- a/host/host.go
+++ b/host/host.go
@@ -24,7 +24,6 @@
 	"magnoliaspoke.example/spoke/plain"
 	"magnoliaspoke.example/spoke/route"
 	"magnoliaspoke.example/spoke/runner"
-	"magnoliaspoke.example/spoke/sched"
 	"magnoliaspoke.example/spoke/ticket"
 	"magnoliaspoke.example/spoke/wire"
 )
@@ -110,10 +109,10 @@
 func (h *Host) composeOwner() {
 	engines := engine.New(engine.WithTimer(h.timer))
 	h.views = newViewTable(h.view, h.members.View, route.Owner)
-	h.admission = newAdmissionTask(sched.NewAdmission(sched.WithSeed(uint64(h.timer.Now().UnixNano()))), h.timer)
+	h.admission = newAdmissionTask(newAdmission(h.settings.Admission, uint64(h.timer.Now().UnixNano())), h.timer)
 	h.followers = newFollowerTask(h.views, h.view, h.admission, engines, h.timer, h.events)
 	h.views.status = h.followers.Status
-	h.blocks = newBlockTask(h.view, engines, h.timer, h.events)
+	h.blocks = newBlockTask(h.view, engines, h.timer, h.events, importOptions(h.settings.Imports)...)
 	h.followers.watch = h.blocks.watch
 	h.owner = &owner{
 		manifest: h.view, admission: h.admission, engine: engines, blocks: h.blocks,
@@ -156,7 +155,7 @@
 		owner: h.owner, client: h.members.client, plain: plain.NewClient(),
 	}
 	budget := newRetryBudget(h.timer)
-	router := &sharedRouter{router: route.NewAffinity()}
+	router := &sharedRouter{router: newRouter(h.settings.Routing, h.timer.Now())}
 	calls := plain.NewExecutor(plain.Parts{
 		Manifests: h.view, Views: h.views, Router: router, Dispatcher: dispatcher,
 		Claims: h.claims, Timer: h.timer,
--- /dev/null
+++ b/host/policy.go
@@ -0,0 +1,44 @@
+package host
+
+import (
+	"time"
+
+	"magnoliaspoke.example/spoke"
+	"magnoliaspoke.example/spoke/cache"
+	"magnoliaspoke.example/spoke/config"
+	"magnoliaspoke.example/spoke/route"
+	"magnoliaspoke.example/spoke/sched"
+	"magnoliaspoke.example/spoke/sched/fifo"
+)
+
+// fifoPlaces is the fixed number of runs per upstream of the baseline, a common size of a batch.
+const fifoPlaces = 8
+
+func newAdmission(policy config.Policy, seed uint64) spoke.Admission {
+	if policy == config.AdmissionFIFO {
+		return fifo.NewAdmission(fifoPlaces)
+	}
+	return sched.NewAdmission(sched.WithSeed(seed))
+}
+
+func newRouter(policy config.Policy, now time.Time) spoke.Router {
+	switch policy {
+	case config.RoutingTwoChoices:
+		return route.NewTwoChoices(uint64(now.UnixNano()))
+	case config.RoutingRoundRobin:
+		return route.NewRoundRobin()
+	default:
+		return route.NewAffinity()
+	}
+}
+
+func importOptions(policy config.Policy) []cache.ImporterOption {
+	switch policy {
+	case config.ImportsNever:
+		return []cache.ImporterOption{cache.WithImportPolicy(cache.NeverImport{})}
+	case config.ImportsAlways:
+		return []cache.ImporterOption{cache.WithImportPolicy(cache.AlwaysImport{}), cache.WithoutImportLimit()}
+	default:
+		return nil
+	}
+}
