--- a/cmd/trial/cases/deaths.go
+++ b/cmd/trial/cases/deaths.go
@@ -60,7 +60,7 @@
 		if err := <-result; err != nil {
 			return err
 		}
-		before, during, after := samples.around(<-death)
+		before, during, after := samples.Around(<-death)
 		whole := share(before.Goodput(targets()), len(before))
 		early, late := share(during.Goodput(targets()), len(during)), share(after.Goodput(targets()), len(after))
 		s.add(name, "goodput in the 5 s after", early/whole, AtLeast, 1-lost-0.05,
@@ -71,9 +71,9 @@
 	})
 }
 
-// around divides samples by a death: those that ended before it, those in flight at it or sent
+// Around divides samples by a death: those that ended before it, those in flight at it or sent
 // within the recovery time, and the later ones.
-func (s Samples) around(death time.Time) (before, during, after Samples) {
+func (s Samples) Around(death time.Time) (before, during, after Samples) {
 	for _, sample := range s {
 		sent := sample.Answer.Sent
 		switch {
