Ask for another version after refusals and let pause marks expire

Ruled out: trusting the versions of the configuration, which no engine may serve yet.

Change: the runner gives up a version that upstreams refused, three at most, and asks those upstreams for the next; upstreams that wait for a swap carry a mark with an end and are the last choice, not excluded; a control call that makes no connection says so, so that an owner sees a dead engine at once.

--- a/decisions.go
+++ b/decisions.go
@@ -15,6 +15,8 @@
 		Waits    map[RankName]time.Duration
 		Versions map[ModelName]ModelVersion
 		Draining bool
+		// Paused says that the upstream should get new work only if there is no other.
+		Paused bool
 		Dead     bool
 		AsOf     time.Time
 	}
--- a/engine/control.go
+++ b/engine/control.go
@@ -4,7 +4,9 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 
@@ -121,7 +123,11 @@
 	response, err := c.pool(at).control.RoundTrip(request)
 	if err != nil {
 		c.doubtPool(at, started)
-		return eris.Wrapf(err, "%s %s at engine %s", method, path, at)
+		err = eris.Wrapf(err, "%s %s at engine %s", method, path, at)
+		if isDialError(err) {
+			return notRun(err, nil)
+		}
+		return err
 	}
 	defer response.Body.Close()
 	if response.StatusCode >= http.StatusMultipleChoices {
@@ -135,3 +141,10 @@
 	}
 	return eris.Wrapf(err, "answer of engine %s to %s", at, path)
 }
+
+// isDialError reports whether no connection was made, so that a refused address is
+// told from an engine that is slow to answer.
+func isDialError(err error) bool {
+	var operation *net.OpError
+	return errors.As(err, &operation) && operation.Op == "dial"
+}
--- a/engine/control_test.go
+++ b/engine/control_test.go
@@ -1,6 +1,7 @@
 package engine_test
 
 import (
+	"net"
 	"testing"
 	"time"
 
@@ -62,3 +63,13 @@
 	assert.NilError(t, client.Order(t.Context(), lax, order))
 	assert.NilError(t, client.Order(t.Context(), lax, stale))
 }
+
+// Guards against a dead engine that its owner takes for a slow one, which costs three polls.
+func TestRefusedControlCallIsNotRun(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	at := spoke.Address(listener.Addr().String())
+	assert.NilError(t, listener.Close())
+	_, err = startClient(t).Load(t.Context(), at)
+	assert.ErrorIs(t, err, spoke.ErrNotRun)
+}
--- a/host/digest.go
+++ b/host/digest.go
@@ -26,6 +26,7 @@
 		members   *memberTask
 		marks     func(now time.Time) []spoke.QuarantineMark
 		leaving   func() []spoke.UpstreamID
+		paused    func() map[spoke.UpstreamID]time.Time
 		timer     spoke.Timer
 		last      spoke.Digest
 		lastSet   time.Time
@@ -56,7 +57,7 @@
 }
 
 func (t *digestTask) collect(ctx context.Context, now time.Time) spoke.Digest {
-	digest := spoke.Digest{Marks: t.marks(now), Leaving: t.leaving()}
+	digest := spoke.Digest{Marks: t.marks(now), Leaving: t.leaving(), Paused: t.paused()}
 	if manifest := t.manifest.Current(); manifest != nil {
 		digest.Number = manifest.Number
 	}
--- a/host/export_test.go
+++ b/host/export_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -60,12 +62,20 @@
 func NewSwaps(holder spoke.HostID, manifest spoke.ManifestSource, leases spoke.Leases, engine spoke.Engine, isWatcher func() bool, timer spoke.Timer) Swaps {
 	none := func() *spoke.Membership { return &spoke.Membership{} }
 	return Swaps{&swapTask{
-		holder: holder, manifest: manifest, views: newViewTable(manifest, none, route.Owner),
+		holder: holder, manifest: manifest, views: newViewTable(manifest, none, route.Owner, timer),
 		isWatcher: isWatcher, leases: leases, engine: engine, timer: timer,
 		events: events.NewRecorder(holder, timer, 64), log: Quiet(),
 	}}
 }
 
+// OutOfService lists the upstreams that wait for their swap.
+func (s Swaps) OutOfService() []spoke.UpstreamID {
+	return slices.Sorted(maps.Keys(s.Paused()))
+}
+
+// NewSharedRouter returns the router of a host over another one.
+func NewSharedRouter(router spoke.Router) spoke.Router { return &sharedRouter{router: router} }
+
 // Run competes for the lease and gives orders until the context ends.
 func (s Swaps) Run(ctx context.Context) { _ = s.run(ctx) }
 
@@ -168,7 +178,7 @@
 	members := &spoke.Membership{Self: "h1", Peers: map[spoke.HostID]spoke.Peer{
 		"h1": {ID: "h1", DataCentre: "dc1", State: spoke.PeerAlive},
 	}}
-	views := newViewTable(manifest, func() *spoke.Membership { return members }, route.Owner)
+	views := newViewTable(manifest, func() *spoke.Membership { return members }, route.Owner, timer.NewSystem())
 	sink := events.NewRecorder("h1", clock, 64)
 	return Followers{newFollowerTask(views, manifest, newAdmissionTask(policy, clock), engine, clock, sink)}
 }
@@ -209,5 +219,5 @@
 
 // NewViews returns the views of a host by service.
 func NewViews(manifest spoke.ManifestSource, members func() *spoke.Membership) func(spoke.ServiceName) []spoke.UpstreamView {
-	return newViewTable(manifest, members, route.Owner).Views
+	return newViewTable(manifest, members, route.Owner, timer.NewSystem()).Views
 }
--- a/host/host.go
+++ b/host/host.go
@@ -113,7 +113,7 @@
 
 func (h *Host) composeOwner() {
 	engines := engine.New(engine.WithTimer(h.timer))
-	h.views = newViewTable(h.view, h.members.View, route.Owner)
+	h.views = newViewTable(h.view, h.members.View, route.Owner, h.timer)
 	h.admission = newAdmissionTask(newAdmission(h.settings.Admission, uint64(h.timer.Now().UnixNano())), h.timer)
 	h.followers = newFollowerTask(h.views, h.view, h.admission, engines, h.timer, h.events)
 	h.views.status = h.followers.Status
@@ -133,7 +133,7 @@
 	}
 	h.digest = &digestTask{
 		manifest: h.view, admission: h.admission, followers: h.followers, members: h.members,
-		marks: h.marks, leaving: h.leavingUpstreams,
+		marks: h.marks, leaving: h.manifest.leaving.Upstreams, paused: h.swaps.Paused,
 		timer: h.timer,
 	}
 }
@@ -284,11 +284,6 @@
 	return h.view.Current() != nil && !h.drainer.draining.Load()
 }
 
-// leavingUpstreams lists what this host tells others to keep new work from.
-func (h *Host) leavingUpstreams() []spoke.UpstreamID {
-	return append(h.manifest.leaving.Upstreams(), h.swaps.OutOfService()...)
-}
-
 // blockKeys names the blocks of a prompt, so that routing finds the upstream that has them.
 func blockKeys(request spoke.Request, version spoke.ModelVersion) []spoke.BlockKey {
 	scope := cache.Scope{
--- a/host/router.go
+++ b/host/router.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -14,9 +15,15 @@
 	router spoke.Router
 }
 
-// Choose returns usable upstreams, the best first.
+// Choose returns usable upstreams, the best first. Upstreams that wait for a swap
+// still serve their old version and are chosen if there is no other.
 func (r *sharedRouter) Choose(now time.Time, query spoke.RouteQuery, views []spoke.UpstreamView) []spoke.UpstreamID {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	working := slices.DeleteFunc(slices.Clone(views), func(view spoke.UpstreamView) bool { return view.Load.Paused })
+	chosen := r.router.Choose(now, query, working)
+	if len(chosen) > 0 || len(working) == len(views) {
+		return chosen
+	}
 	return r.router.Choose(now, query, views)
 }
--- a/host/swaps.go
+++ b/host/swaps.go
@@ -50,14 +50,14 @@
 		observer   *observer
 		failed     chan swap.OrderFailed
 		out        map[spoke.UpstreamID]time.Time
-		shared     atomic.Pointer[[]spoke.UpstreamID]
+		shared     atomic.Pointer[map[spoke.UpstreamID]time.Time]
 	}
 )
 
-// OutOfService lists the upstreams that wait for their swap.
-func (t *swapTask) OutOfService() []spoke.UpstreamID {
-	if ids := t.shared.Load(); ids != nil {
-		return slices.Clone(*ids)
+// Paused returns the upstreams that wait for their swap, each with the end of its mark.
+func (t *swapTask) Paused() map[spoke.UpstreamID]time.Time {
+	if paused := t.shared.Load(); paused != nil {
+		return *paused
 	}
 	return nil
 }
@@ -231,6 +231,6 @@
 }
 
 func (t *swapTask) share() {
-	ids := slices.Sorted(maps.Keys(t.out))
-	t.shared.Store(&ids)
+	paused := maps.Clone(t.out)
+	t.shared.Store(&paused)
 }
--- a/host/views.go
+++ b/host/views.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync/atomic"
+	"time"
 
 	"magnoliaspoke.example/spoke"
 )
@@ -16,14 +17,16 @@
 		members  func() *spoke.Membership
 		status   func(spoke.UpstreamID) (upstreamStatus, bool)
 		owner    ownerFunc
+		timer    spoke.Timer
 		cached   atomic.Pointer[ownership]
-		leaving  atomic.Pointer[leavingSet]
+		marks    atomic.Pointer[upstreamMarks]
 	}
 
-	// leavingSet holds the upstreams that one membership reports as leaving.
-	leavingSet struct {
+	// upstreamMarks holds the upstreams that one membership reports as leaving or paused.
+	upstreamMarks struct {
 		members *spoke.Membership
-		ids     map[spoke.UpstreamID]bool
+		leaving map[spoke.UpstreamID]bool
+		paused  map[spoke.UpstreamID]time.Time
 	}
 
 	// ownership is the assignment of upstreams to hosts for one manifest and one set of hosts.
@@ -35,9 +38,9 @@
 	}
 )
 
-func newViewTable(manifest spoke.ManifestSource, members func() *spoke.Membership, owner ownerFunc) *viewTable {
+func newViewTable(manifest spoke.ManifestSource, members func() *spoke.Membership, owner ownerFunc, timer spoke.Timer) *viewTable {
 	return &viewTable{
-		manifest: manifest, members: members, owner: owner,
+		manifest: manifest, members: members, owner: owner, timer: timer,
 		status: func(spoke.UpstreamID) (upstreamStatus, bool) { return upstreamStatus{}, false },
 	}
 }
@@ -46,16 +49,18 @@
 func (v *viewTable) Views(service spoke.ServiceName) []spoke.UpstreamView {
 	members := v.members()
 	assigned := v.ownership(members).byService[service]
-	leaving := v.leavingUpstreams(members)
+	marks := v.marksOf(members)
+	now := v.timer.Now()
 	views := make([]spoke.UpstreamView, len(assigned))
 	for i, view := range assigned {
 		view.Load = members.Peers[view.Owner].Digest.Loads[view.Upstream.ID]
 		if status, ok := v.status(view.Upstream.ID); ok {
 			status.overlay(&view.Load)
 		}
-		if leaving[view.Upstream.ID] {
+		if marks.leaving[view.Upstream.ID] {
 			view.Load.Draining = true
 		}
+		view.Load.Paused = now.Before(marks.paused[view.Upstream.ID])
 		views[i] = view
 	}
 	return views
@@ -114,21 +119,30 @@
 	return result
 }
 
-// leavingUpstreams keeps its result for one membership, since a scan of all hosts for each
+// marksOf keeps its result for one membership, since a scan of all hosts for each
 // request is most of what the views cost.
-func (v *viewTable) leavingUpstreams(members *spoke.Membership) map[spoke.UpstreamID]bool {
-	if known := v.leaving.Load(); known != nil && known.members == members {
-		return known.ids
+func (v *viewTable) marksOf(members *spoke.Membership) *upstreamMarks {
+	if known := v.marks.Load(); known != nil && known.members == members {
+		return known
+	}
+	marks := &upstreamMarks{
+		members: members,
+		leaving: make(map[spoke.UpstreamID]bool),
+		paused:  make(map[spoke.UpstreamID]time.Time),
 	}
-	leaving := make(map[spoke.UpstreamID]bool)
 	for _, peer := range members.Peers {
 		if peer.State == spoke.PeerDead {
 			continue
 		}
 		for _, id := range peer.Digest.Leaving {
-			leaving[id] = true
+			marks.leaving[id] = true
+		}
+		for id, until := range peer.Digest.Paused {
+			if until.After(marks.paused[id]) {
+				marks.paused[id] = until
+			}
 		}
 	}
-	v.leaving.Store(&leavingSet{members, leaving})
-	return leaving
+	v.marks.Store(marks)
+	return marks
 }
--- a/members.go
+++ b/members.go
@@ -31,6 +31,9 @@
 		Marks  []QuarantineMark
 		// Leaving lists the upstreams that the platform or the upstream itself reports as leaving.
 		Leaving []UpstreamID
+		// Paused holds upstreams that wait for a swap and should get new work only if there is
+		// no other, until the given time, which outlives neither a paused nor a dead host for long.
+		Paused map[UpstreamID]time.Time
 	}
 
 	// Peer is an entry host as another one sees it.
--- a/runner/failure.go
+++ b/runner/failure.go
@@ -68,6 +68,9 @@
 // refusedBy tries the next upstream after one that did not run the attempt.
 func (m *Machine) refusedBy(now time.Time, upstream spoke.UpstreamID, err error) []Action {
 	m.exclude[upstream] = true
+	if errors.Is(err, spoke.ErrWrongVersion) {
+		m.wrong[upstream] = true
+	}
 	var refusal *spoke.Refusal
 	if !errors.As(err, &refusal) {
 		refusal = spoke.NotRun(codeOf(err), "upstream %s: %s", upstream, err)
@@ -81,11 +84,30 @@
 
 // exhausted ends a round in which no upstream took the request.
 func (m *Machine) exhausted(now time.Time) []Action {
+	if m.mayChangeVersion() {
+		return m.changeVersion()
+	}
 	refusal := m.roundRefusal()
 	m.refused = nil
 	return m.pause(now, refusal)
 }
 
+// mayChangeVersion reports whether upstreams refused only the version: what hosts
+// know of versions lags behind a swap by some seconds.
+func (m *Machine) mayChangeVersion() bool {
+	return m.version == "" && len(m.wrong) > 0 && len(m.avoid) < maxVersions
+}
+
+// changeVersion asks for another version at the upstreams that refused this one.
+func (m *Machine) changeVersion() []Action {
+	m.avoid[m.route.Version] = true
+	for upstream := range m.wrong {
+		delete(m.exclude, upstream)
+	}
+	clear(m.wrong)
+	return m.ask()
+}
+
 // pause waits for another round if work was done that would be lost, else it
 // gives the final answer at once.
 func (m *Machine) pause(now time.Time, refusal *spoke.Refusal) []Action {
--- a/runner/machine.go
+++ b/runner/machine.go
@@ -25,8 +25,12 @@
 		route    Routed
 		next     int
 		exclude  map[spoke.UpstreamID]bool
-		broken   map[spoke.UpstreamID]int
-		prefer   spoke.UpstreamID
+		// avoid holds versions that a round did not find, and wrong the upstreams that
+		// refused the version of the present round.
+		avoid  map[spoke.ModelVersion]bool
+		wrong  map[spoke.UpstreamID]bool
+		broken map[spoke.UpstreamID]int
+		prefer spoke.UpstreamID
 
 		ran         bool
 		failures    int
@@ -60,6 +64,8 @@
 		request: request,
 		state:   StateReceived,
 		exclude: make(map[spoke.UpstreamID]bool),
+		avoid:   make(map[spoke.ModelVersion]bool),
+		wrong:   make(map[spoke.UpstreamID]bool),
 		broken:  make(map[spoke.UpstreamID]int),
 	}
 }
@@ -114,7 +120,7 @@
 func (m *Machine) ask() []Action {
 	m.resume = time.Time{}
 	m.state = StateQueued
-	route := Route{Version: m.version, Exclude: maps.Clone(m.exclude), Prefer: m.prefer, Retry: m.retry}
+	route := Route{Version: m.version, Exclude: maps.Clone(m.exclude), Avoid: maps.Clone(m.avoid), Prefer: m.prefer, Retry: m.retry}
 	return []Action{route}
 }
 
--- a/runner/messages.go
+++ b/runner/messages.go
@@ -53,6 +53,8 @@
 		// Version is the version to stay with; empty means the one in force.
 		Version spoke.ModelVersion
 		Exclude map[spoke.UpstreamID]bool
+		// Avoid lists versions that upstreams refused because they serve another one.
+		Avoid map[spoke.ModelVersion]bool
 		// Prefer is the upstream to ask first if it is usable; it holds the run's cache.
 		Prefer spoke.UpstreamID
 		// Retry says that the attempt follows a failure and takes from the retry budget.
@@ -109,6 +111,8 @@
 	maxFailures = 4
 	// maxRefusals bounds the upstreams that are asked in one round.
 	maxRefusals = 3
+	// maxVersions bounds the versions that one request gives up on.
+	maxVersions = 3
 	// maxPreemptions bounds how often one request gives way to urgent work.
 	maxPreemptions = 64
 	// maxRounds bounds how often a request that has run waits for a place to resume.
--- a/runner/routing.go
+++ b/runner/routing.go
@@ -37,7 +37,7 @@
 	views := r.parts.Views.Views(request.Service)
 	versions := []spoke.ModelVersion{want.Version}
 	if want.Version == "" {
-		versions = candidates(model, views)
+		versions = slices.DeleteFunc(candidates(model, views), func(version spoke.ModelVersion) bool { return want.Avoid[version] })
 	}
 	query := spoke.RouteQuery{
 		Service:      request.Service,
--- a/swap/version.go
+++ b/swap/version.go
@@ -14,7 +14,7 @@
 	for _, view := range views {
 		version := view.Load.Versions[model.Name]
 		usable := view.Upstream.Service == model.Service && view.Upstream.State != spoke.UpstreamLeaving &&
-			view.Owner != "" && !view.Load.Draining && !view.Load.Dead
+			view.Owner != "" && !view.Load.Draining && !view.Load.Paused && !view.Load.Dead
 		if usable && version != "" {
 			counts[version]++
 		}
--- a/wire/heartbeat_codec.go
+++ b/wire/heartbeat_codec.go
@@ -31,6 +31,7 @@
 		Loads      map[string]loadJSON `json:"loads,omitempty"`
 		Marks      []markJSON          `json:"marks,omitempty"`
 		Gone       []string            `json:"leaving-upstreams,omitempty"`
+		Paused     map[string]int64    `json:"paused-until-ms,omitempty"`
 		Partial    bool                `json:"partial,omitempty"`
 	}
 
@@ -103,6 +104,12 @@
 	for _, mark := range r.Digest.Marks {
 		out.Marks = append(out.Marks, markJSON{string(mark.Fingerprint), mark.Deaths, mark.Expires.UnixMilli()})
 	}
+	for id, until := range r.Digest.Paused {
+		if out.Paused == nil {
+			out.Paused = make(map[string]int64, len(r.Digest.Paused))
+		}
+		out.Paused[string(id)] = until.UnixMilli()
+	}
 	for _, id := range r.Digest.Leaving {
 		out.Gone = append(out.Gone, string(id))
 	}
@@ -128,6 +135,12 @@
 			Expires:     time.UnixMilli(mark.Expires),
 		})
 	}
+	for id, millis := range in.Paused {
+		if record.Digest.Paused == nil {
+			record.Digest.Paused = make(map[spoke.UpstreamID]time.Time, len(in.Paused))
+		}
+		record.Digest.Paused[spoke.UpstreamID(id)] = time.UnixMilli(millis)
+	}
 	for _, id := range in.Gone {
 		record.Digest.Leaving = append(record.Digest.Leaving, spoke.UpstreamID(id))
 	}
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -179,7 +179,7 @@
 	record := member.Record{
 		ID: "h1", DataCentre: "dc1", Address: "127.0.0.1:1", Leaving: true, Partial: true,
 		Digest: spoke.Digest{
-			Number: 9, Leaving: []spoke.UpstreamID{"u2"},
+			Number: 9, Leaving: []spoke.UpstreamID{"u2"}, Paused: map[spoke.UpstreamID]time.Time{"u3": time.UnixMilli(7)},
 			Loads: map[spoke.UpstreamID]spoke.LoadSummary{"u1": {
 				Queued: 1, Running: 2, Limit: 3, ExpectedWait: time.Millisecond, Draining: true, Dead: true,
 				Waits:    map[spoke.RankName]time.Duration{"urgent": time.Second},
