--- a/cmd/trial/scene/alias.go
+++ b/cmd/trial/scene/alias.go
@@ -44,7 +44,8 @@
 	ts.Logf("%s runs at %s, owned by %s", args[0], engine, s.aliases["@owner"])
 }
 
-// aliasEvent names the host whose time line has the last event of a kind, as @last.
+// aliasEvent names the host whose time line has the last event of a kind, as @last, and another
+// host of its data centre, as @other.
 func (s *stage) aliasEvent(ts *testscript.TestScript, _ bool, args []string) {
 	want(ts, args, 1, 1, "alias-event KIND")
 	s.needSetup(ts)
@@ -58,6 +59,7 @@
 		s.aliases["@last"] = string(latest.Host)
 		return latest.Host != "", "no event " + args[0]
 	}))
+	s.aliases["@other"] = s.neighbour(s.aliases["@last"])
 	ts.Logf("the last event %s is of host %s", args[0], s.aliases["@last"])
 }
 
--- a/cmd/trial/scene/expect.go
+++ b/cmd/trial/scene/expect.go
@@ -58,6 +58,7 @@
 	"written":    {"expect written LEAST", 1, true, (*stage).expectWritten},
 	"loaded":     {"expect loaded VERSION [ENGINE...]", 1, true, (*stage).expectLoaded},
 	"busy":       {"expect busy STORE", 1, true, (*stage).expectBusy},
+	"events":     {"expect events HOST KIND LEAST", 3, true, (*stage).expectEvents},
 	"event":      {"expect event HOST KIND [PATTERN]", 2, true, (*stage).expectEvent},
 }
 
--- a/cmd/trial/scene/show.go
+++ b/cmd/trial/scene/show.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"regexp"
+	"strconv"
 	"strings"
 	"time"
 
@@ -86,3 +87,24 @@
 		return false, false, fmt.Sprintf("no event %s among %d, %v", args[1], len(page.Events), err)
 	}, eris.Wrap(err, "pattern")
 }
+
+// expectEvents holds when a host's time line has at least a number of events of a kind.
+func (s *stage) expectEvents(args []string) (condition, error) {
+	client, err := s.admin(args[0])
+	if err != nil {
+		return nil, err
+	}
+	least, err := strconv.Atoi(args[2])
+	return func() (bool, bool, string) {
+		ctx, cancel := context.WithTimeout(s.ctx, showLimit)
+		defer cancel()
+		page, err := client.Events(ctx, spoke.EventFilter{})
+		found := 0
+		for _, event := range page.Events {
+			if string(event.Kind) == args[1] {
+				found++
+			}
+		}
+		return found >= least, false, fmt.Sprintf("%d events %s, %v", found, args[1], err)
+	}, eris.Wrap(err, "events")
+}
