--- a/config/codec.go
+++ b/config/codec.go
@@ -27,9 +27,13 @@
 	keyDrainDelay      = "drain-delay"
 	keyDrainDeadline   = "drain-deadline"
 	keyEventCapacity   = "event-capacity"
+	keyMaxProcessors   = "max-processors"
 	keyHeartbeat       = "heartbeat-interval"
 	keySuspectAfter    = "suspect-after"
 	keyRemoveAfter     = "remove-after"
+	keyAdmission       = "admission"
+	keyRouting         = "routing"
+	keyImports         = "imports"
 )
 
 type (
@@ -55,9 +59,13 @@
 		DrainDelay      string      `toml:"drain-delay"`
 		DrainDeadline   string      `toml:"drain-deadline"`
 		EventCapacity   int         `toml:"event-capacity"`
+		MaxProcessors   int         `toml:"max-processors"`
 		Heartbeat       string      `toml:"heartbeat-interval"`
 		SuspectAfter    string      `toml:"suspect-after"`
 		RemoveAfter     string      `toml:"remove-after"`
+		Admission       string      `toml:"admission"`
+		Routing         string      `toml:"routing"`
+		Imports         string      `toml:"imports"`
 		Peers           []peerCodec `toml:"peers"`
 	}
 )
@@ -80,9 +88,13 @@
 		DrainDelay:      entry.DrainDelay.String(),
 		DrainDeadline:   entry.DrainDeadline.String(),
 		EventCapacity:   entry.EventCapacity,
+		MaxProcessors:   entry.MaxProcessors,
 		Heartbeat:       entry.HeartbeatInterval.String(),
 		SuspectAfter:    entry.SuspectAfter.String(),
 		RemoveAfter:     entry.RemoveAfter.String(),
+		Admission:       string(entry.Admission),
+		Routing:         string(entry.Routing),
+		Imports:         string(entry.Imports),
 		Peers:           encodePeers(entry.Peers),
 	}
 	var text bytes.Buffer
--- a/host/host.go
+++ b/host/host.go
@@ -24,7 +24,6 @@
 	"magnoliaspoke.example/spoke/plain"
 	"magnoliaspoke.example/spoke/route"
 	"magnoliaspoke.example/spoke/runner"
-	"magnoliaspoke.example/spoke/sched"
 	"magnoliaspoke.example/spoke/ticket"
 	"magnoliaspoke.example/spoke/wire"
 )
@@ -115,10 +114,10 @@
 func (h *Host) composeOwner() {
 	engines := engine.New(engine.WithTimer(h.timer))
 	h.views = newViewTable(h.view, h.members.View, route.Owner)
-	h.admission = newAdmissionTask(sched.NewAdmission(sched.WithSeed(uint64(h.timer.Now().UnixNano()))), h.timer)
+	h.admission = newAdmissionTask(newAdmission(h.settings.Admission, uint64(h.timer.Now().UnixNano())), h.timer)
 	h.followers = newFollowerTask(h.views, h.view, h.admission, engines, h.timer, h.events)
 	h.views.status = h.followers.Status
-	h.blocks = newBlockTask(h.view, engines, h.timer, h.events)
+	h.blocks = newBlockTask(h.view, engines, h.timer, h.events, importOptions(h.settings.Imports)...)
 	h.followers.watch = h.blocks.watch
 	h.owner = &owner{
 		manifest: h.view, followers: h.followers, admission: h.admission, engine: engines, blocks: h.blocks,
@@ -164,7 +163,7 @@
 		owner: h.owner, client: h.members.client, plain: plain.NewClient(),
 	}
 	budget := newRetryBudget(h.timer)
-	router := &sharedRouter{router: route.NewAffinity()}
+	router := &sharedRouter{router: newRouter(h.settings.Routing, h.timer.Now())}
 	h.calls = plain.NewExecutor(plain.Parts{
 		Manifests: h.view, Views: h.views, Router: router, Dispatcher: dispatcher,
 		Claims: h.claims, Timer: h.timer,
@@ -216,10 +215,7 @@
 // Run serves until the context ends, drains, and returns when everything has stopped.
 func (h *Host) Run(ctx context.Context) error {
 	var group run.Group
-	for _, task := range []func(context.Context) error{
-		h.members.run, h.admission.run, h.followers.run, h.digest.run, h.swaps.run, h.blocks.run,
-		h.manifest.run, h.manifest.watcher.Run, h.manifest.runHostList,
-	} {
+	for _, task := range h.tasks() {
 		group.Add(func() error { return task(h.life) }, func(error) { h.end() })
 	}
 	// The drain shuts the first two servers down; the others serve until it has ended.
@@ -237,6 +233,14 @@
 	return err
 }
 
+// tasks lists what runs for as long as the host lives.
+func (h *Host) tasks() []func(context.Context) error {
+	return []func(context.Context) error{
+		h.members.run, h.admission.run, h.followers.run, h.digest.run, h.swaps.run, h.blocks.run,
+		h.manifest.run, h.manifest.watcher.Run, h.manifest.runHostList,
+	}
+}
+
 // finishClaims lets recorded answers of non-repeatable calls reach the platform.
 func (h *Host) finishClaims() {
 	ctx, cancel := context.WithTimeout(context.Background(), claimsLimit)
