Test two complete hosts on loopback and the drain order

Cause: nothing in package host tested a host as the program runs it: listeners, drain and the streams between two hosts. Ruled out: virtual time for these tests, since sockets do not run in it; they wait for states and bound no times. Change: two hosts run over the stand-ins of platform, engines and a plain service. Tests send requests through either host, close the owner's internal connections in mid-stream, change the configuration before an outage, and drain a host whose run a peer reads.

--- a/host/export_test.go
+++ b/host/export_test.go
@@ -211,3 +211,16 @@
 func NewViews(manifest spoke.ManifestSource, members func() *spoke.Membership) func(spoke.ServiceName) []spoke.UpstreamView {
 	return newViewTable(manifest, members, route.Owner).Views
 }
+
+// HoldAdmission makes the admission task take no message but through the function that it
+// returns, which takes one.
+func (f Followers) HoldAdmission() (takeOne func()) {
+	f.admission.inbox = make(chan admissionRequest)
+	return func() { <-f.admission.inbox }
+}
+
+// Reconcile looks at the ownership once.
+func (f Followers) Reconcile(ctx context.Context) { f.reconcile(ctx) }
+
+// BreakInternal closes the internal listener and its connections at once.
+func (v Virtual) BreakInternal() { _ = v.internal.Close() }
--- a/host/followers_test.go
+++ b/host/followers_test.go
@@ -124,3 +124,25 @@
 		assertDead(300*time.Millisecond, true)
 	})
 }
+
+// Guards against runs that are refused right after a change of the owner, because they
+// reach admission before it knows of the upstream.
+func TestAdmissionKnowsUpstreamFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer synctest.Wait()
+		defer cancel()
+		manifest := new(source).apply(
+			spoke.Service{Name: "booking", Kind: spoke.ServicePlain},
+			spoke.Upstream{ID: "u1", Service: "booking", DataCentre: "dc1", Address: closed},
+		)
+		f := host.NewFollowers(manifest, &policy{}, &scripted{})
+		takeOne := f.HoldAdmission()
+		go f.Reconcile(ctx)
+		synctest.Wait()
+		assert.Equal(t, len(f.Owned()), 0, "followed before admission knows of it")
+		takeOne()
+		synctest.Wait()
+		assert.Equal(t, len(f.Owned()), 1)
+	})
+}
--- /dev/null
+++ b/host/pair_test.go
@@ -0,0 +1,300 @@
+package host_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"magnoliaspoke.example/spoke"
+	"magnoliaspoke.example/spoke/config"
+	"magnoliaspoke.example/spoke/fake/kvsvc"
+	"magnoliaspoke.example/spoke/fake/model"
+	"magnoliaspoke.example/spoke/fake/plain"
+	"magnoliaspoke.example/spoke/host"
+	"magnoliaspoke.example/spoke/timer"
+)
+
+const (
+	// answerTokens at decodeRate make a stream of about half a second.
+	answerTokens = 100
+	decodeRate   = 200
+	services     = 6
+)
+
+type (
+	// server is a complete host on loopback.
+	server struct {
+		host.Virtual
+		listeners host.Listeners
+		drain     context.CancelFunc
+		ended     chan error
+	}
+
+	// pair is two complete hosts over stand-ins; service i has one upstream with model mi.
+	pair struct {
+		t        *testing.T
+		platform *kvsvc.Service
+		bookings *plain.Service
+		servers  [2]*server
+	}
+)
+
+func startPair(t *testing.T) *pair {
+	t.Helper()
+	p := &pair{t: t, platform: kvsvc.New(), bookings: plain.New()}
+	objects := []spoke.Object{
+		spoke.Rank{Name: "urgent", FirstTokenTarget: 5 * time.Second, Floor: 0.1, Worth: 1},
+		spoke.Service{
+			Name: "booking", Kind: spoke.ServicePlain, DefaultRank: "urgent",
+			NonRepeatable: []spoke.CallPattern{{Method: http.MethodPost}},
+		},
+		spoke.Upstream{ID: "b1", Service: "booking", DataCentre: "dc1", Address: p.serve(p.bookings), State: spoke.UpstreamServing},
+	}
+	workspace := spoke.Workspace{ID: "w", Weight: 1, KeyHashes: []spoke.KeyHash{config.HashKey(apiKey)}, Services: []spoke.ServiceName{"booking"}}
+	for i := range services {
+		service := spoke.ServiceName(fmt.Sprint("s", i))
+		name := spoke.ModelName(fmt.Sprint("m", i))
+		engine := model.New(model.WithModel(name, "v1"), model.WithDecodeRate(decodeRate))
+		at := p.serve(engine)
+		t.Cleanup(engine.Close)
+		workspace.Services = append(workspace.Services, service)
+		objects = append(objects,
+			spoke.Service{Name: service, Kind: spoke.ServiceLanguage, DefaultRank: "urgent"},
+			spoke.Model{Name: name, Service: service, Version: "v1"},
+			spoke.Upstream{ID: spoke.UpstreamID(fmt.Sprint("u", i)), Service: service, DataCentre: "dc1", Address: at, State: spoke.UpstreamServing},
+		)
+	}
+	p.startServers(p.serve(p.platform))
+	p.wait("members", func() bool { return len(p.servers[0].Members().Peers) == 2 && len(p.servers[1].Members().Peers) == 2 })
+	p.submit(1, append(objects, workspace)...)
+	p.wait("followers", func() bool { return len(p.servers[0].Owned())+len(p.servers[1].Owned()) == services+1 })
+	return p
+}
+
+func (p *pair) serve(handler http.Handler) spoke.Address {
+	listening := httptest.NewServer(handler)
+	p.t.Cleanup(listening.Close)
+	return spoke.Address(listening.Listener.Addr().String())
+}
+
+func (p *pair) startServers(platform spoke.Address) {
+	p.t.Helper()
+	var peers []config.Peer
+	all := [2]config.Entry{}
+	for i := range all {
+		settings := config.Defaults()
+		settings.Host, settings.DataCentre = spoke.HostID(fmt.Sprint("h", i)), "dc1"
+		settings.Caller, settings.Internal, settings.Admin, settings.Metrics = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
+		settings.Platform, settings.PeerSecret = platform, "a secret of enough bytes"
+		settings.HeartbeatInterval = 50 * time.Millisecond
+		settings.DrainDelay, settings.DrainDeadline = 100*time.Millisecond, 10*time.Second
+		listeners, err := host.Listen(settings)
+		assert.NilError(p.t, err)
+		p.servers[i] = &server{listeners: listeners, ended: make(chan error, 1)}
+		peers = append(peers, config.Peer{Host: settings.Host, DataCentre: "dc1", Address: spoke.Address(listeners.Internal.Addr().String())})
+		all[i] = settings
+	}
+	for i, s := range p.servers {
+		all[i].Peers = peers
+		started := host.New(all[i], s.listeners, host.Quiet(), timer.NewSystem(), nil)
+		var ctx context.Context
+		ctx, s.drain = context.WithCancel(context.Background())
+		s.Virtual = host.Virtual{Host: started}
+		go func() { s.ended <- started.Run(ctx) }()
+		p.t.Cleanup(func() {
+			s.drain()
+			assert.NilError(p.t, <-s.ended)
+		})
+	}
+}
+
+func (p *pair) submit(number spoke.TicketNumber, objects ...spoke.Object) {
+	p.t.Helper()
+	ticket := spoke.Ticket{Number: number, Author: "operator", Objects: objects}
+	assert.NilError(p.t, p.servers[0].Operators().Submit(context.Background(), ticket))
+}
+
+func (p *pair) wait(what string, done func() bool) {
+	p.t.Helper()
+	poll.WaitOn(p.t, func(poll.LogT) poll.Result {
+		if done() {
+			return poll.Success()
+		}
+		return poll.Continue("%s", what)
+	}, poll.WithDelay(5*time.Millisecond), poll.WithTimeout(20*time.Second))
+}
+
+// ownedBy returns the index of a service whose upstream the host owns.
+func (p *pair) ownedBy(s *server) int {
+	p.t.Helper()
+	for i := range services {
+		for _, owned := range s.Owned() {
+			if owned == spoke.UpstreamID(fmt.Sprint("u", i)) {
+				return i
+			}
+		}
+	}
+	p.t.Fatal("the host owns no engine")
+	return 0
+}
+
+// post sends a request to the caller API of a host.
+func (s *server) post(t *testing.T, path, body string) *http.Response {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodPost, "http://"+s.listeners.Caller.Addr().String()+path, strings.NewReader(body))
+	assert.NilError(t, err)
+	req.Header.Set("Authorization", "Bearer "+apiKey)
+	req.Header.Set("Idempotency-Key", path+body)
+	resp, err := http.DefaultClient.Do(req)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = resp.Body.Close() })
+	return resp
+}
+
+// answering reads a streamed answer.
+type answering struct {
+	lines *bufio.Scanner
+	text  string
+	whole bool
+}
+
+func (s *server) complete(t *testing.T, service int, prompt string) *answering {
+	t.Helper()
+	body := fmt.Sprintf(`{"model":"m%d","prompt":%q,"max_tokens":%d,"stream":true}`, service, prompt, answerTokens)
+	resp := s.post(t, "/v1/completions", body)
+	assert.Equal(t, resp.StatusCode, http.StatusOK)
+	return &answering{lines: bufio.NewScanner(resp.Body)}
+}
+
+// next reads one event and reports false at the end of the answer.
+func (a *answering) next(t *testing.T) bool {
+	t.Helper()
+	for a.lines.Scan() {
+		data, isData := strings.CutPrefix(a.lines.Text(), "data: ")
+		if !isData {
+			continue
+		}
+		if data == "[DONE]" {
+			a.whole = true
+			return false
+		}
+		var chunk struct {
+			Choices []struct {
+				Text string `json:"text"`
+			} `json:"choices"`
+		}
+		assert.NilError(t, json.Unmarshal([]byte(data), &chunk))
+		if len(chunk.Choices) > 0 {
+			a.text += chunk.Choices[0].Text
+		}
+		return true
+	}
+	return false
+}
+
+// finish reads the rest and checks that the answer has the right text and that only
+// the whole text ends in the end mark.
+func (a *answering) finish(t *testing.T, prompt string) {
+	t.Helper()
+	for a.next(t) {
+		continue
+	}
+	want := model.Answer(prompt, "v1", 0, model.Length(prompt, answerTokens))
+	assert.Assert(t, strings.HasPrefix(want, a.text), "got %q", a.text)
+	assert.Equal(t, a.whole, a.text == want, "the end mark goes with the whole text only")
+}
+
+// Guards against answers that change on the way from an owner, and against a second run of
+// a booking that is sent again through the other host.
+func TestRequestsThroughEitherHost(t *testing.T) {
+	p := startPair(t)
+	for i, s := range p.servers {
+		for _, owner := range p.servers {
+			prompt := fmt.Sprintf("quote through host %d", i)
+			a := s.complete(t, p.ownedBy(owner), prompt)
+			a.finish(t, prompt)
+			assert.Assert(t, a.whole)
+		}
+		resp := s.post(t, "/services/booking/dispatches", "ten feather dusters")
+		assert.Equal(t, resp.StatusCode, http.StatusOK)
+	}
+	assert.Equal(t, p.bookings.Runs().Total, 1)
+
+	// An answer is counted after its last byte has left.
+	p.wait("counted answers", func() bool { return p.servers[0].answered(t)["200"] == 3 })
+}
+
+// answered returns the answers by status from the metrics listener.
+func (s *server) answered(t *testing.T) map[string]int {
+	t.Helper()
+	resp, err := http.Get("http://" + s.listeners.Metrics.Addr().String() + "/debug/vars")
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	var values struct {
+		Host struct {
+			Answers map[string]int `json:"requests-by-status"`
+		} `json:"host"`
+	}
+	assert.NilError(t, json.NewDecoder(resp.Body).Decode(&values))
+	return values.Host.Answers
+}
+
+// Guards against a cut answer that looks whole when an owner's connections break in
+// mid-stream.
+func TestOwnerBreaksInMidStream(t *testing.T) {
+	p := startPair(t)
+	prompt := "stock of plumes"
+	a := p.servers[0].complete(t, p.ownedBy(p.servers[1]), prompt)
+	assert.Assert(t, a.next(t))
+	p.servers[1].BreakInternal()
+	a.finish(t, prompt)
+}
+
+// Guards against a change that does not reach the other host while the platform is out.
+func TestChangeSpreadsWhilePlatformIsOut(t *testing.T) {
+	p := startPair(t)
+	p.submit(2, spoke.Service{Name: "s9", Kind: spoke.ServiceLanguage, DefaultRank: "urgent"})
+	p.platform.SetFaults(kvsvc.Faults{Outage: kvsvc.OutageRefuse})
+	defer p.platform.SetFaults(kvsvc.Faults{})
+	p.wait("ticket 2", func() bool {
+		manifest, err := p.servers[1].Operators().Manifest(context.Background())
+		return err == nil && manifest.Number == 2
+	})
+}
+
+// Guards against a drain that cuts off a run which a peer reads, that accepts callers
+// without end, or that leaves the load balancer sending.
+func TestDrainFinishesRunsOfPeers(t *testing.T) {
+	p := startPair(t)
+	leaving := p.servers[1]
+	prompt := "order history of a wholesaler"
+	a := p.servers[0].complete(t, p.ownedBy(leaving), prompt)
+	assert.Assert(t, a.next(t))
+	assert.Assert(t, leaving.IsReady())
+	assert.NilError(t, leaving.Operators().Drain(context.Background()))
+	p.wait("not ready", func() bool { return !leaving.IsReady() })
+	p.wait("no ownership", func() bool { return len(leaving.Owned()) == 0 })
+	p.wait("closed caller listener", func() bool {
+		conn, err := net.Dial("tcp", leaving.listeners.Caller.Addr().String())
+		if err == nil {
+			_ = conn.Close()
+		}
+		return err != nil
+	})
+	assert.Equal(t, len(leaving.ended), 0, "a peer still reads a run")
+	a.finish(t, prompt)
+	assert.Assert(t, a.whole)
+	err := <-leaving.ended
+	leaving.ended <- err
+	assert.NilError(t, err)
+}
