--- a/cmd/trial/capacity.go
+++ b/cmd/trial/capacity.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"os"
+	"slices"
 
+	"magnoliaspoke.example/spoke/cmd/trial/cost"
 	"magnoliaspoke.example/spoke/cmd/trial/slope"
 )
 
@@ -18,6 +20,11 @@
 	targetChangesPerDay     = 2200.0
 	targetObjects           = 1100.0
 	secondsPerDay           = 86400.0
+	// restReports is one report a minute of each of 600 engines, as a number of
+	// followed upstreams with six polls a second each.
+	restReports = 600.0 / 60 / 6
+	// assumedBookings is an assumption: 4% of the peak of requests may not be repeated.
+	assumedBookings = 100.0
 
 	// measuredRounds of heartbeats give a mean that varies by a few percent.
 	measuredRounds = 20
@@ -34,11 +41,13 @@
 		{Unit: slope.Processor, Bound: 0.027},
 		{Unit: slope.Traffic, Bound: 29_000},
 		{Unit: slope.Memory, Bound: 128_000_000},
+		{Unit: slope.PlatformReads, Bound: 2000},
+		{Unit: slope.PlatformWrites, Bound: 300},
 	}
 }
 
-func (a *capacityArgs) run(context.Context) error {
-	rows, err := measureRows()
+func (a *capacityArgs) run(ctx context.Context) error {
+	rows, err := measureRows(ctx)
 	if err != nil {
 		return err
 	}
@@ -53,7 +62,7 @@
 	return slope.Check(rows, controlBudgets())
 }
 
-func measureRows() ([]slope.Row, error) {
+func measureRows(ctx context.Context) ([]slope.Row, error) {
 	rows, err := membershipRows()
 	if err != nil {
 		return nil, err
@@ -62,7 +71,65 @@
 	if err != nil {
 		return nil, err
 	}
-	return append(append(rows, manifests...), decisionRows()...), nil
+	follow, err := followRows()
+	if err != nil {
+		return nil, err
+	}
+	platform, err := platformRows(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return slices.Concat(rows, manifests, follow, decisionRows(), platform), nil
+}
+
+// followRows measures what an owner pays for the load and the cache events of its
+// upstreams, and the holder of the orders lease for the reports of all engines.
+func followRows() ([]slope.Row, error) {
+	var seconds, bytes []slope.Point
+	for _, upstreams := range []int{1, 2, 4, 8} {
+		spent, traffic, err := slope.FollowCost(upstreams)
+		if err != nil {
+			return nil, err
+		}
+		seconds = append(seconds, slope.Point{Size: float64(upstreams), Cost: spent})
+		bytes = append(bytes, slope.Point{Size: float64(upstreams), Cost: traffic})
+	}
+	const owner = "one owner for each upstream"
+	const holder = "a report a minute of each engine, a second during a roll-out"
+	return []slope.Row{
+		{Role: "followed upstreams", Mechanism: owner, Unit: slope.Processor, Variable: "owned upstreams", Points: seconds, Target: targetUpstreamsPerHost, Scale: 1},
+		{Role: "followed upstreams", Mechanism: owner, Unit: slope.Traffic, Variable: "owned upstreams", Points: bytes, Target: targetUpstreamsPerHost, Scale: 1},
+		{Role: "orders holder, at rest", Mechanism: holder, Unit: slope.Processor, Variable: "owned upstreams", Points: seconds, Target: restReports, Scale: 1},
+		{Role: "orders holder, at rest", Mechanism: holder, Unit: slope.Traffic, Variable: "owned upstreams", Points: bytes, Target: restReports, Scale: 1},
+	}, nil
+}
+
+// platformRows measures calls of the key-value service, which all hosts share.
+func platformRows(ctx context.Context) ([]slope.Row, error) {
+	var reads, writes []slope.Point
+	for _, centres := range []int{1, 2, 3} {
+		idle, err := cost.MeasureIdleCalls(ctx, centres)
+		if err != nil {
+			return nil, err
+		}
+		reads = append(reads, slope.Point{Size: float64(centres), Cost: idle.Reads})
+		writes = append(writes, slope.Point{Size: float64(centres), Cost: idle.Writes})
+	}
+	claims, err := cost.MeasureClaimCalls(ctx)
+	if err != nil {
+		return nil, err
+	}
+	perCall := func(calls float64) []slope.Point {
+		return []slope.Point{{Size: 0, Cost: 0}, {Size: 1, Cost: calls}}
+	}
+	const watchers = "two watchers a data centre, one orders lease"
+	const commits = "group commit by shard"
+	return []slope.Row{
+		{Role: "watchers", Mechanism: watchers, Unit: slope.PlatformReads, Variable: "data centres", Points: reads, Target: targetDataCentres, Scale: 1},
+		{Role: "watchers", Mechanism: watchers, Unit: slope.PlatformWrites, Variable: "data centres", Points: writes, Target: targetDataCentres, Scale: 1},
+		{Role: "claims", Mechanism: commits, Unit: slope.PlatformReads, Variable: "bookings/s", Points: perCall(claims.Reads), Target: assumedBookings, Scale: 1},
+		{Role: "claims", Mechanism: commits, Unit: slope.PlatformWrites, Variable: "bookings/s", Points: perCall(claims.Writes), Target: assumedBookings, Scale: 1},
+	}, nil
 }
 
 // membershipRows measures hosts within a data centre with two data centres,
--- a/config/codec.go
+++ b/config/codec.go
@@ -31,6 +31,9 @@
 	keyHeartbeat       = "heartbeat-interval"
 	keySuspectAfter    = "suspect-after"
 	keyRemoveAfter     = "remove-after"
+	keyAdmission       = "admission"
+	keyRouting         = "routing"
+	keyImports         = "imports"
 )
 
 type (
@@ -60,6 +63,9 @@
 		Heartbeat       string      `toml:"heartbeat-interval"`
 		SuspectAfter    string      `toml:"suspect-after"`
 		RemoveAfter     string      `toml:"remove-after"`
+		Admission       string      `toml:"admission"`
+		Routing         string      `toml:"routing"`
+		Imports         string      `toml:"imports"`
 		Peers           []peerCodec `toml:"peers"`
 	}
 )
@@ -86,6 +92,9 @@
 		Heartbeat:       entry.HeartbeatInterval.String(),
 		SuspectAfter:    entry.SuspectAfter.String(),
 		RemoveAfter:     entry.RemoveAfter.String(),
+		Admission:       string(entry.Admission),
+		Routing:         string(entry.Routing),
+		Imports:         string(entry.Imports),
 		Peers:           encodePeers(entry.Peers),
 	}
 	var text bytes.Buffer
--- a/config/validate.go
+++ b/config/validate.go
@@ -27,6 +27,7 @@
 	validatePeers(t, entry)
 	validateCredentials(t, entry)
 	validateTimes(t, entry)
+	validatePolicies(t, entry)
 	if entry.MaxProcessors < 1 || entry.MaxProcessors > maxMaxProcessors {
 		t.report.Addf(t.at(keyMaxProcessors), "%d is not between 1 and %d", entry.MaxProcessors, maxMaxProcessors)
 	}
