--- a/host/owner_test.go
+++ b/host/owner_test.go
@@ -21,18 +21,18 @@
 }
 
 // own runs a test against an owner in virtual time; its tasks end with the test.
-func own(t *testing.T, policy *policy, engine *scripted, test func(t *testing.T, ctx context.Context, owner *host.Owner)) {
+func own(t *testing.T, policy *policy, engine *scripted, test func(ctx context.Context, t *testing.T, owner *host.Owner)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		defer synctest.Wait()
 		defer cancel()
 		manifest := new(source).apply(spoke.Upstream{ID: "u1", Service: "quotes", Address: "engine"})
-		test(t, ctx, host.NewOwner(ctx, manifest, policy, engine, timer.NewSystem(), noEvents{}))
+		test(ctx, t, host.NewOwner(ctx, manifest, policy, engine, timer.NewSystem(), noEvents{}))
 	})
 }
 
-func start(t *testing.T, ctx context.Context, owner *host.Owner) spoke.RunStream {
+func start(ctx context.Context, t *testing.T, owner *host.Owner) spoke.RunStream {
 	t.Helper()
 	stream, err := owner.Run(ctx, dispatch)
 	assert.NilError(t, err)
@@ -98,8 +98,8 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			policy := &policy{}
-			own(t, policy, &c.engine, func(t *testing.T, ctx context.Context, owner *host.Owner) {
-				tokens, err := drain(ctx, start(t, ctx, owner))
+			own(t, policy, &c.engine, func(ctx context.Context, t *testing.T, owner *host.Owner) {
+				tokens, err := drain(ctx, start(ctx, t, owner))
 				assert.ErrorIs(t, err, c.want)
 				assert.Equal(t, tokens, c.tokens)
 				assertFreed(t, policy, c.ended)
@@ -111,8 +111,8 @@
 // Guards against a refusal of the queue that loses its reason or outcome.
 func TestRefusedRun(t *testing.T) {
 	refusal := spoke.NotRun(spoke.CodeOverloaded, "queue is full")
-	own(t, &policy{refuse: refusal}, &scripted{}, func(t *testing.T, ctx context.Context, owner *host.Owner) {
-		_, err := drain(ctx, start(t, ctx, owner))
+	own(t, &policy{refuse: refusal}, &scripted{}, func(ctx context.Context, t *testing.T, owner *host.Owner) {
+		_, err := drain(ctx, start(ctx, t, owner))
 		var got *spoke.Refusal
 		assert.Assert(t, errors.As(err, &got))
 		assert.DeepEqual(t, got, refusal)
@@ -127,8 +127,8 @@
 		engine := &scripted{run: func(context.Context) (spoke.RunStream, error) {
 			return &answer{pieces: pieces(1000), final: io.EOF, closed: &closed}, nil
 		}}
-		own(t, policy, engine, func(t *testing.T, ctx context.Context, owner *host.Owner) {
-			stream := start(t, ctx, owner)
+		own(t, policy, engine, func(ctx context.Context, t *testing.T, owner *host.Owner) {
+			stream := start(ctx, t, owner)
 			piece, err := stream.Next(ctx)
 			assert.NilError(t, err)
 			assert.Equal(t, piece.Tokens == 0, keeps, "a queued run sends heartbeats")
@@ -142,8 +142,8 @@
 // Guards against a preempted run whose slow reader keeps the place from the urgent run.
 func TestPreemptedRunWithSlowReader(t *testing.T) {
 	policy := &policy{}
-	own(t, policy, &scripted{run: whole(1000)}, func(t *testing.T, ctx context.Context, owner *host.Owner) {
-		stream := start(t, ctx, owner)
+	own(t, policy, &scripted{run: whole(1000)}, func(ctx context.Context, t *testing.T, owner *host.Owner) {
+		stream := start(ctx, t, owner)
 		synctest.Wait()
 		policy.preemptAll()
 		pass(time.Second)
@@ -159,8 +159,8 @@
 	engine := &scripted{run: func(context.Context) (spoke.RunStream, error) {
 		return &answer{pieces: pieces(36)[:35]}, nil
 	}}
-	own(t, &policy{}, engine, func(t *testing.T, ctx context.Context, owner *host.Owner) {
-		stream := start(t, ctx, owner)
+	own(t, &policy{}, engine, func(ctx context.Context, t *testing.T, owner *host.Owner) {
+		stream := start(ctx, t, owner)
 		pass(5 * time.Minute)
 		began := time.Now()
 		_, err := drain(ctx, stream)
@@ -176,8 +176,8 @@
 		<-ctx.Done()
 		return &answer{closed: &closed}, nil
 	}}
-	own(t, &policy{}, engine, func(t *testing.T, ctx context.Context, owner *host.Owner) {
-		_, err := drain(ctx, start(t, ctx, owner))
+	own(t, &policy{}, engine, func(ctx context.Context, t *testing.T, owner *host.Owner) {
+		_, err := drain(ctx, start(ctx, t, owner))
 		assert.ErrorIs(t, err, spoke.ErrSilent)
 		assert.Assert(t, closed)
 	})
--- a/host/pair_test.go
+++ b/host/pair_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -148,8 +149,8 @@
 	return 0
 }
 
-// post sends a request to the caller API of a host.
-func (s *server) post(t *testing.T, path, body string) *http.Response {
+// post sends a request to the caller API of a host and returns the body of an answer with status 200.
+func (s *server) post(t *testing.T, path, body string) io.Reader {
 	t.Helper()
 	req, err := http.NewRequest(http.MethodPost, "http://"+s.listeners.Caller.Addr().String()+path, strings.NewReader(body))
 	assert.NilError(t, err)
@@ -158,7 +159,8 @@
 	resp, err := http.DefaultClient.Do(req)
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = resp.Body.Close() })
-	return resp
+	assert.Equal(t, resp.StatusCode, http.StatusOK)
+	return resp.Body
 }
 
 // answering reads a streamed answer.
@@ -171,9 +173,7 @@
 func (s *server) complete(t *testing.T, service int, prompt string) *answering {
 	t.Helper()
 	body := fmt.Sprintf(`{"model":"m%d","prompt":%q,"max_tokens":%d,"stream":true}`, service, prompt, answerTokens)
-	resp := s.post(t, "/v1/completions", body)
-	assert.Equal(t, resp.StatusCode, http.StatusOK)
-	return &answering{lines: bufio.NewScanner(resp.Body)}
+	return &answering{lines: bufio.NewScanner(s.post(t, "/v1/completions", body))}
 }
 
 // next reads one event and reports false at the end of the answer.
@@ -225,8 +225,7 @@
 			a.finish(t, prompt)
 			assert.Assert(t, a.whole)
 		}
-		resp := s.post(t, "/services/booking/dispatches", "ten feather dusters")
-		assert.Equal(t, resp.StatusCode, http.StatusOK)
+		_ = s.post(t, "/services/booking/dispatches", "ten feather dusters")
 	}
 	assert.Equal(t, p.bookings.Runs().Total, 1)
 
