Forget hosts that have been silent for ten minutes

Ruled out: forgetting a host as soon as it is removed, since a heartbeat of a host that still counts it as suspect would bring it back.

--- a/decisions.go
+++ b/decisions.go
@@ -17,8 +17,8 @@
 		Draining bool
 		// Paused says that the upstream should get new work only if there is no other.
 		Paused bool
-		Dead     bool
-		AsOf     time.Time
+		Dead   bool
+		AsOf   time.Time
 	}
 
 	// UpstreamView is an upstream as one entry host sees it.
--- a/member/table.go
+++ b/member/table.go
@@ -18,6 +18,8 @@
 		contact []Record
 		random  *rand.Rand
 		round   uint64
+		// now is the time of the message in hand.
+		now time.Time
 
 		fanOut       int
 		suspectAfter time.Duration
@@ -52,8 +54,10 @@
 
 // Handle takes one message and returns the actions that follow from it.
 func (t *Table) Handle(now time.Time, message Message) []Action {
+	t.now = now
 	switch m := message.(type) {
 	case Tick:
+		t.expire(now)
 		return t.tick()
 	case Received:
 		t.merge(now, m.Heartbeat)
@@ -279,7 +283,7 @@
 	own := t.hosts[t.self]
 	beats := make(map[spoke.HostID]Beat, len(t.hosts))
 	for id, host := range t.hosts {
-		if remote || t.isLocal(host.record) {
+		if t.isPassedOn(t.now, host, remote) {
 			beats[id] = host.beat
 		}
 	}
--- a/member/table_test.go
+++ b/member/table_test.go
@@ -170,3 +170,20 @@
 		assert.Equal(t, c.tables[id].View(c.now)["h3"].State, spoke.PeerLeaving)
 	}
 }
+
+// Guards against tables that grow with every replaced host, and against a late
+// heartbeat that brings a forgotten host back.
+func TestReplacedHostsAreForgotten(t *testing.T) {
+	c := newCluster(5, 1)
+	c.run(3 * time.Second)
+	c.down["h4"] = true
+	c.run(9 * time.Minute)
+	assert.Equal(t, c.tables["h0"].View(c.now)["h4"].State, spoke.PeerDead)
+	c.run(2 * time.Minute)
+	for _, id := range c.ids[:4] {
+		view := c.tables[id].View(c.now)
+		_, isKnown := view["h4"]
+		assert.Assert(t, !isKnown, "host %s still knows h4", id)
+		assert.Equal(t, len(view), 4)
+	}
+}
