Run the baselines beside ours in the benchmark

Only our own answers have to be whole, because the baselines refuse nothing and leave requests to the callers' limit.

--- a/cmd/trial/bench.go
+++ b/cmd/trial/bench.go
@@ -16,10 +16,11 @@
 
 type (
 	benchArgs struct {
-		Cases []string `arg:"--case,separate" help:"case to run; all of them if none is named" placeholder:"NAME"`
-		Users []string `arg:"--user,separate" help:"installation to run; both if none is named" placeholder:"NAME"`
-		Seeds int      `arg:"--seeds" default:"1" help:"number of runs of each case, each with a seed of its own"`
-		JSON  string   `arg:"--json" help:"write all rows to a file" placeholder:"FILE"`
+		Cases     []string `arg:"--case,separate" help:"case to run; all of them if none is named" placeholder:"NAME"`
+		Users     []string `arg:"--user,separate" help:"installation to run; both if none is named" placeholder:"NAME"`
+		Seeds     int      `arg:"--seeds" default:"1" help:"number of runs of each case, each with a seed of its own"`
+		Baselines bool     `arg:"--baselines" help:"run first-in-first-out admission, two choices and unlimited imports beside ours"`
+		JSON      string   `arg:"--json" help:"write all rows to a file" placeholder:"FILE"`
 	}
 )
 
@@ -54,7 +55,7 @@
 		if !isChosen(a.Users, user.Name) {
 			continue
 		}
-		suite := &cases.Suite{User: user, Seed: seed, Report: report, Log: func(format string, args ...any) { fmt.Printf(format, args...) }}
+		suite := &cases.Suite{User: user, Seed: seed, Report: report, Baselines: a.Baselines, Log: func(format string, args ...any) { fmt.Printf(format, args...) }}
 		for _, c := range cases.All() {
 			if !isChosen(a.Cases, c.Name) {
 				continue
--- a/cmd/trial/cases/floods.go
+++ b/cmd/trial/cases/floods.go
@@ -6,7 +6,6 @@
 
 	"magnoliaspoke.example/spoke"
 	"magnoliaspoke.example/spoke/cmd/trial/plans"
-	"magnoliaspoke.example/spoke/cmd/trial/setup"
 )
 
 const (
@@ -23,22 +22,20 @@
 // floodOfBatch measures urgent work in a flood of the least urgent rank.
 func (s *Suite) floodOfBatch(ctx context.Context) error {
 	urgent := small(plans.RankUrgent, 0, urgentShare*s.capacity())
-	return s.within(ctx, s.User.Plan(), func(t *traffic) error {
-		calm := t.run(ctx, phase, urgent)
-		if err := setup.Wait(ctx, settle); err != nil {
-			return err
-		}
-		flooded := t.run(ctx, phase, urgent, small(plans.RankBatch, 1, floodFactor*s.capacity()))
-		if err := checkBroken("flood of batch", flooded); err != nil {
-			return err
-		}
-		ours := flooded.OfRank(plans.RankUrgent)
-		alone, beside := calm.FirstToken(0.95), ours.Served().FirstToken(0.95)
-		s.add("flood-batch", "urgent first token p95 to unloaded", beside/alone, AtMost, 1.2, inMilliseconds(beside), inMilliseconds(alone))
-		s.add("flood-batch", "urgent refused", float64(len(ours.Refused())), AtMost, 0,
-			fmt.Sprintf("%d of %d", len(ours.Refused()), len(ours)), fmt.Sprintf("unloaded %d of %d", len(calm.Refused()), len(calm)))
-		return nil
-	})
+	flood := []Flow{urgent, small(plans.RankBatch, 1, floodFactor*s.capacity())}
+	measured, baselines, err := s.beside(ctx, phases(phase, []Flow{urgent}, flood))
+	if err != nil {
+		return err
+	}
+	calm, ours := measured[0], measured[1].OfRank(plans.RankUrgent)
+	alone, beside := calm.FirstToken(0.95), ours.Served().FirstToken(0.95)
+	s.add("flood-batch", "urgent first token p95 to unloaded", beside/alone, AtMost, 1.2, inMilliseconds(beside),
+		withBaseline(inMilliseconds(alone), baselines, func(b []Samples) string {
+			return inMilliseconds(b[1].OfRank(plans.RankUrgent).Served().FirstToken(0.95))
+		}))
+	s.add("flood-batch", "urgent refused", float64(len(ours.Refused())), AtMost, 0,
+		fmt.Sprintf("%d of %d", len(ours.Refused()), len(ours)), fmt.Sprintf("unloaded %d of %d", len(calm.Refused()), len(calm)))
+	return nil
 }
 
 // floodOfUrgent measures what other ranks keep in a flood of the most urgent one.
@@ -67,23 +64,21 @@
 	for workspace := range large {
 		quiet = append(quiet, small(plans.RankNormal, workspace, 0.05*s.capacity()))
 	}
-	return s.within(ctx, s.User.Plan(), func(t *traffic) error {
-		alone := t.run(ctx, phase, quiet...)
-		if err := setup.Wait(ctx, settle); err != nil {
-			return err
-		}
-		flows := append([]Flow{small(plans.RankNormal, large, 20*0.05*s.capacity())}, quiet...)
-		beside := t.run(ctx, phase, flows...)
-		if err := checkBroken("fairness", beside); err != nil {
-			return err
-		}
-		ours := beside.Where(func(sample Sample) bool { return sample.Workspace != large })
-		before, after := alone.FirstToken(0.95), ours.Served().FirstToken(0.95)
-		s.add("fairness", "small first token p95 to alone", after/before, AtMost, 1.5, inMilliseconds(after), inMilliseconds(before))
-		s.add("fairness", "small refused share", share(len(ours.Refused()), len(ours)), AtMost, share(len(alone.Refused()), len(alone))+0.01,
-			fmt.Sprintf("%d of %d", len(ours.Refused()), len(ours)), fmt.Sprintf("alone %d of %d", len(alone.Refused()), len(alone)))
-		return nil
-	})
+	loud := append([]Flow{small(plans.RankNormal, large, 20*0.05*s.capacity())}, quiet...)
+	measured, baselines, err := s.beside(ctx, phases(phase, quiet, loud))
+	if err != nil {
+		return err
+	}
+	isSmall := func(sample Sample) bool { return sample.Workspace != large }
+	alone, ours := measured[0], measured[1].Where(isSmall)
+	before, after := alone.FirstToken(0.95), ours.Served().FirstToken(0.95)
+	s.add("fairness", "small first token p95 to alone", after/before, AtMost, 1.5, inMilliseconds(after),
+		withBaseline(inMilliseconds(before), baselines, func(b []Samples) string {
+			return inMilliseconds(b[1].Where(isSmall).Served().FirstToken(0.95))
+		}))
+	s.add("fairness", "small refused share", share(len(ours.Refused()), len(ours)), AtMost, share(len(alone.Refused()), len(alone))+0.01,
+		fmt.Sprintf("%d of %d", len(ours.Refused()), len(ours)), fmt.Sprintf("alone %d of %d", len(alone.Refused()), len(alone)))
+	return nil
 }
 
 // overload compares goodput at capacity and far above it.
@@ -94,23 +89,19 @@
 			small(plans.RankUrgent, 0, 0.2*rate), small(plans.RankNormal, 1, 0.4*rate), small(plans.RankBatch, 2, 0.4*rate),
 		}
 	}
-	return s.within(ctx, s.User.Plan(), func(t *traffic) error {
-		full := t.run(ctx, 2*phase, mix(1)...)
-		if err := setup.Wait(ctx, settle); err != nil {
-			return err
-		}
-		over := t.run(ctx, 2*phase, mix(floodFactor)...)
-		if err := checkBroken("overload", over); err != nil {
-			return err
-		}
-		good, base := over.Goodput(targets()), full.Goodput(targets())
-		s.add("overload", "goodput to that at capacity", share(good, base), AtLeast, 0.9,
-			fmt.Sprintf("%d of %d", good, len(over)), fmt.Sprintf("%d of %d", base, len(full)))
-		slow := over.RefusalTime(0.95)
-		s.add("overload", "refusal p95 in ms", slow, AtMost, 50,
-			fmt.Sprintf("%d refused", len(over.Refused())), fmt.Sprintf("%d refused", len(full.Refused())))
-		return nil
-	})
+	measured, baselines, err := s.beside(ctx, phases(2*phase, mix(1), mix(floodFactor)))
+	if err != nil {
+		return err
+	}
+	full, over := measured[0], measured[1]
+	good, base := over.Goodput(targets()), full.Goodput(targets())
+	s.add("overload", "goodput to that at capacity", share(good, base), AtLeast, 0.9, fmt.Sprintf("%d of %d", good, len(over)),
+		withBaseline(fmt.Sprintf("%d of %d", base, len(full)), baselines, func(b []Samples) string {
+			return fmt.Sprintf("%d of %d", b[1].Goodput(targets()), len(b[1]))
+		}))
+	s.add("overload", "refusal p95 in ms", over.RefusalTime(0.95), AtMost, 50,
+		fmt.Sprintf("%d refused", len(over.Refused())), fmt.Sprintf("%d refused", len(full.Refused())))
+	return nil
 }
 
 func share(part, whole int) float64 {
--- a/cmd/trial/cases/returning.go
+++ b/cmd/trial/cases/returning.go
@@ -18,18 +18,27 @@
 
 // returning measures prompts that come back after their blocks were evicted.
 func (s *Suite) returning(ctx context.Context) error {
-	var with, without Samples
+	var without Samples
 	plan := s.User.Plan()
-	if err := s.within(ctx, plan, func(t *traffic) error { return t.comeBack(ctx, &with) }); err != nil {
+	ours, baselines, err := s.beside(ctx, func(ctx context.Context, t *traffic) ([]Samples, error) {
+		var second Samples
+		err := t.comeBack(ctx, &second)
+		return []Samples{second}, err
+	})
+	if err != nil {
 		return err
 	}
+	with := ours[0]
 	if err := s.within(ctx, plans.WithoutStores(plan), func(t *traffic) error { return t.comeBack(ctx, &without) }); err != nil {
 		return err
 	}
 	s.add("return", "recomputed share", with.Recomputed(), AtMost, 0.1,
-		fmt.Sprintf("%.1f%%", 100*with.Recomputed()), fmt.Sprintf("without store %.1f%%", 100*without.Recomputed()))
-	ours, base := with.FirstToken(0.5), without.FirstToken(0.5)
-	s.add("return", "first token p50 to baseline", ours/base, AtMost, 0.5, inMilliseconds(ours), inMilliseconds(base))
+		fmt.Sprintf("%.1f%%", 100*with.Recomputed()), withBaseline(fmt.Sprintf("without store %.1f%%", 100*without.Recomputed()), baselines, func(b []Samples) string {
+			return fmt.Sprintf("%.1f%%", 100*b[0].Recomputed())
+		}))
+	first, base := with.FirstToken(0.5), without.FirstToken(0.5)
+	s.add("return", "first token p50 to baseline", first/base, AtMost, 0.5, inMilliseconds(first),
+		withBaseline(inMilliseconds(base), baselines, func(b []Samples) string { return inMilliseconds(b[0].FirstToken(0.5)) }))
 	return nil
 }
 
--- a/cmd/trial/cases/suite.go
+++ b/cmd/trial/cases/suite.go
@@ -25,7 +25,9 @@
 		User   plans.User
 		Seed   uint64
 		Report *Report
-		Log    func(format string, args ...any)
+		// Baselines runs the baselines beside the system in the cases that compare decisions.
+		Baselines bool
+		Log       func(format string, args ...any)
 	}
 
 	// Case is one measured case.
--- a/host/owner.go
+++ b/host/owner.go
@@ -57,8 +57,7 @@
 		reader context.Context
 		leave  context.CancelFunc
 		// work ends with reader or by preemption, which is then its cause.
-		work    context.Context
-		preempt context.CancelCauseFunc
+		work context.Context
 		// requeued says that the run was granted before and preempted without a first token.
 		requeued bool
 		// delivered says that the first token has come.
@@ -131,7 +130,7 @@
 			return
 		}
 		work, preempt := context.WithCancelCause(r.reader)
-		r.work, r.preempt = work, preempt
+		r.work = work
 		go watchPreemption(work, preempt, actions)
 		again := r.serve()
 		preempt(nil)
