Estimate the rate of a new link from the first export

Ruled out: skipped and failed exports (none) and eviction from the store.

Change: while the rate of a link is unknown, the time of an export is taken for it. Imports correct it as before, within the same allowance.

--- a/cache/exporter.go
+++ b/cache/exporter.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"time"
 
 	"magnoliaspoke.example/spoke"
 )
@@ -92,5 +93,25 @@
 		return err
 	}
 	defer release()
-	return x.engine.Export(ctx, engine, []spoke.BlockExport{{Key: key, Store: at}})
+	started := x.links.clock.Now()
+	if err := x.engine.Export(ctx, engine, []spoke.BlockExport{{Key: key, Store: at}}); err != nil {
+		return err
+	}
+	x.estimate(ctx, key, at, x.links.clock.Now().Sub(started))
+	return nil
+}
+
+// estimate takes the rate of an export for that of a link without measurements. Otherwise the
+// first prompt that returns over each link, and all beside it, would be recomputed for a probe.
+func (x *Exporter) estimate(ctx context.Context, key spoke.BlockKey, at spoke.Address, took time.Duration) {
+	if x.links.Rate(at) > 0 {
+		return
+	}
+	meta, err := x.store.Meta(ctx, at, key)
+	if err != nil {
+		return
+	}
+	x.links.measure(func(now time.Time, rates *Rates[spoke.Address]) {
+		rates.Observe(now, at, float64(meta.Length), took)
+	})
 }
