Bound the lookups of an import by a tenth of recomputing

Cause: when the store hosts died, the first import at each engine waited 0.57 to 1.37 s for the answer to a lookup, because its time limit holds what earlier imports had saved (time line, blocks-imported 0 of 8). The nine waits of the first wave also delayed the prompts behind them. Ruled out: later probes, which end after a tenth of recomputing.

Change: lookups end after the tenth that every import may lose; savings remain for pulls over slow links.

--- a/cache/execute.go
+++ b/cache/execute.go
@@ -80,7 +80,7 @@
 	go func() {
 		switch a := action.(type) {
 		case LookupMeta:
-			meta, err := x.lookup(ctx, pullEnds, a.PlacedBlock)
+			meta, err := x.lookup(ctx, x.lookupEnds(pullEnds), a.PlacedBlock)
 			x.results <- MetaFound{Block: a.Block, Meta: meta, Err: err}
 		case PinBlock:
 			ctx, cancel := x.within(ctx, pullEnds)
@@ -99,6 +99,19 @@
 	}()
 }
 
+// lookupEnds bounds the lookups by the time that every import may lose: what earlier imports
+// saved is for slow links, and a store host that does not even answer a lookup is dead.
+func (x *execution) lookupEnds(pullEnds time.Time) time.Time {
+	if x.owner.unlimited {
+		return pullEnds
+	}
+	ends := x.started.Add(extraOf(x.plan.grant.recompute))
+	if ends.Before(pullEnds) {
+		return ends
+	}
+	return pullEnds
+}
+
 func (x *execution) within(ctx context.Context, ends time.Time) (context.Context, context.CancelFunc) {
 	return context.WithTimeout(ctx, ends.Sub(x.owner.clock.Now()))
 }
--- a/cache/importer_test.go
+++ b/cache/importer_test.go
@@ -143,6 +143,19 @@
 	}
 }
 
+// Guards against a run that waits for a dead store host for as long as earlier imports saved.
+func TestDeadStoreCostsATenth(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := &world{pullTime: time.Millisecond}
+		importer := startImporter(w)
+		serve(importer, 5, 4)
+		w.set(func(w *world) { w.dead = true })
+		outcome := importer.Import(t.Context(), job(4))
+		assert.Equal(t, outcome.Imported, 0)
+		assert.Assert(t, outcome.Took <= 4*pieceTime/10, "%s", outcome.Took)
+	})
+}
+
 // Guards against a link that recovered and is not used again within 10 s.
 func TestImporterUsesRecoveredLink(t *testing.T) {
 	for name, fail := range map[string]func(*world){
