Clear the linter's findings in tests of host and sched

Change: the context comes first, embedded fields are not named, and a parameter that was always 32 is gone. No check changes what it asks.

make lint: 5 issues before, 0 after; go test ./host ./sched: ok.

--- a/host/cluster_test.go
+++ b/host/cluster_test.go
@@ -80,7 +80,7 @@
 			},
 			hosts: make(map[spoke.HostID]host.Virtual),
 		}
-		c.network.join("platform", c.platform)
+		c.join("platform", c.platform)
 		defer c.tasks.Wait()
 		defer func() {
 			for _, h := range c.hosts {
@@ -125,13 +125,13 @@
 	settings.Peers = []config.Peer{{Host: "h1", DataCentre: "dc1", Address: addressOf("h1")}, {Host: "h2", DataCentre: "dc1", Address: addressOf("h2")}}
 	started := host.NewVirtual(settings, c.network, c.engines)
 	c.hosts[id] = started
-	c.network.join(string(addressOf(id)), started.Internal())
+	c.join(string(addressOf(id)), started.Internal())
 	c.tasks.Go(started.Run)
 }
 
 // kill ends a host as a crash does.
 func (c *cluster) kill(id spoke.HostID) {
-	c.network.join(string(addressOf(id)), nil)
+	c.join(string(addressOf(id)), nil)
 	c.hosts[id].Stop()
 	delete(c.hosts, id)
 }
@@ -275,7 +275,7 @@
 	c.t.Helper()
 	req, err := http.NewRequest(http.MethodPost, "http://platform/hosts", strings.NewReader(body))
 	assert.NilError(c.t, err)
-	resp, err := c.network.RoundTrip(req)
+	resp, err := c.RoundTrip(req)
 	assert.NilError(c.t, err)
 	defer resp.Body.Close()
 	assert.Equal(c.t, resp.StatusCode, http.StatusOK)
--- a/host/owner_test.go
+++ b/host/owner_test.go
@@ -32,7 +32,7 @@
 	})
 }
 
-func start(t *testing.T, ctx context.Context, owner *host.Owner) spoke.RunStream {
+func start(ctx context.Context, t *testing.T, owner *host.Owner) spoke.RunStream {
 	t.Helper()
 	stream, err := owner.Run(ctx, dispatch)
 	assert.NilError(t, err)
@@ -99,7 +99,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			policy := &policy{}
 			own(t, policy, &c.engine, func(t *testing.T, ctx context.Context, owner *host.Owner) {
-				tokens, err := drain(ctx, start(t, ctx, owner))
+				tokens, err := drain(ctx, start(ctx, t, owner))
 				assert.ErrorIs(t, err, c.want)
 				assert.Equal(t, tokens, c.tokens)
 				assertFreed(t, policy, c.ended)
@@ -112,7 +112,7 @@
 func TestRefusedRun(t *testing.T) {
 	refusal := spoke.NotRun(spoke.CodeOverloaded, "queue is full")
 	own(t, &policy{refuse: refusal}, &scripted{}, func(t *testing.T, ctx context.Context, owner *host.Owner) {
-		_, err := drain(ctx, start(t, ctx, owner))
+		_, err := drain(ctx, start(ctx, t, owner))
 		var got *spoke.Refusal
 		assert.Assert(t, errors.As(err, &got))
 		assert.DeepEqual(t, got, refusal)
@@ -128,7 +128,7 @@
 			return &answer{pieces: pieces(1000), final: io.EOF, closed: &closed}, nil
 		}}
 		own(t, policy, engine, func(t *testing.T, ctx context.Context, owner *host.Owner) {
-			stream := start(t, ctx, owner)
+			stream := start(ctx, t, owner)
 			piece, err := stream.Next(ctx)
 			assert.NilError(t, err)
 			assert.Equal(t, piece.Tokens == 0, keeps, "a queued run sends heartbeats")
@@ -143,7 +143,7 @@
 func TestPreemptedRunWithSlowReader(t *testing.T) {
 	policy := &policy{}
 	own(t, policy, &scripted{run: whole(1000)}, func(t *testing.T, ctx context.Context, owner *host.Owner) {
-		stream := start(t, ctx, owner)
+		stream := start(ctx, t, owner)
 		synctest.Wait()
 		policy.preemptAll()
 		pass(time.Second)
@@ -160,7 +160,7 @@
 		return &answer{pieces: pieces(36)[:35]}, nil
 	}}
 	own(t, &policy{}, engine, func(t *testing.T, ctx context.Context, owner *host.Owner) {
-		stream := start(t, ctx, owner)
+		stream := start(ctx, t, owner)
 		pass(5 * time.Minute)
 		began := time.Now()
 		_, err := drain(ctx, stream)
@@ -177,7 +177,7 @@
 		return &answer{closed: &closed}, nil
 	}}
 	own(t, &policy{}, engine, func(t *testing.T, ctx context.Context, owner *host.Owner) {
-		_, err := drain(ctx, start(t, ctx, owner))
+		_, err := drain(ctx, start(ctx, t, owner))
 		assert.ErrorIs(t, err, spoke.ErrSilent)
 		assert.Assert(t, closed)
 	})
--- a/sched/pace_test.go
+++ b/sched/pace_test.go
@@ -32,9 +32,9 @@
 	deepest  int
 }
 
-func newSerial(limit int) *serial {
+func newSerial() *serial {
 	return &serial{
-		admission: place(limit, sched.WithPreemption(4, 8)), now: epoch, items: map[spoke.AttemptID]spoke.WorkItem{},
+		admission: place(32, sched.WithPreemption(4, 8)), now: epoch, items: map[spoke.AttemptID]spoke.WorkItem{},
 		decoding: map[spoke.AttemptID]time.Time{}, started: map[spoke.AttemptID]time.Time{},
 		first: map[spoke.AttemptID]time.Duration{}, refused: map[spoke.AttemptID]time.Duration{},
 	}
@@ -137,7 +137,7 @@
 // Guards against urgent prompts that wait inside an engine behind prompts of a flood, which it
 // computes one after the other although it has places for many more.
 func TestUrgentPromptFindsFreePrefill(t *testing.T) {
-	s := newSerial(32)
+	s := newSerial()
 	urgent := s.flood("batch", 20*time.Millisecond, 20*time.Second)
 	late := 0
 	for _, id := range urgent {
@@ -154,7 +154,7 @@
 // Guards against work of a flood that is accepted and not served in time: places do not show
 // how fast a prefill drains the queue.
 func TestFloodIsRefusedAtArrival(t *testing.T) {
-	s := newSerial(32)
+	s := newSerial()
 	s.flood("batch", 20*time.Millisecond, 40*time.Second)
 	late, missed := 0, 0
 	for id, waited := range s.refused {
@@ -175,7 +175,7 @@
 
 // Guards against a floor that starves because a flood of more urgent prompts fills the window.
 func TestFloorPassesTheWindow(t *testing.T) {
-	s := newSerial(32)
+	s := newSerial()
 	for range 20 {
 		s.submit("batch", "a")
 	}
@@ -192,7 +192,7 @@
 // Guards against work that is accepted because the granted shares of more urgent ranks do not
 // show their flood yet, and is refused when it has waited.
 func TestLowerRankIsRefusedAtArrivalInUrgentFlood(t *testing.T) {
-	s := newSerial(32)
+	s := newSerial()
 	s.flood("normal", 120*time.Millisecond, 10*time.Second)
 	calm := len(s.items)
 	for end := s.now.Add(10 * time.Second); s.now.Before(end); s.step() {
@@ -220,7 +220,7 @@
 // Guards against a workspace that keeps prompts waiting inside the engine, where those of
 // workspaces below their share come after them.
 func TestSmallWorkspaceWaitsForOnePrompt(t *testing.T) {
-	s := newSerial(32)
+	s := newSerial()
 	var small []spoke.AttemptID
 	for s.now.Before(epoch.Add(20 * time.Second)) {
 		since := s.now.Sub(epoch)
