Give each try at an engine an id of its own

Cause: a run that was preempted before its first token is queued again at the owner and starts at the engine under the same attempt id; the order that cancels the first try is sent beside it and could arrive after the second start and end that one.

Ruled out: waiting for the order's answer, which would hold up the run at a slow engine.

Change: later tries carry a number behind the attempt id towards the engine, and their pieces the id that the requester knows; a stream that the engine's client already recognised as that of a dead engine is not probed again.

Measured: `go test ./host -run 'Preempt|Run'` passes; the test requires different ids at the engine and the requester's id on the piece.

--- a/host/owner.go
+++ b/host/owner.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"strconv"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -58,8 +59,9 @@
 		leave  context.CancelFunc
 		// work ends with reader or by preemption, which is then its cause.
 		work context.Context
-		// requeued says that the run was granted before and preempted without a first token.
-		requeued bool
+		// grants counts the places that the run had; all but the last were taken from it
+		// before its first token.
+		grants int
 		// delivered says that the first token has come.
 		delivered bool
 	}
@@ -94,7 +96,7 @@
 		Attempt: r.dispatch.Spec.Attempt, Request: r.dispatch.Spec.Request,
 		Upstream: r.upstream.ID, Workspace: r.dispatch.Spec.Workspace,
 		Rank: r.dispatch.Rank, Cost: r.dispatch.Cost, Solo: r.dispatch.Solo,
-		Preemptible: r.dispatch.Preemptible, Resumed: r.requeued || r.dispatch.Spec.ResumeFrom > 0,
+		Preemptible: r.dispatch.Preemptible, Resumed: r.grants > 0 || r.dispatch.Spec.ResumeFrom > 0,
 		Enqueued: r.owner.timer.Now(),
 	}
 }
@@ -178,20 +180,30 @@
 	started := r.owner.timer.Now()
 	finish := spoke.FinishWork{Attempt: r.dispatch.Spec.Attempt}
 	r.record("run-granted", "")
+	r.grants++
 	spec := r.owner.blocks.Load(r.work, r.upstream, r.dispatch)
+	spec.Attempt = r.engineAttempt()
 	launched := r.owner.timer.Now()
 	usage, err := r.stream(spec, started, &finish)
 	finish.Duration = r.owner.timer.Now().Sub(started)
 	if !r.delivered && errors.Is(context.Cause(r.work), spoke.ErrPreempted) && r.reader.Err() == nil {
 		r.owner.admission.Send(r.owner.life, spoke.WithdrawWork{Attempt: finish.Attempt})
 		r.record("run-requeued", "preempted before its first token")
-		r.requeued = true
 		return true
 	}
 	r.settle(finish, usage, launched.Sub(started), err)
 	return false
 }
 
+// engineAttempt gives each try at the engine an id of its own, since the order that
+// cancels an earlier one may still be on its way.
+func (r *ownedRun) engineAttempt() spoke.AttemptID {
+	if r.grants == 1 {
+		return r.dispatch.Spec.Attempt
+	}
+	return spoke.AttemptID(string(r.dispatch.Spec.Attempt) + "/" + strconv.Itoa(r.grants))
+}
+
 // settle frees the place at the upstream before it tells the requester, so
 // that a retry finds the place free. A run ended from this side says nothing
 // about the upstream and counts as withdrawn.
@@ -243,6 +255,7 @@
 		if piece.Finish != "" {
 			usage = piece.Usage
 		}
+		piece.Attempt = r.dispatch.Spec.Attempt
 		// A slow reader must not keep a preempted run at its place.
 		if !r.emit(r.work, runResult{piece: piece}) {
 			return usage, context.Cause(r.work)
@@ -252,7 +265,7 @@
 
 // explain tells a dead upstream from a broken stream.
 func (r *ownedRun) explain(err error) error {
-	if errors.Is(err, spoke.ErrNotRun) || errors.Is(err, spoke.ErrSilent) {
+	if errors.Is(err, spoke.ErrNotRun) || errors.Is(err, spoke.ErrSilent) || errors.Is(err, spoke.ErrUpstreamDied) {
 		return err
 	}
 	ctx, cancel := context.WithTimeout(r.owner.life, deathProbeTimeout)
--- a/host/requeue_test.go
+++ b/host/requeue_test.go
@@ -25,7 +25,8 @@
 	// stuck is an engine whose first run gives no token.
 	stuck struct {
 		spoke.Engine
-		runs int
+		runs     int
+		attempts []spoke.AttemptID
 	}
 
 	hanging struct{ ctx context.Context }
@@ -58,6 +59,7 @@
 
 func (e *stuck) Run(ctx context.Context, _ spoke.Address, spec spoke.RunSpec) (spoke.RunStream, error) {
 	e.runs++
+	e.attempts = append(e.attempts, spec.Attempt)
 	if e.runs == 1 {
 		return hanging{ctx}, nil
 	}
@@ -92,13 +94,16 @@
 		defer cancel()
 		var none *spoke.Manifest
 		manifest := none.Apply(spoke.Ticket{Number: 1, Objects: []spoke.Object{spoke.Upstream{ID: "u", Address: "engine"}}})
-		policy, clock := &preempting{}, timer.NewSystem()
-		owner := host.NewOwner(ctx, fixed{manifest}, policy, &stuck{}, clock, noEvents{})
+		policy, clock, engine := &preempting{}, timer.NewSystem(), &stuck{}
+		owner := host.NewOwner(ctx, fixed{manifest}, policy, engine, clock, noEvents{})
 		stream, err := owner.Run(ctx, spoke.Dispatch{Upstream: "u", Spec: spoke.RunSpec{Attempt: "a-1"}, Preemptible: true})
 		assert.NilError(t, err)
 		piece, err := stream.Next(ctx)
 		assert.NilError(t, err)
 		assert.Equal(t, piece.Text, "tok ")
+		assert.Equal(t, piece.Attempt, spoke.AttemptID("a-1"))
+		// A late order that cancels the first try must not end the second one.
+		assert.DeepEqual(t, engine.attempts, []spoke.AttemptID{"a-1", "a-1/2"})
 		_, err = stream.Next(ctx)
 		assert.ErrorIs(t, err, io.EOF)
 		synctest.Wait()
