--- a/claim/claims.go
+++ b/claim/claims.go
@@ -30,8 +30,12 @@
 	retryHint    = time.Second
 )
 
-// ErrNotHolder marks a finish or release by an attempt that does not hold the claim.
-var ErrNotHolder = eris.New("attempt does not hold the claim")
+var (
+	// ErrNotHolder marks a finish or release by an attempt that does not hold the claim.
+	ErrNotHolder = eris.New("attempt does not hold the claim")
+
+	_ spoke.Claims = (*Claims)(nil)
+)
 
 type (
 	// Claims implements spoke.Claims over a key-value service.
@@ -62,8 +66,6 @@
 	Option func(*Claims)
 )
 
-var _ spoke.Claims = (*Claims)(nil)
-
 // WithTimer sets the timer service.
 func WithTimer(t spoke.Timer) Option { return func(c *Claims) { c.timer = t } }
 
--- a/cmd/trial/scene/alias.go
+++ b/cmd/trial/scene/alias.go
@@ -68,9 +68,7 @@
 	return func() (bool, bool, string) {
 		for _, engine := range s.engines(args[1:]) {
 			text, err := s.standin(http.MethodGet, engine, "/load", "")
-			var load struct {
-				Versions map[string]string `json:"versions"`
-			}
+			var load engineLoad
 			if err == nil {
 				err = json.Unmarshal(text, &load)
 			}
--- a/cmd/trial/scene/repeat.go
+++ b/cmd/trial/scene/repeat.go
@@ -182,9 +182,7 @@
 	if err != nil {
 		return 0, err
 	}
-	var calls struct {
-		Writes int64 `json:"writes"`
-	}
+	var calls platformCalls
 	err = json.Unmarshal(text, &calls)
 	return calls.Writes, eris.Wrap(err, "calls")
 }
--- a/cmd/trial/scene/standin.go
+++ b/cmd/trial/scene/standin.go
@@ -20,30 +20,6 @@
 	"magnoliaspoke.example/spoke/ready"
 )
 
-type (
-	// plainRuns is the answer of GET /runs of plain stand-ins.
-	plainRuns struct {
-		Total     int            `json:"total"`
-		ByKey     map[string]int `json:"by-key"`
-		ByAttempt map[string]int `json:"by-attempt"`
-	}
-
-	// engineRuns is the part of GET /counters of engine stand-ins that scenarios look at.
-	engineRuns struct {
-		Started int         `json:"runs-started"`
-		Runs    []engineRun `json:"runs"`
-	}
-
-	// engineRun says which cached blocks a run used.
-	engineRun struct {
-		Attempt       string   `json:"attempt-id"`
-		Version       string   `json:"version"`
-		BlockVersions []string `json:"block-versions"`
-		BlockSalts    []string `json:"block-salts"`
-		Salt          string   `json:"salt"`
-	}
-)
-
 // post sends a body to a stand-in, such as faults, a drain signal or the list of hosts.
 func (s *stage) post(ts *testscript.TestScript, neg bool, args []string) {
 	want(ts, args, 2, 3, "post STANDIN PATH [JSON]")
@@ -183,9 +159,7 @@
 func (s *stage) expectBusy(args []string) (condition, error) {
 	return func() (bool, bool, string) {
 		text, err := s.standin(http.MethodGet, args[0], "/usage", "")
-		var usage struct {
-			Queue int64 `json:"link-queue"`
-		}
+		var usage storeUsage
 		if err == nil {
 			err = json.Unmarshal(text, &usage)
 		}
--- a/engine/control.go
+++ b/engine/control.go
@@ -15,12 +15,13 @@
 	"magnoliaspoke.example/spoke"
 )
 
-// maxAnswer bounds the answers of control calls; a snapshot of 100,000 keys has 7 MB.
-const maxAnswer = 16 << 20
-
-// importShare is the share of the remaining time that the engine gets for an import, so that
-// its answer about what it holds arrives before the context ends.
-const importShare = 0.8
+const (
+	// maxAnswer bounds the answers of control calls; a snapshot of 100,000 keys has 7 MB.
+	maxAnswer = 16 << 20
+	// importShare is the share of the remaining time that the engine gets for an import, so that
+	// its answer about what it holds arrives before the context ends.
+	importShare = 0.8
+)
 
 // Cancel ends an attempt; an unknown attempt is no error.
 func (c *Client) Cancel(ctx context.Context, at spoke.Address, attempt spoke.AttemptID) error {
--- a/fake/kvsvc/faults.go
+++ b/fake/kvsvc/faults.go
@@ -134,6 +134,11 @@
 
 type discard struct{ header http.Header }
 
-func (d discard) Header() http.Header            { return d.header }
+// Header returns a header that nobody reads.
+func (d discard) Header() http.Header { return d.header }
+
+// Write drops the data.
 func (d discard) Write(data []byte) (int, error) { return len(data), nil }
-func (d discard) WriteHeader(int)                {}
+
+// WriteHeader drops the status.
+func (d discard) WriteHeader(int) {}
--- a/fake/model/gate.go
+++ b/fake/model/gate.go
@@ -105,8 +105,10 @@
 	}
 }
 
+// Len returns the number of waiting runs.
 func (q waitQueue) Len() int { return len(q) }
 
+// Less sorts by priority, then by arrival.
 func (q waitQueue) Less(i, j int) bool {
 	if q[i].priority != q[j].priority {
 		return q[i].priority < q[j].priority
@@ -114,17 +116,20 @@
 	return q[i].order < q[j].order
 }
 
+// Swap keeps the index of both runs.
 func (q waitQueue) Swap(i, j int) {
 	q[i], q[j] = q[j], q[i]
 	q[i].index, q[j].index = i, j
 }
 
+// Push adds a run at the end.
 func (q *waitQueue) Push(x any) {
 	own := x.(*waiter)
 	own.index = len(*q)
 	*q = append(*q, own)
 }
 
+// Pop removes the run at the end.
 func (q *waitQueue) Pop() any {
 	old := *q
 	last := old[len(old)-1]
--- a/fake/model/token.go
+++ b/fake/model/token.go
@@ -8,11 +8,12 @@
 	"magnoliaspoke.example/spoke"
 )
 
-// defaultLengths bounds the length of answers to runs without a token limit.
-const defaultLengths = 128
-
-// letters has 32 characters, so that five bits of a hash choose one.
-const letters = "abcdefghijklmnopqrstuvwxyzABCDEF"
+const (
+	// defaultLengths bounds the length of answers to runs without a token limit.
+	defaultLengths = 128
+	// letters has 32 characters, so that five bits of a hash choose one.
+	letters = "abcdefghijklmnopqrstuvwxyzABCDEF"
+)
 
 type answer struct{ seed uint64 }
 
--- a/openai/service.go
+++ b/openai/service.go
@@ -12,18 +12,20 @@
 // maxKeyLength bounds idempotency keys, because many claims share one stored value.
 const maxKeyLength = 255
 
-// notForwarded are the request headers that concern only the caller's own
-// connection or its credentials.
-var notForwarded = []string{
-	"Authorization", "Connection", "Keep-Alive", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer",
-	"Transfer-Encoding", "Upgrade", "Content-Length", "Idempotency-Key", "X-Attempt-Id", "X-Spoke-Rank", "X-Spoke-Deadline-Ms",
-}
+var (
+	// notForwarded are the request headers that concern only the caller's own
+	// connection or its credentials.
+	notForwarded = []string{
+		"Authorization", "Connection", "Keep-Alive", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer",
+		"Transfer-Encoding", "Upgrade", "Content-Length", "Idempotency-Key", "X-Attempt-Id", "X-Spoke-Rank", "X-Spoke-Deadline-Ms",
+	}
 
-// notReturned are the answer headers that concern only the connection to the service.
-var notReturned = map[string]bool{
-	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Trailer": true, "Transfer-Encoding": true,
-	"Upgrade": true, "Content-Length": true, "X-Request-Id": true, "X-Not-Run": true,
-}
+	// notReturned are the answer headers that concern only the connection to the service.
+	notReturned = map[string]bool{
+		"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Trailer": true, "Transfer-Encoding": true,
+		"Upgrade": true, "Content-Length": true, "X-Request-Id": true, "X-Not-Run": true,
+	}
+)
 
 // service makes a call of a plain service.
 func (x *exchange) service() error {
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -129,15 +129,22 @@
 	return spoke.TokensOf(request.Prompt) + request.MaxTokens
 }
 
-func (unlimited) Deposit(spoke.WorkspaceID)       {}
+// Deposit counts nothing.
+func (unlimited) Deposit(spoke.WorkspaceID) {}
+
+// Withdraw allows every retry.
 func (unlimited) Withdraw(spoke.WorkspaceID) bool { return true }
 
+// Admit lets every request run.
 func (trusting) Admit(time.Time, spoke.RequestID, spoke.Fingerprint) spoke.Verdict {
 	return spoke.Verdict{}
 }
 
+// Begin notes nothing.
 func (trusting) Begin(time.Time, spoke.AttemptID, spoke.UpstreamID, spoke.Fingerprint) {}
 
+// End notes nothing.
 func (trusting) End(time.Time, spoke.AttemptID, bool) {}
 
+// Leave notes nothing.
 func (trusting) Leave(spoke.RequestID, spoke.Fingerprint) {}
