Decide in one place that a connection was never made

Cause: statements that something was not run rest on this decision, and it stood three times, in the clients of peers, of the key-value service and of engines. The client of peers also took any refused connection as one; TCP reports a refusal only while connecting, so that case is the same.

Change: package dial with the decision and its test, called by all three; an unused accessor of the host tests goes.

--- a/coord/call.go
+++ b/coord/call.go
@@ -6,13 +6,13 @@
 	"encoding/json"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"time"
 
 	"github.com/rotisserie/eris"
 
 	"magnoliaspoke.example/spoke"
+	"magnoliaspoke.example/spoke/dial"
 )
 
 const (
@@ -68,8 +68,7 @@
 
 // failure treats only a failed dial as certainly without effect.
 func failure(call call, err error) error {
-	var operation *net.OpError
-	if errors.As(err, &operation) && operation.Op == "dial" {
+	if dial.Failed(err) {
 		return eris.Wrapf(spoke.ErrUnavailable, "%s %s: %v", call.method, call.path, err)
 	}
 	return eris.Wrapf(spoke.ErrAnswerLost, "%s %s: %v", call.method, call.path, err)
--- a/engine/control.go
+++ b/engine/control.go
@@ -4,15 +4,14 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 
 	"github.com/rotisserie/eris"
 
 	"magnoliaspoke.example/spoke"
+	"magnoliaspoke.example/spoke/dial"
 )
 
 const (
@@ -125,7 +124,8 @@
 	if err != nil {
 		c.doubtPool(at, started)
 		err = eris.Wrapf(err, "%s %s at engine %s", method, path, at)
-		if isDialError(err) {
+		// A refused address is told from an engine that is slow to answer.
+		if dial.Failed(err) {
 			return notRun(err, nil)
 		}
 		return err
@@ -142,10 +142,3 @@
 	}
 	return eris.Wrapf(err, "answer of engine %s to %s", at, path)
 }
-
-// isDialError reports whether no connection was made, so that a refused address is
-// told from an engine that is slow to answer.
-func isDialError(err error) bool {
-	var operation *net.OpError
-	return errors.As(err, &operation) && operation.Op == "dial"
-}
--- a/host/export_test.go
+++ b/host/export_test.go
@@ -143,9 +143,6 @@
 // Internal returns the handler of the internal API.
 func (v Virtual) Internal() http.Handler { return v.internal.Handler }
 
-// Caller returns the handler of the caller API.
-func (v Virtual) Caller() http.Handler { return v.caller.Handler }
-
 // Operators returns what the host offers to operators.
 func (v Virtual) Operators() spoke.Administration {
 	return administration{host: v.Host, acceptor: ticket.NewAcceptor(v.platform)}
--- a/wire/client.go
+++ b/wire/client.go
@@ -10,12 +10,12 @@
 	"net/http"
 	"net/url"
 	"strconv"
-	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
 
 	"magnoliaspoke.example/spoke"
+	"magnoliaspoke.example/spoke/dial"
 	"magnoliaspoke.example/spoke/member"
 )
 
@@ -141,9 +141,7 @@
 
 // classify marks errors of requests of which no byte left this host.
 func classify(err error, format string, args ...any) error {
-	var op *net.OpError
-	isDial := errors.As(err, &op) && op.Op == "dial"
-	if isDial || errors.Is(err, syscall.ECONNREFUSED) {
+	if dial.Failed(err) {
 		return eris.Wrapf(errors.Join(spoke.ErrNotRun, err), format, args...)
 	}
 	return eris.Wrapf(err, format, args...)
