--- /dev/null
+++ b/config/relay.go
@@ -0,0 +1,165 @@
+package config
+
+import (
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/BurntSushi/toml"
+	"github.com/rotisserie/eris"
+
+	"magnoliaspoke.example/spoke"
+	"magnoliaspoke.example/spoke/check"
+)
+
+const (
+	keyReadiness      = "readiness-address"
+	keyPeerPort       = "peer-port"
+	keyStore          = "store-address"
+	keyMemory         = "memory-limit-mb"
+	keyDescriptors    = "descriptor-limit"
+	keyConfigApply    = "config-apply-ms"
+	keyWeightsApply   = "weights-apply-ms"
+	keyOrdersPause    = "orders-pause-ms"
+	keyLeaveNotice    = "leave-notice-ms"
+	keyStopGrace      = "stop-grace-s"
+	keyRetryShare     = "retry-share"
+	keyRetryReserve   = "retry-reserve"
+	keyRetryWindow    = "retry-window-s"
+	keyMetricsPort    = "metrics-port"
+	highestPort       = 65535
+	defaultMetricPort = 0
+)
+
+// Relay holds the settings of an entry host that relays calls unread on a platform.
+type Relay struct {
+	Host       spoke.HostID
+	DataCentre spoke.DataCentreID
+	Address    netip.Addr
+	Caller     spoke.Address
+	Readiness  spoke.Address
+	Store      spoke.Address
+	// PeerPort is the UDP port on which hosts exchange their loads.
+	PeerPort int
+	// MetricsPort is zero if no metrics are served.
+	MetricsPort int
+	Memory      spoke.ByteSize
+	// Descriptors bounds open files and sockets.
+	Descriptors int
+	// ConfigApply is the time within which a new routing table is in force.
+	ConfigApply time.Duration
+	// WeightsApply is the time after which no call may begin on older weights.
+	WeightsApply time.Duration
+	// OrdersPause is the least time between the orders of two holders of the orders lease.
+	OrdersPause time.Duration
+	// LeaveNotice is how long a leaving upstream still takes calls.
+	LeaveNotice time.Duration
+	// StopGrace is the time between the signal to stop and the forced end.
+	StopGrace time.Duration
+	// RetryShare is the number of repeated sendings over all hosts that each call allows for.
+	RetryShare spoke.Share
+	// RetryReserve is the number of repeated sendings over all hosts that need no calls.
+	RetryReserve int
+	RetryWindow  time.Duration
+}
+
+// LoadRelay reads and validates a settings file; the error is a *check.Report if the content is at fault.
+func LoadRelay(path string) (Relay, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Relay{}, eris.Wrapf(err, "read settings %q", path)
+	}
+	return DecodeRelay(path, text)
+}
+
+// DecodeRelay reads and validates settings; all findings are in the *check.Report that is returned.
+func DecodeRelay(file string, text []byte) (Relay, error) {
+	var report check.Report
+	values := make(map[string]any)
+	if _, err := toml.Decode(string(text), &values); err != nil {
+		report.Addf(file, "%s", describeSyntax(err))
+		return Relay{}, report.Err()
+	}
+	root := newTable(file+": ", values, &report)
+	relay := readRelay(root)
+	root.finish()
+	if err := report.Err(); err != nil {
+		return Relay{}, err
+	}
+	return relay, nil
+}
+
+func readRelay(t *table) Relay {
+	relay := Relay{
+		Host:         spoke.HostID(t.required(keyHost)),
+		DataCentre:   spoke.DataCentreID(t.required(keyDataCentre)),
+		Caller:       t.address(keyCaller),
+		Readiness:    t.address(keyReadiness),
+		Store:        t.address(keyStore),
+		PeerPort:     int(t.number(keyPeerPort, 1, highestPort)),
+		Memory:       spoke.ByteSize(t.number(keyMemory, 1, 1<<20)) << 20,
+		Descriptors:  int(t.number(keyDescriptors, 1, 1<<24)),
+		ConfigApply:  t.milliseconds(keyConfigApply),
+		WeightsApply: t.milliseconds(keyWeightsApply),
+		OrdersPause:  t.milliseconds(keyOrdersPause),
+		LeaveNotice:  t.milliseconds(keyLeaveNotice),
+		StopGrace:    time.Duration(t.number(keyStopGrace, 0, 1<<20) * float64(time.Second)),
+		RetryShare:   spoke.Share(t.number(keyRetryShare, 0, 100)),
+		RetryReserve: int(t.number(keyRetryReserve, 0, 1<<20)),
+		RetryWindow:  time.Duration(t.number(keyRetryWindow, 1, 1<<20) * float64(time.Second)),
+		MetricsPort:  defaultMetricPort,
+	}
+	if t.has(keyMetricsPort) {
+		relay.MetricsPort = int(t.number(keyMetricsPort, 0, highestPort))
+	}
+	if own, err := netip.ParseAddrPort(string(relay.Caller)); err == nil {
+		relay.Address = own.Addr()
+	}
+	return relay
+}
+
+func (t *table) required(key string) string {
+	text := t.text(key)
+	if text == "" && !t.bad[key] {
+		t.report.Addf(t.at(key), "is missing")
+	}
+	return text
+}
+
+func (t *table) address(key string) spoke.Address {
+	text := t.required(key)
+	if text == "" {
+		return ""
+	}
+	if _, err := netip.ParseAddrPort(text); err != nil {
+		t.report.Addf(t.at(key), "%q is no IP number and port", text)
+	}
+	return spoke.Address(text)
+}
+
+// number reads a whole number or a fraction within bounds.
+func (t *table) number(key string, lowest, highest float64) float64 {
+	t.read[key] = true
+	var found float64
+	switch value := t.values[key].(type) {
+	case nil:
+		t.report.Addf(t.at(key), "is missing")
+		return lowest
+	case int64:
+		found = float64(value)
+	case float64:
+		found = value
+	default:
+		t.wrongType(key, "a number")
+		return lowest
+	}
+	if !(found >= lowest && found <= highest) {
+		t.report.Addf(t.at(key), "%v is not between %v and %v", found, lowest, highest)
+		return lowest
+	}
+	return found
+}
+
+func (t *table) milliseconds(key string) time.Duration {
+	return time.Duration(t.number(key, 0, 1<<40) * float64(time.Millisecond))
+}
--- /dev/null
+++ b/directory.go
@@ -0,0 +1,91 @@
+package spoke
+
+import (
+	"context"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+const (
+	// TopicRouting is the routing table and the wanted weight versions.
+	TopicRouting DirectoryTopic = "routing"
+	// TopicUpstreams is the list of upstreams.
+	TopicUpstreams DirectoryTopic = "upstreams"
+	// TopicHosts is the list of entry hosts and the holder of the orders lease.
+	TopicHosts DirectoryTopic = "hosts"
+)
+
+// ErrHistoryGone marks a watch that cannot continue, so that the topic has to be read again.
+var ErrHistoryGone = eris.New("history of the directory is gone")
+
+type (
+	// DirectoryTopic names a part of the directory that is read and watched as a whole.
+	DirectoryTopic string
+
+	// ListedUpstream is an upstream as it describes itself in the directory.
+	ListedUpstream struct {
+		ID         UpstreamID
+		Service    ServiceName
+		Address    Address
+		DataCentre DataCentreID
+		Slots      int
+		IsLeaving  bool
+		// ColdFor is how much longer the upstream is slow after its start.
+		ColdFor time.Duration
+		// Started is the start of the upstream on its own clock; another value is another upstream.
+		Started time.Time
+		// Weights holds the weight version of each model that the upstream serves.
+		Weights map[ModelName]WeightVersion
+	}
+
+	// WantedWeights names the weights that all engines of a model should serve.
+	WantedWeights struct {
+		Model   ModelName
+		Version WeightVersion
+	}
+
+	// ListedPeer is an entry host as it announces itself in the directory.
+	ListedPeer struct {
+		ID         HostID
+		DataCentre DataCentreID
+		Address    Address
+	}
+
+	// RecordFault is an entry of the directory that cannot be read.
+	RecordFault struct {
+		Key string
+		Err error
+	}
+
+	// DirectoryChange is the content of a topic, or what changed since a revision.
+	DirectoryChange struct {
+		// IsWhole says that entries which are not named do not exist.
+		IsWhole bool
+		// Table is nil if it did not change.
+		Table     *RoutingTable
+		Weights   []WantedWeights
+		Upstreams []ListedUpstream
+		// GoneUpstreams lists upstreams whose entries were removed or name no upstream any more.
+		GoneUpstreams []UpstreamID
+		Peers         []ListedPeer
+		GonePeers     []HostID
+		// OrdersHolder is nil if it did not change and names no host if the lease is free.
+		OrdersHolder *HostID
+		Faults       []RecordFault
+		Revision     Revision
+	}
+
+	// Directory is what the platform publishes and what entry hosts announce there.
+	Directory interface {
+		// Read returns the whole topic.
+		Read(ctx context.Context, topic DirectoryTopic) (DirectoryChange, error)
+		// Watch waits for changes after a revision; an empty change means that there was none,
+		// ErrHistoryGone that the topic has to be read again.
+		Watch(ctx context.Context, topic DirectoryTopic, after Revision, wait time.Duration) (DirectoryChange, error)
+		// Announce lists this host until its announcement expires, unless it is called again.
+		Announce(ctx context.Context, peer ListedPeer) error
+		// Withdraw removes the announcement.
+		Withdraw(ctx context.Context) error
+	}
+)
--- /dev/null
+++ b/edge/answer.go
@@ -0,0 +1,76 @@
+package edge
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+// errorLine is the body of this host's own errors.
+type errorLine struct {
+	Code    string `json:"code"`
+	Outcome string `json:"outcome"`
+}
+
+// writeError writes an error of this host; statuses that promise "not run" carry that outcome.
+func writeError(w http.ResponseWriter, status int, code string, retryAfter time.Duration) {
+	outcome := "outcome-unknown"
+	if status < http.StatusInternalServerError || status == http.StatusServiceUnavailable {
+		outcome = "not-run"
+	}
+	if retryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.FormatFloat(math.Ceil(retryAfter.Seconds()*1000)/1000, 'f', -1, 64))
+	}
+	// The type always encodes.
+	body, _ := json.Marshal(map[string]errorLine{"error": {Code: code, Outcome: outcome}})
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(status)
+	_, _ = w.Write(body) // A caller that has left shows in its context.
+}
+
+// refuse answers a call that was not run.
+func (e *exchange) refuse(status int, reason string, retryAfter time.Duration, fields logrus.Fields) {
+	e.log.WithFields(fields).WithFields(logrus.Fields{
+		"status": status, "reason": reason, "retry-after": retryAfter.String(), "route": e.route.Name,
+		"held": time.Since(e.arrived).String(),
+	}).Warn("call refused")
+	e.metrics.answered(e.route.Name, reason, e.arrived)
+	writeError(e.writer, status, reason, retryAfter)
+}
+
+// fail answers a call that an upstream may have run.
+func (e *exchange) fail(status int, reason string, fields logrus.Fields) {
+	e.log.WithFields(fields).WithFields(logrus.Fields{
+		"status": status, "reason": reason, "route": e.route.Name, "held": time.Since(e.arrived).String(),
+	}).Warn("call failed")
+	e.metrics.answered(e.route.Name, reason, e.arrived)
+	writeError(e.writer, status, reason, 0)
+}
+
+// deliver passes a whole answer of an upstream on.
+func (e *exchange) deliver(head answerHead, body []byte) {
+	header := e.writer.Header()
+	copyHeader(header, head.Header)
+	header.Set("Content-Length", strconv.Itoa(len(body)))
+	e.writer.WriteHeader(head.Status)
+	if _, err := e.writer.Write(body); err != nil {
+		e.log.WithError(err).Info("caller left before its answer was written")
+	}
+	e.log.WithFields(logrus.Fields{"status": head.Status, "took": time.Since(e.arrived).String()}).Info("answered")
+	e.metrics.answered(e.route.Name, "status-"+strconv.Itoa(head.Status), e.arrived)
+}
+
+// copyHeader replaces what the server would add by itself.
+func copyHeader(target, source http.Header) {
+	for name, values := range source {
+		target[name] = values
+	}
+	if source.Get("Content-Type") == "" {
+		target["Content-Type"] = nil
+	}
+}
--- /dev/null
+++ b/edge/apply.go
@@ -0,0 +1,121 @@
+package edge
+
+import (
+	"context"
+	"expvar"
+	"maps"
+	"net/http"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"magnoliaspoke.example/spoke"
+	"magnoliaspoke.example/spoke/place"
+)
+
+// freeLeases asks for the orders lease only while the directory shows that no other host has
+// it, so that hosts without it make no calls.
+type freeLeases struct {
+	spoke.Leases
+	host *Host
+	log  logrus.FieldLogger
+}
+
+// Acquire takes the lease if it is free.
+func (l *freeLeases) Acquire(ctx context.Context, name spoke.LeaseName, holder spoke.HostID, ttl time.Duration) (spoke.Lease, error) {
+	known := l.host.holder.Load()
+	if known == nil || *known != "" {
+		return spoke.Lease{}, spoke.ErrLeaseHeld
+	}
+	granted, err := l.Leases.Acquire(ctx, name, holder, ttl)
+	if err != nil {
+		l.log.WithError(err).Info("orders lease not acquired")
+	}
+	return granted, err
+}
+
+// Renew renews the lease.
+func (l *freeLeases) Renew(ctx context.Context, held spoke.Lease, ttl time.Duration) (spoke.Lease, error) {
+	renewed, err := l.Leases.Renew(ctx, held, ttl)
+	if err != nil {
+		l.log.WithError(err).Warn("orders lease not renewed")
+	}
+	return renewed, err
+}
+
+// apply passes a change of the directory to the tasks that it concerns.
+func (h *Host) apply(change spoke.DirectoryChange) {
+	if change.Table != nil && h.known.take(change.Table) {
+		h.parts.Log.WithFields(logrus.Fields{"table": change.Table.Version, "routes": len(change.Table.Routes)}).Info("routing table in force")
+		h.tell(place.SetTable{Services: change.Table.Services})
+	}
+	for _, wanted := range change.Weights {
+		h.parts.Log.WithFields(logrus.Fields{"model": wanted.Model, "version": wanted.Version}).Info("weights wanted")
+		h.tell(place.SetWeights{Wanted: wanted})
+	}
+	if len(change.Upstreams)+len(change.GoneUpstreams) > 0 {
+		h.applyUpstreams(change)
+	}
+	if len(change.Weights)+len(change.Upstreams)+len(change.GoneUpstreams) > 0 {
+		h.orders.in <- directoryNews{change}
+	}
+	if change.OrdersHolder != nil || (change.IsWhole && change.Peers != nil) {
+		h.applyHolder(change)
+	}
+	if len(change.Peers)+len(change.GonePeers) > 0 {
+		h.applyPeers(change)
+	}
+}
+
+func (h *Host) tell(message place.Message) { h.planner.in <- planned{message: message} }
+
+func (h *Host) applyUpstreams(change spoke.DirectoryChange) {
+	for _, listed := range change.Upstreams {
+		if listed.IsLeaving {
+			h.parts.Log.WithField("upstream", listed.ID).Info("upstream is leaving")
+		}
+	}
+	for _, id := range change.GoneUpstreams {
+		h.parts.Log.WithField("upstream", id).Info("upstream is gone")
+	}
+	h.tell(place.SetUpstreams{IsWhole: change.IsWhole, Listed: change.Upstreams, Gone: change.GoneUpstreams})
+}
+
+// applyHolder notes who has the orders lease; a whole topic without a holder shows that it is free.
+func (h *Host) applyHolder(change spoke.DirectoryChange) {
+	holder := change.OrdersHolder
+	if holder == nil {
+		free := spoke.HostID("")
+		holder = &free
+	}
+	h.holder.Store(holder)
+}
+
+func (h *Host) applyPeers(change spoke.DirectoryChange) {
+	if change.IsWhole {
+		h.peers = make(map[spoke.HostID]spoke.ListedPeer)
+	}
+	for _, peer := range change.Peers {
+		h.peers[peer.ID] = peer
+	}
+	for _, id := range change.GonePeers {
+		delete(h.peers, id)
+		h.tell(place.ForgetPeer{Host: id})
+	}
+	delete(h.peers, h.settings.Host)
+	var addresses []netip.AddrPort
+	for _, id := range slices.Sorted(maps.Keys(h.peers)) {
+		address, err := netip.ParseAddrPort(string(h.peers[id].Address))
+		if err != nil {
+			h.parts.Log.WithError(err).WithField("peer", id).Warn("peer ignored")
+			continue
+		}
+		addresses = append(addresses, address)
+	}
+	h.parts.Log.WithField("peers", len(addresses)).Info("peers changed")
+	h.planner.peers <- addresses
+}
+
+func expvarHandler() http.Handler { return expvar.Handler() }
--- /dev/null
+++ b/edge/metrics.go
@@ -0,0 +1,105 @@
+package edge
+
+import (
+	"expvar"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"magnoliaspoke.example/spoke"
+)
+
+const (
+	// highest and digits bound the memory of a histogram.
+	highest = int64(time.Minute / time.Microsecond)
+	digits  = 2
+	// mostRoutes bounds the names of routes among the metrics; calls of others count together.
+	mostRoutes = 40
+	otherRoute = "other"
+)
+
+type (
+	// metrics counts answers and measures times by route and outcome.
+	metrics struct {
+		mu     sync.Mutex
+		counts map[string]int64
+		times  map[string]*hdrhistogram.Histogram
+		routes map[spoke.RouteName]bool
+	}
+)
+
+func newMetrics() *metrics {
+	return &metrics{
+		counts: make(map[string]int64), times: make(map[string]*hdrhistogram.Histogram),
+		routes: make(map[spoke.RouteName]bool),
+	}
+}
+
+// Publish makes the metrics part of the process's variables.
+func (m *metrics) publish() {
+	expvar.Publish("answers", expvar.Func(m.answers))
+	expvar.Publish("times", expvar.Func(m.percentiles))
+}
+
+func (m *metrics) answered(route spoke.RouteName, outcome string, arrived time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	name := m.name(route)
+	m.counts[name+" "+outcome]++
+	m.record("whole "+name, time.Since(arrived))
+}
+
+func (m *metrics) waited(route spoke.RouteName, took time.Duration) { m.measure("wait ", route, took) }
+
+func (m *metrics) began(route spoke.RouteName, took time.Duration) { m.measure("first ", route, took) }
+
+func (m *metrics) gap(route spoke.RouteName, took time.Duration) { m.measure("gap ", route, took) }
+
+func (m *metrics) measure(what string, route spoke.RouteName, took time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.record(what+m.name(route), took)
+}
+
+// name bounds the number of routes that are told apart.
+func (m *metrics) name(route spoke.RouteName) string {
+	if !m.routes[route] && len(m.routes) >= mostRoutes {
+		return otherRoute
+	}
+	m.routes[route] = true
+	return string(route)
+}
+
+func (m *metrics) record(name string, took time.Duration) {
+	histogram := m.times[name]
+	if histogram == nil {
+		histogram = hdrhistogram.New(1, highest, digits)
+		m.times[name] = histogram
+	}
+	// The value is within the bounds of the histogram.
+	_ = histogram.RecordValue(min(max(took.Microseconds(), 1), highest))
+}
+
+func (m *metrics) answers() any {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	counts := make(map[string]int64, len(m.counts))
+	for name, count := range m.counts {
+		counts[name] = count
+	}
+	return counts
+}
+
+func (m *metrics) percentiles() any {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	times := make(map[string]map[string]int64, len(m.times))
+	for name, histogram := range m.times {
+		times[name] = map[string]int64{
+			"count": histogram.TotalCount(), "p50-us": histogram.ValueAtQuantile(50),
+			"p95-us": histogram.ValueAtQuantile(95), "p99-us": histogram.ValueAtQuantile(99),
+		}
+	}
+	return times
+}
--- /dev/null
+++ b/edge/orders.go
@@ -0,0 +1,359 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"magnoliaspoke.example/spoke"
+	"magnoliaspoke.example/spoke/lease"
+	"magnoliaspoke.example/spoke/place"
+	"magnoliaspoke.example/spoke/swap"
+)
+
+const (
+	// ordersTTL is short, so that another host takes over soon after the holder's death.
+	ordersTTL = 1500 * time.Millisecond
+	// orderTime is the time that an order may take to be accepted.
+	orderTime = 400 * time.Millisecond
+	// swapsAtOnce is the number of engines that load weights at the same time.
+	swapsAtOnce = 3
+	// swapNotice is the time in which the other hosts hear that an engine takes no calls.
+	swapNotice = 60 * time.Millisecond
+	// loadTime covers the runs that an engine ends first and the loading.
+	loadTime = 4 * time.Second
+	// ordersStep is the interval at which a roll-out is looked at.
+	ordersStep = 100 * time.Millisecond
+	// reportEvery is the interval at which engines without an order are asked for a report.
+	reportEvery = 700 * time.Millisecond
+	// reportLag is how old a report may be when it arrives.
+	reportLag = 300 * time.Millisecond
+	// unansweredAfter is the time after which an order that shows no effect is given again.
+	unansweredAfter = 900 * time.Millisecond
+	orderAttempts   = 6
+	orderPause      = 2 * time.Second
+)
+
+type (
+	// directoryNews is a change of the directory that concerns roll-outs.
+	directoryNews struct{ change spoke.DirectoryChange }
+
+	// reportNews is an engine's report, or none if it could not be read.
+	reportNews struct {
+		upstream spoke.UpstreamID
+		report   spoke.EngineReport
+		err      error
+	}
+
+	orderNews struct {
+		upstream spoke.UpstreamID
+		err      error
+	}
+
+	// given is an order whose effect is not seen yet.
+	given struct {
+		at    time.Time
+		after int64
+	}
+
+	// orders is the task that brings engines to the wanted weights while this host holds the
+	// orders lease.
+	orders struct {
+		host       spoke.HostID
+		pause      time.Duration
+		control    spoke.EngineControl
+		keeper     *lease.Keeper
+		clock      spoke.Timer
+		timer      spoke.Timer
+		planner    *planner
+		log        logrus.FieldLogger
+		reconciler *swap.Reconciler
+		in         chan any
+
+		wanted    map[spoke.ModelName]spoke.WeightVersion
+		upstreams map[spoke.UpstreamID]spoke.ListedUpstream
+		reports   map[spoke.UpstreamID]spoke.EngineReport
+		asked     map[spoke.UpstreamID]time.Time
+		asking    map[spoke.UpstreamID]bool
+		given     map[spoke.UpstreamID]given
+		held      bool
+	}
+)
+
+func newOrders(host spoke.HostID, pause time.Duration, parts Parts, keeper *lease.Keeper, p *planner) *orders {
+	return &orders{
+		host: host, pause: pause, control: parts.Control, keeper: keeper, clock: parts.LeaseTimer, timer: parts.Timer,
+		planner: p, log: parts.Log,
+		reconciler: swap.NewReconciler(
+			swap.WithAtOnce(swapsAtOnce), swap.WithOrderDeadline(orderTime), swap.WithDrain(swapNotice, swapNotice),
+			swap.WithLoadTime(loadTime), swap.WithAttempts(orderAttempts, orderPause),
+		),
+		in:        make(chan any, planQueue),
+		wanted:    make(map[spoke.ModelName]spoke.WeightVersion),
+		upstreams: make(map[spoke.UpstreamID]spoke.ListedUpstream),
+		reports:   make(map[spoke.UpstreamID]spoke.EngineReport),
+		asked:     make(map[spoke.UpstreamID]time.Time),
+		asking:    make(map[spoke.UpstreamID]bool),
+		given:     make(map[spoke.UpstreamID]given),
+	}
+}
+
+// run brings engines to the wanted weights until ctx ends.
+func (o *orders) run(ctx context.Context) error {
+	tick := o.timer.Every(ordersStep)
+	defer tick.Stop()
+	for {
+		select {
+		case m := <-o.in:
+			o.take(m)
+		case <-tick.C():
+			o.step(ctx)
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (o *orders) take(message any) {
+	switch m := message.(type) {
+	case directoryNews:
+		o.takeChange(m.change)
+	case reportNews:
+		delete(o.asking, m.upstream)
+		o.takeReport(m)
+	case orderNews:
+		o.takeOrder(m)
+	}
+}
+
+func (o *orders) takeChange(change spoke.DirectoryChange) {
+	for _, wanted := range change.Weights {
+		o.wanted[wanted.Model] = max(o.wanted[wanted.Model], wanted.Version)
+	}
+	if change.IsWhole && len(change.Upstreams) > 0 {
+		o.upstreams = make(map[spoke.UpstreamID]spoke.ListedUpstream)
+	}
+	for _, listed := range change.Upstreams {
+		if known, ok := o.upstreams[listed.ID]; ok && !known.Started.Equal(listed.Started) {
+			delete(o.reports, listed.ID)
+			delete(o.given, listed.ID)
+		}
+		o.upstreams[listed.ID] = listed
+	}
+	for _, id := range change.GoneUpstreams {
+		delete(o.upstreams, id)
+		delete(o.reports, id)
+		delete(o.given, id)
+	}
+}
+
+func (o *orders) takeReport(m reportNews) {
+	if m.err != nil {
+		o.log.WithError(m.err).WithField("upstream", m.upstream).Info("no report of an engine")
+		return
+	}
+	if _, ok := o.upstreams[m.upstream]; !ok {
+		return
+	}
+	o.reports[m.upstream] = m.report
+	for model, version := range m.report.Weights {
+		seen := spoke.ListedWeights{Model: model, Version: version}
+		o.planner.in <- planned{message: place.SeeWeights{Upstream: m.upstream, Weights: seen}}
+	}
+	order, ok := o.given[m.upstream]
+	if !ok {
+		return
+	}
+	hasEffect := m.report.HasOrder || m.report.Orders != order.after
+	if !hasEffect && o.timer.Now().Sub(order.at) > unansweredAfter {
+		delete(o.given, m.upstream)
+		o.log.WithField("upstream", m.upstream).Warn("order had no effect, giving it again")
+		o.apply(context.Background(), o.reconciler.Handle(o.timer.Now(), swap.OrderFailed{Upstream: m.upstream}))
+	}
+}
+
+func (o *orders) takeOrder(m orderNews) {
+	log := o.log.WithField("upstream", m.upstream)
+	switch {
+	case m.err == nil:
+		log.Info("order accepted")
+	case errors.Is(m.err, spoke.ErrStaleFence):
+		log.WithError(m.err).Warn("order refused")
+		o.apply(context.Background(), o.reconciler.Handle(o.timer.Now(), swap.OrderFailed{Upstream: m.upstream, StaleFence: true}))
+	default:
+		// The order may have been accepted; the next reports tell.
+		log.WithError(m.err).Warn("order unanswered or refused")
+	}
+}
+
+// step observes the engines and gives orders while the lease is held.
+func (o *orders) step(ctx context.Context) {
+	state := o.lease()
+	if state.Held != o.held {
+		o.held = state.Held
+		o.log.WithFields(logrus.Fields{"held": state.Held, "fence": state.Fence}).Info("orders lease changed")
+	}
+	if !state.Held {
+		return
+	}
+	models, behind := o.models()
+	if len(behind) > 0 {
+		o.askReports(ctx, behind)
+	}
+	if len(behind) == 0 && len(o.given) == 0 {
+		return
+	}
+	o.apply(ctx, o.reconciler.Handle(o.timer.Now(), swap.Observe{
+		Models: models, Upstreams: o.listed(), Reports: o.loadReports(), Lease: state,
+	}))
+}
+
+func (o *orders) lease() swap.LeaseState {
+	now := o.clock.Now()
+	held, ok := o.keeper.Held(now, 0)
+	if !ok {
+		return swap.LeaseState{}
+	}
+	// The orders of two holders must lie apart by the pause, whatever the lease's own time.
+	return swap.LeaseState{Held: true, Fence: held.Fence, Remaining: held.Expires.Sub(now), TTL: o.pause}
+}
+
+// models returns the wanted models and the engines that serve older weights.
+func (o *orders) models() ([]spoke.Model, []spoke.UpstreamID) {
+	var models []spoke.Model
+	var behind []spoke.UpstreamID
+	seen := make(map[spoke.ModelName]bool)
+	for _, id := range slices.Sorted(maps.Keys(o.upstreams)) {
+		listed := o.upstreams[id]
+		for model := range listed.Weights {
+			want := o.wanted[model]
+			if want == 0 {
+				continue
+			}
+			if !seen[model] {
+				seen[model] = true
+				models = append(models, spoke.Model{Name: model, Service: listed.Service, Version: versionText(want)})
+			}
+			if o.weights(id, model) < want && !listed.IsLeaving {
+				behind = append(behind, id)
+			}
+		}
+	}
+	return models, behind
+}
+
+func (o *orders) weights(id spoke.UpstreamID, model spoke.ModelName) spoke.WeightVersion {
+	return max(o.upstreams[id].Weights[model], o.reports[id].Weights[model])
+}
+
+func (o *orders) askReports(ctx context.Context, behind []spoke.UpstreamID) {
+	now := o.timer.Now()
+	for _, id := range behind {
+		every := reportEvery
+		if _, ok := o.given[id]; ok {
+			every = ordersStep
+		}
+		if o.asking[id] || now.Sub(o.asked[id]) < every {
+			continue
+		}
+		o.asked[id], o.asking[id] = now, true
+		go o.readReport(ctx, id, o.upstreams[id].Address)
+	}
+}
+
+func (o *orders) readReport(ctx context.Context, id spoke.UpstreamID, at spoke.Address) {
+	report, err := o.control.Report(ctx, at)
+	report.AsOf = o.timer.Now().Add(-reportLag)
+	o.send(ctx, reportNews{upstream: id, report: report, err: err})
+}
+
+func (o *orders) send(ctx context.Context, message any) {
+	select {
+	case o.in <- message:
+	case <-ctx.Done():
+	}
+}
+
+func (o *orders) listed() []spoke.Upstream {
+	upstreams := make([]spoke.Upstream, 0, len(o.upstreams))
+	for id, listed := range o.upstreams {
+		if len(listed.Weights) == 0 {
+			continue
+		}
+		state := spoke.UpstreamServing
+		if listed.IsLeaving {
+			state = spoke.UpstreamLeaving
+		}
+		upstreams = append(upstreams, spoke.Upstream{
+			ID: id, Service: listed.Service, DataCentre: listed.DataCentre, Address: listed.Address, State: state,
+		})
+	}
+	return upstreams
+}
+
+// loadReports gives engines that are known to be up to date a report without asking them.
+func (o *orders) loadReports() map[spoke.UpstreamID]spoke.LoadReport {
+	reports := make(map[spoke.UpstreamID]spoke.LoadReport)
+	for id, listed := range o.upstreams {
+		report, isRead := o.reports[id]
+		load := spoke.LoadReport{Running: report.Running, Waiting: report.Waiting, AsOf: report.AsOf, Versions: make(map[spoke.ModelName]spoke.ModelVersion)}
+		isCurrent := len(listed.Weights) > 0
+		for model := range listed.Weights {
+			load.Versions[model] = versionText(o.weights(id, model))
+			isCurrent = isCurrent && o.weights(id, model) >= o.wanted[model]
+		}
+		if isCurrent {
+			load.AsOf = o.timer.Now()
+		}
+		if isRead || isCurrent {
+			reports[id] = load
+		}
+	}
+	return reports
+}
+
+func (o *orders) apply(ctx context.Context, actions []swap.Action) {
+	for _, action := range actions {
+		switch a := action.(type) {
+		case swap.TakeOut:
+			o.planner.in <- planned{message: place.Pause{Upstream: a.Upstream, For: min(a.Until.Sub(o.timer.Now()), loadTime)}}
+		case swap.PutBack:
+			delete(o.given, a.Upstream)
+			o.log.WithField("upstream", a.Upstream).Info("engine takes calls again")
+			o.planner.in <- planned{message: place.Pause{Upstream: a.Upstream}}
+		case swap.GiveOrder:
+			o.give(ctx, a)
+		}
+	}
+}
+
+func (o *orders) give(ctx context.Context, a swap.GiveOrder) {
+	version, err := strconv.ParseInt(string(a.Order.Version), 10, 64)
+	if err != nil {
+		o.log.WithError(err).Error("order names no weight version")
+		return
+	}
+	listed := o.upstreams[a.Upstream]
+	order := spoke.WeightOrder{
+		Upstream: a.Upstream, Model: a.Order.Model, Version: spoke.WeightVersion(version),
+		Holder: o.host, Fence: a.Order.Fence, After: o.reports[a.Upstream].Orders,
+	}
+	o.given[a.Upstream] = given{at: o.timer.Now(), after: order.After}
+	o.log.WithFields(logrus.Fields{
+		"upstream": a.Upstream, "model": order.Model, "version": version, "fence": order.Fence, "after": order.After,
+	}).Info("order given")
+	go func() {
+		callCtx, cancel := context.WithTimeout(ctx, orderTime)
+		defer cancel()
+		o.send(ctx, orderNews{upstream: a.Upstream, err: o.control.LoadWeights(callCtx, listed.Address, order)})
+	}()
+}
+
+func versionText(version spoke.WeightVersion) spoke.ModelVersion {
+	return spoke.ModelVersion(strconv.FormatInt(int64(version), 10))
+}
--- /dev/null
+++ b/edge/planner.go
@@ -0,0 +1,154 @@
+package edge
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"magnoliaspoke.example/spoke"
+	"magnoliaspoke.example/spoke/place"
+)
+
+const (
+	// planTick lets waiting calls be looked at again and gathers news for the other hosts.
+	planTick = 20 * time.Millisecond
+	// wholeEvery is the interval of whole accounts, which make good those that were lost.
+	wholeEvery = time.Second
+	planQueue  = 1024
+	mostMarks  = 16
+)
+
+type (
+	// planned is a message for the scheduler and where the answer to a call goes.
+	planned struct {
+		message place.Message
+		reply   chan place.Action
+	}
+
+	// planner is the task that owns the scheduler.
+	planner struct {
+		scheduler  *place.Scheduler
+		timer      spoke.Timer
+		log        logrus.FieldLogger
+		in         chan planned
+		peers      chan []netip.AddrPort
+		replies    map[spoke.CallNumber]chan place.Action
+		send       func(spoke.LoadShare, []netip.AddrPort)
+		quarantine *marks
+		addresses  []netip.AddrPort
+		toldAll    time.Time
+	}
+)
+
+func newPlanner(scheduler *place.Scheduler, timer spoke.Timer, log logrus.FieldLogger, quarantine *marks, send func(spoke.LoadShare, []netip.AddrPort)) *planner {
+	return &planner{
+		scheduler: scheduler, timer: timer, log: log, send: send, quarantine: quarantine,
+		in:      make(chan planned, planQueue),
+		peers:   make(chan []netip.AddrPort, 1),
+		replies: make(map[spoke.CallNumber]chan place.Action),
+	}
+}
+
+// run handles messages until ctx ends.
+func (p *planner) run(ctx context.Context) error {
+	tick := p.timer.Every(planTick)
+	defer tick.Stop()
+	for {
+		select {
+		case m := <-p.in:
+			p.handle(m)
+		case p.addresses = <-p.peers:
+		case <-tick.C():
+			if p.scheduler.IsWaiting() {
+				p.handle(planned{message: place.Tick{}})
+			}
+			p.tell()
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (p *planner) handle(m planned) {
+	if ask, ok := m.message.(place.Ask); ok {
+		p.replies[ask.Call] = m.reply
+	}
+	if leave, ok := m.message.(place.Leave); ok {
+		delete(p.replies, leave.Call)
+		// The grant may have come before the withdrawal; without one this has no effect.
+		p.step(place.Ended{Call: leave.Call, Ending: place.EndCancelled})
+	}
+	p.step(m.message)
+}
+
+// step lets the scheduler handle a message and passes its decisions on.
+func (p *planner) step(message place.Message) {
+	for _, action := range p.scheduler.Handle(p.timer.Now(), message) {
+		p.answer(action)
+	}
+}
+
+func (p *planner) answer(action place.Action) {
+	var call spoke.CallNumber
+	switch a := action.(type) {
+	case place.Grant:
+		call = a.Call
+	case place.Refuse:
+		call = a.Call
+	}
+	reply := p.replies[call]
+	delete(p.replies, call)
+	if reply != nil {
+		reply <- action
+		return
+	}
+	if _, isGrant := action.(place.Grant); isGrant {
+		// The caller left between its request and the grant.
+		p.step(place.Ended{Call: call, Ending: place.EndCancelled})
+	}
+}
+
+// tell sends the account of this host to the others if there is news.
+func (p *planner) tell() {
+	now := p.timer.Now()
+	isWhole := now.Sub(p.toldAll) >= wholeEvery
+	if !isWhole && !p.scheduler.HasNews() {
+		return
+	}
+	if isWhole {
+		p.toldAll = now
+		p.step(place.Tick{})
+	}
+	account := p.scheduler.Account(isWhole)
+	account.Marks = p.quarantine.list(now, mostMarks)
+	if len(p.addresses) > 0 {
+		p.send(account, p.addresses)
+	}
+}
+
+// tellScheduler hands a message to the task; it gives up when ctx ends.
+func (p *planner) tellScheduler(ctx context.Context, message place.Message) {
+	select {
+	case p.in <- planned{message: message}:
+	case <-ctx.Done():
+	}
+}
+
+// ask waits for an upstream or a refusal; it withdraws the call when ctx ends.
+func (p *planner) ask(ctx context.Context, ask place.Ask) (place.Action, error) {
+	reply := make(chan place.Action, 1)
+	select {
+	case p.in <- planned{message: ask, reply: reply}:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	select {
+	case action := <-reply:
+		return action, nil
+	case <-ctx.Done():
+	}
+	p.in <- planned{message: place.Leave{Call: ask.Call}}
+	return nil, ctx.Err()
+}
--- /dev/null
+++ b/edge/stop.go
@@ -0,0 +1,75 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"os"
+	"syscall"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	// unreadyTime is the time in which the platform learns that this host takes no new connections.
+	unreadyTime = 2500 * time.Millisecond
+	// stopMargin is the part of the grace that is left for the end of the process.
+	stopMargin = 900 * time.Millisecond
+	// stopCheck is the interval at which a stopping host looks for calls under way.
+	stopCheck = 50 * time.Millisecond
+)
+
+// errStopped ends the tasks after a graceful stop.
+var errStopped = errors.New("stopped")
+
+// stopOn waits for signals: a hang-up reloads the settings, all others stop the host once its
+// calls have ended.
+func (h *Host) stopOn(ctx context.Context, signals <-chan os.Signal, callers *http.Server) error {
+	for {
+		select {
+		case received := <-signals:
+			if received == syscall.SIGHUP {
+				h.reload()
+				continue
+			}
+			h.parts.Log.WithField("signal", received.String()).Info("stopping")
+			return h.stop(ctx, callers)
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// stop takes the host out of service and waits for its calls.
+func (h *Host) stop(ctx context.Context, callers *http.Server) error {
+	begun := time.Now()
+	h.isLeaving.Store(true)
+	h.relayer.isStopping.Store(true)
+	h.pause(ctx, unreadyTime)
+	// Idle connections close now, since no new ones should arrive.
+	callers.SetKeepAlivesEnabled(false)
+	limit := begun.Add(h.settings.StopGrace - stopMargin)
+	for h.relayer.underway.Load() > 0 && time.Now().Before(limit) && ctx.Err() == nil {
+		h.pause(ctx, stopCheck)
+	}
+	h.parts.Log.WithFields(logrus.Fields{"cut-off": h.relayer.underway.Load(), "took": time.Since(begun).String()}).Info("stopped")
+	if err := h.parts.Directory.Withdraw(ctx); err != nil {
+		h.parts.Log.WithError(err).Info("announcement not withdrawn, it expires")
+	}
+	return errStopped
+}
+
+func (h *Host) pause(ctx context.Context, pause time.Duration) {
+	wait := h.parts.Timer.After(pause)
+	defer wait.Stop()
+	select {
+	case <-wait.C():
+	case <-ctx.Done():
+	}
+}
+
+// reload notes that the settings changed; what they hold is taken from the next start on.
+func (h *Host) reload() {
+	h.parts.Log.Info("settings changed, the next start takes them")
+}
--- /dev/null
+++ b/link/pool.go
@@ -0,0 +1,136 @@
+package link
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"magnoliaspoke.example/spoke"
+	"magnoliaspoke.example/spoke/dial"
+)
+
+const (
+	defaultDialTimeout = 700 * time.Millisecond
+	// unknownIdle is how long a connection is kept whose upstream does not say how long it
+	// keeps it.
+	unknownIdle = 8 * time.Second
+	// idleMargin is the time before the end of an upstream's idle timeout in which a
+	// connection is not used, since a request could meet the close.
+	idleMargin = 1200 * time.Millisecond
+	// mostIdle bounds the idle connections to one upstream.
+	mostIdle = 48
+)
+
+type (
+	// Option changes a Pool.
+	Option func(*Pool)
+
+	// Pool keeps idle connections by address; it is safe for concurrent use.
+	Pool struct {
+		dialer *net.Dialer
+		now    func() time.Time
+
+		mu     sync.Mutex
+		idle   map[spoke.Address][]*conn
+		opened int
+	}
+)
+
+// WithDialTimeout bounds the set-up of a connection.
+func WithDialTimeout(limit time.Duration) Option {
+	return func(p *Pool) { p.dialer = dial.New(limit) }
+}
+
+// New returns an empty pool.
+func New(options ...Option) *Pool {
+	p := &Pool{dialer: dial.New(defaultDialTimeout), now: time.Now, idle: make(map[spoke.Address][]*conn)}
+	for _, option := range options {
+		option(p)
+	}
+	return p
+}
+
+// Opened returns the number of connections that were made so far.
+func (p *Pool) Opened() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.opened
+}
+
+// Forget closes the idle connections to an address.
+func (p *Pool) Forget(at spoke.Address) {
+	p.mu.Lock()
+	idle := p.idle[at]
+	delete(p.idle, at)
+	p.mu.Unlock()
+	for _, c := range idle {
+		_ = c.Close()
+	}
+}
+
+// Close closes all idle connections.
+func (p *Pool) Close() error {
+	p.mu.Lock()
+	idle := p.idle
+	p.idle = make(map[spoke.Address][]*conn)
+	p.mu.Unlock()
+	for _, conns := range idle {
+		for _, c := range conns {
+			_ = c.Close()
+		}
+	}
+	return nil
+}
+
+// get returns an idle connection that is known to be good, or a new one.
+func (p *Pool) get(ctx context.Context, at spoke.Address) (*conn, error) {
+	for {
+		c := p.take(at)
+		if c == nil {
+			break
+		}
+		if p.now().Before(c.freshUntil) && c.isQuiet() {
+			return c, nil
+		}
+		_ = c.Close()
+	}
+	raw, err := p.dialer.DialContext(ctx, "tcp", string(at))
+	if err != nil {
+		return nil, err
+	}
+	p.mu.Lock()
+	p.opened++
+	p.mu.Unlock()
+	return newConn(raw), nil
+}
+
+func (p *Pool) take(at spoke.Address) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	idle := p.idle[at]
+	if len(idle) == 0 {
+		return nil
+	}
+	c := idle[len(idle)-1]
+	p.idle[at] = idle[:len(idle)-1]
+	return c
+}
+
+// put keeps a connection whose exchange ended in full.
+func (p *Pool) put(at spoke.Address, c *conn, idleTimeout time.Duration) {
+	kept := unknownIdle
+	if idleTimeout > 0 {
+		kept = idleTimeout - idleMargin
+	}
+	c.freshUntil = p.now().Add(kept)
+	p.mu.Lock()
+	isKept := kept > 0 && len(p.idle[at]) < mostIdle
+	if isKept {
+		p.idle[at] = append(p.idle[at], c)
+	}
+	p.mu.Unlock()
+	if !isKept {
+		_ = c.Close()
+	}
+}
--- /dev/null
+++ b/peers/codec.go
@@ -0,0 +1,139 @@
+package peers
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"magnoliaspoke.example/spoke"
+)
+
+// The rows are short, since accounts are sent many times a second to each host.
+type (
+	shareRow struct {
+		Host      string                `json:"host"`
+		Number    uint64                `json:"number"`
+		IsWhole   bool                  `json:"whole,omitempty"`
+		Upstreams []upstreamRow         `json:"upstreams,omitempty"`
+		Waiting   map[string]int64      `json:"waiting,omitempty"`
+		Placed    []placedRow           `json:"placed,omitempty"`
+		Paused    map[string]int64      `json:"paused-ms,omitempty"`
+		Weights   map[string]weightsRow `json:"weights,omitempty"`
+		Marks     []markRow             `json:"marks,omitempty"`
+	}
+
+	upstreamRow struct {
+		ID     string `json:"id"`
+		Unread int64  `json:"unread,omitempty"`
+		Memory int64  `json:"memory,omitempty"`
+		Runs   int    `json:"runs,omitempty"`
+	}
+
+	placedRow struct {
+		ID string `json:"id"`
+		// Prefixes holds the key, the size of the last part and the whole size of each prefix.
+		Prefixes [][3]uint64 `json:"prefixes"`
+	}
+
+	weightsRow struct {
+		Model   string `json:"model"`
+		Version int64  `json:"version"`
+	}
+
+	markRow struct {
+		Fingerprint string `json:"fingerprint"`
+		Deaths      int    `json:"deaths"`
+		// ForMs is the time until the mark expires, since clocks differ between hosts.
+		ForMs int64 `json:"for-ms"`
+	}
+)
+
+// Encode writes an account; now is the time on which marks expire.
+func Encode(share spoke.LoadShare, now time.Time) ([]byte, error) {
+	row := shareRow{Host: string(share.Host), Number: share.Number, IsWhole: share.IsWhole}
+	for _, u := range share.Upstreams {
+		row.Upstreams = append(row.Upstreams, upstreamRow{string(u.Upstream), int64(u.Unread), int64(u.Memory), u.Runs})
+	}
+	for service, tokens := range share.Waiting {
+		row.Waiting = put(row.Waiting, string(service), int64(tokens))
+	}
+	for _, placed := range share.Placed {
+		row.Placed = append(row.Placed, encodePlaced(placed))
+	}
+	for id, pause := range share.Paused {
+		row.Paused = put(row.Paused, string(id), pause.Milliseconds())
+	}
+	for id, seen := range share.Weights {
+		row.Weights = put(row.Weights, string(id), weightsRow{string(seen.Model), int64(seen.Version)})
+	}
+	for _, mark := range share.Marks {
+		row.Marks = append(row.Marks, markRow{string(mark.Fingerprint), mark.Deaths, mark.Expires.Sub(now).Milliseconds()})
+	}
+	raw, err := json.Marshal(row)
+	return raw, eris.Wrap(err, "encode load account")
+}
+
+// Decode reads an account.
+func Decode(raw []byte, now time.Time) (spoke.LoadShare, error) {
+	var row shareRow
+	if err := json.Unmarshal(raw, &row); err != nil {
+		return spoke.LoadShare{}, eris.Wrap(err, "load account")
+	}
+	if row.Host == "" {
+		return spoke.LoadShare{}, eris.New("load account without host")
+	}
+	share := spoke.LoadShare{Host: spoke.HostID(row.Host), Number: row.Number, IsWhole: row.IsWhole}
+	for _, u := range row.Upstreams {
+		share.Upstreams = append(share.Upstreams, spoke.UpstreamShare{
+			Upstream: spoke.UpstreamID(u.ID), Unread: spoke.TokenCount(u.Unread), Memory: spoke.TokenCount(u.Memory), Runs: u.Runs,
+		})
+	}
+	for service, tokens := range row.Waiting {
+		share.Waiting = put(share.Waiting, spoke.ServiceName(service), spoke.TokenCount(tokens))
+	}
+	for _, placed := range row.Placed {
+		share.Placed = append(share.Placed, decodePlaced(placed))
+	}
+	for id, ms := range row.Paused {
+		share.Paused = put(share.Paused, spoke.UpstreamID(id), time.Duration(ms)*time.Millisecond)
+	}
+	for id, seen := range row.Weights {
+		share.Weights = put(share.Weights, spoke.UpstreamID(id), spoke.ListedWeights{
+			Model: spoke.ModelName(seen.Model), Version: spoke.WeightVersion(seen.Version),
+		})
+	}
+	for _, mark := range row.Marks {
+		share.Marks = append(share.Marks, spoke.QuarantineMark{
+			Fingerprint: spoke.Fingerprint(mark.Fingerprint), Deaths: mark.Deaths,
+			Expires: now.Add(time.Duration(mark.ForMs) * time.Millisecond),
+		})
+	}
+	return share, nil
+}
+
+func encodePlaced(placed spoke.PlacedPrompt) placedRow {
+	row := placedRow{ID: string(placed.Upstream)}
+	for _, prefix := range placed.Prefixes {
+		row.Prefixes = append(row.Prefixes, [3]uint64{uint64(prefix.Key), uint64(prefix.Part), uint64(prefix.Total)})
+	}
+	return row
+}
+
+func decodePlaced(row placedRow) spoke.PlacedPrompt {
+	placed := spoke.PlacedPrompt{Upstream: spoke.UpstreamID(row.ID)}
+	for _, prefix := range row.Prefixes {
+		placed.Prefixes = append(placed.Prefixes, spoke.PromptPrefix{
+			Key: spoke.PrefixKey(prefix[0]), Part: spoke.TokenCount(prefix[1]), Total: spoke.TokenCount(prefix[2]),
+		})
+	}
+	return placed
+}
+
+func put[K comparable, V any](target map[K]V, key K, value V) map[K]V {
+	if target == nil {
+		target = make(map[K]V)
+	}
+	target[key] = value
+	return target
+}
--- /dev/null
+++ b/place/budget.go
@@ -0,0 +1,56 @@
+package place
+
+import "time"
+
+// budgetSlots divides the window of the retry budget.
+const budgetSlots = 10
+
+type (
+	// counter counts events in a sliding window.
+	counter struct {
+		width time.Duration
+		slots [budgetSlots]int
+		// at is the number of the newest slot since the zero time.
+		at int64
+	}
+
+	// budget bounds the repeated sendings of one service by this host, so that all hosts
+	// together stay inside the bound when all of them use theirs up at once.
+	budget struct {
+		calls   counter
+		repeats counter
+	}
+)
+
+func newBudget(window time.Duration) *budget {
+	width := window / budgetSlots
+	return &budget{calls: counter{width: width}, repeats: counter{width: width}}
+}
+
+// allows reports whether one more repeat stays inside the share of calls plus the reserve.
+func (b *budget) allows(now time.Time, share, reserve float64) bool {
+	return float64(b.repeats.sum(now))+1 <= share*float64(b.calls.sum(now))+reserve
+}
+
+func (c *counter) add(now time.Time) {
+	c.move(now)
+	c.slots[c.at%budgetSlots]++
+}
+
+func (c *counter) sum(now time.Time) int {
+	c.move(now)
+	total := 0
+	for _, count := range c.slots {
+		total += count
+	}
+	return total
+}
+
+// move clears the slots that have left the window.
+func (c *counter) move(now time.Time) {
+	current := now.UnixNano() / int64(c.width)
+	for step := max(c.at+1, current-budgetSlots+1); step <= current; step++ {
+		c.slots[step%budgetSlots] = 0
+	}
+	c.at = max(c.at, current)
+}
--- /dev/null
+++ b/place/choose.go
@@ -0,0 +1,170 @@
+package place
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"magnoliaspoke.example/spoke"
+)
+
+// candidate is an upstream that could take a call now.
+type candidate struct {
+	node    *node
+	weights spoke.WeightVersion
+	cached  spoke.TokenCount
+	// first is the expected time to the first event, ordinary the same at the usual pace.
+	first    time.Duration
+	ordinary time.Duration
+	cost     time.Duration
+}
+
+// choose returns the upstream that serves the call at the lowest cost, if one may take it now.
+func (s *Scheduler) choose(now time.Time, w *waiting) (candidate, bool) {
+	var best candidate
+	found := false
+	home := s.home(w)
+	for _, n := range s.byService[w.ask.Service] {
+		if !n.isUsable(now) || slices.Contains(w.ask.Tried, n.listed.ID) {
+			continue
+		}
+		c, ok := s.consider(now, w, n)
+		if !ok {
+			continue
+		}
+		if n == home {
+			c.cost -= homeBonus
+		}
+		if !found || c.cost < best.cost {
+			best, found = c, true
+		}
+	}
+	return best, found
+}
+
+func (s *Scheduler) consider(now time.Time, w *waiting, n *node) (candidate, bool) {
+	c := candidate{node: n}
+	if n.listed.DataCentre != s.settings.DataCentre {
+		c.cost += remoteCost
+	}
+	c.cost += time.Duration(n.failureRate(now) * float64(failureCost))
+	if w.ask.Prompt == nil {
+		return considerPlain(w, n, c)
+	}
+	weightsCost, ok := s.weightsOf(now, w.ask.Prompt.Model, n, &c)
+	if !ok {
+		return c, false
+	}
+	c.cost += weightsCost
+	return s.considerEngine(now, w, n, c)
+}
+
+// weightsOf sets the version that the call would meet; versions that were replaced some
+// time ago must not be used any more.
+func (s *Scheduler) weightsOf(now time.Time, model spoke.ModelName, n *node, c *candidate) (time.Duration, bool) {
+	c.weights = n.weights[model]
+	want := s.wanted[model]
+	if c.weights == 0 {
+		return 0, false
+	}
+	if c.weights >= want.version {
+		return 0, true
+	}
+	age := now.Sub(want.since)
+	switch {
+	case age > s.settings.WeightsApply-weightsMargin:
+		return 0, false
+	case age > newWeightsGrace:
+		return oldWeightsCost, true
+	}
+	return 0, true
+}
+
+func considerPlain(w *waiting, n *node, c candidate) (candidate, bool) {
+	total := n.totals().Runs
+	slots := max(n.listed.Slots, 1)
+	most := slots + int(plainQueue*float64(slots))
+	if total >= most {
+		return c, false
+	}
+	ahead := max(total-slots+1, 0)
+	c.first = n.serviceTime + time.Duration(ahead)*n.serviceTime/time.Duration(slots)
+	c.ordinary = c.first
+	c.cost += c.first + time.Duration(total)*n.serviceTime/time.Duration(8*slots)
+	return c, true
+}
+
+func (s *Scheduler) considerEngine(now time.Time, w *waiting, n *node, c candidate) (candidate, bool) {
+	prompt := w.ask.Prompt
+	total := n.totals()
+	if total.Runs >= n.listed.Slots {
+		return c, false
+	}
+	need := prompt.Input + expectedOutput(prompt)
+	room := float64(s.capacity(w.ask.Service))
+	if w.ask.Urgency == 0 {
+		room *= urgentMemoryShare
+	} else {
+		room *= memoryShare
+	}
+	if total.Runs > 0 && float64(total.Memory+need) > room {
+		return c, false
+	}
+	prefixes := w.prefixesFor(c.weights)
+	c.cached = min(n.cache.cached(prefixes), prompt.Input)
+	read := readTime(prompt.Input-c.cached, n.pace)
+	saved := readTime(c.cached, n.pace)
+	behind := readTime(n.backlog(now, total.Unread, defaultReadRate/n.pace), n.pace)
+	if behind > s.allowedBacklog(w.ask)+saved/2 {
+		return c, false
+	}
+	c.first = behind + read + stepTime
+	c.ordinary = readTime(total.Unread+prompt.Input-c.cached, 1) + stepTime
+	c.cost += behind + read + time.Duration(readCost*float64(read)) + time.Duration(total.Runs)*time.Millisecond
+	return c, true
+}
+
+// allowedBacklog is the time that a call may wait inside an engine. Less urgent calls wait
+// in the host's queue, where urgent ones can still overtake them.
+func (s *Scheduler) allowedBacklog(m Ask) time.Duration {
+	target := m.Target.Sub(m.Arrived)
+	if m.Urgency == 0 {
+		return time.Duration(urgentBacklogShare * float64(target))
+	}
+	if m.Urgency == 1 {
+		return time.Duration(backlogShare * float64(target))
+	}
+	return min(time.Duration(backlogShare*float64(target)), longestBacklog)
+}
+
+func (w *waiting) prefixesFor(version spoke.WeightVersion) []spoke.PromptPrefix {
+	prefixes, ok := w.prefixes[version]
+	if !ok {
+		prefixes = prefixesOf(w.ask.Group, w.ask.Prompt, version)
+		w.prefixes[version] = prefixes
+	}
+	return prefixes
+}
+
+// home returns the engine where prompts with the same shared parts meet by rendezvous hashing.
+func (s *Scheduler) home(w *waiting) *node {
+	prompt := w.ask.Prompt
+	if prompt == nil || len(prompt.Parts) < 2 {
+		return nil
+	}
+	shared := string(prompt.Parts[len(prompt.Parts)-2].ID)
+	var best *node
+	var bestWeight uint64
+	for _, n := range s.byService[w.ask.Service] {
+		weight := xxhash.Sum64String(shared + "/" + string(n.listed.ID))
+		if best == nil || weight > bestWeight {
+			best, bestWeight = n, weight
+		}
+	}
+	return best
+}
+
+func readTime(tokens spoke.TokenCount, pace float64) time.Duration {
+	return time.Duration(float64(tokens) / defaultReadRate * pace * float64(time.Millisecond))
+}
--- /dev/null
+++ b/place/messages.go
@@ -0,0 +1,165 @@
+package place
+
+import (
+	"time"
+
+	"magnoliaspoke.example/spoke"
+)
+
+const (
+	// EndServed is an answer that the upstream made in full.
+	EndServed Ending = iota
+	// EndRefused is a statement of the upstream that it did not run the call.
+	EndRefused
+	// EndFailed is an upstream's own failure.
+	EndFailed
+	// EndBroken is a connection that broke or an answer that belongs to another call.
+	EndBroken
+	// EndUnreached is a connection that could not be made.
+	EndUnreached
+	// EndCancelled is a call whose caller left or whose time is over.
+	EndCancelled
+	// EndElsewhere is a statement of the upstream that it is another one or has other weights.
+	EndElsewhere
+)
+
+const (
+	// RefusedOverload means that the call could not be served in time.
+	RefusedOverload Reason = "overloaded"
+	// RefusedNoUpstream means that no usable upstream is known.
+	RefusedNoUpstream Reason = "no-upstream"
+	// RefusedBudget means that the retry budget is used up.
+	RefusedBudget Reason = "retry-budget"
+	// RefusedTime means that the call's time is over.
+	RefusedTime Reason = "deadline"
+	// RefusedWeights means that no engine serves weights that may still be used.
+	RefusedWeights Reason = "weights"
+)
+
+type (
+	// Ending says how an attempt ended.
+	Ending int
+	// Reason says why a call was refused.
+	Reason string
+
+	// Message is an input of a Scheduler.
+	Message interface{ isMessage() }
+
+	// Ask wants an upstream for a call.
+	Ask struct {
+		Call    spoke.CallNumber
+		Service spoke.ServiceName
+		// Prompt is nil for calls of plain services.
+		Prompt *spoke.PromptShape
+		// Group separates the cached prompt parts of workspaces.
+		Group   string
+		Urgency spoke.Priority
+		// Arrived is when the caller's request was read.
+		Arrived time.Time
+		// Target is when an answer stops to have its full worth.
+		Target time.Time
+		// GiveUp is when the call ends without an answer.
+		GiveUp time.Time
+		// Tried lists the upstreams that had the call before.
+		Tried []spoke.UpstreamID
+		// IsRepeat says that an upstream has had the call, which draws on the retry budget.
+		IsRepeat bool
+	}
+
+	// Leave withdraws a call that waits.
+	Leave struct{ Call spoke.CallNumber }
+
+	// Began reports the first event or the head of the answer.
+	Began struct {
+		Call    spoke.CallNumber
+		Load    *spoke.UpstreamLoad
+		Weights spoke.WeightVersion
+	}
+
+	// Ended reports the end of an attempt.
+	Ended struct {
+		Call    spoke.CallNumber
+		Ending  Ending
+		Load    *spoke.UpstreamLoad
+		Weights spoke.WeightVersion
+	}
+
+	// SetTable takes the services of a routing table.
+	SetTable struct {
+		Services map[spoke.ServiceName]spoke.ServedService
+	}
+
+	// SetUpstreams takes changes of the list of upstreams.
+	SetUpstreams struct {
+		IsWhole bool
+		Listed  []spoke.ListedUpstream
+		Gone    []spoke.UpstreamID
+	}
+
+	// SetWeights takes a wanted weight version and the time at which it was learned.
+	SetWeights struct{ Wanted spoke.WantedWeights }
+
+	// SeeWeights reports the weights that an engine was seen to serve.
+	SeeWeights struct {
+		Upstream spoke.UpstreamID
+		Weights  spoke.ListedWeights
+	}
+
+	// Pause keeps new calls from an engine for a time; zero ends the pause.
+	Pause struct {
+		Upstream spoke.UpstreamID
+		For      time.Duration
+	}
+
+	// Hear takes the account of another host.
+	Hear struct{ Share spoke.LoadShare }
+
+	// ForgetPeer drops the account of a host that has left.
+	ForgetPeer struct{ Host spoke.HostID }
+
+	// Tick lets time pass.
+	Tick struct{}
+
+	// Action is an output of a Scheduler.
+	Action interface{ isAction() }
+
+	// Grant gives a call to an upstream.
+	Grant struct {
+		Call     spoke.CallNumber
+		Upstream spoke.ListedUpstream
+		Weights  spoke.WeightVersion
+		// Cached is the part of the prompt that the engine is expected to have read before.
+		Cached spoke.TokenCount
+		// Predicted is the expected time to the first event.
+		Predicted time.Duration
+		// Waited is the time since the call arrived.
+		Waited  time.Duration
+		Urgency spoke.Priority
+	}
+
+	// Refuse turns a call away.
+	Refuse struct {
+		Call   spoke.CallNumber
+		Reason Reason
+		// RetryAfter is when the call is likely to be served.
+		RetryAfter time.Duration
+		// Backlog is the time that the work ahead is expected to take.
+		Backlog time.Duration
+	}
+)
+
+func (Ask) isMessage()          {}
+func (Leave) isMessage()        {}
+func (Began) isMessage()        {}
+func (Ended) isMessage()        {}
+func (SetTable) isMessage()     {}
+func (SetUpstreams) isMessage() {}
+func (SetWeights) isMessage()   {}
+func (SeeWeights) isMessage()   {}
+func (Pause) isMessage()        {}
+func (Hear) isMessage()         {}
+func (ForgetPeer) isMessage()   {}
+func (Tick) isMessage()         {}
+
+func (Grant) isAction()  {}
+func (Refuse) isAction() {}
--- /dev/null
+++ b/place/node.go
@@ -0,0 +1,172 @@
+package place
+
+import (
+	"time"
+
+	"magnoliaspoke.example/spoke"
+)
+
+const (
+	// failureWeight is the part of the newest attempt in an upstream's failure rate.
+	failureWeight = 0.15
+	// failureFade is the time in which an upstream's failure rate halves without attempts.
+	failureFade = 3 * time.Second
+	// firstPause and longestPause bound how long an upstream that cannot be reached gets no calls.
+	firstPause   = 300 * time.Millisecond
+	longestPause = 3 * time.Second
+	// paceWeight is the part of the newest observation in an upstream's pace.
+	paceWeight             = 0.1
+	slowestPace            = 8.0
+	fastestPace            = 0.5
+	readDone               = 0.05
+	refusedFailure         = 0.5
+	ownFailure             = 0.3
+	certainFailure         = 1.0
+	shortestServiceTime    = time.Millisecond
+	defaultPlainService    = 50 * time.Millisecond
+	leastPredictedForPace  = 5 * time.Millisecond
+	longestObservedService = 5 * time.Second
+)
+
+type (
+	// running is a call that this host has at an upstream.
+	running struct {
+		ask       Ask
+		node      *node
+		sent      time.Time
+		unread    spoke.TokenCount
+		memory    spoke.TokenCount
+		predicted time.Duration
+		hasBegun  bool
+	}
+
+	// node is what is known of one upstream.
+	node struct {
+		listed spoke.ListedUpstream
+		runs   map[spoke.CallNumber]*running
+		peers  map[spoke.HostID]spoke.UpstreamShare
+		cache  *memory
+		// weights may be newer than what the directory lists.
+		weights map[spoke.ModelName]spoke.WeightVersion
+		// progress is when the engine last finished reading a prompt or began to read.
+		progress time.Time
+		// pace is how many times slower than usual the upstream reads or serves.
+		pace        float64
+		serviceTime time.Duration
+		failures    float64
+		failedAt    time.Time
+		pause       time.Duration
+		pausedUntil time.Time
+		// heldUntil keeps calls away while weights are loaded.
+		heldUntil time.Time
+	}
+)
+
+func newNode(listed spoke.ListedUpstream, capacity spoke.TokenCount) *node {
+	n := &node{
+		runs:  make(map[spoke.CallNumber]*running),
+		peers: make(map[spoke.HostID]spoke.UpstreamShare),
+		cache: newMemory(capacity), weights: make(map[spoke.ModelName]spoke.WeightVersion),
+		pace: 1, serviceTime: defaultPlainService,
+	}
+	n.list(listed)
+	return n
+}
+
+// list takes a newer entry of the directory.
+func (n *node) list(listed spoke.ListedUpstream) {
+	n.listed = listed
+	for model, version := range listed.Weights {
+		n.seeWeights(model, version)
+	}
+}
+
+// seeWeights takes a version that the engine serves; reports lag, so lower ones are old news.
+func (n *node) seeWeights(model spoke.ModelName, version spoke.WeightVersion) {
+	if version <= n.weights[model] {
+		return
+	}
+	if n.weights[model] != 0 {
+		n.cache.clear()
+	}
+	n.weights[model] = version
+}
+
+func (n *node) totals() spoke.UpstreamShare {
+	total := n.own()
+	for _, share := range n.peers {
+		total.Unread += share.Unread
+		total.Memory += share.Memory
+		total.Runs += share.Runs
+	}
+	return total
+}
+
+// own sums up the work of this host.
+func (n *node) own() spoke.UpstreamShare {
+	share := spoke.UpstreamShare{Upstream: n.listed.ID, Runs: len(n.runs)}
+	for _, run := range n.runs {
+		share.Memory += run.memory
+		if !run.hasBegun {
+			share.Unread += run.unread
+		}
+	}
+	return share
+}
+
+// backlog returns the tokens that the engine still has to read, less what it should have
+// read since its last sign of progress.
+func (n *node) backlog(now time.Time, unread spoke.TokenCount, pace float64) spoke.TokenCount {
+	if unread == 0 {
+		return 0
+	}
+	read := spoke.TokenCount(float64(now.Sub(n.progress)) / float64(time.Millisecond) * pace)
+	return max(unread-read, spoke.TokenCount(readDone*float64(unread)))
+}
+
+func (n *node) isUsable(now time.Time) bool {
+	return !n.listed.IsLeaving && !now.Before(n.pausedUntil) && !now.Before(n.heldUntil)
+}
+
+// failureRate fades, so that an upstream gets calls again some time after it failed.
+func (n *node) failureRate(now time.Time) float64 {
+	age := now.Sub(n.failedAt)
+	return n.failures / (1 + float64(age)/float64(failureFade))
+}
+
+func (n *node) observe(now time.Time, run *running, ending Ending) {
+	failure := 0.0
+	switch ending {
+	case EndServed:
+		n.pause = 0
+		n.observeService(now.Sub(run.sent))
+	case EndRefused:
+		failure = refusedFailure
+	case EndFailed:
+		failure = ownFailure
+	case EndBroken:
+		failure = certainFailure
+	case EndUnreached:
+		failure = certainFailure
+		n.pause = min(max(2*n.pause, firstPause), longestPause)
+		n.pausedUntil = now.Add(n.pause)
+	default:
+		return
+	}
+	n.failures = (1-failureWeight)*n.failureRate(now) + failureWeight*failure
+	n.failedAt = now
+}
+
+func (n *node) observeService(took time.Duration) {
+	took = min(max(took, shortestServiceTime), longestObservedService)
+	n.serviceTime += time.Duration(paceWeight * float64(took-n.serviceTime))
+}
+
+// observePace compares the time to the first event with its prediction at the usual pace.
+func (n *node) observePace(took, predicted time.Duration) {
+	if predicted < leastPredictedForPace {
+		return
+	}
+	ratio := min(max(n.pace*float64(took)/float64(predicted), fastestPace), slowestPace)
+	n.pace += paceWeight * (ratio - n.pace)
+}
--- /dev/null
+++ b/place/options.go
@@ -0,0 +1,66 @@
+package place
+
+import (
+	"time"
+
+	"magnoliaspoke.example/spoke"
+)
+
+const (
+	// defaultReadRate is the number of prompt tokens that an engine at usual pace reads in a
+	// millisecond; the pace of each engine corrects it.
+	defaultReadRate = 80.0
+	// stepTime is the time between the end of reading and the first event.
+	stepTime = 10 * time.Millisecond
+	// remoteCost is the cost of sending to another data centre, in time of the caller.
+	remoteCost = 4 * time.Millisecond
+	// failureCost is the cost of an upstream that always fails.
+	failureCost = 600 * time.Millisecond
+	// oldWeightsCost is the cost of weights that are about to be replaced.
+	oldWeightsCost = 120 * time.Millisecond
+	// newWeightsGrace is the time in which older weights cost nothing.
+	newWeightsGrace = time.Second
+	// homeBonus keeps prompts with a common prefix together while no engine has it.
+	homeBonus = 8 * time.Millisecond
+	// readCost weighs the time that reading takes from other calls against this call's own wait.
+	readCost = 1.0
+
+	// memoryShare leaves room for output that is longer than expected; urgent calls may use it.
+	memoryShare       = 0.88
+	urgentMemoryShare = 0.98
+	// backlogShare is the part of its target that a call may wait inside an engine.
+	urgentBacklogShare = 0.5
+	backlogShare       = 0.25
+	// longestBacklog keeps less urgent work out of engines until they are about to be idle, so
+	// that urgent work that arrives meanwhile need not wait behind it.
+	longestBacklog = 45 * time.Millisecond
+	// plainQueue is the part of its slots that a plain upstream may have waiting.
+	plainQueue = 0.34
+
+	// longestWaitShare is the part of a call's time that it may be expected to wait.
+	longestWaitShare = 0.4
+	shortestRetry    = 150 * time.Millisecond
+	longestRetry     = 4 * time.Second
+	// peerSilence is the time after which the account of a silent host counts no more.
+	peerSilence = 3 * time.Second
+	// scanLimit bounds the calls that one pass over a queue looks at.
+	scanLimit = 48
+	// safeRetries leaves room for repeats that other hosts make at the same time.
+	safeRetries = 0.7
+	// weightsMargin is the time before the limit at which older weights are given up.
+	weightsMargin = 700 * time.Millisecond
+)
+
+type (
+	// Settings are the bounds of a Scheduler.
+	Settings struct {
+		Host       spoke.HostID
+		DataCentre spoke.DataCentreID
+		// RetryShare, RetryReserve and RetryWindow bound repeats over all hosts.
+		RetryShare   float64
+		RetryReserve float64
+		RetryWindow  time.Duration
+		// WeightsApply is the time after which older weights must not be used.
+		WeightsApply time.Duration
+	}
+)
--- /dev/null
+++ b/place/prefix.go
@@ -0,0 +1,86 @@
+package place
+
+import (
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
+	"magnoliaspoke.example/spoke"
+)
+
+// mostPrefixes bounds the entries of one engine whatever their size.
+const mostPrefixes = 4096
+
+// memory estimates which prompt prefixes an engine has cached; the engine's own choice is
+// to drop the least recently used parts.
+type memory struct {
+	capacity spoke.TokenCount
+	used     spoke.TokenCount
+	parts    *simplelru.LRU[spoke.PrefixKey, spoke.TokenCount]
+}
+
+// CacheGroup returns the text under which an engine caches the parts of a workspace.
+func CacheGroup(owner spoke.KeyOwner, version spoke.WeightVersion) string {
+	group := "shared"
+	if owner.IsIsolated {
+		group = "only-" + string(owner.Workspace)
+	}
+	return group + "-" + strconv.FormatInt(int64(version), 10)
+}
+
+// prefixesOf returns the prefixes of a prompt, the shortest first.
+func prefixesOf(group string, prompt *spoke.PromptShape, version spoke.WeightVersion) []spoke.PromptPrefix {
+	if prompt == nil {
+		return nil
+	}
+	digest := xxhash.New()
+	_, _ = digest.WriteString(group + "\n" + string(prompt.Model) + "\n" + strconv.FormatInt(int64(version), 10))
+	prefixes := make([]spoke.PromptPrefix, 0, len(prompt.Parts))
+	var total spoke.TokenCount
+	for _, part := range prompt.Parts {
+		_, _ = digest.WriteString("\n" + string(part.ID))
+		total += part.Tokens
+		prefixes = append(prefixes, spoke.PromptPrefix{Key: spoke.PrefixKey(digest.Sum64()), Part: part.Tokens, Total: total})
+	}
+	return prefixes
+}
+
+func newMemory(capacity spoke.TokenCount) *memory {
+	m := &memory{capacity: capacity}
+	parts, err := simplelru.NewLRU[spoke.PrefixKey, spoke.TokenCount](mostPrefixes, m.evicted)
+	if err != nil {
+		panic(err) // Only a size below one fails.
+	}
+	m.parts = parts
+	return m
+}
+
+func (m *memory) evicted(_ spoke.PrefixKey, tokens spoke.TokenCount) { m.used -= tokens }
+
+// cached returns how much of the prompt the engine is expected to hold.
+func (m *memory) cached(prefixes []spoke.PromptPrefix) spoke.TokenCount {
+	var held spoke.TokenCount
+	for _, prefix := range prefixes {
+		if !m.parts.Contains(prefix.Key) {
+			break
+		}
+		held = prefix.Total
+	}
+	return held
+}
+
+// add notes that the engine reads the prompt while its runs take the given tokens.
+func (m *memory) add(prefixes []spoke.PromptPrefix, running spoke.TokenCount) {
+	for _, prefix := range prefixes {
+		if _, held := m.parts.Get(prefix.Key); !held {
+			m.used += prefix.Part
+			m.parts.Add(prefix.Key, prefix.Part)
+		}
+	}
+	for m.used > max(m.capacity-running, 0) && m.parts.Len() > 0 {
+		m.parts.RemoveOldest()
+	}
+}
+
+func (m *memory) clear() { m.parts.Purge() }
--- /dev/null
+++ b/place/refuse.go
@@ -0,0 +1,104 @@
+package place
+
+import (
+	"slices"
+	"time"
+
+	"magnoliaspoke.example/spoke"
+)
+
+// hopeless returns why a call cannot be served in time, or nothing.
+func (s *Scheduler) hopeless(now time.Time, w *waiting) Reason {
+	m := w.ask
+	if !now.Before(m.GiveUp) {
+		return RefusedTime
+	}
+	if !s.hasUpstream(m) {
+		return RefusedNoUpstream
+	}
+	if m.Prompt != nil && !s.hasWeights(now, m) {
+		return RefusedWeights
+	}
+	left := m.GiveUp.Sub(now)
+	if s.backlog(now, m) > time.Duration(longestWaitShare*float64(left)) {
+		return RefusedOverload
+	}
+	return ""
+}
+
+// hasUpstream reports whether an upstream may take the call now or soon.
+func (s *Scheduler) hasUpstream(m Ask) bool {
+	for _, n := range s.byService[m.Service] {
+		if !n.listed.IsLeaving && !slices.Contains(m.Tried, n.listed.ID) {
+			return true
+		}
+	}
+	return false
+}
+
+// hasWeights reports whether an engine serves weights that may be used, or is about to.
+func (s *Scheduler) hasWeights(now time.Time, m Ask) bool {
+	for _, n := range s.byService[m.Service] {
+		if now.Before(n.heldUntil) {
+			return true
+		}
+		var c candidate
+		if _, ok := s.weightsOf(now, m.Prompt.Model, n, &c); ok {
+			return true
+		}
+	}
+	return false
+}
+
+// backlog is the time until the service has done the work that goes before the call.
+func (s *Scheduler) backlog(now time.Time, m Ask) time.Duration {
+	if m.Prompt == nil {
+		return s.plainBacklog(m)
+	}
+	var ahead spoke.TokenCount
+	for _, w := range s.queues[m.Service] {
+		if w.ask.Urgency <= m.Urgency && w.ask.Prompt != nil {
+			ahead += w.ask.Prompt.Input
+		}
+	}
+	for _, other := range s.peers {
+		ahead += other.waiting[m.Service]
+	}
+	rate := 0.0
+	for _, n := range s.byService[m.Service] {
+		if n.listed.IsLeaving {
+			continue
+		}
+		rate += defaultReadRate / n.pace
+		ahead += n.backlog(now, n.totals().Unread, defaultReadRate/n.pace)
+	}
+	if rate == 0 {
+		return 0
+	}
+	return time.Duration(float64(ahead) / rate * float64(time.Millisecond))
+}
+
+func (s *Scheduler) plainBacklog(m Ask) time.Duration {
+	waiting := spoke.TokenCount(len(s.queues[m.Service]))
+	for _, other := range s.peers {
+		waiting += other.waiting[m.Service]
+	}
+	rate := 0.0
+	for _, n := range s.byService[m.Service] {
+		if !n.listed.IsLeaving {
+			rate += float64(n.listed.Slots) / float64(n.serviceTime)
+		}
+	}
+	if rate == 0 {
+		return 0
+	}
+	return time.Duration(float64(waiting) / rate)
+}
+
+func (s *Scheduler) refuse(now time.Time, m Ask, reason Reason) {
+	behind := s.backlog(now, m)
+	s.actions = append(s.actions, Refuse{
+		Call: m.Call, Reason: reason, Backlog: behind,
+		RetryAfter: min(max(behind, shortestRetry), longestRetry),
+	})
+}
--- /dev/null
+++ b/place/report.go
@@ -0,0 +1,154 @@
+package place
+
+import (
+	"maps"
+	"time"
+
+	"magnoliaspoke.example/spoke"
+)
+
+// mostPlaced bounds the prompts that one account names.
+const mostPlaced = 64
+
+// report collects what other hosts should hear.
+type report struct {
+	host    spoke.HostID
+	number  uint64
+	changes map[spoke.UpstreamID]*node
+	prompts []spoke.PlacedPrompt
+	pauses  map[spoke.UpstreamID]time.Duration
+	weights map[spoke.UpstreamID]spoke.ListedWeights
+}
+
+func newReport(host spoke.HostID) report {
+	return report{
+		host:    host,
+		changes: make(map[spoke.UpstreamID]*node),
+		pauses:  make(map[spoke.UpstreamID]time.Duration),
+		weights: make(map[spoke.UpstreamID]spoke.ListedWeights),
+	}
+}
+
+func (r *report) changed(n *node) { r.changes[n.listed.ID] = n }
+
+func (r *report) placed(n *node, prefixes []spoke.PromptPrefix) {
+	if len(r.prompts) < mostPlaced && len(prefixes) > 0 {
+		r.prompts = append(r.prompts, spoke.PlacedPrompt{Upstream: n.listed.ID, Prefixes: prefixes})
+	}
+}
+
+func (r *report) paused(id spoke.UpstreamID, pause time.Duration) { r.pauses[id] = pause }
+
+func (r *report) saw(id spoke.UpstreamID, seen spoke.ListedWeights) { r.weights[id] = seen }
+
+// HasNews reports whether other hosts should hear of changes.
+func (s *Scheduler) HasNews() bool {
+	return len(s.report.changes)+len(s.report.pauses)+len(s.report.weights) > 0
+}
+
+// Account returns what changed since the last account, or all of this host's work.
+func (s *Scheduler) Account(isWhole bool) spoke.LoadShare {
+	s.report.number++
+	share := spoke.LoadShare{
+		Host: s.report.host, Number: s.report.number, IsWhole: isWhole,
+		Waiting: s.waitingTokens(), Placed: s.report.prompts,
+		Paused: maps.Clone(s.report.pauses), Weights: maps.Clone(s.report.weights),
+	}
+	nodes := s.report.changes
+	if isWhole {
+		nodes = s.nodes
+	}
+	for _, n := range nodes {
+		if own := n.own(); own.Runs > 0 || !isWhole {
+			share.Upstreams = append(share.Upstreams, own)
+		}
+	}
+	clear(s.report.changes)
+	clear(s.report.pauses)
+	clear(s.report.weights)
+	s.report.prompts = nil
+	return share
+}
+
+// waitingTokens sums up what waits by service; calls of plain services count as one each.
+func (s *Scheduler) waitingTokens() map[spoke.ServiceName]spoke.TokenCount {
+	tokens := make(map[spoke.ServiceName]spoke.TokenCount)
+	for service, queue := range s.queues {
+		for _, w := range queue {
+			if w.ask.Prompt == nil {
+				tokens[service]++
+			} else {
+				tokens[service] += w.ask.Prompt.Input
+			}
+		}
+	}
+	return tokens
+}
+
+// hear takes the account of another host; one that was overtaken is old.
+func (s *Scheduler) hear(now time.Time, share spoke.LoadShare) {
+	known := s.peers[share.Host]
+	if known == nil {
+		known = &peer{}
+		s.peers[share.Host] = known
+	}
+	if share.Number <= known.number && now.Sub(known.heard) < peerSilence {
+		return
+	}
+	known.heard, known.number, known.waiting = now, share.Number, share.Waiting
+	if share.IsWhole {
+		s.forgetShares(share.Host)
+	}
+	for _, upstream := range share.Upstreams {
+		if n := s.nodes[upstream.Upstream]; n != nil {
+			n.hear(now, share.Host, upstream)
+		}
+	}
+	for _, placed := range share.Placed {
+		if n := s.nodes[placed.Upstream]; n != nil {
+			n.cache.add(placed.Prefixes, n.totals().Memory)
+		}
+	}
+	s.hearState(now, share)
+}
+
+func (s *Scheduler) hearState(now time.Time, share spoke.LoadShare) {
+	for id, pause := range share.Paused {
+		if n := s.nodes[id]; n != nil {
+			n.heldUntil = now.Add(pause)
+		}
+	}
+	for id, seen := range share.Weights {
+		if n := s.nodes[id]; n != nil {
+			n.seeWeights(seen.Model, seen.Version)
+		}
+	}
+}
+
+// hear takes another host's work; less to read than before is a sign of progress.
+func (n *node) hear(now time.Time, host spoke.HostID, share spoke.UpstreamShare) {
+	before := n.peers[host]
+	if share.Unread < before.Unread || n.totals().Unread == 0 {
+		n.progress = now
+	}
+	n.peers[host] = share
+}
+
+func (s *Scheduler) forgetPeer(host spoke.HostID) {
+	delete(s.peers, host)
+	s.forgetShares(host)
+}
+
+func (s *Scheduler) forgetShares(host spoke.HostID) {
+	for _, n := range s.nodes {
+		delete(n.peers, host)
+	}
+}
+
+func (s *Scheduler) dropSilent(now time.Time) {
+	for host, known := range s.peers {
+		if now.Sub(known.heard) > peerSilence {
+			s.forgetPeer(host)
+		}
+	}
+}
--- /dev/null
+++ b/placement.go
@@ -0,0 +1,59 @@
+package spoke
+
+import "time"
+
+type (
+	// CallNumber numbers the calls of one host while they wait and run.
+	CallNumber uint64
+
+	// PrefixKey identifies a prompt prefix within its cache group and weight version.
+	PrefixKey uint64
+
+	// PromptPrefix is the beginning of a prompt up to and including one part.
+	PromptPrefix struct {
+		Key PrefixKey
+		// Part is the size of the last part alone.
+		Part TokenCount
+		// Total is the size of all parts up to this one.
+		Total TokenCount
+	}
+
+	// PlacedPrompt tells other hosts which prefixes an engine has read or is about to read.
+	PlacedPrompt struct {
+		Upstream UpstreamID
+		Prefixes []PromptPrefix
+	}
+
+	// UpstreamShare is what one host has under way at an upstream.
+	UpstreamShare struct {
+		Upstream UpstreamID
+		// Unread counts the prompt tokens of calls that have no first event yet.
+		Unread TokenCount
+		// Memory counts the tokens that the running calls take in the engine.
+		Memory TokenCount
+		Runs   int
+	}
+
+	// LoadShare is one host's account of its own work, as sent to its peers.
+	LoadShare struct {
+		Host HostID
+		// Number orders the accounts of one process.
+		Number uint64
+		// IsWhole says that upstreams which are not named have no work of this host.
+		IsWhole   bool
+		Upstreams []UpstreamShare
+		// Waiting counts the prompt tokens that wait at the host by service.
+		Waiting map[ServiceName]TokenCount
+		Placed  []PlacedPrompt
+		// Paused holds engines that load weights and should get no new work for the time.
+		Paused  map[UpstreamID]time.Duration
+		Weights map[UpstreamID]ListedWeights
+		Marks   []QuarantineMark
+	}
+
+	// ListedWeights is a weight version that an engine was seen to serve.
+	ListedWeights struct {
+		Model   ModelName
+		Version WeightVersion
+	}
+)
--- /dev/null
+++ b/routes.go
@@ -0,0 +1,131 @@
+package spoke
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+)
+
+const (
+	// RuleRepeatable marks calls that may run any number of times.
+	RuleRepeatable RunRule = "repeatable"
+	// RuleOnce marks calls that may run at most once for each attempt of the caller.
+	RuleOnce RunRule = "once"
+	// RuleStream marks calls whose answer is a stream of events; without resume they run at most once.
+	RuleStream RunRule = "stream"
+)
+
+type (
+	// RouteName names a route of the routing table.
+	RouteName string
+	// RunRule says how often a call of a route may run and what form its answer has.
+	RunRule string
+	// TableVersion orders routing tables; zero means that none is known.
+	TableVersion uint64
+	// WeightVersion orders the weights of a model; zero means unknown.
+	WeightVersion int64
+
+	// ServiceShare is the part of a route's calls that a service gets, relative to the other shares.
+	ServiceShare struct {
+		Service ServiceName
+		Weight  int
+	}
+
+	// Route tells where the calls of a host name and path prefix go and what they are owed.
+	Route struct {
+		Name     RouteName
+		HostName string
+		Prefix   string
+		Rule     RunRule
+		// Timeout is the longest time that a call is kept waiting; zero means no limit.
+		Timeout time.Duration
+		// Target is the time within which an answer has its full worth.
+		Target time.Duration
+		// GapTarget is the longest pause between two events of a stream that is on time.
+		GapTarget time.Duration
+		Urgency   Priority
+		// MaxUpstreams is the number of upstreams to which one call may be sent.
+		MaxUpstreams int
+		// IsOpen lets callers in without an API key.
+		IsOpen bool
+		// IsPrompt marks calls that describe a prompt in their header.
+		IsPrompt    bool
+		IsResumable bool
+		Services    []ServiceShare
+	}
+
+	// EngineProfile is what the engines of a service have in common; plain services have none.
+	EngineProfile struct {
+		Slots         int
+		CacheCapacity TokenCount
+		TokenSize     ByteSize
+	}
+
+	// ServedService is a service of the routing table.
+	ServedService struct {
+		Name           ServiceName
+		MaxConnections int
+		// Engine is nil for plain services.
+		Engine *EngineProfile
+	}
+
+	// KeyOwner is a workspace and its API keys.
+	KeyOwner struct {
+		Workspace  WorkspaceID
+		IsIsolated bool
+		// Urgency replaces the route's urgency if HasUrgency is set.
+		Urgency    Priority
+		HasUrgency bool
+	}
+
+	// CallerLimits bound what a caller may send and how long it may take; zero means no limit.
+	CallerLimits struct {
+		Header        ByteSize
+		Body          ByteSize
+		HeaderTimeout time.Duration
+		IdleTimeout   time.Duration
+	}
+
+	// RoutingTable is one version of the configuration that operators publish; it never changes.
+	RoutingTable struct {
+		Version  TableVersion
+		Routes   []Route
+		Services map[ServiceName]ServedService
+		// Owners maps API keys to their workspaces; without entries no call needs a key.
+		Owners map[string]KeyOwner
+		Limits CallerLimits
+
+		byHost map[string][]Route
+	}
+)
+
+// NewRoutingTable returns the table with its routes prepared for lookups.
+func NewRoutingTable(table RoutingTable) *RoutingTable {
+	table.byHost = make(map[string][]Route)
+	for _, route := range table.Routes {
+		table.byHost[route.HostName] = append(table.byHost[route.HostName], route)
+	}
+	for _, routes := range table.byHost {
+		slices.SortStableFunc(routes, func(a, b Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	return &table
+}
+
+// Find returns the route with the longest prefix that begins the path.
+func (t *RoutingTable) Find(hostName, path string) (Route, bool) {
+	for _, route := range t.byHost[hostName] {
+		if strings.HasPrefix(path, route.Prefix) {
+			return route, true
+		}
+	}
+	return Route{}, false
+}
+
+// NeedsKey reports whether calls of the route need a known API key.
+func (t *RoutingTable) NeedsKey(route Route) bool { return len(t.Owners) > 0 && !route.IsOpen }
+
+// IsRepeatable reports whether a call may be sent again although an upstream may have run it.
+func (r Route) IsRepeatable() bool {
+	return r.Rule == RuleRepeatable || (r.Rule == RuleStream && r.IsResumable)
+}
--- a/swap/options.go
+++ b/swap/options.go
@@ -61,6 +61,11 @@
 // WithUrgentWait sets how long waiting urgent work holds up the next swap.
 func WithUrgentWait(limit time.Duration) Option { return func(s *settings) { s.urgentWait = limit } }
 
+// WithAttempts sets the orders without effect after which an upstream is left alone, and for how long.
+func WithAttempts(attempts int, pause time.Duration) Option {
+	return func(s *settings) { s.attempts, s.pause = attempts, pause }
+}
+
 func newSettings(options []Option) settings {
 	s := settings{
 		atOnce: defaultAtOnce, orderDeadline: defaultOrderDeadline, loadTime: defaultLoadTime,
