Load weights beside running calls and count the pause from the lease

Cause: the lease's holder was unknown until another host announced itself, the pause before the first order counted from the first roll-out, and waiting for runs kept a third of the engines idle for two seconds a round. Ruled out: slow loading, as an order takes 0.4 s. Also: the pace of an engine was fed back into itself and drifted; waiting work is told apart by urgency, so that less urgent work elsewhere refuses nobody.

--- a/edge/apply.go
+++ b/edge/apply.go
@@ -46,7 +46,7 @@
 }
 
 // apply passes a change of the directory to the tasks that it concerns.
-func (h *Host) apply(change spoke.DirectoryChange) {
+func (h *Host) apply(topic spoke.DirectoryTopic, change spoke.DirectoryChange) {
 	if change.Table != nil && h.known.take(change.Table) {
 		h.parts.Log.WithFields(logrus.Fields{"table": change.Table.Version, "routes": len(change.Table.Routes)}).Info("routing table in force")
 		h.tell(place.SetTable{Services: change.Table.Services})
@@ -61,7 +61,7 @@
 	if len(change.Weights)+len(change.Upstreams)+len(change.GoneUpstreams) > 0 {
 		h.orders.in <- directoryNews{change}
 	}
-	if change.OrdersHolder != nil || (change.IsWhole && change.Peers != nil) {
+	if change.OrdersHolder != nil || (change.IsWhole && topic == spoke.TopicHosts) {
 		h.applyHolder(change)
 	}
 	if len(change.Peers)+len(change.GonePeers) > 0 {
--- a/edge/follower.go
+++ b/edge/follower.go
@@ -31,7 +31,7 @@
 		log       logrus.FieldLogger
 		// gap is the pause between two answers of the watch, in which changes gather.
 		gap   time.Duration
-		apply func(spoke.DirectoryChange)
+		apply func(spoke.DirectoryTopic, spoke.DirectoryChange)
 
 		lostSince time.Time
 		// lapsedUntil is when entries that are missing after an outage count as gone.
@@ -100,7 +100,7 @@
 	if f.isSettling() {
 		change = f.keepLapsed(change)
 	}
-	f.apply(change)
+	f.apply(f.topic, change)
 }
 
 // keepLapsed leaves out removals that an outage alone may have caused.
--- a/edge/orders.go
+++ b/edge/orders.go
@@ -18,7 +18,7 @@
 
 const (
 	// ordersTTL is short, so that another host takes over soon after the holder's death.
-	ordersTTL = 1500 * time.Millisecond
+	ordersTTL = time.Second
 	// orderTime is the time that an order may take to be accepted.
 	orderTime = 400 * time.Millisecond
 	// swapsAtOnce is the number of engines that load weights at the same time.
@@ -32,7 +32,7 @@
 	// reportEvery is the interval at which engines without an order are asked for a report.
 	reportEvery = 700 * time.Millisecond
 	// reportLag is how old a report may be when it arrives.
-	reportLag = 300 * time.Millisecond
+	reportLag = 200 * time.Millisecond
 	// unansweredAfter is the time after which an order that shows no effect is given again.
 	unansweredAfter = 900 * time.Millisecond
 	orderAttempts   = 6
@@ -82,6 +82,7 @@
 		asking    map[spoke.UpstreamID]bool
 		given     map[spoke.UpstreamID]given
 		held      bool
+		fence     spoke.FencingToken
 	}
 )
 
@@ -194,8 +195,9 @@
 // step observes the engines and gives orders while the lease is held.
 func (o *orders) step(ctx context.Context) {
 	state := o.lease()
-	if state.Held != o.held {
-		o.held = state.Held
+	isNew := state.Held && state.Fence != o.fence
+	if state.Held != o.held || isNew {
+		o.held, o.fence = state.Held, state.Fence
 		o.log.WithFields(logrus.Fields{"held": state.Held, "fence": state.Fence}).Info("orders lease changed")
 	}
 	if !state.Held {
@@ -205,7 +207,8 @@
 	if len(behind) > 0 {
 		o.askReports(ctx, behind)
 	}
-	if len(behind) == 0 && len(o.given) == 0 {
+	// A new lease is observed at once, since the pause before its first order counts from there.
+	if len(behind) == 0 && len(o.given) == 0 && !isNew {
 		return
 	}
 	o.apply(ctx, o.reconciler.Handle(o.timer.Now(), swap.Observe{
@@ -341,7 +344,7 @@
 	listed := o.upstreams[a.Upstream]
 	order := spoke.WeightOrder{
 		Upstream: a.Upstream, Model: a.Order.Model, Version: spoke.WeightVersion(version),
-		Holder: o.host, Fence: a.Order.Fence, After: o.reports[a.Upstream].Orders,
+		Holder: o.host, Fence: a.Order.Fence, After: o.reports[a.Upstream].Orders, KeepsRuns: true,
 	}
 	o.given[a.Upstream] = given{at: o.timer.Now(), after: order.After}
 	o.log.WithFields(logrus.Fields{
--- a/peers/codec.go
+++ b/peers/codec.go
@@ -16,7 +16,7 @@
 		Number    uint64                `json:"number"`
 		IsWhole   bool                  `json:"whole,omitempty"`
 		Upstreams []upstreamRow         `json:"upstreams,omitempty"`
-		Waiting   map[string]int64      `json:"waiting,omitempty"`
+		Waiting   []waitingRow          `json:"waiting,omitempty"`
 		Placed    []placedRow           `json:"placed,omitempty"`
 		Paused    map[string]int64      `json:"paused-ms,omitempty"`
 		Weights   map[string]weightsRow `json:"weights,omitempty"`
@@ -30,6 +30,12 @@
 		Runs   int    `json:"runs,omitempty"`
 	}
 
+	waitingRow struct {
+		Service string `json:"service"`
+		Urgency int    `json:"urgency"`
+		Tokens  int64  `json:"tokens"`
+	}
+
 	placedRow struct {
 		ID string `json:"id"`
 		// Prefixes holds the key, the size of the last part and the whole size of each prefix.
@@ -55,8 +61,8 @@
 	for _, u := range share.Upstreams {
 		row.Upstreams = append(row.Upstreams, upstreamRow{string(u.Upstream), int64(u.Unread), int64(u.Memory), u.Runs})
 	}
-	for service, tokens := range share.Waiting {
-		row.Waiting = put(row.Waiting, string(service), int64(tokens))
+	for _, w := range share.Waiting {
+		row.Waiting = append(row.Waiting, waitingRow{string(w.Service), int(w.Urgency), int64(w.Tokens)})
 	}
 	for _, placed := range share.Placed {
 		row.Placed = append(row.Placed, encodePlaced(placed))
@@ -89,8 +95,10 @@
 			Upstream: spoke.UpstreamID(u.ID), Unread: spoke.TokenCount(u.Unread), Memory: spoke.TokenCount(u.Memory), Runs: u.Runs,
 		})
 	}
-	for service, tokens := range row.Waiting {
-		share.Waiting = put(share.Waiting, spoke.ServiceName(service), spoke.TokenCount(tokens))
+	for _, w := range row.Waiting {
+		share.Waiting = append(share.Waiting, spoke.WaitingWork{
+			Service: spoke.ServiceName(w.Service), Urgency: spoke.Priority(w.Urgency), Tokens: spoke.TokenCount(w.Tokens),
+		})
 	}
 	for _, placed := range row.Placed {
 		share.Placed = append(share.Placed, decodePlaced(placed))
--- a/place/choose.go
+++ b/place/choose.go
@@ -115,12 +115,13 @@
 	c.cached = min(n.cache.cached(prefixes), prompt.Input)
 	read := readTime(prompt.Input-c.cached, n.pace)
 	saved := readTime(c.cached, n.pace)
-	behind := readTime(n.backlog(now, total.Unread, defaultReadRate/n.pace), n.pace)
+	unread := n.backlog(now, total.Unread, defaultReadRate/n.pace)
+	behind := readTime(unread, n.pace)
 	if behind > s.allowedBacklog(w.ask)+saved/2 {
 		return c, false
 	}
 	c.first = behind + read + stepTime
-	c.ordinary = readTime(total.Unread+prompt.Input-c.cached, 1) + stepTime
+	c.ordinary = readTime(unread+prompt.Input-c.cached, 1) + stepTime
 	c.cost += behind + read + time.Duration(readCost*float64(read)) + time.Duration(total.Runs)*time.Millisecond
 	return c, true
 }
--- a/place/node.go
+++ b/place/node.go
@@ -167,6 +167,6 @@
 	if predicted < leastPredictedForPace {
 		return
 	}
-	ratio := min(max(n.pace*float64(took)/float64(predicted), fastestPace), slowestPace)
+	ratio := min(max(float64(took)/float64(predicted), fastestPace), slowestPace)
 	n.pace += paceWeight * (ratio - n.pace)
 }
--- a/place/refuse.go
+++ b/place/refuse.go
@@ -61,9 +61,7 @@
 			ahead += w.ask.Prompt.Input
 		}
 	}
-	for _, other := range s.peers {
-		ahead += other.waiting[m.Service]
-	}
+	ahead += s.waitingElsewhere(m)
 	rate := 0.0
 	for _, n := range s.byService[m.Service] {
 		if n.listed.IsLeaving {
@@ -78,11 +76,21 @@
 	return time.Duration(float64(ahead) / rate * float64(time.Millisecond))
 }
 
-func (s *Scheduler) plainBacklog(m Ask) time.Duration {
-	waiting := spoke.TokenCount(len(s.queues[m.Service]))
+// waitingElsewhere sums up the work at other hosts that goes before the call.
+func (s *Scheduler) waitingElsewhere(m Ask) spoke.TokenCount {
+	var ahead spoke.TokenCount
 	for _, other := range s.peers {
-		waiting += other.waiting[m.Service]
+		for _, work := range other.waiting {
+			if work.Service == m.Service && work.Urgency <= m.Urgency {
+				ahead += work.Tokens
+			}
+		}
 	}
+	return ahead
+}
+
+func (s *Scheduler) plainBacklog(m Ask) time.Duration {
+	waiting := spoke.TokenCount(len(s.queues[m.Service])) + s.waitingElsewhere(m)
 	rate := 0.0
 	for _, n := range s.byService[m.Service] {
 		if !n.listed.IsLeaving {
--- a/place/report.go
+++ b/place/report.go
@@ -51,7 +51,7 @@
 	s.report.number++
 	share := spoke.LoadShare{
 		Host: s.report.host, Number: s.report.number, IsWhole: isWhole,
-		Waiting: s.waitingTokens(), Placed: s.report.prompts,
+		Waiting: s.waitingWork(), Placed: s.report.prompts,
 		Paused: maps.Clone(s.report.pauses), Weights: maps.Clone(s.report.weights),
 	}
 	nodes := s.report.changes
@@ -70,19 +70,29 @@
 	return share
 }
 
-// waitingTokens sums up what waits by service; calls of plain services count as one each.
-func (s *Scheduler) waitingTokens() map[spoke.ServiceName]spoke.TokenCount {
-	tokens := make(map[spoke.ServiceName]spoke.TokenCount)
+// waitingWork sums up what waits at this host.
+func (s *Scheduler) waitingWork() []spoke.WaitingWork {
+	var work []spoke.WaitingWork
 	for service, queue := range s.queues {
 		for _, w := range queue {
-			if w.ask.Prompt == nil {
-				tokens[service]++
-			} else {
-				tokens[service] += w.ask.Prompt.Input
-			}
+			work = addWaiting(work, service, w.ask)
 		}
 	}
-	return tokens
+	return work
+}
+
+func addWaiting(work []spoke.WaitingWork, service spoke.ServiceName, m Ask) []spoke.WaitingWork {
+	tokens := spoke.TokenCount(1)
+	if m.Prompt != nil {
+		tokens = m.Prompt.Input
+	}
+	for i := range work {
+		if work[i].Service == service && work[i].Urgency == m.Urgency {
+			work[i].Tokens += tokens
+			return work
+		}
+	}
+	return append(work, spoke.WaitingWork{Service: service, Urgency: m.Urgency, Tokens: tokens})
 }
 
 // hear takes the account of another host; one that was overtaken is old.
--- a/place/scheduler.go
+++ b/place/scheduler.go
@@ -25,7 +25,7 @@
 	peer struct {
 		heard   time.Time
 		number  uint64
-		waiting map[spoke.ServiceName]spoke.TokenCount
+		waiting []spoke.WaitingWork
 	}
 
 	// Scheduler gives the calls of one host to upstreams.
--- a/placement.go
+++ b/placement.go
@@ -34,6 +34,14 @@
 		Runs   int
 	}
 
+	// WaitingWork is the work of one urgency that waits at a host.
+	WaitingWork struct {
+		Service ServiceName
+		Urgency Priority
+		// Tokens counts the prompt tokens; calls of plain services count as one each.
+		Tokens TokenCount
+	}
+
 	// LoadShare is one host's account of its own work, as sent to its peers.
 	LoadShare struct {
 		Host HostID
@@ -42,8 +50,7 @@
 		// IsWhole says that upstreams which are not named have no work of this host.
 		IsWhole   bool
 		Upstreams []UpstreamShare
-		// Waiting counts the prompt tokens that wait at the host by service.
-		Waiting map[ServiceName]TokenCount
+		Waiting []WaitingWork
 		Placed  []PlacedPrompt
 		// Paused holds engines that load weights and should get no new work for the time.
 		Paused  map[UpstreamID]time.Duration
