--- a/calls.go
+++ b/calls.go
@@ -70,6 +70,8 @@
 		Urgency    Priority
 		HasUrgency bool
 		LastEvent  string
+		// FetchFrom is an engine from which cached parts are copied, empty for none.
+		FetchFrom Address
 	}
 
 	// UpstreamLoad is what an upstream says of its load in an answer.
--- a/place/choose.go
+++ b/place/choose.go
@@ -14,6 +14,9 @@
 	node    *node
 	weights spoke.WeightVersion
 	cached  spoke.TokenCount
+	// fetched is copied from the address of another engine.
+	fetched   spoke.TokenCount
+	fetchFrom spoke.Address
 	// first is the expected time to the first event, ordinary the same at the usual pace.
 	first    time.Duration
 	ordinary time.Duration
@@ -113,16 +116,18 @@
 	}
 	prefixes := w.prefixesFor(c.weights)
 	c.cached = min(n.cache.cached(prefixes), prompt.Input)
-	read := readTime(prompt.Input-c.cached, n.pace)
-	saved := readTime(c.cached, n.pace)
+	fetch := s.planFetch(w, n, &c)
+	rest := prompt.Input - c.cached - c.fetched
+	read := readTime(rest, n.pace)
+	saved := readTime(prompt.Input-rest, n.pace)
 	unread := n.backlog(now, total.Unread, defaultReadRate/n.pace)
 	behind := readTime(unread, n.pace)
 	if behind > s.allowedBacklog(w.ask)+saved/2 {
 		return c, false
 	}
-	c.first = behind + read + stepTime
-	c.ordinary = readTime(unread+prompt.Input-c.cached, 1) + stepTime
-	c.cost += behind + read + time.Duration(readCost*float64(read)) + time.Duration(total.Runs)*time.Millisecond
+	c.first = behind + fetch + read + stepTime
+	c.ordinary = readTime(unread+rest, 1) + fetch + stepTime
+	c.cost += behind + fetch + read + time.Duration(readCost*float64(read)) + time.Duration(total.Runs)*time.Millisecond
 	return c, true
 }
 
--- a/place/messages.go
+++ b/place/messages.go
@@ -130,6 +130,9 @@
 		Weights  spoke.WeightVersion
 		// Cached is the part of the prompt that the engine is expected to have read before.
 		Cached spoke.TokenCount
+		// Fetched is the part that the engine copies from FetchFrom.
+		Fetched   spoke.TokenCount
+		FetchFrom spoke.Address
 		// Predicted is the expected time to the first event.
 		Predicted time.Duration
 		// Waited is the time since the call arrived.
--- a/place/prefix.go
+++ b/place/prefix.go
@@ -9,8 +9,13 @@
 	"magnoliaspoke.example/spoke"
 )
 
-// mostPrefixes bounds the entries of one engine whatever their size.
-const mostPrefixes = 4096
+const (
+	// mostPrefixes bounds the entries of one engine whatever their size.
+	mostPrefixes = 4096
+	// ownShare is the part of a run's memory that no other run can use: the end of its prompt
+	// and its output.
+	ownShare = 0.27
+)
 
 // memory estimates which prompt prefixes an engine has cached; the engine's own choice is
 // to drop the least recently used parts.
@@ -78,7 +83,8 @@
 			m.parts.Add(prefix.Key, prefix.Part)
 		}
 	}
-	for m.used > max(m.capacity-running, 0) && m.parts.Len() > 0 {
+	room := m.capacity - spoke.TokenCount(ownShare*float64(running))
+	for m.used > max(room, 0) && m.parts.Len() > 0 {
 		m.parts.RemoveOldest()
 	}
 }
--- a/place/scheduler.go
+++ b/place/scheduler.go
@@ -307,7 +307,7 @@
 	m := w.ask
 	run := &running{ask: m, node: c.node, sent: now, predicted: c.ordinary}
 	if m.Prompt != nil {
-		run.unread = m.Prompt.Input - c.cached
+		run.unread = m.Prompt.Input - c.cached - c.fetched
 		run.memory = m.Prompt.Input + expectedOutput(m.Prompt)
 		if c.node.totals().Unread == 0 {
 			c.node.progress = now
@@ -325,6 +325,7 @@
 	}
 	s.actions = append(s.actions, Grant{
 		Call: m.Call, Upstream: c.node.listed, Weights: c.weights, Cached: c.cached,
+		Fetched: c.fetched, FetchFrom: c.fetchFrom,
 		Predicted: c.first, Waited: now.Sub(m.Arrived), Urgency: m.Urgency,
 	})
 }
--- a/routes.go
+++ b/routes.go
@@ -60,6 +60,8 @@
 		Slots         int
 		CacheCapacity TokenCount
 		TokenSize     ByteSize
+		// Link is the rate of the memory transfers of one engine.
+		Link ByteRate
 	}
 
 	// ServedService is a service of the routing table.
