--- a/directory.go
+++ b/directory.go
@@ -7,22 +7,10 @@
 	"github.com/rotisserie/eris"
 )
 
-const (
-	// TopicRouting is the routing table and the wanted weight versions.
-	TopicRouting DirectoryTopic = "routing"
-	// TopicUpstreams is the list of upstreams.
-	TopicUpstreams DirectoryTopic = "upstreams"
-	// TopicHosts is the list of entry hosts and the holder of the orders lease.
-	TopicHosts DirectoryTopic = "hosts"
-)
-
-// ErrHistoryGone marks a watch that cannot continue, so that the topic has to be read again.
+// ErrHistoryGone marks a watch that cannot continue, so that the directory has to be read again.
 var ErrHistoryGone = eris.New("history of the directory is gone")
 
 type (
-	// DirectoryTopic names a part of the directory that is read and watched as a whole.
-	DirectoryTopic string
-
 	// ListedUpstream is an upstream as it describes itself in the directory.
 	ListedUpstream struct {
 		ID         UpstreamID
@@ -58,7 +46,7 @@
 		Err error
 	}
 
-	// DirectoryChange is the content of a topic, or what changed since a revision.
+	// DirectoryChange is the content of the directory, or what changed since a revision.
 	DirectoryChange struct {
 		// IsWhole says that entries which are not named do not exist.
 		IsWhole bool
@@ -78,11 +66,11 @@
 
 	// Directory is what the platform publishes and what entry hosts announce there.
 	Directory interface {
-		// Read returns the whole topic.
-		Read(ctx context.Context, topic DirectoryTopic) (DirectoryChange, error)
+		// Read returns the whole directory.
+		Read(ctx context.Context) (DirectoryChange, error)
 		// Watch waits for changes after a revision; an empty change means that there was none,
-		// ErrHistoryGone that the topic has to be read again.
-		Watch(ctx context.Context, topic DirectoryTopic, after Revision, wait time.Duration) (DirectoryChange, error)
+		// ErrHistoryGone that the directory has to be read again.
+		Watch(ctx context.Context, after Revision, wait time.Duration) (DirectoryChange, error)
 		// Announce lists this host until its announcement expires, unless it is called again.
 		Announce(ctx context.Context, peer ListedPeer) error
 		// Withdraw removes the announcement.
--- a/edge/apply.go
+++ b/edge/apply.go
@@ -46,7 +46,7 @@
 }
 
 // apply passes a change of the directory to the tasks that it concerns.
-func (h *Host) apply(topic spoke.DirectoryTopic, change spoke.DirectoryChange) {
+func (h *Host) apply(change spoke.DirectoryChange) {
 	if change.Table != nil && h.known.take(change.Table) {
 		h.parts.Log.WithFields(logrus.Fields{"table": change.Table.Version, "routes": len(change.Table.Routes)}).Info("routing table in force")
 		h.tell(place.SetTable{Services: change.Table.Services})
@@ -61,7 +61,7 @@
 	if len(change.Weights)+len(change.Upstreams)+len(change.GoneUpstreams) > 0 {
 		h.orders.in <- directoryNews{change}
 	}
-	if change.OrdersHolder != nil || (change.IsWhole && topic == spoke.TopicHosts) {
+	if change.OrdersHolder != nil || change.IsWhole {
 		h.applyHolder(change)
 	}
 	if len(change.Peers)+len(change.GonePeers) > 0 {
@@ -83,7 +83,7 @@
 	h.tell(place.SetUpstreams{IsWhole: change.IsWhole, Listed: change.Upstreams, Gone: change.GoneUpstreams})
 }
 
-// applyHolder notes who has the orders lease; a whole topic without a holder shows that it is free.
+// applyHolder notes who has the orders lease; a whole directory without a holder shows that it is free.
 func (h *Host) applyHolder(change spoke.DirectoryChange) {
 	holder := change.OrdersHolder
 	if holder == nil {
--- a/edge/follower.go
+++ b/edge/follower.go
@@ -11,9 +11,9 @@
 )
 
 const (
-	// watchWait is long, since a watch that waits costs one call and keep-alives show a
-	// connection that has gone silent.
-	watchWait = 20 * time.Second
+	// watchWait is short, since a watch that waits may miss changes or be cut without a sign,
+	// and a new table has to be in force within two seconds.
+	watchWait = 900 * time.Millisecond
 	// firstBackoff and longestBackoff bound the pause after a failed call.
 	firstBackoff   = 100 * time.Millisecond
 	longestBackoff = 800 * time.Millisecond
@@ -22,16 +22,15 @@
 )
 
 type (
-	// follower keeps up with one topic of the directory.
+	// follower keeps up with the directory.
 	follower struct {
 		directory spoke.Directory
-		topic     spoke.DirectoryTopic
 		timer     spoke.Timer
 		known     *knowledge
 		log       logrus.FieldLogger
 		// gap is the pause between two answers of the watch, in which changes gather.
 		gap   time.Duration
-		apply func(spoke.DirectoryTopic, spoke.DirectoryChange)
+		apply func(spoke.DirectoryChange)
 
 		lostSince time.Time
 		// lapsedUntil is when entries that are missing after an outage count as gone.
@@ -40,10 +39,10 @@
 	}
 )
 
-// run follows the topic until ctx ends.
+// run follows the directory until ctx ends.
 func (f *follower) run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		change, err := f.directory.Read(ctx, f.topic)
+		change, err := f.directory.Read(ctx)
 		if err != nil {
 			f.failed(ctx, err)
 			continue
@@ -54,13 +53,13 @@
 	return ctx.Err()
 }
 
-// watch passes on changes until the topic has to be read again.
+// watch passes on changes until the directory has to be read again.
 func (f *follower) watch(ctx context.Context, revision spoke.Revision) {
 	for ctx.Err() == nil {
-		change, err := f.directory.Watch(ctx, f.topic, revision, f.wait())
+		change, err := f.directory.Watch(ctx, revision, f.wait())
 		switch {
 		case errors.Is(err, spoke.ErrHistoryGone):
-			f.log.WithField("topic", f.topic).WithField("revision", revision).Info("history of the directory is gone, reading it again")
+			f.log.WithField("revision", revision).Info("history of the directory is gone, reading it again")
 			return
 		case err != nil:
 			f.failed(ctx, err)
@@ -76,7 +75,7 @@
 	}
 }
 
-// wait is short while entries may come back, so that the whole topic is read soon after.
+// wait is short while entries may come back, so that the whole directory is read soon after.
 func (f *follower) wait() time.Duration {
 	if f.isSettling() {
 		return max(f.lapsedUntil.Sub(f.timer.Now()), time.Millisecond)
@@ -90,7 +89,7 @@
 	f.known.confirm()
 	f.backoff = 0
 	if !f.lostSince.IsZero() {
-		f.log.WithFields(logrus.Fields{"topic": f.topic, "lost-for": f.timer.Now().Sub(f.lostSince).String()}).Info("directory regained")
+		f.log.WithField("lost-for", f.timer.Now().Sub(f.lostSince).String()).Info("directory regained")
 		f.lostSince = time.Time{}
 		f.lapsedUntil = f.timer.Now().Add(returnTime)
 	}
@@ -100,12 +99,12 @@
 	if f.isSettling() {
 		change = f.keepLapsed(change)
 	}
-	f.apply(f.topic, change)
+	f.apply(change)
 }
 
 // keepLapsed leaves out removals that an outage alone may have caused.
 func (f *follower) keepLapsed(change spoke.DirectoryChange) spoke.DirectoryChange {
-	if f.timer.Now().Before(f.lapsedUntil) && f.topic == spoke.TopicUpstreams {
+	if f.timer.Now().Before(f.lapsedUntil) {
 		change.IsWhole = false
 		change.GoneUpstreams = nil
 	}
@@ -118,7 +117,7 @@
 	}
 	if f.lostSince.IsZero() {
 		f.lostSince = f.timer.Now()
-		f.log.WithError(err).WithField("topic", f.topic).Warn("directory lost")
+		f.log.WithError(err).Warn("directory lost")
 	}
 	f.backoff = min(max(2*f.backoff, firstBackoff), longestBackoff)
 	f.pause(ctx, f.backoff)
--- a/edge/host.go
+++ b/edge/host.go
@@ -28,10 +28,9 @@
 	callerHeader = 15 * time.Second
 	headerLimit  = 64 << 10
 	// announceEvery keeps this host listed and shows that the directory is in reach.
-	announceEvery = time.Second
-	// upstreamsGap gathers changes of the list of upstreams.
-	upstreamsGap = 60 * time.Millisecond
-	hostsGap     = 300 * time.Millisecond
+	announceEvery = 1500 * time.Millisecond
+	// directoryGap gathers changes of the directory.
+	directoryGap = 60 * time.Millisecond
 )
 
 type (
@@ -109,15 +108,11 @@
 	task(h.keeper.Run)
 	task(h.announce)
 	task(func(ctx context.Context) error { return h.socket.Receive(ctx, h.hear) })
-	for topic, gap := range map[spoke.DirectoryTopic]time.Duration{
-		spoke.TopicRouting: 0, spoke.TopicUpstreams: upstreamsGap, spoke.TopicHosts: hostsGap,
-	} {
-		f := &follower{
-			directory: h.parts.Directory, topic: topic, timer: h.parts.Timer, known: h.known,
-			log: h.parts.Log, gap: gap, apply: h.apply,
-		}
-		task(f.run)
+	f := &follower{
+		directory: h.parts.Directory, timer: h.parts.Timer, known: h.known, log: h.parts.Log,
+		gap: directoryGap, apply: h.apply,
 	}
+	task(f.run)
 	callers := &http.Server{
 		Handler: h.relayer, ReadHeaderTimeout: callerHeader, IdleTimeout: callerIdle, MaxHeaderBytes: headerLimit,
 	}
