--- a/edge/apply.go
+++ b/edge/apply.go
@@ -53,7 +53,7 @@
 	}
 	for _, wanted := range change.Weights {
 		h.parts.Log.WithFields(logrus.Fields{"model": wanted.Model, "version": wanted.Version}).Info("weights wanted")
-		h.tell(place.SetWeights{Wanted: wanted})
+		h.tell(h.weightsMessage(change, wanted))
 	}
 	if len(change.Upstreams)+len(change.GoneUpstreams) > 0 {
 		h.applyUpstreams(change)
@@ -69,6 +69,16 @@
 	}
 }
 
+// weightsMessage tells the scheduler of wanted weights. A host that reads the whole directory does
+// not know when they were named, so it counts half of the time in which older weights may be used
+// as gone until it hears from its peers.
+func (h *Host) weightsMessage(change spoke.DirectoryChange, wanted spoke.WantedWeights) place.SetWeights {
+	if change.IsWhole {
+		return place.SetWeights{Wanted: wanted, Age: h.settings.WeightsApply / 2, IsGuess: true}
+	}
+	return place.SetWeights{Wanted: wanted}
+}
+
 func (h *Host) tell(message place.Message) { h.planner.in <- planned{message: message} }
 
 func (h *Host) applyUpstreams(change spoke.DirectoryChange) {
--- a/edge/orders.go
+++ b/edge/orders.go
@@ -30,7 +30,7 @@
 	// ordersStep is the interval at which a roll-out is looked at.
 	ordersStep = 100 * time.Millisecond
 	// reportEvery is the interval at which engines without an order are asked for a report.
-	reportEvery = 700 * time.Millisecond
+	reportEvery = 250 * time.Millisecond
 	// reportLag is how old a report may be when it arrives.
 	reportLag = 200 * time.Millisecond
 	// unansweredAfter is the time after which an order that shows no effect is given again.
@@ -222,8 +222,9 @@
 	if !ok {
 		return swap.LeaseState{}
 	}
-	// The orders of two holders must lie apart by the pause, whatever the lease's own time.
-	return swap.LeaseState{Held: true, Fence: held.Fence, Remaining: held.Expires.Sub(now), TTL: o.pause}
+	// The orders of two holders must lie apart by the pause. The last order of the holder before
+	// was on its way for orderTime at most and given that long before the end of its lease.
+	return swap.LeaseState{Held: true, Fence: held.Fence, Remaining: held.Expires.Sub(now), TTL: o.pause - 2*orderTime}
 }
 
 // models returns the wanted models and the engines that serve older weights.
--- a/edge/planner.go
+++ b/edge/planner.go
@@ -121,7 +121,7 @@
 		p.toldAll = now
 		p.step(place.Tick{})
 	}
-	account := p.scheduler.Account(isWhole)
+	account := p.scheduler.Account(now, isWhole)
 	account.Marks = p.quarantine.list(now, mostMarks)
 	if len(p.addresses) > 0 {
 		p.send(account, p.addresses)
--- a/peers/codec.go
+++ b/peers/codec.go
@@ -21,6 +21,7 @@
 		Paused    map[string]int64      `json:"paused-ms,omitempty"`
 		Weights   map[string]weightsRow `json:"weights,omitempty"`
 		Marks     []markRow             `json:"marks,omitempty"`
+		Wanted    []wantedRow           `json:"wanted,omitempty"`
 	}
 
 	upstreamRow struct {
@@ -47,6 +48,12 @@
 		Version int64  `json:"version"`
 	}
 
+	wantedRow struct {
+		Model   string `json:"model"`
+		Version int64  `json:"version"`
+		AgeMs   int64  `json:"age-ms"`
+	}
+
 	markRow struct {
 		Fingerprint string `json:"fingerprint"`
 		Deaths      int    `json:"deaths"`
@@ -76,6 +83,9 @@
 	for _, mark := range share.Marks {
 		row.Marks = append(row.Marks, markRow{string(mark.Fingerprint), mark.Deaths, mark.Expires.Sub(now).Milliseconds()})
 	}
+	for _, w := range share.WantedAges {
+		row.Wanted = append(row.Wanted, wantedRow{string(w.Wanted.Model), int64(w.Wanted.Version), w.Age.Milliseconds()})
+	}
 	raw, err := json.Marshal(row)
 	return raw, eris.Wrap(err, "encode load account")
 }
@@ -117,6 +127,12 @@
 			Expires: now.Add(time.Duration(mark.ForMs) * time.Millisecond),
 		})
 	}
+	for _, w := range row.Wanted {
+		share.WantedAges = append(share.WantedAges, spoke.WantedAge{
+			Wanted: spoke.WantedWeights{Model: spoke.ModelName(w.Model), Version: spoke.WeightVersion(w.Version)},
+			Age:    time.Duration(w.AgeMs) * time.Millisecond,
+		})
+	}
 	return share, nil
 }
 
--- a/place/choose.go
+++ b/place/choose.go
@@ -55,12 +55,17 @@
 	if w.ask.Prompt == nil {
 		return considerPlain(w, n, c)
 	}
-	weightsCost, ok := s.weightsOf(now, w.ask.Prompt.Model, n, &c)
+	if _, ok := s.weightsOf(now, w.ask.Prompt.Model, n, &c); !ok {
+		return c, false
+	}
+	c, ok := s.considerEngine(now, w, n, c)
 	if !ok {
 		return c, false
 	}
+	// The call must begin before its weights are too old.
+	weightsCost, ok := s.weightsOf(now, w.ask.Prompt.Model, n, &c)
 	c.cost += weightsCost
-	return s.considerEngine(now, w, n, c)
+	return c, ok
 }
 
 // weightsOf sets the version that the call would meet; versions that were replaced some
@@ -76,7 +81,7 @@
 	}
 	age := now.Sub(want.since)
 	switch {
-	case age > s.settings.WeightsApply-weightsMargin:
+	case age+c.first > s.settings.WeightsApply-weightsMargin:
 		return 0, false
 	case age > newWeightsGrace:
 		return oldWeightsCost, true
--- a/place/messages.go
+++ b/place/messages.go
@@ -96,8 +96,13 @@
 		Gone    []spoke.UpstreamID
 	}
 
-	// SetWeights takes a wanted weight version and the time at which it was learned.
-	SetWeights struct{ Wanted spoke.WantedWeights }
+	// SetWeights takes a wanted weight version and how long ago it was named.
+	SetWeights struct {
+		Wanted spoke.WantedWeights
+		Age    time.Duration
+		// IsGuess says that the age is not known; what another host knows replaces it.
+		IsGuess bool
+	}
 
 	// SeeWeights reports the weights that an engine was seen to serve.
 	SeeWeights struct {
--- a/place/options.go
+++ b/place/options.go
@@ -48,7 +48,7 @@
 	// safeRetries leaves room for repeats that other hosts make at the same time.
 	safeRetries = 0.7
 	// weightsMargin is the time before the limit at which older weights are given up.
-	weightsMargin = 700 * time.Millisecond
+	weightsMargin = 600 * time.Millisecond
 )
 
 type (
--- a/place/report.go
+++ b/place/report.go
@@ -47,7 +47,7 @@
 }
 
 // Account returns what changed since the last account, or all of this host's work.
-func (s *Scheduler) Account(isWhole bool) spoke.LoadShare {
+func (s *Scheduler) Account(now time.Time, isWhole bool) spoke.LoadShare {
 	s.report.number++
 	share := spoke.LoadShare{
 		Host: s.report.host, Number: s.report.number, IsWhole: isWhole,
@@ -57,6 +57,7 @@
 	nodes := s.report.changes
 	if isWhole {
 		nodes = s.nodes
+		share.WantedAges = s.wantedAges(now)
 	}
 	for _, n := range nodes {
 		if own := n.own(); own.Runs > 0 || !isWhole {
@@ -70,6 +71,19 @@
 	return share
 }
 
+func (s *Scheduler) wantedAges(now time.Time) []spoke.WantedAge {
+	ages := make([]spoke.WantedAge, 0, len(s.wanted))
+	for model, want := range s.wanted {
+		if want.isGuess {
+			continue
+		}
+		ages = append(ages, spoke.WantedAge{
+			Wanted: spoke.WantedWeights{Model: model, Version: want.version}, Age: now.Sub(want.since),
+		})
+	}
+	return ages
+}
+
 // waitingWork sums up what waits at this host.
 func (s *Scheduler) waitingWork() []spoke.WaitingWork {
 	var work []spoke.WaitingWork
@@ -128,6 +142,9 @@
 			n.heldUntil = now.Add(pause)
 		}
 	}
+	for _, known := range share.WantedAges {
+		s.setWeights(now, SetWeights{Wanted: known.Wanted, Age: known.Age})
+	}
 	for id, seen := range share.Weights {
 		if n := s.nodes[id]; n != nil {
 			n.seeWeights(seen.Model, seen.Version)
--- a/place/scheduler.go
+++ b/place/scheduler.go
@@ -20,6 +20,7 @@
 	wanted struct {
 		version spoke.WeightVersion
 		since   time.Time
+		isGuess bool
 	}
 
 	peer struct {
@@ -79,7 +80,7 @@
 	case SetUpstreams:
 		s.setUpstreams(now, m)
 	case SetWeights:
-		s.setWeights(now, m.Wanted)
+		s.setWeights(now, m)
 	case SeeWeights:
 		s.see(m.Upstream, m.Weights)
 	case Pause:
@@ -187,9 +188,13 @@
 	}
 }
 
-func (s *Scheduler) setWeights(now time.Time, m spoke.WantedWeights) {
-	if m.Version > s.wanted[m.Model].version {
-		s.wanted[m.Model] = wanted{version: m.Version, since: now}
+// setWeights takes newer weights, or a better account of when the known ones were named.
+func (s *Scheduler) setWeights(now time.Time, m SetWeights) {
+	known := s.wanted[m.Wanted.Model]
+	heard := wanted{version: m.Wanted.Version, since: now.Add(-m.Age), isGuess: m.IsGuess}
+	isBetter := heard.version == known.version && !heard.isGuess && (known.isGuess || heard.since.Before(known.since))
+	if heard.version > known.version || isBetter {
+		s.wanted[m.Wanted.Model] = heard
 	}
 }
 
--- a/placement.go
+++ b/placement.go
@@ -50,12 +50,20 @@
 		// IsWhole says that upstreams which are not named have no work of this host.
 		IsWhole   bool
 		Upstreams []UpstreamShare
-		Waiting []WaitingWork
-		Placed  []PlacedPrompt
+		Waiting   []WaitingWork
+		Placed    []PlacedPrompt
 		// Paused holds engines that load weights and should get no new work for the time.
 		Paused  map[UpstreamID]time.Duration
 		Weights map[UpstreamID]ListedWeights
 		Marks   []QuarantineMark
+		// WantedAges says how long ago wanted weights were named.
+		WantedAges []WantedAge
+	}
+
+	// WantedAge is the time since weights were named.
+	WantedAge struct {
+		Wanted WantedWeights
+		Age    time.Duration
 	}
 
 	// ListedWeights is a weight version that an engine was seen to serve.
