--- a/calls.go
+++ b/calls.go
@@ -70,8 +70,11 @@
 		Urgency    Priority
 		HasUrgency bool
 		LastEvent  string
-		// FetchFrom is an engine from which cached parts are copied, empty for none.
-		FetchFrom Address
+		// Fetch names for each part of the prompt where the engine copies it from, empty for
+		// parts that it holds or reads.
+		Fetch []Address
+		// Save names for each part of the prompt where the engine sends it, empty for none.
+		Save []Address
 	}
 
 	// UpstreamLoad is what an upstream says of its load in an answer.
--- a/cmd/edge/main.go
+++ b/cmd/edge/main.go
@@ -81,9 +81,10 @@
 	boot := timer.NewBoot()
 	store := platform.NewStore(settings.Store, boot.Now)
 	defer store.Close()
+	control := platform.NewControl()
 	host, err := edge.New(settings, edge.Parts{
 		Directory: store, Leases: platform.NewLeases(store), OrdersLease: platform.OrdersLease,
-		Control: platform.NewControl(), Codec: platform.Codec{},
+		Control: control, Stores: control, Codec: platform.Codec{},
 		Timer: timer.NewSystem(), LeaseTimer: boot, Log: log,
 	})
 	if err != nil {
--- a/directory.go
+++ b/directory.go
@@ -50,6 +50,8 @@
 	DirectoryChange struct {
 		// IsWhole says that entries which are not named do not exist.
 		IsWhole bool
+		// KeepsUpstreams says that upstreams which are not named may come back after an outage.
+		KeepsUpstreams bool
 		// Table is nil if it did not change.
 		Table     *RoutingTable
 		Weights   []WantedWeights
--- a/edge/apply.go
+++ b/edge/apply.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"expvar"
 	"maps"
-	"net/http"
 	"net/netip"
 	"slices"
 	"time"
@@ -49,16 +47,18 @@
 func (h *Host) apply(change spoke.DirectoryChange) {
 	if change.Table != nil && h.known.take(change.Table) {
 		h.parts.Log.WithFields(logrus.Fields{"table": change.Table.Version, "routes": len(change.Table.Routes)}).Info("routing table in force")
-		h.tell(place.SetTable{Services: change.Table.Services})
+		h.tell(place.SetTable{Services: change.Table.Services, Stores: change.Table.Stores})
+		h.stores.set(change.Table.Stores)
 	}
 	for _, wanted := range change.Weights {
+		h.stores.want(wanted)
 		h.parts.Log.WithFields(logrus.Fields{"model": wanted.Model, "version": wanted.Version}).Info("weights wanted")
 		h.tell(h.weightsMessage(change, wanted))
 	}
-	if len(change.Upstreams)+len(change.GoneUpstreams) > 0 {
+	if change.IsWhole || len(change.Upstreams)+len(change.GoneUpstreams) > 0 {
 		h.applyUpstreams(change)
 	}
-	if len(change.Weights)+len(change.Upstreams)+len(change.GoneUpstreams) > 0 {
+	if change.IsWhole || len(change.Weights)+len(change.Upstreams)+len(change.GoneUpstreams) > 0 {
 		h.orders.in <- directoryNews{change}
 	}
 	if change.OrdersHolder != nil || change.IsWhole {
@@ -90,7 +90,7 @@
 	for _, id := range change.GoneUpstreams {
 		h.parts.Log.WithField("upstream", id).Info("upstream is gone")
 	}
-	h.tell(place.SetUpstreams{IsWhole: change.IsWhole, Listed: change.Upstreams, Gone: change.GoneUpstreams})
+	h.tell(place.SetUpstreams{IsWhole: change.IsWhole && !change.KeepsUpstreams, Listed: change.Upstreams, Gone: change.GoneUpstreams})
 }
 
 // applyHolder notes who has the orders lease; a whole directory without a holder shows that it is free.
@@ -125,7 +125,6 @@
 		addresses = append(addresses, address)
 	}
 	h.parts.Log.WithField("peers", len(addresses)).Info("peers changed")
+	h.stores.setPeers(slices.Collect(maps.Keys(h.peers)))
 	h.planner.peers <- addresses
 }
-
-func expvarHandler() http.Handler { return expvar.Handler() }
--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -72,7 +72,7 @@
 	a.id = spoke.AttemptID(string(a.call.Request) + "/" + string(a.grant.Upstream.ID))
 	a.spec = spoke.RelayedAttempt{
 		Call: a.call, Upstream: a.grant.Upstream.ID, Workspace: a.owner.Workspace,
-		Remaining: time.Until(a.giveUp), Weights: a.grant.Weights, LastEvent: a.call.LastEvent, FetchFrom: a.grant.FetchFrom,
+		Remaining: time.Until(a.giveUp), Weights: a.grant.Weights, LastEvent: a.call.LastEvent, Fetch: a.grant.Fetch, Save: a.grant.Save,
 	}
 	if a.route.IsPrompt {
 		a.spec.CacheGroup = place.CacheGroup(a.owner, a.grant.Weights)
--- a/edge/follower.go
+++ b/edge/follower.go
@@ -105,7 +105,7 @@
 // keepLapsed leaves out removals that an outage alone may have caused.
 func (f *follower) keepLapsed(change spoke.DirectoryChange) spoke.DirectoryChange {
 	if f.timer.Now().Before(f.lapsedUntil) {
-		change.IsWhole = false
+		change.KeepsUpstreams = true
 		change.GoneUpstreams = nil
 	}
 	return change
--- a/edge/handler.go
+++ b/edge/handler.go
@@ -20,6 +20,11 @@
 	defaultBody = 8 << 20
 	// retrySoon is the hint while the host does not know enough to answer.
 	retrySoon = 300 * time.Millisecond
+	// retryElsewhere is the hint while this host stops and others serve.
+	retryElsewhere = 50 * time.Millisecond
+	// streamTime and wholeTime are what a stopping host must have left for a call.
+	streamTime = 4 * time.Second
+	wholeTime  = 1500 * time.Millisecond
 	// defaultWait is how long a caller waits that does not say so.
 	defaultWait = 30 * time.Second
 )
@@ -36,8 +41,9 @@
 		metrics  *metrics
 		numbers  atomic.Uint64
 		underway atomic.Int64
-		// isStopping makes callers use new connections, which reach other hosts.
-		isStopping atomic.Bool
+		// stopAt is set while the host stops: callers use new connections, which reach other
+		// hosts, and calls that would not end in time are turned away.
+		stopAt atomic.Pointer[time.Time]
 	}
 
 	// exchange is one call of a caller and where its answer goes.
@@ -59,7 +65,7 @@
 	arrived := time.Now()
 	h.underway.Add(1)
 	defer h.underway.Add(-1)
-	if h.isStopping.Load() {
+	if h.stopAt.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
 	call, err := h.codec.DecodeCall(r)
@@ -99,6 +105,10 @@
 		return false
 	}
 	e.route = route
+	if stopAt := e.stopAt.Load(); stopAt != nil && time.Until(*stopAt) < callTime(route) {
+		e.refuse(http.StatusServiceUnavailable, "stopping", retryElsewhere, logrus.Fields{"left": time.Until(*stopAt).String()})
+		return false
+	}
 	if table.NeedsKey(route) {
 		if e.owner, ok = table.Owners[e.call.Key]; !ok {
 			e.refuseUnknown(http.StatusUnauthorized, "unknown-key", table.Version)
@@ -109,6 +119,14 @@
 	return true
 }
 
+// callTime returns the time that a call of the route usually ends in.
+func callTime(route spoke.Route) time.Duration {
+	if route.Rule == spoke.RuleStream {
+		return streamTime
+	}
+	return wholeTime
+}
+
 // refuseUnknown turns away what the table does not know; while a newer table may be in force
 // elsewhere, the caller is asked to come back in place of being denied.
 func (e *exchange) refuseUnknown(status int, reason string, version spoke.TableVersion) {
--- a/edge/host.go
+++ b/edge/host.go
@@ -41,6 +41,7 @@
 		// OrdersLease names the lease whose holder gives orders.
 		OrdersLease spoke.LeaseName
 		Control     spoke.EngineControl
+		Stores      spoke.StoreControl
 		Codec       spoke.RelayCodec
 		Timer       spoke.Timer
 		// LeaseTimer also counts the time in which the machine is suspended.
@@ -57,6 +58,7 @@
 		relayer   *relayer
 		orders    *orders
 		keeper    *lease.Keeper
+		stores    *storeFollowers
 		socket    *peers.Socket
 		peers     map[spoke.HostID]spoke.ListedPeer
 		holder    atomic.Pointer[spoke.HostID]
@@ -86,11 +88,11 @@
 		known: h.known, codec: parts.Codec, planner: h.planner, pool: link.New(), marks: marks,
 		log: parts.Log, metrics: newMetrics(),
 	}
-	h.relayer.metrics.publish()
 	// A holder's name differs between two starts, so that an old process never passes for a new one.
 	holder := spoke.HostID(fmt.Sprintf("%s-%d", settings.Host, time.Now().UnixNano()))
 	h.keeper = lease.New(&freeLeases{Leases: parts.Leases, host: h, log: parts.Log}, parts.OrdersLease, holder, ordersTTL, lease.WithTimer(parts.LeaseTimer))
 	h.orders = newOrders(holder, settings.OrdersPause, parts, h.keeper, h.planner)
+	h.stores = newStoreFollowers(settings, parts, h.planner)
 	return h, nil
 }
 
@@ -106,6 +108,7 @@
 	task(h.planner.run)
 	task(h.orders.run)
 	task(h.keeper.Run)
+	task(h.stores.run)
 	task(h.announce)
 	task(func(ctx context.Context) error { return h.socket.Receive(ctx, h.hear) })
 	f := &follower{
@@ -125,7 +128,7 @@
 	}
 	if h.settings.MetricsPort != 0 {
 		at := netip.AddrPortFrom(h.settings.Address, uint16(h.settings.MetricsPort))
-		if err := h.listen(&group, metricsServer(), spoke.Address(at.String())); err != nil {
+		if err := h.listen(&group, h.metricsServer(), spoke.Address(at.String())); err != nil {
 			return err
 		}
 	}
@@ -186,6 +189,8 @@
 	h.planner.in <- planned{message: place.Hear{Share: share}}
 }
 
-func metricsServer() *http.Server {
-	return &http.Server{Handler: expvarHandler(), ReadHeaderTimeout: callerHeader}
+func (h *Host) metricsServer() *http.Server {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", h.relayer.metrics)
+	return &http.Server{Handler: mux, ReadHeaderTimeout: callerHeader}
 }
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -2,6 +2,8 @@
 
 import (
 	"expvar"
+	"fmt"
+	"net/http"
 	"sync"
 	"time"
 
@@ -36,10 +38,10 @@
 	}
 }
 
-// Publish makes the metrics part of the process's variables.
-func (m *metrics) publish() {
-	expvar.Publish("answers", expvar.Func(m.answers))
-	expvar.Publish("times", expvar.Func(m.percentiles))
+// ServeHTTP writes the metrics in the form of the process's own variables.
+func (m *metrics) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = fmt.Fprintf(w, "{\n%q: %s,\n%q: %s\n}\n", "answers", expvar.Func(m.answers), "times", expvar.Func(m.percentiles))
 }
 
 func (m *metrics) answered(route spoke.RouteName, outcome string, arrived time.Time) {
--- a/edge/orders.go
+++ b/edge/orders.go
@@ -136,7 +136,7 @@
 	for _, wanted := range change.Weights {
 		o.wanted[wanted.Model] = max(o.wanted[wanted.Model], wanted.Version)
 	}
-	if change.IsWhole && len(change.Upstreams) > 0 {
+	if change.IsWhole && !change.KeepsUpstreams {
 		o.upstreams = make(map[spoke.UpstreamID]spoke.ListedUpstream)
 	}
 	for _, listed := range change.Upstreams {
@@ -276,12 +276,7 @@
 	o.send(ctx, reportNews{upstream: id, report: report, err: err})
 }
 
-func (o *orders) send(ctx context.Context, message any) {
-	select {
-	case o.in <- message:
-	case <-ctx.Done():
-	}
-}
+func (o *orders) send(ctx context.Context, message any) { sendTo(ctx, o.in, message) }
 
 func (o *orders) listed() []spoke.Upstream {
 	upstreams := make([]spoke.Upstream, 0, len(o.upstreams))
--- /dev/null
+++ b/edge/relay_test.go
@@ -0,0 +1,171 @@
+package edge_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	fake "magnoliaspoke.example/spoke/fake/platform"
+)
+
+const wholeStream = "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\nid: 3\ndata: piece 3\n\nid: 4\ndata: piece 4\n\n"
+
+func book(id string) call {
+	return call{method: http.MethodPost, path: "/book/1?x=%2F", key: callerKey, id: id, body: "one carton"}
+}
+
+func look(id string) call {
+	return call{method: http.MethodGet, path: "/look/1", key: callerKey, id: id}
+}
+
+func chat(id string) call {
+	return call{method: http.MethodPost, path: "/chat/1", key: callerKey, id: id, body: "hello"}
+}
+
+func quote(id string) call {
+	return call{method: http.MethodPost, path: "/quote/1", key: callerKey, id: id, body: "hello"}
+}
+
+// Guards against a request or an answer that changes on its way, and against headers of the
+// caller that only the system may set.
+func TestCallsArePassedOnUnchanged(t *testing.T) {
+	d := start(t, 1)
+	sent := book("r1")
+	sent.header = http.Header{
+		"Magnoliaspoke-Tenant": {"other"}, "Magnoliaspoke-Kv-Hold": {"1"}, "Kv-From": {"1.2.3.4:5/6"},
+		"Magnoliaspoke-Cache-Salt": {"theirs"}, "X-Other": {"kept"}, "Connection": {"x-drop"}, "X-Drop": {"1"},
+	}
+	response, body, err := d.send(sent)
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, http.StatusOK)
+	assert.Equal(t, body, "whole answer of i-0")
+	assert.Equal(t, response.Header.Get("Magnoliaspoke-Server-Stamp"), "stamp-i-0")
+
+	run := d.engines[0].Runs()[0]
+	assert.Equal(t, run.Method+" "+run.Target+" "+run.Host, "POST /book/1?x=%2F "+hostName)
+	assert.Equal(t, run.Body, "one carton")
+	assert.Equal(t, run.Header.Get("Magnoliaspoke-Tenant"), "workspace-1")
+	assert.Equal(t, run.Header.Get("Magnoliaspoke-Expect-Instance"), "i-0")
+	assert.Equal(t, run.Header.Get("X-Other"), "kept")
+	for _, name := range []string{"Authorization", "Magnoliaspoke-Kv-Hold", "Kv-From", "Magnoliaspoke-Cache-Salt", "X-Drop"} {
+		assert.Equal(t, run.Header.Get(name), "", name)
+	}
+	left, err := strconv.Atoi(run.Header.Get("Magnoliaspoke-Deadline-Ms"))
+	assert.NilError(t, err)
+	assert.Assert(t, left > 3000 && left <= 4000, "%d ms left", left)
+}
+
+// Guards against streams that are cut, doubled or joined wrongly when an engine breaks off
+// inside an event.
+func TestBrokenStreamGoesOnElsewhere(t *testing.T) {
+	d := start(t, 2)
+	d.behave(fake.ResetMidway)
+	response, body, err := d.send(chat("r1"))
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, http.StatusOK)
+	assert.Equal(t, body, wholeStream)
+	assert.Equal(t, d.runs(), 2)
+}
+
+// Guards against a broken stream that looks complete, and against a second run of a request
+// that may run once only.
+func TestBrokenStreamThatMayNotGoOnIsNotEnded(t *testing.T) {
+	d := start(t, 2)
+	d.behave(fake.ResetMidway)
+	_, body, err := d.send(quote("r1"))
+	assert.ErrorContains(t, err, "unexpected EOF")
+	assert.Equal(t, body, "id: 1\ndata: piece 1\n\n")
+	assert.Equal(t, d.runs(), 1)
+}
+
+// Guards against answers that promise "not run" for a request that may have run, and against
+// lost retries of those that may.
+func TestFailures(t *testing.T) {
+	cases := []struct {
+		behaviour fake.Behaviour
+		call      call
+		status    int
+		runs      int
+	}{
+		{fake.Shed, book("a"), http.StatusServiceUnavailable, 0},
+		{fake.Busy, book("b"), http.StatusBadGateway, 1},
+		{fake.ResetAtOnce, book("c"), http.StatusBadGateway, 1},
+		{fake.Unproved, book("d"), http.StatusBadGateway, 1},
+		{fake.Fail, book("e"), http.StatusInternalServerError, 1},
+		{fake.OtherFirst, book("f"), http.StatusOK, 1},
+		{fake.Fail, look("g"), http.StatusInternalServerError, 2},
+		{fake.ResetAtOnce, look("h"), http.StatusBadGateway, 2},
+		{fake.Shed, look("i"), http.StatusServiceUnavailable, 0},
+		{fake.ResetAtOnce, quote("j"), http.StatusBadGateway, 1},
+		{fake.ResetAtOnce, chat("k"), http.StatusBadGateway, 2},
+	}
+	for _, c := range cases {
+		t.Run(fmt.Sprintf("%s %s", c.behaviour, c.call.path), func(t *testing.T) {
+			d := start(t, 2)
+			d.behave(c.behaviour)
+			response, _, err := d.send(c.call)
+			assert.NilError(t, err)
+			assert.Equal(t, response.StatusCode, c.status)
+			assert.Equal(t, d.runs(), c.runs)
+			if c.status == http.StatusServiceUnavailable {
+				seconds, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
+				assert.NilError(t, err)
+				assert.Assert(t, seconds > 0 && seconds < 4, "%v s", seconds)
+			}
+		})
+	}
+}
+
+// Guards against engines that work on for callers that have left.
+func TestCallerThatLeavesEndsItsRun(t *testing.T) {
+	d := start(t, 1)
+	d.engines[0].Pause(300 * time.Millisecond)
+	ctx, cancel := context.WithCancel(context.Background())
+	response, err := http.DefaultClient.Do(d.request(chat("r1")).WithContext(ctx))
+	assert.NilError(t, err)
+	_, err = io.ReadFull(response.Body, make([]byte, 10))
+	assert.NilError(t, err)
+	cancel()
+	_ = response.Body.Close()
+	awaitTrue(t, "run still goes on", func() bool { return d.engines[0].Cancelled() == 1 })
+}
+
+// Guards against a final answer that is held back beyond the time that the caller waits.
+func TestSilentEngineEndsAtTheCallersLimit(t *testing.T) {
+	d := start(t, 1)
+	d.behave(fake.Hang)
+	c := d.request(book("r1"))
+	c.Header.Set("Magnoliaspoke-Deadline-Ms", "400")
+	begun := time.Now()
+	response, err := http.DefaultClient.Do(c)
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	assert.Equal(t, response.StatusCode, http.StatusGatewayTimeout)
+	assert.Assert(t, time.Since(begun) < 900*time.Millisecond)
+}
+
+// Guards against malformed input that reaches an engine.
+func TestMalformedCallsAreRefused(t *testing.T) {
+	d := start(t, 1)
+	const tail = " HTTP/1.1\r\nHost: " + hostName + "\r\nAuthorization: Bearer " + callerKey + "\r\nContent-Length: 0\r\n"
+	cases := []string{
+		"POST /book/1" + tail + "\r\n",
+		"POST /book/1" + tail + "Magnoliaspoke-Request-Id: a\r\nMagnoliaspoke-Request-Id: b\r\n\r\n",
+		"POST /book/1" + tail + "Magnoliaspoke-Request-Id: " + strings.Repeat("a", 300) + "\r\n\r\n",
+		"POST /book/1" + tail + "Magnoliaspoke-Request-Id: a\r\nMagnoliaspoke-Deadline-Ms: soon\r\n\r\n",
+		"POST /book/1" + tail + "Magnoliaspoke-Request-Id: a\r\nMagnoliaspoke-Prefix-Hash: aa\r\n\r\n",
+		"POST /book/1" + tail + "Magnoliaspoke-Request-Id: a\r\nMagnoliaspoke-Token-Usage: -1,2\r\n\r\n",
+		"POST http://" + hostName + "/book/1" + tail + "Magnoliaspoke-Request-Id: a\r\n\r\n",
+	}
+	for _, message := range cases {
+		assert.Equal(t, d.raw(message), "HTTP/1.1 400 Bad Request", message)
+	}
+	assert.Equal(t, d.runs(), 0)
+}
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -119,7 +119,7 @@
 
 func (e *exchange) askFor(p *progress) place.Ask {
 	ask := place.Ask{
-		Call: spoke.CallNumber(e.numbers.Add(1)), Service: e.service(), Group: place.CacheGroup(e.owner, 0),
+		Call: spoke.CallNumber(e.numbers.Add(1)), Service: e.service(), Group: place.OwnerGroup(e.owner),
 		Urgency: e.urgency(), Arrived: e.arrived, Target: e.arrived.Add(e.route.Target), GiveUp: e.giveUp,
 		Tried: p.tried, IsRepeat: len(p.sent) > 0,
 	}
--- /dev/null
+++ b/edge/setup_test.go
@@ -0,0 +1,220 @@
+package edge_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"magnoliaspoke.example/spoke"
+	"magnoliaspoke.example/spoke/config"
+	"magnoliaspoke.example/spoke/edge"
+	fake "magnoliaspoke.example/spoke/fake/platform"
+	"magnoliaspoke.example/spoke/platform"
+	"magnoliaspoke.example/spoke/timer"
+)
+
+const (
+	callerKey = "key-1"
+	hostName  = "calls.example"
+)
+
+// deployment is a host before a stand-in of the platform.
+type deployment struct {
+	t        *testing.T
+	store    *fake.Store
+	engines  []*fake.Engine
+	settings config.Relay
+	signals  chan os.Signal
+	ended    chan error
+}
+
+// start runs a host before engines; every engine answers streams with four events.
+func start(t *testing.T, engines int) *deployment {
+	t.Helper()
+	d := &deployment{t: t, store: fake.NewStore(), signals: make(chan os.Signal, 2), ended: make(chan error, 1)}
+	t.Cleanup(d.store.Close)
+	d.store.Put("op/config", table(1, callerKey))
+	for i := range engines {
+		engine := fake.NewEngine(fmt.Sprintf("i-%d", i), 4)
+		t.Cleanup(engine.Close)
+		d.engines = append(d.engines, engine)
+		d.list(engine, "ready")
+	}
+	d.settings = config.Relay{
+		Host: "host-1", DataCentre: "a", Address: netip.MustParseAddr("127.0.0.1"),
+		Caller: freeAddress(t), Readiness: freeAddress(t), Store: spoke.Address(d.store.Address()),
+		PeerPort: freePort(t), MetricsPort: freePort(t), Memory: 128 << 20, Descriptors: 1000,
+		ConfigApply: 2 * time.Second, WeightsApply: 6 * time.Second, OrdersPause: 900 * time.Millisecond,
+		LeaveNotice: 2 * time.Second, StopGrace: 8 * time.Second,
+		RetryShare: 0.2, RetryReserve: 50, RetryWindow: 10 * time.Second,
+	}
+	d.run()
+	return d
+}
+
+func (d *deployment) run() {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	boot := timer.NewBoot()
+	client := platform.NewStore(d.settings.Store, boot.Now)
+	control := platform.NewControl()
+	host, err := edge.New(d.settings, edge.Parts{
+		Directory: client, Leases: platform.NewLeases(client), OrdersLease: platform.OrdersLease,
+		Control: control, Stores: control, Codec: platform.Codec{},
+		Timer: timer.NewSystem(), LeaseTimer: boot, Log: log,
+	})
+	assert.NilError(d.t, err)
+	go func() { d.ended <- host.Run(d.signals) }()
+	d.t.Cleanup(func() {
+		select {
+		case d.signals <- syscall.SIGTERM:
+		default:
+		}
+	})
+	poll.WaitOn(d.t, func(poll.LogT) poll.Result {
+		if status, err := d.readiness(); err != nil || status != http.StatusOK {
+			return poll.Continue("not ready: %d %v", status, err)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(5*time.Second))
+}
+
+func (d *deployment) readiness() (int, error) {
+	response, err := http.Get("http://" + string(d.settings.Readiness) + "/readyz")
+	if err != nil {
+		return 0, err
+	}
+	defer response.Body.Close()
+	return response.StatusCode, nil
+}
+
+func (d *deployment) list(engine *fake.Engine, state string) {
+	d.store.Put("servers/"+engine.ID, engine.Entry("models", "a", state))
+}
+
+// table returns a configuration with a route of each kind; plain calls go to the same engines.
+func table(version int, key string) map[string]any {
+	route := func(name, prefix, kind string, attempts int, isPrompt, isResumable bool) map[string]any {
+		return map[string]any{
+			"name": name, "host": hostName, "prefix": prefix, "route-type": kind, "timeout-ms": 4000,
+			"target-latency-ms": 300, "priority": 1, "service": "models", "max-attempts": attempts,
+			"sticky": isPrompt, "resumable": isResumable, "gap-aim-ms": 400,
+		}
+	}
+	return map[string]any{
+		"version": version,
+		"routes": []any{
+			route("chat", "/chat/", "streaming", 2, true, true), route("quote", "/quote/", "streaming", 1, true, false),
+			route("book", "/book/", "unsafe", 1, false, false), route("look", "/look/", "safe", 2, false, false),
+		},
+		"services": []any{map[string]any{
+			"name": "models", "max-conns": 100,
+			"engine": map[string]any{"slots": 8, "kv-capacity-tokens": 100000, "kv-token-bytes": 1000, "link-mbps": 100000},
+		}},
+		"limits":  map[string]any{"max-body-bytes": 100000, "idle-timeout-ms": 15000},
+		"tenants": []any{map[string]any{"name": "workspace-1", "api-keys": []string{key}}},
+	}
+}
+
+// call describes a caller's request.
+type call struct {
+	method, path, key, id, body string
+	header                      http.Header
+}
+
+func (d *deployment) request(c call) *http.Request {
+	d.t.Helper()
+	request, err := http.NewRequest(c.method, "http://"+string(d.settings.Caller)+c.path, strings.NewReader(c.body))
+	assert.NilError(d.t, err)
+	request.Host = hostName
+	for name, values := range c.header {
+		request.Header[name] = values
+	}
+	request.Header.Set("Magnoliaspoke-Request-Id", c.id)
+	request.Header.Set("Magnoliaspoke-Deadline-Ms", "4000")
+	if c.key != "" {
+		request.Header.Set("Authorization", "Bearer "+c.key)
+	}
+	if strings.HasPrefix(c.path, "/chat/") || strings.HasPrefix(c.path, "/quote/") {
+		request.Header.Set("Magnoliaspoke-Model", "model-a")
+		request.Header.Set("Magnoliaspoke-Token-Usage", "300,20")
+		request.Header.Set("Magnoliaspoke-Prefix-Hash", "aa:100,bb:150,cc:50")
+	}
+	return request
+}
+
+// send makes the call and returns the answer with its whole body, or the error that broke it.
+func (d *deployment) send(c call) (*http.Response, string, error) {
+	d.t.Helper()
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Do(d.request(c))
+	if err != nil {
+		return nil, "", err
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return response, string(body), err
+}
+
+func (d *deployment) runs() int {
+	total := 0
+	for _, engine := range d.engines {
+		total += len(engine.Runs())
+	}
+	return total
+}
+
+func (d *deployment) behave(behaviour fake.Behaviour) {
+	for _, engine := range d.engines {
+		engine.Behave(behaviour)
+	}
+}
+
+func freePort(t *testing.T) int {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer listener.Close()
+	return listener.Addr().(*net.TCPAddr).Port
+}
+
+func freeAddress(t *testing.T) spoke.Address {
+	t.Helper()
+	return spoke.Address(fmt.Sprintf("127.0.0.1:%d", freePort(t)))
+}
+
+// raw sends bytes on a new connection and returns the first line of the answer.
+func (d *deployment) raw(message string) string {
+	d.t.Helper()
+	conn, err := net.Dial("tcp", string(d.settings.Caller))
+	assert.NilError(d.t, err)
+	defer conn.Close()
+	assert.NilError(d.t, conn.SetDeadline(time.Now().Add(5*time.Second)))
+	_, err = io.WriteString(conn, message)
+	assert.NilError(d.t, err)
+	line, err := bufio.NewReader(conn).ReadString('\n')
+	assert.NilError(d.t, err)
+	return strings.TrimSpace(line)
+}
+
+func awaitTrue(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if holds() {
+			return poll.Success()
+		}
+		return poll.Continue("%s", what)
+	}, poll.WithTimeout(8*time.Second))
+}
--- a/edge/stop.go
+++ b/edge/stop.go
@@ -45,11 +45,11 @@
 func (h *Host) stop(ctx context.Context, callers *http.Server) error {
 	begun := time.Now()
 	h.isLeaving.Store(true)
-	h.relayer.isStopping.Store(true)
-	h.pause(ctx, unreadyTime)
+	limit := begun.Add(h.settings.StopGrace - stopMargin)
+	h.relayer.stopAt.Store(&limit)
+	h.pause(ctx, min(unreadyTime, time.Until(limit)))
 	// Idle connections close now, since no new ones should arrive.
 	callers.SetKeepAlivesEnabled(false)
-	limit := begun.Add(h.settings.StopGrace - stopMargin)
 	for h.relayer.underway.Load() > 0 && time.Now().Before(limit) && ctx.Err() == nil {
 		h.pause(ctx, stopCheck)
 	}
--- /dev/null
+++ b/edge/stores.go
@@ -0,0 +1,273 @@
+package edge
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"magnoliaspoke.example/spoke"
+	"magnoliaspoke.example/spoke/config"
+	"magnoliaspoke.example/spoke/place"
+	"magnoliaspoke.example/spoke/route"
+)
+
+const (
+	// storeWait is long enough for a waiting call to cost nothing.
+	storeWait = time.Second
+	// storeGap gathers the changes of a store.
+	storeGap = 150 * time.Millisecond
+	// storeRetry is the pause after a store did not answer.
+	storeRetry = 300 * time.Millisecond
+	// oldGroupTime is the time after new weights were named in which calls may still copy parts
+	// that were made on older ones, beyond the time in which such calls may begin.
+	oldGroupTime = 3 * time.Second
+	// mostFreed bounds the parts that one call frees.
+	mostFreed = 400
+)
+
+type (
+	storesNews  struct{ stores []spoke.PromptStore }
+	peersNews   struct{ hosts []spoke.HostID }
+	wantedNews  struct{ wanted spoke.WantedWeights }
+	storeResult struct {
+		store   spoke.ServiceName
+		events  spoke.StoreEvents
+		isWhole bool
+		err     error
+	}
+	freeResult struct {
+		store spoke.ServiceName
+		err   error
+	}
+
+	// followed is a prompt store that this host may follow.
+	followed struct {
+		spoke.PromptStore
+		epoch  spoke.StoreEpoch
+		next   int64
+		isDown bool
+		// isBusy says that a call is under way.
+		isBusy  bool
+		pauseTo time.Time
+		used    spoke.TokenCount
+		parts   map[spoke.StoredPart]spoke.TokenCount
+	}
+
+	// storeFollowers is the task that follows the prompt stores of which this host is in charge,
+	// so that all hosts know what they hold at the cost of one.
+	storeFollowers struct {
+		host    spoke.HostID
+		control spoke.StoreControl
+		timer   spoke.Timer
+		planner *planner
+		log     logrus.FieldLogger
+		apply   time.Duration
+		in      chan any
+
+		hosts  []spoke.HostID
+		stores map[spoke.ServiceName]*followed
+		newest spoke.WeightVersion
+		// oldUntil is when no call can copy parts of older weights any more.
+		oldUntil time.Time
+	}
+)
+
+func newStoreFollowers(settings config.Relay, parts Parts, p *planner) *storeFollowers {
+	return &storeFollowers{
+		host: settings.Host, apply: settings.WeightsApply, control: parts.Stores, timer: parts.Timer, planner: p, log: parts.Log,
+		in: make(chan any, planQueue), hosts: []spoke.HostID{settings.Host}, stores: make(map[spoke.ServiceName]*followed),
+	}
+}
+
+func (f *storeFollowers) set(stores []spoke.PromptStore)     { f.in <- storesNews{stores} }
+func (f *storeFollowers) setPeers(hosts []spoke.HostID)      { f.in <- peersNews{hosts} }
+func (f *storeFollowers) want(wanted spoke.WantedWeights)    { f.in <- wantedNews{wanted} }
+func (f *storeFollowers) send(ctx context.Context, m any)    { sendTo(ctx, f.in, m) }
+func (f *storeFollowers) isOwn(store spoke.ServiceName) bool { return f.ownerOf(store) == f.host }
+
+func (f *storeFollowers) ownerOf(store spoke.ServiceName) spoke.HostID {
+	return route.Owner(spoke.UpstreamID(store), f.hosts)
+}
+
+// run follows stores until ctx ends.
+func (f *storeFollowers) run(ctx context.Context) error {
+	tick := f.timer.Every(storeGap)
+	defer tick.Stop()
+	for {
+		select {
+		case m := <-f.in:
+			f.take(m)
+		case <-tick.C():
+			f.step(ctx)
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (f *storeFollowers) take(message any) {
+	switch m := message.(type) {
+	case storesNews:
+		f.takeStores(m.stores)
+	case peersNews:
+		f.hosts = append(m.hosts, f.host)
+		slices.Sort(f.hosts)
+	case wantedNews:
+		if m.wanted.Version > f.newest {
+			f.newest = m.wanted.Version
+			f.oldUntil = f.timer.Now().Add(f.apply + oldGroupTime)
+		}
+	case storeResult:
+		f.takeResult(m)
+	case freeResult:
+		st := f.stores[m.store]
+		if st == nil {
+			return
+		}
+		st.isBusy = false
+		if m.err != nil {
+			f.log.WithError(m.err).WithField("store", m.store).Warn("parts not freed")
+		}
+	}
+}
+
+func (f *storeFollowers) takeStores(stores []spoke.PromptStore) {
+	known := f.stores
+	f.stores = make(map[spoke.ServiceName]*followed)
+	for _, settings := range stores {
+		st := known[settings.Name]
+		if st == nil || st.Address != settings.Address {
+			st = &followed{parts: make(map[spoke.StoredPart]spoke.TokenCount)}
+		}
+		st.PromptStore = settings
+		f.stores[settings.Name] = st
+	}
+}
+
+// step makes the next call to each store of which this host is in charge.
+func (f *storeFollowers) step(ctx context.Context) {
+	now := f.timer.Now()
+	for _, name := range slices.Sorted(maps.Keys(f.stores)) {
+		st := f.stores[name]
+		switch {
+		case !f.isOwn(name):
+			// What is known is out of date when this host takes over again.
+			st.epoch = 0
+		case st.isBusy || now.Before(st.pauseTo):
+		case st.epoch != 0 && now.After(f.oldUntil) && f.hasOld(st):
+			f.free(ctx, st)
+		default:
+			f.poll(ctx, st)
+		}
+	}
+}
+
+func (f *storeFollowers) poll(ctx context.Context, st *followed) {
+	st.isBusy = true
+	name, at, since, isWhole := st.Name, st.Address, st.next, st.epoch == 0
+	go func() {
+		result := storeResult{store: name, isWhole: isWhole}
+		if isWhole {
+			result.events, result.err = f.control.StoreContent(ctx, at)
+		} else {
+			result.events, result.err = f.control.StoreEvents(ctx, at, since, storeWait)
+		}
+		f.send(ctx, result)
+	}()
+}
+
+func (f *storeFollowers) takeResult(m storeResult) {
+	st := f.stores[m.store]
+	if st == nil {
+		return
+	}
+	st.isBusy = false
+	if m.err != nil {
+		f.lost(st, m.err)
+		return
+	}
+	if !m.isWhole && (m.events.HasGap || m.events.Epoch != st.epoch) {
+		f.log.WithFields(logrus.Fields{"store": m.store, "epoch": m.events.Epoch, "gap": m.events.HasGap}).Info("store is listed again")
+		st.epoch = 0
+		f.tell(spoke.StoreState{Store: m.store, Epoch: m.events.Epoch})
+		return
+	}
+	if st.isDown {
+		f.log.WithField("store", m.store).Info("store regained")
+	}
+	st.isDown = false
+	if m.isWhole {
+		st.parts, st.used = make(map[spoke.StoredPart]spoke.TokenCount), 0
+	}
+	st.epoch, st.next = m.events.Epoch, m.events.Next
+	f.tell(st.apply(m.events))
+}
+
+// apply takes the changes of the store and returns what other hosts should know.
+func (st *followed) apply(events spoke.StoreEvents) spoke.StoreState {
+	state := spoke.StoreState{Store: st.Name, Epoch: st.epoch}
+	for _, event := range events.Events {
+		key := place.StoredKeyOf(event.StoredPart)
+		st.used -= st.parts[event.StoredPart]
+		if event.IsStored {
+			st.parts[event.StoredPart] = event.Tokens
+			st.used += event.Tokens
+			state.Stored = append(state.Stored, key)
+			continue
+		}
+		delete(st.parts, event.StoredPart)
+		state.Freed = append(state.Freed, key)
+	}
+	state.Used = st.used
+	return state
+}
+
+func (f *storeFollowers) lost(st *followed, err error) {
+	if !st.isDown {
+		f.log.WithError(err).WithField("store", st.Name).Warn("store lost")
+	}
+	st.isDown, st.epoch = true, 0
+	st.pauseTo = f.timer.Now().Add(storeRetry)
+	f.tell(spoke.StoreState{Store: st.Name, IsDown: true})
+}
+
+func (f *storeFollowers) tell(state spoke.StoreState) {
+	f.planner.in <- planned{message: place.SeeStore{State: state}}
+}
+
+// hasOld reports whether the store holds parts that no call can use any more.
+func (f *storeFollowers) hasOld(st *followed) bool { return len(f.oldParts(st, 1)) > 0 }
+
+func (f *storeFollowers) oldParts(st *followed, most int) []spoke.StoredPart {
+	var old []spoke.StoredPart
+	for part := range st.parts {
+		if version, ok := place.GroupVersion(part.Group); ok && version < f.newest && len(old) < most {
+			old = append(old, part)
+		}
+	}
+	return old
+}
+
+// free frees parts of older weights; the store's events say when they are gone.
+func (f *storeFollowers) free(ctx context.Context, st *followed) {
+	old := f.oldParts(st, mostFreed)
+	name, at, epoch := st.Name, st.Address, st.epoch
+	st.isBusy = true
+	for _, part := range old {
+		st.used -= st.parts[part]
+		delete(st.parts, part)
+	}
+	f.log.WithFields(logrus.Fields{"store": name, "parts": len(old), "weights": f.newest}).Info("parts of older weights freed")
+	go func() { f.send(ctx, freeResult{store: name, err: f.control.FreeParts(ctx, at, epoch, old)}) }()
+}
+
+// sendTo hands a message to a task unless ctx ends first.
+func sendTo(ctx context.Context, to chan<- any, message any) {
+	select {
+	case to <- message:
+	case <-ctx.Done():
+	}
+}
--- a/logs/writer.go
+++ b/logs/writer.go
@@ -87,6 +87,7 @@
 			w.reportLeftOut()
 		case <-ctx.Done():
 			w.flush()
+			w.reportLeftOut()
 			return ctx.Err()
 		}
 	}
--- a/peers/codec.go
+++ b/peers/codec.go
@@ -22,6 +22,7 @@
 		Weights   map[string]weightsRow `json:"weights,omitempty"`
 		Marks     []markRow             `json:"marks,omitempty"`
 		Wanted    []wantedRow           `json:"wanted,omitempty"`
+		Stores    []storeRow            `json:"stores,omitempty"`
 	}
 
 	upstreamRow struct {
@@ -54,6 +55,15 @@
 		AgeMs   int64  `json:"age-ms"`
 	}
 
+	storeRow struct {
+		Name   string   `json:"name"`
+		Epoch  uint64   `json:"epoch"`
+		IsDown bool     `json:"down,omitempty"`
+		Used   int64    `json:"used"`
+		Stored []uint64 `json:"stored,omitempty"`
+		Freed  []uint64 `json:"freed,omitempty"`
+	}
+
 	markRow struct {
 		Fingerprint string `json:"fingerprint"`
 		Deaths      int    `json:"deaths"`
@@ -86,6 +96,12 @@
 	for _, w := range share.WantedAges {
 		row.Wanted = append(row.Wanted, wantedRow{string(w.Wanted.Model), int64(w.Wanted.Version), w.Age.Milliseconds()})
 	}
+	for _, state := range share.Stores {
+		row.Stores = append(row.Stores, storeRow{
+			Name: string(state.Store), Epoch: uint64(state.Epoch), IsDown: state.IsDown, Used: int64(state.Used),
+			Stored: convert[uint64](state.Stored), Freed: convert[uint64](state.Freed),
+		})
+	}
 	raw, err := json.Marshal(row)
 	return raw, eris.Wrap(err, "encode load account")
 }
@@ -133,9 +149,24 @@
 			Age:    time.Duration(w.AgeMs) * time.Millisecond,
 		})
 	}
+	for _, state := range row.Stores {
+		share.Stores = append(share.Stores, spoke.StoreState{
+			Store: spoke.ServiceName(state.Name), Epoch: spoke.StoreEpoch(state.Epoch), IsDown: state.IsDown,
+			Used: spoke.TokenCount(state.Used), Stored: convert[spoke.StoredKey](state.Stored), Freed: convert[spoke.StoredKey](state.Freed),
+		})
+	}
 	return share, nil
 }
 
+// convert maps keys between their type and that of the wire.
+func convert[To, From ~uint64](keys []From) []To {
+	converted := make([]To, 0, len(keys))
+	for _, key := range keys {
+		converted = append(converted, To(key))
+	}
+	return converted
+}
+
 func encodePlaced(placed spoke.PlacedPrompt) placedRow {
 	row := placedRow{ID: string(placed.Upstream)}
 	for _, prefix := range placed.Prefixes {
--- /dev/null
+++ b/peers/peers_test.go
@@ -0,0 +1,73 @@
+package peers_test
+
+import (
+	"context"
+	"io"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+
+	"magnoliaspoke.example/spoke"
+	"magnoliaspoke.example/spoke/peers"
+)
+
+func account(now time.Time) spoke.LoadShare {
+	return spoke.LoadShare{
+		Host: "host-1", Number: 7, IsWhole: true,
+		Upstreams:  []spoke.UpstreamShare{{Upstream: "e", Unread: 5, Memory: 6, Runs: 7}},
+		Waiting:    []spoke.WaitingWork{{Service: "s", Urgency: 2, Tokens: 9}},
+		Placed:     []spoke.PlacedPrompt{{Upstream: "e", Prefixes: []spoke.PromptPrefix{{Key: 1 << 63, Part: 2, Total: 3}}}},
+		Paused:     map[spoke.UpstreamID]time.Duration{"e": time.Second},
+		Weights:    map[spoke.UpstreamID]spoke.ListedWeights{"e": {Model: "m", Version: 3}},
+		Marks:      []spoke.QuarantineMark{{Fingerprint: "f", Deaths: 2, Expires: now.Add(time.Second)}},
+		Stores:     []spoke.StoreState{{Store: "st", Epoch: 1 << 60, Used: 4, Stored: []spoke.StoredKey{1 << 63}, Freed: []spoke.StoredKey{2}}},
+		WantedAges: []spoke.WantedAge{{Wanted: spoke.WantedWeights{Model: "m", Version: 3}, Age: 2 * time.Second}},
+	}
+}
+
+// Guards against fields that are lost or changed between hosts.
+func TestAccountSurvivesItsWay(t *testing.T) {
+	now := time.Now()
+	raw, err := peers.Encode(account(now), now)
+	assert.NilError(t, err)
+	decoded, err := peers.Decode(raw, now)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, decoded, account(now))
+}
+
+// Guards against a datagram of somebody else that ends the exchange.
+func TestSocketGoesOnAfterGarbage(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	receiver, err := peers.Listen(netip.MustParseAddrPort("127.0.0.1:0"), log)
+	assert.NilError(t, err)
+	sender, err := peers.Listen(netip.MustParseAddrPort("127.0.0.1:0"), log)
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	got := make(chan spoke.LoadShare, 2)
+	ended := make(chan error, 1)
+	go func() { ended <- receiver.Receive(ctx, func(share spoke.LoadShare) { got <- share }) }()
+	to := []netip.AddrPort{netip.MustParseAddrPort(string(receiver.Address()))}
+	sender.Send(spoke.LoadShare{}, to)
+	sender.Send(account(time.Now()), to)
+	assert.Equal(t, (<-got).Host, spoke.HostID("host-1"))
+	cancel()
+	assert.ErrorIs(t, <-ended, context.Canceled)
+}
+
+// FuzzDecode guards against datagrams that make a host fail.
+func FuzzDecode(f *testing.F) {
+	raw, err := peers.Encode(account(time.Now()), time.Now())
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(raw)
+	f.Add([]byte(`{"host":"a","upstreams":[{}],"placed":[{"prefixes":[[1]]}]}`))
+	f.Fuzz(func(_ *testing.T, raw []byte) {
+		// Any error will do, as long as the decoder returns.
+		_, _ = peers.Decode(raw, time.Now())
+	})
+}
--- a/peers/socket.go
+++ b/peers/socket.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/netip"
 	"time"
@@ -57,9 +58,13 @@
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return eris.Wrap(err, "receive load accounts")
 		}
+		if err != nil {
+			s.log.WithError(err).Warn("load account not received")
+			continue
+		}
 		share, err := Decode(buffer[:n], time.Now())
 		if err != nil {
 			s.log.WithError(err).Warn("load account ignored")
--- a/place/choose.go
+++ b/place/choose.go
@@ -14,9 +14,9 @@
 	node    *node
 	weights spoke.WeightVersion
 	cached  spoke.TokenCount
-	// fetched is copied from the address of another engine.
-	fetched   spoke.TokenCount
-	fetchFrom spoke.Address
+	// fetched is copied from the places that fetch names for each part.
+	fetched spoke.TokenCount
+	fetch   []spoke.Address
 	// first is the expected time to the first event, ordinary the same at the usual pace.
 	first    time.Duration
 	ordinary time.Duration
@@ -125,7 +125,7 @@
 	rest := prompt.Input - c.cached - c.fetched
 	read := readTime(rest, n.pace)
 	saved := readTime(prompt.Input-rest, n.pace)
-	unread := n.backlog(now, total.Unread, defaultReadRate/n.pace)
+	unread := n.backlog(now)
 	behind := readTime(unread, n.pace)
 	if behind > s.allowedBacklog(w.ask)+saved/2 {
 		return c, false
@@ -152,7 +152,7 @@
 func (w *waiting) prefixesFor(version spoke.WeightVersion) []spoke.PromptPrefix {
 	prefixes, ok := w.prefixes[version]
 	if !ok {
-		prefixes = prefixesOf(w.ask.Group, w.ask.Prompt, version)
+		prefixes = prefixesOf(groupOf(w.ask, version), w.ask.Prompt)
 		w.prefixes[version] = prefixes
 	}
 	return prefixes
--- a/place/fetch.go
+++ b/place/fetch.go
@@ -7,52 +7,92 @@
 )
 
 const (
-	// fetchSetup is the time before a transfer of cached parts starts.
+	// fetchSetup is the time before a transfer between engines starts.
 	fetchSetup = 3 * time.Millisecond
 	// remoteFetch is how many times longer a transfer between data centres takes.
 	remoteFetch = 2
 	// leastFetch is the size below which reading is as quick as a transfer.
-	leastFetch spoke.TokenCount = 256
+	leastFetch spoke.TokenCount = 128
 )
 
-// planFetch sets from which other engine the node copies cached parts that it lacks and
-// returns the time of the transfer; copying leaves the engine free for other prompts.
+// source is where an engine copies a part from.
+type source struct {
+	address    spoke.Address
+	dataCentre spoke.DataCentreID
+	link       spoke.ByteRate
+	setup      time.Duration
+}
+
+// planFetch sets from where the node copies the parts that it lacks and returns the time of the
+// transfers; copying leaves the engine free for other prompts.
 func (s *Scheduler) planFetch(w *waiting, n *node, c *candidate) time.Duration {
 	engine := s.services[w.ask.Service].Engine
 	if engine == nil || engine.Link <= 0 {
 		return 0
 	}
-	source, held := s.holder(w, n, c)
-	gain := min(held, w.ask.Prompt.Input) - c.cached
-	if source == nil || gain < leastFetch {
+	prefixes := w.prefixesFor(c.weights)
+	fetch := make([]spoke.Address, len(prefixes))
+	var took time.Duration
+	var fetched spoke.TokenCount
+	for i, prefix := range prefixes {
+		if prefix.Total <= c.cached {
+			continue
+		}
+		from, ok := s.sourceOf(w, n, c.weights, i)
+		if !ok {
+			// A part is of use only if all parts before it are there.
+			break
+		}
+		fetch[i] = from.address
+		fetched += prefix.Part
+		took += from.transfer(engine, prefix.Part, n.listed.DataCentre)
+	}
+	if fetched < leastFetch {
 		return 0
 	}
-	c.fetched, c.fetchFrom = gain, source.listed.Address
-	return fetchTime(engine, gain, source.listed.DataCentre != n.listed.DataCentre)
+	c.fetched, c.fetch = min(fetched, w.ask.Prompt.Input-c.cached), fetch
+	return took
 }
 
-// holder returns the other engine that holds most of the prompt, preferably in the same data centre.
-func (s *Scheduler) holder(w *waiting, n *node, c *candidate) (*node, spoke.TokenCount) {
+// sourceOf returns where a part of the prompt can be copied from: a store that is known to
+// hold it, else an engine that probably does.
+func (s *Scheduler) sourceOf(w *waiting, n *node, version spoke.WeightVersion, part int) (source, bool) {
+	key := StoredKeyOf(spoke.StoredPart{Group: groupOf(w.ask, version), Part: w.ask.Prompt.Parts[part].ID})
+	if st := s.storeWith(key, n.listed.DataCentre); st != nil {
+		return source{st.Address, st.DataCentre, st.Link, st.Setup}, true
+	}
+	holder := s.holder(w, n, version, part)
+	if holder == nil {
+		return source{}, false
+	}
+	return source{address: holder.listed.Address, dataCentre: holder.listed.DataCentre, setup: fetchSetup}, true
+}
+
+// holder returns another engine that holds the prompt up to a part, preferably in the same
+// data centre.
+func (s *Scheduler) holder(w *waiting, n *node, version spoke.WeightVersion, part int) *node {
+	prefixes := w.prefixesFor(version)
 	var best *node
-	var most spoke.TokenCount
 	for _, other := range s.byService[w.ask.Service] {
-		if other == n || other.weights[w.ask.Prompt.Model] != c.weights {
+		if other == n || other.weights[w.ask.Prompt.Model] != version || other.cache.cached(prefixes) < prefixes[part].Total {
 			continue
 		}
-		held := other.cache.cached(w.prefixesFor(c.weights))
-		isNearer := best != nil && held == most && best.listed.DataCentre != n.listed.DataCentre &&
-			other.listed.DataCentre == n.listed.DataCentre
-		if held > most || isNearer {
-			best, most = other, held
+		if best == nil || (best.listed.DataCentre != n.listed.DataCentre && other.listed.DataCentre == n.listed.DataCentre) {
+			best = other
 		}
 	}
-	return best, most
+	return best
 }
 
-func fetchTime(engine *spoke.EngineProfile, tokens spoke.TokenCount, isRemote bool) time.Duration {
-	seconds := float64(tokens) * float64(engine.TokenSize) / float64(engine.Link)
-	if isRemote {
+// transfer returns the time in which an engine copies a part.
+func (from source) transfer(engine *spoke.EngineProfile, tokens spoke.TokenCount, to spoke.DataCentreID) time.Duration {
+	rate := engine.Link
+	if from.link > 0 {
+		rate = min(rate, from.link)
+	}
+	seconds := float64(tokens) * float64(engine.TokenSize) / float64(rate)
+	if from.dataCentre != to {
 		seconds *= remoteFetch
 	}
-	return fetchSetup + time.Duration(seconds*float64(time.Second))
+	return from.setup + time.Duration(seconds*float64(time.Second))
 }
--- /dev/null
+++ b/place/load_test.go
@@ -0,0 +1,171 @@
+package place_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"magnoliaspoke.example/spoke"
+	"magnoliaspoke.example/spoke/place"
+)
+
+// Replays a burst of long prompts. Guards against engines that are filled with them, so that a
+// short urgent prompt has to wait until they are read.
+func TestUrgentCallOvertakesABurstOfLongPrompts(t *testing.T) {
+	tr := newTrial(t, 2)
+	tr.grant(tr.ask(2, "s1", 8000, 4000))
+	tr.grant(tr.ask(2, "s2", 8000, 4000))
+	for range 5 {
+		tr.waits(tr.ask(2, "s3", 8000, 4000))
+	}
+	urgent := tr.grant(tr.ask(0, "s4", 500, 200))
+	assert.Assert(t, urgent.Predicted < 400*time.Millisecond, "%s", urgent.Predicted)
+}
+
+// Replays the end of a burst. Guards against calls that have missed their target and are still
+// served before those that can be on time.
+func TestCallsThatCanBeOnTimeGoBeforeLateOnes(t *testing.T) {
+	tr := newTrial(t, 1)
+	first := tr.grant(tr.ask(2, "s1", 8000, 4000))
+	late := tr.ask(2, "s2", 8000, 4000)
+	tr.waits(late)
+	tr.now = tr.now.Add(500 * time.Millisecond)
+	onTime := tr.ask(2, "s3", 8000, 4000)
+	granted := tr.grant(onTime)
+	assert.Equal(t, granted.Call, onTime.Call)
+	tr.handle(place.Ended{Call: first.Call, Ending: place.EndServed})
+	tr.handle(place.Began{Call: granted.Call})
+	actions := tr.pass(time.Second)
+	assert.Assert(t, len(actions) <= 1)
+}
+
+// Replays load far above capacity. Guards against calls that wait until their time is over
+// although that is known when they arrive.
+func TestOverloadIsRefusedAtOnce(t *testing.T) {
+	tr := newTrial(t, 1)
+	var refused *place.Refuse
+	for range 60 {
+		for _, action := range tr.handle(tr.ask(2, "s", 8000, 4000)) {
+			if r, ok := action.(place.Refuse); ok && refused == nil {
+				refused = &r
+			}
+		}
+	}
+	assert.Assert(t, refused != nil)
+	assert.Equal(t, refused.Reason, place.RefusedOverload)
+	assert.Assert(t, refused.Backlog > 3*time.Second && refused.Backlog < 6*time.Second, "%s", refused.Backlog)
+	assert.Assert(t, refused.RetryAfter > time.Second && refused.RetryAfter <= 4*time.Second, "%s", refused.RetryAfter)
+
+	urgent := tr.ask(0, "s4", 500, 200)
+	for _, action := range tr.handle(urgent) {
+		_, isRefusal := action.(place.Refuse)
+		assert.Assert(t, !isRefusal, "urgent call refused behind less urgent ones")
+	}
+}
+
+// Guards against engines whose memory is filled, which read prompts again after they preempted them.
+func TestMemoryIsNotFilled(t *testing.T) {
+	tr := newTrial(t, 1)
+	granted := 0
+	for range 20 {
+		for _, action := range tr.handle(tr.ask(2, "s", 8000, 4000)) {
+			if g, ok := action.(place.Grant); ok {
+				granted++
+				tr.now = tr.now.Add(200 * time.Millisecond)
+				tr.handle(place.Began{Call: g.Call})
+			}
+		}
+	}
+	assert.Assert(t, granted*12000 <= 90000 && granted >= 6, "%d granted", granted)
+}
+
+// Guards against a call that is not given up when its time is over.
+func TestWaitingCallEndsAtItsTime(t *testing.T) {
+	tr := newTrial(t, 1)
+	tr.grant(tr.ask(2, "s1", 8000, 4000))
+	waiting := tr.ask(2, "s2", 8000, 4000)
+	waiting.GiveUp = tr.now.Add(400 * time.Millisecond)
+	tr.handle(place.Pause{Upstream: "engine-0", For: 5 * time.Second})
+	tr.waits(waiting)
+	actions := tr.pass(400 * time.Millisecond)
+	assert.Equal(t, len(actions), 1)
+	assert.Equal(t, actions[0].(place.Refuse).Reason, place.RefusedTime)
+}
+
+// Guards against a host that fills engines which other hosts use.
+func TestWorkOfOtherHostsCounts(t *testing.T) {
+	tr := newTrial(t, 2)
+	tr.handle(place.Hear{Share: spoke.LoadShare{
+		Host: "host-2", Number: 1,
+		Upstreams: []spoke.UpstreamShare{{Upstream: "engine-0", Unread: 12000, Memory: 12000, Runs: 1}},
+	}})
+	for _, session := range []string{"a", "b", "c"} {
+		granted := tr.grant(tr.ask(0, session, 500, 200))
+		assert.Equal(t, granted.Upstream.ID, spoke.UpstreamID("engine-1"))
+	}
+	tr.pass(4 * time.Second)
+	assert.Equal(t, len(tr.handle(place.ForgetPeer{Host: "host-2"})), 0)
+}
+
+// Guards against an upstream that fails often and gets as many calls as the others.
+func TestFailingUpstreamIsAvoided(t *testing.T) {
+	tr := newTrial(t, 0)
+	counts := make(map[spoke.UpstreamID]int)
+	for range 60 {
+		granted := tr.grant(tr.plainAsk())
+		counts[granted.Upstream.ID]++
+		ending := place.EndServed
+		if granted.Upstream.ID == "desk-0" {
+			ending = place.EndBroken
+		}
+		tr.now = tr.now.Add(20 * time.Millisecond)
+		tr.handle(place.Ended{Call: granted.Call, Ending: ending})
+	}
+	assert.Assert(t, counts["desk-0"] < 15, "%v", counts)
+
+	tr.now = tr.now.Add(time.Minute)
+	seen := make(map[spoke.UpstreamID]bool)
+	for range 5 {
+		seen[tr.grant(tr.plainAsk()).Upstream.ID] = true
+	}
+	assert.Assert(t, seen["desk-0"], "upstream never tried again")
+}
+
+// Guards against plain upstreams that get more calls than they run and turn the rest away.
+func TestPlainUpstreamsAreNotOverfilled(t *testing.T) {
+	tr := newTrial(t, 0)
+	granted := 0
+	for range 20 {
+		for _, action := range tr.handle(tr.plainAsk()) {
+			if _, ok := action.(place.Grant); ok {
+				granted++
+			}
+		}
+	}
+	assert.Equal(t, granted, 8)
+}
+
+// Guards against repeated sendings that multiply load when engines fail together.
+func TestRetryBudget(t *testing.T) {
+	tr := newTrial(t, 0)
+	allowed := 0
+	for range 100 {
+		ask := tr.plainAsk()
+		ask.IsRepeat = true
+		for _, action := range tr.handle(ask) {
+			switch a := action.(type) {
+			case place.Grant:
+				allowed++
+				tr.handle(place.Ended{Call: a.Call, Ending: place.EndServed})
+			case place.Refuse:
+				assert.Equal(t, a.Reason, place.RefusedBudget)
+			}
+		}
+	}
+	assert.Assert(t, allowed > 0 && allowed <= 7, "%d", allowed)
+	tr.now = tr.now.Add(11 * time.Second)
+	ask := tr.plainAsk()
+	ask.IsRepeat = true
+	tr.grant(ask)
+}
--- a/place/messages.go
+++ b/place/messages.go
@@ -87,8 +87,12 @@
 	// SetTable takes the services of a routing table.
 	SetTable struct {
 		Services map[spoke.ServiceName]spoke.ServedService
+		Stores   []spoke.PromptStore
 	}
 
+	// SeeStore takes what this host, which follows the store, learned of it.
+	SeeStore struct{ State spoke.StoreState }
+
 	// SetUpstreams takes changes of the list of upstreams.
 	SetUpstreams struct {
 		IsWhole bool
@@ -135,9 +139,11 @@
 		Weights  spoke.WeightVersion
 		// Cached is the part of the prompt that the engine is expected to have read before.
 		Cached spoke.TokenCount
-		// Fetched is the part that the engine copies from FetchFrom.
-		Fetched   spoke.TokenCount
-		FetchFrom spoke.Address
+		// Fetched is the part that the engine copies from elsewhere.
+		Fetched spoke.TokenCount
+		// Fetch and Save name a place for each part of the prompt, empty for none.
+		Fetch []spoke.Address
+		Save  []spoke.Address
 		// Predicted is the expected time to the first event.
 		Predicted time.Duration
 		// Waited is the time since the call arrived.
@@ -164,6 +170,7 @@
 func (SetUpstreams) isMessage() {}
 func (SetWeights) isMessage()   {}
 func (SeeWeights) isMessage()   {}
+func (SeeStore) isMessage()     {}
 func (Pause) isMessage()        {}
 func (Hear) isMessage()         {}
 func (ForgetPeer) isMessage()   {}
--- a/place/node.go
+++ b/place/node.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"math"
 	"time"
 
 	"magnoliaspoke.example/spoke"
@@ -48,8 +49,9 @@
 		cache  *memory
 		// weights may be newer than what the directory lists.
 		weights map[spoke.ModelName]spoke.WeightVersion
-		// progress is when the engine last finished reading a prompt or began to read.
-		progress time.Time
+		// left is what the engine still had to read at leftAt.
+		left   spoke.TokenCount
+		leftAt time.Time
 		// pace is how many times slower than usual the upstream reads or serves.
 		pace        float64
 		serviceTime time.Duration
@@ -115,13 +117,28 @@
 }
 
 // backlog returns the tokens that the engine still has to read, less what it should have
-// read since its last sign of progress.
-func (n *node) backlog(now time.Time, unread spoke.TokenCount, pace float64) spoke.TokenCount {
+// read since the last account.
+func (n *node) backlog(now time.Time) spoke.TokenCount {
+	unread := n.totals().Unread
 	if unread == 0 {
 		return 0
 	}
-	read := spoke.TokenCount(float64(now.Sub(n.progress)) / float64(time.Millisecond) * pace)
-	return max(unread-read, spoke.TokenCount(readDone*float64(unread)))
+	read := spoke.TokenCount(float64(now.Sub(n.leftAt)) / float64(time.Millisecond) * n.readRate())
+	return max(n.left-read, spoke.TokenCount(readDone*float64(unread)))
+}
+
+// readRate is the number of prompt tokens that the engine reads in a millisecond.
+func (n *node) readRate() float64 { return defaultReadRate / n.pace }
+
+// grow adds tokens that the engine has to read, before the runs that have them are noted.
+func (n *node) grow(now time.Time, tokens spoke.TokenCount) {
+	n.left, n.leftAt = n.backlog(now)+tokens, now
+}
+
+// progressed notes that the engine finished reading a prompt; it reads one after the other, so
+// the others are unread.
+func (n *node) progressed(now time.Time) {
+	n.left, n.leftAt = n.totals().Unread, now
 }
 
 func (n *node) isUsable(now time.Time) bool {
@@ -131,7 +148,7 @@
 // failureRate fades, so that an upstream gets calls again some time after it failed.
 func (n *node) failureRate(now time.Time) float64 {
 	age := now.Sub(n.failedAt)
-	return n.failures / (1 + float64(age)/float64(failureFade))
+	return n.failures * math.Exp2(-float64(age)/float64(failureFade))
 }
 
 func (n *node) observe(now time.Time, run *running, ending Ending) {
--- a/place/prefix.go
+++ b/place/prefix.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/hashicorp/golang-lru/v2/simplelru"
@@ -27,20 +28,46 @@
 
 // CacheGroup returns the text under which an engine caches the parts of a workspace.
 func CacheGroup(owner spoke.KeyOwner, version spoke.WeightVersion) string {
-	group := "shared"
+	return versionedGroup(OwnerGroup(owner), version)
+}
+
+// OwnerGroup returns the part of the cache group that does not depend on weights.
+func OwnerGroup(owner spoke.KeyOwner) string {
 	if owner.IsIsolated {
-		group = "only-" + string(owner.Workspace)
+		return "only-" + string(owner.Workspace)
+	}
+	return "shared"
+}
+
+// GroupVersion returns the weight version of a cache group.
+func GroupVersion(group string) (spoke.WeightVersion, bool) {
+	_, text, found := cutLast(group, "@")
+	version, err := strconv.ParseInt(text, 10, 64)
+	return spoke.WeightVersion(version), found && err == nil
+}
+
+func versionedGroup(group string, version spoke.WeightVersion) string {
+	return group + "@" + strconv.FormatInt(int64(version), 10)
+}
+
+func groupOf(m Ask, version spoke.WeightVersion) string { return versionedGroup(m.Group, version) }
+
+func cutLast(text, separator string) (before, after string, found bool) {
+	position := strings.LastIndex(text, separator)
+	if position < 0 {
+		return text, "", false
 	}
-	return group + "-" + strconv.FormatInt(int64(version), 10)
+	return text[:position], text[position+len(separator):], true
 }
 
 // prefixesOf returns the prefixes of a prompt, the shortest first.
-func prefixesOf(group string, prompt *spoke.PromptShape, version spoke.WeightVersion) []spoke.PromptPrefix {
+func prefixesOf(group string, prompt *spoke.PromptShape) []spoke.PromptPrefix {
 	if prompt == nil {
 		return nil
 	}
 	digest := xxhash.New()
-	_, _ = digest.WriteString(group + "\n" + string(prompt.Model) + "\n" + strconv.FormatInt(int64(version), 10))
+	// Writing to a digest does not fail.
+	_, _ = digest.WriteString(group + "\n" + string(prompt.Model))
 	prefixes := make([]spoke.PromptPrefix, 0, len(prompt.Parts))
 	var total spoke.TokenCount
 	for _, part := range prompt.Parts {
--- a/place/refuse.go
+++ b/place/refuse.go
@@ -67,8 +67,8 @@
 		if n.listed.IsLeaving {
 			continue
 		}
-		rate += defaultReadRate / n.pace
-		ahead += n.backlog(now, n.totals().Unread, defaultReadRate/n.pace)
+		rate += n.readRate()
+		ahead += n.backlog(now)
 	}
 	if rate == 0 {
 		return 0
--- a/place/report.go
+++ b/place/report.go
@@ -18,6 +18,7 @@
 	prompts []spoke.PlacedPrompt
 	pauses  map[spoke.UpstreamID]time.Duration
 	weights map[spoke.UpstreamID]spoke.ListedWeights
+	stores  []spoke.StoreState
 }
 
 func newReport(host spoke.HostID) report {
@@ -43,7 +44,7 @@
 
 // HasNews reports whether other hosts should hear of changes.
 func (s *Scheduler) HasNews() bool {
-	return len(s.report.changes)+len(s.report.pauses)+len(s.report.weights) > 0
+	return len(s.report.changes)+len(s.report.pauses)+len(s.report.weights)+len(s.report.stores) > 0
 }
 
 // Account returns what changed since the last account, or all of this host's work.
@@ -53,11 +54,18 @@
 		Host: s.report.host, Number: s.report.number, IsWhole: isWhole,
 		Waiting: s.waitingWork(), Placed: s.report.prompts,
 		Paused: maps.Clone(s.report.pauses), Weights: maps.Clone(s.report.weights),
+		Stores: s.report.stores,
 	}
+	s.report.stores = nil
 	nodes := s.report.changes
 	if isWhole {
 		nodes = s.nodes
 		share.WantedAges = s.wantedAges(now)
+		for _, st := range s.stores {
+			if st.isOwn {
+				share.Stores = append(share.Stores, st.again())
+			}
+		}
 	}
 	for _, n := range nodes {
 		if own := n.own(); own.Runs > 0 || !isWhole {
@@ -142,6 +150,12 @@
 			n.heldUntil = now.Add(pause)
 		}
 	}
+	for _, state := range share.Stores {
+		if st := s.storeOf(state.Store); st != nil {
+			st.take(state)
+			st.isOwn = false
+		}
+	}
 	for _, known := range share.WantedAges {
 		s.setWeights(now, SetWeights{Wanted: known.Wanted, Age: known.Age})
 	}
@@ -154,11 +168,14 @@
 
 // hear takes another host's work; less to read than before is a sign of progress.
 func (n *node) hear(now time.Time, host spoke.HostID, share spoke.UpstreamShare) {
-	before := n.peers[host]
-	if share.Unread < before.Unread || n.totals().Unread == 0 {
-		n.progress = now
+	more := share.Unread - n.peers[host].Unread
+	if more > 0 {
+		n.grow(now, more)
 	}
 	n.peers[host] = share
+	if more < 0 {
+		n.progressed(now)
+	}
 }
 
 func (s *Scheduler) forgetPeer(host spoke.HostID) {
--- a/place/scheduler.go
+++ b/place/scheduler.go
@@ -41,6 +41,7 @@
 		wanted    map[spoke.ModelName]wanted
 		budgets   map[spoke.ServiceName]*budget
 		peers     map[spoke.HostID]*peer
+		stores    []*store
 		report    report
 		actions   []Action
 	}
@@ -76,9 +77,12 @@
 		s.ended(now, m)
 	case SetTable:
 		s.services = m.Services
+		s.setStores(m.Stores)
 		s.resize()
+	case SeeStore:
+		s.seeStore(m.State)
 	case SetUpstreams:
-		s.setUpstreams(now, m)
+		s.setUpstreams(m)
 	case SetWeights:
 		s.setWeights(now, m)
 	case SeeWeights:
@@ -141,7 +145,7 @@
 		return
 	}
 	run.hasBegun = true
-	run.node.progress = now
+	run.node.progressed(now)
 	run.node.pause = 0
 	if run.ask.Prompt != nil {
 		run.node.observePace(now.Sub(run.sent), run.predicted)
@@ -157,6 +161,9 @@
 	}
 	delete(s.running, m.Call)
 	delete(run.node.runs, m.Call)
+	if !run.hasBegun {
+		run.node.progressed(now)
+	}
 	run.node.observe(now, run, m.Ending)
 	s.report.changed(run.node)
 	s.learn(run, m.Weights)
@@ -198,11 +205,11 @@
 	}
 }
 
-func (s *Scheduler) setUpstreams(now time.Time, m SetUpstreams) {
+func (s *Scheduler) setUpstreams(m SetUpstreams) {
 	named := make(map[spoke.UpstreamID]bool, len(m.Listed))
 	for _, listed := range m.Listed {
 		named[listed.ID] = true
-		s.setUpstream(now, listed)
+		s.setUpstream(listed)
 	}
 	for _, id := range m.Gone {
 		delete(s.nodes, id)
@@ -213,7 +220,7 @@
 	s.index()
 }
 
-func (s *Scheduler) setUpstream(now time.Time, listed spoke.ListedUpstream) {
+func (s *Scheduler) setUpstream(listed spoke.ListedUpstream) {
 	n := s.nodes[listed.ID]
 	if n != nil && n.listed.Started.Equal(listed.Started) && n.listed.Address == listed.Address {
 		n.list(listed)
@@ -221,7 +228,6 @@
 	}
 	// A restart under the same id is another upstream that knows nothing of before.
 	n = newNode(listed, s.capacity(listed.Service))
-	n.progress = now
 	s.nodes[listed.ID] = n
 }
 
@@ -314,9 +320,7 @@
 	if m.Prompt != nil {
 		run.unread = m.Prompt.Input - c.cached - c.fetched
 		run.memory = m.Prompt.Input + expectedOutput(m.Prompt)
-		if c.node.totals().Unread == 0 {
-			c.node.progress = now
-		}
+		c.node.grow(now, run.unread)
 	}
 	c.node.runs[m.Call] = run
 	s.running[m.Call] = run
@@ -330,7 +334,7 @@
 	}
 	s.actions = append(s.actions, Grant{
 		Call: m.Call, Upstream: c.node.listed, Weights: c.weights, Cached: c.cached,
-		Fetched: c.fetched, FetchFrom: c.fetchFrom,
+		Fetched: c.fetched, Fetch: c.fetch, Save: s.planSaves(now, m, c.weights),
 		Predicted: c.first, Waited: now.Sub(m.Arrived), Urgency: m.Urgency,
 	})
 }
--- /dev/null
+++ b/place/stores.go
@@ -0,0 +1,198 @@
+package place
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"magnoliaspoke.example/spoke"
+)
+
+const (
+	// leastSaved is the size below which a part is read as quickly as it is copied.
+	leastSaved spoke.TokenCount = 128
+	// largePart divides the parts between the stores with much room and those with fast links.
+	largePart spoke.TokenCount = 2048
+	// saveTime is the time in which a save that was asked for shows at the store, or is lost.
+	saveTime = 6 * time.Second
+	// storeRoom is the part of a store that is filled, since space is taken in whole blocks.
+	storeRoom = 0.96
+	// toldAgain is the number of known parts of each store in every whole account.
+	toldAgain = 48
+)
+
+type (
+	// store is what is known of a prompt store.
+	store struct {
+		spoke.PromptStore
+		epoch  spoke.StoreEpoch
+		isDown bool
+		isOwn  bool
+		used   spoke.TokenCount
+		parts  map[spoke.StoredKey]bool
+		// told lists the parts in the order in which they are told again.
+		told []spoke.StoredKey
+		// saving holds parts whose save was asked for here.
+		saving map[spoke.StoredKey]savingPart
+	}
+
+	savingPart struct {
+		since  time.Time
+		tokens spoke.TokenCount
+	}
+)
+
+// StoredKeyOf identifies a part of a cache group.
+func StoredKeyOf(part spoke.StoredPart) spoke.StoredKey {
+	return spoke.StoredKey(xxhash.Sum64String(part.Group + "/" + string(part.Part)))
+}
+
+func newStore(settings spoke.PromptStore) *store {
+	return &store{
+		PromptStore: settings, parts: make(map[spoke.StoredKey]bool), saving: make(map[spoke.StoredKey]savingPart),
+	}
+}
+
+func (s *Scheduler) setStores(stores []spoke.PromptStore) {
+	known := s.stores
+	s.stores = nil
+	for _, settings := range stores {
+		position := slices.IndexFunc(known, func(st *store) bool { return st.Name == settings.Name && st.Address == settings.Address })
+		if position < 0 {
+			s.stores = append(s.stores, newStore(settings))
+			continue
+		}
+		known[position].PromptStore = settings
+		s.stores = append(s.stores, known[position])
+	}
+}
+
+func (s *Scheduler) storeOf(name spoke.ServiceName) *store {
+	for _, st := range s.stores {
+		if st.Name == name {
+			return st
+		}
+	}
+	return nil
+}
+
+// seeStore takes what this host learned of a store that it follows and tells the others.
+func (s *Scheduler) seeStore(state spoke.StoreState) {
+	st := s.storeOf(state.Store)
+	if st == nil {
+		return
+	}
+	st.take(state)
+	st.isOwn = !state.IsDown
+	s.report.stores = append(s.report.stores, state)
+}
+
+// take changes what is known; another epoch or a store that is down holds nothing of before.
+func (st *store) take(state spoke.StoreState) {
+	if state.IsDown || state.Epoch != st.epoch {
+		clear(st.parts)
+		clear(st.saving)
+		st.told = nil
+	}
+	st.epoch, st.isDown, st.used = state.Epoch, state.IsDown, state.Used
+	for _, key := range state.Stored {
+		delete(st.saving, key)
+		if !st.parts[key] {
+			st.parts[key] = true
+			st.told = append(st.told, key)
+		}
+	}
+	for _, key := range state.Freed {
+		delete(st.parts, key)
+	}
+}
+
+// again returns the state of the store with some of its parts, so that all are told in turn.
+func (st *store) again() spoke.StoreState {
+	state := spoke.StoreState{Store: st.Name, Epoch: st.epoch, Used: st.used}
+	st.told = slices.DeleteFunc(st.told, func(key spoke.StoredKey) bool { return !st.parts[key] })
+	count := min(toldAgain, len(st.told))
+	state.Stored = slices.Clone(st.told[:count])
+	st.told = append(st.told[count:], state.Stored...)
+	return state
+}
+
+// hasRoom reports whether a part fits beside what is stored and on its way.
+func (st *store) hasRoom(now time.Time, tokens spoke.TokenCount) bool {
+	used := st.used
+	for key, saving := range st.saving {
+		if now.Sub(saving.since) > saveTime {
+			delete(st.saving, key)
+			continue
+		}
+		used += saving.tokens
+	}
+	return float64(used+tokens) <= storeRoom*float64(st.Capacity)
+}
+
+// planSaves names a store for each shared part that no store holds or is about to hold.
+func (s *Scheduler) planSaves(now time.Time, m Ask, version spoke.WeightVersion) []spoke.Address {
+	if m.Prompt == nil || len(s.stores) == 0 || len(m.Prompt.Parts) < 2 {
+		return nil
+	}
+	saves := make([]spoke.Address, len(m.Prompt.Parts))
+	// The last part belongs to this request alone.
+	for i, part := range m.Prompt.Parts[:len(m.Prompt.Parts)-1] {
+		key := StoredKeyOf(spoke.StoredPart{Group: groupOf(m, version), Part: part.ID})
+		if part.Tokens < leastSaved || s.isStored(now, key) {
+			continue
+		}
+		if st := s.storeFor(now, key, part.Tokens); st != nil {
+			st.saving[key] = savingPart{since: now, tokens: part.Tokens}
+			saves[i] = st.Address
+		}
+	}
+	return saves
+}
+
+func (s *Scheduler) isStored(now time.Time, key spoke.StoredKey) bool {
+	for _, st := range s.stores {
+		saving, isSaving := st.saving[key]
+		if st.parts[key] || (isSaving && now.Sub(saving.since) <= saveTime) {
+			return true
+		}
+	}
+	return false
+}
+
+// storeFor picks a store with room by rendezvous hashing: large parts go to the large stores,
+// small ones to those with the fastest links, and either to the others if there is no room.
+func (s *Scheduler) storeFor(now time.Time, key spoke.StoredKey, tokens spoke.TokenCount) *store {
+	var best *store
+	var bestWeight float64
+	for _, st := range s.stores {
+		if st.isDown || st.epoch == 0 || !st.hasRoom(now, tokens) {
+			continue
+		}
+		weight := float64(xxhash.Sum64String(string(st.Name)+"/"+string(rune(key&0xffff)))>>11) / (1 << 53)
+		if tokens >= largePart {
+			weight += float64(st.Capacity)
+		} else {
+			weight += float64(st.Link)
+		}
+		if best == nil || weight > bestWeight {
+			best, bestWeight = st, weight
+		}
+	}
+	return best
+}
+
+// storeWith returns the quickest store that holds a part.
+func (s *Scheduler) storeWith(key spoke.StoredKey, at spoke.DataCentreID) *store {
+	var best *store
+	for _, st := range s.stores {
+		if st.isDown || !st.parts[key] {
+			continue
+		}
+		if best == nil || (best.DataCentre != at && st.DataCentre == at) {
+			best = st
+		}
+	}
+	return best
+}
--- a/placement.go
+++ b/placement.go
@@ -56,6 +56,7 @@
 		Paused  map[UpstreamID]time.Duration
 		Weights map[UpstreamID]ListedWeights
 		Marks   []QuarantineMark
+		Stores  []StoreState
 		// WantedAges says how long ago wanted weights were named.
 		WantedAges []WantedAge
 	}
--- a/routes.go
+++ b/routes.go
@@ -94,6 +94,7 @@
 		Version  TableVersion
 		Routes   []Route
 		Services map[ServiceName]ServedService
+		Stores   []PromptStore
 		// Owners maps API keys to their workspaces; without entries no call needs a key.
 		Owners map[string]KeyOwner
 		Limits CallerLimits
