Divide large installations into cells and soak the relaying host

Cause: accounts between all hosts grow with their square; 62 hosts on links of 10 Mbit/s would spend half of a link and of a processor on them. Change: hosts tell their loads to about nine others, which share a part of the engines; what all need (stores, pauses, weights) goes to all. Engines that load weights at once follow the number of engines. Idle connections that an upstream drops without a sign are learned.

--- a/cmd/edge/main.go
+++ b/cmd/edge/main.go
@@ -11,10 +11,12 @@
 	"github.com/alexflint/go-arg"
 	"github.com/sirupsen/logrus"
 
+	"magnoliaspoke.example/spoke"
 	"magnoliaspoke.example/spoke/config"
 	"magnoliaspoke.example/spoke/edge"
 	"magnoliaspoke.example/spoke/logs"
 	"magnoliaspoke.example/spoke/platform"
+	"magnoliaspoke.example/spoke/ready"
 	"magnoliaspoke.example/spoke/timer"
 )
 
@@ -86,6 +88,7 @@
 		Directory: store, Leases: platform.NewLeases(store), OrdersLease: platform.OrdersLease,
 		Control: control, Stores: control, Codec: platform.Codec{},
 		Timer: timer.NewSystem(), LeaseTimer: boot, Log: log,
+		OnListening: func() { sayReady(settings, log) },
 	})
 	if err != nil {
 		return err
@@ -95,3 +98,11 @@
 	log.WithError(err).Info("ended")
 	return err
 }
+
+// sayReady tells the process's starter that it serves.
+func sayReady(settings config.Relay, log logrus.FieldLogger) {
+	line := ready.Line{Addresses: map[ready.Listener]spoke.Address{ready.Caller: settings.Caller}}
+	if err := ready.Write(os.Stdout, line); err != nil {
+		log.WithError(err).Warn("ready line not written")
+	}
+}
--- /dev/null
+++ b/cmd/trial/soak/world.go
@@ -0,0 +1,221 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"magnoliaspoke.example/spoke"
+	fake "magnoliaspoke.example/spoke/fake/platform"
+	"magnoliaspoke.example/spoke/fleet"
+	"magnoliaspoke.example/spoke/relay"
+)
+
+const (
+	hostCount   = 3
+	engineCount = 4
+	eventCount  = 6
+	hostName    = "calls.example"
+	// steadyKey is in every configuration, so no host may ever deny it.
+	steadyKey    = "key-steady"
+	workspace    = "workspace-1"
+	storeGrace   = 8
+	weightsApply = 6 * time.Second
+)
+
+type (
+	// engine is an engine behind a relay.
+	engine struct {
+		*fake.Engine
+		relay *relay.Relay
+	}
+
+	// host is an entry host whose way to the store leads through a relay.
+	host struct {
+		name    string
+		store   *relay.Relay
+		caller  string
+		ready   string
+		command fleet.Command
+	}
+
+	// world is the set-up of one run.
+	world struct {
+		directory string
+		fleet     *fleet.Fleet
+		store     *fake.Store
+		hosts     []*host
+
+		mu      sync.Mutex
+		engines []*engine
+		retired []*engine
+		version int
+		weights int
+		next    int
+	}
+)
+
+func newWorld(program, directory string) (*world, error) {
+	w := &world{directory: directory, fleet: fleet.New(directory), store: fake.NewStore(), weights: 1}
+	w.configure()
+	for range engineCount {
+		if err := w.addEngine(); err != nil {
+			return w, err
+		}
+	}
+	for number := range hostCount {
+		if err := w.addHost(program, number); err != nil {
+			return w, err
+		}
+	}
+	return w, nil
+}
+
+func (w *world) close() {
+	w.fleet.Close()
+	for _, h := range w.hosts {
+		_ = h.store.Close()
+	}
+	for _, e := range append(w.engines, w.retired...) {
+		_ = e.relay.Close()
+		e.Close()
+	}
+	w.store.Close()
+}
+
+// configure writes the next version of the configuration.
+func (w *world) configure() {
+	w.mu.Lock()
+	w.version += 3
+	version := w.version
+	w.mu.Unlock()
+	route := func(name, kind string, attempts int, isPrompt, isResumable bool) map[string]any {
+		return map[string]any{
+			"name": name, "host": hostName, "prefix": "/" + name + "/", "route-type": kind, "timeout-ms": 3000,
+			"target-latency-ms": 300, "priority": 1, "service": "models", "max-attempts": attempts,
+			"sticky": isPrompt, "resumable": isResumable, "gap-aim-ms": 400,
+		}
+	}
+	w.store.Put("op/config", map[string]any{
+		"version": version,
+		"routes": []any{
+			route(chat, "streaming", 2, true, true), route(quote, "streaming", 1, true, false),
+			route(book, "unsafe", 1, false, false), route(look, "safe", 2, false, false),
+		},
+		"services": []any{map[string]any{
+			"name": "models", "max-conns": 100,
+			"engine": map[string]any{"slots": 8, "kv-capacity-tokens": 100000, "kv-token-bytes": 1000, "link-mbps": 100000},
+		}},
+		"limits":  map[string]any{"max-body-bytes": 100000, "idle-timeout-ms": 15000},
+		"tenants": []any{map[string]any{"name": workspace, "api-keys": []string{steadyKey, fmt.Sprintf("key-%d", version)}}},
+	})
+}
+
+func (w *world) addEngine() error {
+	w.mu.Lock()
+	w.next++
+	id, weights := fmt.Sprintf("i-%d", w.next), w.weights
+	w.mu.Unlock()
+	e := &engine{Engine: fake.NewEngine(id, eventCount)}
+	e.Pause(5 * time.Millisecond)
+	e.Load(weights)
+	var err error
+	if e.relay, err = relay.New("127.0.0.1:0", spoke.Address(e.Address())); err != nil {
+		return eris.Wrapf(err, "relay of engine %s", id)
+	}
+	w.mu.Lock()
+	w.engines = append(w.engines, e)
+	w.mu.Unlock()
+	w.list(e, "ready")
+	return nil
+}
+
+// list writes the engine's entry with the address of its relay.
+func (w *world) list(e *engine, state string) {
+	entry := e.Entry("models", "a", state)
+	entry["address"] = string(e.relay.Address())
+	w.store.Put("servers/"+e.ID, entry)
+}
+
+// retire takes an engine away after it has announced that it leaves.
+func (w *world) retire(ctx context.Context, e *engine) {
+	w.list(e, "draining")
+	sleep(ctx, 2500*time.Millisecond)
+	w.store.Remove("servers/" + e.ID)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for i, other := range w.engines {
+		if other == e {
+			w.engines = append(w.engines[:i:i], w.engines[i+1:]...)
+			w.retired = append(w.retired, e)
+			return
+		}
+	}
+}
+
+func (w *world) addHost(program string, number int) error {
+	h := &host{name: fmt.Sprintf("host-%d", number)}
+	var err error
+	if h.store, err = relay.New("127.0.0.1:0", spoke.Address(w.store.Address())); err != nil {
+		return eris.Wrap(err, "relay of the store")
+	}
+	ports, err := freePorts(4)
+	if err != nil {
+		return err
+	}
+	h.caller, h.ready = fmt.Sprintf("127.0.0.1:%d", ports[0]), fmt.Sprintf("127.0.0.1:%d", ports[1])
+	settings := fmt.Sprintf(`host-id = %q
+data-centre = "a"
+caller-address = %q
+readiness-address = %q
+store-address = %q
+peer-port = %d
+metrics-port = %d
+memory-limit-mb = 200
+descriptor-limit = 1000
+config-apply-ms = 2000
+weights-apply-ms = %d
+orders-pause-ms = 1500
+leave-notice-ms = 2000
+stop-grace-s = %d
+retry-share = 0.2
+retry-reserve = 60
+retry-window-s = 10
+`, h.name, h.caller, h.ready, h.store.Address(), ports[2], ports[3], weightsApply.Milliseconds(), storeGrace)
+	path := filepath.Join(w.directory, h.name+".toml")
+	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
+		return eris.Wrap(err, "write settings")
+	}
+	h.command = fleet.Command{Name: h.name, Program: program, Arguments: []string{"--settings", path}}
+	w.hosts = append(w.hosts, h)
+	_, err = w.fleet.Start(context.Background(), h.command)
+	return err
+}
+
+func freePorts(count int) ([]int, error) {
+	ports := make([]int, 0, count)
+	for range count {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, eris.Wrap(err, "find a port")
+		}
+		defer listener.Close()
+		ports = append(ports, listener.Addr().(*net.TCPAddr).Port)
+	}
+	return ports, nil
+}
+
+func sleep(ctx context.Context, pause time.Duration) {
+	wait := time.NewTimer(pause)
+	defer wait.Stop()
+	select {
+	case <-wait.C:
+	case <-ctx.Done():
+	}
+}
--- a/edge/apply.go
+++ b/edge/apply.go
@@ -115,16 +115,27 @@
 		h.tell(place.ForgetPeer{Host: id})
 	}
 	delete(h.peers, h.settings.Host)
-	var addresses []netip.AddrPort
+	h.planner.peers <- h.neighbours()
+	h.stores.setPeers(slices.Collect(maps.Keys(h.peers)))
+}
+
+// neighbours divides the other hosts into those of this host's cell and the rest.
+func (h *Host) neighbours() neighbours {
+	hosts := append(slices.Collect(maps.Keys(h.peers)), h.settings.Host)
+	cell, members, count := place.Cells(hosts, h.settings.Host)
+	found := neighbours{cell: place.SetCell{Cell: cell, Count: count}}
 	for _, id := range slices.Sorted(maps.Keys(h.peers)) {
 		address, err := netip.ParseAddrPort(string(h.peers[id].Address))
 		if err != nil {
 			h.parts.Log.WithError(err).WithField("peer", id).Warn("peer ignored")
 			continue
 		}
-		addresses = append(addresses, address)
+		if slices.Contains(members, id) {
+			found.near = append(found.near, address)
+		} else {
+			found.other = append(found.other, address)
+		}
 	}
-	h.parts.Log.WithField("peers", len(addresses)).Info("peers changed")
-	h.stores.setPeers(slices.Collect(maps.Keys(h.peers)))
-	h.planner.peers <- addresses
+	h.parts.Log.WithFields(logrus.Fields{"peers": len(h.peers), "cell": cell, "cells": count, "near": len(found.near)}).Info("peers changed")
+	return found
 }
--- a/edge/host.go
+++ b/edge/host.go
@@ -47,6 +47,8 @@
 		// LeaseTimer also counts the time in which the machine is suspended.
 		LeaseTimer spoke.Timer
 		Log        logrus.FieldLogger
+		// OnListening is called when all sockets are open; it may be nil.
+		OnListening func()
 	}
 
 	// Host is an entry host that relays calls.
@@ -132,6 +134,9 @@
 			return err
 		}
 	}
+	if h.parts.OnListening != nil {
+		h.parts.OnListening()
+	}
 	task(func(ctx context.Context) error { return h.stopOn(ctx, signals, callers) })
 	return h.explain(group.Run())
 }
--- a/edge/orders.go
+++ b/edge/orders.go
@@ -21,8 +21,10 @@
 	ordersTTL = time.Second
 	// orderTime is the time that an order may take to be accepted.
 	orderTime = 400 * time.Millisecond
-	// swapsAtOnce is the number of engines that load weights at the same time.
-	swapsAtOnce = 3
+	// leastAtOnce and shareAtOnce are the engines that load weights at the same time: more of them
+	// slow each other down.
+	leastAtOnce = 2
+	shareAtOnce = 5
 	// swapNotice is the time in which the other hosts hear that an engine takes no calls.
 	swapNotice = 60 * time.Millisecond
 	// loadTime covers the runs that an engine ends first and the loading.
@@ -91,7 +93,7 @@
 		host: host, pause: pause, control: parts.Control, keeper: keeper, clock: parts.LeaseTimer, timer: parts.Timer,
 		planner: p, log: parts.Log,
 		reconciler: swap.NewReconciler(
-			swap.WithAtOnce(swapsAtOnce), swap.WithOrderDeadline(orderTime), swap.WithDrain(swapNotice, swapNotice),
+			swap.WithAtOnce(leastAtOnce), swap.WithOrderDeadline(orderTime), swap.WithDrain(swapNotice, swapNotice),
 			swap.WithLoadTime(loadTime), swap.WithAttempts(orderAttempts, orderPause),
 		),
 		in:        make(chan any, planQueue),
@@ -211,6 +213,7 @@
 	if len(behind) == 0 && len(o.given) == 0 && !isNew {
 		return
 	}
+	o.reconciler.SetAtOnce(max(leastAtOnce, len(o.listed())/shareAtOnce))
 	o.apply(ctx, o.reconciler.Handle(o.timer.Now(), swap.Observe{
 		Models: models, Upstreams: o.listed(), Reports: o.loadReports(), Lease: state,
 	}))
--- a/edge/planner.go
+++ b/edge/planner.go
@@ -27,17 +27,24 @@
 		reply   chan place.Action
 	}
 
+	// neighbours are the addresses of the other hosts.
+	neighbours struct {
+		cell  place.SetCell
+		near  []netip.AddrPort
+		other []netip.AddrPort
+	}
+
 	// planner is the task that owns the scheduler.
 	planner struct {
 		scheduler  *place.Scheduler
 		timer      spoke.Timer
 		log        logrus.FieldLogger
 		in         chan planned
-		peers      chan []netip.AddrPort
+		peers      chan neighbours
 		replies    map[spoke.CallNumber]chan place.Action
 		send       func(spoke.LoadShare, []netip.AddrPort)
 		quarantine *marks
-		addresses  []netip.AddrPort
+		neighbours neighbours
 		toldAll    time.Time
 	}
 )
@@ -46,7 +53,7 @@
 	return &planner{
 		scheduler: scheduler, timer: timer, log: log, send: send, quarantine: quarantine,
 		in:      make(chan planned, planQueue),
-		peers:   make(chan []netip.AddrPort, 1),
+		peers:   make(chan neighbours, 1),
 		replies: make(map[spoke.CallNumber]chan place.Action),
 	}
 }
@@ -59,7 +66,8 @@
 		select {
 		case m := <-p.in:
 			p.handle(m)
-		case p.addresses = <-p.peers:
+		case p.neighbours = <-p.peers:
+			p.step(p.neighbours.cell)
 		case <-tick.C():
 			if p.scheduler.IsWaiting() {
 				p.handle(planned{message: place.Tick{}})
@@ -123,8 +131,9 @@
 	}
 	account := p.scheduler.Account(now, isWhole)
 	account.Marks = p.quarantine.list(now, mostMarks)
-	if len(p.addresses) > 0 {
-		p.send(account, p.addresses)
+	p.send(account, p.neighbours.near)
+	if rest, ok := place.ForOtherCells(account); ok {
+		p.send(rest, p.neighbours.other)
 	}
 }
 
--- a/fake/platform/engine.go
+++ b/fake/platform/engine.go
@@ -111,6 +111,13 @@
 	return e.cancelled
 }
 
+// Load sets the weights with which the engine starts.
+func (e *Engine) Load(version int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.version = version
+}
+
 // Version returns the loaded weights and the number of accepted orders.
 func (e *Engine) Version() (version, orders int) {
 	e.mu.Lock()
--- a/link/conn.go
+++ b/link/conn.go
@@ -18,6 +18,9 @@
 	reader *bufio.Reader
 	// freshUntil is when an idle connection may be closed by the other end.
 	freshUntil time.Time
+	// idleSince is when the exchange before ended.
+	idleSince time.Time
+	isReused  bool
 }
 
 func newConn(raw net.Conn) *conn {
--- a/link/exchange.go
+++ b/link/exchange.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -82,13 +83,18 @@
 }
 
 func (p *Pool) exchange(c *conn, request Request, isOwn func(status int, header http.Header) bool) (*Answer, error) {
+	sent := p.now()
 	written, err := send(c, request)
 	if err != nil {
+		p.dropped(c, sent)
 		return nil, eris.Wrapf(err, "send to %s", request.At)
 	}
 	isOneOff := false
 	for range strangers + 1 {
 		response, err := readHead(c, request.Method)
+		if errors.Is(err, syscall.ECONNRESET) {
+			p.dropped(c, sent)
+		}
 		if err != nil {
 			return nil, eris.Wrapf(err, "answer of %s", request.At)
 		}
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -165,3 +166,30 @@
 	_, err := pool.Do(ctx, link.Request{At: at, Method: http.MethodGet, Target: "/", HostName: "h"}, own)
 	assert.ErrorIs(t, err, context.DeadlineExceeded)
 }
+
+// Guards against connections that an upstream drops without a sign while they are idle: the
+// first loss must not be followed by many.
+func TestDroppedIdleConnectionsAreLearned(t *testing.T) {
+	var seen sync.Map
+	at := upstream(t, func(conn net.Conn, _ *http.Request) {
+		if _, isSecond := seen.LoadOrStore(conn, true); isSecond {
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			_ = conn.Close()
+			return
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	})
+	now := time.Now()
+	pool := link.New(link.WithClock(func() time.Time { return now }))
+	defer pool.Close()
+	_, err := get(t, pool, at)
+	assert.NilError(t, err)
+	now = now.Add(2 * time.Second)
+	_, err = get(t, pool, at)
+	assert.ErrorContains(t, err, "reset")
+	for range 3 {
+		_, err = get(t, pool, at)
+		assert.NilError(t, err)
+		now = now.Add(1500 * time.Millisecond)
+	}
+}
--- a/link/pool.go
+++ b/link/pool.go
@@ -18,6 +18,10 @@
 	// idleMargin is the time before the end of an upstream's idle timeout in which a
 	// connection is not used, since a request could meet the close.
 	idleMargin = 1200 * time.Millisecond
+	// droppedShare is the part of the idle time of a dropped connection that counts as safe.
+	droppedShare = 0.6
+	// leastIdle is below the idle time at which upstreams drop connections.
+	leastIdle = 200 * time.Millisecond
 	// mostIdle bounds the idle connections to one upstream.
 	mostIdle = 48
 )
@@ -34,6 +38,9 @@
 		mu     sync.Mutex
 		idle   map[spoke.Address][]*conn
 		opened int
+		// safeIdle is how long a connection may be idle; it shrinks when an upstream turns out
+		// to drop idle connections without a sign.
+		safeIdle time.Duration
 	}
 )
 
@@ -42,9 +49,14 @@
 	return func(p *Pool) { p.dialer = dial.New(limit) }
 }
 
+// WithClock sets the clock on which idle times are measured.
+func WithClock(now func() time.Time) Option {
+	return func(p *Pool) { p.now = now }
+}
+
 // New returns an empty pool.
 func New(options ...Option) *Pool {
-	p := &Pool{dialer: dial.New(defaultDialTimeout), now: time.Now, idle: make(map[spoke.Address][]*conn)}
+	p := &Pool{dialer: dial.New(defaultDialTimeout), now: time.Now, idle: make(map[spoke.Address][]*conn), safeIdle: time.Hour}
 	for _, option := range options {
 		option(p)
 	}
@@ -90,7 +102,8 @@
 		if c == nil {
 			break
 		}
-		if p.now().Before(c.freshUntil) && c.isQuiet() {
+		if p.now().Before(c.freshUntil) && p.isSafe(c) && c.isQuiet() {
+			c.isReused = true
 			return c, nil
 		}
 		_ = c.Close()
@@ -105,6 +118,23 @@
 	return newConn(raw), nil
 }
 
+func (p *Pool) isSafe(c *conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.now().Sub(c.idleSince) < p.safeIdle
+}
+
+// dropped learns from a connection that was reset by the first request after an idle time.
+func (p *Pool) dropped(c *conn, sent time.Time) {
+	if !c.isReused {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	idle := time.Duration(droppedShare * float64(sent.Sub(c.idleSince)))
+	p.safeIdle = max(min(p.safeIdle, idle), leastIdle)
+}
+
 func (p *Pool) take(at spoke.Address) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -123,7 +153,8 @@
 	if idleTimeout > 0 {
 		kept = idleTimeout - idleMargin
 	}
-	c.freshUntil = p.now().Add(kept)
+	c.idleSince = p.now()
+	c.freshUntil = c.idleSince.Add(kept)
 	p.mu.Lock()
 	isKept := kept > 0 && len(p.idle[at]) < mostIdle
 	if isKept {
--- a/peers/socket.go
+++ b/peers/socket.go
@@ -36,6 +36,9 @@
 
 // Send sends an account to peers; a datagram that cannot be sent counts as lost.
 func (s *Socket) Send(share spoke.LoadShare, to []netip.AddrPort) {
+	if len(to) == 0 {
+		return
+	}
 	raw, err := Encode(share, time.Now())
 	if err != nil {
 		s.log.WithError(err).Warn("load account not sent")
--- /dev/null
+++ b/place/cells.go
@@ -0,0 +1,59 @@
+package place
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"magnoliaspoke.example/spoke"
+)
+
+const (
+	// cellHosts is the number of hosts that tell each other their loads. Accounts grow with the
+	// square of the hosts, so larger installations are divided into cells of about this size.
+	cellHosts = 9
+	// leastUpstreams is the number of upstreams of a service for each cell below which all cells
+	// share them.
+	leastUpstreams = 3
+)
+
+// Cells divides hosts into cells and returns the cell of one of them, its members, and the
+// number of cells. A host that joins or leaves moves few of the others.
+func Cells(hosts []spoke.HostID, self spoke.HostID) (cell int, members []spoke.HostID, count int) {
+	ordered := byHash(hosts, func(id spoke.HostID) string { return string(id) })
+	count = max(len(ordered)/cellHosts, 1)
+	for rank, id := range ordered {
+		if id == self {
+			cell = cellOf(rank, len(ordered), count)
+		}
+	}
+	for rank, id := range ordered {
+		if cellOf(rank, len(ordered), count) == cell {
+			members = append(members, id)
+		}
+	}
+	return cell, members, count
+}
+
+func cellOf(rank, total, count int) int { return rank * count / total }
+
+// nearOnes returns the upstreams of a service that this host's cell uses.
+func nearOnes(nodes []*node, cell, count int) []*node {
+	if len(nodes) < leastUpstreams*count {
+		return nodes
+	}
+	var near []*node
+	for rank, n := range byHash(nodes, func(n *node) string { return string(n.listed.ID) }) {
+		if cellOf(rank, len(nodes), count) == cell {
+			near = append(near, n)
+		}
+	}
+	return near
+}
+
+func byHash[T any](items []T, name func(T) string) []T {
+	return slices.SortedFunc(slices.Values(items), func(a, b T) int {
+		return cmp.Or(cmp.Compare(xxhash.Sum64String(name(a)), xxhash.Sum64String(name(b))), cmp.Compare(name(a), name(b)))
+	})
+}
--- a/place/choose.go
+++ b/place/choose.go
@@ -24,11 +24,17 @@
 }
 
 // choose returns the upstream that serves the call at the lowest cost, if one may take it now.
+// Upstreams of other cells serve only while this cell has none in use.
 func (s *Scheduler) choose(now time.Time, w *waiting) (candidate, bool) {
+	nodes := s.near[w.ask.Service]
+	if !isAnyUsable(now, nodes, w.ask.Tried) {
+		nodes = s.byService[w.ask.Service]
+	}
 	var best candidate
 	found := false
 	home := s.home(w)
-	for _, n := range s.byService[w.ask.Service] {
+	w.holdings = nil
+	for _, n := range nodes {
 		if !n.isUsable(now) || slices.Contains(w.ask.Tried, n.listed.ID) {
 			continue
 		}
@@ -46,6 +52,12 @@
 	return best, found
 }
 
+func isAnyUsable(now time.Time, nodes []*node, tried []spoke.UpstreamID) bool {
+	return slices.ContainsFunc(nodes, func(n *node) bool {
+		return n.isUsable(now) && !slices.Contains(tried, n.listed.ID)
+	})
+}
+
 func (s *Scheduler) consider(now time.Time, w *waiting, n *node) (candidate, bool) {
 	c := candidate{node: n}
 	if n.listed.DataCentre != s.settings.DataCentre {
@@ -53,7 +65,7 @@
 	}
 	c.cost += time.Duration(n.failureRate(now) * float64(failureCost))
 	if w.ask.Prompt == nil {
-		return considerPlain(w, n, c)
+		return considerPlain(now, n, c)
 	}
 	if _, ok := s.weightsOf(now, w.ask.Prompt.Model, n, &c); !ok {
 		return c, false
@@ -89,8 +101,8 @@
 	return 0, true
 }
 
-func considerPlain(w *waiting, n *node, c candidate) (candidate, bool) {
-	total := n.totals().Runs
+func considerPlain(now time.Time, n *node, c candidate) (candidate, bool) {
+	total := max(n.totals().Runs, n.said(now))
 	slots := max(n.listed.Slots, 1)
 	most := slots + int(plainQueue*float64(slots))
 	if total >= most {
@@ -161,19 +173,18 @@
 // home returns the engine where prompts with the same shared parts meet by rendezvous hashing.
 func (s *Scheduler) home(w *waiting) *node {
 	prompt := w.ask.Prompt
-	if prompt == nil || len(prompt.Parts) < 2 {
-		return nil
+	if prompt == nil || len(prompt.Parts) < 2 || w.home != nil {
+		return w.home
 	}
 	shared := string(prompt.Parts[len(prompt.Parts)-2].ID)
-	var best *node
 	var bestWeight uint64
-	for _, n := range s.byService[w.ask.Service] {
+	for _, n := range s.near[w.ask.Service] {
 		weight := xxhash.Sum64String(shared + "/" + string(n.listed.ID))
-		if best == nil || weight > bestWeight {
-			best, bestWeight = n, weight
+		if w.home == nil || weight > bestWeight {
+			w.home, bestWeight = n, weight
 		}
 	}
-	return best
+	return w.home
 }
 
 func readTime(tokens spoke.TokenCount, pace float64) time.Duration {
--- a/place/fetch.go
+++ b/place/fetch.go
@@ -23,6 +23,38 @@
 	setup      time.Duration
 }
 
+// holdings are the parts of one prompt that can be copied, by weight version; they hold for one
+// look at a waiting call.
+type holdings struct {
+	version spoke.WeightVersion
+	keys    []spoke.StoredKey
+	// engines have the beginning of the prompt up to the size beside them.
+	engines []*node
+	held    []spoke.TokenCount
+}
+
+// holdingsOf returns the holdings for a version, which it keeps for the next engine.
+func (s *Scheduler) holdingsOf(w *waiting, version spoke.WeightVersion) *holdings {
+	if w.holdings != nil && w.holdings.version == version {
+		return w.holdings
+	}
+	found := &holdings{version: version}
+	for _, part := range w.ask.Prompt.Parts {
+		found.keys = append(found.keys, StoredKeyOf(spoke.StoredPart{Group: groupOf(w.ask, version), Part: part.ID}))
+	}
+	prefixes := w.prefixesFor(version)
+	for _, n := range s.near[w.ask.Service] {
+		if n.weights[w.ask.Prompt.Model] != version {
+			continue
+		}
+		if held := n.cache.cached(prefixes); held > 0 {
+			found.engines, found.held = append(found.engines, n), append(found.held, held)
+		}
+	}
+	w.holdings = found
+	return found
+}
+
 // planFetch sets from where the node copies the parts that it lacks and returns the time of the
 // transfers; copying leaves the engine free for other prompts.
 func (s *Scheduler) planFetch(w *waiting, n *node, c *candidate) time.Duration {
@@ -30,7 +62,7 @@
 	if engine == nil || engine.Link <= 0 {
 		return 0
 	}
-	prefixes := w.prefixesFor(c.weights)
+	prefixes, from := w.prefixesFor(c.weights), s.holdingsOf(w, c.weights)
 	fetch := make([]spoke.Address, len(prefixes))
 	var took time.Duration
 	var fetched spoke.TokenCount
@@ -38,14 +70,14 @@
 		if prefix.Total <= c.cached {
 			continue
 		}
-		from, ok := s.sourceOf(w, n, c.weights, i)
+		at, ok := s.sourceOf(from, n, i, prefix.Total)
 		if !ok {
 			// A part is of use only if all parts before it are there.
 			break
 		}
-		fetch[i] = from.address
+		fetch[i] = at.address
 		fetched += prefix.Part
-		took += from.transfer(engine, prefix.Part, n.listed.DataCentre)
+		took += at.transfer(engine, prefix.Part, n.listed.DataCentre)
 	}
 	if fetched < leastFetch {
 		return 0
@@ -56,25 +88,23 @@
 
 // sourceOf returns where a part of the prompt can be copied from: a store that is known to
 // hold it, else an engine that probably does.
-func (s *Scheduler) sourceOf(w *waiting, n *node, version spoke.WeightVersion, part int) (source, bool) {
-	key := StoredKeyOf(spoke.StoredPart{Group: groupOf(w.ask, version), Part: w.ask.Prompt.Parts[part].ID})
-	if st := s.storeWith(key, n.listed.DataCentre); st != nil {
+func (s *Scheduler) sourceOf(from *holdings, n *node, part int, upTo spoke.TokenCount) (source, bool) {
+	if st := s.storeWith(from.keys[part], n.listed.DataCentre); st != nil {
 		return source{st.Address, st.DataCentre, st.Link, st.Setup}, true
 	}
-	holder := s.holder(w, n, version, part)
+	holder := from.holder(n, upTo)
 	if holder == nil {
 		return source{}, false
 	}
 	return source{address: holder.listed.Address, dataCentre: holder.listed.DataCentre, setup: fetchSetup}, true
 }
 
-// holder returns another engine that holds the prompt up to a part, preferably in the same
-// data centre.
-func (s *Scheduler) holder(w *waiting, n *node, version spoke.WeightVersion, part int) *node {
-	prefixes := w.prefixesFor(version)
+// holder returns another engine that holds the prompt up to a size, preferably in the same data
+// centre.
+func (h *holdings) holder(n *node, upTo spoke.TokenCount) *node {
 	var best *node
-	for _, other := range s.byService[w.ask.Service] {
-		if other == n || other.weights[w.ask.Prompt.Model] != version || other.cache.cached(prefixes) < prefixes[part].Total {
+	for i, other := range h.engines {
+		if other == n || h.held[i] < upTo {
 			continue
 		}
 		if best == nil || (best.listed.DataCentre != n.listed.DataCentre && other.listed.DataCentre == n.listed.DataCentre) {
--- a/place/messages.go
+++ b/place/messages.go
@@ -126,6 +126,9 @@
 	// ForgetPeer drops the account of a host that has left.
 	ForgetPeer struct{ Host spoke.HostID }
 
+	// SetCell takes the cell of this host and the number of cells.
+	SetCell struct{ Cell, Count int }
+
 	// Tick lets time pass.
 	Tick struct{}
 
@@ -174,6 +177,7 @@
 func (Pause) isMessage()        {}
 func (Hear) isMessage()         {}
 func (ForgetPeer) isMessage()   {}
+func (SetCell) isMessage()      {}
 func (Tick) isMessage()         {}
 
 func (Grant) isAction()  {}
--- a/place/node.go
+++ b/place/node.go
@@ -15,6 +15,8 @@
 	// firstPause and longestPause bound how long an upstream that cannot be reached gets no calls.
 	firstPause   = 300 * time.Millisecond
 	longestPause = 3 * time.Second
+	// loadFade is the time in which half of what an upstream said of its load is out of date.
+	loadFade = 150 * time.Millisecond
 	// paceWeight is the part of the newest observation in an upstream's pace.
 	paceWeight             = 0.1
 	slowestPace            = 8.0
@@ -52,6 +54,9 @@
 		// left is what the engine still had to read at leftAt.
 		left   spoke.TokenCount
 		leftAt time.Time
+		// load is what the upstream last said of itself.
+		load   spoke.UpstreamLoad
+		loadAt time.Time
 		// pace is how many times slower than usual the upstream reads or serves.
 		pace        float64
 		serviceTime time.Duration
@@ -141,6 +146,20 @@
 	n.left, n.leftAt = n.totals().Unread, now
 }
 
+// hears takes what the upstream says of its load in an answer.
+func (n *node) hears(now time.Time, load *spoke.UpstreamLoad) {
+	if load != nil {
+		n.load, n.loadAt = *load, now
+	}
+}
+
+// said returns the calls that the upstream said it had, which fade, since they end. Hosts of other
+// cells have calls there that no account shows.
+func (n *node) said(now time.Time) int {
+	fade := math.Exp2(-float64(now.Sub(n.loadAt)) / float64(loadFade))
+	return int(fade * float64(n.load.Running+n.load.Waiting))
+}
+
 func (n *node) isUsable(now time.Time) bool {
 	return !n.listed.IsLeaving && !now.Before(n.pausedUntil) && !now.Before(n.heldUntil)
 }
--- a/place/refuse.go
+++ b/place/refuse.go
@@ -63,7 +63,7 @@
 	}
 	ahead += s.waitingElsewhere(m)
 	rate := 0.0
-	for _, n := range s.byService[m.Service] {
+	for _, n := range s.near[m.Service] {
 		if n.listed.IsLeaving {
 			continue
 		}
@@ -92,7 +92,7 @@
 func (s *Scheduler) plainBacklog(m Ask) time.Duration {
 	waiting := spoke.TokenCount(len(s.queues[m.Service])) + s.waitingElsewhere(m)
 	rate := 0.0
-	for _, n := range s.byService[m.Service] {
+	for _, n := range s.near[m.Service] {
 		if !n.listed.IsLeaving {
 			rate += float64(n.listed.Slots) / float64(n.serviceTime)
 		}
--- a/place/report.go
+++ b/place/report.go
@@ -79,6 +79,13 @@
 	return share
 }
 
+// ForOtherCells returns the part of an account that concerns hosts of other cells, and whether
+// there is any.
+func ForOtherCells(share spoke.LoadShare) (spoke.LoadShare, bool) {
+	share.Upstreams, share.Waiting, share.Placed = nil, nil, nil
+	return share, share.IsWhole || len(share.Paused)+len(share.Weights)+len(share.Stores) > 0
+}
+
 func (s *Scheduler) wantedAges(now time.Time) []spoke.WantedAge {
 	ages := make([]spoke.WantedAge, 0, len(s.wanted))
 	for model, want := range s.wanted {
@@ -153,6 +160,7 @@
 	for _, state := range share.Stores {
 		if st := s.storeOf(state.Store); st != nil {
 			st.take(state)
+			s.indexStored(st, state.Stored)
 			st.isOwn = false
 		}
 	}
--- a/place/scheduler.go
+++ b/place/scheduler.go
@@ -15,6 +15,9 @@
 		ask Ask
 		// prefixes are kept by weight version.
 		prefixes map[spoke.WeightVersion][]spoke.PromptPrefix
+		// home is the engine where prompts with the same shared parts meet, once it is known.
+		home     *node
+		holdings *holdings
 	}
 
 	wanted struct {
@@ -34,16 +37,21 @@
 		settings Settings
 		services map[spoke.ServiceName]spoke.ServedService
 		nodes    map[spoke.UpstreamID]*node
-		// byService holds the nodes of a service in the order of their ids.
+		// byService holds the nodes of a service in the order of their ids, near those that this
+		// host's cell uses.
 		byService map[spoke.ServiceName][]*node
+		near      map[spoke.ServiceName][]*node
+		cell      SetCell
 		queues    map[spoke.ServiceName][]*waiting
 		running   map[spoke.CallNumber]*running
 		wanted    map[spoke.ModelName]wanted
 		budgets   map[spoke.ServiceName]*budget
 		peers     map[spoke.HostID]*peer
 		stores    []*store
-		report    report
-		actions   []Action
+		// storedAt is an index of the parts of all stores.
+		storedAt map[spoke.StoredKey][]*store
+		report   report
+		actions  []Action
 	}
 )
 
@@ -54,11 +62,14 @@
 		services:  make(map[spoke.ServiceName]spoke.ServedService),
 		nodes:     make(map[spoke.UpstreamID]*node),
 		byService: make(map[spoke.ServiceName][]*node),
+		near:      make(map[spoke.ServiceName][]*node),
+		cell:      SetCell{Count: 1},
 		queues:    make(map[spoke.ServiceName][]*waiting),
 		running:   make(map[spoke.CallNumber]*running),
 		wanted:    make(map[spoke.ModelName]wanted),
 		budgets:   make(map[spoke.ServiceName]*budget),
 		peers:     make(map[spoke.HostID]*peer),
+		storedAt:  make(map[spoke.StoredKey][]*store),
 		report:    newReport(settings.Host),
 	}
 }
@@ -93,6 +104,9 @@
 		s.hear(now, m.Share)
 	case ForgetPeer:
 		s.forgetPeer(m.Host)
+	case SetCell:
+		s.cell = m
+		s.index()
 	case Tick:
 		s.dropSilent(now)
 	}
@@ -145,6 +159,7 @@
 		return
 	}
 	run.hasBegun = true
+	run.node.hears(now, m.Load)
 	run.node.progressed(now)
 	run.node.pause = 0
 	if run.ask.Prompt != nil {
@@ -165,6 +180,7 @@
 		run.node.progressed(now)
 	}
 	run.node.observe(now, run, m.Ending)
+	run.node.hears(now, m.Load)
 	s.report.changed(run.node)
 	s.learn(run, m.Weights)
 	if m.Ending == EndElsewhere && m.Weights == 0 {
@@ -233,10 +249,19 @@
 
 func (s *Scheduler) index() {
 	s.byService = make(map[spoke.ServiceName][]*node)
+	s.near = make(map[spoke.ServiceName][]*node)
 	for _, id := range slices.Sorted(maps.Keys(s.nodes)) {
 		n := s.nodes[id]
 		s.byService[n.listed.Service] = append(s.byService[n.listed.Service], n)
 	}
+	for service, nodes := range s.byService {
+		s.near[service] = nearOnes(nodes, s.cell.Cell, s.cell.Count)
+	}
+	for _, queue := range s.queues {
+		for _, w := range queue {
+			w.home = nil
+		}
+	}
 }
 
 func (s *Scheduler) resize() {
--- a/place/stores.go
+++ b/place/stores.go
@@ -20,6 +20,8 @@
 	storeRoom = 0.96
 	// toldAgain is the number of known parts of each store in every whole account.
 	toldAgain = 48
+	// mostIndexed is the size at which the index of parts is made anew from the stores.
+	mostIndexed = 60000
 )
 
 type (
@@ -84,6 +86,7 @@
 		return
 	}
 	st.take(state)
+	s.indexStored(st, state.Stored)
 	st.isOwn = !state.IsDown
 	s.report.stores = append(s.report.stores, state)
 }
@@ -152,9 +155,11 @@
 }
 
 func (s *Scheduler) isStored(now time.Time, key spoke.StoredKey) bool {
+	if s.storeWith(key, s.settings.DataCentre) != nil {
+		return true
+	}
 	for _, st := range s.stores {
-		saving, isSaving := st.saving[key]
-		if st.parts[key] || (isSaving && now.Sub(saving.since) <= saveTime) {
+		if saving, ok := st.saving[key]; ok && now.Sub(saving.since) <= saveTime {
 			return true
 		}
 	}
@@ -183,10 +188,10 @@
 	return best
 }
 
-// storeWith returns the quickest store that holds a part.
+// storeWith returns the nearest store that holds a part.
 func (s *Scheduler) storeWith(key spoke.StoredKey, at spoke.DataCentreID) *store {
 	var best *store
-	for _, st := range s.stores {
+	for _, st := range s.storedAt[key] {
 		if st.isDown || !st.parts[key] {
 			continue
 		}
@@ -196,3 +201,25 @@
 	}
 	return best
 }
+
+// indexStored notes where parts are; entries that are out of date do no harm, since the store
+// itself is asked as well.
+func (s *Scheduler) indexStored(st *store, keys []spoke.StoredKey) {
+	for _, key := range keys {
+		if !slices.Contains(s.storedAt[key], st) {
+			s.storedAt[key] = append(s.storedAt[key], st)
+		}
+	}
+	if len(s.storedAt) > mostIndexed {
+		s.rebuildIndex()
+	}
+}
+
+func (s *Scheduler) rebuildIndex() {
+	s.storedAt = make(map[spoke.StoredKey][]*store)
+	for _, st := range s.stores {
+		for key := range st.parts {
+			s.storedAt[key] = append(s.storedAt[key], st)
+		}
+	}
+}
--- a/swap/reconciler.go
+++ b/swap/reconciler.go
@@ -57,6 +57,9 @@
 	}
 }
 
+// SetAtOnce sets the number of swaps that may run at the same time from now on.
+func (r *Reconciler) SetAtOnce(n int) { r.settings.atOnce = n }
+
 // Handle takes one message and returns the actions that follow from it.
 func (r *Reconciler) Handle(now time.Time, message Message) []Action {
 	r.actions = nil
