Let two hosts of a cell watch the directory for the others

Ruled out: a longer wait for all, which misses changes while watches are deaf; a host that hears of a later revision calls again within 0.25 s.

--- a/edge/apply.go
+++ b/edge/apply.go
@@ -13,6 +13,9 @@
 	"magnoliaspoke.example/spoke/place"
 )
 
+// watchers is the number of hosts of a cell that watch the directory for the others.
+const watchers = 2
+
 // freeLeases asks for the orders lease only while the directory shows that no other host has
 // it, so that hosts without it make no calls.
 type freeLeases struct {
@@ -123,6 +126,7 @@
 func (h *Host) neighbours() neighbours {
 	hosts := append(slices.Collect(maps.Keys(h.peers)), h.settings.Host)
 	cell, members, count := place.Cells(hosts, h.settings.Host)
+	h.isServed.Store(!slices.Contains(members[:min(watchers, len(members))], h.settings.Host))
 	found := neighbours{cell: place.SetCell{Cell: cell, Count: count}}
 	for _, id := range slices.Sorted(maps.Keys(h.peers)) {
 		address, err := netip.ParseAddrPort(string(h.peers[id].Address))
--- a/edge/follower.go
+++ b/edge/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -14,6 +15,10 @@
 	// watchWait is short, since a watch that waits may miss changes or be cut without a sign,
 	// and a new table has to be in force within two seconds.
 	watchWait = 900 * time.Millisecond
+	// longWait is the wait of a host whose neighbours watch for it; calls to the store are dear.
+	longWait = 6 * time.Second
+	// behindTime is how long a host may lag behind what a neighbour knows before it calls again.
+	behindTime = 250 * time.Millisecond
 	// firstBackoff and longestBackoff bound the pause after a failed call.
 	firstBackoff   = 100 * time.Millisecond
 	longestBackoff = 800 * time.Millisecond
@@ -32,10 +37,16 @@
 		gap   time.Duration
 		apply func(spoke.DirectoryChange)
 
+		// isServed reports whether neighbours watch the directory for this host.
+		isServed func() bool
+		// behind receives a signal when a neighbour knows more than this host.
+		behind chan struct{}
+
 		lostSince time.Time
 		// lapsedUntil is when entries that are missing after an outage count as gone.
 		lapsedUntil time.Time
 		backoff     time.Duration
+		isChecking  atomic.Bool
 	}
 )
 
@@ -56,8 +67,11 @@
 // watch passes on changes until the directory has to be read again.
 func (f *follower) watch(ctx context.Context, revision spoke.Revision) {
 	for ctx.Err() == nil {
-		change, err := f.directory.Watch(ctx, revision, f.wait())
+		f.known.revision.Store(uint64(revision))
+		change, isCut, err := f.watchOnce(ctx, revision)
 		switch {
+		case isCut:
+			continue
 		case errors.Is(err, spoke.ErrHistoryGone):
 			f.log.WithField("revision", revision).Info("history of the directory is gone, reading it again")
 			return
@@ -75,11 +89,51 @@
 	}
 }
 
+// watchOnce waits for changes; the wait is cut when this host turns out to be behind others.
+func (f *follower) watchOnce(ctx context.Context, revision spoke.Revision) (change spoke.DirectoryChange, isCut bool, err error) {
+	callCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	done := make(chan struct{})
+	cut := make(chan bool, 1)
+	go func() {
+		select {
+		case <-f.behind:
+			cut <- true
+			cancel()
+		case <-done:
+			cut <- false
+		}
+	}()
+	change, err = f.directory.Watch(callCtx, revision, f.wait())
+	close(done)
+	return change, <-cut && err != nil && !errors.Is(err, spoke.ErrHistoryGone), err
+}
+
+// hear takes what a neighbour knows of the directory and calls again if it stays ahead.
+func (f *follower) hear(view spoke.DirectoryView) {
+	f.known.confirmBy(view)
+	if uint64(view.Revision) <= f.known.revision.Load() || !f.isChecking.CompareAndSwap(false, true) {
+		return
+	}
+	time.AfterFunc(behindTime, func() {
+		f.isChecking.Store(false)
+		if uint64(view.Revision) > f.known.revision.Load() {
+			select {
+			case f.behind <- struct{}{}:
+			default:
+			}
+		}
+	})
+}
+
 // wait is short while entries may come back, so that the whole directory is read soon after.
 func (f *follower) wait() time.Duration {
 	if f.isSettling() {
 		return max(f.lapsedUntil.Sub(f.timer.Now()), time.Millisecond)
 	}
+	if f.isServed() && !f.known.isStale() {
+		return longWait
+	}
 	return watchWait
 }
 
--- a/edge/host.go
+++ b/edge/host.go
@@ -30,7 +30,7 @@
 	// announceEvery keeps this host listed and shows that the directory is in reach.
 	announceEvery = 1500 * time.Millisecond
 	// directoryGap gathers changes of the directory.
-	directoryGap = 60 * time.Millisecond
+	directoryGap = 200 * time.Millisecond
 )
 
 type (
@@ -53,14 +53,17 @@
 
 	// Host is an entry host that relays calls.
 	Host struct {
-		settings  config.Relay
-		parts     Parts
-		known     *knowledge
-		planner   *planner
-		relayer   *relayer
-		orders    *orders
-		keeper    *lease.Keeper
-		stores    *storeFollowers
+		settings config.Relay
+		parts    Parts
+		known    *knowledge
+		planner  *planner
+		relayer  *relayer
+		orders   *orders
+		keeper   *lease.Keeper
+		stores   *storeFollowers
+		follower *follower
+		// isServed says that other hosts of the cell watch the directory for this one.
+		isServed  atomic.Bool
 		socket    *peers.Socket
 		peers     map[spoke.HostID]spoke.ListedPeer
 		holder    atomic.Pointer[spoke.HostID]
@@ -85,7 +88,7 @@
 		Host: settings.Host, DataCentre: settings.DataCentre,
 		RetryShare: float64(settings.RetryShare), RetryReserve: float64(settings.RetryReserve),
 		RetryWindow: settings.RetryWindow, WeightsApply: settings.WeightsApply,
-	}), parts.Timer, parts.Log, marks, socket.Send)
+	}), parts.Timer, parts.Log, marks, h.known, socket.Send)
 	h.relayer = &relayer{
 		known: h.known, codec: parts.Codec, planner: h.planner, pool: link.New(), marks: marks,
 		log: parts.Log, metrics: newMetrics(),
@@ -94,6 +97,10 @@
 	holder := spoke.HostID(fmt.Sprintf("%s-%d", settings.Host, time.Now().UnixNano()))
 	h.keeper = lease.New(&freeLeases{Leases: parts.Leases, host: h, log: parts.Log}, parts.OrdersLease, holder, ordersTTL, lease.WithTimer(parts.LeaseTimer))
 	h.orders = newOrders(holder, settings.OrdersPause, parts, h.keeper, h.planner)
+	h.follower = &follower{
+		directory: parts.Directory, timer: parts.Timer, known: h.known, log: parts.Log,
+		gap: directoryGap, apply: h.apply, isServed: h.isServed.Load, behind: make(chan struct{}),
+	}
 	h.stores = newStoreFollowers(settings, parts, h.planner)
 	return h, nil
 }
@@ -113,11 +120,7 @@
 	task(h.stores.run)
 	task(h.announce)
 	task(func(ctx context.Context) error { return h.socket.Receive(ctx, h.hear) })
-	f := &follower{
-		directory: h.parts.Directory, timer: h.parts.Timer, known: h.known, log: h.parts.Log,
-		gap: directoryGap, apply: h.apply,
-	}
-	task(f.run)
+	task(h.follower.run)
 	callers := &http.Server{
 		Handler: h.relayer, ReadHeaderTimeout: callerHeader, IdleTimeout: callerIdle, MaxHeaderBytes: headerLimit,
 	}
@@ -191,6 +194,7 @@
 	if len(share.Marks) > 0 {
 		h.relayer.marks.registry.Merge(time.Now(), share.Marks)
 	}
+	h.follower.hear(share.Directory)
 	h.planner.in <- planned{message: place.Hear{Share: share}}
 }
 
--- a/edge/knowledge.go
+++ b/edge/knowledge.go
@@ -16,6 +16,7 @@
 type knowledge struct {
 	table     atomic.Pointer[spoke.RoutingTable]
 	confirmed atomic.Int64
+	revision  atomic.Uint64
 	limit     time.Duration
 	now       func() time.Time
 }
@@ -27,6 +28,19 @@
 // confirm notes that the directory was reached.
 func (k *knowledge) confirm() { k.confirmed.Store(k.now().UnixNano()) }
 
+// confirmBy takes another host's word that the directory was reached and holds nothing newer.
+func (k *knowledge) confirmBy(view spoke.DirectoryView) {
+	reached := k.now().Add(-view.Age).UnixNano()
+	known := k.confirmed.Load()
+	if uint64(view.Revision) <= k.revision.Load() && reached > known {
+		k.confirmed.CompareAndSwap(known, reached)
+	}
+}
+
+func (k *knowledge) view() spoke.DirectoryView {
+	return spoke.DirectoryView{Revision: spoke.Revision(k.revision.Load()), Age: k.age()}
+}
+
 // age returns the time since the directory was last reached.
 func (k *knowledge) age() time.Duration {
 	return k.now().Sub(time.Unix(0, k.confirmed.Load()))
--- a/edge/planner.go
+++ b/edge/planner.go
@@ -44,14 +44,15 @@
 		replies    map[spoke.CallNumber]chan place.Action
 		send       func(spoke.LoadShare, []netip.AddrPort)
 		quarantine *marks
+		known      *knowledge
 		neighbours neighbours
 		toldAll    time.Time
 	}
 )
 
-func newPlanner(scheduler *place.Scheduler, timer spoke.Timer, log logrus.FieldLogger, quarantine *marks, send func(spoke.LoadShare, []netip.AddrPort)) *planner {
+func newPlanner(scheduler *place.Scheduler, timer spoke.Timer, log logrus.FieldLogger, quarantine *marks, known *knowledge, send func(spoke.LoadShare, []netip.AddrPort)) *planner {
 	return &planner{
-		scheduler: scheduler, timer: timer, log: log, send: send, quarantine: quarantine,
+		scheduler: scheduler, timer: timer, log: log, send: send, quarantine: quarantine, known: known,
 		in:      make(chan planned, planQueue),
 		peers:   make(chan neighbours, 1),
 		replies: make(map[spoke.CallNumber]chan place.Action),
@@ -130,6 +131,7 @@
 		p.step(place.Tick{})
 	}
 	account := p.scheduler.Account(now, isWhole)
+	account.Directory = p.known.view()
 	account.Marks = p.quarantine.list(now, mostMarks)
 	p.send(account, p.neighbours.near)
 	if rest, ok := place.ForOtherCells(account); ok {
--- a/peers/codec.go
+++ b/peers/codec.go
@@ -23,6 +23,8 @@
 		Marks     []markRow             `json:"marks,omitempty"`
 		Wanted    []wantedRow           `json:"wanted,omitempty"`
 		Stores    []storeRow            `json:"stores,omitempty"`
+		Revision  uint64                `json:"revision,omitempty"`
+		AgeMs     int64                 `json:"age-ms,omitempty"`
 	}
 
 	upstreamRow struct {
@@ -75,6 +77,7 @@
 // Encode writes an account; now is the time on which marks expire.
 func Encode(share spoke.LoadShare, now time.Time) ([]byte, error) {
 	row := shareRow{Host: string(share.Host), Number: share.Number, IsWhole: share.IsWhole}
+	row.Revision, row.AgeMs = uint64(share.Directory.Revision), share.Directory.Age.Milliseconds()
 	for _, u := range share.Upstreams {
 		row.Upstreams = append(row.Upstreams, upstreamRow{string(u.Upstream), int64(u.Unread), int64(u.Memory), u.Runs})
 	}
@@ -116,6 +119,9 @@
 		return spoke.LoadShare{}, eris.New("load account without host")
 	}
 	share := spoke.LoadShare{Host: spoke.HostID(row.Host), Number: row.Number, IsWhole: row.IsWhole}
+	share.Directory = spoke.DirectoryView{
+		Revision: spoke.Revision(row.Revision), Age: time.Duration(row.AgeMs) * time.Millisecond,
+	}
 	for _, u := range row.Upstreams {
 		share.Upstreams = append(share.Upstreams, spoke.UpstreamShare{
 			Upstream: spoke.UpstreamID(u.ID), Unread: spoke.TokenCount(u.Unread), Memory: spoke.TokenCount(u.Memory), Runs: u.Runs,
--- a/placement.go
+++ b/placement.go
@@ -57,10 +57,19 @@
 		Weights map[UpstreamID]ListedWeights
 		Marks   []QuarantineMark
 		Stores  []StoreState
+		// Directory says what the host knows of the directory.
+		Directory DirectoryView
 		// WantedAges says how long ago wanted weights were named.
 		WantedAges []WantedAge
 	}
 
+	// DirectoryView is how far a host has followed the directory.
+	DirectoryView struct {
+		Revision Revision
+		// Age is the time since the directory was last reached.
+		Age time.Duration
+	}
+
 	// WantedAge is the time since weights were named.
 	WantedAge struct {
 		Wanted WantedWeights
