Explain a request from the logs of its hosts

Cause: on-call engineers have only logs and metrics, and no command read them. Also: the orders lease is not asked for while the store is away, since refused calls are priced as well; findings of the linter.

--- a/Makefile
+++ b/Makefile
@@ -1,11 +1,11 @@
 LINT := go run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
-MODULES := . cmd/entry cmd/spokectl cmd/standin cmd/trial
+MODULES := . cmd/edge cmd/entry cmd/spokectl cmd/standin cmd/trial
 SEED ?= 1
 
 .PHONY: build test lint fmt demo up prove bench capacity fuzz
 
 build:
-	go build -o bin/ ./cmd/entry ./cmd/spokectl ./cmd/standin ./cmd/trial
+	go build -o bin/ ./cmd/edge ./cmd/entry ./cmd/spokectl ./cmd/standin ./cmd/trial
 
 # Packages with state machines take a fixed seed, so that each run gives the same verdict.
 RANDOMIZED := $(shell grep -rl --include='*_test.go' '"pgregory.net/rapid"' . | xargs -n1 dirname | sort -u)
--- a/cmd/spokectl/tool/examples.go
+++ b/cmd/spokectl/tool/examples.go
@@ -33,5 +33,6 @@
   spokectl timeline --since 15m --upstream engine-3
   spokectl timeline --request 0f3a --trace request.json`,
 	"explain": `Examples:
-  spokectl --host 10.1.0.4:9100 --host 10.1.0.5:9100 explain 0f3a`,
+  spokectl --host 10.1.0.4:9100 --host 10.1.0.5:9100 explain 0f3a
+  spokectl explain 9c41d07be2a35f68 --logs /var/log/edge`,
 }
--- a/cmd/spokectl/tool/settings.go
+++ b/cmd/spokectl/tool/settings.go
@@ -31,6 +31,7 @@
 
 	explainSettings struct {
 		Request string `arg:"positional,required" help:"request id, from the X-Request-Id header"`
+		Logs    string `arg:"--logs" placeholder:"DIR" help:"explain from the log files of hosts in a directory, without asking the hosts"`
 	}
 
 	settings struct {
--- a/cmd/spokectl/tool/tool.go
+++ b/cmd/spokectl/tool/tool.go
@@ -81,7 +81,7 @@
 	if err == nil && parser.Subcommand() == nil {
 		err = eris.New("no command given")
 	}
-	if err == nil {
+	if err == nil && !s.isOffline() {
 		err = s.connect()
 	}
 	if err != nil {
@@ -121,6 +121,9 @@
 	}
 }
 
+// isOffline reports whether the command needs no host.
+func (s *session) isOffline() bool { return s.settings.Explain != nil && s.settings.Explain.Logs != "" }
+
 func (s *session) connect() error {
 	if len(s.settings.Hosts) == 0 {
 		return eris.New("no --host given")
@@ -167,6 +170,8 @@
 		return s.drain(ctx)
 	case s.settings.Timeline != nil:
 		return s.timeline(ctx, *s.settings.Timeline)
+	case s.isOffline():
+		return s.explainFromLogs(s.settings.Explain.Logs, spoke.RequestID(s.settings.Explain.Request))
 	default:
 		return s.explain(ctx, spoke.RequestID(s.settings.Explain.Request))
 	}
--- a/edge/apply.go
+++ b/edge/apply.go
@@ -13,8 +13,12 @@
 	"magnoliaspoke.example/spoke/place"
 )
 
-// watchers is the number of hosts of a cell that watch the directory for the others.
-const watchers = 2
+const (
+	// watchers is the number of hosts of a cell that watch the directory for the others.
+	watchers = 2
+	// acquirePause bounds the calls for the lease while the store is away or others are quicker.
+	acquirePause = 500 * time.Millisecond
+)
 
 // freeLeases asks for the orders lease only while the directory shows that no other host has
 // it, so that hosts without it make no calls.
@@ -22,6 +26,8 @@
 	spoke.Leases
 	host *Host
 	log  logrus.FieldLogger
+	// failed is when the lease could last not be acquired; only the keeper's task uses it.
+	failed time.Time
 }
 
 // Acquire takes the lease if it is free.
@@ -30,8 +36,12 @@
 	if known == nil || *known != "" {
 		return spoke.Lease{}, spoke.ErrLeaseHeld
 	}
+	if l.host.known.isStale() || time.Since(l.failed) < acquirePause {
+		return spoke.Lease{}, spoke.ErrUnavailable
+	}
 	granted, err := l.Leases.Acquire(ctx, name, holder, ttl)
 	if err != nil {
+		l.failed = time.Now()
 		l.log.WithError(err).Info("orders lease not acquired")
 	}
 	return granted, err
--- a/edge/directory_test.go
+++ b/edge/directory_test.go
@@ -15,11 +15,11 @@
 func (d *deployment) status(id, key string) int {
 	c := book(id)
 	c.key = key
-	response, _, err := d.send(c)
+	got, err := d.send(c)
 	if err != nil {
 		return 0
 	}
-	return response.StatusCode
+	return got.status
 }
 
 // Guards against keys and routes that are denied or allowed by an older table than the one in force.
@@ -131,8 +131,8 @@
 		assert.Equal(t, orders, 1)
 	}
 	awaitTrue(t, "no call on the new weights", func() bool {
-		response, _, err := d.send(chat("a"))
-		return err == nil && response.StatusCode == http.StatusOK
+		got, err := d.send(chat("a"))
+		return err == nil && got.status == http.StatusOK
 	})
 	for _, engine := range d.engines {
 		for _, run := range engine.Runs() {
@@ -152,8 +152,8 @@
 	}
 	done := make(chan result, 1)
 	go func() {
-		_, body, err := d.send(chat("r1"))
-		done <- result{body, err}
+		got, err := d.send(chat("r1"))
+		done <- result{got.body, err}
 	}()
 	awaitTrue(t, "stream not begun", func() bool { return d.runs() == 1 })
 	d.signals <- syscall.SIGTERM
@@ -161,9 +161,9 @@
 		status, err := d.readiness()
 		return err == nil && status == http.StatusServiceUnavailable
 	})
-	response, _, err := d.send(book("r2"))
+	got, err := d.send(book("r2"))
 	assert.NilError(t, err)
-	assert.Equal(t, response.Close, true)
+	assert.Equal(t, got.isClose, true)
 	ended := <-done
 	assert.NilError(t, ended.err)
 	assert.Equal(t, ended.body, wholeStream)
@@ -204,9 +204,9 @@
 	d := start(t, 1)
 	d.behave(fake.Shed)
 	begun := time.Now()
-	response, _, err := d.send(chat("a"))
+	got, err := d.send(chat("a"))
 	assert.NilError(t, err)
-	assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
-	assert.Assert(t, response.Header.Get("Retry-After") != "")
+	assert.Equal(t, got.status, http.StatusServiceUnavailable)
+	assert.Assert(t, got.header.Get("Retry-After") != "")
 	assert.Assert(t, time.Since(begun) < 2*time.Second)
 }
--- a/edge/planner.go
+++ b/edge/planner.go
@@ -139,14 +139,6 @@
 	}
 }
 
-// tellScheduler hands a message to the task; it gives up when ctx ends.
-func (p *planner) tellScheduler(ctx context.Context, message place.Message) {
-	select {
-	case p.in <- planned{message: message}:
-	case <-ctx.Done():
-	}
-}
-
 // ask waits for an upstream or a refusal; it withdraws the call when ctx ends.
 func (p *planner) ask(ctx context.Context, ask place.Ask) (place.Action, error) {
 	reply := make(chan place.Action, 1)
--- a/edge/relay_test.go
+++ b/edge/relay_test.go
@@ -42,11 +42,11 @@
 		"Magnoliaspoke-Tenant": {"other"}, "Magnoliaspoke-Kv-Hold": {"1"}, "Kv-From": {"1.2.3.4:5/6"},
 		"Magnoliaspoke-Cache-Salt": {"theirs"}, "X-Other": {"kept"}, "Connection": {"x-drop"}, "X-Drop": {"1"},
 	}
-	response, body, err := d.send(sent)
+	got, err := d.send(sent)
 	assert.NilError(t, err)
-	assert.Equal(t, response.StatusCode, http.StatusOK)
-	assert.Equal(t, body, "whole answer of i-0")
-	assert.Equal(t, response.Header.Get("Magnoliaspoke-Server-Stamp"), "stamp-i-0")
+	assert.Equal(t, got.status, http.StatusOK)
+	assert.Equal(t, got.body, "whole answer of i-0")
+	assert.Equal(t, got.header.Get("Magnoliaspoke-Server-Stamp"), "stamp-i-0")
 
 	run := d.engines[0].Runs()[0]
 	assert.Equal(t, run.Method+" "+run.Target+" "+run.Host, "POST /book/1?x=%2F "+hostName)
@@ -67,10 +67,10 @@
 func TestBrokenStreamGoesOnElsewhere(t *testing.T) {
 	d := start(t, 2)
 	d.behave(fake.ResetMidway)
-	response, body, err := d.send(chat("r1"))
+	got, err := d.send(chat("r1"))
 	assert.NilError(t, err)
-	assert.Equal(t, response.StatusCode, http.StatusOK)
-	assert.Equal(t, body, wholeStream)
+	assert.Equal(t, got.status, http.StatusOK)
+	assert.Equal(t, got.body, wholeStream)
 	assert.Equal(t, d.runs(), 2)
 }
 
@@ -79,9 +79,9 @@
 func TestBrokenStreamThatMayNotGoOnIsNotEnded(t *testing.T) {
 	d := start(t, 2)
 	d.behave(fake.ResetMidway)
-	_, body, err := d.send(quote("r1"))
+	got, err := d.send(quote("r1"))
 	assert.ErrorContains(t, err, "unexpected EOF")
-	assert.Equal(t, body, "id: 1\ndata: piece 1\n\n")
+	assert.Equal(t, got.body, "id: 1\ndata: piece 1\n\n")
 	assert.Equal(t, d.runs(), 1)
 }
 
@@ -110,12 +110,12 @@
 		t.Run(fmt.Sprintf("%s %s", c.behaviour, c.call.path), func(t *testing.T) {
 			d := start(t, 2)
 			d.behave(c.behaviour)
-			response, _, err := d.send(c.call)
+			got, err := d.send(c.call)
 			assert.NilError(t, err)
-			assert.Equal(t, response.StatusCode, c.status)
+			assert.Equal(t, got.status, c.status)
 			assert.Equal(t, d.runs(), c.runs)
 			if c.status == http.StatusServiceUnavailable {
-				seconds, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
+				seconds, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
 				assert.NilError(t, err)
 				assert.Assert(t, seconds > 0 && seconds < 4, "%v s", seconds)
 			}
--- a/edge/setup_test.go
+++ b/edge/setup_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/netip"
 	"os"
+	"path/filepath"
 	"strings"
 	"syscall"
 	"testing"
@@ -21,6 +23,7 @@
 	"magnoliaspoke.example/spoke/config"
 	"magnoliaspoke.example/spoke/edge"
 	fake "magnoliaspoke.example/spoke/fake/platform"
+	"magnoliaspoke.example/spoke/logs"
 	"magnoliaspoke.example/spoke/platform"
 	"magnoliaspoke.example/spoke/timer"
 )
@@ -38,6 +41,8 @@
 	settings config.Relay
 	signals  chan os.Signal
 	ended    chan error
+	// logs is the directory of the host's log.
+	logs string
 }
 
 // start runs a host before engines; every engine answers streams with four events.
@@ -65,8 +70,14 @@
 }
 
 func (d *deployment) run() {
-	log := logrus.New()
-	log.SetOutput(io.Discard)
+	d.logs = d.t.TempDir()
+	file, err := os.Create(filepath.Join(d.logs, "host-1.log"))
+	assert.NilError(d.t, err)
+	writer := logs.NewWriter(file)
+	writing, stop := context.WithCancel(context.Background())
+	go func() { _ = writer.Run(writing) }()
+	d.t.Cleanup(stop)
+	log := writer.Logger(logrus.InfoLevel, logrus.Fields{"host-id": d.settings.Host})
 	boot := timer.NewBoot()
 	client := platform.NewStore(d.settings.Store, boot.Now)
 	control := platform.NewControl()
@@ -155,17 +166,25 @@
 	return request
 }
 
+// answer is what a caller saw of a call.
+type answer struct {
+	status  int
+	header  http.Header
+	isClose bool
+	body    string
+}
+
 // send makes the call and returns the answer with its whole body, or the error that broke it.
-func (d *deployment) send(c call) (*http.Response, string, error) {
+func (d *deployment) send(c call) (answer, error) {
 	d.t.Helper()
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	response, err := client.Do(d.request(c))
 	if err != nil {
-		return nil, "", err
+		return answer{}, err
 	}
 	defer response.Body.Close()
 	body, err := io.ReadAll(response.Body)
-	return response, string(body), err
+	return answer{response.StatusCode, response.Header, response.Close, string(body)}, err
 }
 
 func (d *deployment) runs() int {
--- a/edge/stores.go
+++ b/edge/stores.go
@@ -113,7 +113,7 @@
 	case storesNews:
 		f.takeStores(m.stores)
 	case peersNews:
-		f.hosts = append(m.hosts, f.host)
+		f.hosts = append(slices.Clone(m.hosts), f.host)
 		slices.Sort(f.hosts)
 	case wantedNews:
 		if m.wanted.Version > f.newest {
--- a/edge/stream.go
+++ b/edge/stream.go
@@ -57,7 +57,7 @@
 		if err == nil {
 			continue
 		}
-		if err != io.EOF {
+		if !errors.Is(err, io.EOF) {
 			return a.failed(ctx, place.EndBroken, err)
 		}
 		return a.finish(state)
--- a/link/exchange.go
+++ b/link/exchange.go
@@ -91,6 +91,7 @@
 	}
 	isOneOff := false
 	for range strangers + 1 {
+		//nolint:bodyclose // The answer's owner closes the connection, which ends the body as well.
 		response, err := readHead(c, request.Method)
 		if errors.Is(err, syscall.ECONNRESET) {
 			p.dropped(c, sent)
