Notice engines that fall silent and keep room for urgent calls

Cause: when engines go dark, calls went to them until their connections timed out; long prompts filled engines so that shorter urgent ones were refused.

--- a/cmd/trial/soak/faults.go
+++ b/cmd/trial/soak/faults.go
@@ -177,5 +177,5 @@
 	w.weights++
 	weights := w.weights
 	w.mu.Unlock()
-	w.store.Put("op/version/model-a", map[string]any{"model": "model-a", "version": weights})
+	w.store.NameWeights(weights)
 }
--- a/edge/answer.go
+++ b/edge/answer.go
@@ -10,12 +10,6 @@
 	"github.com/sirupsen/logrus"
 )
 
-// errorLine is the body of this host's own errors.
-type errorLine struct {
-	Code    string `json:"code"`
-	Outcome string `json:"outcome"`
-}
-
 // writeError writes an error of this host; statuses that promise "not run" carry that outcome.
 func writeError(w http.ResponseWriter, status int, code string, retryAfter time.Duration) {
 	outcome := "outcome-unknown"
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -87,7 +87,7 @@
 	switch a := action.(type) {
 	case place.Grant:
 		e.log.WithFields(logrus.Fields{
-			"upstream": a.Upstream.ID, "weights": a.Weights, "cached": a.Cached, "fetched": a.Fetched, "predicted": a.Predicted.String(),
+			"upstream": a.Upstream.ID, "weights": a.Weights, "prompt": e.call.Prompt.Input, "cached": a.Cached, "fetched": a.Fetched, "predicted": a.Predicted.String(),
 			"waited": a.Waited.String(), "route": e.route.Name, "attempt": len(p.tried) + 1,
 		}).Info("placed")
 		e.metrics.waited(e.route.Name, a.Waited)
--- a/place/choose.go
+++ b/place/choose.go
@@ -122,12 +122,7 @@
 		return c, false
 	}
 	need := prompt.Input + expectedOutput(prompt)
-	room := float64(s.capacity(w.ask.Service))
-	if w.ask.Urgency == 0 {
-		room *= urgentMemoryShare
-	} else {
-		room *= memoryShare
-	}
+	room := float64(s.capacity(w.ask.Service)) * memoryShareOf(w.ask.Urgency)
 	if total.Runs > 0 && float64(total.Memory+need) > room {
 		return c, false
 	}
@@ -148,6 +143,16 @@
 	return c, true
 }
 
+func memoryShareOf(urgency spoke.Priority) float64 {
+	switch {
+	case urgency <= 0:
+		return firstMemoryShare
+	case urgency == 1:
+		return secondMemoryShare
+	}
+	return memoryShare
+}
+
 // allowedBacklog is the time that a call may wait inside an engine. Less urgent calls wait
 // in the host's queue, where urgent ones can still overtake them.
 func (s *Scheduler) allowedBacklog(m Ask) time.Duration {
--- a/place/fetch.go
+++ b/place/fetch.go
@@ -11,8 +11,6 @@
 	fetchSetup = 3 * time.Millisecond
 	// remoteFetch is how many times longer a transfer between data centres takes.
 	remoteFetch = 2
-	// leastFetch is the size below which reading is as quick as a transfer.
-	leastFetch spoke.TokenCount = 128
 )
 
 // source is where an engine copies a part from.
@@ -68,6 +66,10 @@
 	var fetched spoke.TokenCount
 	for i, prefix := range prefixes {
 		if prefix.Total <= c.cached {
+			// The engine may have dropped the part; what it still holds is not copied.
+			if st := s.storeWith(from.keys[i], n.listed.DataCentre); st != nil {
+				fetch[i] = st.Address
+			}
 			continue
 		}
 		at, ok := s.sourceOf(from, n, i, prefix.Total)
@@ -79,9 +81,6 @@
 		fetched += prefix.Part
 		took += at.transfer(engine, prefix.Part, n.listed.DataCentre)
 	}
-	if fetched < leastFetch {
-		return 0
-	}
 	c.fetched, c.fetch = min(fetched, w.ask.Prompt.Input-c.cached), fetch
 	return took
 }
--- a/place/load_test.go
+++ b/place/load_test.go
@@ -1,6 +1,7 @@
 package place_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -169,3 +170,19 @@
 	ask.IsRepeat = true
 	tr.grant(ask)
 }
+
+// Replays an engine whose machine goes dark. Guards against calls that are sent to it one after
+// the other while its connections stay open.
+func TestSilentEngineGetsNoMoreCalls(t *testing.T) {
+	tr := newTrial(t, 2)
+	dark := tr.grant(tr.ask(0, "s", 500, 200))
+	tr.now = tr.now.Add(time.Second)
+	for i := range 5 {
+		granted := tr.grant(tr.ask(0, fmt.Sprint(i), 500, 200))
+		assert.Assert(t, granted.Upstream.ID != dark.Upstream.ID)
+		tr.handle(place.Began{Call: granted.Call})
+		tr.handle(place.Ended{Call: granted.Call, Ending: place.EndServed})
+	}
+	tr.handle(place.Ended{Call: dark.Call, Ending: place.EndBroken})
+	assert.Assert(t, tr.scheduler.Account(tr.now, false).Paused[dark.Upstream.ID] > 0)
+}
--- a/place/node.go
+++ b/place/node.go
@@ -57,6 +57,8 @@
 		// load is what the upstream last said of itself.
 		load   spoke.UpstreamLoad
 		loadAt time.Time
+		// sign is when the upstream last answered this host or made progress for another.
+		sign time.Time
 		// pace is how many times slower than usual the upstream reads or serves.
 		pace        float64
 		serviceTime time.Duration
@@ -143,6 +145,7 @@
 // progressed notes that the engine finished reading a prompt; it reads one after the other, so
 // the others are unread.
 func (n *node) progressed(now time.Time) {
+	n.sign = now
 	n.left, n.leftAt = n.totals().Unread, now
 }
 
@@ -161,7 +164,26 @@
 }
 
 func (n *node) isUsable(now time.Time) bool {
-	return !n.listed.IsLeaving && !now.Before(n.pausedUntil) && !now.Before(n.heldUntil)
+	return !n.listed.IsLeaving && !now.Before(n.pausedUntil) && !now.Before(n.heldUntil) && !n.isSilent(now)
+}
+
+// hold keeps calls away for a time; zero ends that, and a shorter time does not.
+func (n *node) hold(now time.Time, pause time.Duration) {
+	until := now.Add(pause)
+	if pause == 0 || until.After(n.heldUntil) {
+		n.heldUntil = until
+	}
+}
+
+// isSilent reports whether a call has waited far longer than expected without any sign of the
+// upstream, as when its machine has gone dark and its connections stay open.
+func (n *node) isSilent(now time.Time) bool {
+	for _, run := range n.runs {
+		if !run.hasBegun && n.sign.Before(run.sent) && now.Sub(run.sent) > silentAfter+2*run.predicted {
+			return true
+		}
+	}
+	return false
 }
 
 // failureRate fades, so that an upstream gets calls again some time after it failed.
@@ -182,10 +204,12 @@
 		failure = ownFailure
 	case EndBroken:
 		failure = certainFailure
+		if n.sign.Before(run.sent) {
+			n.suspend(now)
+		}
 	case EndUnreached:
 		failure = certainFailure
-		n.pause = min(max(2*n.pause, firstPause), longestPause)
-		n.pausedUntil = now.Add(n.pause)
+		n.suspend(now)
 	default:
 		return
 	}
@@ -193,6 +217,12 @@
 	n.failedAt = now
 }
 
+// suspend keeps calls away for a time that grows while the upstream stays out of reach.
+func (n *node) suspend(now time.Time) {
+	n.pause = min(max(2*n.pause, firstPause), longestPause)
+	n.pausedUntil = now.Add(n.pause)
+}
+
 func (n *node) observeService(took time.Duration) {
 	took = min(max(took, shortestServiceTime), longestObservedService)
 	n.serviceTime += time.Duration(paceWeight * float64(took-n.serviceTime))
--- a/place/options.go
+++ b/place/options.go
@@ -14,6 +14,9 @@
 	stepTime = 10 * time.Millisecond
 	// remoteCost is the cost of sending to another data centre, in time of the caller.
 	remoteCost = 4 * time.Millisecond
+	// silentAfter is the time beyond twice its prediction after which an engine that gives no sign
+	// gets no more calls.
+	silentAfter = 600 * time.Millisecond
 	// failureCost is the cost of an upstream that always fails.
 	failureCost = 600 * time.Millisecond
 	// oldWeightsCost is the cost of weights that are about to be replaced.
@@ -25,9 +28,11 @@
 	// readCost weighs the time that reading takes from other calls against this call's own wait.
 	readCost = 1.0
 
-	// memoryShare leaves room for output that is longer than expected; urgent calls may use it.
-	memoryShare       = 0.88
-	urgentMemoryShare = 0.98
+	// The shares of an engine's memory that calls of an urgency may fill leave room for output that
+	// is longer than expected and for more urgent calls, which are shorter.
+	firstMemoryShare  = 0.98
+	secondMemoryShare = 0.94
+	memoryShare       = 0.82
 	// backlogShare is the part of its target that a call may wait inside an engine.
 	urgentBacklogShare = 0.5
 	backlogShare       = 0.25
--- a/place/report.go
+++ b/place/report.go
@@ -154,7 +154,7 @@
 func (s *Scheduler) hearState(now time.Time, share spoke.LoadShare) {
 	for id, pause := range share.Paused {
 		if n := s.nodes[id]; n != nil {
-			n.heldUntil = now.Add(pause)
+			n.hold(now, pause)
 		}
 	}
 	for _, state := range share.Stores {
--- a/place/scheduler.go
+++ b/place/scheduler.go
@@ -176,10 +176,16 @@
 	}
 	delete(s.running, m.Call)
 	delete(run.node.runs, m.Call)
-	if !run.hasBegun {
+	run.node.observe(now, run, m.Ending)
+	switch m.Ending {
+	case EndUnreached, EndBroken, EndCancelled:
+		// The end says nothing of the upstream's progress.
+	default:
 		run.node.progressed(now)
 	}
-	run.node.observe(now, run, m.Ending)
+	if run.node.pausedUntil.After(now) {
+		s.report.paused(run.node.listed.ID, run.node.pausedUntil.Sub(now))
+	}
 	run.node.hears(now, m.Load)
 	s.report.changed(run.node)
 	s.learn(run, m.Weights)
@@ -206,7 +212,7 @@
 
 func (s *Scheduler) pause(now time.Time, m Pause) {
 	if n := s.nodes[m.Upstream]; n != nil {
-		n.heldUntil = now.Add(m.For)
+		n.hold(now, m.For)
 		s.report.paused(m.Upstream, m.For)
 	}
 }
--- a/place/stores.go
+++ b/place/stores.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// leastSaved is the size below which a part is read as quickly as it is copied.
-	leastSaved spoke.TokenCount = 128
+	// leastSaved is the size of a block; smaller parts take a whole one.
+	leastSaved spoke.TokenCount = 16
 	// largePart divides the parts between the stores with much room and those with fast links.
 	largePart spoke.TokenCount = 2048
 	// saveTime is the time in which a save that was asked for shows at the store, or is lost.
