Account for transfers, take turns at free engines, leave engines that are gone

Cause: an engine that joined during a burst got eleven long prompts from one host at once, whose cached parts queued at its link for two seconds; all hosts saw it free at the same moment; an engine that had started again under another id refused 432 calls sent to its old entry.

--- a/calls.go
+++ b/calls.go
@@ -94,6 +94,9 @@
 		IsNotRun bool
 		// IsElsewhere states that another upstream has the address or other weights are loaded.
 		IsElsewhere bool
+		// IsOtherUpstream states that another upstream has the address, so that the one that was
+		// meant is gone.
+		IsOtherUpstream bool
 		Load        *UpstreamLoad
 		Weights     WeightVersion
 		// IdleTimeout is how long the upstream keeps the connection open; zero means unknown.
--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -101,17 +101,22 @@
 		At: a.grant.Upstream.Address, Method: a.call.Method, Target: a.call.Target, HostName: a.call.HostName,
 		Header: a.codec.EncodeAttempt(a.spec), Body: a.call.Body,
 	}, a.isOwn)
-	a.progress.tried = note(a.progress.tried, a.grant.Upstream.ID)
 	if errors.Is(err, spoke.ErrNotRun) {
+		a.progress.tried = note(a.progress.tried, a.grant.Upstream.ID)
 		return a.failed(ctx, place.EndUnreached, err)
 	}
-	a.progress.sent = note(a.progress.sent, a.grant.Upstream.ID)
+	a.progress.arrivals++
 	if err != nil {
+		a.noteSent()
 		a.progress.mayHaveRun = true
 		return a.failed(ctx, place.EndBroken, err)
 	}
 	defer func() { answer.Close(a.head.IdleTimeout) }()
 	a.head = a.codec.DecodeAnswer(a.spec, answer.Status, answer.Header)
+	if !a.head.IsElsewhere {
+		// Otherwise the engine that was meant is not there, or takes the call on other weights.
+		a.noteSent()
+	}
 	if a.head.IsNotRun {
 		return a.turnedAway()
 	}
@@ -125,6 +130,11 @@
 	return a.whole(ctx, answer)
 }
 
+func (a *attempt) noteSent() {
+	a.progress.tried = note(a.progress.tried, a.grant.Upstream.ID)
+	a.progress.sent = note(a.progress.sent, a.grant.Upstream.ID)
+}
+
 // isOwn tells the answer to this attempt from a late one to an earlier request.
 func (a *attempt) isOwn(status int, header http.Header) bool {
 	return a.codec.DecodeAnswer(a.spec, status, header).Fault != spoke.FaultOther
@@ -133,7 +143,10 @@
 // turnedAway handles the upstream's statement that it did not run the call.
 func (a *attempt) turnedAway() verdict {
 	a.ending = place.EndRefused
-	if a.head.IsElsewhere {
+	switch {
+	case a.head.IsOtherUpstream:
+		a.ending = place.EndGone
+	case a.head.IsElsewhere:
 		a.ending = place.EndElsewhere
 	}
 	a.progress.lastFault = "turned away with status " + http.StatusText(a.head.Status)
--- a/edge/directory_test.go
+++ b/edge/directory_test.go
@@ -1,6 +1,7 @@
 package edge_test
 
 import (
+	"fmt"
 	"net/http"
 	"syscall"
 	"testing"
@@ -113,6 +114,27 @@
 	})
 }
 
+// Replays an engine that crashed and started again under another id at the same address, while
+// its old entry lives on. Guards against calls that are refused although other engines serve, and
+// against an entry that is tried again and again.
+func TestEntryOfAnEngineThatIsGone(t *testing.T) {
+	d := start(t, 2)
+	for _, id := range []string{"i-a", "i-b", "i-c"} {
+		d.store.Put("servers/"+id, d.engines[0].Entry("models", "a", "ready"))
+	}
+	d.store.Put("op/config", table(2, "key-2"))
+	awaitTrue(t, "entries not known", func() bool { return d.status("a", "key-2") == http.StatusOK })
+	before := d.runs()
+	for i := range 12 {
+		sent := quote(fmt.Sprint("q", i))
+		sent.key = "key-2"
+		got, err := d.send(sent)
+		assert.NilError(t, err)
+		assert.Equal(t, got.status, http.StatusOK)
+	}
+	assert.Equal(t, d.runs(), before+12)
+}
+
 // Guards against engines that stay on older weights, and against calls that meet other weights
 // than the ones that their cached parts belong to.
 func TestNewWeightsAreLoaded(t *testing.T) {
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -22,8 +22,11 @@
 	progress struct {
 		// tried lists the upstreams that had the call or could not be reached.
 		tried []spoke.UpstreamID
-		// sent lists the upstreams to which at least a part of the call went.
+		// sent lists the upstreams to which at least a part of the call went, without those that
+		// turned out to be others than the one that was meant.
 		sent []spoke.UpstreamID
+		// arrivals counts the sendings, whatever the upstream said to them.
+		arrivals int
 		// mayHaveRun says that no refusal may promise "not run" any more.
 		mayHaveRun bool
 		lastFault  string
@@ -121,7 +124,7 @@
 	ask := place.Ask{
 		Call: spoke.CallNumber(e.numbers.Add(1)), Service: e.service(), Group: place.OwnerGroup(e.owner),
 		Urgency: e.urgency(), Arrived: e.arrived, Target: e.arrived.Add(e.route.Target), GiveUp: e.giveUp,
-		Tried: p.tried, IsRepeat: len(p.sent) > 0,
+		Tried: p.tried, IsRepeat: p.arrivals > 0,
 	}
 	if e.route.IsPrompt && e.call.Prompt.Model != "" {
 		ask.Prompt = &e.call.Prompt
--- a/fake/platform/engine.go
+++ b/fake/platform/engine.go
@@ -183,6 +183,7 @@
 	e.mu.Unlock()
 	switch {
 	case isElsewhere:
+		w.Header().Set("Magnoliaspoke-Instance-Id", e.ID)
 		w.Header().Set(headWeights, strconv.Itoa(version))
 		w.WriteHeader(http.StatusMisdirectedRequest)
 	case behaviour == Shed:
--- a/peers/codec.go
+++ b/peers/codec.go
@@ -32,6 +32,8 @@
 		Unread int64  `json:"unread,omitempty"`
 		Memory int64  `json:"memory,omitempty"`
 		Runs   int    `json:"runs,omitempty"`
+		// CopyingMs is in milliseconds.
+		CopyingMs int64 `json:"copying,omitempty"`
 	}
 
 	waitingRow struct {
@@ -79,7 +81,7 @@
 	row := shareRow{Host: string(share.Host), Number: share.Number, IsWhole: share.IsWhole}
 	row.Revision, row.AgeMs = uint64(share.Directory.Revision), share.Directory.Age.Milliseconds()
 	for _, u := range share.Upstreams {
-		row.Upstreams = append(row.Upstreams, upstreamRow{string(u.Upstream), int64(u.Unread), int64(u.Memory), u.Runs})
+		row.Upstreams = append(row.Upstreams, upstreamRow{string(u.Upstream), int64(u.Unread), int64(u.Memory), u.Runs, u.Copying.Milliseconds()})
 	}
 	for _, w := range share.Waiting {
 		row.Waiting = append(row.Waiting, waitingRow{string(w.Service), int(w.Urgency), int64(w.Tokens)})
@@ -125,6 +127,7 @@
 	for _, u := range row.Upstreams {
 		share.Upstreams = append(share.Upstreams, spoke.UpstreamShare{
 			Upstream: spoke.UpstreamID(u.ID), Unread: spoke.TokenCount(u.Unread), Memory: spoke.TokenCount(u.Memory), Runs: u.Runs,
+			Copying: time.Duration(u.CopyingMs) * time.Millisecond,
 		})
 	}
 	for _, w := range row.Waiting {
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -17,7 +17,7 @@
 func account(now time.Time) spoke.LoadShare {
 	return spoke.LoadShare{
 		Host: "host-1", Number: 7, IsWhole: true,
-		Upstreams:  []spoke.UpstreamShare{{Upstream: "e", Unread: 5, Memory: 6, Runs: 7}},
+		Upstreams:  []spoke.UpstreamShare{{Upstream: "e", Unread: 5, Memory: 6, Runs: 7, Copying: 8 * time.Millisecond}},
 		Waiting:    []spoke.WaitingWork{{Service: "s", Urgency: 2, Tokens: 9}},
 		Placed:     []spoke.PlacedPrompt{{Upstream: "e", Prefixes: []spoke.PromptPrefix{{Key: 1 << 63, Part: 2, Total: 3}}}},
 		Paused:     map[spoke.UpstreamID]time.Duration{"e": time.Second},
--- a/place/cache_test.go
+++ b/place/cache_test.go
@@ -1,6 +1,7 @@
 package place_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -135,3 +136,26 @@
 	tr.handle(place.SetUpstreams{IsWhole: true})
 	assert.Equal(t, tr.refusal(tr.ask(0, "s", 500, 200)).Reason, place.RefusedNoUpstream)
 }
+
+// Replays an engine that joins while many calls wait whose parts are in a store. Guards against
+// transfers that pile up at the engine's link, where they take longer than reading.
+func TestTransfersDoNotPileUp(t *testing.T) {
+	tr := newTrial(t, 1)
+	var keys []spoke.StoredKey
+	for i := range 10 {
+		part := spoke.PartID(fmt.Sprint("s", i))
+		keys = append(keys, place.StoredKeyOf(spoke.StoredPart{Group: "shared@1", Part: part}))
+	}
+	tr.handle(place.SeeStore{State: spoke.StoreState{Store: "store", Epoch: 7, Used: 40000, Stored: keys}})
+	granted := 0
+	for i := range 10 {
+		// Each transfer takes 120 ms at 1 GB/s and 1,000 bytes a token.
+		ask := tr.ask(2, fmt.Sprint("s", i), 120000, 10)
+		ask.Prompt.Input = 8000
+		ask.Target = tr.now.Add(time.Second)
+		granted += len(tr.handle(ask))
+	}
+	assert.Assert(t, granted >= 1 && granted <= 3, "%d granted", granted)
+	urgent := tr.grant(tr.ask(0, "s1", 120, 100))
+	assert.Assert(t, urgent.Predicted < 300*time.Millisecond, "%s", urgent.Predicted)
+}
--- a/place/choose.go
+++ b/place/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -17,6 +18,7 @@
 	// fetched is copied from the places that fetch names for each part.
 	fetched spoke.TokenCount
 	fetch   []spoke.Address
+	copying time.Duration
 	// first is the expected time to the first event, ordinary the same at the usual pace.
 	first    time.Duration
 	ordinary time.Duration
@@ -118,7 +120,7 @@
 func (s *Scheduler) considerEngine(now time.Time, w *waiting, n *node, c candidate) (candidate, bool) {
 	prompt := w.ask.Prompt
 	total := n.totals()
-	if total.Runs >= n.listed.Slots {
+	if total.Runs >= n.listed.Slots || !s.hasTurn(now, w.ask, n) {
 		return c, false
 	}
 	need := prompt.Input + expectedOutput(prompt)
@@ -128,21 +130,61 @@
 	}
 	prefixes := w.prefixesFor(c.weights)
 	c.cached = min(n.cache.cached(prefixes), prompt.Input)
-	fetch := s.planFetch(w, n, &c)
+	if !s.planCopies(now, w, n, &c) {
+		return c, false
+	}
 	rest := prompt.Input - c.cached - c.fetched
 	read := readTime(rest, n.pace)
-	saved := readTime(prompt.Input-rest, n.pace)
+	saved := readTime(c.cached, n.pace)
 	unread := n.backlog(now)
 	behind := readTime(unread, n.pace)
 	if behind > s.allowedBacklog(w.ask)+saved/2 {
 		return c, false
 	}
-	c.first = behind + fetch + read + stepTime
-	c.ordinary = readTime(unread+rest, 1) + fetch + stepTime
-	c.cost += behind + fetch + read + time.Duration(readCost*float64(read)) + time.Duration(total.Runs)*time.Millisecond
+	ready := behind
+	if c.copying > 0 {
+		ready = max(behind, n.copyBacklog(now)+c.copying)
+	}
+	c.first = ready + read + stepTime
+	c.ordinary = max(readTime(unread, 1), ready) + readTime(rest, 1) + stepTime
+	c.cost += ready + read + time.Duration(readCost*float64(read)) + time.Duration(total.Runs)*time.Millisecond
 	return c, true
 }
 
+// planCopies decides which parts the node copies. While its link is busy, short urgent prompts are
+// read, and others wait, since reading long parts again would take the engine from others.
+func (s *Scheduler) planCopies(now time.Time, w *waiting, n *node, c *candidate) bool {
+	c.copying = s.planFetch(w, n, c)
+	if c.copying == 0 || n.copyBacklog(now) <= min(time.Duration(copyWaitShare*float64(w.ask.Target.Sub(w.ask.Arrived))), longestCopyWait) {
+		return true
+	}
+	if w.ask.Urgency > 1 {
+		return false
+	}
+	c.copying, c.fetched, c.fetch = 0, 0, nil
+	return true
+}
+
+// hasTurn divides an engine between hosts that all have calls waiting. They see it become free at
+// the same moment, before they hear of each other's calls, so each takes its turn by a draw of its
+// own that on average one of them wins. Urgent calls are short and need no turn.
+func (s *Scheduler) hasTurn(now time.Time, m Ask, n *node) bool {
+	if m.Urgency <= 1 {
+		return true
+	}
+	others := uint64(0)
+	for _, other := range s.peers {
+		if slices.ContainsFunc(other.waiting, func(work spoke.WaitingWork) bool { return work.Service == m.Service }) {
+			others++
+		}
+	}
+	if others == 0 {
+		return true
+	}
+	turn := strconv.FormatInt(now.UnixNano()/int64(turnTime), 36)
+	return xxhash.Sum64String(string(s.settings.Host)+"/"+string(n.listed.ID)+"/"+turn)%(others+1) == 0
+}
+
 func memoryShareOf(urgency spoke.Priority) float64 {
 	switch {
 	case urgency <= 0:
--- a/place/load_test.go
+++ b/place/load_test.go
@@ -186,3 +186,26 @@
 	tr.handle(place.Ended{Call: dark.Call, Ending: place.EndBroken})
 	assert.Assert(t, tr.scheduler.Account(tr.now, false).Paused[dark.Upstream.ID] > 0)
 }
+
+// Replays an engine that becomes free while all hosts have calls waiting. Guards against hosts
+// that fill it together before they hear of each other.
+func TestHostsTakeTurnsAtAFreeEngine(t *testing.T) {
+	placed := 0
+	const hosts, rounds = 7, 200
+	for round := range rounds {
+		for number := range hosts {
+			tr := newTrialOf(t, spoke.HostID(fmt.Sprint("host-", number)), 1)
+			tr.now = tr.now.Add(time.Duration(round) * 25 * time.Millisecond)
+			for other := range hosts {
+				if other != number {
+					tr.handle(place.Hear{Share: spoke.LoadShare{
+						Host: spoke.HostID(fmt.Sprint("host-", other)), Number: 1,
+						Waiting: []spoke.WaitingWork{{Service: models, Urgency: 2, Tokens: 12000}},
+					}})
+				}
+			}
+			placed += len(tr.handle(tr.ask(2, "s", 8000, 4000)))
+		}
+	}
+	assert.Assert(t, placed > rounds*7/10 && placed < rounds*13/10, "%d calls in %d rounds", placed, rounds)
+}
--- a/place/messages.go
+++ b/place/messages.go
@@ -19,8 +19,10 @@
 	EndUnreached
 	// EndCancelled is a call whose caller left or whose time is over.
 	EndCancelled
-	// EndElsewhere is a statement of the upstream that it is another one or has other weights.
+	// EndElsewhere is a statement of the upstream that it has other weights.
 	EndElsewhere
+	// EndGone is a statement of another upstream that it has the address.
+	EndGone
 )
 
 const (
--- a/place/node.go
+++ b/place/node.go
@@ -34,11 +34,13 @@
 type (
 	// running is a call that this host has at an upstream.
 	running struct {
-		ask       Ask
-		node      *node
-		sent      time.Time
-		unread    spoke.TokenCount
-		memory    spoke.TokenCount
+		ask    Ask
+		node   *node
+		sent   time.Time
+		unread spoke.TokenCount
+		memory spoke.TokenCount
+		// copying is the time that the transfers of the call's cached parts take.
+		copying   time.Duration
 		predicted time.Duration
 		hasBegun  bool
 	}
@@ -54,6 +56,8 @@
 		// left is what the engine still had to read at leftAt.
 		left   spoke.TokenCount
 		leftAt time.Time
+		// copyLeft is the time that its transfers still took at leftAt; they run one after the other.
+		copyLeft time.Duration
 		// load is what the upstream last said of itself.
 		load   spoke.UpstreamLoad
 		loadAt time.Time
@@ -66,6 +70,8 @@
 		failedAt    time.Time
 		pause       time.Duration
 		pausedUntil time.Time
+		// isGone says that another upstream has the address; only a new entry ends that.
+		isGone bool
 		// heldUntil keeps calls away while weights are loaded.
 		heldUntil time.Time
 	}
@@ -107,6 +113,7 @@
 		total.Unread += share.Unread
 		total.Memory += share.Memory
 		total.Runs += share.Runs
+		total.Copying += share.Copying
 	}
 	return total
 }
@@ -118,6 +125,7 @@
 		share.Memory += run.memory
 		if !run.hasBegun {
 			share.Unread += run.unread
+			share.Copying += run.copying
 		}
 	}
 	return share
@@ -137,16 +145,24 @@
 // readRate is the number of prompt tokens that the engine reads in a millisecond.
 func (n *node) readRate() float64 { return defaultReadRate / n.pace }
 
-// grow adds tokens that the engine has to read, before the runs that have them are noted.
-func (n *node) grow(now time.Time, tokens spoke.TokenCount) {
-	n.left, n.leftAt = n.backlog(now)+tokens, now
+// copyBacklog returns the time until the engine's link is free.
+func (n *node) copyBacklog(now time.Time) time.Duration {
+	return max(n.copyLeft-now.Sub(n.leftAt), 0)
+}
+
+// grow adds work of the engine, before the runs that have it are noted.
+func (n *node) grow(now time.Time, tokens spoke.TokenCount, copying time.Duration) {
+	n.left, n.copyLeft = n.backlog(now)+max(tokens, 0), n.copyBacklog(now)+max(copying, 0)
+	n.leftAt = now
 }
 
 // progressed notes that the engine finished reading a prompt; it reads one after the other, so
 // the others are unread.
 func (n *node) progressed(now time.Time) {
 	n.sign = now
-	n.left, n.leftAt = n.totals().Unread, now
+	total := n.totals()
+	n.copyLeft = min(n.copyBacklog(now), total.Copying)
+	n.left, n.leftAt = total.Unread, now
 }
 
 // hears takes what the upstream says of its load in an answer.
@@ -164,7 +180,7 @@
 }
 
 func (n *node) isUsable(now time.Time) bool {
-	return !n.listed.IsLeaving && !now.Before(n.pausedUntil) && !now.Before(n.heldUntil) && !n.isSilent(now)
+	return !n.listed.IsLeaving && !n.isGone && !now.Before(n.pausedUntil) && !now.Before(n.heldUntil) && !n.isSilent(now)
 }
 
 // hold keeps calls away for a time; zero ends that, and a shorter time does not.
--- a/place/options.go
+++ b/place/options.go
@@ -14,6 +14,11 @@
 	stepTime = 10 * time.Millisecond
 	// remoteCost is the cost of sending to another data centre, in time of the caller.
 	remoteCost = 4 * time.Millisecond
+	// turnTime is the time in which hosts hear of each other's calls.
+	turnTime = 25 * time.Millisecond
+	// goneTime is how long other hosts keep calls from an upstream whose address another one has;
+	// by then its entry has expired.
+	goneTime = 6 * time.Second
 	// silentAfter is the time beyond twice its prediction after which an engine that gives no sign
 	// gets no more calls.
 	silentAfter = 600 * time.Millisecond
@@ -39,6 +44,9 @@
 	// longestBacklog keeps less urgent work out of engines until they are about to be idle, so
 	// that urgent work that arrives meanwhile need not wait behind it.
 	longestBacklog = 45 * time.Millisecond
+	// copyWaitShare and longestCopyWait bound the wait for an engine's link.
+	copyWaitShare   = 0.2
+	longestCopyWait = 250 * time.Millisecond
 	// plainQueue is the part of its slots that a plain upstream may have waiting.
 	plainQueue = 0.34
 
--- a/place/refuse.go
+++ b/place/refuse.go
@@ -29,7 +29,7 @@
 // hasUpstream reports whether an upstream may take the call now or soon.
 func (s *Scheduler) hasUpstream(m Ask) bool {
 	for _, n := range s.byService[m.Service] {
-		if !n.listed.IsLeaving && !slices.Contains(m.Tried, n.listed.ID) {
+		if !n.listed.IsLeaving && !n.isGone && !slices.Contains(m.Tried, n.listed.ID) {
 			return true
 		}
 	}
--- a/place/report.go
+++ b/place/report.go
@@ -177,8 +177,9 @@
 // hear takes another host's work; less to read than before is a sign of progress.
 func (n *node) hear(now time.Time, host spoke.HostID, share spoke.UpstreamShare) {
 	more := share.Unread - n.peers[host].Unread
-	if more > 0 {
-		n.grow(now, more)
+	copying := share.Copying - n.peers[host].Copying
+	if more > 0 || copying > 0 {
+		n.grow(now, more, copying)
 	}
 	n.peers[host] = share
 	if more < 0 {
--- a/place/scheduler.go
+++ b/place/scheduler.go
@@ -189,8 +189,11 @@
 	run.node.hears(now, m.Load)
 	s.report.changed(run.node)
 	s.learn(run, m.Weights)
-	if m.Ending == EndElsewhere && m.Weights == 0 {
-		// Another upstream has the address; the directory will say more.
+	switch {
+	case m.Ending == EndGone:
+		run.node.isGone = true
+		s.report.paused(run.node.listed.ID, goneTime)
+	case m.Ending == EndElsewhere && m.Weights == 0:
 		run.node.pausedUntil = now.Add(firstPause)
 	}
 }
@@ -351,7 +354,8 @@
 	if m.Prompt != nil {
 		run.unread = m.Prompt.Input - c.cached - c.fetched
 		run.memory = m.Prompt.Input + expectedOutput(m.Prompt)
-		c.node.grow(now, run.unread)
+		run.copying = c.copying
+		c.node.grow(now, run.unread, run.copying)
 	}
 	c.node.runs[m.Call] = run
 	s.running[m.Call] = run
--- a/place/setup_test.go
+++ b/place/setup_test.go
@@ -27,9 +27,14 @@
 
 // newTrial returns a scheduler with engines of 100,000 tokens and two plain upstreams.
 func newTrial(t *testing.T, engines int) *trial {
+	t.Helper()
+	return newTrialOf(t, "host-1", engines)
+}
+
+func newTrialOf(t *testing.T, host spoke.HostID, engines int) *trial {
 	t.Helper()
 	tr := &trial{t: t, now: time.Unix(1000, 0), scheduler: place.NewScheduler(place.Settings{
-		Host: "host-1", DataCentre: "a", RetryShare: 0.2, RetryReserve: 10, RetryWindow: 10 * time.Second,
+		Host: host, DataCentre: "a", RetryShare: 0.2, RetryReserve: 10, RetryWindow: 10 * time.Second,
 		WeightsApply: 6 * time.Second,
 	})}
 	tr.handle(place.SetTable{
--- a/placement.go
+++ b/placement.go
@@ -32,6 +32,8 @@
 		// Memory counts the tokens that the running calls take in the engine.
 		Memory TokenCount
 		Runs   int
+		// Copying is the time that the transfers of cached parts for these calls take.
+		Copying time.Duration
 	}
 
 	// WaitingWork is the work of one urgency that waits at a host.
