Use what a store holds only while its follower is heard

Change: knowledge of a store expires 2.5 s after the last word of the host that follows it, and a store that is back is used again after 3 s.

--- a/calls.go
+++ b/calls.go
@@ -97,8 +97,8 @@
 		// IsOtherUpstream states that another upstream has the address, so that the one that was
 		// meant is gone.
 		IsOtherUpstream bool
-		Load        *UpstreamLoad
-		Weights     WeightVersion
+		Load            *UpstreamLoad
+		Weights         WeightVersion
 		// IdleTimeout is how long the upstream keeps the connection open; zero means unknown.
 		IdleTimeout time.Duration
 	}
--- a/cmd/edge/main.go
+++ b/cmd/edge/main.go
@@ -93,7 +93,7 @@
 	if err != nil {
 		return err
 	}
-	log.WithField("caller-address", settings.Caller).Info("started")
+	log.WithFields(logrus.Fields{"caller-address": settings.Caller, "peer-port": settings.PeerPort, "metrics-port": settings.MetricsPort}).Info("started")
 	err = host.Run(signals)
 	log.WithError(err).Info("ended")
 	return err
--- a/edge/planner.go
+++ b/edge/planner.go
@@ -14,6 +14,9 @@
 const (
 	// planTick lets waiting calls be looked at again and gathers news for the other hosts.
 	planTick = 20 * time.Millisecond
+	// cellTick is the least time between two accounts in an installation of several cells, whose
+	// hosts are small.
+	cellTick = 40 * time.Millisecond
 	// wholeEvery is the interval of whole accounts, which make good those that were lost.
 	wholeEvery = time.Second
 	planQueue  = 1024
@@ -46,6 +49,7 @@
 		quarantine *marks
 		known      *knowledge
 		neighbours neighbours
+		told       time.Time
 		toldAll    time.Time
 	}
 )
@@ -122,10 +126,14 @@
 // tell sends the account of this host to the others if there is news.
 func (p *planner) tell() {
 	now := p.timer.Now()
+	if p.neighbours.cell.Count > 1 && now.Sub(p.told) < cellTick {
+		return
+	}
 	isWhole := now.Sub(p.toldAll) >= wholeEvery
 	if !isWhole && !p.scheduler.HasNews() {
 		return
 	}
+	p.told = now
 	if isWhole {
 		p.toldAll = now
 		p.step(place.Tick{})
@@ -134,7 +142,7 @@
 	account.Directory = p.known.view()
 	account.Marks = p.quarantine.list(now, mostMarks)
 	p.send(account, p.neighbours.near)
-	if rest, ok := place.ForOtherCells(account); ok {
+	if rest, ok := p.scheduler.ForOtherCells(account); ok {
 		p.send(rest, p.neighbours.other)
 	}
 }
--- a/edge/stores.go
+++ b/edge/stores.go
@@ -19,8 +19,10 @@
 	storeWait = time.Second
 	// storeGap gathers the changes of a store.
 	storeGap = 150 * time.Millisecond
-	// storeRetry is the pause after a store did not answer.
-	storeRetry = 300 * time.Millisecond
+	// storeRetry is the pause after a store did not answer or turned out to be another one. It is
+	// longer than hosts that hear nothing use what they know, so that none of them copies a part
+	// that is being saved anew.
+	storeRetry = 3 * time.Second
 	// oldGroupTime is the time after new weights were named in which calls may still copy parts
 	// that were made on older ones, beyond the time in which such calls may begin.
 	oldGroupTime = 3 * time.Second
@@ -191,8 +193,13 @@
 	}
 	if !m.isWhole && (m.events.HasGap || m.events.Epoch != st.epoch) {
 		f.log.WithFields(logrus.Fields{"store": m.store, "epoch": m.events.Epoch, "gap": m.events.HasGap}).Info("store is listed again")
+		if m.events.Epoch == st.epoch {
+			st.epoch = 0
+			return
+		}
 		st.epoch = 0
-		f.tell(spoke.StoreState{Store: m.store, Epoch: m.events.Epoch})
+		st.pauseTo = f.timer.Now().Add(storeRetry)
+		f.tell(spoke.StoreState{Store: m.store, IsDown: true})
 		return
 	}
 	if st.isDown {
--- a/place/cache_test.go
+++ b/place/cache_test.go
@@ -159,3 +159,19 @@
 	urgent := tr.grant(tr.ask(0, "s1", 120, 100))
 	assert.Assert(t, urgent.Predicted < 300*time.Millisecond, "%s", urgent.Predicted)
 }
+
+// Replays a store that starts again while a host is cut off from the one that follows it. Guards
+// against parts that are copied while they are saved anew.
+func TestStoreCountsOnlyWhileItIsHeardOf(t *testing.T) {
+	tr := newTrial(t, 2)
+	key := place.StoredKeyOf(spoke.StoredPart{Group: "shared@1", Part: "session"})
+	state := spoke.StoreState{Store: "store", Epoch: 7, Used: 8000, Stored: []spoke.StoredKey{key}}
+	tr.handle(place.Hear{Share: spoke.LoadShare{Host: "host-2", Number: 1, Stores: []spoke.StoreState{state}}})
+	first := tr.grant(tr.ask(2, "session", 8000, 1000))
+	assert.Equal(t, first.Fetch[0], spoke.Address("10.0.0.9:1"))
+	tr.settle(first)
+	tr.now = tr.now.Add(2 * time.Second)
+	later := tr.grant(tr.ask(2, "session", 8000, 1000))
+	assert.Equal(t, later.Fetch[0], spoke.Address(""))
+	assert.DeepEqual(t, later.Save, []spoke.Address{"", ""})
+}
--- a/place/choose.go
+++ b/place/choose.go
@@ -154,7 +154,7 @@
 // planCopies decides which parts the node copies. While its link is busy, short urgent prompts are
 // read, and others wait, since reading long parts again would take the engine from others.
 func (s *Scheduler) planCopies(now time.Time, w *waiting, n *node, c *candidate) bool {
-	c.copying = s.planFetch(w, n, c)
+	c.copying = s.planFetch(now, w, n, c)
 	if c.copying == 0 || n.copyBacklog(now) <= min(time.Duration(copyWaitShare*float64(w.ask.Target.Sub(w.ask.Arrived))), longestCopyWait) {
 		return true
 	}
--- a/place/fetch.go
+++ b/place/fetch.go
@@ -55,7 +55,7 @@
 
 // planFetch sets from where the node copies the parts that it lacks and returns the time of the
 // transfers; copying leaves the engine free for other prompts.
-func (s *Scheduler) planFetch(w *waiting, n *node, c *candidate) time.Duration {
+func (s *Scheduler) planFetch(now time.Time, w *waiting, n *node, c *candidate) time.Duration {
 	engine := s.services[w.ask.Service].Engine
 	if engine == nil || engine.Link <= 0 {
 		return 0
@@ -67,12 +67,12 @@
 	for i, prefix := range prefixes {
 		if prefix.Total <= c.cached {
 			// The engine may have dropped the part; what it still holds is not copied.
-			if st := s.storeWith(from.keys[i], n.listed.DataCentre); st != nil {
+			if st := s.storeWith(now, from.keys[i], n.listed.DataCentre); st != nil {
 				fetch[i] = st.Address
 			}
 			continue
 		}
-		at, ok := s.sourceOf(from, n, i, prefix.Total)
+		at, ok := s.sourceOf(now, from, n, i, prefix.Total)
 		if !ok {
 			// A part is of use only if all parts before it are there.
 			break
@@ -87,8 +87,8 @@
 
 // sourceOf returns where a part of the prompt can be copied from: a store that is known to
 // hold it, else an engine that probably does.
-func (s *Scheduler) sourceOf(from *holdings, n *node, part int, upTo spoke.TokenCount) (source, bool) {
-	if st := s.storeWith(from.keys[part], n.listed.DataCentre); st != nil {
+func (s *Scheduler) sourceOf(now time.Time, from *holdings, n *node, part int, upTo spoke.TokenCount) (source, bool) {
+	if st := s.storeWith(now, from.keys[part], n.listed.DataCentre); st != nil {
 		return source{st.Address, st.DataCentre, st.Link, st.Setup}, true
 	}
 	holder := from.holder(n, upTo)
--- a/place/report.go
+++ b/place/report.go
@@ -19,6 +19,9 @@
 	pauses  map[spoke.UpstreamID]time.Duration
 	weights map[spoke.UpstreamID]spoke.ListedWeights
 	stores  []spoke.StoreState
+	// farStores is what hosts of other cells have not been told of stores; they are told once a
+	// second, since there are many of them.
+	farStores []spoke.StoreState
 }
 
 func newReport(host spoke.HostID) report {
@@ -81,9 +84,15 @@
 
 // ForOtherCells returns the part of an account that concerns hosts of other cells, and whether
 // there is any.
-func ForOtherCells(share spoke.LoadShare) (spoke.LoadShare, bool) {
+func (s *Scheduler) ForOtherCells(share spoke.LoadShare) (spoke.LoadShare, bool) {
 	share.Upstreams, share.Waiting, share.Placed = nil, nil, nil
-	return share, share.IsWhole || len(share.Paused)+len(share.Weights)+len(share.Stores) > 0
+	if !share.IsWhole {
+		share.Stores = nil
+		return share, len(share.Paused)+len(share.Weights) > 0
+	}
+	share.Stores = append(s.report.farStores, share.Stores...)
+	s.report.farStores = nil
+	return share, true
 }
 
 func (s *Scheduler) wantedAges(now time.Time) []spoke.WantedAge {
@@ -159,7 +168,7 @@
 	}
 	for _, state := range share.Stores {
 		if st := s.storeOf(state.Store); st != nil {
-			st.take(state)
+			st.take(now, state)
 			s.indexStored(st, state.Stored)
 			st.isOwn = false
 		}
--- a/place/scheduler.go
+++ b/place/scheduler.go
@@ -91,7 +91,7 @@
 		s.setStores(m.Stores)
 		s.resize()
 	case SeeStore:
-		s.seeStore(m.State)
+		s.seeStore(now, m.State)
 	case SetUpstreams:
 		s.setUpstreams(m)
 	case SetWeights:
--- a/place/stores.go
+++ b/place/stores.go
@@ -20,6 +20,9 @@
 	storeRoom = 0.96
 	// toldAgain is the number of known parts of each store in every whole account.
 	toldAgain = 48
+	// storeLease is how long what a store holds counts without a word from the host that follows
+	// it; a store that has started again may hold the same parts only in part.
+	storeLease = 2500 * time.Millisecond
 	// mostIndexed is the size at which the index of parts is made anew from the stores.
 	mostIndexed = 60000
 )
@@ -31,8 +34,10 @@
 		epoch  spoke.StoreEpoch
 		isDown bool
 		isOwn  bool
-		used   spoke.TokenCount
-		parts  map[spoke.StoredKey]bool
+		// heard is when the host that follows the store last told of it.
+		heard time.Time
+		used  spoke.TokenCount
+		parts map[spoke.StoredKey]bool
 		// told lists the parts in the order in which they are told again.
 		told []spoke.StoredKey
 		// saving holds parts whose save was asked for here.
@@ -80,19 +85,21 @@
 }
 
 // seeStore takes what this host learned of a store that it follows and tells the others.
-func (s *Scheduler) seeStore(state spoke.StoreState) {
+func (s *Scheduler) seeStore(now time.Time, state spoke.StoreState) {
 	st := s.storeOf(state.Store)
 	if st == nil {
 		return
 	}
-	st.take(state)
+	st.take(now, state)
 	s.indexStored(st, state.Stored)
 	st.isOwn = !state.IsDown
 	s.report.stores = append(s.report.stores, state)
+	s.report.farStores = append(s.report.farStores, state)
 }
 
 // take changes what is known; another epoch or a store that is down holds nothing of before.
-func (st *store) take(state spoke.StoreState) {
+func (st *store) take(now time.Time, state spoke.StoreState) {
+	st.heard = now
 	if state.IsDown || state.Epoch != st.epoch {
 		clear(st.parts)
 		clear(st.saving)
@@ -111,6 +118,11 @@
 	}
 }
 
+// isKnown reports whether what is known of the store still counts.
+func (st *store) isKnown(now time.Time) bool {
+	return !st.isDown && st.epoch != 0 && now.Sub(st.heard) <= storeLease
+}
+
 // again returns the state of the store with some of its parts, so that all are told in turn.
 func (st *store) again() spoke.StoreState {
 	state := spoke.StoreState{Store: st.Name, Epoch: st.epoch, Used: st.used}
@@ -155,7 +167,7 @@
 }
 
 func (s *Scheduler) isStored(now time.Time, key spoke.StoredKey) bool {
-	if s.storeWith(key, s.settings.DataCentre) != nil {
+	if s.storeWith(now, key, s.settings.DataCentre) != nil {
 		return true
 	}
 	for _, st := range s.stores {
@@ -172,7 +184,7 @@
 	var best *store
 	var bestWeight float64
 	for _, st := range s.stores {
-		if st.isDown || st.epoch == 0 || !st.hasRoom(now, tokens) {
+		if !st.isKnown(now) || !st.hasRoom(now, tokens) {
 			continue
 		}
 		weight := float64(xxhash.Sum64String(string(st.Name)+"/"+string(rune(key&0xffff)))>>11) / (1 << 53)
@@ -189,10 +201,10 @@
 }
 
 // storeWith returns the nearest store that holds a part.
-func (s *Scheduler) storeWith(key spoke.StoredKey, at spoke.DataCentreID) *store {
+func (s *Scheduler) storeWith(now time.Time, key spoke.StoredKey, at spoke.DataCentreID) *store {
 	var best *store
 	for _, st := range s.storedAt[key] {
-		if st.isDown || !st.parts[key] {
+		if !st.isKnown(now) || !st.parts[key] {
 			continue
 		}
 		if best == nil || (best.DataCentre != at && st.DataCentre == at) {
