End the writer of the log without its error

The linter reads the wait for the writer's end as an unchecked error. The writer ends with its context only, so there is no error to check; behaviour is the same.

--- a/cmd/edge/main.go
+++ b/cmd/edge/main.go
@@ -69,8 +69,12 @@
 	writer := logs.NewWriter(os.Stdout)
 	log := writer.Logger(logrus.InfoLevel, logrus.Fields{config.FieldHost: settings.Host})
 	ctx, cancel := context.WithCancel(context.Background())
-	written := make(chan error, 1)
-	go func() { written <- writer.Run(ctx) }()
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		// The writer ends with its context only.
+		_ = writer.Run(ctx)
+	}()
 	err := runHost(settings, log)
 	cancel()
 	<-written
