Join an import that is announced between the look and the announcement

A run looked for an import in progress, found none, and decided; meanwhile another run announced the same block. The first one then went on without waiting and without the word that the block is in doubt. A run that was left without allowance by the other one did the same. Ruled out: the test's own timing, since its time is virtual; the new packages, since none of them uses cache. Deciding and announcing are one step now, and a run that gets neither joins what was announced.

--- a/cache/decide.go
+++ b/cache/decide.go
@@ -28,11 +28,10 @@
 	}
 )
 
-// decide chooses the blocks to import; false means that the run recomputes what is missing.
+// decide chooses the blocks to import; false means that the run recomputes what is missing. The
+// caller holds the lock.
 func (m *Importer) decide(job ImportJob) (importPlan, bool) {
 	blocks := placeBlocks(job)
-	m.mu.Lock()
-	defer m.mu.Unlock()
 	query := spoke.ImportQuery{
 		BlockLength: m.length,
 		BlockTokens: spoke.PieceTokens,
--- a/cache/importer.go
+++ b/cache/importer.go
@@ -114,20 +114,42 @@
 // returns when the run may start; a failed import is an outcome without blocks.
 func (m *Importer) Import(ctx context.Context, job ImportJob) ImportOutcome {
 	started := m.clock.Now()
-	if outcome, saved, joined := m.join(ctx, job); joined {
-		outcome.Took = m.clock.Now().Sub(started)
-		m.settle(importPlan{}, outcome.Took, saved)
-		return outcome
+	for {
+		if outcome, saved, joined := m.join(ctx, job); joined {
+			outcome.Took = m.clock.Now().Sub(started)
+			m.settle(importPlan{}, outcome.Took, saved)
+			return outcome
+		}
+		plan, entry := m.claim(job)
+		if entry != nil {
+			return m.run(ctx, job, plan, entry, started)
+		}
+		// Another run may have announced one of the blocks since the look above; it is joined.
+		if m.pendingFor(job) == nil {
+			return ImportOutcome{}
+		}
 	}
+}
+
+// claim decides and announces in one step, so that a run which is left without allowance finds the
+// import that took it.
+func (m *Importer) claim(job ImportJob) (importPlan, *pendingImport) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	plan, ok := m.decide(job)
 	if !ok {
-		return ImportOutcome{}
+		return plan, nil
 	}
 	entry, ok := m.announce(job.Engine, plan.blocks)
 	if !ok {
-		m.settle(plan, 0, 0)
-		return ImportOutcome{}
+		m.allowance.Settle(plan.grant, 0, 0)
+		return plan, nil
 	}
+	return plan, entry
+}
+
+// run carries an announced plan out.
+func (m *Importer) run(ctx context.Context, job ImportJob, plan importPlan, entry *pendingImport, started time.Time) ImportOutcome {
 	result := m.execute(ctx, job, plan)
 	if plan.useless {
 		result.Usable = 0
@@ -144,14 +166,7 @@
 // those imports do not bring.
 func (m *Importer) join(ctx context.Context, job ImportJob) (outcome ImportOutcome, saved time.Duration, joined bool) {
 	for {
-		m.mu.Lock()
-		var other *pendingImport
-		for _, key := range job.Keys {
-			if other = m.pending[pendingKey{job.Engine, key}]; other != nil {
-				break
-			}
-		}
-		m.mu.Unlock()
+		other := m.pendingFor(job)
 		if other == nil {
 			return outcome, saved, joined
 		}
@@ -167,9 +182,20 @@
 	}
 }
 
-func (m *Importer) announce(engine spoke.Address, blocks []PlacedBlock) (*pendingImport, bool) {
+// pendingFor returns an import in progress of a block that the run could use, nil if there is none.
+func (m *Importer) pendingFor(job ImportJob) *pendingImport {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	for _, key := range job.Keys {
+		if other := m.pending[pendingKey{job.Engine, key}]; other != nil {
+			return other
+		}
+	}
+	return nil
+}
+
+// announce holds off other runs; the caller holds the lock.
+func (m *Importer) announce(engine spoke.Address, blocks []PlacedBlock) (*pendingImport, bool) {
 	for _, block := range blocks {
 		if m.pending[pendingKey{engine, block.Key}] != nil {
 			return nil, false
--- a/cache/importer_test.go
+++ b/cache/importer_test.go
@@ -212,6 +212,32 @@
 	})
 }
 
+// Guards against a run that finds the import of another one announced between its own look and its
+// own announcement, and goes on without waiting for blocks that may be in doubt.
+func TestImporterJoinsImportAnnouncedMeanwhile(t *testing.T) {
+	const rounds, runsAtOnce = 300, 4
+	for range rounds {
+		synctest.Test(t, func(t *testing.T) {
+			w := &world{pullTime: 10 * time.Millisecond, changing: true}
+			importer := startImporter(w)
+			var outcomes [runsAtOnce]cache.ImportOutcome
+			var runs sync.WaitGroup
+			start := make(chan struct{})
+			for i := range outcomes {
+				runs.Go(func() {
+					<-start
+					outcomes[i] = importer.Import(context.Background(), job(1))
+				})
+			}
+			close(start)
+			runs.Wait()
+			for _, outcome := range outcomes {
+				assert.DeepEqual(t, outcome.Doubtful, job(1).Keys)
+			}
+		})
+	}
+}
+
 // Guards against baselines that do not do what their name says.
 func TestImporterBaselines(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
