End a stopping host only when every request that was read has its answer

Change: the server's own shutdown closes the listener and waits for the calls; the other tasks go on until then. TestStoppingHostTurnsLongCallsAway takes a shorter grace, since a stopping host takes no new connections from 2.5 s on; what it demands is the same.

--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -21,6 +21,8 @@
 	answerLimit = 16 << 20
 	// probeTimeout bounds the connection by which a dead upstream is told from a broken connection.
 	probeTimeout = 250 * time.Millisecond
+	// lowestUrgency is the last of the urgencies that engines tell apart.
+	lowestUrgency spoke.Priority = 9
 	// silenceFactor is the multiple of its target after which a repeatable call that has no
 	// answer is sent elsewhere.
 	silenceFactor = 1.6
@@ -76,7 +78,7 @@
 	}
 	if a.route.IsPrompt {
 		a.spec.CacheGroup = place.CacheGroup(a.owner, a.grant.Weights)
-		a.spec.Urgency, a.spec.HasUrgency = min(max(a.grant.Urgency, 0), 9), true
+		a.spec.Urgency, a.spec.HasUrgency = min(max(a.grant.Urgency, 0), lowestUrgency), true
 	}
 	if a.progress.stream.hasBegun() && a.progress.stream.lastID != "" {
 		a.spec.LastEvent = a.progress.stream.lastID
--- a/edge/directory_test.go
+++ b/edge/directory_test.go
@@ -199,7 +199,7 @@
 
 // Guards against calls that a stopping host takes although it cannot end them in time.
 func TestStoppingHostTurnsLongCallsAway(t *testing.T) {
-	d := start(t, 1)
+	d := startWithGrace(t, 1, 5*time.Second)
 	d.signals <- syscall.SIGTERM
 	awaitTrue(t, "still ready", func() bool {
 		status, err := d.readiness()
--- a/edge/host.go
+++ b/edge/host.go
@@ -157,7 +157,19 @@
 	if err != nil {
 		return err
 	}
-	group.Add(func() error { return server.Serve(listener) }, func(error) { _ = server.Close() })
+	ended := make(chan struct{})
+	serve := func() error {
+		err := server.Serve(listener)
+		if errors.Is(err, http.ErrServerClosed) {
+			// The other tasks go on until the calls under way have ended.
+			<-ended
+		}
+		return err
+	}
+	group.Add(serve, func(error) {
+		close(ended)
+		_ = server.Close()
+	})
 	return nil
 }
 
--- a/edge/setup_test.go
+++ b/edge/setup_test.go
@@ -47,6 +47,12 @@
 
 // start runs a host before engines; every engine answers streams with four events.
 func start(t *testing.T, engines int) *deployment {
+	t.Helper()
+	return startWithGrace(t, engines, 8*time.Second)
+}
+
+// startWithGrace runs a host that has a time to stop.
+func startWithGrace(t *testing.T, engines int, grace time.Duration) *deployment {
 	t.Helper()
 	d := &deployment{t: t, store: fake.NewStore(), signals: make(chan os.Signal, 2), ended: make(chan error, 1)}
 	t.Cleanup(d.store.Close)
@@ -62,7 +68,7 @@
 		Caller: freeAddress(t), Readiness: freeAddress(t), Store: spoke.Address(d.store.Address()),
 		PeerPort: freePort(t), MetricsPort: freePort(t), Memory: 128 << 20, Descriptors: 1000,
 		ConfigApply: 2 * time.Second, WeightsApply: 6 * time.Second, OrdersPause: 900 * time.Millisecond,
-		LeaveNotice: 2 * time.Second, StopGrace: 8 * time.Second,
+		LeaveNotice: 2 * time.Second, StopGrace: grace,
 		RetryShare: 0.2, RetryReserve: 50, RetryWindow: 10 * time.Second,
 	}
 	d.run()
--- a/edge/stop.go
+++ b/edge/stop.go
@@ -16,8 +16,6 @@
 	unreadyTime = 2500 * time.Millisecond
 	// stopMargin is the part of the grace that is left for the end of the process.
 	stopMargin = 900 * time.Millisecond
-	// stopCheck is the interval at which a stopping host looks for calls under way.
-	stopCheck = 50 * time.Millisecond
 )
 
 // errStopped ends the tasks after a graceful stop.
@@ -48,10 +46,12 @@
 	limit := begun.Add(h.settings.StopGrace - stopMargin)
 	h.relayer.stopAt.Store(&limit)
 	h.pause(ctx, min(unreadyTime, time.Until(limit)))
-	// Idle connections close now, since no new ones should arrive.
-	callers.SetKeepAlivesEnabled(false)
-	for h.relayer.underway.Load() > 0 && time.Now().Before(limit) && ctx.Err() == nil {
-		h.pause(ctx, stopCheck)
+	// The server ends only when no request that it has read is without its answer; one that
+	// arrives between a look at the calls under way and the end would be cut off.
+	ending, cancel := context.WithDeadline(ctx, limit)
+	defer cancel()
+	if err := callers.Shutdown(ending); err != nil {
+		h.parts.Log.WithError(err).Warn("calls under way are cut off")
 	}
 	h.parts.Log.WithFields(logrus.Fields{"cut-off": h.relayer.underway.Load(), "took": time.Since(begun).String()}).Info("stopped")
 	if err := h.parts.Directory.Withdraw(ctx); err != nil {
--- a/fake/platform/store.go
+++ b/fake/platform/store.go
@@ -26,6 +26,7 @@
 		nextID   uint64
 		refuse   bool
 		lose     bool
+		delay    time.Duration
 	}
 )
 
@@ -67,6 +68,13 @@
 	s.lose = lose
 }
 
+// Delay makes all calls take a time longer.
+func (s *Store) Delay(delay time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.delay = delay
+}
+
 // Put writes an item as an operator or engine would.
 func (s *Store) Put(key string, value any) {
 	raw, isRaw := value.([]byte)
@@ -114,8 +122,9 @@
 func (s *Store) faults(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
-		refuse, lose := s.refuse, s.lose
+		refuse, lose, delay := s.refuse, s.lose, s.delay
 		s.mu.Unlock()
+		time.Sleep(delay)
 		if refuse {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
--- a/place/choose.go
+++ b/place/choose.go
@@ -113,7 +113,7 @@
 	ahead := max(total-slots+1, 0)
 	c.first = n.serviceTime + time.Duration(ahead)*n.serviceTime/time.Duration(slots)
 	c.ordinary = c.first
-	c.cost += c.first + time.Duration(total)*n.serviceTime/time.Duration(8*slots)
+	c.cost += c.first + time.Duration(total)*n.serviceTime/time.Duration(plainBalance*slots)
 	return c, true
 }
 
--- a/place/options.go
+++ b/place/options.go
@@ -47,6 +47,9 @@
 	// copyWaitShare and longestCopyWait bound the wait for an engine's link.
 	copyWaitShare   = 0.2
 	longestCopyWait = 250 * time.Millisecond
+	// plainBalance is the part of a plain upstream's service time by which a full one costs more
+	// than an idle one, so that calls spread before they have to wait.
+	plainBalance = 8
 	// plainQueue is the part of its slots that a plain upstream may have waiting.
 	plainQueue = 0.34
 
