--- /dev/null
+++ b/config/relay_test.go
@@ -0,0 +1,79 @@
+package config_test
+
+import (
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"magnoliaspoke.example/spoke/config"
+)
+
+const relaySettings = `
+host-id = "h"
+data-centre = "a"
+caller-address = "10.0.0.1:8005"
+readiness-address = "10.0.0.1:8002"
+store-address = "10.0.0.9:8007"
+peer-port = 7700
+metrics-port = 7715
+memory-limit-mb = 284
+descriptor-limit = 4100
+config-apply-ms = 2000
+weights-apply-ms = 6000
+orders-pause-ms = 3000
+leave-notice-ms = 2000
+stop-grace-s = 8.5
+retry-share = 0.2
+retry-reserve = 54
+retry-window-s = 10
+`
+
+// Guards against settings whose units or defaults are lost.
+func TestRelaySettings(t *testing.T) {
+	relay, err := config.DecodeRelay("edge.toml", []byte(relaySettings))
+	assert.NilError(t, err)
+	assert.Equal(t, relay.Address.String(), "10.0.0.1")
+	assert.Equal(t, relay.StopGrace, 8500*time.Millisecond)
+	assert.Equal(t, relay.WeightsApply, 6*time.Second)
+	assert.Equal(t, int64(relay.Memory), int64(284<<20))
+	without, err := config.DecodeRelay("edge.toml", []byte(strings.Replace(relaySettings, "metrics-port = 7715\n", "", 1)))
+	assert.NilError(t, err)
+	assert.Equal(t, without.MetricsPort, 0)
+}
+
+// Guards against faults of which only the first is reported.
+func TestRelaySettingsReportAllFindings(t *testing.T) {
+	text := strings.NewReplacer(
+		`host-id = "h"`, ``, `peer-port = 7700`, `peer-port = 70000`, `retry-share = 0.2`, `retry-share = "much"`,
+		`10.0.0.9:8007`, `store.example`, `retry-window-s = 10`, "retry-window-s = 10\nfurther = 1",
+	).Replace(relaySettings)
+	_, err := config.DecodeRelay("edge.toml", []byte(text))
+	assert.Error(t, err, strings.Join([]string{
+		`edge.toml: host-id: is missing`,
+		`edge.toml: store-address: "store.example" is no IP number and port`,
+		`edge.toml: peer-port: 70000 is not between 1 and 65535`,
+		`edge.toml: retry-share: is string, want a number`,
+		`edge.toml: further: is not a known key`,
+	}, "\n"))
+	_, err = config.DecodeRelay("edge.toml", []byte("host-id = "))
+	assert.ErrorContains(t, err, "edge.toml")
+}
+
+// Guards against a template that leaves out a setting or names one that is not known.
+func TestTemplateNamesAllSettings(t *testing.T) {
+	template, err := os.ReadFile("../deploy/settings.toml.tmpl")
+	assert.NilError(t, err)
+	key := regexp.MustCompile(`(?m)^([a-z-]+) = `)
+	names := func(text string) []string {
+		var found []string
+		for _, match := range key.FindAllStringSubmatch(text, -1) {
+			found = append(found, match[1])
+		}
+		return found
+	}
+	assert.DeepEqual(t, names(string(template)), names(relaySettings))
+}
