Wait for a pause or the end of a context in one place

The same six lines stood in follower, stop, lease keeper, ticket watcher, drain and soak; timer.Wait serves all of them. Behaviour is the same. The comment on the hang-up signal says what happens: it is noted, not acted on.

--- a/cmd/trial/soak/world.go
+++ b/cmd/trial/soak/world.go
@@ -15,6 +15,7 @@
 	fake "magnoliaspoke.example/spoke/fake/platform"
 	"magnoliaspoke.example/spoke/fleet"
 	"magnoliaspoke.example/spoke/relay"
+	"magnoliaspoke.example/spoke/timer"
 )
 
 const (
@@ -191,11 +192,4 @@
 	return ports, nil
 }
 
-func sleep(ctx context.Context, pause time.Duration) {
-	wait := time.NewTimer(pause)
-	defer wait.Stop()
-	select {
-	case <-wait.C:
-	case <-ctx.Done():
-	}
-}
+func sleep(ctx context.Context, pause time.Duration) { timer.Wait(ctx, timer.NewSystem(), pause) }
--- a/edge/follower.go
+++ b/edge/follower.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"magnoliaspoke.example/spoke"
+	"magnoliaspoke.example/spoke/timer"
 )
 
 const (
@@ -85,7 +86,7 @@
 			f.lapsedUntil = time.Time{}
 			return
 		}
-		f.pause(ctx, f.gap)
+		timer.Wait(ctx, f.timer, f.gap)
 	}
 }
 
@@ -174,17 +175,5 @@
 		f.log.WithError(err).Warn("directory lost")
 	}
 	f.backoff = min(max(2*f.backoff, firstBackoff), longestBackoff)
-	f.pause(ctx, f.backoff)
-}
-
-func (f *follower) pause(ctx context.Context, pause time.Duration) {
-	if pause <= 0 {
-		return
-	}
-	wait := f.timer.After(pause)
-	defer wait.Stop()
-	select {
-	case <-wait.C():
-	case <-ctx.Done():
-	}
+	timer.Wait(ctx, f.timer, f.backoff)
 }
--- a/edge/stop.go
+++ b/edge/stop.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"magnoliaspoke.example/spoke/timer"
 )
 
 const (
@@ -21,7 +23,7 @@
 // errStopped ends the tasks after a graceful stop.
 var errStopped = errors.New("stopped")
 
-// stopOn waits for signals: a hang-up reloads the settings, all others stop the host once its
+// stopOn waits for signals: a hang-up is noted, all others stop the host once its
 // calls have ended.
 func (h *Host) stopOn(ctx context.Context, signals <-chan os.Signal, callers *http.Server) error {
 	for {
@@ -45,7 +47,7 @@
 	h.isLeaving.Store(true)
 	limit := begun.Add(h.settings.StopGrace - stopMargin)
 	h.relayer.stopAt.Store(&limit)
-	h.pause(ctx, min(unreadyTime, time.Until(limit)))
+	timer.Wait(ctx, h.parts.Timer, min(unreadyTime, time.Until(limit)))
 	// The server ends only when no request that it has read is without its answer; one that
 	// arrives between a look at the calls under way and the end would be cut off.
 	ending, cancel := context.WithDeadline(ctx, limit)
@@ -60,15 +62,6 @@
 	return errStopped
 }
 
-func (h *Host) pause(ctx context.Context, pause time.Duration) {
-	wait := h.parts.Timer.After(pause)
-	defer wait.Stop()
-	select {
-	case <-wait.C():
-	case <-ctx.Done():
-	}
-}
-
 // reload notes that the settings changed; what they hold is taken from the next start on.
 func (h *Host) reload() {
 	h.parts.Log.Info("settings changed, the next start takes them")
--- a/host/drain.go
+++ b/host/drain.go
@@ -10,6 +10,7 @@
 
 	"magnoliaspoke.example/spoke"
 	"magnoliaspoke.example/spoke/member"
+	"magnoliaspoke.example/spoke/timer"
 )
 
 const (
@@ -63,7 +64,7 @@
 		}
 	}()
 	d.announce(ctx)
-	d.pause(ctx)
+	timer.Wait(ctx, d.timer, d.delay)
 	// The internal listener closes last, because peers still read runs that
 	// this host owns.
 	d.shutdown(ctx, "caller", d.caller)
@@ -85,15 +86,6 @@
 	}
 }
 
-func (d *drainer) pause(ctx context.Context) {
-	tick := d.timer.After(d.delay)
-	defer tick.Stop()
-	select {
-	case <-tick.C():
-	case <-ctx.Done():
-	}
-}
-
 func (d *drainer) shutdown(ctx context.Context, name string, server *http.Server) {
 	err := server.Shutdown(ctx)
 	if err == nil {
--- a/lease/keeper.go
+++ b/lease/keeper.go
@@ -76,7 +76,7 @@
 func (k *Keeper) Run(ctx context.Context) error {
 	defer k.release()
 	for ctx.Err() == nil {
-		k.wait(ctx, k.step(ctx))
+		timer.Wait(ctx, k.timer, k.step(ctx))
 	}
 	return ctx.Err()
 }
@@ -130,18 +130,6 @@
 	_ = k.leases.Release(ctx, *lease)
 }
 
-func (k *Keeper) wait(ctx context.Context, wait time.Duration) {
-	if wait <= 0 {
-		return
-	}
-	limit := k.timer.After(wait)
-	defer limit.Stop()
-	select {
-	case <-limit.C():
-	case <-ctx.Done():
-	}
-}
-
 // lasts compares the monotonic and the wall clock, since the monotonic clock of some systems
 // stands still while the machine is suspended.
 func lasts(lease spoke.Lease, until time.Time) bool {
--- a/ticket/watcher.go
+++ b/ticket/watcher.go
@@ -162,10 +162,5 @@
 }
 
 func (w *Watcher) pause(ctx context.Context, wait time.Duration) {
-	limit := w.timer.After(wait/2 + rand.N(wait/2))
-	defer limit.Stop()
-	select {
-	case <-limit.C():
-	case <-ctx.Done():
-	}
+	timer.Wait(ctx, w.timer, wait/2+rand.N(wait/2))
 }
