--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -53,8 +53,8 @@
 	}
 )
 
-// run sends the call and passes its answer on.
-func (a *attempt) run(ctx context.Context) verdict {
+// run sends the call, passes its answer on and reports whether the caller has its final answer.
+func (a *attempt) run(ctx context.Context) bool {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	a.prepare()
@@ -98,7 +98,7 @@
 }
 
 // exchangeWith makes the exchange and sets how it ended.
-func (a *attempt) exchangeWith(ctx context.Context) verdict {
+func (a *attempt) exchangeWith(ctx context.Context) bool {
 	answer, err := a.pool.Do(ctx, link.Request{
 		At: a.grant.Upstream.Address, Method: a.call.Method, Target: a.call.Target, HostName: a.call.HostName,
 		Header: a.codec.EncodeAttempt(a.spec), Body: a.call.Body,
@@ -143,7 +143,7 @@
 }
 
 // turnedAway handles the upstream's statement that it did not run the call.
-func (a *attempt) turnedAway() verdict {
+func (a *attempt) turnedAway() bool {
 	a.ending = place.EndRefused
 	switch {
 	case a.head.IsOtherUpstream:
@@ -155,11 +155,11 @@
 	a.log.WithFields(logrus.Fields{
 		"upstream": a.grant.Upstream.ID, "status": a.head.Status, "weights": a.head.Weights, "expected-weights": a.grant.Weights,
 	}).Warn("upstream did not run the call")
-	return verdictAgain
+	return false
 }
 
 // failed notes a failure; a call whose caller left or whose time is over is no failure of the upstream.
-func (a *attempt) failed(ctx context.Context, ending place.Ending, err error) verdict {
+func (a *attempt) failed(ctx context.Context, ending place.Ending, err error) bool {
 	a.ending = ending
 	if ctx.Err() != nil && (a.silence == nil || a.silence.Stop()) {
 		a.ending = place.EndCancelled
@@ -168,11 +168,11 @@
 	a.log.WithError(err).WithFields(logrus.Fields{
 		"upstream": a.grant.Upstream.ID, "may-have-run": a.progress.mayHaveRun, "held": time.Since(a.arrived).String(),
 	}).Warn("attempt failed")
-	return verdictOver
+	return false
 }
 
 // whole passes on an answer that is read to its end before the caller sees it.
-func (a *attempt) whole(ctx context.Context, answer *link.Answer) verdict {
+func (a *attempt) whole(ctx context.Context, answer *link.Answer) bool {
 	body, err := io.ReadAll(io.LimitReader(answer.Body, answerLimit+1))
 	if err != nil || len(body) > answerLimit {
 		return a.failed(ctx, place.EndBroken, errors.Join(errors.New("answer is not whole"), err))
@@ -190,11 +190,11 @@
 			a.progress.answer = nil
 		}
 		if a.mayRepeat() || isPromise {
-			return verdictAgain
+			return false
 		}
 	}
 	a.deliver(a.head, body)
-	return verdictDone
+	return true
 }
 
 // mayRepeat reports whether the call may go to another upstream after a failure.
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -39,18 +39,6 @@
 		head spoke.AnswerHead
 		body []byte
 	}
-
-	// verdict says how the call goes on after an attempt.
-	verdict int
-)
-
-const (
-	// verdictDone means that the caller has its final answer.
-	verdictDone verdict = iota
-	// verdictAgain means that the call may be offered to an upstream once more.
-	verdictAgain
-	// verdictOver means that no other attempt is allowed.
-	verdictOver
 )
 
 // serve offers the call to upstreams until the caller has a final answer.
@@ -69,7 +57,7 @@
 			return
 		}
 		a := &attempt{exchange: e, grant: grant, progress: p, fingerprint: fingerprint}
-		if a.run(ctx) == verdictDone {
+		if a.run(ctx) {
 			return
 		}
 		if !e.mayGoOn(ctx, p) {
--- a/edge/stream.go
+++ b/edge/stream.go
@@ -39,7 +39,7 @@
 func (s *streamState) hasBegun() bool { return s != nil && s.events > 0 }
 
 // stream passes whole events on as they arrive.
-func (a *attempt) stream(ctx context.Context, answer *link.Answer) verdict {
+func (a *attempt) stream(ctx context.Context, answer *link.Answer) bool {
 	state := a.progress.stream
 	if state == nil {
 		state = &streamState{}
@@ -51,7 +51,7 @@
 		if len(chunk) > 0 {
 			if !a.forward(state, chunk) {
 				a.ending = place.EndCancelled
-				return verdictOver
+				return false
 			}
 		}
 		if err == nil {
@@ -127,7 +127,7 @@
 }
 
 // finish ends a stream whose last event was whole.
-func (a *attempt) finish(state *streamState) verdict {
+func (a *attempt) finish(state *streamState) bool {
 	if !state.hasBegun() {
 		a.begin()
 	}
@@ -138,7 +138,7 @@
 	}).Info("answered")
 	a.metrics.gap(a.route.Name, state.widestGap)
 	a.metrics.answered(a.route.Name, "status-"+strconv.Itoa(a.head.Status), a.arrived)
-	return verdictDone
+	return true
 }
 
 // unseen drops events that the caller has from an earlier attempt.
--- a/link/pool.go
+++ b/link/pool.go
@@ -70,17 +70,6 @@
 	return p.opened
 }
 
-// Forget closes the idle connections to an address.
-func (p *Pool) Forget(at spoke.Address) {
-	p.mu.Lock()
-	idle := p.idle[at]
-	delete(p.idle, at)
-	p.mu.Unlock()
-	for _, c := range idle {
-		_ = c.Close()
-	}
-}
-
 // Close closes all idle connections.
 func (p *Pool) Close() error {
 	p.mu.Lock()
