Answer requests that arrive on kept connections while a host drains

A caller that was just sending got a reset. The idea that a connection in the listener's queue was reset is ruled out as the cause seen here: the new test reproduces the very error on an accepted connection, 10 of 10 times.

Change: a draining host answers with Connection: close and leaves connections open until the delay has passed.

Before: TestDrainAnswersArrivingRequest fails 10 of 10 with 'connection reset by peer' or an early end.

--- a/host/drain.go
+++ b/host/drain.go
@@ -74,9 +74,6 @@
 
 func (d *drainer) announce(ctx context.Context) {
 	d.draining.Store(true)
-	// Callers then open a new connection for each request, which the load
-	// balancer takes elsewhere, and no idle connection is left to race with the end.
-	d.caller.SetKeepAlivesEnabled(false)
 	d.events.Record(spoke.Event{Kind: "drain-started"})
 	d.log.Info("drain started")
 	ctx, cancel := context.WithTimeout(ctx, announceLimit)
@@ -86,6 +83,18 @@
 	}
 }
 
+// closing lets the last answer on each connection tell its caller to close it, so that the next
+// request comes on a new one, which the load balancer takes elsewhere. The server itself would
+// close kept connections at once, also those on which a request is arriving.
+func (d *drainer) closing(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		if d.draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, req)
+	})
+}
+
 func (d *drainer) shutdown(ctx context.Context, name string, server *http.Server) {
 	err := server.Shutdown(ctx)
 	if err == nil {
--- /dev/null
+++ b/host/drain_test.go
@@ -0,0 +1,50 @@
+package host_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a drain that resets a kept connection on which a request is arriving: the
+// server counts such a connection as idle until it has read the whole head.
+func TestDrainAnswersArrivingRequest(t *testing.T) {
+	leaving := startPair(t).servers[1]
+	conn, err := net.Dial("tcp", leaving.listeners.Caller.Addr().String())
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	answers := bufio.NewReader(conn)
+	const head = "GET /ready HTTP/1.1\r\nHost: entry\r\n"
+	send(t, conn, head+"\r\n")
+	first := receive(t, answers)
+	assert.Assert(t, !first.Close)
+
+	send(t, conn, head)
+	leaving.Drain(context.Background())
+	send(t, conn, "\r\n")
+
+	last := receive(t, answers)
+	assert.Equal(t, last.StatusCode, http.StatusServiceUnavailable)
+	assert.Assert(t, last.Close, "a caller of a leaving host keeps its connection")
+}
+
+func send(t *testing.T, conn net.Conn, text string) {
+	t.Helper()
+	_, err := io.WriteString(conn, text)
+	assert.NilError(t, err)
+}
+
+func receive(t *testing.T, from *bufio.Reader) *http.Response {
+	t.Helper()
+	answer, err := http.ReadResponse(from, nil)
+	assert.NilError(t, err)
+	_, err = io.Copy(io.Discard, answer.Body)
+	assert.NilError(t, err)
+	assert.NilError(t, answer.Body.Close())
+	return answer
+}
--- a/host/host.go
+++ b/host/host.go
@@ -188,7 +188,6 @@
 	front := openai.New(requests, h.view, openai.WithLog(h.log))
 	h.metrics = newMetrics(h)
 	h.caller = openai.NewServer(front)
-	h.caller.Handler = h.ready(h.metrics.counted(front))
 	h.internal = server(wire.NewServer(peerAPI{h}, signer, h.timer, h.events))
 	h.exporter = server(h.metrics)
 	operators := administration{host: h, acceptor: ticket.NewAcceptor(h.platform)}
@@ -198,6 +197,7 @@
 		events: h.events, log: h.log, delay: h.settings.DrainDelay, deadline: h.settings.DrainDeadline,
 		begin: make(chan struct{}, 1), force: force,
 	}
+	h.caller.Handler = h.drainer.closing(h.ready(h.metrics.counted(front)))
 }
 
 func server(handler http.Handler) *http.Server {
