Free stored parts of older weights once no engine serves them

A group of cached parts also named no model, so that a deployment with two models would have freed the parts of the one with the lower version. Ruled out: room that hosts misjudge; owners' accounts show 97 to 99% in use.

Change: a pure decision frees a version when every listed engine serves newer ones and copies have ended, or when calls may not begin on it any more; groups name the model.

--- a/edge/apply.go
+++ b/edge/apply.go
@@ -64,7 +64,6 @@
 		h.stores.set(change.Table.Stores)
 	}
 	for _, wanted := range change.Weights {
-		h.stores.want(wanted)
 		h.parts.Log.WithFields(logrus.Fields{"model": wanted.Model, "version": wanted.Version}).Info("weights wanted")
 		h.tell(h.weightsMessage(change, wanted))
 	}
@@ -73,6 +72,7 @@
 	}
 	if change.IsWhole || len(change.Weights)+len(change.Upstreams)+len(change.GoneUpstreams) > 0 {
 		h.orders.in <- directoryNews{change}
+		h.stores.hear(change)
 	}
 	if change.OrdersHolder != nil || change.IsWhole {
 		h.applyHolder(change)
--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -77,7 +77,7 @@
 		Remaining: time.Until(a.giveUp), Weights: a.grant.Weights, LastEvent: a.call.LastEvent, Fetch: a.grant.Fetch, Save: a.grant.Save,
 	}
 	if a.route.IsPrompt {
-		a.spec.CacheGroup = place.CacheGroup(a.owner, a.grant.Weights)
+		a.spec.CacheGroup = place.CacheGroup(a.owner, a.call.Prompt.Model, a.grant.Weights)
 		a.spec.Urgency, a.spec.HasUrgency = min(max(a.grant.Urgency, 0), lowestUrgency), true
 	}
 	if a.progress.stream.hasBegun() && a.progress.stream.lastID != "" {
--- a/edge/directory_test.go
+++ b/edge/directory_test.go
@@ -159,7 +159,7 @@
 	for _, engine := range d.engines {
 		for _, run := range engine.Runs() {
 			version := run.Header.Get("Magnoliaspoke-Expect-Version")
-			assert.Equal(t, run.Header.Get("Magnoliaspoke-Cache-Salt"), "shared@"+version)
+			assert.Equal(t, run.Header.Get("Magnoliaspoke-Cache-Salt"), "shared|model-a@"+version)
 		}
 	}
 }
--- a/edge/stores.go
+++ b/edge/stores.go
@@ -23,9 +23,6 @@
 	// longer than hosts that hear nothing use what they know, so that none of them copies a part
 	// that is being saved anew.
 	storeRetry = 3 * time.Second
-	// oldGroupTime is the time after new weights were named in which calls may still copy parts
-	// that were made on older ones, beyond the time in which such calls may begin.
-	oldGroupTime = 3 * time.Second
 	// mostFreed bounds the parts that one call frees.
 	mostFreed = 400
 )
@@ -33,7 +30,7 @@
 type (
 	storesNews  struct{ stores []spoke.PromptStore }
 	peersNews   struct{ hosts []spoke.HostID }
-	wantedNews  struct{ wanted spoke.WantedWeights }
+	weightsNews struct{ change spoke.DirectoryChange }
 	storeResult struct {
 		store   spoke.ServiceName
 		events  spoke.StoreEvents
@@ -66,27 +63,25 @@
 		timer   spoke.Timer
 		planner *planner
 		log     logrus.FieldLogger
-		apply   time.Duration
 		in      chan any
 
-		hosts  []spoke.HostID
-		stores map[spoke.ServiceName]*followed
-		newest spoke.WeightVersion
-		// oldUntil is when no call can copy parts of older weights any more.
-		oldUntil time.Time
+		hosts    []spoke.HostID
+		stores   map[spoke.ServiceName]*followed
+		outdated *place.Outdated
 	}
 )
 
 func newStoreFollowers(settings config.Relay, parts Parts, p *planner) *storeFollowers {
 	return &storeFollowers{
-		host: settings.Host, apply: settings.WeightsApply, control: parts.Stores, timer: parts.Timer, planner: p, log: parts.Log,
+		host: settings.Host, control: parts.Stores, timer: parts.Timer, planner: p, log: parts.Log,
 		in: make(chan any, planQueue), hosts: []spoke.HostID{settings.Host}, stores: make(map[spoke.ServiceName]*followed),
+		outdated: place.NewOutdated(settings.WeightsApply),
 	}
 }
 
 func (f *storeFollowers) set(stores []spoke.PromptStore)     { f.in <- storesNews{stores} }
 func (f *storeFollowers) setPeers(hosts []spoke.HostID)      { f.in <- peersNews{hosts} }
-func (f *storeFollowers) want(wanted spoke.WantedWeights)    { f.in <- wantedNews{wanted} }
+func (f *storeFollowers) hear(change spoke.DirectoryChange)  { f.in <- weightsNews{change} }
 func (f *storeFollowers) send(ctx context.Context, m any)    { sendTo(ctx, f.in, m) }
 func (f *storeFollowers) isOwn(store spoke.ServiceName) bool { return f.ownerOf(store) == f.host }
 
@@ -117,11 +112,8 @@
 	case peersNews:
 		f.hosts = append(slices.Clone(m.hosts), f.host)
 		slices.Sort(f.hosts)
-	case wantedNews:
-		if m.wanted.Version > f.newest {
-			f.newest = m.wanted.Version
-			f.oldUntil = f.timer.Now().Add(f.apply + oldGroupTime)
-		}
+	case weightsNews:
+		f.takeWeights(m.change)
 	case storeResult:
 		f.takeResult(m)
 	case freeResult:
@@ -136,6 +128,15 @@
 	}
 }
 
+func (f *storeFollowers) takeWeights(change spoke.DirectoryChange) {
+	now := f.timer.Now()
+	for _, wanted := range change.Weights {
+		f.outdated.Name(now, wanted)
+	}
+	isWhole := change.IsWhole && !change.KeepsUpstreams
+	f.outdated.List(now, isWhole, change.Upstreams, change.GoneUpstreams)
+}
+
 func (f *storeFollowers) takeStores(stores []spoke.PromptStore) {
 	known := f.stores
 	f.stores = make(map[spoke.ServiceName]*followed)
@@ -159,7 +160,7 @@
 			// What is known is out of date when this host takes over again.
 			st.epoch = 0
 		case st.isBusy || now.Before(st.pauseTo):
-		case st.epoch != 0 && now.After(f.oldUntil) && f.hasOld(st):
+		case st.epoch != 0 && f.hasOld(st):
 			f.free(ctx, st)
 		default:
 			f.poll(ctx, st)
@@ -250,8 +251,9 @@
 
 func (f *storeFollowers) oldParts(st *followed, most int) []spoke.StoredPart {
 	var old []spoke.StoredPart
+	now := f.timer.Now()
 	for part := range st.parts {
-		if version, ok := place.GroupVersion(part.Group); ok && version < f.newest && len(old) < most {
+		if len(old) < most && f.outdated.Has(now, part.Group) {
 			old = append(old, part)
 		}
 	}
@@ -267,7 +269,7 @@
 		st.used -= st.parts[part]
 		delete(st.parts, part)
 	}
-	f.log.WithFields(logrus.Fields{"store": name, "parts": len(old), "weights": f.newest}).Info("parts of older weights freed")
+	f.log.WithFields(logrus.Fields{"store": name, "parts": len(old)}).Info("parts of older weights freed")
 	go func() { f.send(ctx, freeResult{store: name, err: f.control.FreeParts(ctx, at, epoch, old)}) }()
 }
 
--- a/place/cache_test.go
+++ b/place/cache_test.go
@@ -51,7 +51,8 @@
 	newer := tr.grant(tr.ask(2, "session", 8000, 1000))
 	assert.Equal(t, newer.Weights, spoke.WeightVersion(2))
 	assert.Equal(t, newer.Cached, spoke.TokenCount(0))
-	assert.Assert(t, place.CacheGroup(spoke.KeyOwner{}, 1) != place.CacheGroup(spoke.KeyOwner{}, 2))
+	assert.Assert(t, place.CacheGroup(spoke.KeyOwner{}, model, 1) != place.CacheGroup(spoke.KeyOwner{}, model, 2))
+	assert.Assert(t, place.CacheGroup(spoke.KeyOwner{}, model, 1) != place.CacheGroup(spoke.KeyOwner{}, "model-b", 1))
 }
 
 // Guards against parts that are saved twice, saved without room, or copied from a store before
@@ -70,7 +71,7 @@
 	assert.DeepEqual(t, second.Save, []spoke.Address{"", ""})
 	tr.settle(second)
 
-	key := place.StoredKeyOf(spoke.StoredPart{Group: "shared@1", Part: "session"})
+	key := place.StoredKeyOf(spoke.StoredPart{Group: place.CacheGroup(spoke.KeyOwner{}, model, 1), Part: "session"})
 	tr.handle(place.SeeStore{State: spoke.StoreState{Store: "store", Epoch: 7, Used: 8000, Stored: []spoke.StoredKey{key}}})
 	tr.handle(place.Pause{Upstream: first.Upstream.ID, For: time.Minute})
 	copied := tr.grant(tr.ask(2, "session", 8000, 1000))
@@ -144,7 +145,7 @@
 	var keys []spoke.StoredKey
 	for i := range 10 {
 		part := spoke.PartID(fmt.Sprint("s", i))
-		keys = append(keys, place.StoredKeyOf(spoke.StoredPart{Group: "shared@1", Part: part}))
+		keys = append(keys, place.StoredKeyOf(spoke.StoredPart{Group: place.CacheGroup(spoke.KeyOwner{}, model, 1), Part: part}))
 	}
 	tr.handle(place.SeeStore{State: spoke.StoreState{Store: "store", Epoch: 7, Used: 40000, Stored: keys}})
 	granted := 0
@@ -164,7 +165,7 @@
 // against parts that are copied while they are saved anew.
 func TestStoreCountsOnlyWhileItIsHeardOf(t *testing.T) {
 	tr := newTrial(t, 2)
-	key := place.StoredKeyOf(spoke.StoredPart{Group: "shared@1", Part: "session"})
+	key := place.StoredKeyOf(spoke.StoredPart{Group: place.CacheGroup(spoke.KeyOwner{}, model, 1), Part: "session"})
 	state := spoke.StoreState{Store: "store", Epoch: 7, Used: 8000, Stored: []spoke.StoredKey{key}}
 	tr.handle(place.Hear{Share: spoke.LoadShare{Host: "host-2", Number: 1, Stores: []spoke.StoreState{state}}})
 	first := tr.grant(tr.ask(2, "session", 8000, 1000))
--- a/place/prefix.go
+++ b/place/prefix.go
@@ -16,6 +16,10 @@
 	// ownShare is the part of a run's memory that no other run can use: the end of its prompt
 	// and its output.
 	ownShare = 0.27
+
+	// modelMark and versionMark stand before the model and the weight version in a cache group.
+	modelMark   = "|"
+	versionMark = "@"
 )
 
 // memory estimates which prompt prefixes an engine has cached; the engine's own choice is
@@ -27,8 +31,8 @@
 }
 
 // CacheGroup returns the text under which an engine caches the parts of a workspace.
-func CacheGroup(owner spoke.KeyOwner, version spoke.WeightVersion) string {
-	return versionedGroup(OwnerGroup(owner), version)
+func CacheGroup(owner spoke.KeyOwner, model spoke.ModelName, version spoke.WeightVersion) string {
+	return weightsGroup(OwnerGroup(owner), model, version)
 }
 
 // OwnerGroup returns the part of the cache group that does not depend on weights.
@@ -39,18 +43,21 @@
 	return "shared"
 }
 
-// GroupVersion returns the weight version of a cache group.
-func GroupVersion(group string) (spoke.WeightVersion, bool) {
-	_, text, found := cutLast(group, "@")
+// GroupWeights returns the model and the weight version of a cache group.
+func GroupWeights(group string) (spoke.ModelName, spoke.WeightVersion, bool) {
+	rest, text, hasVersion := cutLast(group, versionMark)
+	_, model, hasModel := cutLast(rest, modelMark)
 	version, err := strconv.ParseInt(text, 10, 64)
-	return spoke.WeightVersion(version), found && err == nil
+	return spoke.ModelName(model), spoke.WeightVersion(version), hasVersion && hasModel && err == nil
 }
 
-func versionedGroup(group string, version spoke.WeightVersion) string {
-	return group + "@" + strconv.FormatInt(int64(version), 10)
+func weightsGroup(group string, model spoke.ModelName, version spoke.WeightVersion) string {
+	return group + modelMark + string(model) + versionMark + strconv.FormatInt(int64(version), 10)
 }
 
-func groupOf(m Ask, version spoke.WeightVersion) string { return versionedGroup(m.Group, version) }
+func groupOf(m Ask, version spoke.WeightVersion) string {
+	return weightsGroup(m.Group, m.Prompt.Model, version)
+}
 
 func cutLast(text, separator string) (before, after string, found bool) {
 	position := strings.LastIndex(text, separator)
@@ -67,7 +74,7 @@
 	}
 	digest := xxhash.New()
 	// Writing to a digest does not fail.
-	_, _ = digest.WriteString(group + "\n" + string(prompt.Model))
+	_, _ = digest.WriteString(group)
 	prefixes := make([]spoke.PromptPrefix, 0, len(prompt.Parts))
 	var total spoke.TokenCount
 	for _, part := range prompt.Parts {
