--- a/edge/apply.go
+++ b/edge/apply.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"magnoliaspoke.example/spoke"
+	"magnoliaspoke.example/spoke/lease"
 	"magnoliaspoke.example/spoke/place"
 )
 
@@ -26,14 +27,19 @@
 	spoke.Leases
 	host *Host
 	log  logrus.FieldLogger
-	// failed is when the lease could last not be acquired; only the keeper's task uses it.
+	// failed is when the lease could last not be acquired; only the keeper's task uses it and turn.
 	failed time.Time
+	turn   lease.Turn
 }
 
 // Acquire takes the lease if it is free.
 func (l *freeLeases) Acquire(ctx context.Context, name spoke.LeaseName, holder spoke.HostID, ttl time.Duration) (spoke.Lease, error) {
 	known := l.host.holder.Load()
 	if known == nil || *known != "" {
+		l.turn.Held()
+		return spoke.Lease{}, spoke.ErrLeaseHeld
+	}
+	if !l.turn.Has(time.Now(), int(l.host.rank.Load())) {
 		return spoke.Lease{}, spoke.ErrLeaseHeld
 	}
 	if l.host.known.isStale() || time.Since(l.failed) < acquirePause {
@@ -136,6 +142,7 @@
 func (h *Host) neighbours() neighbours {
 	hosts := append(slices.Collect(maps.Keys(h.peers)), h.settings.Host)
 	cell, members, count := place.Cells(hosts, h.settings.Host)
+	h.rank.Store(int64(place.Rank(hosts, h.settings.Host)))
 	h.isServed.Store(!slices.Contains(members[:min(watchers, len(members))], h.settings.Host))
 	found := neighbours{cell: place.SetCell{Cell: cell, Count: count}}
 	for _, id := range slices.Sorted(maps.Keys(h.peers)) {
--- a/edge/host.go
+++ b/edge/host.go
@@ -63,7 +63,9 @@
 		stores   *storeFollowers
 		follower *follower
 		// isServed says that other hosts of the cell watch the directory for this one.
-		isServed  atomic.Bool
+		isServed atomic.Bool
+		// rank is the position of this host among all that may take the orders lease.
+		rank      atomic.Int64
 		socket    *peers.Socket
 		peers     map[spoke.HostID]spoke.ListedPeer
 		holder    atomic.Pointer[spoke.HostID]
--- a/place/cells.go
+++ b/place/cells.go
@@ -36,6 +36,11 @@
 	return cell, members, count
 }
 
+// Rank returns the position of a host among all in an order that the hosts agree on.
+func Rank(hosts []spoke.HostID, self spoke.HostID) int {
+	return slices.Index(byHash(hosts, func(id spoke.HostID) string { return string(id) }), self)
+}
+
 func cellOf(rank, total, count int) int { return rank * count / total }
 
 // nearOnes returns the upstreams of a service that this host's cell uses.
