--- a/edge/planner.go
+++ b/edge/planner.go
@@ -16,7 +16,7 @@
 	planTick = 20 * time.Millisecond
 	// cellTick is the least time between two accounts in an installation of several cells, whose
 	// hosts are small.
-	cellTick = 40 * time.Millisecond
+	cellTick = 100 * time.Millisecond
 	// wholeEvery is the interval of whole accounts, which make good those that were lost.
 	wholeEvery = time.Second
 	planQueue  = 1024
