Forget the report of an engine that restarted, also when all is read again

Cause: a whole read of the directory cleared the list before it compared when engines started, so the report of an engine that began anew under its id stayed and said that it had the new weights; no order was given again. Found by reading. TestRestartedEngineIsOrderedAgain failed first (8 s without an order) and passes 3 of 3 now.

--- a/edge/directory_test.go
+++ b/edge/directory_test.go
@@ -164,6 +164,24 @@
 	}
 }
 
+// Guards against an engine that started again on older weights while the store dropped its history
+// and that stays on them, since its last report said that it had the new ones.
+func TestRestartedEngineIsOrderedAgain(t *testing.T) {
+	d := start(t, 1)
+	engine := d.engines[0]
+	isLoaded := func() bool {
+		version, orders := engine.Version()
+		return version == 2 && orders == 1
+	}
+	d.store.Put("op/version/model-a", map[string]any{"model": "model-a", "version": 2})
+	awaitTrue(t, "weights not loaded", isLoaded)
+	awaitTrue(t, "report not read", func() bool { return d.hasLogged("engine takes calls again") })
+	d.store.ForgetAtOnce()
+	engine.Restart(1)
+	d.list(engine, "ready")
+	awaitTrue(t, "weights not loaded again", isLoaded)
+}
+
 // Guards against a planned stop that cuts off a request or goes on taking new connections.
 func TestPlannedStopEndsOpenStreams(t *testing.T) {
 	d := start(t, 1)
--- a/edge/orders.go
+++ b/edge/orders.go
@@ -138,11 +138,12 @@
 	for _, wanted := range change.Weights {
 		o.wanted[wanted.Model] = max(o.wanted[wanted.Model], wanted.Version)
 	}
+	before := o.upstreams
 	if change.IsWhole && !change.KeepsUpstreams {
 		o.upstreams = make(map[spoke.UpstreamID]spoke.ListedUpstream)
 	}
 	for _, listed := range change.Upstreams {
-		if known, ok := o.upstreams[listed.ID]; ok && !known.Started.Equal(listed.Started) {
+		if known, ok := before[listed.ID]; ok && !known.Started.Equal(listed.Started) {
 			delete(o.reports, listed.ID)
 			delete(o.given, listed.ID)
 		}
--- a/edge/setup_test.go
+++ b/edge/setup_test.go
@@ -117,6 +117,13 @@
 	return response.StatusCode, nil
 }
 
+// hasLogged reports whether the host's log holds a text.
+func (d *deployment) hasLogged(text string) bool {
+	raw, err := os.ReadFile(filepath.Join(d.logs, "host-1.log"))
+	assert.NilError(d.t, err)
+	return strings.Contains(string(raw), text)
+}
+
 func (d *deployment) list(engine *fake.Engine, state string) {
 	d.store.Put("servers/"+engine.ID, engine.Entry("models", "a", state))
 }
--- a/fake/platform/engine.go
+++ b/fake/platform/engine.go
@@ -13,6 +13,9 @@
 )
 
 const (
+	// firstBorn is when the engines started first, in milliseconds since 1970.
+	firstBorn int64 = 1700000000000
+
 	// Serve answers in full.
 	Serve Behaviour = "serve"
 	// Shed states that the request was not run.
@@ -61,6 +64,7 @@
 		cancelled int
 		version   int
 		orders    int
+		restarts  int64
 		events    int
 		pause     time.Duration
 	}
@@ -124,6 +128,14 @@
 	e.version = version
 }
 
+// Restart lets the engine begin anew under its id with given weights.
+func (e *Engine) Restart(version int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.version, e.orders = version, 0
+	e.restarts++
+}
+
 // Version returns the loaded weights and the number of accepted orders.
 func (e *Engine) Version() (version, orders int) {
 	e.mu.Lock()
@@ -137,7 +149,7 @@
 	defer e.mu.Unlock()
 	return map[string]any{
 		"service": service, "address": e.Address(), "zone": zone, "version": "v1", "slots": 8, "state": state,
-		"cold-left-ms": 0, "sequence": e.orders, "born": 1700000000000,
+		"cold-left-ms": 0, "sequence": e.orders, "born": firstBorn + e.restarts,
 		"models": []map[string]any{{"name": ModelName, "version": e.version, "adapters": []string{}}},
 	}
 }
--- a/fake/platform/store.go
+++ b/fake/platform/store.go
@@ -25,6 +25,7 @@
 		leases   map[uint64]time.Time
 		nextID   uint64
 		refuse   bool
+		forgets  bool
 		lose     bool
 		delay    time.Duration
 	}
@@ -87,6 +88,16 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.write(key, raw, 0)
+	if s.forgets {
+		s.forget()
+	}
+}
+
+// ForgetAtOnce makes the store drop its history with every later item, so that no watch sees it.
+func (s *Store) ForgetAtOnce() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.forgets = true
 }
 
 // Remove deletes an item.
@@ -100,6 +111,10 @@
 func (s *Store) Forget() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.forget()
+}
+
+func (s *Store) forget() {
 	s.history = nil
 	s.oldest = s.revision
 }
