--- /dev/null
+++ b/place/dispatch.go
@@ -0,0 +1,108 @@
+package place
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"magnoliaspoke.example/spoke"
+)
+
+// dispatch gives waiting calls to upstreams in order and refuses those whose time is over.
+func (s *Scheduler) dispatch(now time.Time) {
+	for _, service := range slices.Sorted(maps.Keys(s.queues)) {
+		queue := s.queues[service]
+		if len(queue) == 0 {
+			continue
+		}
+		s.order(now, queue)
+		kept := queue[:0]
+		for position, w := range queue {
+			if position >= scanLimit || !s.settle(now, w) {
+				kept = append(kept, w)
+			}
+		}
+		clear(queue[len(kept):])
+		s.queues[service] = kept
+	}
+}
+
+// settle grants or refuses a call and reports whether it is done with waiting.
+func (s *Scheduler) settle(now time.Time, w *waiting) bool {
+	if !now.Before(w.ask.GiveUp) {
+		s.refuse(now, w.ask, RefusedTime)
+		return true
+	}
+	best, ok := s.choose(now, w)
+	if ok {
+		s.grant(now, w, best)
+	}
+	return ok
+}
+
+// order sorts urgent calls first, then those that can still be on time, then the oldest.
+func (s *Scheduler) order(now time.Time, queue []*waiting) {
+	slices.SortStableFunc(queue, func(a, b *waiting) int {
+		return cmp.Or(
+			cmp.Compare(a.ask.Urgency, b.ask.Urgency),
+			compareBool(s.isLate(now, a), s.isLate(now, b)),
+			a.ask.Arrived.Compare(b.ask.Arrived),
+		)
+	})
+}
+
+// isLate reports whether the call misses its target even if an idle engine starts it now.
+func (s *Scheduler) isLate(now time.Time, w *waiting) bool {
+	return now.Add(s.shortest(w.ask)).After(w.ask.Target)
+}
+
+func (s *Scheduler) shortest(m Ask) time.Duration {
+	if m.Prompt == nil {
+		return 0
+	}
+	return readTime(m.Prompt.Input, 1)/2 + stepTime
+}
+
+func (s *Scheduler) grant(now time.Time, w *waiting, c candidate) {
+	m := w.ask
+	run := &running{ask: m, node: c.node, sent: now, predicted: c.ordinary}
+	if m.Prompt != nil {
+		run.unread = m.Prompt.Input - c.cached - c.fetched
+		run.memory = m.Prompt.Input + expectedOutput(m.Prompt)
+		run.copying = c.copying
+		c.node.grow(now, run.unread, run.copying)
+	}
+	c.node.runs[m.Call] = run
+	s.running[m.Call] = run
+	if m.Prompt != nil {
+		c.node.cache.add(w.prefixes[c.weights], c.node.totals().Memory)
+		s.report.placed(c.node, w.prefixes[c.weights])
+	}
+	s.report.changed(c.node)
+	if m.IsRepeat {
+		s.budget(m.Service).repeats.add(now)
+	}
+	s.actions = append(s.actions, Grant{
+		Call: m.Call, Upstream: c.node.listed, Weights: c.weights, Cached: c.cached,
+		Fetched: c.fetched, Fetch: c.fetch, Save: s.planSaves(now, m, c.weights),
+		Predicted: c.first, Waited: now.Sub(m.Arrived), Urgency: m.Urgency,
+	})
+}
+
+func expectedOutput(prompt *spoke.PromptShape) spoke.TokenCount {
+	if prompt.Hint > 0 {
+		return min(prompt.Hint, max(prompt.MaxOutput, 1))
+	}
+	return prompt.MaxOutput
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
--- a/place/stores.go
+++ b/place/stores.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -173,7 +174,7 @@
 		if !st.isKnown(now) || !st.hasRoom(now, tokens) {
 			continue
 		}
-		weight := float64(xxhash.Sum64String(string(st.Name)+"/"+string(rune(key&0xffff)))>>11) / (1 << 53)
+		weight := float64(xxhash.Sum64String(string(st.Name)+"/"+strconv.FormatUint(uint64(key), 36))>>11) / (1 << 53)
 		if tokens >= largePart {
 			weight += float64(st.Capacity)
 		} else {
