--- a/edge/planner.go
+++ b/edge/planner.go
@@ -14,8 +14,11 @@
 const (
 	// planTick lets waiting calls be looked at again and gathers news for the other hosts.
 	planTick = 20 * time.Millisecond
-	// cellTick is the least time between two accounts in an installation of several cells, whose
-	// hosts are small.
+	// busyTick and idleTick are the same in an installation of several cells, whose hosts are small,
+	// while calls wait and while none does.
+	busyTick = 50 * time.Millisecond
+	idleTick = cellTick
+	// cellTick is the time between two accounts in an installation of several cells.
 	cellTick = 100 * time.Millisecond
 	// wholeEvery is the interval of whole accounts, which make good those that were lost.
 	wholeEvery = time.Second
@@ -66,9 +69,14 @@
 
 // run handles messages until ctx ends.
 func (p *planner) run(ctx context.Context) error {
-	tick := p.timer.Every(planTick)
-	defer tick.Stop()
+	period := planTick
+	tick := p.timer.Every(period)
+	defer func() { tick.Stop() }()
 	for {
+		if wanted := p.period(); wanted != period {
+			tick.Stop()
+			period, tick = wanted, p.timer.Every(wanted)
+		}
 		select {
 		case m := <-p.in:
 			p.handle(m)
@@ -85,6 +93,16 @@
 	}
 }
 
+func (p *planner) period() time.Duration {
+	switch {
+	case p.neighbours.cell.Count <= 1:
+		return planTick
+	case p.scheduler.IsWaiting():
+		return busyTick
+	}
+	return idleTick
+}
+
 func (p *planner) handle(m planned) {
 	if ask, ok := m.message.(place.Ask); ok {
 		p.replies[ask.Call] = m.reply
@@ -128,10 +146,10 @@
 func (p *planner) tell() {
 	now := p.timer.Now()
 	p.tellFar(now)
-	if p.neighbours.cell.Count > 1 && now.Sub(p.told) < cellTick {
+	if p.neighbours.cell.Count > 1 && now.Sub(p.told) < cellTick-planTick/2 {
 		return
 	}
-	isWhole := now.Sub(p.toldAll) >= wholeEvery
+	isWhole := now.Sub(p.toldAll) >= wholeEvery-planTick/2
 	if !isWhole && !p.scheduler.HasNews() {
 		return
 	}
--- a/edge/setup_test.go
+++ b/edge/setup_test.go
@@ -35,7 +35,7 @@
 
 // deployment is a host before a stand-in of the platform.
 type deployment struct {
-	t        *testing.T
+	t        testing.TB
 	store    *fake.Store
 	engines  []*fake.Engine
 	settings config.Relay
@@ -46,13 +46,13 @@
 }
 
 // start runs a host before engines; every engine answers streams with four events.
-func start(t *testing.T, engines int) *deployment {
+func start(t testing.TB, engines int) *deployment {
 	t.Helper()
 	return startWithGrace(t, engines, 8*time.Second)
 }
 
 // startWithGrace runs a host that has a time to stop.
-func startWithGrace(t *testing.T, engines int, grace time.Duration) *deployment {
+func startWithGrace(t testing.TB, engines int, grace time.Duration) *deployment {
 	t.Helper()
 	d := &deployment{t: t, store: fake.NewStore(), signals: make(chan os.Signal, 2), ended: make(chan error, 1)}
 	t.Cleanup(d.store.Close)
@@ -214,7 +214,7 @@
 	}
 }
 
-func freePort(t *testing.T) int {
+func freePort(t testing.TB) int {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -222,7 +222,7 @@
 	return listener.Addr().(*net.TCPAddr).Port
 }
 
-func freeAddress(t *testing.T) spoke.Address {
+func freeAddress(t testing.TB) spoke.Address {
 	t.Helper()
 	return spoke.Address(fmt.Sprintf("127.0.0.1:%d", freePort(t)))
 }
@@ -241,7 +241,7 @@
 	return strings.TrimSpace(line)
 }
 
-func awaitTrue(t *testing.T, what string, holds func() bool) {
+func awaitTrue(t testing.TB, what string, holds func() bool) {
 	t.Helper()
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		if holds() {
