--- a/cmd/trial/cost/process.go
+++ b/cmd/trial/cost/process.go
@@ -42,8 +42,8 @@
 	return time.Duration(user+system) * clockTick, nil
 }
 
-// residentSize returns the memory that a process holds.
-func residentSize(pid int) (spoke.ByteSize, error) {
+// ResidentSize returns the memory that a process holds.
+func ResidentSize(pid int) (spoke.ByteSize, error) {
 	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
 	if err != nil {
 		return 0, eris.Wrap(err, "resident size")
--- a/cmd/trial/cost/streams.go
+++ b/cmd/trial/cost/streams.go
@@ -162,6 +162,6 @@
 	if err != nil {
 		return usage{}, err
 	}
-	memory, err := residentSize(process.ID())
+	memory, err := ResidentSize(process.ID())
 	return usage{processor, memory}, err
 }
--- a/edge/stream.go
+++ b/edge/stream.go
@@ -18,7 +18,7 @@
 const (
 	// largestEvent bounds one event of a stream.
 	largestEvent = 1 << 20
-	readSize     = 4 << 10
+	readSize     = 1 << 10
 )
 
 var (
--- a/link/conn.go
+++ b/link/conn.go
@@ -10,7 +10,7 @@
 )
 
 // readBuffer holds the head of an answer and some events.
-const readBuffer = 4 << 10
+const readBuffer = 2 << 10
 
 // conn is a connection to an upstream.
 type conn struct {
