--- a/cmd/trial/soak/faults.go
+++ b/cmd/trial/soak/faults.go
@@ -21,6 +21,64 @@
 	slowLink    = 150 * time.Millisecond
 )
 
+var (
+	behaviours = []fake.Behaviour{
+		fake.Shed, fake.Fail, fake.Busy, fake.ResetAtOnce, fake.ResetMidway, fake.Hang, fake.OtherFirst, fake.Unproved,
+	}
+
+	kinds = []fault{
+		{"host-kill", func(ctx context.Context, f *faults, _ *rand.Rand, _ time.Duration) {
+			f.withHost(func(h *host) { f.restart(ctx, h, func() { f.process(h, syscall.SIGKILL) }) })
+		}},
+		{"host-stop", func(ctx context.Context, f *faults, _ *rand.Rand, _ time.Duration) {
+			f.withHost(func(h *host) { f.restart(ctx, h, func() { f.process(h, syscall.SIGTERM) }) })
+		}},
+		{"host-reload", func(_ context.Context, f *faults, _ *rand.Rand, _ time.Duration) {
+			f.withHost(func(h *host) { f.process(h, syscall.SIGHUP) })
+		}},
+		{"host-freeze", func(ctx context.Context, f *faults, _ *rand.Rand, lasting time.Duration) {
+			f.withHost(func(h *host) {
+				f.process(h, syscall.SIGSTOP)
+				sleep(ctx, lasting)
+				f.process(h, syscall.SIGCONT)
+			})
+		}},
+		{"store-refuses", func(ctx context.Context, f *faults, _ *rand.Rand, lasting time.Duration) {
+			f.world.store.Refuse(true)
+			sleep(ctx, lasting)
+			f.world.store.Refuse(false)
+		}},
+		{"store-loses-answers", func(ctx context.Context, f *faults, _ *rand.Rand, lasting time.Duration) {
+			f.world.store.LoseAnswers(true)
+			sleep(ctx, lasting)
+			f.world.store.LoseAnswers(false)
+		}},
+		{"store-forgets", func(_ context.Context, f *faults, _ *rand.Rand, _ time.Duration) { f.world.store.Forget() }},
+		{"store-link", func(ctx context.Context, f *faults, random *rand.Rand, lasting time.Duration) {
+			harm(ctx, f.world.hosts[random.IntN(len(f.world.hosts))].store, random, lasting)
+		}},
+		{"engine-link", func(ctx context.Context, f *faults, random *rand.Rand, lasting time.Duration) {
+			harm(ctx, f.engine(random).relay, random, lasting)
+		}},
+		{"engine-behaviour", func(ctx context.Context, f *faults, random *rand.Rand, lasting time.Duration) {
+			e, behaviour := f.engine(random), behaviours[random.IntN(len(behaviours))]
+			f.note("%s: %s", e.ID, behaviour)
+			e.Behave(behaviour)
+			sleep(ctx, lasting)
+			e.Behave(fake.Serve)
+		}},
+		{"engine-replaced", func(ctx context.Context, f *faults, random *rand.Rand, _ time.Duration) {
+			if err := f.world.addEngine(); err != nil {
+				f.note("engine not added: %s", err)
+				return
+			}
+			f.world.retire(ctx, f.engine(random))
+		}},
+		{"configuration", func(_ context.Context, f *faults, _ *rand.Rand, _ time.Duration) { f.world.configure() }},
+		{"weights", func(_ context.Context, f *faults, _ *rand.Rand, _ time.Duration) { f.world.nameWeights() }},
+	}
+)
+
 type (
 	// fault is one kind of trouble; it has ended when the function returns.
 	fault struct {
@@ -37,62 +95,6 @@
 	}
 )
 
-var behaviours = []fake.Behaviour{
-	fake.Shed, fake.Fail, fake.Busy, fake.ResetAtOnce, fake.ResetMidway, fake.Hang, fake.OtherFirst, fake.Unproved,
-}
-
-var kinds = []fault{
-	{"host-kill", func(ctx context.Context, f *faults, _ *rand.Rand, _ time.Duration) {
-		f.withHost(func(h *host) { f.restart(ctx, h, func() { f.process(h, syscall.SIGKILL) }) })
-	}},
-	{"host-stop", func(ctx context.Context, f *faults, _ *rand.Rand, _ time.Duration) {
-		f.withHost(func(h *host) { f.restart(ctx, h, func() { f.process(h, syscall.SIGTERM) }) })
-	}},
-	{"host-reload", func(_ context.Context, f *faults, _ *rand.Rand, _ time.Duration) {
-		f.withHost(func(h *host) { f.process(h, syscall.SIGHUP) })
-	}},
-	{"host-freeze", func(ctx context.Context, f *faults, _ *rand.Rand, lasting time.Duration) {
-		f.withHost(func(h *host) {
-			f.process(h, syscall.SIGSTOP)
-			sleep(ctx, lasting)
-			f.process(h, syscall.SIGCONT)
-		})
-	}},
-	{"store-refuses", func(ctx context.Context, f *faults, _ *rand.Rand, lasting time.Duration) {
-		f.world.store.Refuse(true)
-		sleep(ctx, lasting)
-		f.world.store.Refuse(false)
-	}},
-	{"store-loses-answers", func(ctx context.Context, f *faults, _ *rand.Rand, lasting time.Duration) {
-		f.world.store.LoseAnswers(true)
-		sleep(ctx, lasting)
-		f.world.store.LoseAnswers(false)
-	}},
-	{"store-forgets", func(_ context.Context, f *faults, _ *rand.Rand, _ time.Duration) { f.world.store.Forget() }},
-	{"store-link", func(ctx context.Context, f *faults, random *rand.Rand, lasting time.Duration) {
-		harm(ctx, f.world.hosts[random.IntN(len(f.world.hosts))].store, random, lasting)
-	}},
-	{"engine-link", func(ctx context.Context, f *faults, random *rand.Rand, lasting time.Duration) {
-		harm(ctx, f.engine(random).relay, random, lasting)
-	}},
-	{"engine-behaviour", func(ctx context.Context, f *faults, random *rand.Rand, lasting time.Duration) {
-		e, behaviour := f.engine(random), behaviours[random.IntN(len(behaviours))]
-		f.note("%s: %s", e.ID, behaviour)
-		e.Behave(behaviour)
-		sleep(ctx, lasting)
-		e.Behave(fake.Serve)
-	}},
-	{"engine-replaced", func(ctx context.Context, f *faults, random *rand.Rand, _ time.Duration) {
-		if err := f.world.addEngine(); err != nil {
-			f.note("engine not added: %s", err)
-			return
-		}
-		f.world.retire(ctx, f.engine(random))
-	}},
-	{"configuration", func(_ context.Context, f *faults, _ *rand.Rand, _ time.Duration) { f.world.configure() }},
-	{"weights", func(_ context.Context, f *faults, _ *rand.Rand, _ time.Duration) { f.world.nameWeights() }},
-}
-
 // run injects overlapping faults until ctx ends, then waits for those under way.
 func (f *faults) run(ctx context.Context, random *rand.Rand) {
 	var group sync.WaitGroup
