--- a/place/news.go
+++ b/place/news.go
@@ -26,7 +26,7 @@
 type (
 	// Turns says when which group of far hosts is told; the zero value begins with the first.
 	Turns struct {
-		last  time.Time
+		next  time.Time
 		group int
 	}
 
@@ -39,10 +39,14 @@
 
 // Due returns the group whose turn it is, if one is due.
 func (t *Turns) Due(now time.Time) (int, bool) {
-	if now.Sub(t.last) < farEvery/FarGroups {
+	if now.Before(t.next) {
 		return 0, false
 	}
-	t.last = now
+	t.next = t.next.Add(farEvery / FarGroups)
+	if t.next.Before(now) {
+		// Turns that were missed are not made up for, which would tell many groups at once.
+		t.next = now.Add(farEvery / FarGroups / 2)
+	}
 	group := t.group
 	t.group = (group + 1) % FarGroups
 	return group, true
--- a/place/news_test.go
+++ b/place/news_test.go
@@ -24,18 +24,21 @@
 // links delivered only the first. Guards against two groups in one turn and against a group that
 // waits longer than what is known of a store counts.
 func TestFarHostsAreToldInTurn(t *testing.T) {
-	var turns place.Turns
-	now := time.Unix(1000, 0)
-	told := make(map[int]int)
-	for range 100 {
-		if group, ok := turns.Due(now); ok {
-			told[group]++
+	const jitter = 5 * time.Millisecond
+	for _, tick := range []time.Duration{20 * time.Millisecond, 100 * time.Millisecond} {
+		var turns place.Turns
+		begin := time.Unix(1000, 0)
+		told := make(map[int]int)
+		for i := range int(3 * time.Second / tick) {
+			now := begin.Add(time.Duration(i)*tick + time.Duration(i%3)*jitter)
+			if group, ok := turns.Due(now); ok {
+				told[group]++
+			}
+		}
+		assert.Equal(t, len(told), place.FarGroups)
+		for group, count := range told {
+			assert.Assert(t, count >= 2 && count <= 4, "group %d was told %d times in three seconds with ticks of %s", group, count, tick)
 		}
-		now = now.Add(20 * time.Millisecond)
-	}
-	assert.Equal(t, len(told), place.FarGroups)
-	for group, count := range told {
-		assert.Assert(t, count >= 2, "group %d was told %d times in two seconds", group, count)
 	}
 }
 
