Take ports for tests that are free for both protocols

The test looked for a free port with a TCP listener only and closed it; the host then listens for datagrams there, and other test processes take ports from the same range. Ruled out: a fault of the host, which had not started.

--- a/cmd/trial/soak/world.go
+++ b/cmd/trial/soak/world.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"os"
 	"path/filepath"
 	"sync"
@@ -13,6 +12,7 @@
 
 	"magnoliaspoke.example/spoke"
 	fake "magnoliaspoke.example/spoke/fake/platform"
+	"magnoliaspoke.example/spoke/fake/ports"
 	"magnoliaspoke.example/spoke/fleet"
 	"magnoliaspoke.example/spoke/relay"
 	"magnoliaspoke.example/spoke/timer"
@@ -146,11 +146,11 @@
 	if h.store, err = relay.New("127.0.0.1:0", spoke.Address(w.store.Address())); err != nil {
 		return eris.Wrap(err, "relay of the store")
 	}
-	ports, err := freePorts(4)
+	free, err := freePorts(4)
 	if err != nil {
 		return err
 	}
-	h.caller, h.ready = fmt.Sprintf("127.0.0.1:%d", ports[0]), fmt.Sprintf("127.0.0.1:%d", ports[1])
+	h.caller, h.ready = fmt.Sprintf("127.0.0.1:%d", free[0]), fmt.Sprintf("127.0.0.1:%d", free[1])
 	settings := fmt.Sprintf(`host-id = %q
 data-centre = "a"
 caller-address = %q
@@ -168,7 +168,7 @@
 retry-share = 0.2
 retry-reserve = 60
 retry-window-s = 10
-`, h.name, h.caller, h.ready, h.store.Address(), ports[2], ports[3], weightsApply.Milliseconds(), storeGrace)
+`, h.name, h.caller, h.ready, h.store.Address(), free[2], free[3], weightsApply.Milliseconds(), storeGrace)
 	path := filepath.Join(w.directory, h.name+".toml")
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		return eris.Wrap(err, "write settings")
@@ -180,16 +180,15 @@
 }
 
 func freePorts(count int) ([]int, error) {
-	ports := make([]int, 0, count)
+	found := make([]int, 0, count)
 	for range count {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		port, err := ports.Free()
 		if err != nil {
-			return nil, eris.Wrap(err, "find a port")
+			return nil, err
 		}
-		defer listener.Close()
-		ports = append(ports, listener.Addr().(*net.TCPAddr).Port)
+		found = append(found, port)
 	}
-	return ports, nil
+	return found, nil
 }
 
 func sleep(ctx context.Context, pause time.Duration) { timer.Wait(ctx, timer.NewSystem(), pause) }
--- a/edge/setup_test.go
+++ b/edge/setup_test.go
@@ -23,6 +23,7 @@
 	"magnoliaspoke.example/spoke/config"
 	"magnoliaspoke.example/spoke/edge"
 	fake "magnoliaspoke.example/spoke/fake/platform"
+	"magnoliaspoke.example/spoke/fake/ports"
 	"magnoliaspoke.example/spoke/logs"
 	"magnoliaspoke.example/spoke/platform"
 	"magnoliaspoke.example/spoke/timer"
@@ -216,10 +217,9 @@
 
 func freePort(t testing.TB) int {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	port, err := ports.Free()
 	assert.NilError(t, err)
-	defer listener.Close()
-	return listener.Addr().(*net.TCPAddr).Port
+	return port
 }
 
 func freeAddress(t testing.TB) spoke.Address {
--- /dev/null
+++ b/fake/ports/doc.go
@@ -0,0 +1,2 @@
+// Package ports finds ports for programs that tests start.
+package ports
