--- a/cmd/spokectl/tool/examples.go
+++ b/cmd/spokectl/tool/examples.go
@@ -34,5 +34,5 @@
   spokectl timeline --request 0f3a --trace request.json`,
 	"explain": `Examples:
   spokectl --host 10.1.0.4:9100 --host 10.1.0.5:9100 explain 0f3a
-  spokectl explain 9c41d07be2a35f68 --logs /var/log/edge`,
+  spokectl explain 9c41d07be2a35f68 --logs /var/log/edge --trace request.json`,
 }
--- a/cmd/spokectl/tool/settings.go
+++ b/cmd/spokectl/tool/settings.go
@@ -32,6 +32,7 @@
 	explainSettings struct {
 		Request string `arg:"positional,required" help:"request id, from the X-Request-Id header"`
 		Logs    string `arg:"--logs" placeholder:"DIR" help:"explain from the log files of hosts in a directory, without asking the hosts"`
+		Trace   string `arg:"--trace" placeholder:"FILE" help:"with --logs, write a file for a browser's trace viewer as well"`
 	}
 
 	settings struct {
--- a/cmd/spokectl/tool/tool.go
+++ b/cmd/spokectl/tool/tool.go
@@ -171,7 +171,7 @@
 	case s.settings.Timeline != nil:
 		return s.timeline(ctx, *s.settings.Timeline)
 	case s.isOffline():
-		return s.explainFromLogs(s.settings.Explain.Logs, spoke.RequestID(s.settings.Explain.Request))
+		return s.explainFromLogs(*s.settings.Explain)
 	default:
 		return s.explain(ctx, spoke.RequestID(s.settings.Explain.Request))
 	}
--- a/cmd/spokectl/tool/tool_test.go
+++ b/cmd/spokectl/tool/tool_test.go
@@ -146,6 +146,21 @@
 	assert.Equal(t, got.code, tool.ExitUsage)
 }
 
+// Guards against an explanation from logs that asks hosts, hides lines that cannot be read, or
+// leaves the request out of the trace file.
+func TestExplainFromLogs(t *testing.T) {
+	directory, path := t.TempDir(), filepath.Join(t.TempDir(), "trace.json")
+	log := `{"time":"2026-03-01T12:00:00Z","host-id":"one","level":"info","msg":"answered","request-id":"r","took":"40ms"}` + "\ncut"
+	assert.NilError(t, os.WriteFile(filepath.Join(directory, "one.log"), []byte(log), 0o600))
+	got := run(t, nil, "explain", "r", "--logs", directory, "--trace", path)
+	assert.Equal(t, got.code, tool.ExitDone, got.messages)
+	assert.Assert(t, is.Contains(got.output, "answered"))
+	assert.Assert(t, is.Contains(got.messages, "one.log:2"))
+	text, err := os.ReadFile(path)
+	assert.NilError(t, err)
+	assert.Assert(t, is.Contains(string(text), `"dur":40000`))
+}
+
 // Guards against an explanation that misses hosts or invents a request.
 func TestExplain(t *testing.T) {
 	first, second := twoHosts()
--- a/logs/read.go
+++ b/logs/read.go
@@ -97,15 +97,11 @@
 
 // Text returns the line for a reader.
 func (e Entry) Text() string {
-	fields := make([]string, 0, len(e.Fields))
-	for _, field := range e.Fields {
-		fields = append(fields, field.Name+"="+field.Value)
-	}
 	mark := " "
 	if e.Request != "" {
 		mark = "*"
 	}
-	return strings.TrimRight(fmt.Sprintf("%s %s %-8s %-7s %s  %s", e.Time.UTC().Format("15:04:05.000"), mark, e.Host, e.Level, e.Message, strings.Join(fields, " ")), " ")
+	return strings.TrimRight(fmt.Sprintf("%s %s %-8s %-7s %s  %s", e.Time.UTC().Format("15:04:05.000"), mark, e.Host, e.Level, e.Message, e.fieldText()), " ")
 }
 
 func readFile(path string, report *check.Report) ([]Entry, error) {
