Let steps become longer only at their end

Cause: in installations of several cells the step began anew each time a call began or ceased to wait. Calls that wait for moments came more often than a step lasts, so steps did not end and other hosts heard nothing.

Change: a pure decision shortens a step at once and lengthens it at its end.

--- a/edge/planner.go
+++ b/edge/planner.go
@@ -55,6 +55,7 @@
 		told       time.Time
 		toldAll    time.Time
 		farTurns   place.Turns
+		steps      place.Steps
 	}
 )
 
@@ -64,43 +65,45 @@
 		in:      make(chan planned, planQueue),
 		peers:   make(chan neighbours, 1),
 		replies: make(map[spoke.CallNumber]chan place.Action),
+		steps:   place.Steps{Busy: planTick, Idle: planTick},
 	}
 }
 
 // run handles messages until ctx ends.
 func (p *planner) run(ctx context.Context) error {
-	period := planTick
-	tick := p.timer.Every(period)
+	length := planTick
+	tick := p.timer.Every(length)
 	defer func() { tick.Stop() }()
 	for {
-		if wanted := p.period(); wanted != period {
-			tick.Stop()
-			period, tick = wanted, p.timer.Every(wanted)
-		}
+		wanted := length
 		select {
 		case m := <-p.in:
 			p.handle(m)
+			wanted = p.steps.Saw(p.scheduler.IsWaiting())
 		case p.neighbours = <-p.peers:
+			p.steps.Busy, p.steps.Idle = stepsOf(p.neighbours.cell)
 			p.step(p.neighbours.cell)
 		case <-tick.C():
 			if p.scheduler.IsWaiting() {
 				p.handle(planned{message: place.Tick{}})
 			}
 			p.tell()
+			wanted = p.steps.Ended(p.scheduler.IsWaiting())
 		case <-ctx.Done():
 			return ctx.Err()
 		}
+		if wanted != length {
+			tick.Stop()
+			length, tick = wanted, p.timer.Every(wanted)
+		}
 	}
 }
 
-func (p *planner) period() time.Duration {
-	switch {
-	case p.neighbours.cell.Count <= 1:
-		return planTick
-	case p.scheduler.IsWaiting():
-		return busyTick
+func stepsOf(cell place.SetCell) (busy, idle time.Duration) {
+	if cell.Count > 1 {
+		return busyTick, idleTick
 	}
-	return idleTick
+	return planTick, planTick
 }
 
 func (p *planner) handle(m planned) {
--- /dev/null
+++ b/place/steps_test.go
@@ -0,0 +1,42 @@
+package place_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"magnoliaspoke.example/spoke/place"
+)
+
+// Replays calls that each wait for 10 ms, 25 of them a second. Guards against a step that begins
+// anew with each of them and so never ends, while other hosts hear nothing.
+func TestStepsEndWhileCallsWaitForMoments(t *testing.T) {
+	const message = 10 * time.Millisecond
+	steps := place.Steps{Busy: 50 * time.Millisecond, Idle: 100 * time.Millisecond}
+	now := time.Unix(1000, 0)
+	length := steps.Ended(false)
+	end := now.Add(length)
+	ended := 0
+	for i := range 400 {
+		now = now.Add(message)
+		if !now.Before(end) {
+			ended++
+			length = steps.Ended(i%4 == 0)
+			end = now.Add(length)
+			continue
+		}
+		if seen := steps.Saw(i%4 == 0); seen != length {
+			length, end = seen, now.Add(seen)
+		}
+	}
+	assert.Assert(t, ended >= 40, "%d steps in four seconds", ended)
+}
+
+// Guards against steps that stay short when nothing waits any more.
+func TestStepsBecomeLonger(t *testing.T) {
+	steps := place.Steps{Busy: 50 * time.Millisecond, Idle: 100 * time.Millisecond}
+	assert.Equal(t, steps.Saw(true), steps.Busy)
+	assert.Equal(t, steps.Saw(false), steps.Busy)
+	assert.Equal(t, steps.Ended(false), steps.Idle)
+}
