Read settings files of both programs in one place

Cause: reading a file, parsing its TOML and reporting a text that is none stood twice, for the entry host and for the relaying host. A generic load and one parse serve both; a constant for a port of zero said no more than the zero value. No change of behaviour; the tests of config pass unchanged.

--- a/config/decode.go
+++ b/config/decode.go
@@ -15,23 +15,27 @@
 
 // Load reads and validates a settings file; the error is a *check.Report if the content is at fault.
 func Load(path string) (Entry, error) {
+	return load(path, Decode)
+}
+
+// load reads a settings file and decodes it.
+func load[T any](path string, decode func(file string, text []byte) (T, error)) (T, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
-		return Entry{}, eris.Wrapf(err, "read settings %q", path)
+		var none T
+		return none, eris.Wrapf(err, "read settings %q", path)
 	}
-	return Decode(path, text)
+	return decode(path, text)
 }
 
 // Decode reads and validates settings; file names the source in the findings, all of
 // which are in the *check.Report that is returned as the error.
 func Decode(file string, text []byte) (Entry, error) {
 	var report check.Report
-	values := make(map[string]any)
-	if _, err := toml.Decode(string(text), &values); err != nil {
-		report.Addf(file, "%s", describeSyntax(err))
+	root, ok := parse(file, text, &report)
+	if !ok {
 		return Entry{}, report.Err()
 	}
-	root := newTable(file+": ", values, &report)
 	entry := readEntry(root)
 	entry.Peers = readPeers(root)
 	root.finish()
@@ -42,6 +46,16 @@
 	return entry, nil
 }
 
+// parse returns the root table of settings; a text that is no TOML is the only finding.
+func parse(file string, text []byte, report *check.Report) (*table, bool) {
+	values := make(map[string]any)
+	if _, err := toml.Decode(string(text), &values); err != nil {
+		report.Addf(file, "%s", describeSyntax(err))
+		return nil, false
+	}
+	return newTable(file+": ", values, report), true
+}
+
 func readEntry(t *table) Entry {
 	entry := Defaults()
 	entry.Host = spoke.HostID(t.text(keyHost))
--- a/config/relay.go
+++ b/config/relay.go
@@ -2,33 +2,28 @@
 
 import (
 	"net/netip"
-	"os"
 	"time"
 
-	"github.com/BurntSushi/toml"
-	"github.com/rotisserie/eris"
-
 	"magnoliaspoke.example/spoke"
 	"magnoliaspoke.example/spoke/check"
 )
 
 const (
-	keyReadiness      = "readiness-address"
-	keyPeerPort       = "peer-port"
-	keyStore          = "store-address"
-	keyMemory         = "memory-limit-mb"
-	keyDescriptors    = "descriptor-limit"
-	keyConfigApply    = "config-apply-ms"
-	keyWeightsApply   = "weights-apply-ms"
-	keyOrdersPause    = "orders-pause-ms"
-	keyLeaveNotice    = "leave-notice-ms"
-	keyStopGrace      = "stop-grace-s"
-	keyRetryShare     = "retry-share"
-	keyRetryReserve   = "retry-reserve"
-	keyRetryWindow    = "retry-window-s"
-	keyMetricsPort    = "metrics-port"
-	highestPort       = 65535
-	defaultMetricPort = 0
+	keyReadiness    = "readiness-address"
+	keyPeerPort     = "peer-port"
+	keyStore        = "store-address"
+	keyMemory       = "memory-limit-mb"
+	keyDescriptors  = "descriptor-limit"
+	keyConfigApply  = "config-apply-ms"
+	keyWeightsApply = "weights-apply-ms"
+	keyOrdersPause  = "orders-pause-ms"
+	keyLeaveNotice  = "leave-notice-ms"
+	keyStopGrace    = "stop-grace-s"
+	keyRetryShare   = "retry-share"
+	keyRetryReserve = "retry-reserve"
+	keyRetryWindow  = "retry-window-s"
+	keyMetricsPort  = "metrics-port"
+	highestPort     = 65535
 )
 
 // Relay holds the settings of an entry host that relays calls unread on a platform.
@@ -65,22 +60,16 @@
 
 // LoadRelay reads and validates a settings file; the error is a *check.Report if the content is at fault.
 func LoadRelay(path string) (Relay, error) {
-	text, err := os.ReadFile(path)
-	if err != nil {
-		return Relay{}, eris.Wrapf(err, "read settings %q", path)
-	}
-	return DecodeRelay(path, text)
+	return load(path, DecodeRelay)
 }
 
 // DecodeRelay reads and validates settings; all findings are in the *check.Report that is returned.
 func DecodeRelay(file string, text []byte) (Relay, error) {
 	var report check.Report
-	values := make(map[string]any)
-	if _, err := toml.Decode(string(text), &values); err != nil {
-		report.Addf(file, "%s", describeSyntax(err))
+	root, ok := parse(file, text, &report)
+	if !ok {
 		return Relay{}, report.Err()
 	}
-	root := newTable(file+": ", values, &report)
 	relay := readRelay(root)
 	root.finish()
 	if err := report.Err(); err != nil {
@@ -107,7 +96,6 @@
 		RetryShare:   spoke.Share(t.number(keyRetryShare, 0, 100)),
 		RetryReserve: int(t.number(keyRetryReserve, 0, 1<<20)),
 		RetryWindow:  time.Duration(t.number(keyRetryWindow, 1, 1<<20) * float64(time.Second)),
-		MetricsPort:  defaultMetricPort,
 	}
 	if t.has(keyMetricsPort) {
 		relay.MetricsPort = int(t.number(keyMetricsPort, 0, highestPort))
