Sum up an engine's runs once for each look and order hosts in one place

Cause: a look at an engine summed up the runs of all hosts for its totals and again for its backlog; the order of hosts by hash stood in Cells and in Rank. An option of the pool that nobody uses is gone. No change of behaviour; tests of place and link pass unchanged.

--- a/link/pool.go
+++ b/link/pool.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	defaultDialTimeout = 700 * time.Millisecond
+	dialTimeout = 700 * time.Millisecond
 	// unknownIdle is how long a connection is kept whose upstream does not say how long it
 	// keeps it.
 	unknownIdle = 8 * time.Second
@@ -44,11 +44,6 @@
 	}
 )
 
-// WithDialTimeout bounds the set-up of a connection.
-func WithDialTimeout(limit time.Duration) Option {
-	return func(p *Pool) { p.dialer = dial.New(limit) }
-}
-
 // WithClock sets the clock on which idle times are measured.
 func WithClock(now func() time.Time) Option {
 	return func(p *Pool) { p.now = now }
@@ -56,7 +51,7 @@
 
 // New returns an empty pool.
 func New(options ...Option) *Pool {
-	p := &Pool{dialer: dial.New(defaultDialTimeout), now: time.Now, idle: make(map[spoke.Address][]*conn), safeIdle: time.Hour}
+	p := &Pool{dialer: dial.New(dialTimeout), now: time.Now, idle: make(map[spoke.Address][]*conn), safeIdle: time.Hour}
 	for _, option := range options {
 		option(p)
 	}
--- a/place/cells.go
+++ b/place/cells.go
@@ -21,13 +21,9 @@
 // Cells divides hosts into cells and returns the cell of one of them, its members, and the
 // number of cells. A host that joins or leaves moves few of the others.
 func Cells(hosts []spoke.HostID, self spoke.HostID) (cell int, members []spoke.HostID, count int) {
-	ordered := byHash(hosts, func(id spoke.HostID) string { return string(id) })
+	ordered := hostsByHash(hosts)
 	count = max(len(ordered)/cellHosts, 1)
-	for rank, id := range ordered {
-		if id == self {
-			cell = cellOf(rank, len(ordered), count)
-		}
-	}
+	cell = cellOf(max(slices.Index(ordered, self), 0), len(ordered), count)
 	for rank, id := range ordered {
 		if cellOf(rank, len(ordered), count) == cell {
 			members = append(members, id)
@@ -38,7 +34,11 @@
 
 // Rank returns the position of a host among all in an order that the hosts agree on.
 func Rank(hosts []spoke.HostID, self spoke.HostID) int {
-	return slices.Index(byHash(hosts, func(id spoke.HostID) string { return string(id) }), self)
+	return slices.Index(hostsByHash(hosts), self)
+}
+
+func hostsByHash(hosts []spoke.HostID) []spoke.HostID {
+	return byHash(hosts, func(id spoke.HostID) string { return string(id) })
 }
 
 func cellOf(rank, total, count int) int { return rank * count / total }
--- a/place/choose.go
+++ b/place/choose.go
@@ -136,7 +136,7 @@
 	rest := prompt.Input - c.cached - c.fetched
 	read := readTime(rest, n.pace)
 	saved := readTime(c.cached, n.pace)
-	unread := n.backlog(now)
+	unread := n.backlogOf(now, total.Unread)
 	behind := readTime(unread, n.pace)
 	if behind > s.allowedBacklog(w.ask)+saved/2 {
 		return c, false
--- a/place/node.go
+++ b/place/node.go
@@ -133,8 +133,10 @@
 
 // backlog returns the tokens that the engine still has to read, less what it should have
 // read since the last account.
-func (n *node) backlog(now time.Time) spoke.TokenCount {
-	unread := n.totals().Unread
+func (n *node) backlog(now time.Time) spoke.TokenCount { return n.backlogOf(now, n.totals().Unread) }
+
+// backlogOf is backlog for a caller that knows the unread tokens of all hosts.
+func (n *node) backlogOf(now time.Time, unread spoke.TokenCount) spoke.TokenCount {
 	if unread == 0 {
 		return 0
 	}
