Keep the logs of a soak's seed that fails

Cause: seed 393 failed once and could not be traced, because the logs lay in a directory that the test removes. They are copied to a place that stays, which the failure names. Assertions are unchanged; the soak's tests pass.

--- a/cmd/trial/soak/held_test.go
+++ b/cmd/trial/soak/held_test.go
@@ -1,8 +1,6 @@
 package soak_test
 
 import (
-	"os/exec"
-	"path/filepath"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -26,9 +24,7 @@
 
 // Guards against a host that outgrows a small machine while it holds streams and idle connections.
 func TestMemoryOfHeldStreams(t *testing.T) {
-	program := filepath.Join(t.TempDir(), "edge")
-	built, err := exec.Command("go", "build", "-o", program, "magnoliaspoke.example/spoke/cmd/edge").CombinedOutput()
-	assert.NilError(t, err, "%s", built)
+	program := build(t)
 	held, err := soak.Hold(program, t.TempDir(), heldStreams, heldIdle)
 	assert.NilError(t, err)
 	t.Logf("%d bytes before, %d with %d streams and %d idle connections", held.Before, held.With, heldStreams, heldIdle)
@@ -37,9 +33,7 @@
 
 // Guards against streams that take more memory than hosts of many callers have.
 func TestMemoryOfOneStream(t *testing.T) {
-	program := filepath.Join(t.TempDir(), "edge")
-	built, err := exec.Command("go", "build", "-o", program, "magnoliaspoke.example/spoke/cmd/edge").CombinedOutput()
-	assert.NilError(t, err, "%s", built)
+	program := build(t)
 	few, err := soak.Hold(program, t.TempDir(), fewStreams, 0)
 	assert.NilError(t, err)
 	many, err := soak.Hold(program, t.TempDir(), manyStreams, 0)
--- a/cmd/trial/soak/soak_test.go
+++ b/cmd/trial/soak/soak_test.go
@@ -29,15 +29,13 @@
 // own request, true statements "not run", one run at most where no more is allowed, no denial of
 // what is allowed, and service as usual some seconds after the last fault.
 func TestSoak(t *testing.T) {
-	program := filepath.Join(t.TempDir(), "edge")
-	built, err := exec.Command("go", "build", "-o", program, "magnoliaspoke.example/spoke/cmd/edge").CombinedOutput()
-	assert.NilError(t, err, "%s", built)
+	program := build(t)
 	for _, seed := range seeds(t) {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
 			report, err := soak.Run(program, t.TempDir(), seed, usual)
 			assert.NilError(t, err)
 			if len(report.Broken) > 0 {
-				t.Fatalf("seed %d, %v\nfaults:\n%s\nbroken:\n%s", seed, report.Statuses,
+				t.Fatalf("seed %d, %v, logs in %s\nfaults:\n%s\nbroken:\n%s", seed, report.Statuses, keep(t, report.Logs),
 					strings.Join(report.Notes, "\n"), strings.Join(report.Broken, "\n"))
 			}
 			t.Logf("%v\n%s", report.Statuses, strings.Join(report.Notes, "\n"))
@@ -45,6 +43,24 @@
 	}
 }
 
+// build returns the program of an entry host.
+func build(t *testing.T) string {
+	t.Helper()
+	program := filepath.Join(t.TempDir(), "edge")
+	built, err := exec.Command("go", "build", "-o", program, "magnoliaspoke.example/spoke/cmd/edge").CombinedOutput()
+	assert.NilError(t, err, "%s", built)
+	return program
+}
+
+// keep copies logs to a place that outlives the test, so that a failure can be traced.
+func keep(t *testing.T, logs string) string {
+	t.Helper()
+	kept, err := os.MkdirTemp("", "soak-")
+	assert.NilError(t, err)
+	assert.NilError(t, os.CopyFS(kept, os.DirFS(logs)))
+	return kept
+}
+
 func seeds(t *testing.T) []uint64 {
 	t.Helper()
 	text := os.Getenv(seedsVariable)
