End the time of older weights with the first newer name

Cause: the scheduler kept only the newest named version and when that was named, so a second name gave engines on the oldest weights their time anew, while the decision that frees stored parts counted from the first name. Calls were placed on weights after their time, and copied parts while these were freed. An engine that had loaded the first of two names held its turn until its order's time was over, 4.5 s, and the engines on the oldest weights came last.

Ruled out: lost names; the logs show both at every host.

Now one type holds the names of a model with their ages for both decisions, all ages travel in accounts, a loaded version ends its turn, the oldest weights are replaced first, and a call that waits inside an engine leaves it before its weights' time is over.

--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -169,6 +169,9 @@
 	if ctx.Err() != nil && (a.silence == nil || a.silence.Stop()) {
 		a.ending = place.EndCancelled
 	}
+	if errors.Is(context.Cause(ctx), errOutdatedWeights) {
+		err = errors.Join(errOutdatedWeights, err)
+	}
 	a.progress.lastFault = err.Error()
 	a.log.WithError(err).WithFields(logrus.Fields{
 		"upstream": a.grant.Upstream.ID, "may-have-run": a.progress.mayHaveRun, "held": time.Since(a.arrived).String(),
--- a/edge/orders.go
+++ b/edge/orders.go
@@ -92,7 +92,7 @@
 		planner: p, log: parts.Log,
 		reconciler: swap.NewReconciler(
 			swap.WithAtOnce(leastAtOnce), swap.WithOrderDeadline(orderTime), swap.WithDrain(swapNotice, swapNotice),
-			swap.WithLoadTime(loadTime), swap.WithAttempts(orderAttempts, orderPause),
+			swap.WithLoadTime(loadTime), swap.WithAttempts(orderAttempts, orderPause), swap.WithVersionOrder(compareVersions),
 		),
 		in:        make(chan any, planQueue),
 		wanted:    make(map[spoke.ModelName]spoke.WeightVersion),
--- a/edge/planner.go
+++ b/edge/planner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/netip"
 	"time"
 
@@ -26,11 +27,16 @@
 	mostMarks  = 16
 )
 
+// errOutdatedWeights ends an attempt that has not begun on weights that must not be used any more.
+var errOutdatedWeights = errors.New("weights are outdated")
+
 type (
 	// planned is a message for the scheduler and where the answer to a call goes.
 	planned struct {
 		message place.Message
 		reply   chan place.Action
+		// recall ends the attempt that follows a grant.
+		recall context.CancelCauseFunc
 	}
 
 	// neighbours are the addresses of the other hosts.
@@ -48,6 +54,7 @@
 		in         chan planned
 		peers      chan neighbours
 		replies    map[spoke.CallNumber]chan place.Action
+		recalls    map[spoke.CallNumber]context.CancelCauseFunc
 		send       func(spoke.LoadShare, []netip.AddrPort)
 		quarantine *marks
 		known      *knowledge
@@ -65,6 +72,7 @@
 		in:      make(chan planned, planQueue),
 		peers:   make(chan neighbours, 1),
 		replies: make(map[spoke.CallNumber]chan place.Action),
+		recalls: make(map[spoke.CallNumber]context.CancelCauseFunc),
 		steps:   place.Steps{Busy: planTick, Idle: planTick},
 	}
 }
@@ -84,7 +92,7 @@
 			p.steps.Busy, p.steps.Idle = stepsOf(p.neighbours.cell)
 			p.step(p.neighbours.cell)
 		case <-tick.C():
-			if p.scheduler.IsWaiting() {
+			if p.scheduler.NeedsTime(p.timer.Now()) {
 				p.handle(planned{message: place.Tick{}})
 			}
 			p.tell()
@@ -107,17 +115,24 @@
 }
 
 func (p *planner) handle(m planned) {
-	if ask, ok := m.message.(place.Ask); ok {
-		p.replies[ask.Call] = m.reply
-	}
-	if leave, ok := m.message.(place.Leave); ok {
-		delete(p.replies, leave.Call)
+	switch message := m.message.(type) {
+	case place.Ask:
+		p.replies[message.Call], p.recalls[message.Call] = m.reply, m.recall
+	case place.Ended:
+		delete(p.recalls, message.Call)
+	case place.Leave:
+		p.forget(message.Call)
 		// The grant may have come before the withdrawal; without one this has no effect.
-		p.step(place.Ended{Call: leave.Call, Ending: place.EndCancelled})
+		p.step(place.Ended{Call: message.Call, Ending: place.EndCancelled})
 	}
 	p.step(m.message)
 }
 
+func (p *planner) forget(call spoke.CallNumber) {
+	delete(p.replies, call)
+	delete(p.recalls, call)
+}
+
 // step lets the scheduler handle a message and passes its decisions on.
 func (p *planner) step(message place.Message) {
 	for _, action := range p.scheduler.Handle(p.timer.Now(), message) {
@@ -132,6 +147,10 @@
 		call = a.Call
 	case place.Refuse:
 		call = a.Call
+		delete(p.recalls, call)
+	case place.Recall:
+		p.recall(a.Call)
+		return
 	}
 	reply := p.replies[call]
 	delete(p.replies, call)
@@ -141,10 +160,18 @@
 	}
 	if _, isGrant := action.(place.Grant); isGrant {
 		// The caller left between its request and the grant.
+		delete(p.recalls, call)
 		p.step(place.Ended{Call: call, Ending: place.EndCancelled})
 	}
 }
 
+// recall ends an attempt that must not begin any more.
+func (p *planner) recall(call spoke.CallNumber) {
+	if end := p.recalls[call]; end != nil {
+		end(errOutdatedWeights)
+	}
+}
+
 // tell sends the account of this host to the others if there is news.
 func (p *planner) tell() {
 	now := p.timer.Now()
@@ -196,11 +223,12 @@
 	return members
 }
 
-// ask waits for an upstream or a refusal; it withdraws the call when ctx ends.
-func (p *planner) ask(ctx context.Context, ask place.Ask) (place.Action, error) {
+// ask waits for an upstream or a refusal; it withdraws the call when ctx ends. A grant may be
+// recalled later.
+func (p *planner) ask(ctx context.Context, ask place.Ask, recall context.CancelCauseFunc) (place.Action, error) {
 	reply := make(chan place.Action, 1)
 	select {
-	case p.in <- planned{message: ask, reply: reply}:
+	case p.in <- planned{message: ask, reply: reply, recall: recall}:
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
--- /dev/null
+++ b/edge/recall_test.go
@@ -0,0 +1,33 @@
+package edge_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"magnoliaspoke.example/spoke/config"
+	fake "magnoliaspoke.example/spoke/fake/platform"
+)
+
+// Guards against a call that waits inside an engine and begins on weights after their time, and
+// against one that is called not run although the engine may have begun it.
+func TestCallInsideAnEngineEndsWithItsWeights(t *testing.T) {
+	const limit = 1500 * time.Millisecond
+	d := startWith(t, 1, func(settings *config.Relay) { settings.WeightsApply = limit })
+	d.behave(fake.Hang)
+	answered := make(chan answer, 1)
+	go func() {
+		got, _ := d.send(quote("stuck"))
+		answered <- got
+	}()
+	awaitTrue(t, "call not at the engine", func() bool { return d.runs() == 1 })
+	named := time.Now()
+	d.store.Put("op/version/model-a", map[string]any{"model": "model-a", "version": 2})
+	got := <-answered
+	assert.Equal(t, got.status, http.StatusBadGateway)
+	assert.Assert(t, time.Since(named) < limit, "%s", time.Since(named))
+	awaitTrue(t, "run not cancelled", func() bool { return d.engines[0].Cancelled() == 1 })
+	awaitTrue(t, "cause not logged", func() bool { return d.hasLogged("weights are outdated") })
+}
--- a/edge/reports.go
+++ b/edge/reports.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"slices"
@@ -96,6 +97,11 @@
 	return reports
 }
 
+// compareVersions orders versions by their numbers.
+func compareVersions(a, b spoke.ModelVersion) int {
+	return cmp.Or(cmp.Compare(len(a), len(b)), cmp.Compare(a, b))
+}
+
 func versionText(version spoke.WeightVersion) spoke.ModelVersion {
 	return spoke.ModelVersion(strconv.FormatInt(int64(version), 10))
 }
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -52,12 +52,7 @@
 	}
 	p := &progress{}
 	for range mostRounds {
-		grant, ok := e.obtain(ctx, p)
-		if !ok {
-			return
-		}
-		a := &attempt{exchange: e, grant: grant, progress: p, fingerprint: fingerprint}
-		if a.run(ctx) {
+		if e.try(ctx, p, fingerprint) {
 			return
 		}
 		if !e.mayGoOn(ctx, p) {
@@ -68,9 +63,21 @@
 	e.giveFinal(ctx, p)
 }
 
+// try makes one attempt and reports whether the caller has its final answer.
+func (e *exchange) try(ctx context.Context, p *progress, fingerprint spoke.Fingerprint) bool {
+	attemptCtx, recall := context.WithCancelCause(ctx)
+	defer recall(nil)
+	grant, ok := e.obtain(ctx, p, recall)
+	if !ok {
+		return true
+	}
+	a := &attempt{exchange: e, grant: grant, progress: p, fingerprint: fingerprint}
+	return a.run(attemptCtx)
+}
+
 // obtain waits for an upstream; without one the caller gets its final answer.
-func (e *exchange) obtain(ctx context.Context, p *progress) (place.Grant, bool) {
-	action, err := e.planner.ask(ctx, e.askFor(p))
+func (e *exchange) obtain(ctx context.Context, p *progress, recall context.CancelCauseFunc) (place.Grant, bool) {
+	action, err := e.planner.ask(ctx, e.askFor(p), recall)
 	if err != nil {
 		e.giveFinal(ctx, p)
 		return place.Grant{}, false
--- a/edge/setup_test.go
+++ b/edge/setup_test.go
@@ -49,11 +49,17 @@
 // start runs a host before engines; every engine answers streams with four events.
 func start(t testing.TB, engines int) *deployment {
 	t.Helper()
-	return startWithGrace(t, engines, 8*time.Second)
+	return startWith(t, engines, func(*config.Relay) {})
 }
 
 // startWithGrace runs a host that has a time to stop.
 func startWithGrace(t testing.TB, engines int, grace time.Duration) *deployment {
+	t.Helper()
+	return startWith(t, engines, func(settings *config.Relay) { settings.StopGrace = grace })
+}
+
+// startWith runs a host with changed settings.
+func startWith(t testing.TB, engines int, change func(*config.Relay)) *deployment {
 	t.Helper()
 	d := &deployment{t: t, store: fake.NewStore(), signals: make(chan os.Signal, 2), ended: make(chan error, 1)}
 	t.Cleanup(d.store.Close)
@@ -69,9 +75,10 @@
 		Caller: freeAddress(t), Readiness: freeAddress(t), Store: spoke.Address(d.store.Address()),
 		PeerPort: freePort(t), MetricsPort: freePort(t), Memory: 128 << 20, Descriptors: 1000,
 		ConfigApply: 2 * time.Second, WeightsApply: 6 * time.Second, OrdersPause: 900 * time.Millisecond,
-		LeaveNotice: 2 * time.Second, StopGrace: grace,
+		LeaveNotice: 2 * time.Second, StopGrace: 8 * time.Second,
 		RetryShare: 0.2, RetryReserve: 50, RetryWindow: 10 * time.Second,
 	}
+	change(&d.settings)
 	d.run()
 	return d
 }
--- a/place/calls.go
+++ b/place/calls.go
@@ -103,12 +103,9 @@
 	}
 }
 
-// setWeights takes newer weights, or a better account of when the known ones were named.
+// setWeights takes weights that were named, or a better account of when known ones were.
 func (s *Scheduler) setWeights(now time.Time, m SetWeights) {
-	known := s.wanted[m.Wanted.Model]
-	heard := wanted{version: m.Wanted.Version, since: now.Add(-m.Age), isGuess: m.IsGuess}
-	isBetter := heard.version == known.version && !heard.isGuess && (known.isGuess || heard.since.Before(known.since))
-	if heard.version > known.version || isBetter {
-		s.wanted[m.Wanted.Model] = heard
-	}
+	heard := named{version: m.Wanted.Version, since: now.Add(-m.Age), isGuess: m.IsGuess}
+	known := s.named[m.Wanted.Model].take(heard)
+	s.named[m.Wanted.Model] = known.forget(now.Add(-s.settings.WeightsApply))
 }
--- a/place/choose.go
+++ b/place/choose.go
@@ -86,14 +86,14 @@
 // time ago must not be used any more.
 func (s *Scheduler) weightsOf(now time.Time, model spoke.ModelName, n *node, c *candidate) (time.Duration, bool) {
 	c.weights = n.weights[model]
-	want := s.wanted[model]
 	if c.weights == 0 {
 		return 0, false
 	}
-	if c.weights >= want.version {
+	replaced, isReplaced := s.named[model].replacedAt(c.weights)
+	if !isReplaced {
 		return 0, true
 	}
-	age := now.Sub(want.since)
+	age := now.Sub(replaced)
 	switch {
 	case age+c.first > s.settings.WeightsApply-weightsMargin:
 		return 0, false
--- a/place/dispatch.go
+++ b/place/dispatch.go
@@ -66,7 +66,7 @@
 
 func (s *Scheduler) grant(now time.Time, w *waiting, c candidate) {
 	m := w.ask
-	run := &running{ask: m, node: c.node, sent: now, predicted: c.ordinary}
+	run := &running{ask: m, node: c.node, sent: now, predicted: c.ordinary, weights: c.weights}
 	if m.Prompt != nil {
 		run.unread = m.Prompt.Input - c.cached - c.fetched
 		run.memory = m.Prompt.Input + expectedOutput(m.Prompt)
--- a/place/messages.go
+++ b/place/messages.go
@@ -165,6 +165,9 @@
 		// Backlog is the time that the work ahead is expected to take.
 		Backlog time.Duration
 	}
+
+	// Recall ends the attempt of a call that has not begun, since its weights must not be used any more.
+	Recall struct{ Call spoke.CallNumber }
 )
 
 func (Ask) isMessage()          {}
@@ -184,3 +187,4 @@
 
 func (Grant) isAction()  {}
 func (Refuse) isAction() {}
+func (Recall) isAction() {}
--- a/place/node.go
+++ b/place/node.go
@@ -42,7 +42,10 @@
 		// copying is the time that the transfers of the call's cached parts take.
 		copying   time.Duration
 		predicted time.Duration
+		weights   spoke.WeightVersion
 		hasBegun  bool
+		// isRecalled says that the call should leave the upstream, since its weights are outdated.
+		isRecalled bool
 	}
 
 	// node is what is known of one upstream.
--- a/place/options.go
+++ b/place/options.go
@@ -65,6 +65,9 @@
 	safeRetries = 0.7
 	// weightsMargin is the time before the limit at which older weights are given up.
 	weightsMargin = 600 * time.Millisecond
+	// recallMargin is the time before the limit at which calls that have not begun on older weights
+	// leave their engine.
+	recallMargin = 250 * time.Millisecond
 )
 
 type (
--- a/place/report.go
+++ b/place/report.go
@@ -111,14 +111,16 @@
 }
 
 func (s *Scheduler) wantedAges(now time.Time) []spoke.WantedAge {
-	ages := make([]spoke.WantedAge, 0, len(s.wanted))
-	for model, want := range s.wanted {
-		if want.isGuess {
-			continue
+	ages := make([]spoke.WantedAge, 0, len(s.named))
+	for model, versions := range s.named {
+		for _, known := range versions {
+			if known.isGuess {
+				continue
+			}
+			ages = append(ages, spoke.WantedAge{
+				Wanted: spoke.WantedWeights{Model: model, Version: known.version}, Age: now.Sub(known.since),
+			})
 		}
-		ages = append(ages, spoke.WantedAge{
-			Wanted: spoke.WantedWeights{Model: model, Version: want.version}, Age: now.Sub(want.since),
-		})
 	}
 	return ages
 }
--- a/place/scheduler.go
+++ b/place/scheduler.go
@@ -19,12 +19,6 @@
 		holdings *holdings
 	}
 
-	wanted struct {
-		version spoke.WeightVersion
-		since   time.Time
-		isGuess bool
-	}
-
 	peer struct {
 		heard   time.Time
 		number  uint64
@@ -43,7 +37,7 @@
 		cell      SetCell
 		queues    map[spoke.ServiceName][]*waiting
 		running   map[spoke.CallNumber]*running
-		wanted    map[spoke.ModelName]wanted
+		named     map[spoke.ModelName]naming
 		budgets   map[spoke.ServiceName]*budget
 		peers     map[spoke.HostID]*peer
 		stores    []*store
@@ -65,7 +59,7 @@
 		cell:      SetCell{Count: 1},
 		queues:    make(map[spoke.ServiceName][]*waiting),
 		running:   make(map[spoke.CallNumber]*running),
-		wanted:    make(map[spoke.ModelName]wanted),
+		named:     make(map[spoke.ModelName]naming),
 		budgets:   make(map[spoke.ServiceName]*budget),
 		peers:     make(map[spoke.HostID]*peer),
 		storedAt:  make(map[spoke.StoredKey][]*store),
@@ -108,6 +102,7 @@
 		s.index()
 	case Tick:
 		s.dropSilent(now)
+		s.recallOutdated(now)
 	}
 	s.dispatch(now)
 	return s.actions
--- a/place/weights_test.go
+++ b/place/weights_test.go
@@ -36,3 +36,55 @@
 	_, hasNews = tr.scheduler.ForOtherCells(tr.scheduler.Account(tr.now, true))
 	assert.Assert(t, !hasNews)
 }
+
+func (tr *trial) name(version spoke.WeightVersion) {
+	tr.handle(place.SetWeights{Wanted: spoke.WantedWeights{Model: model, Version: version}})
+}
+
+// Replays two versions named 4 s apart. Guards against a second name that gives engines on the
+// oldest weights their time anew, while other hosts already free the parts made on them.
+func TestSecondNameDoesNotRenewTheTimeOfOlderWeights(t *testing.T) {
+	tr := newTrial(t, 1)
+	tr.name(2)
+	tr.now = tr.now.Add(4 * time.Second)
+	tr.name(3)
+	tr.now = tr.now.Add(1500 * time.Millisecond)
+	assert.Equal(t, tr.refusal(tr.ask(0, "s", 500, 200)).Reason, place.RefusedWeights)
+	tr.handle(place.SeeWeights{Upstream: "engine-0", Weights: spoke.ListedWeights{Model: model, Version: 2}})
+	assert.Equal(t, tr.grant(tr.ask(0, "s", 500, 200)).Weights, spoke.WeightVersion(2))
+}
+
+// Guards against a host that missed the first of two names and counts the time of the oldest
+// weights from the second.
+func TestFirstNameReachesHostsThatLearnedTheSecond(t *testing.T) {
+	other := newTrialOf(t, "host-2", 1)
+	other.name(2)
+	other.now = other.now.Add(5 * time.Second)
+	other.name(3)
+
+	for _, isGuess := range []bool{false, true} {
+		tr := newTrial(t, 1)
+		tr.now = other.now
+		tr.handle(place.SetWeights{Wanted: spoke.WantedWeights{Model: model, Version: 3}, IsGuess: isGuess})
+		tr.handle(place.Hear{Share: other.scheduler.Account(other.now, true)})
+		tr.now = tr.now.Add(500 * time.Millisecond)
+		assert.Equal(t, tr.refusal(tr.ask(0, "s", 500, 200)).Reason, place.RefusedWeights)
+	}
+}
+
+// Replays an engine that turns slow while weights are replaced, so that a call waits inside it
+// until after the limit. Guards against a call that begins on weights after their time.
+func TestCallThatHasNotBegunIsRecalledAtTheEndOfItsWeights(t *testing.T) {
+	tr := newTrial(t, 1)
+	begun := tr.grant(tr.ask(0, "s", 100, 100))
+	tr.handle(place.Began{Call: begun.Call})
+	stuck := tr.grant(tr.ask(0, "s", 100, 100))
+	tr.name(2)
+	for tr.now.Before(time.Unix(1005, 500000000)) {
+		assert.Equal(t, len(tr.pass(100*time.Millisecond)), 0)
+		assert.Assert(t, tr.scheduler.NeedsTime(tr.now))
+	}
+	actions := tr.pass(300 * time.Millisecond)
+	assert.DeepEqual(t, actions, []place.Action{place.Recall{Call: stuck.Call}})
+	assert.Equal(t, len(tr.pass(100*time.Millisecond)), 0, "recalled once")
+}
--- a/swap/machine_test.go
+++ b/swap/machine_test.go
@@ -21,13 +21,19 @@
 
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
+// load is an order that an engine carries out.
+type load struct {
+	ready   time.Time
+	version spoke.ModelVersion
+}
+
 // fleet is a simple model of engines that obey orders after a swap time.
 type fleet struct {
 	now        time.Time
 	reconciler *swap.Reconciler
 	upstreams  []spoke.Upstream
 	versions   map[spoke.UpstreamID]spoke.ModelVersion
-	loading    map[spoke.UpstreamID]time.Time
+	loading    map[spoke.UpstreamID]load
 	out        map[spoke.UpstreamID]time.Time
 	silent     map[spoke.UpstreamID]bool
 	want       spoke.ModelVersion
@@ -38,10 +44,10 @@
 	orders     int
 }
 
-func newFleet(n int, checks func(i int) bool) *fleet {
+func newFleet(n int, checks func(i int) bool, options ...swap.Option) *fleet {
 	f := &fleet{
-		now: epoch, reconciler: swap.NewReconciler(swap.WithOrderDeadline(orderDeadline)), want: "v2",
-		versions: map[spoke.UpstreamID]spoke.ModelVersion{}, loading: map[spoke.UpstreamID]time.Time{},
+		now: epoch, reconciler: swap.NewReconciler(append(options, swap.WithOrderDeadline(orderDeadline))...), want: "v2",
+		versions: map[spoke.UpstreamID]spoke.ModelVersion{}, loading: map[spoke.UpstreamID]load{},
 		out: map[spoke.UpstreamID]time.Time{}, silent: map[spoke.UpstreamID]bool{},
 	}
 	for i := range n {
@@ -63,8 +69,8 @@
 	f.now = f.now.Add(250 * time.Millisecond)
 	reports := map[spoke.UpstreamID]spoke.LoadReport{}
 	for _, u := range f.upstreams {
-		if ready, ok := f.loading[u.ID]; ok && !f.now.Before(ready) {
-			f.versions[u.ID] = f.want
+		if order, ok := f.loading[u.ID]; ok && !f.now.Before(order.ready) {
+			f.versions[u.ID] = order.version
 			delete(f.loading, u.ID)
 		}
 		as := f.now
@@ -114,7 +120,7 @@
 		return fmt.Sprintf("order for %s, want %s", a.Order.Version, f.want)
 	}
 	if !f.deaf {
-		f.loading[a.Upstream] = f.now.Add(swapTime)
+		f.loading[a.Upstream] = load{f.now.Add(swapTime), a.Order.Version}
 	}
 	return ""
 }
--- a/swap/options.go
+++ b/swap/options.go
@@ -1,6 +1,10 @@
 package swap
 
-import "time"
+import (
+	"time"
+
+	"magnoliaspoke.example/spoke"
+)
 
 const (
 	// More than two swaps at once slow each other down at the weight store.
@@ -38,6 +42,7 @@
 		reportAge     time.Duration
 		attempts      int
 		pause         time.Duration
+		compare       func(a, b spoke.ModelVersion) int
 	}
 )
 
@@ -66,11 +71,17 @@
 	return func(s *settings) { s.attempts, s.pause = attempts, pause }
 }
 
+// WithVersionOrder sets how versions compare; upstreams on the oldest one are swapped first.
+func WithVersionOrder(compare func(a, b spoke.ModelVersion) int) Option {
+	return func(s *settings) { s.compare = compare }
+}
+
 func newSettings(options []Option) settings {
 	s := settings{
 		atOnce: defaultAtOnce, orderDeadline: defaultOrderDeadline, loadTime: defaultLoadTime,
 		notice: defaultNotice, drain: defaultDrain, urgentWait: defaultUrgentWait,
 		reportAge: defaultReportAge, attempts: defaultAttempts, pause: defaultPause,
+		compare: func(spoke.ModelVersion, spoke.ModelVersion) int { return 0 },
 	}
 	for _, option := range options {
 		option(&s)
--- a/swap/reconciler.go
+++ b/swap/reconciler.go
@@ -25,6 +25,9 @@
 		since   time.Time
 		until   time.Time
 		ordered time.Time
+		// model and version are what the order loads.
+		model   spoke.ModelName
+		version spoke.ModelVersion
 		orders  int
 	}
 
@@ -127,7 +130,8 @@
 		if now.Sub(s.ordered) > r.settings.orderDeadline+r.settings.loadTime {
 			r.retry(now, upstream.ID, s)
 		}
-	case v.isFresh(upstream.ID) && !wrong:
+	case v.isFresh(upstream.ID) && !wrong, s.phase == phaseOrdered && v.serves(upstream.ID, s.model, s.version):
+		// An upstream that loaded what a newer version has replaced meanwhile gives its turn to the oldest.
 		r.putBack(now, upstream.ID)
 		return
 	case s.phase == phaseOrdered:
@@ -158,6 +162,7 @@
 
 func (r *Reconciler) order(now time.Time, id spoke.UpstreamID, model spoke.Model, s *swapping) {
 	s.phase, s.ordered = phaseOrdered, now
+	s.model, s.version = model.Name, model.Version
 	s.orders++
 	r.actions = append(r.actions, GiveOrder{id, spoke.Order{
 		Kind: spoke.OrderLoadVersion, Model: model.Name, Version: model.Version,
--- a/swap/view.go
+++ b/swap/view.go
@@ -84,6 +84,28 @@
 	return spoke.Model{}, false
 }
 
+// served returns the version of a model that an upstream last reported.
+func (v view) served(id spoke.UpstreamID, model spoke.ModelName) spoke.ModelVersion {
+	return v.reports[id].Versions[model]
+}
+
+// serves reports whether an upstream serves a version.
+func (v view) serves(id spoke.UpstreamID, model spoke.ModelName, version spoke.ModelVersion) bool {
+	return v.isFresh(id) && v.served(id, model) == version
+}
+
+// oldestFirst returns the upstreams with those on the oldest versions first.
+func (v view) oldestFirst(compare func(a, b spoke.ModelVersion) int) []spoke.Upstream {
+	return slices.SortedStableFunc(slices.Values(v.upstreams), func(a, b spoke.Upstream) int {
+		for _, model := range v.models[a.Service] {
+			if order := compare(v.served(a.ID, model.Name), v.served(b.ID, model.Name)); a.Service == b.Service && order != 0 {
+				return order
+			}
+		}
+		return 0
+	})
+}
+
 func (v view) isFresh(id spoke.UpstreamID) bool {
 	report, ok := v.reports[id]
 	return ok && v.now.Sub(report.AsOf) <= v.reportAge
