Free stored parts only when no host can copy them any more

Cause: a part was freed a fixed time after newer weights were named, or 3 s after the last entry of an engine listed them. A host that had missed either, since it was cut off, frozen or just started, could still have it copied: an engine then copied from freed parts.

Now the host that follows a store first tells all others the oldest weights whose parts may be copied, and frees older ones 6 s later: a host that hears of it copies them no more, one that does not stops using the store after 2.5 s, and a copy that has not ended 3 s after its call was placed is thrown away by the engine, whose clock the accounts carry. A second host that tells of the same store starts the time anew.

Ruled out: freeing only when every listed engine has newer weights; an engine whose entry lapsed can serve older ones to a host that is cut off from the platform.

--- a/calls.go
+++ b/calls.go
@@ -75,6 +75,8 @@
 		Fetch []Address
 		// Save names for each part of the prompt where the engine sends it, empty for none.
 		Save []Address
+		// FetchUntil is when copies that have not ended are thrown away, zero for never.
+		FetchUntil EngineTime
 	}
 
 	// UpstreamLoad is what an upstream says of its load in an answer.
--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -75,6 +75,7 @@
 	a.spec = spoke.RelayedAttempt{
 		Call: a.call, Upstream: a.grant.Upstream.ID, Workspace: a.owner.Workspace,
 		Remaining: time.Until(a.giveUp), Weights: a.grant.Weights, LastEvent: a.call.LastEvent, Fetch: a.grant.Fetch, Save: a.grant.Save,
+		FetchUntil: a.grant.FetchUntil,
 	}
 	if a.route.IsPrompt {
 		a.spec.CacheGroup = place.CacheGroup(a.owner, a.call.Prompt.Model, a.grant.Weights)
--- a/edge/host.go
+++ b/edge/host.go
@@ -104,6 +104,7 @@
 		gap: directoryGap, apply: h.apply, isServed: h.isServed.Load, behind: make(chan struct{}),
 	}
 	h.stores = newStoreFollowers(settings, parts, h.planner)
+	h.planner.contested = h.stores.contest
 	return h, nil
 }
 
--- a/edge/planner.go
+++ b/edge/planner.go
@@ -48,14 +48,16 @@
 
 	// planner is the task that owns the scheduler.
 	planner struct {
-		scheduler  *place.Scheduler
-		timer      spoke.Timer
-		log        logrus.FieldLogger
-		in         chan planned
-		peers      chan neighbours
-		replies    map[spoke.CallNumber]chan place.Action
-		recalls    map[spoke.CallNumber]context.CancelCauseFunc
-		send       func(spoke.LoadShare, []netip.AddrPort)
+		scheduler *place.Scheduler
+		timer     spoke.Timer
+		log       logrus.FieldLogger
+		in        chan planned
+		peers     chan neighbours
+		replies   map[spoke.CallNumber]chan place.Action
+		recalls   map[spoke.CallNumber]context.CancelCauseFunc
+		send      func(spoke.LoadShare, []netip.AddrPort)
+		// contested is called with each store that this host follows and another one tells of.
+		contested  func(spoke.ServiceName)
 		quarantine *marks
 		known      *knowledge
 		neighbours neighbours
@@ -151,6 +153,9 @@
 	case place.Recall:
 		p.recall(a.Call)
 		return
+	case place.Contest:
+		p.contested(a.Store)
+		return
 	}
 	reply := p.replies[call]
 	delete(p.replies, call)
--- a/edge/stores.go
+++ b/edge/stores.go
@@ -31,6 +31,7 @@
 	storesNews  struct{ stores []spoke.PromptStore }
 	peersNews   struct{ hosts []spoke.HostID }
 	weightsNews struct{ change spoke.DirectoryChange }
+	contestNews struct{ store spoke.ServiceName }
 	storeResult struct {
 		store   spoke.ServiceName
 		events  spoke.StoreEvents
@@ -53,6 +54,7 @@
 		pauseTo time.Time
 		used    spoke.TokenCount
 		parts   map[spoke.StoredPart]spoke.TokenCount
+		freeing *place.Freeing
 	}
 
 	// storeFollowers is the task that follows the prompt stores of which this host is in charge,
@@ -85,6 +87,15 @@
 func (f *storeFollowers) send(ctx context.Context, m any)    { sendTo(ctx, f.in, m) }
 func (f *storeFollowers) isOwn(store spoke.ServiceName) bool { return f.ownerOf(store) == f.host }
 
+// contest notes that another host tells of a store. It does not wait, since the caller's own queue
+// may be what this task waits for; the next account repeats the news.
+func (f *storeFollowers) contest(store spoke.ServiceName) {
+	select {
+	case f.in <- contestNews{store}:
+	default:
+	}
+}
+
 func (f *storeFollowers) ownerOf(store spoke.ServiceName) spoke.HostID {
 	return route.Owner(spoke.UpstreamID(store), f.hosts)
 }
@@ -103,6 +114,10 @@
 		slices.Sort(f.hosts)
 	case weightsNews:
 		f.takeWeights(m.change)
+	case contestNews:
+		if st := f.stores[m.store]; st != nil {
+			st.freeing.Restart()
+		}
 	case storeResult:
 		f.takeResult(m)
 	case freeResult:
@@ -123,7 +138,7 @@
 		f.outdated.Name(now, wanted)
 	}
 	isWhole := change.IsWhole && !change.KeepsUpstreams
-	f.outdated.List(now, isWhole, change.Upstreams, change.GoneUpstreams)
+	f.outdated.List(isWhole, change.Upstreams, change.GoneUpstreams)
 }
 
 func (f *storeFollowers) takeStores(stores []spoke.PromptStore) {
@@ -132,7 +147,7 @@
 	for _, settings := range stores {
 		st := known[settings.Name]
 		if st == nil || st.Address != settings.Address {
-			st = &followed{parts: make(map[spoke.StoredPart]spoke.TokenCount)}
+			st = &followed{parts: make(map[spoke.StoredPart]spoke.TokenCount), freeing: place.NewFreeing()}
 		}
 		st.PromptStore = settings
 		f.stores[settings.Name] = st
@@ -148,6 +163,7 @@
 		case !f.isOwn(name):
 			// What is known is out of date when this host takes over again.
 			st.epoch = 0
+			st.freeing.Restart()
 		case st.isBusy || now.Before(st.pauseTo):
 		default:
 			f.call(ctx, now, st)
@@ -209,7 +225,11 @@
 		st.parts, st.used = make(map[spoke.StoredPart]spoke.TokenCount), 0
 	}
 	st.epoch, st.next = m.events.Epoch, m.events.Next
-	f.tell(st.apply(m.events))
+	state := st.apply(m.events)
+	now := f.timer.Now()
+	state.Clock, state.Oldest = m.events.Clock, f.outdated.Oldest(now)
+	st.freeing.Tell(now, state.Oldest)
+	f.tell(state)
 }
 
 // apply takes the changes of the store and returns what other hosts should know.
@@ -244,7 +264,7 @@
 	f.planner.in <- planned{message: place.SeeStore{State: state}}
 }
 
-// oldParts returns parts of the store that no call can use any more, as many as one call frees.
+// oldParts returns parts of the store that no host can copy any more, as many as one call frees.
 func (f *storeFollowers) oldParts(now time.Time, st *followed) []spoke.StoredPart {
 	var old []spoke.StoredPart
 	// A store holds many parts of few groups.
@@ -252,7 +272,7 @@
 	for part := range st.parts {
 		verdict, known := isOld[part.Group]
 		if !known {
-			verdict = f.outdated.Includes(now, part.Group)
+			verdict = st.freeing.Includes(now, part.Group)
 			isOld[part.Group] = verdict
 		}
 		if !verdict {
--- a/peers/codec.go
+++ b/peers/codec.go
@@ -66,6 +66,9 @@
 		Used   int64    `json:"used"`
 		Stored []uint64 `json:"stored,omitempty"`
 		Freed  []uint64 `json:"freed,omitempty"`
+		// ClockMs is the time of engines and stores in milliseconds.
+		ClockMs int64        `json:"clock-ms,omitempty"`
+		Oldest  []weightsRow `json:"oldest,omitempty"`
 	}
 
 	markRow struct {
@@ -102,10 +105,7 @@
 		row.Wanted = append(row.Wanted, wantedRow{string(w.Wanted.Model), int64(w.Wanted.Version), w.Age.Milliseconds()})
 	}
 	for _, state := range share.Stores {
-		row.Stores = append(row.Stores, storeRow{
-			Name: string(state.Store), Epoch: uint64(state.Epoch), IsDown: state.IsDown, Used: int64(state.Used),
-			Stored: convert[uint64](state.Stored), Freed: convert[uint64](state.Freed),
-		})
+		row.Stores = append(row.Stores, encodeStore(state))
 	}
 	raw, err := json.Marshal(row)
 	return raw, eris.Wrap(err, "encode load account")
@@ -159,14 +159,33 @@
 		})
 	}
 	for _, state := range row.Stores {
-		share.Stores = append(share.Stores, spoke.StoreState{
-			Store: spoke.ServiceName(state.Name), Epoch: spoke.StoreEpoch(state.Epoch), IsDown: state.IsDown,
-			Used: spoke.TokenCount(state.Used), Stored: convert[spoke.StoredKey](state.Stored), Freed: convert[spoke.StoredKey](state.Freed),
-		})
+		share.Stores = append(share.Stores, decodeStore(state))
 	}
 	return share, nil
 }
 
+func encodeStore(state spoke.StoreState) storeRow {
+	row := storeRow{
+		Name: string(state.Store), Epoch: uint64(state.Epoch), IsDown: state.IsDown, Used: int64(state.Used),
+		Stored: convert[uint64](state.Stored), Freed: convert[uint64](state.Freed), ClockMs: int64(state.Clock),
+	}
+	for _, usable := range state.Oldest {
+		row.Oldest = append(row.Oldest, weightsRow{string(usable.Model), int64(usable.Version)})
+	}
+	return row
+}
+
+func decodeStore(row storeRow) spoke.StoreState {
+	state := spoke.StoreState{
+		Store: spoke.ServiceName(row.Name), Epoch: spoke.StoreEpoch(row.Epoch), IsDown: row.IsDown, Used: spoke.TokenCount(row.Used),
+		Stored: convert[spoke.StoredKey](row.Stored), Freed: convert[spoke.StoredKey](row.Freed), Clock: spoke.EngineTime(row.ClockMs),
+	}
+	for _, usable := range row.Oldest {
+		state.Oldest = append(state.Oldest, spoke.ListedWeights{Model: spoke.ModelName(usable.Model), Version: spoke.WeightVersion(usable.Version)})
+	}
+	return state
+}
+
 // convert maps keys between their type and that of the wire.
 func convert[To, From ~uint64](keys []From) []To {
 	converted := make([]To, 0, len(keys))
--- a/place/dispatch.go
+++ b/place/dispatch.go
@@ -83,11 +83,15 @@
 	if m.IsRepeat {
 		s.budget(m.Service).repeats.add(now)
 	}
-	s.actions = append(s.actions, Grant{
+	granted := Grant{
 		Call: m.Call, Upstream: c.node.listed, Weights: c.weights, Cached: c.cached,
 		Fetched: c.fetched, Fetch: c.fetch, Save: s.planSaves(now, m, c.weights),
 		Predicted: c.first, Waited: now.Sub(m.Arrived), Urgency: m.Urgency,
-	})
+	}
+	if slices.ContainsFunc(c.fetch, func(from spoke.Address) bool { return from != "" }) {
+		granted.FetchUntil = s.engineClock.fetchUntil(now)
+	}
+	s.actions = append(s.actions, granted)
 }
 
 func expectedOutput(prompt *spoke.PromptShape) spoke.TokenCount {
--- a/place/fetch.go
+++ b/place/fetch.go
@@ -25,7 +25,7 @@
 // look at a waiting call.
 type holdings struct {
 	version spoke.WeightVersion
-	keys    []spoke.StoredKey
+	keys    []storedKey
 	// engines have the beginning of the prompt up to the size beside them.
 	engines []*node
 	held    []spoke.TokenCount
@@ -38,7 +38,8 @@
 	}
 	found := &holdings{version: version}
 	for _, part := range w.ask.Prompt.Parts {
-		found.keys = append(found.keys, StoredKeyOf(spoke.StoredPart{Group: groupOf(w.ask, version), Part: part.ID}))
+		key := StoredKeyOf(spoke.StoredPart{Group: groupOf(w.ask, version), Part: part.ID})
+		found.keys = append(found.keys, storedKey{key, w.ask.Prompt.Model, version})
 	}
 	prefixes := w.prefixesFor(version)
 	for _, n := range s.near[w.ask.Service] {
--- a/place/messages.go
+++ b/place/messages.go
@@ -149,6 +149,8 @@
 		// Fetch and Save name a place for each part of the prompt, empty for none.
 		Fetch []spoke.Address
 		Save  []spoke.Address
+		// FetchUntil is when copies that have not ended are thrown away, zero if there are none.
+		FetchUntil spoke.EngineTime
 		// Predicted is the expected time to the first event.
 		Predicted time.Duration
 		// Waited is the time since the call arrived.
@@ -166,6 +168,9 @@
 		Backlog time.Duration
 	}
 
+	// Contest reports that another host tells of a store that this host follows.
+	Contest struct{ Store spoke.ServiceName }
+
 	// Recall ends the attempt of a call that has not begun, since its weights must not be used any more.
 	Recall struct{ Call spoke.CallNumber }
 )
@@ -188,3 +193,5 @@
 func (Grant) isAction()  {}
 func (Refuse) isAction() {}
 func (Recall) isAction() {}
+
+func (Contest) isAction() {}
--- a/place/news.go
+++ b/place/news.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -92,17 +93,41 @@
 	return part, rest, len(rest.Stored)+len(rest.Freed) == 0
 }
 
+// newsOfStores returns the oldest news for a group. What may be copied is told as it is now, since
+// news may have waited for their turn.
+func (s *Scheduler) newsOfStores(group int) []spoke.StoreState {
+	news := s.report.takeStores(group)
+	for i := range news {
+		if st := s.storeOf(news[i].Store); st != nil {
+			news[i].Oldest = st.oldestUsable()
+		}
+	}
+	return news
+}
+
 // storesAgain returns the states of the stores that this host follows, with some of their parts.
-func (s *Scheduler) storesAgain(group int) []spoke.StoreState {
+func (s *Scheduler) storesAgain(now time.Time, group int) []spoke.StoreState {
 	var states []spoke.StoreState
 	for _, st := range s.stores {
 		if st.isOwn {
-			states = append(states, spoke.StoreState{Store: st.Name, Epoch: st.epoch, Used: st.used, Stored: st.retold.take(group, st.parts)})
+			states = append(states, spoke.StoreState{
+				Store: st.Name, Epoch: st.epoch, Used: st.used, Stored: st.retold.take(group, st.parts),
+				Clock: s.engineClock.now(now), Oldest: st.oldestUsable(),
+			})
 		}
 	}
 	return states
 }
 
+// oldestUsable returns the oldest weights whose parts may be copied.
+func (st *store) oldestUsable() []spoke.ListedWeights {
+	var usable []spoke.ListedWeights
+	for _, model := range slices.Sorted(maps.Keys(st.oldest)) {
+		usable = append(usable, spoke.ListedWeights{Model: model, Version: st.oldest[model]})
+	}
+	return usable
+}
+
 func (r *retold) add(key spoke.StoredKey) { r.keys = append(r.keys, key) }
 
 // take returns the next parts for a group; parts that were freed are left out.
--- a/place/outdated.go
+++ b/place/outdated.go
@@ -1,31 +1,36 @@
 package place
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"magnoliaspoke.example/spoke"
 )
 
-// copyTime is the time in which a copy that was begun on older weights has ended.
-const copyTime = 3 * time.Second
+const (
+	// copyTime is the longest time from the placing of a call to the end of its copies from stores.
+	copyTime = 3 * time.Second
+	// freeAfter is the time after hosts were told not to copy a part any more in which it may still be
+	// copied: what a host knows of a store counts for storeLease, on top of an account's way to it.
+	freeAfter = storeLease + copyTime + 500*time.Millisecond
+)
 
 type (
-	// Outdated says which stored parts no call can use any more, since newer weights replaced those
-	// on which they were made.
+	// Outdated says which weights no call may begin on any more, since newer ones replaced them.
 	Outdated struct {
 		// limit is the time after newer weights were named in which calls may begin on older ones.
-		limit time.Duration
-		// named holds the versions of each model in the order in which they were named.
-		named   map[spoke.ModelName][]versionSince
+		limit   time.Duration
+		named   map[spoke.ModelName]naming
 		serving map[spoke.UpstreamID]map[spoke.ModelName]spoke.WeightVersion
-		// lowest is the lowest version of each model that an engine serves.
-		lowest map[spoke.ModelName]versionSince
 	}
 
-	// versionSince is a version and since when it holds.
-	versionSince struct {
-		version spoke.WeightVersion
-		since   time.Time
+	// Freeing says which parts of one store may be freed: those that the host which follows the store
+	// has told all others not to copy, long enough ago that no copy can be under way. A host that did
+	// not hear of it does not use the store any more, and late copies are thrown away by their engine.
+	Freeing struct {
+		// told holds the oldest usable versions and since when the other hosts were told of them.
+		told map[spoke.ModelName]naming
 	}
 )
 
@@ -33,23 +38,19 @@
 func NewOutdated(limit time.Duration) *Outdated {
 	return &Outdated{
 		limit:   limit,
-		named:   make(map[spoke.ModelName][]versionSince),
+		named:   make(map[spoke.ModelName]naming),
 		serving: make(map[spoke.UpstreamID]map[spoke.ModelName]spoke.WeightVersion),
-		lowest:  make(map[spoke.ModelName]versionSince),
 	}
 }
 
 // Name takes weights that engines should serve.
 func (o *Outdated) Name(now time.Time, wanted spoke.WantedWeights) {
-	versions := o.named[wanted.Model]
-	if len(versions) > 0 && versions[len(versions)-1].version >= wanted.Version {
-		return
-	}
-	o.named[wanted.Model] = append(versions, versionSince{wanted.Version, now})
+	known := o.named[wanted.Model].take(named{version: wanted.Version, since: now})
+	o.named[wanted.Model] = known.forget(now.Add(-o.limit))
 }
 
 // List takes changes of the list of upstreams.
-func (o *Outdated) List(now time.Time, isWhole bool, listed []spoke.ListedUpstream, gone []spoke.UpstreamID) {
+func (o *Outdated) List(isWhole bool, listed []spoke.ListedUpstream, gone []spoke.UpstreamID) {
 	if isWhole {
 		clear(o.serving)
 	}
@@ -59,11 +60,24 @@
 	for _, id := range gone {
 		delete(o.serving, id)
 	}
-	for model, version := range o.lowestServed() {
-		if o.lowest[model].version != version {
-			o.lowest[model] = versionSince{version, now}
+}
+
+// Oldest returns the oldest version of each model that may be used: calls may not begin on older
+// ones any more, or every engine serves newer ones.
+func (o *Outdated) Oldest(now time.Time) []spoke.ListedWeights {
+	oldest := o.lowestServed()
+	for model, versions := range o.named {
+		for _, known := range versions {
+			if now.Sub(known.since) > o.limit {
+				oldest[model] = max(oldest[model], known.version)
+			}
 		}
 	}
+	var usable []spoke.ListedWeights
+	for _, model := range slices.Sorted(maps.Keys(oldest)) {
+		usable = append(usable, spoke.ListedWeights{Model: model, Version: oldest[model]})
+	}
+	return usable
 }
 
 func (o *Outdated) lowestServed() map[spoke.ModelName]spoke.WeightVersion {
@@ -78,18 +92,26 @@
 	return lowest
 }
 
-// Includes reports whether parts of a cache group are of no more use. That is so when calls may not
-// begin on their weights any more, or when every engine serves newer ones, and copies have ended.
-func (o *Outdated) Includes(now time.Time, group string) bool {
+// NewFreeing returns a decision for a store of which nothing was told yet.
+func NewFreeing() *Freeing { return &Freeing{told: make(map[spoke.ModelName]naming)} }
+
+// Tell notes that the other hosts are told of the oldest usable weights from now on.
+func (f *Freeing) Tell(now time.Time, oldest []spoke.ListedWeights) {
+	for _, usable := range oldest {
+		known := f.told[usable.Model].take(named{version: usable.Version, since: now})
+		f.told[usable.Model] = known.forget(now.Add(-freeAfter))
+	}
+}
+
+// Restart counts the time anew, since another host has told of the store as well.
+func (f *Freeing) Restart() { clear(f.told) }
+
+// Includes reports whether no host can copy parts of a cache group any more.
+func (f *Freeing) Includes(now time.Time, group string) bool {
 	model, version, ok := GroupWeights(group)
 	if !ok {
 		return false
 	}
-	for _, newer := range o.named[model] {
-		if newer.version > version && now.Sub(newer.since) > o.limit+copyTime {
-			return true
-		}
-	}
-	lowest := o.lowest[model]
-	return lowest.version > version && now.Sub(lowest.since) > copyTime
+	told, isOld := f.told[model].replacedAt(version)
+	return isOld && now.Sub(told) > freeAfter
 }
--- a/place/outdated_test.go
+++ b/place/outdated_test.go
@@ -10,41 +10,120 @@
 	"magnoliaspoke.example/spoke/place"
 )
 
+const weightsLimit = 8 * time.Second
+
+func weightsOf(version spoke.WeightVersion) map[spoke.ModelName]spoke.WeightVersion {
+	return map[spoke.ModelName]spoke.WeightVersion{model: version}
+}
+
+func oldest(version spoke.WeightVersion) []spoke.ListedWeights {
+	return []spoke.ListedWeights{{Model: model, Version: version}}
+}
+
+func groupAt(version spoke.WeightVersion) string {
+	return place.CacheGroup(spoke.KeyOwner{}, model, version)
+}
+
 // Replays a roll-out while stores are full of parts of the older weights, which left no room for
-// parts of the new ones until long after the last engine had changed. Guards against parts that
-// are freed while a call may copy them, that stay although none can, and that belong to another
-// model with a lower version.
-func TestPartsOfOlderWeightsAreFreed(t *testing.T) {
-	const limit = 8 * time.Second
-	outdated := place.NewOutdated(limit)
+// parts of the new ones until long after the last engine had changed. Guards against weights that
+// count as usable although no engine serves them, and against those of an engine that counts.
+func TestWeightsThatNoEngineServesAreOutdated(t *testing.T) {
+	outdated := place.NewOutdated(weightsLimit)
 	now := time.Unix(1000, 0)
 	first, second := engine(0), engine(1)
-	outdated.List(now, true, []spoke.ListedUpstream{first, second}, nil)
+	outdated.List(true, []spoke.ListedUpstream{first, second}, nil)
 	outdated.Name(now, spoke.WantedWeights{Model: model, Version: 2})
-	group := func(version spoke.WeightVersion) string { return place.CacheGroup(spoke.KeyOwner{}, model, version) }
-	newer := map[spoke.ModelName]spoke.WeightVersion{model: 2}
-	first.Weights = newer
-	outdated.List(now, false, []spoke.ListedUpstream{first}, nil)
-
-	now = now.Add(4 * time.Second)
-	assert.Assert(t, !outdated.Includes(now, group(1)), "an engine still serves them")
-	second.Weights = newer
-	outdated.List(now, false, []spoke.ListedUpstream{second}, nil)
-	assert.Assert(t, !outdated.Includes(now.Add(time.Second), group(1)), "a copy may be under way")
-	assert.Assert(t, outdated.Includes(now.Add(4*time.Second), group(1)))
-	assert.Assert(t, !outdated.Includes(now.Add(time.Hour), group(2)))
-	assert.Assert(t, !outdated.Includes(now.Add(time.Hour), place.CacheGroup(spoke.KeyOwner{}, "model-b", 1)))
-	assert.Assert(t, !outdated.Includes(now.Add(time.Hour), "a text of another program"))
-}
-
-// Guards against parts that are kept for an engine that never takes the new weights.
-func TestPartsOfOlderWeightsAreFreedAtTheLimit(t *testing.T) {
-	const limit = 8 * time.Second
-	outdated := place.NewOutdated(limit)
+	first.Weights = weightsOf(2)
+	outdated.List(false, []spoke.ListedUpstream{first}, nil)
+	assert.DeepEqual(t, outdated.Oldest(now.Add(4*time.Second)), oldest(1))
+	second.Weights = weightsOf(2)
+	outdated.List(false, []spoke.ListedUpstream{second}, nil)
+	assert.DeepEqual(t, outdated.Oldest(now.Add(4*time.Second)), oldest(2))
+}
+
+// Guards against parts that are kept for an engine that never takes the new weights, and against a
+// second name that gives the oldest weights their time anew.
+func TestOlderWeightsAreOutdatedAtTheLimitOfTheFirstName(t *testing.T) {
+	outdated := place.NewOutdated(weightsLimit)
 	now := time.Unix(1000, 0)
-	outdated.List(now, true, []spoke.ListedUpstream{engine(0)}, nil)
+	outdated.List(true, []spoke.ListedUpstream{engine(0)}, nil)
 	outdated.Name(now, spoke.WantedWeights{Model: model, Version: 2})
-	group := place.CacheGroup(spoke.KeyOwner{}, model, 1)
-	assert.Assert(t, !outdated.Includes(now.Add(limit), group))
-	assert.Assert(t, outdated.Includes(now.Add(limit+4*time.Second), group))
+	outdated.Name(now.Add(4*time.Second), spoke.WantedWeights{Model: model, Version: 3})
+	assert.DeepEqual(t, outdated.Oldest(now.Add(weightsLimit)), oldest(1))
+	assert.DeepEqual(t, outdated.Oldest(now.Add(weightsLimit+time.Second)), oldest(2))
+	assert.DeepEqual(t, outdated.Oldest(now.Add(weightsLimit+5*time.Second)), oldest(3))
+}
+
+// Guards against parts that are freed while a host that has not heard of it may copy them, that stay
+// although none can, and that belong to another model with a lower version.
+func TestPartsAreFreedOnlyWhenNoHostCanCopyThem(t *testing.T) {
+	freeing := place.NewFreeing()
+	now := time.Unix(1000, 0)
+	freeing.Tell(now, oldest(1))
+	assert.Assert(t, !freeing.Includes(now.Add(time.Hour), groupAt(1)))
+	now = now.Add(time.Minute)
+	freeing.Tell(now, oldest(2))
+	assert.Assert(t, !freeing.Includes(now.Add(5900*time.Millisecond), groupAt(1)), "a host may still copy")
+	assert.Assert(t, freeing.Includes(now.Add(6100*time.Millisecond), groupAt(1)))
+	freeing.Tell(now.Add(3*time.Second), oldest(3))
+	assert.Assert(t, freeing.Includes(now.Add(6100*time.Millisecond), groupAt(1)))
+	assert.Assert(t, !freeing.Includes(now.Add(6100*time.Millisecond), groupAt(2)))
+	later := now.Add(time.Hour)
+	assert.Assert(t, !freeing.Includes(later, groupAt(3)))
+	assert.Assert(t, !freeing.Includes(later, place.CacheGroup(spoke.KeyOwner{}, "model-b", 1)))
+	assert.Assert(t, !freeing.Includes(later, "a text of another program"))
+	freeing.Restart()
+	assert.Assert(t, !freeing.Includes(later, groupAt(1)))
+}
+
+// Replays a roll-out seen by three hosts: one that follows the store, one that hears of it and still
+// has an engine on the older weights, and one that hears nothing more. Guards against copies of parts
+// that the first may free by then.
+func TestPartsOfOutdatedWeightsAreNotCopied(t *testing.T) {
+	key := place.StoredKeyOf(spoke.StoredPart{Group: groupAt(1), Part: "session"})
+	state := spoke.StoreState{Store: "store", Epoch: 7, Used: 8000, Clock: 50000, Stored: []spoke.StoredKey{key}, Oldest: oldest(1)}
+	follower := newTrialOf(t, "host-2", 1)
+	follower.handle(place.SeeStore{State: state})
+	hearing, deaf := newTrial(t, 1), newTrial(t, 1)
+	first := follower.scheduler.Account(follower.now, true)
+	for _, tr := range []*trial{hearing, deaf} {
+		tr.handle(place.Hear{Share: first})
+		granted := tr.grant(tr.ask(2, "session", 8000, 1000))
+		assert.Equal(t, granted.Fetch[0], spoke.Address("10.0.0.9:1"))
+		assert.Equal(t, granted.FetchUntil, spoke.EngineTime(53000))
+		tr.settle(granted)
+	}
+	follower.handle(place.SeeStore{State: spoke.StoreState{Store: "store", Epoch: 7, Used: 8000, Oldest: oldest(2)}})
+	follower.now = follower.now.Add(time.Second)
+	hearing.handle(place.Hear{Share: follower.scheduler.Account(follower.now, true)})
+	hearing.handle(place.Hear{Share: spoke.LoadShare{Host: "host-3", Number: 1, Stores: []spoke.StoreState{state}}})
+	for _, tr := range []*trial{hearing, deaf} {
+		tr.now = tr.now.Add(2 * time.Second)
+		granted := tr.grant(tr.ask(2, "session", 8000, 1000))
+		assert.Equal(t, granted.Fetch[0], spoke.Address(""))
+		assert.DeepEqual(t, granted.Save, []spoke.Address{"", ""})
+	}
+}
+
+// Guards against news of a store that waited for their turn and say that outdated parts may be copied.
+func TestNewsThatWaitedTellWhatMayBeCopiedNow(t *testing.T) {
+	tr := newTrial(t, 1)
+	tr.handle(place.SeeStore{State: spoke.StoreState{Store: "store", Epoch: 7, Oldest: oldest(1), Stored: storedKeys(largestNews)}})
+	tr.scheduler.Account(tr.now, false)
+	tr.handle(place.SeeStore{State: spoke.StoreState{Store: "store", Epoch: 7, Oldest: oldest(2)}})
+	waited := tr.scheduler.Account(tr.now, false).Stores[0]
+	assert.Assert(t, len(waited.Stored) > 0)
+	assert.DeepEqual(t, waited.Oldest, oldest(2))
+}
+
+// Guards against a host that frees parts of a store of which another host tells as well, whose
+// listeners may copy them.
+func TestSecondHostThatTellsOfAStoreIsNoted(t *testing.T) {
+	tr := newTrial(t, 1)
+	state := spoke.StoreState{Store: "store", Epoch: 7}
+	other := spoke.LoadShare{Host: "host-2", Number: 1, Stores: []spoke.StoreState{state}}
+	assert.Equal(t, len(tr.handle(place.Hear{Share: other})), 0)
+	tr.handle(place.SeeStore{State: state})
+	other.Number++
+	assert.DeepEqual(t, tr.handle(place.Hear{Share: other}), []place.Action{place.Contest{Store: "store"}})
 }
--- a/place/report.go
+++ b/place/report.go
@@ -57,14 +57,14 @@
 		Host: s.report.host, Number: s.report.number, IsWhole: isWhole,
 		Waiting: s.waitingWork(), Placed: s.report.prompts,
 		Paused: maps.Clone(s.report.pauses), Weights: maps.Clone(s.report.weights),
-		Stores: s.report.takeStores(nearGroup),
+		Stores: s.newsOfStores(nearGroup),
 	}
 	s.report.toldWeights = maps.Clone(s.report.weights)
 	nodes := s.report.changes
 	if isWhole {
 		nodes = s.nodes
 		share.WantedAges = s.wantedAges(now)
-		share.Stores = append(share.Stores, s.storesAgain(nearGroup)...)
+		share.Stores = append(share.Stores, s.storesAgain(now, nearGroup)...)
 		maps.Copy(share.Weights, s.unlistedWeights())
 	}
 	for _, n := range nodes {
@@ -92,7 +92,7 @@
 	s.report.number++
 	return spoke.LoadShare{
 		Host: s.report.host, Number: s.report.number, IsWhole: true, WantedAges: s.wantedAges(now),
-		Stores: append(s.report.takeStores(group), s.storesAgain(group)...),
+		Stores: append(s.newsOfStores(group), s.storesAgain(now, group)...),
 	}
 }
 
@@ -186,7 +186,11 @@
 	for _, state := range share.Stores {
 		if st := s.storeOf(state.Store); st != nil {
 			st.take(now, state)
+			s.engineClock.hear(now, state.Clock)
 			s.indexStored(st, state.Stored)
+			if st.isOwn {
+				s.actions = append(s.actions, Contest{Store: st.Name})
+			}
 			st.isOwn = false
 		}
 	}
--- a/place/scheduler.go
+++ b/place/scheduler.go
@@ -43,8 +43,10 @@
 		stores    []*store
 		// storedAt is an index of the parts of all stores.
 		storedAt map[spoke.StoredKey][]*store
-		report   report
-		actions  []Action
+		// engineClock tells when copies are thrown away.
+		engineClock engineClock
+		report      report
+		actions     []Action
 	}
 )
 
--- a/place/stores.go
+++ b/place/stores.go
@@ -38,10 +38,19 @@
 		used   spoke.TokenCount
 		parts  map[spoke.StoredKey]bool
 		retold retold
+		// oldest holds the oldest weights whose parts may be copied; older ones may be freed.
+		oldest map[spoke.ModelName]spoke.WeightVersion
 		// saving holds parts whose save was asked for here.
 		saving map[spoke.StoredKey]savingPart
 	}
 
+	// storedKey is a part with the weights on which it was made.
+	storedKey struct {
+		spoke.StoredKey
+		model   spoke.ModelName
+		version spoke.WeightVersion
+	}
+
 	savingPart struct {
 		since  time.Time
 		tokens spoke.TokenCount
@@ -56,6 +65,7 @@
 func newStore(settings spoke.PromptStore) *store {
 	return &store{
 		PromptStore: settings, parts: make(map[spoke.StoredKey]bool), saving: make(map[spoke.StoredKey]savingPart),
+		oldest: make(map[spoke.ModelName]spoke.WeightVersion),
 	}
 }
 
@@ -89,6 +99,7 @@
 		return
 	}
 	st.take(now, state)
+	s.engineClock.hear(now, state.Clock)
 	s.indexStored(st, state.Stored)
 	st.isOwn = !state.IsDown
 	s.report.sawStore(state, s.cell.Count > 1)
@@ -103,6 +114,9 @@
 		st.retold = retold{}
 	}
 	st.epoch, st.isDown, st.used = state.Epoch, state.IsDown, state.Used
+	for _, usable := range state.Oldest {
+		st.oldest[usable.Model] = max(st.oldest[usable.Model], usable.Version)
+	}
 	for _, key := range state.Stored {
 		delete(st.saving, key)
 		if !st.parts[key] {
@@ -120,6 +134,9 @@
 	return !st.isDown && st.epoch != 0 && now.Sub(st.heard) <= storeLease
 }
 
+// isOutdated reports whether a part may be freed, so that it must not be copied.
+func (st *store) isOutdated(key storedKey) bool { return key.version < st.oldest[key.model] }
+
 // hasRoom reports whether a part fits beside what is stored and on its way.
 func (st *store) hasRoom(now time.Time, tokens spoke.TokenCount) bool {
 	used := st.used
@@ -141,24 +158,24 @@
 	saves := make([]spoke.Address, len(m.Prompt.Parts))
 	// The last part belongs to this request alone.
 	for i, part := range m.Prompt.Parts[:len(m.Prompt.Parts)-1] {
-		key := StoredKeyOf(spoke.StoredPart{Group: groupOf(m, version), Part: part.ID})
+		key := storedKey{StoredKeyOf(spoke.StoredPart{Group: groupOf(m, version), Part: part.ID}), m.Prompt.Model, version}
 		if part.Tokens < leastSaved || s.isStored(now, key) {
 			continue
 		}
 		if st := s.storeFor(now, key, part.Tokens); st != nil {
-			st.saving[key] = savingPart{since: now, tokens: part.Tokens}
+			st.saving[key.StoredKey] = savingPart{since: now, tokens: part.Tokens}
 			saves[i] = st.Address
 		}
 	}
 	return saves
 }
 
-func (s *Scheduler) isStored(now time.Time, key spoke.StoredKey) bool {
+func (s *Scheduler) isStored(now time.Time, key storedKey) bool {
 	if s.storeWith(now, key, s.settings.DataCentre) != nil {
 		return true
 	}
 	for _, st := range s.stores {
-		if saving, ok := st.saving[key]; ok && now.Sub(saving.since) <= saveTime {
+		if saving, ok := st.saving[key.StoredKey]; ok && now.Sub(saving.since) <= saveTime {
 			return true
 		}
 	}
@@ -167,14 +184,14 @@
 
 // storeFor picks a store with room by rendezvous hashing: large parts go to the large stores,
 // small ones to those with the fastest links, and either to the others if there is no room.
-func (s *Scheduler) storeFor(now time.Time, key spoke.StoredKey, tokens spoke.TokenCount) *store {
+func (s *Scheduler) storeFor(now time.Time, key storedKey, tokens spoke.TokenCount) *store {
 	var best *store
 	var bestWeight float64
 	for _, st := range s.stores {
-		if !st.isKnown(now) || !st.hasRoom(now, tokens) {
+		if !st.isKnown(now) || st.isOutdated(key) || !st.hasRoom(now, tokens) {
 			continue
 		}
-		weight := float64(xxhash.Sum64String(string(st.Name)+"/"+strconv.FormatUint(uint64(key), 36))>>11) / (1 << 53)
+		weight := float64(xxhash.Sum64String(string(st.Name)+"/"+strconv.FormatUint(uint64(key.StoredKey), 36))>>11) / (1 << 53)
 		if tokens >= largePart {
 			weight += float64(st.Capacity)
 		} else {
@@ -188,10 +205,10 @@
 }
 
 // storeWith returns the nearest store that holds a part.
-func (s *Scheduler) storeWith(now time.Time, key spoke.StoredKey, at spoke.DataCentreID) *store {
+func (s *Scheduler) storeWith(now time.Time, key storedKey, at spoke.DataCentreID) *store {
 	var best *store
-	for _, st := range s.storedAt[key] {
-		if !st.isKnown(now) || !st.parts[key] {
+	for _, st := range s.storedAt[key.StoredKey] {
+		if !st.isKnown(now) || !st.parts[key.StoredKey] || st.isOutdated(key) {
 			continue
 		}
 		if best == nil || (best.DataCentre != at && st.DataCentre == at) {
--- a/stores.go
+++ b/stores.go
@@ -31,6 +31,9 @@
 		IsStored bool
 	}
 
+	// EngineTime is a time on the clock that engines and stores share, in milliseconds.
+	EngineTime int64
+
 	// StoreEpoch tells the starts of a store apart.
 	StoreEpoch uint64
 
@@ -42,6 +45,8 @@
 		// HasGap says that events are missing, so that the store has to be listed.
 		HasGap bool
 		Events []StoreEvent
+		// Clock is the time of the answer, zero if it does not say.
+		Clock EngineTime
 	}
 
 	// StoreControl follows prompt stores and frees their parts.
@@ -65,5 +70,9 @@
 		Used   TokenCount
 		Stored []StoredKey
 		Freed  []StoredKey
+		// Clock is the time at which the state was told, zero if it is not known.
+		Clock EngineTime
+		// Oldest holds the oldest weights of each model whose parts may be copied.
+		Oldest []ListedWeights
 	}
 )
