Keep calls from engines that say they leave or ask for a pause

An answer with Server-Leaving binds the host that passed it on, also while the directory lists the engine as ready; a 503 with Retry-After wants nothing from that host for so long. Neither was read.

While all engines of a service ask for pauses, a call that could not be on time after the first of them is refused at once with its end as the hint; one that could waits, which serves its caller sooner.

--- a/calls.go
+++ b/calls.go
@@ -84,6 +84,8 @@
 		Running int
 		Waiting int
 		Slots   int
+		// Slowness is how many times longer than usual work takes now, zero if it does not say.
+		Slowness float64
 	}
 
 	// AnswerHead is what the head of an upstream's answer says.
@@ -101,6 +103,12 @@
 		IsOtherUpstream bool
 		Load            *UpstreamLoad
 		Weights         WeightVersion
+		// IsLeaving states that the upstream leaves and wants no new requests.
+		IsLeaving bool
+		// Pause is how long an upstream that turned the request away wants none from this host.
+		Pause time.Duration
+		// BadPause is the text of a pause that cannot be read.
+		BadPause string
 		// IdleTimeout is how long the upstream keeps the connection open; zero means unknown.
 		IdleTimeout time.Duration
 	}
--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -66,7 +66,9 @@
 	a.marks.registry.Begin(now, a.id, a.grant.Upstream.ID, a.fingerprint)
 	result := a.exchangeWith(ctx)
 	a.marks.registry.End(time.Now(), a.id, a.ending == place.EndBroken && ctx.Err() == nil && a.isDead())
-	a.planner.in <- planned{message: place.Ended{Call: a.grant.Call, Ending: a.ending, Load: a.head.Load, Weights: a.head.Weights}}
+	a.planner.in <- planned{message: place.Ended{
+		Call: a.grant.Call, Ending: a.ending, Load: a.head.Load, Weights: a.head.Weights, IsLeaving: a.head.IsLeaving, Pause: a.head.Pause,
+	}}
 	return result
 }
 
@@ -145,6 +147,12 @@
 		return false
 	}
 	a.head = head
+	if head.BadPause != "" {
+		a.log.WithFields(logrus.Fields{"upstream": a.grant.Upstream.ID, "value": head.BadPause}).Warn("upstream's pause ignored: it is no number of seconds")
+	}
+	if head.IsLeaving {
+		a.log.WithField("upstream", a.grant.Upstream.ID).Info("upstream says that it leaves")
+	}
 	return true
 }
 
--- a/edge/stream.go
+++ b/edge/stream.go
@@ -120,7 +120,7 @@
 func (a *attempt) begin() {
 	copyHeader(a.writer.Header(), a.head.Header)
 	a.writer.WriteHeader(a.head.Status)
-	a.planner.in <- planned{message: place.Began{Call: a.grant.Call, Load: a.head.Load, Weights: a.head.Weights}}
+	a.planner.in <- planned{message: place.Began{Call: a.grant.Call, Load: a.head.Load, Weights: a.head.Weights, IsLeaving: a.head.IsLeaving}}
 	first := time.Since(a.arrived)
 	a.metrics.began(a.route.Name, first)
 	a.log.WithFields(logrus.Fields{"upstream": a.grant.Upstream.ID, "first-event": first.String(), "weights": a.head.Weights}).Info("stream began")
--- a/fake/platform/engine.go
+++ b/fake/platform/engine.go
@@ -67,6 +67,11 @@
 		restarts  int64
 		events    int
 		pause     time.Duration
+		isLeaving bool
+		// askedPause goes with each 503, if it is set.
+		askedPause string
+		// shed counts the requests that were turned away.
+		shed int
 	}
 )
 
@@ -107,6 +112,27 @@
 	e.pause = pause
 }
 
+// Leave lets the engine say in its answers that it leaves.
+func (e *Engine) Leave() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.isLeaving = true
+}
+
+// AskForPause sets the pause that the engine asks for when it turns requests away.
+func (e *Engine) AskForPause(text string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.askedPause = text
+}
+
+// Shed returns the number of requests that the engine turned away.
+func (e *Engine) Shed() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.shed
+}
+
 // Runs returns the requests that the engine began to work on.
 func (e *Engine) Runs() []Run {
 	e.mu.Lock()
@@ -192,6 +218,15 @@
 			Header: r.Header.Clone(), Body: string(body),
 		})
 	}
+	if behaviour == Shed {
+		e.shed++
+		if e.askedPause != "" {
+			w.Header().Set("Retry-After", e.askedPause)
+		}
+	}
+	if e.isLeaving {
+		w.Header().Set("Server-Leaving", "1")
+	}
 	e.mu.Unlock()
 	switch {
 	case isElsewhere:
--- a/peers/codec.go
+++ b/peers/codec.go
@@ -23,6 +23,7 @@
 		Marks     []markRow             `json:"marks,omitempty"`
 		Wanted    []wantedRow           `json:"wanted,omitempty"`
 		Stores    []storeRow            `json:"stores,omitempty"`
+		Leaving   []startRow            `json:"leaving,omitempty"`
 		Revision  uint64                `json:"revision,omitempty"`
 		AgeMs     int64                 `json:"age-ms,omitempty"`
 	}
@@ -53,6 +54,12 @@
 		Version int64  `json:"version"`
 	}
 
+	startRow struct {
+		ID string `json:"id"`
+		// StartedMs is in milliseconds since 1970, zero if it is not known.
+		StartedMs int64 `json:"started-ms,omitempty"`
+	}
+
 	wantedRow struct {
 		Model   string `json:"model"`
 		Version int64  `json:"version"`
@@ -104,6 +111,9 @@
 	for _, w := range share.WantedAges {
 		row.Wanted = append(row.Wanted, wantedRow{string(w.Wanted.Model), int64(w.Wanted.Version), w.Age.Milliseconds()})
 	}
+	for _, start := range share.Leaving {
+		row.Leaving = append(row.Leaving, encodeStart(start))
+	}
 	for _, state := range share.Stores {
 		row.Stores = append(row.Stores, encodeStore(state))
 	}
@@ -158,12 +168,31 @@
 			Age:    time.Duration(w.AgeMs) * time.Millisecond,
 		})
 	}
+	for _, start := range row.Leaving {
+		share.Leaving = append(share.Leaving, decodeStart(start))
+	}
 	for _, state := range row.Stores {
 		share.Stores = append(share.Stores, decodeStore(state))
 	}
 	return share, nil
 }
 
+func encodeStart(start spoke.UpstreamStart) startRow {
+	row := startRow{ID: string(start.ID)}
+	if !start.Started.IsZero() {
+		row.StartedMs = start.Started.UnixMilli()
+	}
+	return row
+}
+
+func decodeStart(row startRow) spoke.UpstreamStart {
+	start := spoke.UpstreamStart{ID: spoke.UpstreamID(row.ID)}
+	if row.StartedMs != 0 {
+		start.Started = time.UnixMilli(row.StartedMs).UTC()
+	}
+	return start
+}
+
 func encodeStore(state spoke.StoreState) storeRow {
 	row := storeRow{
 		Name: string(state.Store), Epoch: uint64(state.Epoch), IsDown: state.IsDown, Used: int64(state.Used),
--- a/place/calls.go
+++ b/place/calls.go
@@ -48,6 +48,9 @@
 	if run.ask.Prompt != nil {
 		run.node.observePace(now.Sub(run.sent), run.predicted)
 	}
+	if m.IsLeaving {
+		s.hearLeaving(now, run.node)
+	}
 	s.report.changed(run.node)
 	s.learn(run, m.Weights)
 }
@@ -70,6 +73,10 @@
 		s.report.paused(run.node.listed.ID, run.node.pausedUntil.Sub(now))
 	}
 	run.node.hears(now, m.Load)
+	run.node.wantsPause(now, m.Pause)
+	if m.IsLeaving {
+		s.hearLeaving(now, run.node)
+	}
 	s.report.changed(run.node)
 	s.learn(run, m.Weights)
 	switch {
--- a/place/dispatch.go
+++ b/place/dispatch.go
@@ -34,6 +34,10 @@
 		s.refuse(now, w.ask, RefusedTime)
 		return true
 	}
+	if s.isPausedTooLong(now, w.ask) {
+		s.refuse(now, w.ask, RefusedPaused)
+		return true
+	}
 	best, ok := s.choose(now, w)
 	if ok {
 		s.grant(now, w, best)
--- a/place/messages.go
+++ b/place/messages.go
@@ -34,6 +34,8 @@
 	RefusedBudget Reason = "retry-budget"
 	// RefusedTime means that the call's time is over.
 	RefusedTime Reason = "deadline"
+	// RefusedPaused means that all upstreams want no calls for longer than the call can wait.
+	RefusedPaused Reason = "upstreams-paused"
 	// RefusedWeights means that no engine serves weights that may still be used.
 	RefusedWeights Reason = "weights"
 )
@@ -76,6 +78,8 @@
 		Call    spoke.CallNumber
 		Load    *spoke.UpstreamLoad
 		Weights spoke.WeightVersion
+		// IsLeaving says that the upstream wants no new calls before it leaves.
+		IsLeaving bool
 	}
 
 	// Ended reports the end of an attempt.
@@ -84,6 +88,10 @@
 		Ending  Ending
 		Load    *spoke.UpstreamLoad
 		Weights spoke.WeightVersion
+		// IsLeaving says that the upstream wants no new calls before it leaves.
+		IsLeaving bool
+		// Pause is how long the upstream wants no calls of this host.
+		Pause time.Duration
 	}
 
 	// SetTable takes the services of a routing table.
--- a/place/node.go
+++ b/place/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"magnoliaspoke.example/spoke"
@@ -75,6 +76,10 @@
 		pausedUntil time.Time
 		// isGone says that another upstream has the address; only a new entry ends that.
 		isGone bool
+		// isDeparting says that the upstream has said that it leaves.
+		isDeparting bool
+		// askedUntil is when the upstream wants calls of this host again.
+		askedUntil time.Time
 		// heldUntil keeps calls away while weights are loaded.
 		heldUntil time.Time
 	}
@@ -185,7 +190,16 @@
 }
 
 func (n *node) isUsable(now time.Time) bool {
-	return !n.listed.IsLeaving && !n.isGone && !now.Before(n.pausedUntil) && !now.Before(n.heldUntil) && !n.isSilent(now)
+	return !n.isLeaving() && !n.isGone && !n.isPaused(now) && !n.isSilent(now)
+}
+
+func (n *node) isPaused(now time.Time) bool {
+	return now.Before(n.pausedUntil) || now.Before(n.heldUntil) || now.Before(n.askedUntil)
+}
+
+// mayServe reports whether the upstream may take the call now or later.
+func (n *node) mayServe(m Ask) bool {
+	return !n.isLeaving() && !n.isGone && !slices.Contains(m.Tried, n.listed.ID)
 }
 
 // hold keeps calls away for a time; zero ends that, and a shorter time does not.
--- a/place/refuse.go
+++ b/place/refuse.go
@@ -1,7 +1,6 @@
 package place
 
 import (
-	"slices"
 	"time"
 
 	"magnoliaspoke.example/spoke"
@@ -16,6 +15,9 @@
 	if !s.hasUpstream(m) {
 		return RefusedNoUpstream
 	}
+	if s.isPausedTooLong(now, m) {
+		return RefusedPaused
+	}
 	if m.Prompt != nil && !s.hasWeights(now, m) {
 		return RefusedWeights
 	}
@@ -29,7 +31,7 @@
 // hasUpstream reports whether an upstream may take the call now or soon.
 func (s *Scheduler) hasUpstream(m Ask) bool {
 	for _, n := range s.byService[m.Service] {
-		if !n.listed.IsLeaving && !n.isGone && !slices.Contains(m.Tried, n.listed.ID) {
+		if n.mayServe(m) {
 			return true
 		}
 	}
@@ -64,7 +66,7 @@
 	ahead += s.waitingElsewhere(m)
 	rate := 0.0
 	for _, n := range s.near[m.Service] {
-		if n.listed.IsLeaving {
+		if n.isLeaving() {
 			continue
 		}
 		rate += n.readRate()
@@ -93,7 +95,7 @@
 	waiting := spoke.TokenCount(len(s.queues[m.Service])) + s.waitingElsewhere(m)
 	rate := 0.0
 	for _, n := range s.near[m.Service] {
-		if !n.listed.IsLeaving {
+		if !n.isLeaving() {
 			rate += float64(n.listed.Slots) / float64(n.serviceTime)
 		}
 	}
@@ -105,8 +107,9 @@
 
 func (s *Scheduler) refuse(now time.Time, m Ask, reason Reason) {
 	behind := s.backlog(now, m)
-	s.actions = append(s.actions, Refuse{
-		Call: m.Call, Reason: reason, Backlog: behind,
-		RetryAfter: min(max(behind, shortestRetry), longestRetry),
-	})
+	back := min(max(behind, shortestRetry), longestRetry)
+	if reason == RefusedPaused {
+		back = s.askedPause(now, m)
+	}
+	s.actions = append(s.actions, Refuse{Call: m.Call, Reason: reason, Backlog: behind, RetryAfter: back})
 }
--- a/place/report.go
+++ b/place/report.go
@@ -20,6 +20,7 @@
 	weights map[spoke.UpstreamID]spoke.ListedWeights
 	// toldWeights is the part of the last account's weights that was new.
 	toldWeights map[spoke.UpstreamID]spoke.ListedWeights
+	leaving     []spoke.UpstreamStart
 	// stores is what each group of listeners has not been told of stores.
 	stores [listeners][]spoke.StoreState
 }
@@ -47,7 +48,7 @@
 
 // HasNews reports whether other hosts should hear of changes.
 func (s *Scheduler) HasNews() bool {
-	return len(s.report.changes)+len(s.report.pauses)+len(s.report.weights)+len(s.report.stores[nearGroup]) > 0
+	return len(s.report.changes)+len(s.report.pauses)+len(s.report.weights)+len(s.report.leaving)+len(s.report.stores[nearGroup]) > 0
 }
 
 // Account returns what changed since the last account, or all of this host's work.
@@ -57,13 +58,13 @@
 		Host: s.report.host, Number: s.report.number, IsWhole: isWhole,
 		Waiting: s.waitingWork(), Placed: s.report.prompts,
 		Paused: maps.Clone(s.report.pauses), Weights: maps.Clone(s.report.weights),
-		Stores: s.newsOfStores(nearGroup),
+		Stores: s.newsOfStores(nearGroup), Leaving: s.report.leaving,
 	}
 	s.report.toldWeights = maps.Clone(s.report.weights)
 	nodes := s.report.changes
 	if isWhole {
 		nodes = s.nodes
-		share.WantedAges = s.wantedAges(now)
+		share.WantedAges, share.Leaving = s.wantedAges(now), s.departing()
 		share.Stores = append(share.Stores, s.storesAgain(now, nearGroup)...)
 		maps.Copy(share.Weights, s.unlistedWeights())
 	}
@@ -75,7 +76,7 @@
 	clear(s.report.changes)
 	clear(s.report.pauses)
 	clear(s.report.weights)
-	s.report.prompts = nil
+	s.report.prompts, s.report.leaving = nil, nil
 	return share
 }
 
@@ -84,14 +85,14 @@
 func (s *Scheduler) ForOtherCells(share spoke.LoadShare) (spoke.LoadShare, bool) {
 	share.IsWhole, share.Weights = false, s.report.toldWeights
 	share.Upstreams, share.Waiting, share.Placed, share.Stores, share.WantedAges = nil, nil, nil, nil, nil
-	return share, len(share.Paused)+len(share.Weights) > 0
+	return share, len(share.Paused)+len(share.Weights)+len(share.Leaving) > 0
 }
 
 // FarAccount returns the account for a group of hosts of other cells.
 func (s *Scheduler) FarAccount(now time.Time, group int) spoke.LoadShare {
 	s.report.number++
 	return spoke.LoadShare{
-		Host: s.report.host, Number: s.report.number, IsWhole: true, WantedAges: s.wantedAges(now),
+		Host: s.report.host, Number: s.report.number, IsWhole: true, WantedAges: s.wantedAges(now), Leaving: s.departing(),
 		Stores: append(s.newsOfStores(group), s.storesAgain(now, group)...),
 	}
 }
@@ -110,6 +111,17 @@
 	return unlisted
 }
 
+// departing returns the listed upstreams that have said that they leave.
+func (s *Scheduler) departing() []spoke.UpstreamStart {
+	var starts []spoke.UpstreamStart
+	for start := range s.departures {
+		if n := s.nodes[start.ID]; n != nil && startOf(n.listed) == start {
+			starts = append(starts, start)
+		}
+	}
+	return starts
+}
+
 func (s *Scheduler) wantedAges(now time.Time) []spoke.WantedAge {
 	ages := make([]spoke.WantedAge, 0, len(s.named))
 	for model, versions := range s.named {
@@ -194,6 +206,7 @@
 			st.isOwn = false
 		}
 	}
+	s.hearDepartures(now, share.Leaving)
 	for _, known := range share.WantedAges {
 		s.setWeights(now, SetWeights{Wanted: known.Wanted, Age: known.Age})
 	}
--- a/place/scheduler.go
+++ b/place/scheduler.go
@@ -41,6 +41,8 @@
 		budgets   map[spoke.ServiceName]*budget
 		peers     map[spoke.HostID]*peer
 		stores    []*store
+		// departures outlive the nodes.
+		departures departures
 		// storedAt is an index of the parts of all stores.
 		storedAt map[spoke.StoredKey][]*store
 		// engineClock tells when copies are thrown away.
@@ -53,19 +55,20 @@
 // NewScheduler returns a scheduler that knows no upstream.
 func NewScheduler(settings Settings) *Scheduler {
 	return &Scheduler{
-		settings:  settings,
-		services:  make(map[spoke.ServiceName]spoke.ServedService),
-		nodes:     make(map[spoke.UpstreamID]*node),
-		byService: make(map[spoke.ServiceName][]*node),
-		near:      make(map[spoke.ServiceName][]*node),
-		cell:      SetCell{Count: 1},
-		queues:    make(map[spoke.ServiceName][]*waiting),
-		running:   make(map[spoke.CallNumber]*running),
-		named:     make(map[spoke.ModelName]naming),
-		budgets:   make(map[spoke.ServiceName]*budget),
-		peers:     make(map[spoke.HostID]*peer),
-		storedAt:  make(map[spoke.StoredKey][]*store),
-		report:    newReport(settings.Host),
+		settings:   settings,
+		services:   make(map[spoke.ServiceName]spoke.ServedService),
+		nodes:      make(map[spoke.UpstreamID]*node),
+		byService:  make(map[spoke.ServiceName][]*node),
+		near:       make(map[spoke.ServiceName][]*node),
+		cell:       SetCell{Count: 1},
+		queues:     make(map[spoke.ServiceName][]*waiting),
+		running:    make(map[spoke.CallNumber]*running),
+		named:      make(map[spoke.ModelName]naming),
+		budgets:    make(map[spoke.ServiceName]*budget),
+		peers:      make(map[spoke.HostID]*peer),
+		departures: make(departures),
+		storedAt:   make(map[spoke.StoredKey][]*store),
+		report:     newReport(settings.Host),
 	}
 }
 
@@ -143,6 +146,7 @@
 	}
 	// A restart under the same id is another upstream that knows nothing of before.
 	n = newNode(listed, s.capacity(listed.Service))
+	_, n.isDeparting = s.departures[startOf(listed)]
 	s.nodes[listed.ID] = n
 }
 
--- a/placement.go
+++ b/placement.go
@@ -59,6 +59,8 @@
 		Weights map[UpstreamID]ListedWeights
 		Marks   []QuarantineMark
 		Stores  []StoreState
+		// Leaving holds upstreams that have said in answers that they leave.
+		Leaving []UpstreamStart
 		// Directory says what the host knows of the directory.
 		Directory DirectoryView
 		// WantedAges says how long ago wanted weights were named.
@@ -72,6 +74,13 @@
 		Age time.Duration
 	}
 
+	// UpstreamStart is one start of an upstream.
+	UpstreamStart struct {
+		ID UpstreamID
+		// Started is the zero time if the upstream's entry does not say.
+		Started time.Time
+	}
+
 	// WantedAge is the time since weights were named.
 	WantedAge struct {
 		Wanted WantedWeights
