Look at all waiting calls only when time passes or the fleet changes

Cause: each message made a host look at up to 48 waiting calls and every engine of its cell.

Now a new call is placed unless another goes before it, an engine that makes progress is offered the first waiting calls, and accounts only change what is known.

--- a/place/calls.go
+++ b/place/calls.go
@@ -22,7 +22,7 @@
 		s.refuse(now, m, reason)
 		return
 	}
-	s.queues[m.Service] = append(s.queues[m.Service], w)
+	s.enter(now, w)
 }
 
 // ownReserve is this host's part of the repeats that need no calls.
@@ -53,6 +53,7 @@
 	}
 	s.report.changed(run.node)
 	s.learn(run, m.Weights)
+	s.offer(now, run.node)
 }
 
 func (s *Scheduler) ended(now time.Time, m Ended) {
@@ -86,6 +87,7 @@
 	case m.Ending == EndElsewhere && m.Weights == 0:
 		run.node.pausedUntil = now.Add(firstPause)
 	}
+	s.offer(now, run.node)
 }
 
 func (s *Scheduler) learn(run *running, version spoke.WeightVersion) {
--- a/place/dispatch.go
+++ b/place/dispatch.go
@@ -9,6 +9,46 @@
 	"magnoliaspoke.example/spoke"
 )
 
+// enter gives a new call to an upstream unless others go before it, which could not be placed when
+// they were looked at last.
+func (s *Scheduler) enter(now time.Time, w *waiting) {
+	isBehind := slices.ContainsFunc(s.queues[w.ask.Service], func(other *waiting) bool { return s.compare(now, other, w) <= 0 })
+	if isBehind || !s.settle(now, w) {
+		s.queues[w.ask.Service] = append(s.queues[w.ask.Service], w)
+	}
+}
+
+// offer gives the first waiting calls to an upstream that has made progress. A look at all calls and
+// all upstreams for each sign of progress takes more time than a small host has when many wait.
+func (s *Scheduler) offer(now time.Time, n *node) {
+	queue := s.queues[n.listed.Service]
+	if len(queue) == 0 || !n.isUsable(now) {
+		return
+	}
+	s.order(now, queue)
+	kept := queue[:0]
+	for position, w := range queue {
+		if position >= offerLimit || !s.settleAt(now, w, n) {
+			kept = append(kept, w)
+		}
+	}
+	clear(queue[len(kept):])
+	s.queues[n.listed.Service] = kept
+}
+
+// settleAt grants a call at one upstream, if that may take it now.
+func (s *Scheduler) settleAt(now time.Time, w *waiting, n *node) bool {
+	if slices.Contains(w.ask.Tried, n.listed.ID) {
+		return false
+	}
+	w.holdings = nil
+	c, ok := s.consider(now, w, n)
+	if ok {
+		s.grant(now, w, c)
+	}
+	return ok
+}
+
 // dispatch gives waiting calls to upstreams in order and refuses those whose time is over.
 func (s *Scheduler) dispatch(now time.Time) {
 	for _, service := range slices.Sorted(maps.Keys(s.queues)) {
@@ -47,13 +87,15 @@
 
 // order sorts urgent calls first, then those that can still be on time, then the oldest.
 func (s *Scheduler) order(now time.Time, queue []*waiting) {
-	slices.SortStableFunc(queue, func(a, b *waiting) int {
-		return cmp.Or(
-			cmp.Compare(a.ask.Urgency, b.ask.Urgency),
-			compareBool(s.isLate(now, a), s.isLate(now, b)),
-			a.ask.Arrived.Compare(b.ask.Arrived),
-		)
-	})
+	slices.SortStableFunc(queue, func(a, b *waiting) int { return s.compare(now, a, b) })
+}
+
+func (s *Scheduler) compare(now time.Time, a, b *waiting) int {
+	return cmp.Or(
+		cmp.Compare(a.ask.Urgency, b.ask.Urgency),
+		compareBool(s.isLate(now, a), s.isLate(now, b)),
+		a.ask.Arrived.Compare(b.ask.Arrived),
+	)
 }
 
 // isLate reports whether the call misses its target even if an idle engine starts it now.
--- a/place/options.go
+++ b/place/options.go
@@ -61,6 +61,8 @@
 	peerSilence = 3 * time.Second
 	// scanLimit bounds the calls that one pass over a queue looks at.
 	scanLimit = 48
+	// offerLimit bounds the calls that one upstream is offered at a sign of its progress.
+	offerLimit = 8
 	// safeRetries leaves room for repeats that other hosts make at the same time.
 	safeRetries = 0.7
 	// weightsMargin is the time before the limit at which older weights are given up.
--- a/place/scheduler.go
+++ b/place/scheduler.go
@@ -84,24 +84,34 @@
 		s.began(now, m)
 	case Ended:
 		s.ended(now, m)
+	case SeeStore:
+		s.seeStore(now, m.State)
+	case SeeWeights:
+		s.see(m.Upstream, m.Weights)
+	case Hear:
+		s.hear(now, m.Share)
+	case ForgetPeer:
+		s.forgetPeer(m.Host)
+	default:
+		s.change(now, message)
+		s.dispatch(now)
+	}
+	return s.actions
+}
+
+// change takes messages that are rare or let time pass, after which all waiting calls are looked at.
+func (s *Scheduler) change(now time.Time, message Message) {
+	switch m := message.(type) {
 	case SetTable:
 		s.services = m.Services
 		s.setStores(m.Stores)
 		s.resize()
-	case SeeStore:
-		s.seeStore(now, m.State)
 	case SetUpstreams:
 		s.setUpstreams(m)
 	case SetWeights:
 		s.setWeights(now, m)
-	case SeeWeights:
-		s.see(m.Upstream, m.Weights)
 	case Pause:
 		s.pause(now, m)
-	case Hear:
-		s.hear(now, m.Share)
-	case ForgetPeer:
-		s.forgetPeer(m.Host)
 	case SetCell:
 		s.cell = m
 		s.index()
@@ -109,8 +119,6 @@
 		s.dropSilent(now)
 		s.recallOutdated(now)
 	}
-	s.dispatch(now)
-	return s.actions
 }
 
 // IsWaiting reports whether a call waits, so that time has to pass.
