Look through a prompt's holders once in 40 ms and at busy engines first

Cause: a look at a waiting call went through every engine for copies of its parts before it asked whether the engine was free at all, and did so anew for each engine that made progress.

--- a/place/choose.go
+++ b/place/choose.go
@@ -35,7 +35,6 @@
 	var best candidate
 	found := false
 	home := s.home(w)
-	w.holdings = nil
 	for _, n := range nodes {
 		if !n.isUsable(now) || slices.Contains(w.ask.Tried, n.listed.ID) {
 			continue
@@ -130,17 +129,14 @@
 	}
 	prefixes := w.prefixesFor(c.weights)
 	c.cached = min(n.cache.cached(prefixes), prompt.Input)
-	if !s.planCopies(now, w, n, &c) {
-		return c, false
-	}
-	rest := prompt.Input - c.cached - c.fetched
-	read := readTime(rest, n.pace)
 	saved := readTime(c.cached, n.pace)
 	unread := n.backlogOf(now, total.Unread)
 	behind := readTime(unread, n.pace)
-	if behind > s.allowedBacklog(w.ask)+saved/2 {
+	if behind > s.allowedBacklog(w.ask)+saved/2 || !s.planCopies(now, w, n, &c) {
 		return c, false
 	}
+	rest := prompt.Input - c.cached - c.fetched
+	read := readTime(rest, n.pace)
 	ready := behind
 	if c.copying > 0 {
 		ready = max(behind, n.copyBacklog(now)+c.copying)
--- a/place/dispatch.go
+++ b/place/dispatch.go
@@ -22,7 +22,7 @@
 // all upstreams for each sign of progress takes more time than a small host has when many wait.
 func (s *Scheduler) offer(now time.Time, n *node) {
 	queue := s.queues[n.listed.Service]
-	if len(queue) == 0 || !n.isUsable(now) {
+	if len(queue) == 0 || !n.isUsable(now) || n.isFull() {
 		return
 	}
 	s.order(now, queue)
@@ -41,7 +41,6 @@
 	if slices.Contains(w.ask.Tried, n.listed.ID) {
 		return false
 	}
-	w.holdings = nil
 	c, ok := s.consider(now, w, n)
 	if ok {
 		s.grant(now, w, c)
--- a/place/fetch.go
+++ b/place/fetch.go
@@ -11,6 +11,8 @@
 	fetchSetup = 3 * time.Millisecond
 	// remoteFetch is how many times longer a transfer between data centres takes.
 	remoteFetch = 2
+	// holdingsAge is how long a look through the engines that hold a prompt's parts counts.
+	holdingsAge = 40 * time.Millisecond
 )
 
 // source is where an engine copies a part from.
@@ -21,25 +23,28 @@
 	setup      time.Duration
 }
 
-// holdings are the parts of one prompt that can be copied, by weight version; they hold for one
-// look at a waiting call.
+// holdings are the parts of one prompt that can be copied, by weight version.
 type holdings struct {
 	version spoke.WeightVersion
-	keys    []storedKey
+	// seen is when the engines were looked through.
+	seen time.Time
+	keys []storedKey
 	// engines have the beginning of the prompt up to the size beside them.
 	engines []*node
 	held    []spoke.TokenCount
 }
 
-// holdingsOf returns the holdings for a version, which it keeps for the next engine.
-func (s *Scheduler) holdingsOf(w *waiting, version spoke.WeightVersion) *holdings {
-	if w.holdings != nil && w.holdings.version == version {
-		return w.holdings
+// holdingsOf returns the holdings for a version, which it keeps for the next looks at a waiting call.
+func (s *Scheduler) holdingsOf(now time.Time, w *waiting, version spoke.WeightVersion) *holdings {
+	known := w.holdings
+	if known != nil && known.version == version && now.Sub(known.seen) < holdingsAge {
+		return known
 	}
-	found := &holdings{version: version}
-	for _, part := range w.ask.Prompt.Parts {
-		key := StoredKeyOf(spoke.StoredPart{Group: groupOf(w.ask, version), Part: part.ID})
-		found.keys = append(found.keys, storedKey{key, w.ask.Prompt.Model, version})
+	found := &holdings{version: version, seen: now}
+	if known != nil && known.version == version {
+		found.keys = known.keys
+	} else {
+		found.keys = storedKeys(w.ask, version)
 	}
 	prefixes := w.prefixesFor(version)
 	for _, n := range s.near[w.ask.Service] {
@@ -54,6 +59,16 @@
 	return found
 }
 
+func storedKeys(m Ask, version spoke.WeightVersion) []storedKey {
+	group := groupOf(m, version)
+	keys := make([]storedKey, 0, len(m.Prompt.Parts))
+	for _, part := range m.Prompt.Parts {
+		key := StoredKeyOf(spoke.StoredPart{Group: group, Part: part.ID})
+		keys = append(keys, storedKey{key, m.Prompt.Model, version})
+	}
+	return keys
+}
+
 // planFetch sets from where the node copies the parts that it lacks and returns the time of the
 // transfers; copying leaves the engine free for other prompts.
 func (s *Scheduler) planFetch(now time.Time, w *waiting, n *node, c *candidate) time.Duration {
@@ -61,7 +76,7 @@
 	if engine == nil || engine.Link <= 0 {
 		return 0
 	}
-	prefixes, from := w.prefixesFor(c.weights), s.holdingsOf(w, c.weights)
+	prefixes, from := w.prefixesFor(c.weights), s.holdingsOf(now, w, c.weights)
 	fetch := make([]spoke.Address, len(prefixes))
 	var took time.Duration
 	var fetched spoke.TokenCount
--- a/place/node.go
+++ b/place/node.go
@@ -197,6 +197,11 @@
 	return now.Before(n.pausedUntil) || now.Before(n.heldUntil) || now.Before(n.askedUntil)
 }
 
+// isFull reports whether an engine has as many calls as it runs at once.
+func (n *node) isFull() bool {
+	return len(n.listed.Weights) > 0 && n.totals().Runs >= n.listed.Slots
+}
+
 // mayServe reports whether the upstream may take the call now or later.
 func (n *node) mayServe(m Ask) bool {
 	return !n.isLeaving() && !n.isGone && !slices.Contains(m.Tried, n.listed.ID)
