--- a/fake/platform/engine.go
+++ b/fake/platform/engine.go
@@ -15,6 +15,8 @@
 const (
 	// firstBorn is when the engines started first, in milliseconds since 1970.
 	firstBorn int64 = 1700000000000
+	// tricklePause is the time between two bytes of a stalled stream.
+	tricklePause = 100 * time.Millisecond
 
 	// Serve answers in full.
 	Serve Behaviour = "serve"
@@ -32,6 +34,10 @@
 	Hang Behaviour = "hang"
 	// OtherFirst sends the answer of another request before the own one.
 	OtherFirst Behaviour = "other-first"
+	// ShedCopyFirst sends a copy of the statement that another request was not run before the own answer.
+	ShedCopyFirst Behaviour = "shed-copy-first"
+	// Trickle sends the beginning of an event and then a byte now and then.
+	Trickle Behaviour = "trickle"
 	// OwnAnswer is the body of the own answer after that of another request.
 	OwnAnswer = "own answer"
 
@@ -263,7 +269,15 @@
 	case Hang:
 		e.wait(r, time.Minute)
 	case OtherFirst:
-		e.answerTwice(w, r)
+		e.answerTwice(w, r, func(buffer *bufio.ReadWriter) {
+			writeAnswer(buffer, "other", originPrefix+e.ID, "answer of another request")
+		})
+	case ShedCopyFirst:
+		e.answerTwice(w, r, func(buffer *bufio.ReadWriter) {
+			_, _ = buffer.WriteString("HTTP/1.1 503 Service Unavailable\r\n" + headRequest + ": other\r\n" + headNotRun + ": 1\r\nContent-Length: 0\r\n\r\n")
+		})
+	case Trickle:
+		e.trickle(w, r)
 	default:
 		if r.Header.Get(headModel) == "" {
 			_, _ = io.WriteString(w, WholeAnswer(e.ID))
@@ -306,14 +320,24 @@
 	}
 }
 
+// trickle writes a byte of an event now and then until the caller closes.
+func (e *Engine) trickle(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	_, err := io.WriteString(w, "id: 1\ndata: ")
+	for err == nil && e.wait(r, tricklePause) {
+		_, err = io.WriteString(w, "x")
+		_ = http.NewResponseController(w).Flush()
+	}
+}
+
 // answerTwice writes the answer of another request and then the own one on the same connection.
-func (e *Engine) answerTwice(w http.ResponseWriter, r *http.Request) {
+func (e *Engine) answerTwice(w http.ResponseWriter, r *http.Request, writeOther func(*bufio.ReadWriter)) {
 	conn, buffer, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		panic(err)
 	}
 	defer conn.Close()
-	writeAnswer(buffer, "other", originPrefix+e.ID, "answer of another request")
+	writeOther(buffer)
 	writeAnswer(buffer, r.Header.Get(headRequest), originPrefix+e.ID, OwnAnswer)
 }
 
