Compare upstreams of one service only and drive the clocks of two tests

The order of upstreams by version compared those of two services as equal, which is no order over three of them. Found while reading; the linter found a method that nothing used.

--- a/edge/endless_test.go
+++ b/edge/endless_test.go
@@ -111,12 +111,14 @@
 func watchHeap(ctx context.Context) <-chan uint64 {
 	result := make(chan uint64, 1)
 	go func() {
+		ticker := time.NewTicker(20 * time.Millisecond)
+		defer ticker.Stop()
 		var most uint64
 		for ctx.Err() == nil {
 			var stats runtime.MemStats
 			runtime.ReadMemStats(&stats)
 			most = max(most, stats.HeapInuse)
-			time.Sleep(20 * time.Millisecond)
+			<-ticker.C
 		}
 		result <- most
 	}()
--- a/link/endless_test.go
+++ b/link/endless_test.go
@@ -80,12 +80,14 @@
 func watchHeap(ctx context.Context) <-chan uint64 {
 	result := make(chan uint64, 1)
 	go func() {
+		ticker := time.NewTicker(20 * time.Millisecond)
+		defer ticker.Stop()
 		var most uint64
 		for ctx.Err() == nil {
 			var stats runtime.MemStats
 			runtime.ReadMemStats(&stats)
 			most = max(most, stats.HeapInuse)
-			time.Sleep(20 * time.Millisecond)
+			<-ticker.C
 		}
 		result <- most
 	}()
@@ -121,10 +123,10 @@
 	now := time.Now()
 	pool := link.New(link.WithClock(func() time.Time { return now }))
 	defer pool.Close()
-	closed := make(chan struct{})
+	kept, closed := make(chan struct{}), make(chan struct{})
 	at := upstream(t, func(conn net.Conn, _ *http.Request) {
 		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
-		time.Sleep(50 * time.Millisecond)
+		<-kept
 		pour(conn, "", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno")
 		close(closed)
 	})
@@ -135,6 +137,8 @@
 		_, err := get(t, pool, address)
 		assert.NilError(t, err)
 	}
+	assert.Equal(t, pool.Idle(), 2)
+	close(kept)
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		pool.Sweep()
 		if pool.Idle() == 1 {
--- a/place/naming.go
+++ b/place/naming.go
@@ -20,14 +20,6 @@
 	}
 )
 
-// newest returns the newest version, zero if none was named.
-func (n naming) newest() spoke.WeightVersion {
-	if len(n) == 0 {
-		return 0
-	}
-	return n[len(n)-1].version
-}
-
 // take returns the naming with a version, or with a better account of when it was named.
 func (n naming) take(heard named) naming {
 	position, isKnown := slices.BinarySearchFunc(n, heard.version, func(known named, version spoke.WeightVersion) int {
--- a/swap/view.go
+++ b/swap/view.go
@@ -1,6 +1,7 @@
 package swap
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -97,8 +98,11 @@
 // oldestFirst returns the upstreams with those on the oldest versions first.
 func (v view) oldestFirst(compare func(a, b spoke.ModelVersion) int) []spoke.Upstream {
 	return slices.SortedStableFunc(slices.Values(v.upstreams), func(a, b spoke.Upstream) int {
+		if order := cmp.Compare(a.Service, b.Service); order != 0 {
+			return order
+		}
 		for _, model := range v.models[a.Service] {
-			if order := compare(v.served(a.ID, model.Name), v.served(b.ID, model.Name)); a.Service == b.Service && order != 0 {
+			if order := compare(v.served(a.ID, model.Name), v.served(b.ID, model.Name)); order != 0 {
 				return order
 			}
 		}
