Count the time of weights from before a host could see them, and isolate followers

Cause, found by a state machine over hosts with stale views: a host that was suspended while weights were named, beside others that were cut off, counted their time from its own return and began calls on the older ones after the limit. A follower of a store that was suspended right after it decided that parts are outdated counted that time although it had told nobody. One that was cut off from the directory and from all hosts went on copying parts while another host freed them. A guess of when weights were named made the host forget an older, certain one.

Now a change that may have been made during a pause or an outage counts from its beginning, as a guess that what others know replaces; telling starts anew after 2 s of silence; a host that has heard of nobody for 2 s uses no stores; freeing waits 8 s after the first word.

Not covered: a host that hears a stale follower, uses old weights and is cut off from the new follower alone.

--- a/directory.go
+++ b/directory.go
@@ -50,6 +50,8 @@
 	DirectoryChange struct {
 		// IsWhole says that entries which are not named do not exist.
 		IsWhole bool
+		// Missed is how long before it was seen the change may have been made; zero means at once.
+		Missed time.Duration
 		// KeepsUpstreams says that upstreams which are not named may come back after an outage.
 		KeepsUpstreams bool
 		// Table is nil if it did not change.
--- a/edge/apply.go
+++ b/edge/apply.go
@@ -90,12 +90,13 @@
 
 // weightsMessage tells the scheduler of wanted weights. A host that reads the whole directory does
 // not know when they were named, so it counts half of the time in which older weights may be used
-// as gone until it hears from its peers.
+// as gone until it hears from its peers. One that was suspended or out of reach counts all the time
+// in which it could not see them.
 func (h *Host) weightsMessage(change spoke.DirectoryChange, wanted spoke.WantedWeights) place.SetWeights {
 	if change.IsWhole {
 		return place.SetWeights{Wanted: wanted, Age: h.settings.WeightsApply / 2, IsGuess: true}
 	}
-	return place.SetWeights{Wanted: wanted}
+	return place.SetWeights{Wanted: wanted, Age: change.Missed, IsGuess: change.Missed > 0}
 }
 
 func (h *Host) tell(message place.Message) { h.planner.in <- planned{message: message} }
--- a/edge/follower.go
+++ b/edge/follower.go
@@ -44,6 +44,8 @@
 		behind chan struct{}
 
 		lostSince time.Time
+		// answered is when the directory last answered this host.
+		answered time.Time
 		// lapsedUntil is when entries that are missing after an outage count as gone.
 		lapsedUntil time.Time
 		backoff     time.Duration
@@ -141,6 +143,8 @@
 func (f *follower) isSettling() bool { return !f.lapsedUntil.IsZero() }
 
 func (f *follower) reached(change spoke.DirectoryChange) {
+	change.Missed = f.missed()
+	f.answered = f.timer.Now()
 	f.known.confirm()
 	f.backoff = 0
 	if !f.lostSince.IsZero() {
@@ -157,6 +161,14 @@
 	f.apply(change)
 }
 
+// missed returns how long before this answer a change may have been made without being seen.
+func (f *follower) missed() time.Duration {
+	if !f.lostSince.IsZero() && !f.answered.IsZero() {
+		return f.timer.Now().Sub(f.answered)
+	}
+	return f.known.paused()
+}
+
 // keepLapsed leaves out removals that an outage alone may have caused.
 func (f *follower) keepLapsed(change spoke.DirectoryChange) spoke.DirectoryChange {
 	if f.timer.Now().Before(f.lapsedUntil) {
--- a/edge/host.go
+++ b/edge/host.go
@@ -106,7 +106,7 @@
 		directory: parts.Directory, timer: parts.Timer, known: h.known, log: parts.Log,
 		gap: directoryGap, apply: h.apply, isServed: h.isServed.Load, behind: make(chan struct{}),
 	}
-	h.stores = newStoreFollowers(settings, parts, h.planner)
+	h.stores = newStoreFollowers(settings, parts, h.planner, h.known)
 	h.planner.contested = h.stores.contest
 	return h, nil
 }
@@ -227,6 +227,7 @@
 	if len(share.Marks) > 0 {
 		h.relayer.marks.registry.Merge(time.Now(), share.Marks)
 	}
+	h.known.hear()
 	h.follower.hear(share.Directory)
 	h.planner.in <- planned{message: place.Hear{Share: share}}
 }
--- a/edge/knowledge.go
+++ b/edge/knowledge.go
@@ -7,9 +7,15 @@
 	"magnoliaspoke.example/spoke"
 )
 
-// staleShare is the part of the time for a new configuration after which knowledge that was
-// not confirmed may be out of date.
-const staleShare = 0.8
+const (
+	// staleShare is the part of the time for a new configuration after which knowledge that was
+	// not confirmed may be out of date.
+	staleShare = 0.8
+	// longestStep is longer than any step of a process that runs.
+	longestStep = 500 * time.Millisecond
+	// pauseMemory is the time after a pause in which changes may have been made during it.
+	pauseMemory = time.Second
+)
 
 // knowledge is what the host knows of the configuration and how old that may be; one task
 // writes it and all may read it.
@@ -17,8 +23,15 @@
 	table     atomic.Pointer[spoke.RoutingTable]
 	confirmed atomic.Int64
 	revision  atomic.Uint64
-	limit     time.Duration
-	now       func() time.Time
+	// heard is when the last account of another host came.
+	heard atomic.Int64
+	// stepped is when the process last made a step; pause and pausedUntil tell of the last time in
+	// which it made none, as when its machine was suspended.
+	stepped     atomic.Int64
+	pause       atomic.Int64
+	pausedUntil atomic.Int64
+	limit       time.Duration
+	now         func() time.Time
 }
 
 func newKnowledge(apply time.Duration, now func() time.Time) *knowledge {
@@ -37,6 +50,36 @@
 	}
 }
 
+// step notes that the process runs, and the pause if it did not.
+func (k *knowledge) step() {
+	now := k.now().UnixNano()
+	before := k.stepped.Swap(now)
+	if pause := now - before; before != 0 && pause > int64(longestStep) {
+		k.pause.Store(pause)
+		k.pausedUntil.Store(now)
+	}
+}
+
+// paused returns how long the process has just made no step, zero if it runs as usual.
+func (k *knowledge) paused() time.Duration {
+	now := k.now().UnixNano()
+	if before := k.stepped.Load(); before != 0 && now-before > int64(longestStep) {
+		return time.Duration(now - before)
+	}
+	if now-k.pausedUntil.Load() < int64(pauseMemory) {
+		return time.Duration(k.pause.Load())
+	}
+	return 0
+}
+
+// hear notes a word of another host.
+func (k *knowledge) hear() { k.heard.Store(k.now().UnixNano()) }
+
+// isIsolated reports whether neither the directory nor another host was heard of for a time.
+func (k *knowledge) isIsolated(limit time.Duration) bool {
+	return k.age() > limit && k.now().Sub(time.Unix(0, k.heard.Load())) > limit
+}
+
 func (k *knowledge) view() spoke.DirectoryView {
 	return spoke.DirectoryView{Revision: spoke.Revision(k.revision.Load()), Age: k.age()}
 }
--- a/edge/planner.go
+++ b/edge/planner.go
@@ -91,6 +91,7 @@
 			p.steps, p.accounts = place.StepsFor(p.neighbours.hosts())
 			p.step(p.neighbours.cell)
 		case <-tick.C():
+			p.known.step()
 			if p.scheduler.NeedsTime(p.timer.Now()) {
 				p.handle(planned{message: place.Tick{}})
 			}
--- a/edge/stores.go
+++ b/edge/stores.go
@@ -64,6 +64,7 @@
 		control spoke.StoreControl
 		timer   spoke.Timer
 		planner *planner
+		known   *knowledge
 		log     logrus.FieldLogger
 		in      chan any
 
@@ -73,9 +74,9 @@
 	}
 )
 
-func newStoreFollowers(settings config.Relay, parts Parts, p *planner) *storeFollowers {
+func newStoreFollowers(settings config.Relay, parts Parts, p *planner, known *knowledge) *storeFollowers {
 	return &storeFollowers{
-		host: settings.Host, control: parts.Stores, timer: parts.Timer, planner: p, log: parts.Log,
+		host: settings.Host, control: parts.Stores, timer: parts.Timer, planner: p, log: parts.Log, known: known,
 		in: make(chan any, planQueue), hosts: []spoke.HostID{settings.Host}, stores: make(map[spoke.ServiceName]*followed),
 		outdated: place.NewOutdated(settings.WeightsApply),
 	}
@@ -157,10 +158,11 @@
 // step makes the next call to each store of which this host is in charge.
 func (f *storeFollowers) step(ctx context.Context) {
 	now := f.timer.Now()
+	isIsolated := len(f.hosts) > 1 && f.known.isIsolated(place.IsolatedAfter)
 	for _, name := range slices.Sorted(maps.Keys(f.stores)) {
 		st := f.stores[name]
 		switch {
-		case !f.isOwn(name):
+		case isIsolated || !f.isOwn(name):
 			// What is known is out of date when this host takes over again.
 			st.epoch = 0
 			st.freeing.Restart()
--- a/place/naming.go
+++ b/place/naming.go
@@ -49,9 +49,9 @@
 }
 
 // forget returns the naming without versions that say nothing more, since a later one was named
-// before the given time.
+// before the given time. A guess may turn out to be too early.
 func (n naming) forget(before time.Time) naming {
-	for len(n) > 1 && n[1].since.Before(before) {
+	for len(n) > 1 && !n[1].isGuess && n[1].since.Before(before) {
 		n = n[1:]
 	}
 	return n
--- a/place/outdated.go
+++ b/place/outdated.go
@@ -12,8 +12,15 @@
 	// copyTime is the longest time from the placing of a call to the end of its copies from stores.
 	copyTime = 3 * time.Second
 	// freeAfter is the time after hosts were told not to copy a part any more in which it may still be
-	// copied: what a host knows of a store counts for storeLease, on top of an account's way to it.
-	freeAfter = storeLease + copyTime + 500*time.Millisecond
+	// copied: what a host knows of a store counts for storeLease, on top of a pause of the host that
+	// tells, or of the time in which one that follows the store as well learns that it is isolated.
+	freeAfter = storeLease + copyTime + IsolatedAfter + 500*time.Millisecond
+	// IsolatedAfter is the time without a word of the directory and of other hosts after which a host
+	// must not rely on what it sees of a store, since another may follow it by then.
+	IsolatedAfter = 2 * time.Second
+	// longestSilence is the pause in telling after which the time counts anew, since a host that was
+	// suspended has told nobody meanwhile.
+	longestSilence = 2 * time.Second
 )
 
 type (
@@ -31,6 +38,7 @@
 	Freeing struct {
 		// told holds the oldest usable versions and since when the other hosts were told of them.
 		told map[spoke.ModelName]naming
+		last time.Time
 	}
 )
 
@@ -97,19 +105,25 @@
 
 // Tell notes that the other hosts are told of the oldest usable weights from now on.
 func (f *Freeing) Tell(now time.Time, oldest []spoke.ListedWeights) {
+	if f.isSilent(now) {
+		f.Restart()
+	}
+	f.last = now
 	for _, usable := range oldest {
 		known := f.told[usable.Model].take(named{version: usable.Version, since: now})
 		f.told[usable.Model] = known.forget(now.Add(-freeAfter))
 	}
 }
 
+func (f *Freeing) isSilent(now time.Time) bool { return now.Sub(f.last) > longestSilence }
+
 // Restart counts the time anew, since another host has told of the store as well.
 func (f *Freeing) Restart() { clear(f.told) }
 
 // Includes reports whether no host can copy parts of a cache group any more.
 func (f *Freeing) Includes(now time.Time, group string) bool {
 	model, version, ok := GroupWeights(group)
-	if !ok {
+	if !ok || f.isSilent(now) {
 		return false
 	}
 	told, isOld := f.told[model].replacedAt(version)
--- a/place/outdated_test.go
+++ b/place/outdated_test.go
@@ -59,21 +59,37 @@
 func TestPartsAreFreedOnlyWhenNoHostCanCopyThem(t *testing.T) {
 	freeing := place.NewFreeing()
 	now := time.Unix(1000, 0)
-	freeing.Tell(now, oldest(1))
-	assert.Assert(t, !freeing.Includes(now.Add(time.Hour), groupAt(1)))
-	now = now.Add(time.Minute)
-	freeing.Tell(now, oldest(2))
-	assert.Assert(t, !freeing.Includes(now.Add(5900*time.Millisecond), groupAt(1)), "a host may still copy")
-	assert.Assert(t, freeing.Includes(now.Add(6100*time.Millisecond), groupAt(1)))
-	freeing.Tell(now.Add(3*time.Second), oldest(3))
-	assert.Assert(t, freeing.Includes(now.Add(6100*time.Millisecond), groupAt(1)))
-	assert.Assert(t, !freeing.Includes(now.Add(6100*time.Millisecond), groupAt(2)))
-	later := now.Add(time.Hour)
-	assert.Assert(t, !freeing.Includes(later, groupAt(3)))
-	assert.Assert(t, !freeing.Includes(later, place.CacheGroup(spoke.KeyOwner{}, "model-b", 1)))
-	assert.Assert(t, !freeing.Includes(later, "a text of another program"))
+	tell := func(version spoke.WeightVersion, during time.Duration) {
+		for end := now.Add(during); now.Before(end); now = now.Add(100 * time.Millisecond) {
+			freeing.Tell(now, oldest(version))
+		}
+	}
+	tell(1, time.Minute)
+	assert.Assert(t, !freeing.Includes(now, groupAt(1)))
+	tell(2, 7900*time.Millisecond)
+	assert.Assert(t, !freeing.Includes(now, groupAt(1)), "a host may still copy")
+	tell(3, 200*time.Millisecond)
+	assert.Assert(t, freeing.Includes(now, groupAt(1)))
+	assert.Assert(t, !freeing.Includes(now, groupAt(2)))
+	tell(3, 9*time.Second)
+	assert.Assert(t, freeing.Includes(now, groupAt(2)))
+	assert.Assert(t, !freeing.Includes(now, groupAt(3)))
+	assert.Assert(t, !freeing.Includes(now, place.CacheGroup(spoke.KeyOwner{}, "model-b", 1)))
+	assert.Assert(t, !freeing.Includes(now, "a text of another program"))
 	freeing.Restart()
-	assert.Assert(t, !freeing.Includes(later, groupAt(1)))
+	assert.Assert(t, !freeing.Includes(now, groupAt(1)))
+}
+
+// Guards against parts that are freed by a host that was suspended right after it learned that they
+// are outdated, so that nobody had heard of it.
+func TestSuspendedHostCountsTheTimeAnew(t *testing.T) {
+	freeing := place.NewFreeing()
+	now := time.Unix(1000, 0)
+	freeing.Tell(now, oldest(2))
+	now = now.Add(10 * time.Second)
+	assert.Assert(t, !freeing.Includes(now, groupAt(1)))
+	freeing.Tell(now, oldest(2))
+	assert.Assert(t, !freeing.Includes(now, groupAt(1)))
 }
 
 // Replays a roll-out seen by three hosts: one that follows the store, one that hears of it and still
