--- a/edge/endless_test.go
+++ b/edge/endless_test.go
@@ -71,15 +71,24 @@
 	}
 }
 
-// Guards against bytes after a whole answer that reach the next caller.
+// Guards against bytes after a whole answer that reach the next caller as its answer, and against a
+// request that met them and is called not run, since its engine may have run it.
 func TestBytesAfterAWholeAnswerReachNobody(t *testing.T) {
 	d := start(t, 1)
 	d.behave(fake.EndlessAfter)
+	served := 0
 	for i := range 10 {
 		got, err := d.send(book(fmt.Sprint("call-", i)))
 		assert.NilError(t, err)
-		assert.Equal(t, got.body, fake.OwnAnswer)
+		if got.status == http.StatusOK {
+			assert.Equal(t, got.body, fake.OwnAnswer)
+			served++
+			continue
+		}
+		// The bytes came after the connection was found quiet and before the own answer.
+		assert.Equal(t, got.status, http.StatusBadGateway)
 	}
+	assert.Assert(t, served > 0)
 }
 
 // withSoundService adds a service of its own and a route to it.
