Offer waiting calls only to engines that are still listed

Cause: since an engine that makes progress is offered the first waiting calls, one that had left the list and still ran calls was offered them as well, since its runs hold on to it.

Ruled out: a directory that lags (every host logged "upstream is gone" within 5 ms), the mark of Server-Leaving (none of these engines sent it, with or without the prefix).

The test over the scheduler fails without the change.

--- a/place/dispatch.go
+++ b/place/dispatch.go
@@ -22,7 +22,8 @@
 // all upstreams for each sign of progress takes more time than a small host has when many wait.
 func (s *Scheduler) offer(now time.Time, n *node) {
 	queue := s.queues[n.listed.Service]
-	if len(queue) == 0 || !n.isUsable(now) || n.isFull() {
+	isListed := s.nodes[n.listed.ID] == n
+	if len(queue) == 0 || !isListed || !n.isUsable(now) || n.isFull() {
 		return
 	}
 	s.order(now, queue)
--- a/place/search_test.go
+++ b/place/search_test.go
@@ -67,3 +67,17 @@
 		tr.handle(place.Hear{Share: spoke.LoadShare{Host: "host-2", Number: number}})
 	}
 }
+
+// Replays engines that leave without a notice while calls run on them and others wait. Guards against
+// waiting calls that are offered to an engine that is no longer listed when one of its calls ends.
+func TestProgressOfAnUnlistedEngineOffersItNothing(t *testing.T) {
+	tr := newTrial(t, 1)
+	var running []place.Grant
+	for range 16 {
+		running = append(running, tr.grant(tr.ask(0, "session", 20, 20)))
+	}
+	tr.waits(tr.ask(0, "session", 200, 100))
+	tr.handle(place.SetUpstreams{Gone: []spoke.UpstreamID{"engine-0"}})
+	assert.Equal(t, len(tr.handle(place.Ended{Call: running[0].Call})), 0)
+	assert.Equal(t, len(tr.handle(place.Began{Call: running[1].Call})), 0)
+}
