Measure the age of knowledge on the steady clock and close before the next request in a test

The age of what a host knows, and since when it heard of others, was measured on the time of day: a step of that clock by two seconds made unknown keys wait or be denied too early. Found while reading the new pauses and isolation, which would have been mistaken by such a step.

Traced: its upstream asked whether to close only after its answer, so the answer before the change could close as well, and the next request could meet a close that no client can foresee.

--- a/edge/endless_test.go
+++ b/edge/endless_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"runtime"
 	"strings"
 	"sync"
 	"testing"
@@ -14,12 +13,11 @@
 	"gotest.tools/v3/assert"
 
 	"magnoliaspoke.example/spoke/config"
+	"magnoliaspoke.example/spoke/fake/heap"
 	fake "magnoliaspoke.example/spoke/fake/platform"
 )
 
 const (
-	// smallHost is the memory of the smallest hosts.
-	smallHost = 134 << 20
 	// manyEndless calls meet an engine whose bytes do not end at the same time.
 	manyEndless = 60
 )
@@ -39,7 +37,7 @@
 	}
 	for _, c := range cases {
 		t.Run(string(c.behaviour), func(t *testing.T) {
-			d := startWith(t, 1, func(settings *config.Relay) { settings.Memory = smallHost })
+			d := startWith(t, 1, func(settings *config.Relay) { settings.Memory = heap.SmallHost })
 			d.behave(c.behaviour)
 			sound := fake.NewEngine("i-sound", 4)
 			t.Cleanup(sound.Close)
@@ -49,7 +47,7 @@
 			awaitTrue(t, "sound engine not in use", func() bool { got, err := d.send(soundCall("first")); return err == nil && got.status == http.StatusOK })
 
 			ctx, cancel := context.WithCancel(context.Background())
-			peak := watchHeap(ctx)
+			peak := heap.Peak(ctx)
 			var group sync.WaitGroup
 			for i := range manyEndless {
 				group.Go(func() {
@@ -62,7 +60,7 @@
 			group.Wait()
 			cancel()
 			most := <-peak
-			assert.Assert(t, most < smallHost, "%d bytes of heap", most)
+			assert.Assert(t, most < heap.SmallHost, "%d bytes of heap", most)
 			assert.Assert(t, d.engines[0].Cancelled() > 0)
 			// Calls end after 4 s.
 			assert.Assert(t, d.engines[0].LongestPour() < 2*time.Second, "%s", d.engines[0].LongestPour())
@@ -115,21 +113,3 @@
 	assert.NilError(d.t, err)
 	return string(page)
 }
-
-// watchHeap returns the largest heap that it saw once ctx has ended.
-func watchHeap(ctx context.Context) <-chan uint64 {
-	result := make(chan uint64, 1)
-	go func() {
-		ticker := time.NewTicker(20 * time.Millisecond)
-		defer ticker.Stop()
-		var most uint64
-		for ctx.Err() == nil {
-			var stats runtime.MemStats
-			runtime.ReadMemStats(&stats)
-			most = max(most, stats.HeapInuse)
-			<-ticker.C
-		}
-		result <- most
-	}()
-	return result
-}
--- a/edge/knowledge.go
+++ b/edge/knowledge.go
@@ -13,6 +13,8 @@
 	staleShare = 0.8
 	// longestStep is longer than any step of a process that runs.
 	longestStep = 500 * time.Millisecond
+	// neverReached is the age of knowledge before the directory was reached.
+	neverReached = 24 * time.Hour
 	// pauseMemory is the time after a pause in which changes may have been made during it.
 	pauseMemory = time.Second
 )
@@ -32,18 +34,23 @@
 	pausedUntil atomic.Int64
 	limit       time.Duration
 	now         func() time.Time
+	// begin is the time from which the others count, so that jumps of the time of day do not matter.
+	begin time.Time
 }
 
 func newKnowledge(apply time.Duration, now func() time.Time) *knowledge {
-	return &knowledge{limit: time.Duration(staleShare * float64(apply)), now: now}
+	return &knowledge{limit: time.Duration(staleShare * float64(apply)), now: now, begin: now().Add(-neverReached)}
 }
 
+// elapsed returns the time since the start in nanoseconds.
+func (k *knowledge) elapsed() int64 { return int64(k.now().Sub(k.begin)) }
+
 // confirm notes that the directory was reached.
-func (k *knowledge) confirm() { k.confirmed.Store(k.now().UnixNano()) }
+func (k *knowledge) confirm() { k.confirmed.Store(k.elapsed()) }
 
 // confirmBy takes another host's word that the directory was reached and holds nothing newer.
 func (k *knowledge) confirmBy(view spoke.DirectoryView) {
-	reached := k.now().Add(-view.Age).UnixNano()
+	reached := k.elapsed() - int64(view.Age)
 	known := k.confirmed.Load()
 	if uint64(view.Revision) <= k.revision.Load() && reached > known {
 		k.confirmed.CompareAndSwap(known, reached)
@@ -52,7 +59,7 @@
 
 // step notes that the process runs, and the pause if it did not.
 func (k *knowledge) step() {
-	now := k.now().UnixNano()
+	now := k.elapsed()
 	before := k.stepped.Swap(now)
 	if pause := now - before; before != 0 && pause > int64(longestStep) {
 		k.pause.Store(pause)
@@ -62,7 +69,7 @@
 
 // paused returns how long the process has just made no step, zero if it runs as usual.
 func (k *knowledge) paused() time.Duration {
-	now := k.now().UnixNano()
+	now := k.elapsed()
 	if before := k.stepped.Load(); before != 0 && now-before > int64(longestStep) {
 		return time.Duration(now - before)
 	}
@@ -73,11 +80,11 @@
 }
 
 // hear notes a word of another host.
-func (k *knowledge) hear() { k.heard.Store(k.now().UnixNano()) }
+func (k *knowledge) hear() { k.heard.Store(k.elapsed()) }
 
 // isIsolated reports whether neither the directory nor another host was heard of for a time.
 func (k *knowledge) isIsolated(limit time.Duration) bool {
-	return k.age() > limit && k.now().Sub(time.Unix(0, k.heard.Load())) > limit
+	return k.age() > limit && time.Duration(k.elapsed()-k.heard.Load()) > limit
 }
 
 func (k *knowledge) view() spoke.DirectoryView {
@@ -86,7 +93,7 @@
 
 // age returns the time since the directory was last reached.
 func (k *knowledge) age() time.Duration {
-	return k.now().Sub(time.Unix(0, k.confirmed.Load()))
+	return time.Duration(k.elapsed() - k.confirmed.Load())
 }
 
 // isStale reports whether a newer table could be in force elsewhere, so that an unknown key
--- /dev/null
+++ b/fake/heap/doc.go
@@ -0,0 +1,2 @@
+// Package heap measures the memory of tests.
+package heap
--- a/link/endless_test.go
+++ b/link/endless_test.go
@@ -5,7 +5,6 @@
 	"io"
 	"net"
 	"net/http"
-	"runtime"
 	"strings"
 	"sync"
 	"testing"
@@ -15,12 +14,11 @@
 	"gotest.tools/v3/poll"
 
 	"magnoliaspoke.example/spoke"
+	"magnoliaspoke.example/spoke/fake/heap"
 	"magnoliaspoke.example/spoke/link"
 )
 
 const (
-	// smallHost is the memory of the smallest hosts.
-	smallHost = 134 << 20
 	// manyEndless connections carry bytes without end at the same time.
 	manyEndless = 60
 )
@@ -53,7 +51,7 @@
 			defer pool.Close()
 			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 			defer cancel()
-			peak := watchHeap(ctx)
+			peak := heap.Peak(ctx)
 			var group sync.WaitGroup
 			for range manyEndless {
 				group.Go(func() {
@@ -68,7 +66,7 @@
 			}
 			group.Wait()
 			cancel()
-			assert.Assert(t, <-peak < smallHost)
+			assert.Assert(t, <-peak < heap.SmallHost)
 			assert.Assert(t, pool.Idle() > 0)
 		})
 	}
@@ -76,24 +74,6 @@
 
 func isNoStranger(_ int, header http.Header) bool { return header.Get("Other") == "" }
 
-// watchHeap returns the largest heap that it saw once ctx has ended.
-func watchHeap(ctx context.Context) <-chan uint64 {
-	result := make(chan uint64, 1)
-	go func() {
-		ticker := time.NewTicker(20 * time.Millisecond)
-		defer ticker.Stop()
-		var most uint64
-		for ctx.Err() == nil {
-			var stats runtime.MemStats
-			runtime.ReadMemStats(&stats)
-			most = max(most, stats.HeapInuse)
-			<-ticker.C
-		}
-		result <- most
-	}()
-	return result
-}
-
 // Guards against trailers and chunk extensions without end.
 func TestFramesWithoutEndAreGivenUp(t *testing.T) {
 	for name, shape := range map[string][2]string{
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -65,10 +65,13 @@
 // upstream has closed.
 func TestConnectionsAreKeptWhileTheyAreGood(t *testing.T) {
 	var closes atomic.Bool
+	closed := make(chan struct{}, 3)
 	at := upstream(t, func(conn net.Conn, request *http.Request) {
+		isLast := closes.Load()
 		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
-		if closes.Load() {
+		if isLast {
 			_ = conn.Close()
+			closed <- struct{}{}
 		}
 	})
 	pool := link.New()
@@ -84,6 +87,7 @@
 		body, err := get(t, pool, at)
 		assert.NilError(t, err)
 		assert.Equal(t, body, "ok")
+		<-closed
 	}
 }
 
