Call one piece of code where this change had written it again

The loop over a queue stood in dispatch and offer, the sorted list of weights in two places, keys of stored parts in planSaves beside storedKeys, the codec of weights four times, and a loop over ticks beside runTask. Each has one place now, and planSaves builds the cache group once for a prompt in place of once for each part. Behaviour and tests are unchanged.

--- a/edge/host.go
+++ b/edge/host.go
@@ -210,16 +210,7 @@
 
 // sweep closes idle connections to upstreams that will not be used again.
 func (h *Host) sweep(ctx context.Context) error {
-	tick := h.parts.Timer.Every(sweepEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-tick.C():
-			h.relayer.pool.Sweep()
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-	}
+	return runTask(ctx, h.parts.Timer, sweepEvery, nil, nil, func(context.Context) { h.relayer.pool.Sweep() })
 }
 
 // hear takes another host's account.
--- a/edge/task.go
+++ b/edge/task.go
@@ -7,7 +7,8 @@
 	"magnoliaspoke.example/spoke"
 )
 
-// runTask takes messages as they come and makes a step at each tick, until ctx ends.
+// runTask takes messages as they come and makes a step at each tick, until ctx ends; in is nil for a
+// task without messages.
 func runTask(ctx context.Context, timer spoke.Timer, every time.Duration, in <-chan any, take func(any), step func(context.Context)) error {
 	tick := timer.Every(every)
 	defer tick.Stop()
--- a/peers/codec.go
+++ b/peers/codec.go
@@ -103,7 +103,7 @@
 		row.Paused = put(row.Paused, string(id), pause.Milliseconds())
 	}
 	for id, seen := range share.Weights {
-		row.Weights = put(row.Weights, string(id), weightsRow{string(seen.Model), int64(seen.Version)})
+		row.Weights = put(row.Weights, string(id), encodeWeights(seen))
 	}
 	for _, mark := range share.Marks {
 		row.Marks = append(row.Marks, markRow{string(mark.Fingerprint), mark.Deaths, mark.Expires.Sub(now).Milliseconds()})
@@ -152,9 +152,7 @@
 		share.Paused = put(share.Paused, spoke.UpstreamID(id), time.Duration(ms)*time.Millisecond)
 	}
 	for id, seen := range row.Weights {
-		share.Weights = put(share.Weights, spoke.UpstreamID(id), spoke.ListedWeights{
-			Model: spoke.ModelName(seen.Model), Version: spoke.WeightVersion(seen.Version),
-		})
+		share.Weights = put(share.Weights, spoke.UpstreamID(id), decodeWeights(seen))
 	}
 	for _, mark := range row.Marks {
 		share.Marks = append(share.Marks, spoke.QuarantineMark{
@@ -193,13 +191,21 @@
 	return start
 }
 
+func encodeWeights(listed spoke.ListedWeights) weightsRow {
+	return weightsRow{string(listed.Model), int64(listed.Version)}
+}
+
+func decodeWeights(row weightsRow) spoke.ListedWeights {
+	return spoke.ListedWeights{Model: spoke.ModelName(row.Model), Version: spoke.WeightVersion(row.Version)}
+}
+
 func encodeStore(state spoke.StoreState) storeRow {
 	row := storeRow{
 		Name: string(state.Store), Epoch: uint64(state.Epoch), IsDown: state.IsDown, Used: int64(state.Used),
 		Stored: convert[uint64](state.Stored), Freed: convert[uint64](state.Freed), ClockMs: int64(state.Clock),
 	}
 	for _, usable := range state.Oldest {
-		row.Oldest = append(row.Oldest, weightsRow{string(usable.Model), int64(usable.Version)})
+		row.Oldest = append(row.Oldest, encodeWeights(usable))
 	}
 	return row
 }
@@ -210,7 +216,7 @@
 		Stored: convert[spoke.StoredKey](row.Stored), Freed: convert[spoke.StoredKey](row.Freed), Clock: spoke.EngineTime(row.ClockMs),
 	}
 	for _, usable := range row.Oldest {
-		state.Oldest = append(state.Oldest, spoke.ListedWeights{Model: spoke.ModelName(usable.Model), Version: spoke.WeightVersion(usable.Version)})
+		state.Oldest = append(state.Oldest, decodeWeights(usable))
 	}
 	return state
 }
--- a/place/dispatch.go
+++ b/place/dispatch.go
@@ -21,20 +21,25 @@
 // offer gives the first waiting calls to an upstream that has made progress. A look at all calls and
 // all upstreams for each sign of progress takes more time than a small host has when many wait.
 func (s *Scheduler) offer(now time.Time, n *node) {
-	queue := s.queues[n.listed.Service]
 	isListed := s.nodes[n.listed.ID] == n
-	if len(queue) == 0 || !isListed || !n.isUsable(now) || n.isFull() {
+	if len(s.queues[n.listed.Service]) == 0 || !isListed || !n.isUsable(now) || n.isFull() {
 		return
 	}
+	s.settleFirst(now, n.listed.Service, offerLimit, func(w *waiting) bool { return s.settleAt(now, w, n) })
+}
+
+// settleFirst tries to settle the first calls of a queue in order and keeps the others.
+func (s *Scheduler) settleFirst(now time.Time, service spoke.ServiceName, most int, settle func(*waiting) bool) {
+	queue := s.queues[service]
 	s.order(now, queue)
 	kept := queue[:0]
 	for position, w := range queue {
-		if position >= offerLimit || !s.settleAt(now, w, n) {
+		if position >= most || !settle(w) {
 			kept = append(kept, w)
 		}
 	}
 	clear(queue[len(kept):])
-	s.queues[n.listed.Service] = kept
+	s.queues[service] = kept
 }
 
 // settleAt grants a call at one upstream, if that may take it now.
@@ -52,19 +57,9 @@
 // dispatch gives waiting calls to upstreams in order and refuses those whose time is over.
 func (s *Scheduler) dispatch(now time.Time) {
 	for _, service := range slices.Sorted(maps.Keys(s.queues)) {
-		queue := s.queues[service]
-		if len(queue) == 0 {
-			continue
-		}
-		s.order(now, queue)
-		kept := queue[:0]
-		for position, w := range queue {
-			if position >= scanLimit || !s.settle(now, w) {
-				kept = append(kept, w)
-			}
+		if len(s.queues[service]) > 0 {
+			s.settleFirst(now, service, scanLimit, func(w *waiting) bool { return s.settle(now, w) })
 		}
-		clear(queue[len(kept):])
-		s.queues[service] = kept
 	}
 }
 
--- a/place/news.go
+++ b/place/news.go
@@ -1,7 +1,6 @@
 package place
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -121,11 +120,7 @@
 
 // oldestUsable returns the oldest weights whose parts may be copied.
 func (st *store) oldestUsable() []spoke.ListedWeights {
-	var usable []spoke.ListedWeights
-	for _, model := range slices.Sorted(maps.Keys(st.oldest)) {
-		usable = append(usable, spoke.ListedWeights{Model: model, Version: st.oldest[model]})
-	}
-	return usable
+	return listWeights(st.oldest)
 }
 
 func (r *retold) add(key spoke.StoredKey) { r.keys = append(r.keys, key) }
--- a/place/outdated.go
+++ b/place/outdated.go
@@ -81,11 +81,16 @@
 			}
 		}
 	}
-	var usable []spoke.ListedWeights
-	for _, model := range slices.Sorted(maps.Keys(oldest)) {
-		usable = append(usable, spoke.ListedWeights{Model: model, Version: oldest[model]})
+	return listWeights(oldest)
+}
+
+// listWeights returns the versions of models in the order of their names.
+func listWeights(versions map[spoke.ModelName]spoke.WeightVersion) []spoke.ListedWeights {
+	var listed []spoke.ListedWeights
+	for _, model := range slices.Sorted(maps.Keys(versions)) {
+		listed = append(listed, spoke.ListedWeights{Model: model, Version: versions[model]})
 	}
-	return usable
+	return listed
 }
 
 func (o *Outdated) lowestServed() map[spoke.ModelName]spoke.WeightVersion {
--- a/place/stores.go
+++ b/place/stores.go
@@ -156,9 +156,10 @@
 		return nil
 	}
 	saves := make([]spoke.Address, len(m.Prompt.Parts))
+	keys := storedKeys(m, version)
 	// The last part belongs to this request alone.
 	for i, part := range m.Prompt.Parts[:len(m.Prompt.Parts)-1] {
-		key := storedKey{StoredKeyOf(spoke.StoredPart{Group: groupOf(m, version), Part: part.ID}), m.Prompt.Model, version}
+		key := keys[i]
 		if part.Tokens < leastSaved || s.isStored(now, key) {
 			continue
 		}
