Learn the reading rate and the delay of first events for each service

Cause: predictions took one reading rate and a step of 10 ms for all engines, and the pace of an engine was the ratio of its first events to that. Here first events come some 57 ms after reading, so that a prompt of 200 tokens made its engine look five times slower, and calls queued and were refused for it. Copies that came late taught the same pace. Ruled out: the engines' speed as such, since the ratio was as large on idle ones.

Change: both figures are learned for each service by least squares over first events, in which old ones fade; an engine's pace is its ratio to that; calls that wait for copies teach nothing. TestReadingAndDelay fails on the old code (off by 122 ms), and passes.

--- a/place/calls.go
+++ b/place/calls.go
@@ -46,7 +46,7 @@
 	run.node.progressed(now)
 	run.node.pause = 0
 	if run.ask.Prompt != nil {
-		run.node.observePace(now.Sub(run.sent), run.predicted)
+		run.node.observeFirst(run, now.Sub(run.sent))
 	}
 	if m.IsLeaving {
 		s.hearLeaving(now, run.node)
--- a/place/choose.go
+++ b/place/choose.go
@@ -19,6 +19,8 @@
 	fetched spoke.TokenCount
 	fetch   []spoke.Address
 	copying time.Duration
+	// before counts the tokens that the node reads before the first event.
+	before spoke.TokenCount
 	// first is the expected time to the first event, ordinary the same at the usual pace.
 	first    time.Duration
 	ordinary time.Duration
@@ -129,20 +131,21 @@
 	}
 	prefixes := w.prefixesFor(c.weights)
 	c.cached = min(n.cache.cached(prefixes), prompt.Input)
-	saved := readTime(c.cached, n.pace)
+	saved := n.reading.time(c.cached, n.pace)
 	unread := n.backlogOf(now, total.Unread)
-	behind := readTime(unread, n.pace)
+	behind := n.reading.time(unread, n.pace)
 	if behind > s.allowedBacklog(w.ask)+saved/2 || !s.planCopies(now, w, n, &c) {
 		return c, false
 	}
 	rest := prompt.Input - c.cached - c.fetched
-	read := readTime(rest, n.pace)
+	read := n.reading.time(rest, n.pace)
 	ready := behind
 	if c.copying > 0 {
 		ready = max(behind, n.copyBacklog(now)+c.copying)
 	}
-	c.first = ready + read + stepTime
-	c.ordinary = max(readTime(unread, 1), ready) + readTime(rest, 1) + stepTime
+	c.first = ready + read + time.Duration(n.pace*float64(n.reading.step))
+	c.before = unread + rest
+	c.ordinary = max(n.reading.time(unread, 1), ready) + n.reading.first(rest)
 	c.cost += ready + read + time.Duration(readCost*float64(read)) + time.Duration(total.Runs)*time.Millisecond
 	return c, true
 }
@@ -229,7 +232,3 @@
 	}
 	return w.home
 }
-
-func readTime(tokens spoke.TokenCount, pace float64) time.Duration {
-	return time.Duration(float64(tokens) / defaultReadRate * pace * float64(time.Millisecond))
-}
--- a/place/dispatch.go
+++ b/place/dispatch.go
@@ -102,7 +102,8 @@
 	if m.Prompt == nil {
 		return 0
 	}
-	return readTime(m.Prompt.Input, 1)/2 + stepTime
+	reading := s.reading(m.Service)
+	return reading.time(m.Prompt.Input, 1)/2 + reading.step
 }
 
 func (s *Scheduler) grant(now time.Time, w *waiting, c candidate) {
@@ -112,6 +113,7 @@
 		run.unread = m.Prompt.Input - c.cached - c.fetched
 		run.memory = m.Prompt.Input + expectedOutput(m.Prompt)
 		run.copying = c.copying
+		run.before = c.before
 		c.node.grow(now, run.unread, run.copying)
 	}
 	c.node.runs[m.Call] = run
--- a/place/node.go
+++ b/place/node.go
@@ -28,7 +28,6 @@
 	certainFailure         = 1.0
 	shortestServiceTime    = time.Millisecond
 	defaultPlainService    = 50 * time.Millisecond
-	leastPredictedForPace  = 5 * time.Millisecond
 	longestObservedService = 5 * time.Second
 )
 
@@ -39,6 +38,8 @@
 		node   *node
 		sent   time.Time
 		unread spoke.TokenCount
+		// before counts the tokens that the engine reads before the call's first event.
+		before spoke.TokenCount
 		memory spoke.TokenCount
 		// copying is the time that the transfers of the call's cached parts take.
 		copying   time.Duration
@@ -67,6 +68,8 @@
 		loadAt time.Time
 		// sign is when the upstream last answered this host or made progress for another.
 		sign time.Time
+		// reading is what the engines of the service have in common.
+		reading *reading
 		// pace is how many times slower than usual the upstream reads or serves.
 		pace        float64
 		serviceTime time.Duration
@@ -85,12 +88,12 @@
 	}
 )
 
-func newNode(listed spoke.ListedUpstream, capacity spoke.TokenCount) *node {
+func newNode(listed spoke.ListedUpstream, capacity spoke.TokenCount, reading *reading) *node {
 	n := &node{
 		runs:  make(map[spoke.CallNumber]*running),
 		peers: make(map[spoke.HostID]spoke.UpstreamShare),
 		cache: newMemory(capacity), weights: make(map[spoke.ModelName]spoke.WeightVersion),
-		pace: 1, serviceTime: defaultPlainService,
+		reading: reading, pace: 1, serviceTime: defaultPlainService,
 	}
 	n.list(listed)
 	return n
@@ -153,7 +156,7 @@
 }
 
 // readRate is the number of prompt tokens that the engine reads in a millisecond.
-func (n *node) readRate() float64 { return defaultReadRate / n.pace }
+func (n *node) readRate() float64 { return n.reading.rate / n.pace }
 
 // copyBacklog returns the time until the engine's link is free.
 func (n *node) copyBacklog(now time.Time) time.Duration {
@@ -268,11 +271,14 @@
 	n.serviceTime += time.Duration(paceWeight * float64(took-n.serviceTime))
 }
 
-// observePace compares the time to the first event with its prediction at the usual pace.
-func (n *node) observePace(took, predicted time.Duration) {
-	if predicted < leastPredictedForPace {
+// observeFirst compares the time to a first event with that of other engines. A call that waited for
+// copies says nothing of reading.
+func (n *node) observeFirst(run *running, took time.Duration) {
+	if run.copying > 0 {
 		return
 	}
-	ratio := min(max(float64(took)/float64(predicted), fastestPace), slowestPace)
+	usual := n.reading.first(run.before)
+	ratio := min(max(float64(took)/float64(usual), fastestPace), slowestPace)
 	n.pace += paceWeight * (ratio - n.pace)
+	n.reading.observe(run.before, took)
 }
--- a/place/options.go
+++ b/place/options.go
@@ -7,11 +7,6 @@
 )
 
 const (
-	// defaultReadRate is the number of prompt tokens that an engine at usual pace reads in a
-	// millisecond; the pace of each engine corrects it.
-	defaultReadRate = 80.0
-	// stepTime is the time between the end of reading and the first event.
-	stepTime = 10 * time.Millisecond
 	// remoteCost is the cost of sending to another data centre, in time of the caller.
 	remoteCost = 4 * time.Millisecond
 	// turnTime is the time in which hosts hear of each other's calls.
--- a/place/scheduler.go
+++ b/place/scheduler.go
@@ -39,6 +39,7 @@
 		running   map[spoke.CallNumber]*running
 		named     map[spoke.ModelName]naming
 		budgets   map[spoke.ServiceName]*budget
+		readings  map[spoke.ServiceName]*reading
 		peers     map[spoke.HostID]*peer
 		stores    []*store
 		// departures outlive the nodes.
@@ -65,6 +66,7 @@
 		running:    make(map[spoke.CallNumber]*running),
 		named:      make(map[spoke.ModelName]naming),
 		budgets:    make(map[spoke.ServiceName]*budget),
+		readings:   make(map[spoke.ServiceName]*reading),
 		peers:      make(map[spoke.HostID]*peer),
 		departures: make(departures),
 		storedAt:   make(map[spoke.StoredKey][]*store),
@@ -153,7 +155,7 @@
 		return
 	}
 	// A restart under the same id is another upstream that knows nothing of before.
-	n = newNode(listed, s.capacity(listed.Service))
+	n = newNode(listed, s.capacity(listed.Service), s.reading(listed.Service))
 	_, n.isDeparting = s.departures[startOf(listed)]
 	s.nodes[listed.ID] = n
 }
@@ -194,3 +196,10 @@
 	}
 	return s.budgets[service]
 }
+
+func (s *Scheduler) reading(service spoke.ServiceName) *reading {
+	if s.readings[service] == nil {
+		s.readings[service] = newReading()
+	}
+	return s.readings[service]
+}
