Learn how late copies from each source come, and weigh reading by who waits

Two thirds of the late first events under load waited for copies that took longer than predicted, while reading the same part would have taken a tenth of it; in the seconds after all hosts lost power everything was copied.

Change: hosts keep for each address how much later than predicted copies from it came, fading by half in half a second. Of all ways to get the parts that an engine lacks, the one with the least time is taken, with reading weighed by the calls that wait for each engine, since they pay for it. Three tests replay a late store, its return, and scarce reading.

--- a/place/calls.go
+++ b/place/calls.go
@@ -47,6 +47,9 @@
 	run.node.pause = 0
 	if run.ask.Prompt != nil {
 		run.node.observeFirst(run, now.Sub(run.sent))
+		for _, from := range run.sources {
+			s.delays.observe(now, from, now.Sub(run.sent)-run.predicted)
+		}
 	}
 	if m.IsLeaving {
 		s.hearLeaving(now, run.node)
--- a/place/choose.go
+++ b/place/choose.go
@@ -15,13 +15,11 @@
 	node    *node
 	weights spoke.WeightVersion
 	cached  spoke.TokenCount
-	// fetched is copied from the places that fetch names for each part.
-	fetched spoke.TokenCount
-	fetch   []spoke.Address
-	copying time.Duration
+	copies  copies
 	// before counts the tokens that the node reads before the first event.
 	before spoke.TokenCount
-	// first is the expected time to the first event, ordinary the same at the usual pace.
+	// first is the expected time to the first event, ordinary the same at the usual pace and without
+	// the delay of copies.
 	first    time.Duration
 	ordinary time.Duration
 	cost     time.Duration
@@ -134,34 +132,45 @@
 	saved := n.reading.time(c.cached, n.pace)
 	unread := n.backlogOf(now, total.Unread)
 	behind := n.reading.time(unread, n.pace)
-	if behind > s.allowedBacklog(w.ask)+saved/2 || !s.planCopies(now, w, n, &c) {
+	if behind > s.allowedBacklog(w.ask)+saved/2 {
 		return c, false
 	}
-	rest := prompt.Input - c.cached - c.fetched
-	read := n.reading.time(rest, n.pace)
-	ready := behind
-	if c.copying > 0 {
-		ready = max(behind, n.copyBacklog(now)+c.copying)
+	link := n.copyBacklog(now)
+	price := 1 + readCost + s.readPressure(now, w.ask)
+	c.copies = s.planCopies(now, w, &c, func(way copies) time.Duration {
+		read := n.reading.time(prompt.Input-c.cached-way.tokens, n.pace)
+		return way.ready(behind, link) + time.Duration(price*float64(read))
+	})
+	if c.copies.parts > 0 && link > longestLinkWait(w.ask) {
+		// While the link is busy, short urgent prompts are read, and others wait, since reading long
+		// parts again would take the engine from others.
+		if w.ask.Urgency > 1 {
+			return c, false
+		}
+		c.copies = copies{}
 	}
+	rest := prompt.Input - c.cached - c.copies.tokens
+	read := n.reading.time(rest, n.pace)
+	ready := c.copies.ready(behind, link)
 	c.first = ready + read + time.Duration(n.pace*float64(n.reading.step))
 	c.before = unread + rest
-	c.ordinary = max(n.reading.time(unread, 1), ready) + n.reading.first(rest)
-	c.cost += ready + read + time.Duration(readCost*float64(read)) + time.Duration(total.Runs)*time.Millisecond
+	c.ordinary = max(n.reading.time(unread, 1), ready-c.copies.delay) + n.reading.first(rest)
+	c.cost += ready + time.Duration(price*float64(read)) + time.Duration(total.Runs)*time.Millisecond
 	return c, true
 }
 
-// planCopies decides which parts the node copies. While its link is busy, short urgent prompts are
-// read, and others wait, since reading long parts again would take the engine from others.
-func (s *Scheduler) planCopies(now time.Time, w *waiting, n *node, c *candidate) bool {
-	c.copying = s.planFetch(now, w, n, c)
-	if c.copying == 0 || n.copyBacklog(now) <= min(time.Duration(copyWaitShare*float64(w.ask.Target.Sub(w.ask.Arrived))), longestCopyWait) {
-		return true
-	}
-	if w.ask.Urgency > 1 {
-		return false
+// ready is the time until the engine can read what it does not copy: it has read what came before, and
+// its link has brought the copies.
+func (way copies) ready(behind, link time.Duration) time.Duration {
+	if way.parts == 0 {
+		return behind
 	}
-	c.copying, c.fetched, c.fetch = 0, 0, nil
-	return true
+	return max(behind, link+way.took+way.delay)
+}
+
+// longestLinkWait bounds the wait for an engine's link.
+func longestLinkWait(m Ask) time.Duration {
+	return min(time.Duration(copyWaitShare*float64(m.Target.Sub(m.Arrived))), longestCopyWait)
 }
 
 // hasTurn divides an engine between hosts that all have calls waiting. They see it become free at
--- /dev/null
+++ b/place/delays_test.go
@@ -0,0 +1,91 @@
+package place_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"magnoliaspoke.example/spoke"
+	"magnoliaspoke.example/spoke/place"
+)
+
+// storedSessions returns a trial whose store holds the shared parts of sessions that no engine holds.
+func storedSessions(t *testing.T, engines, sessions int) *trial {
+	t.Helper()
+	tr := newTrial(t, engines)
+	var keys []spoke.StoredKey
+	for i := range sessions {
+		stored := spoke.StoredPart{Group: place.CacheGroup(spoke.KeyOwner{}, model, 1), Part: session(i)}
+		keys = append(keys, place.StoredKeyOf(stored))
+	}
+	tr.handle(place.SeeStore{State: spoke.StoreState{Store: "store", Epoch: 7, Used: 10000, Stored: keys}})
+	return tr
+}
+
+func session(number int) spoke.PartID { return spoke.PartID(fmt.Sprint("session-", number)) }
+
+// copyLate serves sessions whose copies come later than predicted and returns how many were copied.
+func (tr *trial) copyLate(from, to int, late time.Duration) (copied int) {
+	for i := from; i < to; i++ {
+		granted := tr.grant(tr.ask(1, string(session(i)), 5000, 300))
+		took := granted.Predicted
+		if granted.Fetched > 0 {
+			copied++
+			took = 80*time.Millisecond + late
+		}
+		tr.now = tr.now.Add(took)
+		tr.handle(place.Began{Call: granted.Call})
+		tr.handle(place.Ended{Call: granted.Call})
+	}
+	return copied
+}
+
+// Replays a store whose link has a queue, as in the seconds after all hosts lost power and copied
+// everything (incident ff56). Guards against copies that go on where reading takes a tenth of the time.
+func TestPartsAreReadWhileTheirStoreIsLate(t *testing.T) {
+	tr := storedSessions(t, 4, 60)
+	assert.Equal(t, tr.copyLate(0, 4, 0), 4)
+	copied := tr.copyLate(4, 24, 900*time.Millisecond)
+	assert.Assert(t, copied <= 3, "%d copied", copied)
+	tr.now = tr.now.Add(2 * time.Second)
+	tr.handle(place.SeeStore{State: spoke.StoreState{Store: "store", Epoch: 7, Used: 10000}})
+	assert.Assert(t, tr.copyLate(24, 28, 0) >= 3, "a store that is sound again is not used")
+}
+
+// Guards against a late store that makes the engines which copy from it look like slow readers.
+func TestLateCopiesTeachNothingAboutEngines(t *testing.T) {
+	tr := storedSessions(t, 1, 40)
+	read := tr.grant(tr.ask(1, "unknown", 0, 4000))
+	tr.settleAfter(read, read.Predicted)
+	for i := range 12 {
+		tr.copyLate(i, i+1, time.Second)
+		tr.now = tr.now.Add(2 * time.Second)
+		tr.handle(place.SeeStore{State: spoke.StoreState{Store: "store", Epoch: 7, Used: 10000}})
+	}
+	again := tr.grant(tr.ask(1, "unknown", 0, 4000))
+	assert.Assert(t, again.Predicted < read.Predicted+10*time.Millisecond, "%s after %s", again.Predicted, read.Predicted)
+}
+
+// Replays a late store while calls wait for want of reading time. Guards against parts that are read
+// again at the cost of those calls.
+func TestPartsAreCopiedWhileReadingIsScarce(t *testing.T) {
+	late := func(waiting int) spoke.TokenCount {
+		tr := storedSessions(t, 2, 20)
+		tr.copyLate(0, 3, 250*time.Millisecond)
+		share := spoke.LoadShare{Host: "host-2", Number: 1, Waiting: []spoke.WaitingWork{{Service: models, Urgency: 2, Tokens: spoke.TokenCount(5300 * waiting)}}}
+		tr.handle(place.Hear{Share: share})
+		return tr.grant(tr.ask(1, string(session(10)), 5000, 300)).Fetched
+	}
+	assert.Equal(t, late(0), spoke.TokenCount(0))
+	assert.Equal(t, late(12), spoke.TokenCount(5000))
+}
+
+// settleAfter ends a call whose first event came after the given time.
+func (tr *trial) settleAfter(granted place.Grant, took time.Duration) {
+	tr.now = tr.now.Add(took)
+	tr.handle(place.Began{Call: granted.Call})
+	tr.now = tr.now.Add(time.Second)
+	tr.handle(place.Ended{Call: granted.Call})
+}
--- a/place/dispatch.go
+++ b/place/dispatch.go
@@ -108,11 +108,12 @@
 
 func (s *Scheduler) grant(now time.Time, w *waiting, c candidate) {
 	m := w.ask
-	run := &running{ask: m, node: c.node, sent: now, predicted: c.ordinary, weights: c.weights}
+	fetch, sources := s.fetches(now, w, c)
+	run := &running{sources: sources, ask: m, node: c.node, sent: now, predicted: c.ordinary, weights: c.weights}
 	if m.Prompt != nil {
-		run.unread = m.Prompt.Input - c.cached - c.fetched
+		run.unread = m.Prompt.Input - c.cached - c.copies.tokens
 		run.memory = m.Prompt.Input + expectedOutput(m.Prompt)
-		run.copying = c.copying
+		run.copying = c.copies.took
 		run.before = c.before
 		c.node.grow(now, run.unread, run.copying)
 	}
@@ -128,10 +129,10 @@
 	}
 	granted := Grant{
 		Call: m.Call, Upstream: c.node.listed, Weights: c.weights, Cached: c.cached,
-		Fetched: c.fetched, Fetch: c.fetch, Save: s.planSaves(now, m, c.weights),
+		Fetched: c.copies.tokens, Fetch: fetch, Save: s.planSaves(now, m, c.weights),
 		Predicted: c.first, Waited: now.Sub(m.Arrived), Urgency: m.Urgency,
 	}
-	if slices.ContainsFunc(c.fetch, func(from spoke.Address) bool { return from != "" }) {
+	if slices.ContainsFunc(fetch, func(from spoke.Address) bool { return from != "" }) {
 		granted.FetchUntil = s.engineClock.fetchUntil(now)
 	}
 	s.actions = append(s.actions, granted)
--- a/place/fetch.go
+++ b/place/fetch.go
@@ -69,36 +69,74 @@
 	return keys
 }
 
-// planFetch sets from where the node copies the parts that it lacks and returns the time of the
-// transfers; copying leaves the engine free for other prompts.
-func (s *Scheduler) planFetch(now time.Time, w *waiting, n *node, c *candidate) time.Duration {
+// copies are the parts of a prompt that a node copies: the first ones of those that it lacks. The rest
+// is read.
+type copies struct {
+	parts  int
+	tokens spoke.TokenCount
+	// took is the time of the transfers alone, delay what they are likely to wait for other ones.
+	took  time.Duration
+	delay time.Duration
+}
+
+// planCopies returns the copies that cost least, where weigh tells the cost of each way. Copying leaves
+// the engine free for other prompts.
+func (s *Scheduler) planCopies(now time.Time, w *waiting, c *candidate, weigh func(copies) time.Duration) copies {
+	var best, longer copies
 	engine := s.services[w.ask.Service].Engine
 	if engine == nil || engine.Link <= 0 {
-		return 0
+		return best
+	}
+	least := weigh(best)
+	from := s.holdingsOf(now, w, c.weights)
+	for i, prefix := range w.prefixesFor(c.weights) {
+		if prefix.Total <= c.cached {
+			continue
+		}
+		at, ok := s.sourceOf(now, from, c.node, i, prefix.Total)
+		if !ok {
+			// A part is of use only if all parts before it are there.
+			break
+		}
+		longer.parts++
+		longer.tokens = min(longer.tokens+prefix.Part, w.ask.Prompt.Input-c.cached)
+		longer.took += at.transfer(engine, prefix.Part, c.node.listed.DataCentre)
+		longer.delay = max(longer.delay, s.delays.of(now, at.address))
+		if cost := weigh(longer); cost < least {
+			best, least = longer, cost
+		}
+	}
+	return best
+}
+
+// fetches returns where the node of a candidate copies each part from, and the sources whose transfers
+// its first event waits for.
+func (s *Scheduler) fetches(now time.Time, w *waiting, c candidate) (fetch, sources []spoke.Address) {
+	engine := s.services[w.ask.Service].Engine
+	if w.ask.Prompt == nil || engine == nil || engine.Link <= 0 {
+		return nil, nil
 	}
 	prefixes, from := w.prefixesFor(c.weights), s.holdingsOf(now, w, c.weights)
-	fetch := make([]spoke.Address, len(prefixes))
-	var took time.Duration
-	var fetched spoke.TokenCount
+	fetch = make([]spoke.Address, len(prefixes))
 	for i, prefix := range prefixes {
 		if prefix.Total <= c.cached {
 			// The engine may have dropped the part; what it still holds is not copied.
-			if st := s.storeWith(now, from.keys[i], n.listed.DataCentre); st != nil {
+			if st := s.storeWith(now, from.keys[i], c.node.listed.DataCentre); st != nil {
 				fetch[i] = st.Address
 			}
 			continue
 		}
-		at, ok := s.sourceOf(now, from, n, i, prefix.Total)
+		if len(sources) == c.copies.parts {
+			break
+		}
+		at, ok := s.sourceOf(now, from, c.node, i, prefix.Total)
 		if !ok {
-			// A part is of use only if all parts before it are there.
 			break
 		}
 		fetch[i] = at.address
-		fetched += prefix.Part
-		took += at.transfer(engine, prefix.Part, n.listed.DataCentre)
+		sources = append(sources, at.address)
 	}
-	c.fetched, c.fetch = min(fetched, w.ask.Prompt.Input-c.cached), fetch
-	return took
+	return fetch, sources
 }
 
 // sourceOf returns where a part of the prompt can be copied from: a store that is known to
--- a/place/node.go
+++ b/place/node.go
@@ -42,7 +42,9 @@
 		before spoke.TokenCount
 		memory spoke.TokenCount
 		// copying is the time that the transfers of the call's cached parts take.
-		copying   time.Duration
+		copying time.Duration
+		// sources are the addresses that the copies come from.
+		sources   []spoke.Address
 		predicted time.Duration
 		weights   spoke.WeightVersion
 		hasBegun  bool
--- a/place/scheduler.go
+++ b/place/scheduler.go
@@ -39,6 +39,8 @@
 		running   map[spoke.CallNumber]*running
 		named     map[spoke.ModelName]naming
 		budgets   map[spoke.ServiceName]*budget
+		delays    copyDelays
+		pressures map[spoke.ServiceName]pressure
 		readings  map[spoke.ServiceName]*reading
 		peers     map[spoke.HostID]*peer
 		stores    []*store
@@ -66,6 +68,8 @@
 		running:    make(map[spoke.CallNumber]*running),
 		named:      make(map[spoke.ModelName]naming),
 		budgets:    make(map[spoke.ServiceName]*budget),
+		delays:     make(copyDelays),
+		pressures:  make(map[spoke.ServiceName]pressure),
 		readings:   make(map[spoke.ServiceName]*reading),
 		peers:      make(map[spoke.HostID]*peer),
 		departures: make(departures),
