Keep long prompts away from engines with many streams

Cause: 14 to 20 of 100 short streams were late only by a pause between two events, while their engine read 12,000 tokens of other calls in the 300 ms around it. No decision knew the target of pauses.

Change: the cost of an engine counts the pauses that a prompt makes for the streams there, and those that a long stream meets where its engine has read much lately. The two make the engines divide by themselves, as far as the load asks for it.

--- a/edge/serve.go
+++ b/edge/serve.go
@@ -118,7 +118,7 @@
 func (e *exchange) askFor(p *progress) place.Ask {
 	ask := place.Ask{
 		Call: spoke.CallNumber(e.numbers.Add(1)), Service: e.service(), Group: place.OwnerGroup(e.owner),
-		Urgency: e.urgency(), Arrived: e.arrived, Target: e.arrived.Add(e.route.Target), GiveUp: e.giveUp,
+		Urgency: e.urgency(), Arrived: e.arrived, Target: e.arrived.Add(e.route.Target), GapTarget: e.route.GapTarget, GiveUp: e.giveUp,
 		Tried: p.tried, IsRepeat: p.arrivals > 0,
 	}
 	if e.route.IsPrompt && e.call.Prompt.Model != "" {
--- a/place/choose.go
+++ b/place/choose.go
@@ -156,6 +156,7 @@
 	c.before = unread + rest
 	c.ordinary = max(n.reading.time(unread, 1), ready-c.copies.delay) + n.reading.first(rest)
 	c.cost += ready + time.Duration(price*float64(read)) + time.Duration(total.Runs)*time.Millisecond
+	c.cost += n.pauses(now, w.ask, total.Runs, read)
 	return c, true
 }
 
--- a/place/messages.go
+++ b/place/messages.go
@@ -62,6 +62,9 @@
 		Arrived time.Time
 		// Target is when an answer stops to have its full worth.
 		Target time.Time
+		// GapTarget is the longest pause between two events of a stream that is on time, zero if there is
+		// no such target.
+		GapTarget time.Duration
 		// GiveUp is when the call ends without an answer.
 		GiveUp time.Time
 		// Tried lists the upstreams that had the call before.
--- a/place/node.go
+++ b/place/node.go
@@ -63,6 +63,9 @@
 		// left is what the engine still had to read at leftAt.
 		left   spoke.TokenCount
 		leftAt time.Time
+		// recent counts the tokens that it was given to read lately, as of recentAt.
+		recent   float64
+		recentAt time.Time
 		// copyLeft is the time that its transfers still took at leftAt; they run one after the other.
 		copyLeft time.Duration
 		// load is what the upstream last said of itself.
@@ -169,6 +172,7 @@
 func (n *node) grow(now time.Time, tokens spoke.TokenCount, copying time.Duration) {
 	n.left, n.copyLeft = n.backlog(now)+max(tokens, 0), n.copyBacklog(now)+max(copying, 0)
 	n.leftAt = now
+	n.given(now, tokens)
 }
 
 // progressed notes that the engine finished reading a prompt; it reads one after the other, so
