Use what engines say of the machines that they share

Cause: machines turn 2.5 times slower for about 0.6 s at a time; most pauses over the target and many late first events fall into such times. Engines say so in each answer (a fourth figure of their load), which was decoded and used by nothing. Ruled out: engines that are slow for good, which their pace shows.

Change: the figure multiplies an engine's pace while it is fresh and fades to its mean; observations of pace are taken without it. Accounts carry the newest word to the other hosts of the cell, since an engine answers each host less than once a second. Absurd words are bounded and do not last.

--- a/peers/codec.go
+++ b/peers/codec.go
@@ -9,6 +9,9 @@
 	"magnoliaspoke.example/spoke"
 )
 
+// percent is the unit of slowness in accounts.
+const percent = 100
+
 // The rows are short, since accounts are sent many times a second to each host.
 type (
 	shareRow struct {
@@ -24,6 +27,7 @@
 		Wanted    []wantedRow           `json:"wanted,omitempty"`
 		Stores    []storeRow            `json:"stores,omitempty"`
 		Leaving   []startRow            `json:"leaving,omitempty"`
+		Slowness  []slownessRow         `json:"slowness,omitempty"`
 		Revision  uint64                `json:"revision,omitempty"`
 		AgeMs     int64                 `json:"age-ms,omitempty"`
 	}
@@ -37,6 +41,12 @@
 		CopyingMs int64 `json:"copying,omitempty"`
 	}
 
+	slownessRow struct {
+		ID      string `json:"id"`
+		Percent int64  `json:"percent"`
+		AgeMs   int64  `json:"age-ms,omitempty"`
+	}
+
 	waitingRow struct {
 		Service string `json:"service"`
 		Urgency int    `json:"urgency"`
@@ -114,6 +124,9 @@
 	for _, start := range share.Leaving {
 		row.Leaving = append(row.Leaving, encodeStart(start))
 	}
+	for _, said := range share.Slowness {
+		row.Slowness = append(row.Slowness, slownessRow{string(said.Upstream), int64(percent * said.Slowness), said.Age.Milliseconds()})
+	}
 	for _, state := range share.Stores {
 		row.Stores = append(row.Stores, encodeStore(state))
 	}
@@ -169,6 +182,11 @@
 	for _, start := range row.Leaving {
 		share.Leaving = append(share.Leaving, decodeStart(start))
 	}
+	for _, said := range row.Slowness {
+		share.Slowness = append(share.Slowness, spoke.UpstreamSlowness{
+			Upstream: spoke.UpstreamID(said.ID), Slowness: float64(said.Percent) / percent, Age: time.Duration(said.AgeMs) * time.Millisecond,
+		})
+	}
 	for _, state := range row.Stores {
 		share.Stores = append(share.Stores, decodeStore(state))
 	}
--- a/place/calls.go
+++ b/place/calls.go
@@ -42,11 +42,11 @@
 		return
 	}
 	run.hasBegun = true
-	run.node.hears(now, m.Load)
+	s.hears(now, run.node, m.Load)
 	run.node.progressed(now)
 	run.node.pause = 0
 	if run.ask.Prompt != nil {
-		run.node.observeFirst(run, now.Sub(run.sent))
+		run.node.observeFirst(now, run)
 		for _, from := range run.sources {
 			s.delays.observe(now, from, now.Sub(run.sent)-run.predicted)
 		}
@@ -76,7 +76,7 @@
 	if run.node.pausedUntil.After(now) {
 		s.report.paused(run.node.listed.ID, run.node.pausedUntil.Sub(now))
 	}
-	run.node.hears(now, m.Load)
+	s.hears(now, run.node, m.Load)
 	run.node.wantsPause(now, m.Pause)
 	if m.IsLeaving {
 		s.hearLeaving(now, run.node)
--- a/place/choose.go
+++ b/place/choose.go
@@ -18,10 +18,9 @@
 	copies  copies
 	// before counts the tokens that the node reads before the first event.
 	before spoke.TokenCount
-	// first is the expected time to the first event, ordinary the same at the usual pace and without
-	// the delay of copies.
+	// first is the expected time to the first event, punctual the same without the delay of copies.
 	first    time.Duration
-	ordinary time.Duration
+	punctual time.Duration
 	cost     time.Duration
 }
 
@@ -111,7 +110,7 @@
 	}
 	ahead := max(total-slots+1, 0)
 	c.first = n.serviceTime + time.Duration(ahead)*n.serviceTime/time.Duration(slots)
-	c.ordinary = c.first
+	c.punctual = c.first
 	c.cost += c.first + time.Duration(total)*n.serviceTime/time.Duration(plainBalance*slots)
 	return c, true
 }
@@ -129,16 +128,17 @@
 	}
 	prefixes := w.prefixesFor(c.weights)
 	c.cached = min(n.cache.cached(prefixes), prompt.Input)
-	saved := n.reading.time(c.cached, n.pace)
+	pace := n.paceAt(now)
+	saved := n.reading.time(c.cached, pace)
 	unread := n.backlogOf(now, total.Unread)
-	behind := n.reading.time(unread, n.pace)
+	behind := n.reading.time(unread, pace)
 	if behind > s.allowedBacklog(w.ask)+saved/2 {
 		return c, false
 	}
 	link := n.copyBacklog(now)
 	price := 1 + readCost + s.readPressure(now, w.ask)
 	c.copies = s.planCopies(now, w, &c, func(way copies) time.Duration {
-		read := n.reading.time(prompt.Input-c.cached-way.tokens, n.pace)
+		read := n.reading.time(prompt.Input-c.cached-way.tokens, pace)
 		return way.ready(behind, link) + time.Duration(price*float64(read))
 	})
 	if c.copies.parts > 0 && link > longestLinkWait(w.ask) {
@@ -150,11 +150,12 @@
 		c.copies = copies{}
 	}
 	rest := prompt.Input - c.cached - c.copies.tokens
-	read := n.reading.time(rest, n.pace)
+	read := n.reading.time(rest, pace)
 	ready := c.copies.ready(behind, link)
-	c.first = ready + read + time.Duration(n.pace*float64(n.reading.step))
+	last := read + time.Duration(pace*float64(n.reading.step))
+	c.first = ready + last
+	c.punctual = max(behind, ready-c.copies.delay) + last
 	c.before = unread + rest
-	c.ordinary = max(n.reading.time(unread, 1), ready-c.copies.delay) + n.reading.first(rest)
 	c.cost += ready + time.Duration(price*float64(read)) + time.Duration(total.Runs)*time.Millisecond
 	c.cost += n.pauses(now, w.ask, total.Runs, read)
 	return c, true
--- a/place/dispatch.go
+++ b/place/dispatch.go
@@ -109,7 +109,7 @@
 func (s *Scheduler) grant(now time.Time, w *waiting, c candidate) {
 	m := w.ask
 	fetch, sources := s.fetches(now, w, c)
-	run := &running{sources: sources, ask: m, node: c.node, sent: now, predicted: c.ordinary, weights: c.weights}
+	run := &running{sources: sources, ask: m, node: c.node, sent: now, predicted: c.punctual, weights: c.weights}
 	if m.Prompt != nil {
 		run.unread = m.Prompt.Input - c.cached - c.copies.tokens
 		run.memory = m.Prompt.Input + expectedOutput(m.Prompt)
--- a/place/node.go
+++ b/place/node.go
@@ -69,8 +69,9 @@
 		// copyLeft is the time that its transfers still took at leftAt; they run one after the other.
 		copyLeft time.Duration
 		// load is what the upstream last said of itself.
-		load   spoke.UpstreamLoad
-		loadAt time.Time
+		load     spoke.UpstreamLoad
+		slowness slowness
+		loadAt   time.Time
 		// sign is when the upstream last answered this host or made progress for another.
 		sign time.Time
 		// reading is what the engines of the service have in common.
@@ -161,7 +162,7 @@
 }
 
 // readRate is the number of prompt tokens that the engine reads in a millisecond.
-func (n *node) readRate() float64 { return n.reading.rate / n.pace }
+func (n *node) readRate() float64 { return n.reading.rate / (n.pace * n.slowness.usual()) }
 
 // copyBacklog returns the time until the engine's link is free.
 func (n *node) copyBacklog(now time.Time) time.Duration {
@@ -184,10 +185,14 @@
 	n.left, n.leftAt = total.Unread, now
 }
 
-// hears takes what the upstream says of its load in an answer.
-func (n *node) hears(now time.Time, load *spoke.UpstreamLoad) {
-	if load != nil {
-		n.load, n.loadAt = *load, now
+// hears takes what an upstream says of its load in an answer.
+func (s *Scheduler) hears(now time.Time, n *node, load *spoke.UpstreamLoad) {
+	if load == nil {
+		return
+	}
+	n.load, n.loadAt = *load, now
+	if n.slowness.hear(load.Slowness, now) {
+		s.report.slowness[n.listed.ID] = n
 	}
 }
 
@@ -279,10 +284,13 @@
 
 // observeFirst compares the time to a first event with that of other engines. A call that waited for
 // copies says nothing of reading.
-func (n *node) observeFirst(run *running, took time.Duration) {
+func (n *node) observeFirst(now time.Time, run *running) {
 	if run.copying > 0 {
 		return
 	}
+	took := now.Sub(run.sent)
+	// What the machine made of it is told by its slowness.
+	took = time.Duration(float64(took) / n.slowness.now(now))
 	usual := n.reading.first(run.before)
 	ratio := min(max(float64(took)/float64(usual), fastestPace), slowestPace)
 	n.pace += paceWeight * (ratio - n.pace)
--- a/place/pauses.go
+++ b/place/pauses.go
@@ -30,7 +30,7 @@
 
 // readingShare is the part of its time that an engine has spent on reading lately.
 func (n *node) readingShare(now time.Time) float64 {
-	spent := n.reading.time(spoke.TokenCount(n.recentTokens(now)), n.pace)
+	spent := n.reading.time(spoke.TokenCount(n.recentTokens(now)), n.pace*n.slowness.usual())
 	return min(float64(spent)*math.Ln2/float64(readingMemory), 1)
 }
 
--- a/place/report.go
+++ b/place/report.go
@@ -21,16 +21,19 @@
 	// toldWeights is the part of the last account's weights that was new.
 	toldWeights map[spoke.UpstreamID]spoke.ListedWeights
 	leaving     []spoke.UpstreamStart
+	// slowness holds the upstreams that have said how slow they are since the last account.
+	slowness map[spoke.UpstreamID]*node
 	// stores is what each group of listeners has not been told of stores.
 	stores [listeners][]spoke.StoreState
 }
 
 func newReport(host spoke.HostID) report {
 	return report{
-		host:    host,
-		changes: make(map[spoke.UpstreamID]*node),
-		pauses:  make(map[spoke.UpstreamID]time.Duration),
-		weights: make(map[spoke.UpstreamID]spoke.ListedWeights),
+		host:     host,
+		changes:  make(map[spoke.UpstreamID]*node),
+		pauses:   make(map[spoke.UpstreamID]time.Duration),
+		weights:  make(map[spoke.UpstreamID]spoke.ListedWeights),
+		slowness: make(map[spoke.UpstreamID]*node),
 	}
 }
 
@@ -73,6 +76,7 @@
 			share.Upstreams = append(share.Upstreams, own)
 		}
 	}
+	share.Slowness = s.report.saidSlowness(now)
 	clear(s.report.changes)
 	clear(s.report.pauses)
 	clear(s.report.weights)
@@ -85,6 +89,7 @@
 func (s *Scheduler) ForOtherCells(share spoke.LoadShare) (spoke.LoadShare, bool) {
 	share.IsWhole, share.Weights = false, s.report.toldWeights
 	share.Upstreams, share.Waiting, share.Placed, share.Stores, share.WantedAges = nil, nil, nil, nil, nil
+	share.Slowness = nil
 	return share, len(share.Paused)+len(share.Weights)+len(share.Leaving) > 0
 }
 
@@ -213,6 +218,11 @@
 		}
 	}
 	s.hearDepartures(now, share.Leaving)
+	for _, said := range share.Slowness {
+		if n := s.nodes[said.Upstream]; n != nil {
+			n.slowness.hear(said.Slowness, now.Add(-max(said.Age, 0)))
+		}
+	}
 	for _, known := range share.WantedAges {
 		s.setWeights(now, SetWeights{Wanted: known.Wanted, Age: known.Age})
 	}
--- a/place/slowness.go
+++ b/place/slowness.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"magnoliaspoke.example/spoke"
 )
 
 const (
@@ -36,7 +38,15 @@
 	return true
 }
 
-// now returns the likely slowness, 1 for an engine that never said anything.
+// usual is the slowness without a fresh word, 1 for an engine that never said anything.
+func (s *slowness) usual() float64 {
+	if s.mean == 0 {
+		return 1
+	}
+	return s.mean
+}
+
+// now returns the likely slowness.
 func (s *slowness) now(now time.Time) float64 {
 	if s.mean == 0 {
 		return 1
@@ -44,3 +54,16 @@
 	fade := math.Exp2(-float64(now.Sub(s.at)) / float64(slownessFade))
 	return s.mean + (s.said-s.mean)*min(fade, 1)
 }
+
+// paceAt is how many times slower than usual the engine is likely to read at a moment.
+func (n *node) paceAt(now time.Time) float64 { return n.pace * n.slowness.now(now) }
+
+// saidSlowness removes and returns what upstreams have said since the last account.
+func (r *report) saidSlowness(now time.Time) []spoke.UpstreamSlowness {
+	var said []spoke.UpstreamSlowness
+	for id, n := range r.slowness {
+		said = append(said, spoke.UpstreamSlowness{Upstream: id, Slowness: n.slowness.said, Age: now.Sub(n.slowness.at)})
+	}
+	clear(r.slowness)
+	return said
+}
--- a/placement.go
+++ b/placement.go
@@ -61,12 +61,21 @@
 		Stores  []StoreState
 		// Leaving holds upstreams that have said in answers that they leave.
 		Leaving []UpstreamStart
+		// Slowness holds what upstreams have said of their machines.
+		Slowness []UpstreamSlowness
 		// Directory says what the host knows of the directory.
 		Directory DirectoryView
 		// WantedAges says how long ago wanted weights were named.
 		WantedAges []WantedAge
 	}
 
+	// UpstreamSlowness is how many times longer than usual work took at an upstream some time ago.
+	UpstreamSlowness struct {
+		Upstream UpstreamID
+		Slowness float64
+		Age      time.Duration
+	}
+
 	// DirectoryView is how far a host has followed the directory.
 	DirectoryView struct {
 		Revision Revision
