Let changes of the directory travel between hosts

Each change made the watch of every host return, and hosts that others watched for still kept a watch of their own.

Change: two hosts of a data centre, or of all where there are few, watch the store for the others, which wait for news at them by HTTP on the port of accounts. News are the store's own answers, passed on unread and decoded once at each host. A host watches for itself for a second when neither of the two can be asked, when what they know is older than 0.6 of the time after which knowledge counts as stale, and when another host's account shows a later revision for 250 ms. A watcher that has lost the directory says so, so that the others notice the outage and keep entries that lapse in it. An announcement confirms what is known only at hosts that watch themselves.

Tests: TestFewHostsWatchForAll, TestHostsWatchThemselvesWithoutWatchers, TestServedHostsNoticeAnOutage, TestFeedRefusesWhatItCannotAnswer.

--- a/directory.go
+++ b/directory.go
@@ -66,6 +66,8 @@
 		OrdersHolder *HostID
 		Faults       []RecordFault
 		Revision     Revision
+		// Raw is what Watch got from the platform, which Decode reads at another host.
+		Raw []byte
 	}
 
 	// Directory is what the platform publishes and what entry hosts announce there.
@@ -75,6 +77,8 @@
 		// Watch waits for changes after a revision; an empty change means that there was none,
 		// ErrHistoryGone that the directory has to be read again.
 		Watch(ctx context.Context, after Revision, wait time.Duration) (DirectoryChange, error)
+		// Decode reads what Watch got at another host.
+		Decode(raw []byte) (DirectoryChange, error)
 		// Announce lists this host until its announcement expires, unless it is called again.
 		Announce(ctx context.Context, peer ListedPeer) error
 		// Withdraw removes the announcement.
--- a/edge/apply.go
+++ b/edge/apply.go
@@ -15,8 +15,6 @@
 )
 
 const (
-	// watchers is the number of hosts of a cell that watch the directory for the others.
-	watchers = 2
 	// acquirePause bounds the calls for the lease while the store is away or others are quicker.
 	acquirePause = 500 * time.Millisecond
 )
@@ -144,7 +142,7 @@
 	hosts := append(slices.Collect(maps.Keys(h.peers)), h.settings.Host)
 	cell, members, count := place.Cells(hosts, h.settings.Host)
 	h.rank.Store(int64(place.Rank(hosts, h.settings.Host)))
-	h.isServed.Store(!slices.Contains(members[:min(watchers, len(members))], h.settings.Host))
+	h.follower.client.setSources(h.watchers())
 	found := neighbours{cell: place.SetCell{Cell: cell, Count: count}}
 	for _, id := range slices.Sorted(maps.Keys(h.peers)) {
 		address, err := netip.ParseAddrPort(string(h.peers[id].Address))
@@ -161,3 +159,19 @@
 	h.parts.Log.WithFields(logrus.Fields{"peers": len(h.peers), "cell": cell, "cells": count, "near": len(found.near)}).Info("peers changed")
 	return found
 }
+
+// watchers returns the addresses of the hosts that watch the directory for this one, none if it is one
+// of them.
+func (h *Host) watchers() []netip.AddrPort {
+	self := spoke.ListedPeer{ID: h.settings.Host, DataCentre: h.settings.DataCentre}
+	var found []netip.AddrPort
+	for _, id := range place.Watchers(slices.Collect(maps.Values(h.peers)), self) {
+		if id == self.ID {
+			return nil
+		}
+		if address, err := netip.ParseAddrPort(string(h.peers[id].Address)); err == nil {
+			found = append(found, address)
+		}
+	}
+	return found
+}
--- /dev/null
+++ b/edge/feed_test.go
@@ -0,0 +1,137 @@
+package edge_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"slices"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"magnoliaspoke.example/spoke"
+	"magnoliaspoke.example/spoke/place"
+)
+
+// join starts another host before the same store and engines.
+func (d *deployment) join(id spoke.HostID) *deployment {
+	d.t.Helper()
+	other := &deployment{t: d.t, store: d.store, engines: d.engines, settings: d.settings, signals: make(chan os.Signal, 2), ended: make(chan error, 1)}
+	other.settings.Host = id
+	other.settings.Caller, other.settings.Readiness = freeAddress(d.t), freeAddress(d.t)
+	other.settings.PeerPort, other.settings.MetricsPort = freePort(d.t), freePort(d.t)
+	other.run()
+	return other
+}
+
+// startFleet starts hosts and waits until all know each other.
+func startFleet(t *testing.T, count int) []*deployment {
+	t.Helper()
+	hosts := []*deployment{start(t, 1)}
+	for i := 1; i < count; i++ {
+		hosts = append(hosts, hosts[0].join(spoke.HostID(fmt.Sprint("host-", i+1))))
+	}
+	for i, host := range hosts {
+		awaitTrue(t, fmt.Sprintf("host %d does not know the others", i+1), func() bool {
+			return host.hasLogged(fmt.Sprintf(`"peers":%d`, count-1))
+		})
+	}
+	return hosts
+}
+
+// awaitKey waits until all hosts take a key.
+func awaitKey(t *testing.T, hosts []*deployment, key string) {
+	t.Helper()
+	for i, host := range hosts {
+		awaitTrue(t, fmt.Sprintf("key %s not known at host %d", key, i+1), func() bool {
+			return host.status(fmt.Sprint(key, "-", i), key) == http.StatusOK
+		})
+	}
+}
+
+// Guards against a fleet in which every host calls the store for each change, and against hosts that
+// miss changes because others watch for them.
+func TestFewHostsWatchForAll(t *testing.T) {
+	hosts := startFleet(t, 5)
+	store := hosts[0].store
+	before := store.Watches()
+	for version := 2; version < 6; version++ {
+		key := fmt.Sprint("key-", version)
+		store.Put("op/config", table(version, key))
+		begin := time.Now()
+		awaitKey(t, hosts, key)
+		assert.Assert(t, time.Since(begin) < hosts[0].settings.ConfigApply, "%s", time.Since(begin))
+	}
+	// Two hosts make a call for each change and 0.9 s; five would make twenty for the changes alone.
+	assert.Assert(t, store.Watches()-before <= 16, "%d calls", store.Watches()-before)
+}
+
+// Guards against hosts that know nothing new once those that watched for them are gone.
+func TestHostsWatchThemselvesWithoutWatchers(t *testing.T) {
+	hosts := startFleet(t, 4)
+	var left []*deployment
+	for _, host := range hosts {
+		if isWatcher(hosts, host) {
+			host.signals <- syscall.SIGTERM
+			continue
+		}
+		left = append(left, host)
+	}
+	assert.Equal(t, len(left), 2)
+	hosts[0].store.Put("op/config", table(2, "key-2"))
+	begin := time.Now()
+	awaitKey(t, left, "key-2")
+	assert.Assert(t, time.Since(begin) < hosts[0].settings.ConfigApply, "%s", time.Since(begin))
+}
+
+// Guards against an outage that a host does not notice because another one watches for it, so that
+// entries which lapsed meanwhile count as gone.
+func TestServedHostsNoticeAnOutage(t *testing.T) {
+	hosts := startFleet(t, 4)
+	store := hosts[0].store
+	store.Refuse(true)
+	for i, host := range hosts {
+		awaitTrue(t, "outage not noticed", func() bool { return host.status(fmt.Sprint("a-", i), "key-2") == http.StatusServiceUnavailable })
+	}
+	store.Remove("servers/i-0")
+	store.Refuse(false)
+	for i, host := range hosts {
+		awaitTrue(t, "store not regained", func() bool { return host.status(fmt.Sprint("b-", i), "key-2") == http.StatusUnauthorized })
+		assert.Equal(t, host.status(fmt.Sprint("c-", i), callerKey), http.StatusOK)
+	}
+}
+
+// Guards against questions that cannot be read and ones about a time before what is kept.
+func TestFeedRefusesWhatItCannotAnswer(t *testing.T) {
+	d := start(t, 1)
+	for question, expected := range map[string]int{
+		"": http.StatusBadRequest, "?after=x&wait-ms=1": http.StatusBadRequest, "?after=1&wait-ms=-1": http.StatusBadRequest,
+		"?after=0&wait-ms=1": http.StatusGone, "?after=999999&wait-ms=1": http.StatusOK,
+	} {
+		assert.Equal(t, d.askFeed(question), expected, "%q", question)
+	}
+	d.store.Refuse(true)
+	awaitTrue(t, "lost directory is told as known", func() bool { return d.askFeed("?after=999999&wait-ms=1") == http.StatusServiceUnavailable })
+}
+
+// isWatcher reports whether a host watches the store for the others.
+func isWatcher(hosts []*deployment, host *deployment) bool {
+	var peers []spoke.ListedPeer
+	for _, other := range hosts[1:] {
+		peers = append(peers, spoke.ListedPeer{ID: other.settings.Host, DataCentre: other.settings.DataCentre})
+	}
+	self := spoke.ListedPeer{ID: hosts[0].settings.Host, DataCentre: hosts[0].settings.DataCentre}
+	return slices.Contains(place.Watchers(peers, self), host.settings.Host)
+}
+
+func (d *deployment) askFeed(question string) int {
+	response, err := http.Get(fmt.Sprintf("http://127.0.0.1:%d/directory%s", d.settings.PeerPort, question))
+	assert.NilError(d.t, err)
+	defer response.Body.Close()
+	_, err = io.Copy(io.Discard, response.Body)
+	assert.NilError(d.t, err)
+	return response.StatusCode
+}
--- a/edge/host.go
+++ b/edge/host.go
@@ -64,8 +64,6 @@
 		keeper   *lease.Keeper
 		stores   *storeFollowers
 		follower *follower
-		// isServed says that other hosts of the cell watch the directory for this one.
-		isServed atomic.Bool
 		// rank is the position of this host among all that may take the orders lease.
 		rank      atomic.Int64
 		socket    *peers.Socket
@@ -104,7 +102,9 @@
 	h.orders = newOrders(holder, settings.OrdersPause, parts, h.keeper, h.planner)
 	h.follower = &follower{
 		directory: parts.Directory, timer: parts.Timer, known: h.known, log: parts.Log,
-		gap: directoryGap, apply: h.apply, isServed: h.isServed.Load, behind: make(chan struct{}),
+		gap: directoryGap, apply: h.apply, behind: make(chan spoke.Revision, 1),
+		feed:   newFeed(h.known, parts.Timer.Now, parts.Log),
+		client: newFeedClient(h.known.limit, parts.Timer.Now),
 	}
 	h.stores = newStoreFollowers(settings, parts, h.planner, h.known)
 	h.planner.contested = h.stores.contest
@@ -138,6 +138,11 @@
 	if err := h.listen(&group, readiness, h.settings.Readiness); err != nil {
 		return err
 	}
+	news := http.NewServeMux()
+	news.Handle("GET "+feedPath, h.follower.feed)
+	if err := h.listen(&group, &http.Server{Handler: news, ReadHeaderTimeout: callerHeader}, h.socket.Address()); err != nil {
+		return err
+	}
 	if h.settings.MetricsPort != 0 {
 		at := netip.AddrPortFrom(h.settings.Address, uint16(h.settings.MetricsPort))
 		if err := h.listen(&group, h.metricsServer(), spoke.Address(at.String())); err != nil {
@@ -196,7 +201,9 @@
 	self := spoke.ListedPeer{ID: h.settings.Host, DataCentre: h.settings.DataCentre, Address: h.socket.Address()}
 	for {
 		if err := h.parts.Directory.Announce(ctx, self); err == nil {
-			h.known.confirm()
+			if h.follower.isDirect.Load() {
+				h.known.confirm()
+			}
 		} else if ctx.Err() == nil {
 			h.parts.Log.WithError(err).Info("announcement failed")
 		}
--- a/fake/platform/store.go
+++ b/fake/platform/store.go
@@ -28,6 +28,7 @@
 		forgets  bool
 		lose     bool
 		delay    time.Duration
+		watches  int
 	}
 )
 
@@ -203,7 +204,17 @@
 	answer(w, http.StatusOK, map[string]any{"items": items, "has-more": false, "current-rev": s.revision})
 }
 
+// Watches returns the number of calls that waited for changes.
+func (s *Store) Watches() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.watches
+}
+
 func (s *Store) serveWatch(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	s.watches++
+	s.mu.Unlock()
 	query := r.URL.Query()
 	after, _ := strconv.ParseUint(query.Get("after"), 10, 64)
 	wait, _ := strconv.Atoi(query.Get("wait-ms"))
--- a/place/cells.go
+++ b/place/cells.go
@@ -16,6 +16,8 @@
 	// leastUpstreams is the number of upstreams of a service for each cell below which all cells
 	// share them.
 	leastUpstreams = 3
+	// watchers is the number of hosts that watch the directory for a group of hosts.
+	watchers = 2
 )
 
 // Cells divides hosts into cells and returns the cell of one of them, its members, and the
@@ -32,6 +34,20 @@
 	return cell, members, count
 }
 
+// Watchers returns the hosts that watch the directory for the others: two of all, or of each data centre
+// where there are several cells, since calls to the platform's store are dear.
+func Watchers(peers []spoke.ListedPeer, self spoke.ListedPeer) []spoke.HostID {
+	isDivided := len(peers)+1 >= 2*cellHosts
+	group := []spoke.HostID{self.ID}
+	for _, peer := range peers {
+		if !isDivided || peer.DataCentre == self.DataCentre {
+			group = append(group, peer.ID)
+		}
+	}
+	group = hostsByHash(group)
+	return group[:min(watchers, len(group))]
+}
+
 // Rank returns the position of a host among all in an order that the hosts agree on.
 func Rank(hosts []spoke.HostID, self spoke.HostID) int {
 	return slices.Index(hostsByHash(hosts), self)
