Show from logs why streams were late

spokectl late DIR counts the late streams of each route by cause, from the hosts' own lines, as text or JSON; so far that took a script outside the project. The lines of a stream name its targets for it.

--- a/cmd/spokectl/tool/codec.go
+++ b/cmd/spokectl/tool/codec.go
@@ -7,6 +7,7 @@
 
 	"magnoliaspoke.example/spoke"
 	"magnoliaspoke.example/spoke/events"
+	"magnoliaspoke.example/spoke/logs"
 )
 
 type (
@@ -21,6 +22,14 @@
 		State string `json:"state"`
 	}
 
+	lateCodec struct {
+		Route   string         `json:"route"`
+		Streams int            `json:"streams"`
+		Causes  map[string]int `json:"causes"`
+		// OffMs is how much later than expected first events came, at p10, p50 and p90.
+		OffMs [3]int64 `json:"first-event-off-ms"`
+	}
+
 	explanationCodec struct {
 		Request string           `json:"request"`
 		Hosts   []hostStateCodec `json:"hosts"`
@@ -51,3 +60,18 @@
 	raw.Events = list
 	return raw, err
 }
+
+func encodeLate(routes []logs.LateRoute) []lateCodec {
+	raw := make([]lateCodec, 0, len(routes))
+	for _, route := range routes {
+		row := lateCodec{Route: string(route.Route), Streams: route.Streams, Causes: make(map[string]int)}
+		for cause, count := range route.Causes {
+			row.Causes[string(cause)] = count
+		}
+		for i, off := range route.Off {
+			row.OffMs[i] = off.Milliseconds()
+		}
+		raw = append(raw, row)
+	}
+	return raw
+}
--- a/cmd/spokectl/tool/examples.go
+++ b/cmd/spokectl/tool/examples.go
@@ -32,6 +32,9 @@
 	"timeline": `Examples:
   spokectl timeline --since 15m --upstream engine-3
   spokectl timeline --request 0f3a --trace request.json`,
+	"late": `Examples:
+  spokectl late /var/log/edge
+  spokectl --json late /var/log/edge`,
 	"explain": `Examples:
   spokectl --host 10.1.0.4:9100 --host 10.1.0.5:9100 explain 0f3a
   spokectl explain 9c41d07be2a35f68 --logs /var/log/edge --trace request.json`,
--- a/cmd/spokectl/tool/settings.go
+++ b/cmd/spokectl/tool/settings.go
@@ -35,6 +35,10 @@
 		Trace   string `arg:"--trace" placeholder:"FILE" help:"with --logs, write a file for a browser's trace viewer as well"`
 	}
 
+	lateSettings struct {
+		Logs string `arg:"positional,required" placeholder:"DIR" help:"directory with the log files of hosts"`
+	}
+
 	settings struct {
 		Hosts   []string      `arg:"--host,separate,env:SPOKE_HOSTS" placeholder:"ADDRESS" help:"administration address of a host; may be repeated"`
 		KeyFile string        `arg:"--key-file" placeholder:"FILE" help:"file with the administration key; else SPOKE_ADMIN_KEY"`
@@ -49,5 +53,6 @@
 		Drain    *drainSettings    `arg:"subcommand:drain" help:"shut one host down gracefully"`
 		Timeline *timelineSettings `arg:"subcommand:timeline" help:"show the merged events of all hosts"`
 		Explain  *explainSettings  `arg:"subcommand:explain" help:"show what happened to a request"`
+		Late     *lateSettings     `arg:"subcommand:late" help:"show from logs why streams were late"`
 	}
 )
--- a/cmd/spokectl/tool/tool.go
+++ b/cmd/spokectl/tool/tool.go
@@ -122,7 +122,9 @@
 }
 
 // isOffline reports whether the command needs no host.
-func (s *session) isOffline() bool { return s.settings.Explain != nil && s.settings.Explain.Logs != "" }
+func (s *session) isOffline() bool {
+	return s.settings.Late != nil || (s.settings.Explain != nil && s.settings.Explain.Logs != "")
+}
 
 func (s *session) connect() error {
 	if len(s.settings.Hosts) == 0 {
@@ -170,6 +172,8 @@
 		return s.drain(ctx)
 	case s.settings.Timeline != nil:
 		return s.timeline(ctx, *s.settings.Timeline)
+	case s.settings.Late != nil:
+		return s.late(*s.settings.Late)
 	case s.isOffline():
 		return s.explainFromLogs(*s.settings.Explain)
 	default:
--- a/cmd/spokectl/tool/tool_test.go
+++ b/cmd/spokectl/tool/tool_test.go
@@ -161,6 +161,24 @@
 	assert.Assert(t, is.Contains(string(text), `"dur":40000`))
 }
 
+// Guards against causes of late streams that ask hosts, hide lines that cannot be read, or differ
+// between text and JSON.
+func TestLateFromLogs(t *testing.T) {
+	directory := t.TempDir()
+	log := `{"time":"2026-03-01T12:00:00Z","host-id":"one","level":"info","msg":"placed","request-id":"r","route":"chat","waited":"1ms","predicted":"50ms"}` + "\n" +
+		`{"time":"2026-03-01T12:00:01Z","host-id":"one","level":"info","msg":"stream began","request-id":"r","target":"400ms","first-event":"900ms"}` + "\ncut"
+	assert.NilError(t, os.WriteFile(filepath.Join(directory, "one.log"), []byte(log), 0o600))
+	got := run(t, nil, "late", directory)
+	assert.Equal(t, got.code, tool.ExitDone, got.messages)
+	assert.Equal(t, got.output, "route chat: 1 streams, 1 late; first events after their prediction: p10 849ms, p50 849ms, p90 849ms\n  reading-late     1\n")
+	assert.Assert(t, is.Contains(got.messages, "one.log:3"))
+	got = run(t, nil, "--json", "late", directory)
+	assert.Equal(t, got.code, tool.ExitDone, got.messages)
+	assert.Assert(t, is.Contains(got.output, `"reading-late"`), got.output)
+	got = run(t, nil, "late", t.TempDir())
+	assert.Equal(t, got.code, tool.ExitFailed)
+}
+
 // Guards against an explanation that misses hosts or invents a request.
 func TestExplain(t *testing.T) {
 	first, second := twoHosts()
@@ -178,7 +196,7 @@
 
 // Guards against help without examples and against keys that the command line shows.
 func TestHelpAndUsage(t *testing.T) {
-	for _, name := range []string{"submit", "show", "diff", "status", "drain", "timeline", "explain"} {
+	for _, name := range []string{"submit", "show", "diff", "status", "drain", "timeline", "explain", "late"} {
 		got := run(t, nil, name, "--help")
 		assert.Equal(t, got.code, tool.ExitDone, name)
 		assert.Assert(t, is.Contains(got.output, "Examples:\n  "), name)
--- a/edge/stream.go
+++ b/edge/stream.go
@@ -138,7 +138,7 @@
 	a.planner.in <- planned{message: place.Began{Call: a.grant.Call, Load: a.head.Load, Weights: a.head.Weights, IsLeaving: a.head.IsLeaving}}
 	first := time.Since(a.arrived)
 	a.metrics.began(a.route.Name, first)
-	a.log.WithFields(logrus.Fields{"upstream": a.grant.Upstream.ID, "first-event": first.String(), "weights": a.head.Weights}).Info("stream began")
+	a.log.WithFields(logrus.Fields{"upstream": a.grant.Upstream.ID, "first-event": first.String(), "target": a.route.Target.String(), "weights": a.head.Weights}).Info("stream began")
 }
 
 // finish ends a stream whose last event was whole.
@@ -148,7 +148,7 @@
 	}
 	a.ending = place.EndServed
 	a.log.WithFields(logrus.Fields{
-		"events": state.events, "widest-gap": state.widestGap.String(), "took": time.Since(a.arrived).String(),
+		"events": state.events, "widest-gap": state.widestGap.String(), "gap-target": a.route.GapTarget.String(), "took": time.Since(a.arrived).String(),
 		"status": a.head.Status,
 	}).Info("answered")
 	a.metrics.gap(a.route.Name, state.widestGap)
