Weigh first events that come late, and pauses that nobody can suffer twice

Streams of an engine that reads all the time are late already, so one more pause costs nothing; and a first event after its target costs more than the time that it takes.

--- a/place/options.go
+++ b/place/options.go
@@ -25,6 +25,12 @@
 	newWeightsGrace = time.Second
 	// homeBonus keeps prompts with a common prefix together while no engine has it.
 	homeBonus = 8 * time.Millisecond
+	// lateCost is the cost of a first event after its target, in time of the caller.
+	lateCost = 300 * time.Millisecond
+	// surelyOnTime and surelyLate are the parts of the time left between which an expected first event
+	// may turn out to be late.
+	surelyOnTime = 0.6
+	surelyLate   = 1.3
 	// readCost weighs the time that reading takes from other calls against this call's own wait.
 	readCost = 1.0
 
--- a/place/pauses.go
+++ b/place/pauses.go
@@ -40,8 +40,10 @@
 	if m.GapTarget <= 0 {
 		return 0
 	}
-	made := float64(runs) * float64(pauseCost) * float64(read) / float64(m.GapTarget)
+	share := n.readingShare(now)
+	// Streams of an engine that reads all the time are late already.
+	made := (1 - share) * float64(runs) * float64(pauseCost) * float64(read) / float64(m.GapTarget)
 	output := float64(expectedOutput(m.Prompt))
-	met := float64(exposureCost) * n.readingShare(now) * output / (output + longOutput)
+	met := share * float64(exposureCost) * output / (output + longOutput)
 	return time.Duration(made + met)
 }
