Tell the queue at a source of copies from what all hosts have asked for

Cause: a delay that is learned from first events is known when it is too late. After a power loss, and at each peak of the load, copies piled up at the links of the two large stores until the first of them came. The peak asks for 390,000 tokens of session parts a second, more than the links carry (175 tokens a ms each, half of that to other data centres).

Change: for each source a host knows the time that pending copies take, its own and those of the other hosts, which accounts tell; and how long the oldest pending copy is overdue. The largest of these and the learned delay counts. Tests replay copies that do not come, and those of other hosts.

--- a/peers/codec.go
+++ b/peers/codec.go
@@ -27,6 +27,7 @@
 		Wanted    []wantedRow           `json:"wanted,omitempty"`
 		Stores    []storeRow            `json:"stores,omitempty"`
 		Leaving   []startRow            `json:"leaving,omitempty"`
+		Copies    []copyRow             `json:"copies,omitempty"`
 		Slowness  []slownessRow         `json:"slowness,omitempty"`
 		Revision  uint64                `json:"revision,omitempty"`
 		AgeMs     int64                 `json:"age-ms,omitempty"`
@@ -41,6 +42,11 @@
 		CopyingMs int64 `json:"copying,omitempty"`
 	}
 
+	copyRow struct {
+		From   string `json:"from"`
+		TookMs int64  `json:"took-ms,omitempty"`
+	}
+
 	slownessRow struct {
 		ID      string `json:"id"`
 		Percent int64  `json:"percent"`
@@ -124,6 +130,9 @@
 	for _, start := range share.Leaving {
 		row.Leaving = append(row.Leaving, encodeStart(start))
 	}
+	for _, copying := range share.Copies {
+		row.Copies = append(row.Copies, copyRow{string(copying.From), copying.Took.Milliseconds()})
+	}
 	for _, said := range share.Slowness {
 		row.Slowness = append(row.Slowness, slownessRow{string(said.Upstream), int64(percent * said.Slowness), said.Age.Milliseconds()})
 	}
@@ -182,6 +191,9 @@
 	for _, start := range row.Leaving {
 		share.Leaving = append(share.Leaving, decodeStart(start))
 	}
+	for _, copying := range row.Copies {
+		share.Copies = append(share.Copies, spoke.CopyShare{From: spoke.Address(copying.From), Took: time.Duration(copying.TookMs) * time.Millisecond})
+	}
 	for _, said := range row.Slowness {
 		share.Slowness = append(share.Slowness, spoke.UpstreamSlowness{
 			Upstream: spoke.UpstreamID(said.ID), Slowness: float64(said.Percent) / percent, Age: time.Duration(said.AgeMs) * time.Millisecond,
--- a/place/calls.go
+++ b/place/calls.go
@@ -47,9 +47,7 @@
 	run.node.pause = 0
 	if run.ask.Prompt != nil {
 		run.node.observeFirst(now, run)
-		for _, from := range run.sources {
-			s.delays.observe(now, from, now.Sub(run.sent)-run.predicted)
-		}
+		s.copied(now, run, true)
 	}
 	if m.IsLeaving {
 		s.hearLeaving(now, run.node)
@@ -67,6 +65,9 @@
 	delete(s.running, m.Call)
 	delete(run.node.runs, m.Call)
 	run.node.observe(now, run, m.Ending)
+	if !run.hasBegun {
+		s.copied(now, run, false)
+	}
 	switch m.Ending {
 	case EndUnreached, EndBroken, EndCancelled:
 		// The end says nothing of the upstream's progress.
--- a/place/delays.go
+++ b/place/delays.go
@@ -13,41 +13,173 @@
 	delayFade = 500 * time.Millisecond
 	// delayWeight is the part of the newest copy in a delay.
 	delayWeight = 0.5
-	// longestDelay bounds what one copy can teach.
-	longestDelay = 4 * time.Second
 	// leastDelay is below what first events differ by anyway.
 	leastDelay = time.Millisecond
+	// longestDelay bounds what one copy can teach.
+	longestDelay = 4 * time.Second
 )
 
 type (
-	// copyDelays are how much later than predicted copies from an address came lately, as when the
-	// link of a store has a queue that nobody reports.
-	copyDelays map[spoke.Address]copyDelay
+	// copySource is what is known of the queue at the link of a store or an engine that others copy
+	// from. Nobody reports it, so it is told from copies that came late, from copies that should have
+	// come, and from what all hosts have asked for.
+	copySource struct {
+		// late is how much later than predicted copies came, as of lateAt.
+		late   time.Duration
+		lateAt time.Time
+		// pending are the copies of this host that have not come.
+		pending map[spoke.CallNumber]pendingCopy
+		// others is the time that the pending copies of other hosts take.
+		others map[spoke.HostID]time.Duration
+		// left is the time that the pending copies of all hosts still took at leftAt.
+		left   time.Duration
+		leftAt time.Time
+	}
 
-	copyDelay struct {
-		late time.Duration
-		at   time.Time
+	pendingCopy struct {
+		took time.Duration
+		// due is when the call that waits for it should have begun.
+		due time.Time
 	}
+
+	copySources map[spoke.Address]*copySource
 )
 
-// of returns the delay that a copy from an address is likely to meet.
-func (d copyDelays) of(now time.Time, from spoke.Address) time.Duration {
-	known, ok := d[from]
-	if !ok {
+func (c copySources) get(from spoke.Address) *copySource {
+	if c[from] == nil {
+		c[from] = &copySource{pending: make(map[spoke.CallNumber]pendingCopy), others: make(map[spoke.HostID]time.Duration)}
+	}
+	return c[from]
+}
+
+// delay returns how long a copy from an address is likely to wait.
+func (c copySources) delay(now time.Time, from spoke.Address) time.Duration {
+	source := c[from]
+	if source == nil {
 		return 0
 	}
-	fade := math.Exp2(-float64(now.Sub(known.at)) / float64(delayFade))
-	return time.Duration(fade * float64(known.late))
+	return max(source.learned(now), source.overdue(now), source.queue(now))
+}
+
+func (c *copySource) learned(now time.Time) time.Duration {
+	fade := math.Exp2(-float64(now.Sub(c.lateAt)) / float64(delayFade))
+	return time.Duration(fade * float64(c.late))
+}
+
+// overdue returns how late the oldest copy is that has not come yet.
+func (c *copySource) overdue(now time.Time) time.Duration {
+	var longest time.Duration
+	for _, copying := range c.pending {
+		longest = max(longest, now.Sub(copying.due))
+	}
+	return min(longest, longestDelay)
+}
+
+// queue returns the time that the copies ahead should take.
+func (c *copySource) queue(now time.Time) time.Duration {
+	return max(c.left-now.Sub(c.leftAt), 0)
+}
+
+// begin notes a copy that this host has asked for.
+func (c *copySource) begin(now time.Time, call spoke.CallNumber, copying pendingCopy) {
+	c.grow(now, copying.took)
+	c.pending[call] = copying
+}
+
+// end notes that a copy has come, or that nobody waits for it any more.
+func (c *copySource) end(now time.Time, call spoke.CallNumber) {
+	delete(c.pending, call)
+	c.shrink(now)
+}
+
+// hear takes the time that the pending copies of another host take.
+func (c *copySource) hear(now time.Time, host spoke.HostID, took time.Duration) {
+	took = min(max(took, 0), longestDelay)
+	known := c.others[host]
+	c.others[host] = took
+	switch {
+	case took > known:
+		c.grow(now, took-known)
+	case took < known:
+		c.shrink(now)
+	}
+	if took == 0 {
+		delete(c.others, host)
+	}
+}
+
+func (c *copySource) grow(now time.Time, took time.Duration) {
+	c.left, c.leftAt = c.queue(now)+took, now
+}
+
+// shrink bounds the queue by what is pending.
+func (c *copySource) shrink(now time.Time) {
+	total := c.own()
+	for _, took := range c.others {
+		total += took
+	}
+	c.left, c.leftAt = min(c.queue(now), total), now
+}
+
+// own returns the time that the pending copies of this host take.
+func (c *copySource) own() time.Duration {
+	var took time.Duration
+	for _, copying := range c.pending {
+		took += copying.took
+	}
+	return took
 }
 
 // observe takes how much later than predicted a copy came.
-func (d copyDelays) observe(now time.Time, from spoke.Address, late time.Duration) {
+func (c *copySource) observe(now time.Time, late time.Duration) {
+	known := c.learned(now)
 	late = min(max(late, 0), longestDelay)
-	known := d.of(now, from)
-	known += time.Duration(delayWeight * float64(late-known))
-	if known < leastDelay {
-		delete(d, from)
-		return
+	c.late, c.lateAt = known+time.Duration(delayWeight*float64(late-known)), now
+}
+
+// isIdle reports whether there is nothing left to know of the source.
+func (c *copySource) isIdle(now time.Time) bool {
+	return len(c.pending)+len(c.others) == 0 && c.queue(now) == 0 && c.learned(now) < leastDelay
+}
+
+// copied ends the copies of a run; one that has begun tells how late they came.
+func (s *Scheduler) copied(now time.Time, run *running, hasBegun bool) {
+	for _, copying := range run.copies {
+		source := s.sources.get(copying.from)
+		if hasBegun {
+			source.observe(now, now.Sub(run.sent)-run.predicted)
+		}
+		source.end(now, run.ask.Call)
+		s.report.copied(copying.from)
+	}
+}
+
+// tellCopies returns the pending copies of this host by source: all of them, or those that changed.
+func (s *Scheduler) tellCopies(isWhole bool) []spoke.CopyShare {
+	var told []spoke.CopyShare
+	for from, source := range s.sources {
+		if own := source.own(); s.report.copies[from] || (isWhole && own > 0) {
+			told = append(told, spoke.CopyShare{From: from, Took: own})
+		}
+	}
+	clear(s.report.copies)
+	return told
+}
+
+// hearCopies takes the pending copies of another host.
+func (s *Scheduler) hearCopies(now time.Time, share spoke.LoadShare) {
+	if share.IsWhole {
+		s.forgetCopies(now, share.Host)
+	}
+	for _, told := range share.Copies {
+		s.sources.get(told.From).hear(now, share.Host, told.Took)
+	}
+}
+
+// forgetCopies drops the copies of another host.
+func (s *Scheduler) forgetCopies(now time.Time, host spoke.HostID) {
+	for _, source := range s.sources {
+		delete(source.others, host)
+		source.shrink(now)
 	}
-	d[from] = copyDelay{late: known, at: now}
 }
--- a/place/delays_test.go
+++ b/place/delays_test.go
@@ -73,7 +73,7 @@
 func TestPartsAreCopiedWhileReadingIsScarce(t *testing.T) {
 	late := func(waiting int) spoke.TokenCount {
 		tr := storedSessions(t, 2, 20)
-		tr.copyLate(0, 3, 250*time.Millisecond)
+		tr.copyLate(0, 3, 900*time.Millisecond)
 		share := spoke.LoadShare{Host: "host-2", Number: 1, Waiting: []spoke.WaitingWork{{Service: models, Urgency: 2, Tokens: spoke.TokenCount(5300 * waiting)}}}
 		tr.handle(place.Hear{Share: share})
 		return tr.grant(tr.ask(1, string(session(10)), 5000, 300)).Fetched
@@ -89,3 +89,53 @@
 	tr.now = tr.now.Add(time.Second)
 	tr.handle(place.Ended{Call: granted.Call})
 }
+
+// Replays the first moments after all hosts lost power, when no copy has come yet that could be late.
+// Guards against copies that pile up at a store's link until the first of them tells.
+func TestCopiesThatDoNotComeCount(t *testing.T) {
+	tr := storedSessions(t, 8, 40)
+	copied := 0
+	for i := range 20 {
+		if tr.grant(tr.ask(1, string(session(i)), 5000, 300)).Fetched > 0 {
+			copied++
+		}
+		tr.now = tr.now.Add(40 * time.Millisecond)
+	}
+	assert.Assert(t, copied <= 8, "%d copied", copied)
+}
+
+// Guards against a host that joins a queue at a store's link which other hosts have filled, and against
+// a queue that counts on after those copies have come or their host has gone.
+func TestCopiesOfOtherHostsCount(t *testing.T) {
+	asked := []spoke.CopyShare{{From: "10.0.0.9:1", Took: 600 * time.Millisecond}}
+	for name, end := range map[string]func(tr *trial){
+		"they have come": func(tr *trial) {
+			tr.handle(place.Hear{Share: spoke.LoadShare{Host: "host-2", Number: 2, Copies: []spoke.CopyShare{{From: "10.0.0.9:1"}}}})
+		},
+		"their account says nothing of them": func(tr *trial) {
+			tr.handle(place.Hear{Share: spoke.LoadShare{Host: "host-2", Number: 2, IsWhole: true}})
+		},
+		"their host has gone": func(tr *trial) { tr.handle(place.ForgetPeer{Host: "host-2"}) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			tr := storedSessions(t, 2, 10)
+			tr.handle(place.Hear{Share: spoke.LoadShare{Host: "host-2", Number: 1, Copies: asked}})
+			assert.Equal(t, tr.grant(tr.ask(1, string(session(1)), 5000, 300)).Fetched, spoke.TokenCount(0))
+			end(tr)
+			assert.Equal(t, tr.grant(tr.ask(1, string(session(2)), 5000, 300)).Fetched, spoke.TokenCount(5000))
+		})
+	}
+}
+
+// Guards against what a host copies that others never hear of.
+func TestAccountsTellOfPendingCopies(t *testing.T) {
+	tr := storedSessions(t, 1, 10)
+	granted := tr.grant(tr.ask(1, string(session(1)), 5000, 300))
+	told := tr.scheduler.Account(tr.now, false).Copies
+	assert.Equal(t, len(told), 1)
+	assert.Equal(t, told[0].From, spoke.Address("10.0.0.9:1"))
+	assert.Assert(t, told[0].Took > 0)
+	assert.Equal(t, len(tr.scheduler.Account(tr.now, false).Copies), 0)
+	tr.handle(place.Began{Call: granted.Call})
+	assert.DeepEqual(t, tr.scheduler.Account(tr.now, false).Copies, []spoke.CopyShare{{From: "10.0.0.9:1"}})
+}
--- a/place/dispatch.go
+++ b/place/dispatch.go
@@ -108,8 +108,8 @@
 
 func (s *Scheduler) grant(now time.Time, w *waiting, c candidate) {
 	m := w.ask
-	fetch, sources := s.fetches(now, w, c)
-	run := &running{sources: sources, ask: m, node: c.node, sent: now, predicted: c.punctual, weights: c.weights}
+	fetch, transfers := s.fetches(now, w, c)
+	run := &running{copies: transfers, ask: m, node: c.node, sent: now, predicted: c.punctual, weights: c.weights}
 	if m.Prompt != nil {
 		run.unread = m.Prompt.Input - c.cached - c.copies.tokens
 		run.memory = m.Prompt.Input + expectedOutput(m.Prompt)
@@ -118,6 +118,10 @@
 		c.node.grow(now, run.unread, run.copying)
 	}
 	c.node.runs[m.Call] = run
+	for _, copying := range transfers {
+		s.sources.get(copying.from).begin(now, m.Call, pendingCopy{took: copying.took, due: now.Add(c.punctual)})
+		s.report.copied(copying.from)
+	}
 	s.running[m.Call] = run
 	if m.Prompt != nil {
 		c.node.cache.add(w.prefixes[c.weights], c.node.totals().Memory)
--- a/place/fetch.go
+++ b/place/fetch.go
@@ -69,6 +69,12 @@
 	return keys
 }
 
+// transfer is what a call copies from one source.
+type transfer struct {
+	from spoke.Address
+	took time.Duration
+}
+
 // copies are the parts of a prompt that a node copies: the first ones of those that it lacks. The rest
 // is read.
 type copies struct {
@@ -101,7 +107,7 @@
 		longer.parts++
 		longer.tokens = min(longer.tokens+prefix.Part, w.ask.Prompt.Input-c.cached)
 		longer.took += at.transfer(engine, prefix.Part, c.node.listed.DataCentre)
-		longer.delay = max(longer.delay, s.delays.of(now, at.address))
+		longer.delay = max(longer.delay, s.sources.delay(now, at.address))
 		if cost := weigh(longer); cost < least {
 			best, least = longer, cost
 		}
@@ -109,15 +115,16 @@
 	return best
 }
 
-// fetches returns where the node of a candidate copies each part from, and the sources whose transfers
-// its first event waits for.
-func (s *Scheduler) fetches(now time.Time, w *waiting, c candidate) (fetch, sources []spoke.Address) {
+// fetches returns where the node of a candidate copies each part from, and the transfers that its first
+// event waits for, one for each source.
+func (s *Scheduler) fetches(now time.Time, w *waiting, c candidate) (fetch []spoke.Address, transfers []transfer) {
 	engine := s.services[w.ask.Service].Engine
 	if w.ask.Prompt == nil || engine == nil || engine.Link <= 0 {
 		return nil, nil
 	}
 	prefixes, from := w.prefixesFor(c.weights), s.holdingsOf(now, w, c.weights)
 	fetch = make([]spoke.Address, len(prefixes))
+	copied := 0
 	for i, prefix := range prefixes {
 		if prefix.Total <= c.cached {
 			// The engine may have dropped the part; what it still holds is not copied.
@@ -126,7 +133,7 @@
 			}
 			continue
 		}
-		if len(sources) == c.copies.parts {
+		if copied == c.copies.parts {
 			break
 		}
 		at, ok := s.sourceOf(now, from, c.node, i, prefix.Total)
@@ -134,9 +141,21 @@
 			break
 		}
 		fetch[i] = at.address
-		sources = append(sources, at.address)
+		copied++
+		transfers = addTransfer(transfers, at.address, at.transfer(engine, prefix.Part, c.node.listed.DataCentre))
+	}
+	return fetch, transfers
+}
+
+// addTransfer adds the time of one more part to that of its source.
+func addTransfer(transfers []transfer, from spoke.Address, took time.Duration) []transfer {
+	for i := range transfers {
+		if transfers[i].from == from {
+			transfers[i].took += took
+			return transfers
+		}
 	}
-	return fetch, sources
+	return append(transfers, transfer{from, took})
 }
 
 // sourceOf returns where a part of the prompt can be copied from: a store that is known to
--- a/place/node.go
+++ b/place/node.go
@@ -43,8 +43,8 @@
 		memory spoke.TokenCount
 		// copying is the time that the transfers of the call's cached parts take.
 		copying time.Duration
-		// sources are the addresses that the copies come from.
-		sources   []spoke.Address
+		// copies are the transfers of the call.
+		copies    []transfer
 		predicted time.Duration
 		weights   spoke.WeightVersion
 		hasBegun  bool
--- a/place/report.go
+++ b/place/report.go
@@ -21,6 +21,8 @@
 	// toldWeights is the part of the last account's weights that was new.
 	toldWeights map[spoke.UpstreamID]spoke.ListedWeights
 	leaving     []spoke.UpstreamStart
+	// copies holds the sources whose pending copies have changed since the last account.
+	copies map[spoke.Address]bool
 	// slowness holds the upstreams that have said how slow they are since the last account.
 	slowness map[spoke.UpstreamID]*node
 	// stores is what each group of listeners has not been told of stores.
@@ -33,6 +35,7 @@
 		changes:  make(map[spoke.UpstreamID]*node),
 		pauses:   make(map[spoke.UpstreamID]time.Duration),
 		weights:  make(map[spoke.UpstreamID]spoke.ListedWeights),
+		copies:   make(map[spoke.Address]bool),
 		slowness: make(map[spoke.UpstreamID]*node),
 	}
 }
@@ -45,6 +48,8 @@
 	}
 }
 
+func (r *report) copied(from spoke.Address) { r.copies[from] = true }
+
 func (r *report) paused(id spoke.UpstreamID, pause time.Duration) { r.pauses[id] = pause }
 
 func (r *report) saw(id spoke.UpstreamID, seen spoke.ListedWeights) { r.weights[id] = seen }
@@ -76,7 +81,7 @@
 			share.Upstreams = append(share.Upstreams, own)
 		}
 	}
-	share.Slowness = s.report.saidSlowness(now)
+	share.Slowness, share.Copies = s.report.saidSlowness(now), s.tellCopies(isWhole)
 	clear(s.report.changes)
 	clear(s.report.pauses)
 	clear(s.report.weights)
@@ -89,7 +94,7 @@
 func (s *Scheduler) ForOtherCells(share spoke.LoadShare) (spoke.LoadShare, bool) {
 	share.IsWhole, share.Weights = false, s.report.toldWeights
 	share.Upstreams, share.Waiting, share.Placed, share.Stores, share.WantedAges = nil, nil, nil, nil, nil
-	share.Slowness = nil
+	share.Slowness, share.Copies = nil, nil
 	return share, len(share.Paused)+len(share.Weights)+len(share.Leaving) > 0
 }
 
@@ -192,6 +197,7 @@
 			n.hear(now, share.Host, upstream)
 		}
 	}
+	s.hearCopies(now, share)
 	for _, placed := range share.Placed {
 		if n := s.nodes[placed.Upstream]; n != nil {
 			n.cache.add(placed.Prefixes, n.totals().Memory)
@@ -246,9 +252,10 @@
 	}
 }
 
-func (s *Scheduler) forgetPeer(host spoke.HostID) {
+func (s *Scheduler) forgetPeer(now time.Time, host spoke.HostID) {
 	delete(s.peers, host)
 	s.forgetShares(host)
+	s.forgetCopies(now, host)
 }
 
 func (s *Scheduler) forgetShares(host spoke.HostID) {
@@ -258,9 +265,10 @@
 }
 
 func (s *Scheduler) dropSilent(now time.Time) {
+	maps.DeleteFunc(s.sources, func(_ spoke.Address, source *copySource) bool { return source.isIdle(now) })
 	for host, known := range s.peers {
 		if now.Sub(known.heard) > peerSilence {
-			s.forgetPeer(host)
+			s.forgetPeer(now, host)
 		}
 	}
 }
--- a/place/scheduler.go
+++ b/place/scheduler.go
@@ -39,7 +39,7 @@
 		running   map[spoke.CallNumber]*running
 		named     map[spoke.ModelName]naming
 		budgets   map[spoke.ServiceName]*budget
-		delays    copyDelays
+		sources   copySources
 		pressures map[spoke.ServiceName]pressure
 		readings  map[spoke.ServiceName]*reading
 		peers     map[spoke.HostID]*peer
@@ -68,7 +68,7 @@
 		running:    make(map[spoke.CallNumber]*running),
 		named:      make(map[spoke.ModelName]naming),
 		budgets:    make(map[spoke.ServiceName]*budget),
-		delays:     make(copyDelays),
+		sources:    make(copySources),
 		pressures:  make(map[spoke.ServiceName]pressure),
 		readings:   make(map[spoke.ServiceName]*reading),
 		peers:      make(map[spoke.HostID]*peer),
@@ -97,7 +97,7 @@
 	case Hear:
 		s.hear(now, m.Share)
 	case ForgetPeer:
-		s.forgetPeer(m.Host)
+		s.forgetPeer(now, m.Host)
 	default:
 		s.change(now, message)
 		s.dispatch(now)
--- a/placement.go
+++ b/placement.go
@@ -61,6 +61,8 @@
 		Stores  []StoreState
 		// Leaving holds upstreams that have said in answers that they leave.
 		Leaving []UpstreamStart
+		// Copies holds the sources from which calls of this host wait for copies.
+		Copies []CopyShare
 		// Slowness holds what upstreams have said of their machines.
 		Slowness []UpstreamSlowness
 		// Directory says what the host knows of the directory.
@@ -69,6 +71,12 @@
 		WantedAges []WantedAge
 	}
 
+	// CopyShare is the time that one host's pending copies from a source take.
+	CopyShare struct {
+		From Address
+		Took time.Duration
+	}
+
 	// UpstreamSlowness is how many times longer than usual work took at an upstream some time ago.
 	UpstreamSlowness struct {
 		Upstream UpstreamID
