--- a/place/options.go
+++ b/place/options.go
@@ -25,6 +25,8 @@
 	newWeightsGrace = time.Second
 	// homeBonus keeps prompts with a common prefix together while no engine has it.
 	homeBonus = 8 * time.Millisecond
+	// linkCost weighs the time that a copy takes of its source's link against the call's own wait.
+	linkCost = 2.0
 	// lateCost is the cost of a first event after its target, in time of the caller.
 	lateCost = 300 * time.Millisecond
 	// surelyOnTime and surelyLate are the parts of the time left between which an expected first event
@@ -32,7 +34,7 @@
 	surelyOnTime = 0.6
 	surelyLate   = 1.3
 	// readCost weighs the time that reading takes from other calls against this call's own wait.
-	readCost = 1.0
+	readCost = 3.0
 
 	// The shares of an engine's memory that calls of an urgency may fill leave room for output that
 	// is longer than expected and for more urgent calls, which are shorter.
