Refuse calls before their caller leaves, and let few hosts repeat what all know

Cause: callers of streams leave after two seconds, four times the target of the first event or eight times that of pauses, long before their deadline. The platform's codec gives the time as the patience of a route; a call whose first event cannot come by then is refused at once.

Tried first: patience in place of the deadline.

Beside it, for the large fleet: while weights are rolled out, while a crash is remembered or an engine leaves, each of 295 hosts repeated that to all others each second. Two of a cell do so now; hosts that follow a store tell of it as before. TestFewHostsOfACellRepeatWhatAllKnow.

--- a/edge/apply.go
+++ b/edge/apply.go
@@ -143,7 +143,7 @@
 	cell, members, count := place.Cells(hosts, h.settings.Host)
 	h.rank.Store(int64(place.Rank(hosts, h.settings.Host)))
 	h.follower.client.setSources(h.watchers())
-	found := neighbours{cell: place.SetCell{Cell: cell, Count: count}}
+	found := neighbours{cell: place.SetCell{Cell: cell, Count: count, HasTellers: place.HasTellers(members, h.settings.Host)}}
 	for _, id := range slices.Sorted(maps.Keys(h.peers)) {
 		address, err := netip.ParseAddrPort(string(h.peers[id].Address))
 		if err != nil {
--- a/edge/planner.go
+++ b/edge/planner.go
@@ -201,7 +201,8 @@
 		return
 	}
 	share, hasNews := p.scheduler.FarAccount(now, group)
-	if share = p.complete(now, share); hasNews || len(share.Marks) > 0 {
+	share = p.complete(now, share)
+	if hasNews || (len(share.Marks) > 0 && !p.neighbours.cell.HasTellers) {
 		p.send(share, p.neighbours.group(group))
 	}
 }
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -119,6 +119,7 @@
 	ask := place.Ask{
 		Call: spoke.CallNumber(e.numbers.Add(1)), Service: e.service(), Group: place.OwnerGroup(e.owner),
 		Urgency: e.urgency(), Arrived: e.arrived, Target: e.arrived.Add(e.route.Target), GapTarget: e.route.GapTarget, GiveUp: e.giveUp,
+		Leaves: e.leaves(p),
 		Tried: p.tried, IsRepeat: p.arrivals > 0,
 	}
 	if e.route.IsPrompt && e.call.Prompt.Model != "" {
@@ -127,6 +128,14 @@
 	return ask
 }
 
+// leaves returns when the caller leaves unless an event comes, zero if it waits for the whole time.
+func (e *exchange) leaves(p *progress) time.Time {
+	if e.route.Patience == 0 || p.stream.hasBegun() {
+		return time.Time{}
+	}
+	return e.arrived.Add(e.route.Patience)
+}
+
 func (e *exchange) urgency() spoke.Priority {
 	if e.owner.HasUrgency {
 		return e.owner.Urgency
--- a/place/cells.go
+++ b/place/cells.go
@@ -16,6 +16,8 @@
 	// leastUpstreams is the number of upstreams of a service for each cell below which all cells
 	// share them.
 	leastUpstreams = 3
+	// tellers is the number of hosts of a cell that repeat to other cells what all of it know.
+	tellers = 2
 	// watchers is the number of hosts that watch the directory for a group of hosts.
 	watchers = 2
 )
@@ -34,6 +36,12 @@
 	return cell, members, count
 }
 
+// HasTellers reports whether others of the members of a cell, in the order of Cells, repeat to other
+// cells what all of them know.
+func HasTellers(members []spoke.HostID, self spoke.HostID) bool {
+	return slices.Index(members, self) >= tellers
+}
+
 // Watchers returns the hosts that watch the directory for the others: two of all, or of each data centre
 // where there are several cells, since calls to the platform's store are dear.
 func Watchers(peers []spoke.ListedPeer, self spoke.ListedPeer) []spoke.HostID {
--- a/place/dispatch.go
+++ b/place/dispatch.go
@@ -65,7 +65,7 @@
 
 // settle grants or refuses a call and reports whether it is done with waiting.
 func (s *Scheduler) settle(now time.Time, w *waiting) bool {
-	if !now.Before(w.ask.GiveUp) {
+	if !now.Before(w.ask.GiveUp) || w.ask.hasLeft(now.Add(s.shortest(w.ask))) {
 		s.refuse(now, w.ask, RefusedTime)
 		return true
 	}
--- a/place/messages.go
+++ b/place/messages.go
@@ -67,6 +67,8 @@
 		GapTarget time.Duration
 		// GiveUp is when the call ends without an answer.
 		GiveUp time.Time
+		// Leaves is when the caller leaves unless an event comes, zero if it waits until GiveUp.
+		Leaves time.Time
 		// Tried lists the upstreams that had the call before.
 		Tried []spoke.UpstreamID
 		// IsRepeat says that an upstream has had the call, which draws on the retry budget.
@@ -140,7 +142,11 @@
 	ForgetPeer struct{ Host spoke.HostID }
 
 	// SetCell takes the cell of this host and the number of cells.
-	SetCell struct{ Cell, Count int }
+	SetCell struct {
+		Cell, Count int
+		// HasTellers says that other hosts of the cell repeat to other cells what all of the cell know.
+		HasTellers bool
+	}
 
 	// Tick lets time pass.
 	Tick struct{}
--- a/place/news_test.go
+++ b/place/news_test.go
@@ -1,6 +1,7 @@
 package place_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -105,3 +106,37 @@
 	_, hasNews = tr.scheduler.FarAccount(tr.now, 0)
 	assert.Assert(t, !hasNews)
 }
+
+// Replays a roll-out at 295 hosts, of which each repeated to all others when the weights were named,
+// and that an engine leaves. Guards against news that all hosts of a cell repeat, and against cells of
+// which nobody does.
+func TestFewHostsOfACellRepeatWhatAllKnow(t *testing.T) {
+	hosts := make([]spoke.HostID, 40)
+	for i := range hosts {
+		hosts[i] = spoke.HostID(fmt.Sprint("host-", i))
+	}
+	repeating := make(map[int]int)
+	for _, host := range hosts {
+		cell, members, count := place.Cells(hosts, host)
+		tr := newTrialOf(t, host, 1)
+		tr.handle(place.SetCell{Cell: cell, Count: count, HasTellers: place.HasTellers(members, host)})
+		tr.name(2)
+		tr.handle(place.Hear{Share: spoke.LoadShare{Host: "other", Number: 1, Leaving: []spoke.UpstreamStart{{ID: "engine-0"}}}})
+		account, hasNews := tr.scheduler.FarAccount(tr.now, 0)
+		if hasNews {
+			assert.Equal(t, len(account.WantedAges)+len(account.Leaving), 2)
+			repeating[cell]++
+		}
+	}
+	assert.DeepEqual(t, repeating, map[int]int{0: 2, 1: 2, 2: 2, 3: 2})
+}
+
+// Guards against a host that follows a store and leaves it to others to tell of it.
+func TestFollowerOfAStoreTellsAllCells(t *testing.T) {
+	tr := newTrial(t, 1)
+	tr.handle(place.SetCell{Cell: 1, Count: 3, HasTellers: true})
+	tr.handle(place.SeeStore{State: spoke.StoreState{Store: "store", Epoch: 7, Stored: []spoke.StoredKey{5}}})
+	account, hasNews := tr.scheduler.FarAccount(tr.now, 0)
+	assert.Assert(t, hasNews)
+	assert.Equal(t, account.Stores[0].Store, spoke.ServiceName("store"))
+}
--- a/place/refuse.go
+++ b/place/refuse.go
@@ -22,12 +22,16 @@
 		return RefusedWeights
 	}
 	left := m.GiveUp.Sub(now)
-	if s.backlog(now, m) > time.Duration(longestWaitShare*float64(left)) {
+	backlog := s.backlog(now, m)
+	if backlog > time.Duration(longestWaitShare*float64(left)) || m.hasLeft(now.Add(backlog)) {
 		return RefusedOverload
 	}
 	return ""
 }
 
+// hasLeft reports whether the caller leaves before a time.
+func (m Ask) hasLeft(at time.Time) bool { return !m.Leaves.IsZero() && !at.Before(m.Leaves) }
+
 // hasUpstream reports whether an upstream may take the call now or soon.
 func (s *Scheduler) hasUpstream(m Ask) bool {
 	for _, n := range s.byService[m.Service] {
--- a/place/report.go
+++ b/place/report.go
@@ -100,14 +100,17 @@
 
 // FarAccount returns the account for a group of hosts of other cells, and whether it says anything.
 // Each host hears those of all others, so what one with nothing to say costs grows with the square
-// of the hosts.
+// of the hosts. For the same reason only the tellers of a cell repeat what all of its hosts know.
 func (s *Scheduler) FarAccount(now time.Time, group int) (spoke.LoadShare, bool) {
 	s.report.number++
 	share := spoke.LoadShare{
-		Host: s.report.host, Number: s.report.number, IsWhole: true, Leaving: s.departing(),
+		Host: s.report.host, Number: s.report.number, IsWhole: true,
 		Stores: append(s.newsOfStores(group), s.storesAgain(now, group)...),
 	}
-	if s.isRollingOut(now) {
+	if !s.cell.HasTellers {
+		share.Leaving = s.departing()
+	}
+	if !s.cell.HasTellers && s.isRollingOut(now) {
 		share.WantedAges = s.wantedAges(now)
 	}
 	return share, len(share.Leaving)+len(share.Stores)+len(share.WantedAges) > 0
--- a/routes.go
+++ b/routes.go
@@ -44,7 +44,10 @@
 		Target time.Duration
 		// GapTarget is the longest pause between two events of a stream that is on time.
 		GapTarget time.Duration
-		Urgency   Priority
+		// Patience is the time without an event after which the caller of a stream leaves, zero if it
+		// waits until its deadline.
+		Patience time.Duration
+		Urgency  Priority
 		// MaxUpstreams is the number of upstreams to which one call may be sent.
 		MaxUpstreams int
 		// IsOpen lets callers in without an API key.
