Tell other hosts how late copies came, and count those of other cells

Change: accounts tell how many copies came from a source and how late; a store's queue is taken to be as long for each cell as for the own one.

--- a/peers/codec.go
+++ b/peers/codec.go
@@ -45,6 +45,8 @@
 	copyRow struct {
 		From   string `json:"from"`
 		TookMs int64  `json:"took-ms,omitempty"`
+		Came   int    `json:"came,omitempty"`
+		LateMs int64  `json:"late-ms,omitempty"`
 	}
 
 	slownessRow struct {
@@ -131,7 +133,7 @@
 		row.Leaving = append(row.Leaving, encodeStart(start))
 	}
 	for _, copying := range share.Copies {
-		row.Copies = append(row.Copies, copyRow{string(copying.From), copying.Took.Milliseconds()})
+		row.Copies = append(row.Copies, copyRow{string(copying.From), copying.Took.Milliseconds(), copying.Came, copying.Late.Milliseconds()})
 	}
 	for _, said := range share.Slowness {
 		row.Slowness = append(row.Slowness, slownessRow{string(said.Upstream), int64(percent * said.Slowness), said.Age.Milliseconds()})
@@ -192,7 +194,10 @@
 		share.Leaving = append(share.Leaving, decodeStart(start))
 	}
 	for _, copying := range row.Copies {
-		share.Copies = append(share.Copies, spoke.CopyShare{From: spoke.Address(copying.From), Took: time.Duration(copying.TookMs) * time.Millisecond})
+		share.Copies = append(share.Copies, spoke.CopyShare{
+			From: spoke.Address(copying.From), Took: time.Duration(copying.TookMs) * time.Millisecond,
+			Came: copying.Came, Late: time.Duration(copying.LateMs) * time.Millisecond,
+		})
 	}
 	for _, said := range row.Slowness {
 		share.Slowness = append(share.Slowness, spoke.UpstreamSlowness{
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -25,7 +25,7 @@
 		Marks:      []spoke.QuarantineMark{{Fingerprint: "f", Deaths: 2, Expires: now.Add(time.Second)}},
 		Stores:     []spoke.StoreState{{Store: "st", Epoch: 1 << 60, Used: 4, Stored: []spoke.StoredKey{1 << 63}, Freed: []spoke.StoredKey{2}, Clock: 5, Oldest: []spoke.ListedWeights{{Model: "m", Version: 2}}}},
 		Leaving:    []spoke.UpstreamStart{{ID: "e"}, {ID: "f", Started: time.UnixMilli(7).UTC()}},
-		Copies:     []spoke.CopyShare{{From: "10.0.0.1:1", Took: 30 * time.Millisecond}},
+		Copies:     []spoke.CopyShare{{From: "10.0.0.1:1", Took: 30 * time.Millisecond, Came: 2, Late: 900 * time.Millisecond}},
 		Slowness:   []spoke.UpstreamSlowness{{Upstream: "e", Slowness: 2.5, Age: 40 * time.Millisecond}},
 		Directory:  spoke.DirectoryView{Revision: 9, Age: time.Second},
 		WantedAges: []spoke.WantedAge{{Wanted: spoke.WantedWeights{Model: "m", Version: 3}, Age: 2 * time.Second}},
--- a/place/delays.go
+++ b/place/delays.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"magnoliaspoke.example/spoke"
@@ -27,10 +28,17 @@
 		// late is how much later than predicted copies came, as of lateAt.
 		late   time.Duration
 		lateAt time.Time
+		// came counts the copies of this host that came since the last account, cameLate is how much later
+		// than predicted all of them came.
+		came     int
+		cameLate time.Duration
 		// pending are the copies of this host that have not come.
 		pending map[spoke.CallNumber]pendingCopy
 		// others is the time that the pending copies of other hosts take.
 		others map[spoke.HostID]time.Duration
+		// cells is the number of cells whose hosts copy from the source. Only those of one are heard, and
+		// the others are taken to copy as much.
+		cells int
 		// left is the time that the pending copies of all hosts still took at leftAt.
 		left   time.Duration
 		leftAt time.Time
@@ -45,11 +53,22 @@
 	copySources map[spoke.Address]*copySource
 )
 
-func (c copySources) get(from spoke.Address) *copySource {
-	if c[from] == nil {
-		c[from] = &copySource{pending: make(map[spoke.CallNumber]pendingCopy), others: make(map[spoke.HostID]time.Duration)}
+// source returns what is known of a source of copies.
+func (s *Scheduler) source(from spoke.Address) *copySource {
+	source := s.sources[from]
+	if source == nil {
+		source = &copySource{pending: make(map[spoke.CallNumber]pendingCopy), others: make(map[spoke.HostID]time.Duration)}
+		s.sources[from] = source
+	}
+	source.cells = 1
+	if s.isStore(from) {
+		source.cells = s.cell.Count
 	}
-	return c[from]
+	return source
+}
+
+func (s *Scheduler) isStore(at spoke.Address) bool {
+	return slices.ContainsFunc(s.stores, func(st *store) bool { return st.Address == at })
 }
 
 // delay returns how long a copy from an address is likely to wait.
@@ -109,7 +128,7 @@
 }
 
 func (c *copySource) grow(now time.Time, took time.Duration) {
-	c.left, c.leftAt = c.queue(now)+took, now
+	c.left, c.leftAt = c.queue(now)+time.Duration(c.cells)*took, now
 }
 
 // shrink bounds the queue by what is pending.
@@ -118,7 +137,7 @@
 	for _, took := range c.others {
 		total += took
 	}
-	c.left, c.leftAt = min(c.queue(now), total), now
+	c.left, c.leftAt = min(c.queue(now), time.Duration(c.cells)*total), now
 }
 
 // own returns the time that the pending copies of this host take.
@@ -145,9 +164,12 @@
 // copied ends the copies of a run; one that has begun tells how late they came.
 func (s *Scheduler) copied(now time.Time, run *running, hasBegun bool) {
 	for _, copying := range run.copies {
-		source := s.sources.get(copying.from)
+		source := s.source(copying.from)
 		if hasBegun {
-			source.observe(now, now.Sub(run.sent)-run.predicted)
+			late := now.Sub(run.sent) - run.predicted
+			source.observe(now, late)
+			source.came++
+			source.cameLate += min(max(late, 0), longestDelay)
 		}
 		source.end(now, run.ask.Call)
 		s.report.copied(copying.from)
@@ -159,7 +181,8 @@
 	var told []spoke.CopyShare
 	for from, source := range s.sources {
 		if own := source.own(); s.report.copies[from] || (isWhole && own > 0) {
-			told = append(told, spoke.CopyShare{From: from, Took: own})
+			told = append(told, spoke.CopyShare{From: from, Took: own, Came: source.came, Late: source.cameLate / time.Duration(max(source.came, 1))})
+			source.came, source.cameLate = 0, 0
 		}
 	}
 	clear(s.report.copies)
@@ -172,7 +195,11 @@
 		s.forgetCopies(now, share.Host)
 	}
 	for _, told := range share.Copies {
-		s.sources.get(told.From).hear(now, share.Host, told.Took)
+		source := s.source(told.From)
+		source.hear(now, share.Host, told.Took)
+		if told.Came > 0 {
+			source.observe(now, told.Late)
+		}
 	}
 }
 
--- a/place/delays_test.go
+++ b/place/delays_test.go
@@ -137,5 +137,67 @@
 	assert.Assert(t, told[0].Took > 0)
 	assert.Equal(t, len(tr.scheduler.Account(tr.now, false).Copies), 0)
 	tr.handle(place.Began{Call: granted.Call})
-	assert.DeepEqual(t, tr.scheduler.Account(tr.now, false).Copies, []spoke.CopyShare{{From: "10.0.0.9:1"}})
+	assert.DeepEqual(t, tr.scheduler.Account(tr.now, false).Copies, []spoke.CopyShare{{From: "10.0.0.9:1", Came: 1}})
+}
+
+// Replays hosts of four cells, which hear only of their own. Guards against copies that pile up at a
+// store's link since each cell counts for itself.
+func TestCopiesOfOtherCellsAreTakenToBeAsMany(t *testing.T) {
+	copied := func(cells int) (copied int) {
+		tr := storedSessions(t, 8, 40)
+		tr.handle(place.SetCell{Count: cells})
+		for i := range 8 {
+			asked := []spoke.CopyShare{{From: "10.0.0.9:1", Took: time.Duration(i) * 20 * time.Millisecond}}
+			tr.handle(place.Hear{Share: spoke.LoadShare{Host: "host-2", Number: uint64(i + 1), Copies: asked}})
+			if tr.grant(tr.ask(1, string(session(i)), 5000, 300)).Fetched > 0 {
+				copied++
+			}
+		}
+		return copied
+	}
+	alone, among := copied(1), copied(4)
+	assert.Assert(t, among >= 1 && among <= alone/2, "%d of 8 copied alone, %d among four cells", alone, among)
+}
+
+// Replays small hosts that each copy from a store every few seconds, while its link is slow. Guards
+// against each of them learning that alone, when it is over.
+func TestLateCopiesOfOtherHostsCount(t *testing.T) {
+	tr := storedSessions(t, 4, 20)
+	for number := range uint64(3) {
+		late := []spoke.CopyShare{{From: "10.0.0.9:1", Came: 1, Late: 900 * time.Millisecond}}
+		tr.handle(place.Hear{Share: spoke.LoadShare{Host: "host-2", Number: number + 1, Copies: late}})
+	}
+	assert.Equal(t, tr.grant(tr.ask(1, string(session(1)), 5000, 300)).Fetched, spoke.TokenCount(0))
+	tr.now = tr.now.Add(2 * time.Second)
+	tr.handle(place.SeeStore{State: spoke.StoreState{Store: "store", Epoch: 7, Used: 10000}})
+	assert.Equal(t, tr.grant(tr.ask(1, string(session(2)), 5000, 300)).Fetched, spoke.TokenCount(5000))
+}
+
+// Guards against absurd words of other hosts that keep a store out of use for long.
+func TestAbsurdLatenessDoesNotLast(t *testing.T) {
+	tr := storedSessions(t, 2, 10)
+	absurd := []spoke.CopyShare{{From: "10.0.0.9:1", Took: time.Hour, Came: 1, Late: time.Hour}}
+	tr.handle(place.Hear{Share: spoke.LoadShare{Host: "host-2", Number: 1, Copies: absurd}})
+	tr.handle(place.ForgetPeer{Host: "host-2"})
+	tr.now = tr.now.Add(4 * time.Second)
+	tr.handle(place.SeeStore{State: spoke.StoreState{Store: "store", Epoch: 7, Used: 10000}})
+	assert.Equal(t, tr.grant(tr.ask(1, string(session(2)), 5000, 300)).Fetched, spoke.TokenCount(5000))
+}
+
+// Replays engines whose own links are slow and that copy from a fast store at once. Guards against a
+// queue at the store that is told from the time which the engines take, so that parts are read again
+// although the store is idle.
+func TestSlowLinksOfEnginesAreNoQueueAtTheirStore(t *testing.T) {
+	tr := storedSessions(t, 6, 10)
+	tr.handle(place.SetTable{
+		Services: map[spoke.ServiceName]spoke.ServedService{
+			models: {Name: models, Engine: &spoke.EngineProfile{Slots: 16, CacheCapacity: 100000, TokenSize: 1000, Link: 1e8}},
+		},
+		Stores: []spoke.PromptStore{{Name: "store", Address: "10.0.0.9:1", DataCentre: "a", Capacity: 50000, Link: 1e10}},
+	})
+	for i := range 6 {
+		granted := tr.grant(tr.ask(1, string(session(i)), 5000, 300))
+		assert.Equal(t, granted.Fetched, spoke.TokenCount(5000), "copy %d", i)
+		assert.Assert(t, granted.Predicted < 90*time.Millisecond, "%s", granted.Predicted)
+	}
 }
--- a/place/load_test.go
+++ b/place/load_test.go
@@ -209,3 +209,41 @@
 	}
 	assert.Assert(t, placed > rounds*7/10 && placed < rounds*13/10, "%d calls in %d rounds", placed, rounds)
 }
+
+// Replays engines that are held for seconds, while callers of streams leave after two seconds without an
+// event. Guards against calls that are held until their caller has left, and so never learns that they
+// have not run and when to come back.
+func TestWaitingCallIsRefusedBeforeItsCallerLeaves(t *testing.T) {
+	tr := newTrial(t, 1)
+	tr.handle(place.Pause{Upstream: "engine-0", For: 5 * time.Second})
+	waiting := tr.ask(2, "s1", 8000, 4000)
+	waiting.Leaves = tr.now.Add(2 * time.Second)
+	tr.waits(waiting)
+	assert.Equal(t, len(tr.pass(1500*time.Millisecond)), 0)
+	actions := tr.pass(450 * time.Millisecond)
+	assert.Equal(t, len(actions), 1)
+	refused := actions[0].(place.Refuse)
+	assert.Equal(t, refused.Reason, place.RefusedTime)
+	assert.Assert(t, refused.RetryAfter > 0)
+}
+
+// Replays a queue that takes longer than callers stay. Guards against calls that are taken although
+// their caller would leave before they begin.
+func TestCallWhoseCallerWouldLeaveIsRefusedAtOnce(t *testing.T) {
+	tr := newTrial(t, 1)
+	taken := 0
+	for range 60 {
+		ask := tr.ask(2, "s", 8000, 4000)
+		ask.Leaves = tr.now.Add(time.Second)
+		refused := false
+		for _, action := range tr.handle(ask) {
+			_, isRefusal := action.(place.Refuse)
+			refused = refused || isRefusal
+		}
+		if !refused {
+			taken++
+		}
+	}
+	// 12,000 tokens take 150 ms to read.
+	assert.Assert(t, taken >= 5 && taken <= 8, "%d taken", taken)
+}
--- a/placement.go
+++ b/placement.go
@@ -71,10 +71,15 @@
 		WantedAges []WantedAge
 	}
 
-	// CopyShare is the time that one host's pending copies from a source take.
+	// CopyShare is what one host waits for from a source and what it has learned of it.
 	CopyShare struct {
 		From Address
+		// Took is the time that the pending copies take.
 		Took time.Duration
+		// Came counts the copies that came since the last account, Late is how much later than predicted
+		// they came on average.
+		Came int
+		Late time.Duration
 	}
 
 	// UpstreamSlowness is how many times longer than usual work took at an upstream some time ago.
