--- a/place/choose.go
+++ b/place/choose.go
@@ -139,7 +139,7 @@
 	price := 1 + readCost + s.readPressure(now, w.ask)
 	c.copies = s.planCopies(now, w, &c, func(way copies) time.Duration {
 		read := n.reading.time(prompt.Input-c.cached-way.tokens, pace)
-		return way.ready(behind, link) + time.Duration(price*float64(read)+linkCost*float64(way.took))
+		return way.ready(behind, link) + time.Duration(price*float64(read)+linkCost*float64(way.holds))
 	})
 	if c.copies.parts > 0 && link > longestLinkWait(w.ask) {
 		// While the link is busy, short urgent prompts are read, and others wait, since reading long
@@ -156,7 +156,7 @@
 	c.first = ready + last
 	c.punctual = max(behind, ready-c.copies.delay) + last
 	c.before = unread + rest
-	c.cost += ready + time.Duration(price*float64(read)+linkCost*float64(c.copies.took)) + time.Duration(total.Runs)*time.Millisecond
+	c.cost += ready + time.Duration(price*float64(read)+linkCost*float64(c.copies.holds)) + time.Duration(total.Runs)*time.Millisecond
 	c.cost += n.pauses(now, w.ask, total.Runs, read) + lateness(now, w.ask, c.first)
 	return c, true
 }
--- a/place/delays.go
+++ b/place/delays.go
@@ -34,7 +34,7 @@
 		cameLate time.Duration
 		// pending are the copies of this host that have not come.
 		pending map[spoke.CallNumber]pendingCopy
-		// others is the time that the pending copies of other hosts take.
+		// others is the time that the pending copies of other hosts take of the link.
 		others map[spoke.HostID]time.Duration
 		// cells is the number of cells whose hosts copy from the source. Only those of one are heard, and
 		// the others are taken to copy as much.
@@ -45,7 +45,8 @@
 	}
 
 	pendingCopy struct {
-		took time.Duration
+		// holds is the time that the copy takes of the source's link.
+		holds time.Duration
 		// due is when the call that waits for it should have begun.
 		due time.Time
 	}
@@ -101,7 +102,7 @@
 
 // begin notes a copy that this host has asked for.
 func (c *copySource) begin(now time.Time, call spoke.CallNumber, copying pendingCopy) {
-	c.grow(now, copying.took)
+	c.grow(now, copying.holds)
 	c.pending[call] = copying
 }
 
@@ -144,7 +145,7 @@
 func (c *copySource) own() time.Duration {
 	var took time.Duration
 	for _, copying := range c.pending {
-		took += copying.took
+		took += copying.holds
 	}
 	return took
 }
--- a/place/fetch.go
+++ b/place/fetch.go
@@ -72,7 +72,8 @@
 // transfer is what a call copies from one source.
 type transfer struct {
 	from spoke.Address
-	took time.Duration
+	// holds is the time that it takes of the source's link.
+	holds time.Duration
 }
 
 // copies are the parts of a prompt that a node copies: the first ones of those that it lacks. The rest
@@ -80,9 +81,11 @@
 type copies struct {
 	parts  int
 	tokens spoke.TokenCount
-	// took is the time of the transfers alone, delay what they are likely to wait for other ones.
+	// took is the time of the transfers alone, delay what they are likely to wait for other ones, and
+	// holds the time that they take of the links of their sources.
 	took  time.Duration
 	delay time.Duration
+	holds time.Duration
 }
 
 // planCopies returns the copies that cost least, where weigh tells the cost of each way. Copying leaves
@@ -108,6 +111,7 @@
 		longer.tokens = min(longer.tokens+prefix.Part, w.ask.Prompt.Input-c.cached)
 		longer.took += at.transfer(engine, prefix.Part, c.node.listed.DataCentre)
 		longer.delay = max(longer.delay, s.sources.delay(now, at.address))
+		longer.holds += at.holds(engine, prefix.Part, c.node.listed.DataCentre)
 		if cost := weigh(longer); cost < least {
 			best, least = longer, cost
 		}
@@ -142,20 +146,20 @@
 		}
 		fetch[i] = at.address
 		copied++
-		transfers = addTransfer(transfers, at.address, at.transfer(engine, prefix.Part, c.node.listed.DataCentre))
+		transfers = addTransfer(transfers, at.address, at.holds(engine, prefix.Part, c.node.listed.DataCentre))
 	}
 	return fetch, transfers
 }
 
 // addTransfer adds the time of one more part to that of its source.
-func addTransfer(transfers []transfer, from spoke.Address, took time.Duration) []transfer {
+func addTransfer(transfers []transfer, from spoke.Address, holds time.Duration) []transfer {
 	for i := range transfers {
 		if transfers[i].from == from {
-			transfers[i].took += took
+			transfers[i].holds += holds
 			return transfers
 		}
 	}
-	return append(transfers, transfer{from, took})
+	return append(transfers, transfer{from, holds})
 }
 
 // sourceOf returns where a part of the prompt can be copied from: a store that is known to
@@ -188,13 +192,27 @@
 
 // transfer returns the time in which an engine copies a part.
 func (from source) transfer(engine *spoke.EngineProfile, tokens spoke.TokenCount, to spoke.DataCentreID) time.Duration {
-	rate := engine.Link
+	return from.setup + from.over(min(engine.Link, from.rate(engine)), engine, tokens, to)
+}
+
+// holds returns the time that the copy of a part takes of the source's link, which may be faster than
+// that of the engine.
+func (from source) holds(engine *spoke.EngineProfile, tokens spoke.TokenCount, to spoke.DataCentreID) time.Duration {
+	return from.over(from.rate(engine), engine, tokens, to)
+}
+
+// rate is that of the source's link; engines have links of one rate.
+func (from source) rate(engine *spoke.EngineProfile) spoke.ByteRate {
 	if from.link > 0 {
-		rate = min(rate, from.link)
+		return from.link
 	}
+	return engine.Link
+}
+
+func (from source) over(rate spoke.ByteRate, engine *spoke.EngineProfile, tokens spoke.TokenCount, to spoke.DataCentreID) time.Duration {
 	seconds := float64(tokens) * float64(engine.TokenSize) / float64(rate)
 	if from.dataCentre != to {
 		seconds *= remoteFetch
 	}
-	return from.setup + time.Duration(seconds*float64(time.Second))
+	return time.Duration(seconds * float64(time.Second))
 }
