--- a/edge/serve.go
+++ b/edge/serve.go
@@ -120,7 +120,7 @@
 		Call: spoke.CallNumber(e.numbers.Add(1)), Service: e.service(), Group: place.OwnerGroup(e.owner),
 		Urgency: e.urgency(), Arrived: e.arrived, Target: e.arrived.Add(e.route.Target), GapTarget: e.route.GapTarget, GiveUp: e.giveUp,
 		Leaves: e.leaves(p),
-		Tried: p.tried, IsRepeat: p.arrivals > 0,
+		Tried:  p.tried, IsRepeat: p.arrivals > 0,
 	}
 	if e.route.IsPrompt && e.call.Prompt.Model != "" {
 		ask.Prompt = &e.call.Prompt
--- a/place/load_test.go
+++ b/place/load_test.go
@@ -247,3 +247,24 @@
 	// 12,000 tokens take 150 ms to read.
 	assert.Assert(t, taken >= 5 && taken <= 8, "%d taken", taken)
 }
+
+// Replays a burst while two of three engines have gone dark. Guards against calls that are taken since
+// engines count which do no work, and then wait until they are late.
+func TestEnginesOutOfReachAreNoCapacity(t *testing.T) {
+	taken := func(engines int) (taken int) {
+		tr := newTrial(t, engines)
+		for i := 1; i < engines; i++ {
+			tr.handle(place.Pause{Upstream: engine(i).ID, For: time.Minute})
+		}
+		for range 200 {
+			for _, action := range tr.handle(tr.ask(2, "s", 8000, 4000)) {
+				if _, isRefusal := action.(place.Refuse); isRefusal {
+					return taken
+				}
+			}
+			taken++
+		}
+		return taken
+	}
+	assert.Equal(t, taken(3), taken(1))
+}
--- a/place/refuse.go
+++ b/place/refuse.go
@@ -69,8 +69,10 @@
 	}
 	ahead += s.waitingElsewhere(m)
 	rate := 0.0
+	isAny := isAnyUsable(now, s.near[m.Service], m.Tried)
 	for _, n := range s.near[m.Service] {
-		if n.isLeaving() {
+		// Engines that cannot be reached do none of the work, unless none can be.
+		if n.isLeaving() || (isAny && !n.isUsable(now)) {
 			continue
 		}
 		rate += n.readRate()
