Let pauses weigh less while calls wait

Change: the cost of pauses is divided by one more than the calls that wait for each engine. TestCachedBeginningOutweighsPausesWhileCallsWait fails without that.

--- a/place/choose.go
+++ b/place/choose.go
@@ -136,7 +136,8 @@
 		return c, false
 	}
 	link := n.copyBacklog(now)
-	price := 1 + readCost + s.readPressure(now, w.ask)
+	pressure := s.readPressure(now, w.ask)
+	price := 1 + readCost + pressure
 	c.copies = s.planCopies(now, w, &c, func(way copies) time.Duration {
 		read := n.reading.time(prompt.Input-c.cached-way.tokens, pace)
 		return way.ready(behind, link) + time.Duration(price*float64(read)+linkCost*float64(way.holds))
@@ -157,7 +158,9 @@
 	c.punctual = max(behind, ready-c.copies.delay) + last
 	c.before = unread + rest
 	c.cost += ready + time.Duration(price*float64(read)+linkCost*float64(c.copies.holds)) + time.Duration(total.Runs)*time.Millisecond
-	c.cost += n.pauses(now, w.ask, total.Runs, read) + lateness(now, w.ask, c.first)
+	// While calls wait, engines read all the time, and what counts is to be served at all.
+	c.cost += time.Duration(float64(n.pauses(now, w.ask, total.Runs, read)) / (1 + pressure))
+	c.cost += lateness(now, w.ask, c.first)
 	return c, true
 }
 
--- a/place/pauses_test.go
+++ b/place/pauses_test.go
@@ -83,3 +83,39 @@
 	// 21 streams run at a time, 3.5 at each of the six engines.
 	assert.Assert(t, met < 3.5/3, "%.2f streams beside each long prompt", met)
 }
+
+// Replays a prompt whose beginning is cached at an engine with many streams, on a calm day and while
+// calls wait. Guards against reading that is spent on avoiding pauses when there is too little of it.
+func TestCachedBeginningOutweighsPausesWhileCallsWait(t *testing.T) {
+	chosen := func(waiting int) (isCached bool) {
+		tr := newTrial(t, 2)
+		// Nothing is copied, since engines have no links.
+		tr.handle(place.SetTable{Services: map[spoke.ServiceName]spoke.ServedService{
+			models: {Name: models, Engine: &spoke.EngineProfile{Slots: 16, CacheCapacity: 100000, TokenSize: 1000}},
+		}})
+		first := tr.grant(tr.ask(1, "session", 1000, 20))
+		usual := engineModel{rate: 80, step: 10 * time.Millisecond}
+		tr.settleAfter(first, usual.first(1020))
+		other := engine(0).ID
+		if first.Upstream.ID == other {
+			other = engine(1).ID
+		}
+		tr.handle(place.Pause{Upstream: other, For: time.Minute})
+		for i := range 12 {
+			stream := tr.ask(0, fmt.Sprint("stream-", i), 0, 20)
+			stream.GapTarget = 300 * time.Millisecond
+			granted := tr.grant(stream)
+			tr.now = tr.now.Add(usual.first(20))
+			tr.handle(place.Began{Call: granted.Call})
+		}
+		tr.handle(place.Pause{Upstream: other})
+		tr.now = tr.now.Add(3 * time.Second)
+		work := []spoke.WaitingWork{{Service: models, Urgency: 2, Tokens: spoke.TokenCount(3000 * waiting)}}
+		tr.handle(place.Hear{Share: spoke.LoadShare{Host: "host-2", Number: 1, Waiting: work}})
+		prompt := tr.ask(1, "session", 1000, 2000)
+		prompt.GapTarget = 300 * time.Millisecond
+		return tr.grant(prompt).Upstream.ID == first.Upstream.ID
+	}
+	assert.Assert(t, !chosen(0), "a calm prompt is read beside many streams")
+	assert.Assert(t, chosen(2), "a cached beginning is read again while calls wait")
+}
