Blame neither dark engines nor other cells on a store, and weigh late first events no more

Changes, all about what is held against a source of copies: - Each pending copy counted as one of each cell.

--- a/place/choose.go
+++ b/place/choose.go
@@ -160,20 +160,9 @@
 	c.cost += ready + time.Duration(price*float64(read)+linkCost*float64(c.copies.holds)) + time.Duration(total.Runs)*time.Millisecond
 	// While calls wait, engines read all the time, and what counts is to be served at all.
 	c.cost += time.Duration(float64(n.pauses(now, w.ask, total.Runs, read)) / (1 + pressure))
-	c.cost += lateness(now, w.ask, c.first)
 	return c, true
 }
 
-// lateness is the cost of a first event that comes close to the call's target or after it.
-func lateness(now time.Time, m Ask, first time.Duration) time.Duration {
-	left := float64(m.Target.Sub(now))
-	if left <= 0 {
-		return 0
-	}
-	over := (float64(first) - surelyOnTime*left) / ((surelyLate - surelyOnTime) * left)
-	return time.Duration(min(max(over, 0), 1) * float64(lateCost))
-}
-
 // ready is the time until the engine can read what it does not copy: it has read what came before, and
 // its link has brought the copies.
 func (way copies) ready(behind, link time.Duration) time.Duration {
--- a/place/delays.go
+++ b/place/delays.go
@@ -14,6 +14,8 @@
 	delayFade = 500 * time.Millisecond
 	// delayWeight is the part of the newest copy in a delay.
 	delayWeight = 0.5
+	// averageTime is the time in which half of the mean queue of a cell is out of date.
+	averageTime = time.Second
 	// leastDelay is below what first events differ by anyway.
 	leastDelay = time.Millisecond
 	// longestDelay bounds what one copy can teach.
@@ -36,19 +38,24 @@
 		pending map[spoke.CallNumber]pendingCopy
 		// others is the time that the pending copies of other hosts take of the link.
 		others map[spoke.HostID]time.Duration
-		// cells is the number of cells whose hosts copy from the source. Only those of one are heard, and
-		// the others are taken to copy as much.
-		cells int
-		// left is the time that the pending copies of all hosts still took at leftAt.
+		// left is the time that the pending copies of the hosts of this cell still took at leftAt.
 		left   time.Duration
 		leftAt time.Time
+		// cells is the number of cells whose hosts copy from the source. Only those of this one are heard,
+		// and the others are taken to have pending what this one has on average, which was mean at leftAt
+		// and goes towards asked, what was pending then.
+		cells int
+		mean  time.Duration
+		asked time.Duration
 	}
 
 	pendingCopy struct {
 		// holds is the time that the copy takes of the source's link.
 		holds time.Duration
-		// due is when the call that waits for it should have begun.
-		due time.Time
+		// sent is when the call that waits for it was placed at the node, due when it should have begun.
+		sent time.Time
+		due  time.Time
+		node *node
 	}
 
 	copySources map[spoke.Address]*copySource
@@ -86,24 +93,53 @@
 	return time.Duration(fade * float64(c.late))
 }
 
-// overdue returns how late the oldest copy is that has not come yet.
+// overdue returns how late the oldest copy is that has not come yet to an engine which has made progress
+// since; of the others it is the engine that may have gone dark.
 func (c *copySource) overdue(now time.Time) time.Duration {
 	var longest time.Duration
 	for _, copying := range c.pending {
-		longest = max(longest, now.Sub(copying.due))
+		if copying.node.sign.After(copying.sent) {
+			longest = max(longest, now.Sub(copying.due))
+		}
 	}
 	return min(longest, longestDelay)
 }
 
 // queue returns the time that the copies ahead should take.
 func (c *copySource) queue(now time.Time) time.Duration {
+	return c.near(now) + time.Duration(c.cells-1)*c.average(now)
+}
+
+// near is the queue as far as this cell has asked for it.
+func (c *copySource) near(now time.Time) time.Duration {
 	return max(c.left-now.Sub(c.leftAt), 0)
 }
 
+// average returns what was pending in this cell on average of late.
+func (c *copySource) average(now time.Time) time.Duration {
+	fade := math.Exp2(-float64(now.Sub(c.leftAt)) / float64(averageTime))
+	return c.asked + time.Duration(fade*float64(c.mean-c.asked))
+}
+
+// set notes the queue of this cell.
+func (c *copySource) set(now time.Time, left time.Duration) {
+	c.mean = c.average(now)
+	c.left, c.leftAt, c.asked = left, now, c.total()
+}
+
+// total returns the time that all pending copies of this cell take.
+func (c *copySource) total() time.Duration {
+	total := c.own()
+	for _, took := range c.others {
+		total += took
+	}
+	return total
+}
+
 // begin notes a copy that this host has asked for.
 func (c *copySource) begin(now time.Time, call spoke.CallNumber, copying pendingCopy) {
-	c.grow(now, copying.holds)
 	c.pending[call] = copying
+	c.grow(now, copying.holds)
 }
 
 // end notes that a copy has come, or that nobody waits for it any more.
@@ -129,16 +165,12 @@
 }
 
 func (c *copySource) grow(now time.Time, took time.Duration) {
-	c.left, c.leftAt = c.queue(now)+time.Duration(c.cells)*took, now
+	c.set(now, c.near(now)+took)
 }
 
 // shrink bounds the queue by what is pending.
 func (c *copySource) shrink(now time.Time) {
-	total := c.own()
-	for _, took := range c.others {
-		total += took
-	}
-	c.left, c.leftAt = min(c.queue(now), time.Duration(c.cells)*total), now
+	c.set(now, min(c.near(now), c.total()))
 }
 
 // own returns the time that the pending copies of this host take.
--- a/place/dispatch.go
+++ b/place/dispatch.go
@@ -119,7 +119,7 @@
 	}
 	c.node.runs[m.Call] = run
 	for _, copying := range transfers {
-		s.source(copying.from).begin(now, m.Call, pendingCopy{holds: copying.holds, due: now.Add(c.punctual)})
+		s.source(copying.from).begin(now, m.Call, pendingCopy{holds: copying.holds, sent: now, due: now.Add(c.punctual), node: c.node})
 		s.report.copied(copying.from)
 	}
 	s.running[m.Call] = run
--- a/place/options.go
+++ b/place/options.go
@@ -27,12 +27,6 @@
 	homeBonus = 8 * time.Millisecond
 	// linkCost weighs the time that a copy takes of its source's link against the call's own wait.
 	linkCost = 2.0
-	// lateCost is the cost of a first event after its target, in time of the caller.
-	lateCost = 300 * time.Millisecond
-	// surelyOnTime and surelyLate are the parts of the time left between which an expected first event
-	// may turn out to be late.
-	surelyOnTime = 0.6
-	surelyLate   = 1.3
 	// readCost weighs the time that reading takes from other calls against this call's own wait.
 	readCost = 3.0
 
--- a/place/refuse.go
+++ b/place/refuse.go
@@ -22,8 +22,7 @@
 		return RefusedWeights
 	}
 	left := m.GiveUp.Sub(now)
-	backlog := s.backlog(now, m)
-	if backlog > time.Duration(longestWaitShare*float64(left)) || m.hasLeft(now.Add(backlog)) {
+	if s.backlog(now, m) > time.Duration(longestWaitShare*float64(left)) {
 		return RefusedOverload
 	}
 	return ""
