--- a/place/choose.go
+++ b/place/choose.go
@@ -10,19 +10,33 @@
 	"magnoliaspoke.example/spoke"
 )
 
-// candidate is an upstream that could take a call now.
-type candidate struct {
-	node    *node
-	weights spoke.WeightVersion
-	cached  spoke.TokenCount
-	copies  copies
-	// before counts the tokens that the node reads before the first event.
-	before spoke.TokenCount
-	// first is the expected time to the first event, punctual the same without the delay of copies.
-	first    time.Duration
-	punctual time.Duration
-	cost     time.Duration
-}
+type (
+	// candidate is an upstream that could take a call now.
+	candidate struct {
+		node    *node
+		weights spoke.WeightVersion
+		cached  spoke.TokenCount
+		copies  copies
+		// before counts the tokens that the node reads before the first event.
+		before spoke.TokenCount
+		// first is the expected time to the first event, punctual the same without the delay of copies.
+		first    time.Duration
+		punctual time.Duration
+		cost     time.Duration
+	}
+
+	// outlook is what a call would meet at an engine.
+	outlook struct {
+		pace float64
+		// unread counts the tokens that the engine reads first, behind is the time for them.
+		unread spoke.TokenCount
+		behind time.Duration
+		// link is the time until the engine's link is free.
+		link time.Duration
+		// pressure is the number of calls that wait for each engine.
+		pressure float64
+	}
+)
 
 // choose returns the upstream that serves the call at the lowest cost, if one may take it now.
 // Upstreams of other cells serve only while this cell has none in use.
@@ -116,60 +130,74 @@
 }
 
 func (s *Scheduler) considerEngine(now time.Time, w *waiting, n *node, c candidate) (candidate, bool) {
-	prompt := w.ask.Prompt
 	total := n.totals()
-	if total.Runs >= n.listed.Slots || !s.hasTurn(now, w.ask, n) {
+	if total.Runs >= n.listed.Slots || !s.hasTurn(now, w.ask, n) || !s.hasRoom(w.ask, total) {
 		return c, false
 	}
-	need := prompt.Input + expectedOutput(prompt)
-	room := float64(s.capacity(w.ask.Service)) * memoryShareOf(w.ask.Urgency)
-	if total.Runs > 0 && float64(total.Memory+need) > room {
+	c.cached = min(n.cache.cached(w.prefixesFor(c.weights)), w.ask.Prompt.Input)
+	o := s.outlookOf(now, w.ask, n, total)
+	saved := n.reading.time(c.cached, o.pace)
+	if o.behind > s.allowedBacklog(w.ask)+saved/2 {
 		return c, false
 	}
-	prefixes := w.prefixesFor(c.weights)
-	c.cached = min(n.cache.cached(prefixes), prompt.Input)
-	pace := n.paceAt(now)
-	saved := n.reading.time(c.cached, pace)
-	unread := n.backlogOf(now, total.Unread)
-	behind := n.reading.time(unread, pace)
-	if behind > s.allowedBacklog(w.ask)+saved/2 {
+	if !s.chooseCopies(now, w, &c, o) {
 		return c, false
 	}
-	link := n.copyBacklog(now)
-	pressure := s.readPressure(now, w.ask)
-	price := 1 + readCost + pressure
-	c.copies = s.planCopies(now, w, &c, func(way copies) time.Duration {
-		read := n.reading.time(prompt.Input-c.cached-way.tokens, pace)
-		return way.ready(behind, link) + time.Duration(price*float64(read)+linkCost*float64(way.holds))
-	})
-	if c.copies.parts > 0 && link > longestLinkWait(w.ask) {
-		// While the link is busy, short urgent prompts are read, and others wait, since reading long
-		// parts again would take the engine from others.
-		if w.ask.Urgency > 1 {
-			return c, false
-		}
-		c.copies = copies{}
-	}
-	rest := prompt.Input - c.cached - c.copies.tokens
-	read := n.reading.time(rest, pace)
-	ready := c.copies.ready(behind, link)
-	last := read + time.Duration(pace*float64(n.reading.step))
+	rest := w.ask.Prompt.Input - c.cached - c.copies.tokens
+	read := n.reading.time(rest, o.pace)
+	ready := c.copies.ready(o)
+	last := read + time.Duration(o.pace*float64(n.reading.step))
 	c.first = ready + last
-	c.punctual = max(behind, ready-c.copies.delay) + last
-	c.before = unread + rest
-	c.cost += ready + time.Duration(price*float64(read)+linkCost*float64(c.copies.holds)) + time.Duration(total.Runs)*time.Millisecond
+	c.punctual = max(o.behind, ready-c.copies.delay) + last
+	c.before = o.unread + rest
+	c.cost += o.costOf(c.copies, read) + time.Duration(total.Runs)*time.Millisecond
 	// While calls wait, engines read all the time, and what counts is to be served at all.
-	c.cost += time.Duration(float64(n.pauses(now, w.ask, total.Runs, read)) / (1 + pressure))
+	c.cost += time.Duration(float64(n.pauses(now, w.ask, total.Runs, read)) / (1 + o.pressure))
 	return c, true
 }
 
+// hasRoom reports whether an engine with some work has memory for one more call.
+func (s *Scheduler) hasRoom(m Ask, total spoke.UpstreamShare) bool {
+	need := m.Prompt.Input + expectedOutput(m.Prompt)
+	room := float64(s.capacity(m.Service)) * memoryShareOf(m.Urgency)
+	return total.Runs == 0 || float64(total.Memory+need) <= room
+}
+
+func (s *Scheduler) outlookOf(now time.Time, m Ask, n *node, total spoke.UpstreamShare) outlook {
+	o := outlook{pace: n.paceAt(now), unread: n.backlogOf(now, total.Unread), link: n.copyBacklog(now), pressure: s.readPressure(now, m)}
+	o.behind = n.reading.time(o.unread, o.pace)
+	return o
+}
+
+// costOf weighs the wait for an engine and its copies against the time that reading and copying take
+// from other calls.
+func (o outlook) costOf(way copies, read time.Duration) time.Duration {
+	price := 1 + readCost + o.pressure
+	return way.ready(o) + time.Duration(price*float64(read)+linkCost*float64(way.holds))
+}
+
+// chooseCopies sets what the node copies, and reports false if the call should wait for the node's link.
+func (s *Scheduler) chooseCopies(now time.Time, w *waiting, c *candidate, o outlook) bool {
+	unread := w.ask.Prompt.Input - c.cached
+	c.copies = s.planCopies(now, w, c, func(way copies) time.Duration {
+		return o.costOf(way, c.node.reading.time(unread-way.tokens, o.pace))
+	})
+	if c.copies.parts == 0 || o.link <= longestLinkWait(w.ask) {
+		return true
+	}
+	// While the link is busy, short urgent prompts are read, and others wait, since reading long parts
+	// again would take the engine from others.
+	c.copies = copies{}
+	return w.ask.Urgency <= 1
+}
+
 // ready is the time until the engine can read what it does not copy: it has read what came before, and
 // its link has brought the copies.
-func (way copies) ready(behind, link time.Duration) time.Duration {
+func (way copies) ready(o outlook) time.Duration {
 	if way.parts == 0 {
-		return behind
+		return o.behind
 	}
-	return max(behind, link+way.took+way.delay)
+	return max(o.behind, o.link+way.took+way.delay)
 }
 
 // longestLinkWait bounds the wait for an engine's link.
--- a/place/fetch.go
+++ b/place/fetch.go
@@ -15,24 +15,45 @@
 	holdingsAge = 40 * time.Millisecond
 )
 
-// source is where an engine copies a part from.
-type source struct {
-	address    spoke.Address
-	dataCentre spoke.DataCentreID
-	link       spoke.ByteRate
-	setup      time.Duration
-}
+type (
+	// source is where an engine copies a part from.
+	source struct {
+		address    spoke.Address
+		dataCentre spoke.DataCentreID
+		link       spoke.ByteRate
+		setup      time.Duration
+	}
 
-// holdings are the parts of one prompt that can be copied, by weight version.
-type holdings struct {
-	version spoke.WeightVersion
-	// seen is when the engines were looked through.
-	seen time.Time
-	keys []storedKey
-	// engines have the beginning of the prompt up to the size beside them.
-	engines []*node
-	held    []spoke.TokenCount
-}
+	// holdings are the parts of one prompt that can be copied, by weight version.
+	holdings struct {
+		version spoke.WeightVersion
+		// seen is when the engines were looked through.
+		seen time.Time
+		keys []storedKey
+		// engines have the beginning of the prompt up to the size beside them.
+		engines []*node
+		held    []spoke.TokenCount
+	}
+
+	// transfer is what a call copies from one source.
+	transfer struct {
+		from spoke.Address
+		// holds is the time that it takes of the source's link.
+		holds time.Duration
+	}
+
+	// copies are the parts of a prompt that a node copies: the first ones of those that it lacks. The rest
+	// is read.
+	copies struct {
+		parts  int
+		tokens spoke.TokenCount
+		// took is the time of the transfers alone, delay what they are likely to wait for other ones, and
+		// holds the time that they take of the links of their sources.
+		took  time.Duration
+		delay time.Duration
+		holds time.Duration
+	}
+)
 
 // holdingsOf returns the holdings for a version, which it keeps for the next looks at a waiting call.
 func (s *Scheduler) holdingsOf(now time.Time, w *waiting, version spoke.WeightVersion) *holdings {
@@ -69,25 +90,6 @@
 	return keys
 }
 
-// transfer is what a call copies from one source.
-type transfer struct {
-	from spoke.Address
-	// holds is the time that it takes of the source's link.
-	holds time.Duration
-}
-
-// copies are the parts of a prompt that a node copies: the first ones of those that it lacks. The rest
-// is read.
-type copies struct {
-	parts  int
-	tokens spoke.TokenCount
-	// took is the time of the transfers alone, delay what they are likely to wait for other ones, and
-	// holds the time that they take of the links of their sources.
-	took  time.Duration
-	delay time.Duration
-	holds time.Duration
-}
-
 // planCopies returns the copies that cost least, where weigh tells the cost of each way. Copying leaves
 // the engine free for other prompts.
 func (s *Scheduler) planCopies(now time.Time, w *waiting, c *candidate, weigh func(copies) time.Duration) copies {
