Test hosts whose watchers of the directory are stale, frozen or send garbage

A host that others watch the directory for must learn of a new table within its time whatever those answer: knowledge that is too old, nothing at all, bytes that are no answer, news that go backward or cannot be read, and bytes without end. The comment on the port for other hosts says that it serves news as well.

go test ./edge -run BadWatchers passes.

--- a/config/relay.go
+++ b/config/relay.go
@@ -34,7 +34,8 @@
 	Caller     spoke.Address
 	Readiness  spoke.Address
 	Store      spoke.Address
-	// PeerPort is the UDP port on which hosts exchange their loads.
+	// PeerPort is the UDP port on which hosts exchange their loads and the TCP port on which they tell each
+	// other news of the directory.
 	PeerPort int
 	// MetricsPort is zero if no metrics are served.
 	MetricsPort int
--- a/edge/feed_test.go
+++ b/edge/feed_test.go
@@ -4,8 +4,10 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"slices"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -13,6 +15,7 @@
 	"gotest.tools/v3/assert"
 
 	"magnoliaspoke.example/spoke"
+	"magnoliaspoke.example/spoke/config"
 	"magnoliaspoke.example/spoke/place"
 )
 
@@ -135,3 +138,56 @@
 	assert.NilError(d.t, err)
 	return response.StatusCode
 }
+
+// Guards against a host that knows nothing new since those that watch the directory for it are frozen,
+// behind, broken, or send bytes without end.
+func TestBadWatchersDoNotKeepChangesAway(t *testing.T) {
+	for name, handle := range map[string]http.HandlerFunc{
+		"stale":   func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, `{"revision":1,"age-ms":5000}`) },
+		"frozen":  func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() },
+		"garbage": func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "]garbage[") },
+		"backward": func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, `{"revision":9,"news":[{"after":9,"revision":3}]}`)
+		},
+		"unread": func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, `{"revision":999,"news":[{"after":1,"revision":999,"raw":"fQ=="}]}`)
+		},
+		"endless": sendEndless,
+	} {
+		t.Run(name, func(t *testing.T) {
+			watcher := httptest.NewServer(handle)
+			t.Cleanup(watcher.Close)
+			t.Cleanup(watcher.CloseClientConnections)
+			d := start(t, 1)
+			for _, id := range watchersOf(d.settings) {
+				d.store.Put("spoke/hosts/"+string(id), map[string]any{"data-centre": "a", "address": watcher.Listener.Addr().String()})
+			}
+			awaitTrue(t, "the host does not know the others", func() bool { return d.hasLogged(`"peers":2`) })
+			d.store.Put("op/config", table(2, "key-2"))
+			begin := time.Now()
+			awaitKey(t, []*deployment{d}, "key-2")
+			assert.Assert(t, time.Since(begin) < d.settings.ConfigApply, "%s", time.Since(begin))
+		})
+	}
+}
+
+// sendEndless answers with bytes until the caller closes.
+func sendEndless(w http.ResponseWriter, r *http.Request) {
+	for r.Context().Err() == nil {
+		if _, err := io.WriteString(w, strings.Repeat("x", 4096)); err != nil {
+			return
+		}
+	}
+}
+
+// watchersOf returns ids of two hosts that would watch the directory for the given one.
+func watchersOf(settings config.Relay) []spoke.HostID {
+	self := spoke.ListedPeer{ID: settings.Host, DataCentre: settings.DataCentre}
+	for i := 0; ; i++ {
+		ids := []spoke.HostID{spoke.HostID(fmt.Sprint("other-", i)), spoke.HostID(fmt.Sprint("another-", i))}
+		peers := []spoke.ListedPeer{{ID: ids[0], DataCentre: self.DataCentre}, {ID: ids[1], DataCentre: self.DataCentre}}
+		if !slices.Contains(place.Watchers(peers, self), self.ID) {
+			return ids
+		}
+	}
+}
