Log and count the limits that upstreams name

Hosts now decode it, with or without the prefix of the other headers, log each answer that names one with its request id, warn of values that are no rate, and count such answers in the metric limited. Placement does not use it yet.

--- a/calls.go
+++ b/calls.go
@@ -111,6 +111,11 @@
 		Pause time.Duration
 		// InvalidPause is the text of a pause that cannot be parsed.
 		InvalidPause string
+		// Limit is the rate of requests that the upstream accepts from all hosts together, nil if the answer
+		// names none.
+		Limit *RequestRate
+		// InvalidLimit is the text of a limit that cannot be parsed.
+		InvalidLimit string
 		// IdleTimeout is how long the upstream keeps the connection open; zero means unknown.
 		IdleTimeout time.Duration
 	}
--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -150,6 +150,7 @@
 	if head.InvalidPause != "" {
 		a.log.WithFields(logrus.Fields{"upstream": a.grant.Upstream.ID, "value": head.InvalidPause}).Warn("ignored the pause that the upstream asked for: not a valid time in seconds")
 	}
+	a.recordLimit()
 	if head.IsLeaving {
 		a.log.WithField("upstream", a.grant.Upstream.ID).Info("upstream announced in an answer that it is leaving")
 	}
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -34,6 +34,8 @@
 		// endless counts the answers that were aborted because of their size or because of bytes that are
 		// not a valid answer.
 		endless atomic.Int64
+		// limited counts the answers in which upstreams named a limit.
+		limited atomic.Int64
 	}
 )
 
@@ -47,8 +49,8 @@
 // ServeHTTP writes the metrics in the format of package expvar.
 func (m *metrics) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
-	_, _ = fmt.Fprintf(w, "{\n%q: %s,\n%q: %s,\n%q: %d\n}\n",
-		"answers", expvar.Func(m.answers), "times", expvar.Func(m.percentiles), "endless", m.endless.Load())
+	_, _ = fmt.Fprintf(w, "{\n%q: %s,\n%q: %s,\n%q: %d,\n%q: %d\n}\n",
+		"answers", expvar.Func(m.answers), "times", expvar.Func(m.percentiles), "endless", m.endless.Load(), "limited", m.limited.Load())
 }
 
 func (m *metrics) addAnswer(route spoke.RouteName, outcome string, arrived time.Time) {
@@ -61,6 +63,8 @@
 
 func (m *metrics) addEndless() { m.endless.Add(1) }
 
+func (m *metrics) addLimited() { m.limited.Add(1) }
+
 func (m *metrics) addWait(route spoke.RouteName, took time.Duration) { m.add("wait ", route, took) }
 
 func (m *metrics) addFirst(route spoke.RouteName, took time.Duration) { m.add("first ", route, took) }
--- a/fake/platform/engine.go
+++ b/fake/platform/engine.go
@@ -74,6 +74,10 @@
 		events        int
 		eventInterval time.Duration
 		isLeaving     bool
+		// limits are the Server-Limit headers of each response.
+		limits []string
+		// arrivals counts the requests that arrived, whatever the response.
+		arrivals int
 		// retryAfter is the Retry-After header of each shed request, if it is set.
 		retryAfter string
 		// shedCount is the number of requests that were shed.
@@ -126,6 +130,20 @@
 	e.isLeaving = true
 }
 
+// SetLimit sets the Server-Limit headers of all responses; without values the engine names no limit.
+func (e *Engine) SetLimit(values ...string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.limits = values
+}
+
+// Arrivals returns the number of requests that arrived, whatever the response.
+func (e *Engine) Arrivals() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.arrivals
+}
+
 // SetRetryAfter sets the Retry-After header that the engine sends when it sheds a request.
 func (e *Engine) SetRetryAfter(text string) {
 	e.mu.Lock()
@@ -216,6 +234,8 @@
 func (e *Engine) serveRun(w http.ResponseWriter, r *http.Request) {
 	body, _ := io.ReadAll(r.Body)
 	e.mu.Lock()
+	e.arrivals++
+	w.Header()["Server-Limit"] = e.limits
 	behaviour, version := e.behaviour, e.version
 	expected := r.Header.Get(headerExpectVersion)
 	isMisdirected := r.Header.Get(headerExpectInstance) != e.ID || (expected != "" && expected != strconv.Itoa(version))
--- a/ids.go
+++ b/ids.go
@@ -68,6 +68,8 @@
 	TokenRate float64
 	// ByteRate is in bytes per second.
 	ByteRate float64
+	// RequestRate is in requests per second.
+	RequestRate float64
 	// Share is a fraction. It is between 0 and 1, except for the retry share, which the settings accept
 	// up to 100.
 	Share float64
