--- a/edge/limit_test.go
+++ b/edge/limit_test.go
@@ -3,10 +3,22 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
+
+	"magnoliaspoke.example/spoke"
+	fake "magnoliaspoke.example/spoke/fake/platform"
+)
+
+// Calls are sent for limitedFor at an interval of limitedCallInterval at each of limitedHosts hosts.
+const (
+	limitedHosts        = 3
+	limitedFor          = 9 * time.Second
+	limitedCallInterval = 60 * time.Millisecond
 )
 
 // Guards against limits of upstreams that neither log nor metrics show, and that do not reach the caller.
@@ -34,3 +46,64 @@
 		awaitTrue(t, "malformed limit not logged", func() bool { return d.hasLogged(text) })
 	}
 }
+
+// Guards against hosts that together send an upstream more calls than the limit which it names in its answers,
+// by first attempts, repeats or streams.
+func TestHostsKeepLimitOverProcesses(t *testing.T) {
+	d := start(t, 4)
+	hosts := []*deployment{d}
+	for i := 1; i < limitedHosts; i++ {
+		hosts = append(hosts, d.startBeside(spoke.HostID(fmt.Sprint("host-", i+1))))
+	}
+	for i := range 30 {
+		_, err := hosts[i%limitedHosts].send(chatCall(fmt.Sprint("before-", i)))
+		assert.NilError(t, err)
+	}
+	// The engines that the hosts prefer name limits.
+	slices.SortFunc(d.engines, func(a, b *fake.Engine) int { return len(b.Arrivals()) - len(a.Arrivals()) })
+	d.engines[0].SetLimit("2")
+	d.engines[1].SetLimit("0.5")
+	begin := time.Now()
+	tick := time.NewTicker(limitedCallInterval)
+	defer tick.Stop()
+	statuses := make(chan int, 1000)
+	sent := 0
+	for ; time.Since(begin) < limitedFor; sent += limitedHosts {
+		<-tick.C
+		for i, host := range hosts {
+			kinds := []func(string) call{chatCall, lookCall, bookCall}
+			c := kinds[sent/limitedHosts%len(kinds)](fmt.Sprint("call-", sent+i))
+			go func() {
+				got, err := host.send(c)
+				if err != nil {
+					got.status = 0
+				}
+				statuses <- got.status
+			}()
+		}
+	}
+	for range sent {
+		assert.Equal(t, <-statuses, http.StatusOK)
+	}
+	assertLimitKept(t, begin, d.engines[0].Arrivals(), 2)
+	assertLimitKept(t, begin, d.engines[1].Arrivals(), 0.5)
+}
+
+// assertLimitKept fails the test if more calls arrived in some span of 4 s, from 3 s after the begin, than a
+// limit allows.
+func assertLimitKept(t *testing.T, begin time.Time, arrivals []time.Time, rate float64) {
+	t.Helper()
+	allowed := int(1.5*4*rate + 5)
+	for last, at := range arrivals {
+		if at.Sub(begin) < 3*time.Second {
+			continue
+		}
+		count := 0
+		for _, earlier := range arrivals[:last+1] {
+			if at.Sub(earlier) < 4*time.Second {
+				count++
+			}
+		}
+		assert.Assert(t, count <= allowed, "%d calls in 4 s at %s, limit %g allows %d", count, at.Sub(begin), rate, allowed)
+	}
+}
--- a/edge/setup_test.go
+++ b/edge/setup_test.go
@@ -83,6 +83,17 @@
 	return d
 }
 
+// startBeside runs one more host on the same platform.
+func (d *deployment) startBeside(host spoke.HostID) *deployment {
+	d.t.Helper()
+	beside := &deployment{t: d.t, store: d.store, engines: d.engines, settings: d.settings, signals: make(chan os.Signal, 2), ended: make(chan error, 1)}
+	beside.settings.Host = host
+	beside.settings.Caller, beside.settings.Readiness = freeAddress(d.t), freeAddress(d.t)
+	beside.settings.PeerPort, beside.settings.MetricsPort = freePort(d.t), freePort(d.t)
+	beside.runHost()
+	return beside
+}
+
 func (d *deployment) runHost() {
 	d.logs = d.t.TempDir()
 	file, err := os.Create(filepath.Join(d.logs, "host-1.log"))
--- a/fake/platform/engine.go
+++ b/fake/platform/engine.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -76,8 +77,8 @@
 		isLeaving     bool
 		// limits are the Server-Limit headers of each response.
 		limits []string
-		// arrivals counts the requests that arrived, whatever the response.
-		arrivals int
+		// arrivals are the times at which requests arrived, whatever the response.
+		arrivals []time.Time
 		// retryAfter is the Retry-After header of each shed request, if it is set.
 		retryAfter string
 		// shedCount is the number of requests that were shed.
@@ -137,11 +138,11 @@
 	e.limits = values
 }
 
-// Arrivals returns the number of requests that arrived, whatever the response.
-func (e *Engine) Arrivals() int {
+// Arrivals returns the times at which requests arrived, whatever the response.
+func (e *Engine) Arrivals() []time.Time {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.arrivals
+	return slices.Clone(e.arrivals)
 }
 
 // SetRetryAfter sets the Retry-After header that the engine sends when it sheds a request.
@@ -234,7 +235,7 @@
 func (e *Engine) serveRun(w http.ResponseWriter, r *http.Request) {
 	body, _ := io.ReadAll(r.Body)
 	e.mu.Lock()
-	e.arrivals++
+	e.arrivals = append(e.arrivals, time.Now())
 	w.Header()["Server-Limit"] = e.limits
 	behaviour, version := e.behaviour, e.version
 	expected := r.Header.Get(headerExpectVersion)
--- a/place/messages.go
+++ b/place/messages.go
@@ -36,6 +36,8 @@
 	RefusedDeadline Reason = "deadline"
 	// RefusedPaused means that all upstreams have requested pauses that last longer than the call can wait.
 	RefusedPaused Reason = "upstreams-paused"
+	// RefusedLimited means that all upstreams have named limits which leave no room for the call in time.
+	RefusedLimited Reason = "upstreams-limited"
 	// RefusedWeights means that no engine serves a weight version that may still be used.
 	RefusedWeights Reason = "weights"
 )
@@ -88,6 +90,14 @@
 		Weights spoke.WeightVersion
 		// IsLeaving says that the upstream is draining and wants no new calls.
 		IsLeaving bool
+		// NamesNoLimit says that the answer is the upstream's own and names no limit.
+		NamesNoLimit bool
+	}
+
+	// LimitNamed reports, as soon as the head of an answer has been read, that it names a limit.
+	LimitNamed struct {
+		Call  spoke.CallNumber
+		Limit spoke.RequestRate
 	}
 
 	// Ended reports the end of an attempt.
@@ -98,6 +108,8 @@
 		Weights spoke.WeightVersion
 		// IsLeaving says that the upstream is draining and wants no new calls.
 		IsLeaving bool
+		// NamesNoLimit says that the answer is the upstream's own and names no limit.
+		NamesNoLimit bool
 		// Pause is how long the upstream wants no calls from this host.
 		Pause time.Duration
 	}
@@ -149,6 +161,8 @@
 	// SetCell sets the cell of this host and the number of cells.
 	SetCell struct {
 		Cell, Count int
+		// Hosts lists all hosts, Members those of this host's cell, both with this host.
+		Hosts, Members []spoke.HostID
 		// HasDelegates says that other hosts of the cell report its shared state to other cells.
 		HasDelegates bool
 	}
@@ -202,6 +216,7 @@
 func (Request) isMessage()          {}
 func (Withdraw) isMessage()         {}
 func (Began) isMessage()            {}
+func (LimitNamed) isMessage()       {}
 func (Ended) isMessage()            {}
 func (SetTable) isMessage()         {}
 func (SetUpstreams) isMessage()     {}
--- a/place/scheduler.go
+++ b/place/scheduler.go
@@ -89,6 +89,8 @@
 		s.withdraw(m.Call)
 	case Began:
 		s.began(now, m)
+	case LimitNamed:
+		// The rate is not used yet.
 	case Ended:
 		s.ended(now, m)
 	case UpdateStore:
--- a/placement.go
+++ b/placement.go
@@ -64,6 +64,8 @@
 		Stores  []StoreState
 		// Leaving lists upstreams that have announced in answers that they leave.
 		Leaving []UpstreamStart
+		// Limits lists upstreams that have named limits in answers.
+		Limits []UpstreamLimit
 		// Copies lists the sources of copies for which calls of this host wait.
 		Copies []CopyReport
 		// Slowness lists the slowness that upstreams have reported.
@@ -93,6 +95,21 @@
 		Age      time.Duration
 	}
 
+	// UpstreamLimit is what a host knows of the rate of requests that an upstream accepts from all hosts
+	// together.
+	UpstreamLimit struct {
+		Upstream UpstreamStart
+		// Rate is the rate of the newest answer that named one.
+		Rate RequestRate
+		// IsEnded reports whether the upstream has stopped naming a limit.
+		IsEnded bool
+		// Age is the time since the answer that named the rate, or since the request was sent whose answer
+		// named none.
+		Age time.Duration
+		// Sent is the number of requests that the host has recently sent to the upstream.
+		Sent int
+	}
+
 	// DirectoryView is the directory revision up to which a host is current.
 	DirectoryView struct {
 		Revision Revision
