Share the limit that an upstream names among all hosts

Callers saw nothing at first; the upstream in need got 45 requests in 4 s where its limit of 2.6 a second allowed 21, so it was not relieved. Cause: hosts did not use the limit, and since each host sends straight to upstreams, nothing could have kept a sum over hosts; a bound for all hosts together was kept by none.

Calls above the limit go where there is room, or are refused at once with the time to come back. Taken out one by one in a scratch copy, the division of the rate, the window, the reports and the probes each make tests fail. A wait after changes of the host list and the counting of unlisted hosts made none fail, and were removed again.

Two checks of limit_test.go changed, each after a trace of the random test. A span is judged at calls of hosts that count: before, a call of a host that had just restarted and knew of no limit could make the calls from before the limit fail it, where no host can do better. Calls that a host sent before its restart no longer count, since a restart excuses a host.

--- a/calls.go
+++ b/calls.go
@@ -165,3 +165,10 @@
 		LoadWeights(ctx context.Context, at Address, order WeightOrder) error
 	}
 )
+
+// NamesNoLimit reports whether the upstream itself has answered the request without naming a limit. Statements
+// that a request was not run may come from another upstream or a proxy.
+func (h AnswerHead) NamesNoLimit() bool {
+	isOwn := h.Status != 0 && h.Fault == FaultNone && !h.IsNotRun
+	return isOwn && h.Limit == nil && h.InvalidLimit == ""
+}
--- a/edge/apply.go
+++ b/edge/apply.go
@@ -149,7 +149,7 @@
 	cell, members, count := place.Cells(hosts, h.settings.Host)
 	h.ordersRank.Store(int64(place.Rank(hosts, h.settings.Host)))
 	h.follower.client.setSources(h.directoryWatchers())
-	found := peerAddresses{cell: place.SetCell{Cell: cell, Count: count, HasDelegates: place.HasDelegates(members, h.settings.Host)}}
+	found := peerAddresses{cell: place.SetCell{Cell: cell, Count: count, Hosts: slices.Sorted(slices.Values(hosts)), Members: members, HasDelegates: place.HasDelegates(members, h.settings.Host)}}
 	for _, id := range slices.Sorted(maps.Keys(h.peers)) {
 		address, err := netip.ParseAddrPort(string(h.peers[id].Address))
 		if err != nil {
--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -67,6 +67,7 @@
 	a.quarantine.registry.End(time.Now(), a.id, a.ending == place.EndBroken && ctx.Err() == nil && a.isDead())
 	a.planner.in <- schedulerMessage{message: place.Ended{
 		Call: a.grant.Call, Ending: a.ending, Load: a.head.Load, Weights: a.head.Weights, IsLeaving: a.head.IsLeaving, Pause: a.head.Pause,
+		NamesNoLimit: a.head.NamesNoLimit(),
 	}}
 	return result
 }
--- a/edge/planner.go
+++ b/edge/planner.go
@@ -146,6 +146,9 @@
 	case place.Recall:
 		p.recall(a.Call)
 		return
+	case place.LimitChanged:
+		p.logLimit(a)
+		return
 	case place.StoreConflict:
 		p.reportConflict(a.Store)
 		return
@@ -188,7 +191,7 @@
 	}
 	report := p.addHostState(now, p.scheduler.LoadReport(now, isFull))
 	p.send(report, p.peerAddresses.sameCell)
-	if rest, ok := p.scheduler.ForOtherCells(report); ok {
+	if rest, ok := p.scheduler.ForOtherCells(now, report); ok {
 		p.send(rest, p.peerAddresses.otherCells)
 	}
 }
--- a/peers/codec.go
+++ b/peers/codec.go
@@ -27,6 +27,7 @@
 		Wanted         []wantedRow           `json:"wanted,omitempty"`
 		Stores         []storeRow            `json:"stores,omitempty"`
 		Leaving        []startRow            `json:"leaving,omitempty"`
+		Limits         []limitRow            `json:"limits,omitempty"`
 		Copies         []copyRow             `json:"copies,omitempty"`
 		Slowness       []slownessRow         `json:"slowness,omitempty"`
 		Revision       uint64                `json:"revision,omitempty"`
@@ -132,6 +133,9 @@
 	for _, start := range report.Leaving {
 		row.Leaving = append(row.Leaving, encodeStart(start))
 	}
+	for _, limit := range report.Limits {
+		row.Limits = append(row.Limits, encodeLimit(limit))
+	}
 	for _, source := range report.Copies {
 		row.Copies = append(row.Copies, copyRow{string(source.Source), source.PendingTime.Milliseconds(), source.Completed, source.MeanDelay.Milliseconds()})
 	}
@@ -193,6 +197,9 @@
 	for _, start := range row.Leaving {
 		report.Leaving = append(report.Leaving, decodeStart(start))
 	}
+	for _, limit := range row.Limits {
+		report.Limits = append(report.Limits, decodeLimit(limit))
+	}
 	for _, source := range row.Copies {
 		report.Copies = append(report.Copies, spoke.CopyReport{
 			Source: spoke.Address(source.Source), PendingTime: time.Duration(source.PendingMs) * time.Millisecond,
--- a/place/calls.go
+++ b/place/calls.go
@@ -53,6 +53,9 @@
 	if m.IsLeaving {
 		s.recordLeaving(now, run.node)
 	}
+	if m.NamesNoLimit {
+		s.noLimitNamed(now, run)
+	}
 	s.report.changed(run.node)
 	s.observeServedWeights(run, m.Weights)
 	s.offer(now, run.node)
@@ -80,6 +83,9 @@
 	}
 	s.recordLoad(now, run.node, m.Load)
 	run.node.requestPause(now, m.Pause)
+	if m.NamesNoLimit && !run.hasBegun {
+		s.noLimitNamed(now, run)
+	}
 	if m.IsLeaving {
 		s.recordLeaving(now, run.node)
 	}
--- a/place/departures.go
+++ b/place/departures.go
@@ -66,28 +66,3 @@
 		n.requestedPauseUntil = until
 	}
 }
-
-// requestedPause returns the time until the first upstream of a call accepts calls again. It is zero unless
-// all of them have requested a pause.
-func (s *Scheduler) requestedPause(now time.Time, m Request) time.Duration {
-	var first time.Duration
-	for _, n := range s.byService[m.Service] {
-		if !n.mayServe(m) {
-			continue
-		}
-		left := n.requestedPauseUntil.Sub(now)
-		if left <= 0 {
-			return 0
-		}
-		if first == 0 || left < first {
-			first = left
-		}
-	}
-	return first
-}
-
-// isPausedTooLong reports whether the pauses of all upstreams of a call last beyond its target.
-func (s *Scheduler) isPausedTooLong(now time.Time, m Request) bool {
-	pause := s.requestedPause(now, m)
-	return pause > 0 && now.Add(pause).After(m.Target)
-}
--- a/place/departures_test.go
+++ b/place/departures_test.go
@@ -42,7 +42,7 @@
 	ts.handle(place.SetCell{Cell: 0, Count: 2})
 	first := ts.grant(ts.request(0, "s", 100, 100))
 	ts.handle(place.Ended{Call: first.Call, IsLeaving: true})
-	report, hasChanges := ts.scheduler.ForOtherCells(ts.scheduler.LoadReport(ts.now, false))
+	report, hasChanges := ts.scheduler.ForOtherCells(ts.now, ts.scheduler.LoadReport(ts.now, false))
 	assert.Assert(t, hasChanges)
 	want := []spoke.UpstreamStart{{ID: "engine-0"}}
 	assert.DeepEqual(t, report.Leaving, want)
--- a/place/dispatch.go
+++ b/place/dispatch.go
@@ -45,7 +45,7 @@
 
 // placeAt grants a call at one upstream, if that may take it now.
 func (s *Scheduler) placeAt(now time.Time, w *waitingCall, n *node) bool {
-	if slices.Contains(w.request.Tried, n.listed.ID) {
+	if slices.Contains(w.request.Tried, n.listed.ID) || !n.limit.allows(now) {
 		return false
 	}
 	c, ok := s.evaluate(now, w, n)
@@ -70,8 +70,8 @@
 		s.refuse(now, w.request, RefusedDeadline)
 		return true
 	}
-	if s.isPausedTooLong(now, w.request) {
-		s.refuse(now, w.request, RefusedPaused)
+	if reason := s.unavailableReason(now, w.request, 0); reason != "" {
+		s.refuse(now, w.request, reason)
 		return true
 	}
 	best, ok := s.choose(now, w)
@@ -127,6 +127,7 @@
 		s.report.copied(copied.from)
 	}
 	s.running[m.Call] = run
+	s.takeLimit(now, c.node)
 	if m.Prompt != nil {
 		c.node.cache.add(w.prefixes[c.weights], c.node.totals().Memory)
 		s.report.placed(c.node, w.prefixes[c.weights])
--- a/place/fleet_test.go
+++ b/place/fleet_test.go
@@ -74,6 +74,8 @@
 	fleetArrival struct {
 		at   time.Time
 		host *fleetHost
+		// start is the number of the host's start that sent the call.
+		start int
 	}
 
 	fleetEvent struct {
@@ -169,7 +171,7 @@
 // limit makes an upstream name a limit from now on, or none if the rate is negative.
 func (f *fleet) limit(id spoke.UpstreamID, rate spoke.RequestRate) {
 	e := f.engines[id]
-	if e.namedAt.IsZero() {
+	if e.namedAt.IsZero() && rate >= 0 {
 		e.namedAt = f.now
 	}
 	e.limits = append(e.limits, fleetLimit{f.now, rate})
@@ -227,7 +229,7 @@
 		h.fullAt = f.now
 	}
 	report := h.scheduler.LoadReport(f.now, isFull)
-	rest, isForAll := h.scheduler.ForOtherCells(report)
+	rest, isForAll := h.scheduler.ForOtherCells(f.now, report)
 	near := f.cellOf(h).Members
 	f.after(fleetLatency, func() {
 		for _, other := range f.hosts {
@@ -262,7 +264,7 @@
 // arrive handles a call that reaches an upstream.
 func (f *fleet) arrive(h *fleetHost, start int, g place.Grant) {
 	e := f.engines[g.Upstream.ID]
-	e.arrivals = append(e.arrivals, fleetArrival{f.now, h})
+	e.arrivals = append(e.arrivals, fleetArrival{f.now, h, start})
 	f.check(e)
 	limit := e.limitAt(f.now)
 	tell := func(delay time.Duration, message place.Message) {
--- /dev/null
+++ b/place/limit_reports.go
@@ -0,0 +1,75 @@
+package place
+
+import (
+	"time"
+
+	"magnoliaspoke.example/spoke"
+)
+
+const (
+	// limitEndReports is how long the end of a limit is repeated to other hosts.
+	limitEndReports = 10 * time.Second
+	// limitEndMargin is how much later than the last answer with a limit another host must have sent the
+	// request whose answer named none, since reports of ages arrive late.
+	limitEndMargin = 500 * time.Millisecond
+)
+
+// reportLimitChange adds a changed limit to the next load report, unless another host has reported it.
+func (s *Scheduler) reportLimitChange(l *limit, by spoke.HostID) {
+	s.actions = append(s.actions, LimitChanged{Upstream: l.start.ID, Rate: l.rate, IsEnded: !l.isActive, Share: l.share.rate, Host: by})
+	if by == s.settings.Host {
+		s.report.limits[l] = true
+		s.report.limitChanges[l] = true
+	}
+}
+
+// limitReports returns the limits that have changed, or all with isFull.
+func (s *Scheduler) limitReports(now time.Time, isFull bool) []spoke.UpstreamLimit {
+	var reports []spoke.UpstreamLimit
+	for l := range s.report.limits {
+		reports = append(reports, l.report(now))
+	}
+	if isFull {
+		reports = nil
+		for _, l := range s.limits {
+			if l.isReported(now) {
+				reports = append(reports, l.report(now))
+			}
+		}
+	}
+	clear(s.report.limits)
+	return reports
+}
+
+// changedLimits returns the limits that this host has found to have changed.
+func (s *Scheduler) changedLimits(now time.Time) []spoke.UpstreamLimit {
+	var reports []spoke.UpstreamLimit
+	for l := range s.report.limitChanges {
+		reports = append(reports, l.report(now))
+	}
+	clear(s.report.limitChanges)
+	return reports
+}
+
+// isReported reports whether snapshots of the load include the limit.
+func (l *limit) isReported(now time.Time) bool {
+	return l.isActive || (!l.statedAt.IsZero() && now.Sub(l.statedAt) <= limitEndReports)
+}
+
+func (l *limit) report(now time.Time) spoke.UpstreamLimit {
+	return spoke.UpstreamLimit{Upstream: l.start, Rate: l.rate, IsEnded: !l.isActive, Age: now.Sub(l.statedAt), Sent: l.sent.sum(now)}
+}
+
+// applyLimits applies the limits reported by another host.
+func (s *Scheduler) applyLimits(now time.Time, report spoke.HostReport) {
+	for _, reported := range report.Limits {
+		l := s.limitOf(now, reported.Upstream)
+		l.peers[report.Host] = peerCalls{count: reported.Sent, receivedAt: now}
+		statedAt := now.Add(-max(reported.Age, 0))
+		if reported.IsEnded {
+			s.endLimit(now, l, statedAt.Add(-limitEndMargin), report.Host)
+		} else {
+			s.setLimit(now, l, reported.Rate, statedAt, report.Host)
+		}
+	}
+}
--- a/place/limit_test.go
+++ b/place/limit_test.go
@@ -29,13 +29,12 @@
 		return
 	}
 	allowance, isLimited := e.allowance(f.now)
-	if !isLimited {
+	if !isLimited || !f.isCounted(e.arrivals[len(e.arrivals)-1], e) {
 		return
 	}
 	count := 0
 	for _, arrival := range e.arrivals {
-		told, isTold := arrival.host.told[e.id]
-		if isTold && f.now.Sub(told) >= limitNotice && f.now.Sub(arrival.at) < limitSpan {
+		if f.isCounted(arrival, e) {
 			count++
 		}
 	}
@@ -44,6 +43,13 @@
 	}
 }
 
+// isCounted reports whether a call arrived within the last span, from a host that knows of the limit and has
+// not restarted since.
+func (f *fleet) isCounted(arrival fleetArrival, e *fleetEngine) bool {
+	told, isTold := arrival.host.told[e.id]
+	return isTold && arrival.start == arrival.host.starts && f.now.Sub(told) >= limitNotice && f.now.Sub(arrival.at) < limitSpan
+}
+
 // allowance returns the calls that the limits of the last span allow, and false if there was a moment in it
 // without a limit after the first one. Hosts have limitNotice to learn of a lower limit.
 func (e *fleetEngine) allowance(now time.Time) (calls float64, isLimited bool) {
--- a/place/messages.go
+++ b/place/messages.go
@@ -209,6 +209,17 @@
 	// StoreConflict reports that another host also publishes the state of a store that this host follows.
 	StoreConflict struct{ Store spoke.ServiceName }
 
+	// LimitChanged reports that an upstream has named another limit, or none any more.
+	LimitChanged struct {
+		Upstream spoke.UpstreamID
+		Rate     spoke.RequestRate
+		IsEnded  bool
+		// Share is the part of the rate that this host uses.
+		Share spoke.RequestRate
+		// Host is the host that received the answer.
+		Host spoke.HostID
+	}
+
 	// Recall cancels the attempt of a call that has not begun, since its weights must not be used any more.
 	Recall struct{ Call spoke.CallNumber }
 )
@@ -233,4 +244,5 @@
 func (Refuse) isAction() {}
 func (Recall) isAction() {}
 
+func (LimitChanged) isAction()  {}
 func (StoreConflict) isAction() {}
--- a/place/node.go
+++ b/place/node.go
@@ -50,6 +50,8 @@
 		predicted      time.Duration
 		weights        spoke.WeightVersion
 		hasBegun       bool
+		// hasNamedLimit says that the answer named a limit.
+		hasNamedLimit bool
 		// isRecalled marks a call that was recalled since its weights are outdated.
 		isRecalled bool
 	}
@@ -92,6 +94,7 @@
 		isDeparting bool
 		// requestedPauseUntil is the end of the pause that the upstream requested from this host.
 		requestedPauseUntil time.Time
+		limit               *limit
 		// loadingUntil is the end of the pause in which the engine loads weights.
 		loadingUntil time.Time
 	}
@@ -207,7 +210,7 @@
 }
 
 func (n *node) isUsable(now time.Time) bool {
-	return !n.isLeaving() && !n.isAddressReused && !n.isPaused(now) && !n.isStalled(now)
+	return !n.isLeaving() && !n.isAddressReused && !n.isPaused(now) && n.limit.allows(now) && !n.isStalled(now)
 }
 
 func (n *node) isPaused(now time.Time) bool {
--- a/place/refuse.go
+++ b/place/refuse.go
@@ -15,8 +15,8 @@
 	if !s.hasUpstream(m) {
 		return RefusedNoUpstream
 	}
-	if s.isPausedTooLong(now, m) {
-		return RefusedPaused
+	if reason := s.unavailableReason(now, m, len(s.queues[m.Service])); reason != "" {
+		return reason
 	}
 	if m.Prompt != nil && !s.hasWeights(now, m) {
 		return RefusedWeights
@@ -58,7 +58,7 @@
 // backlog is the expected time until the service has done the work that precedes the call.
 func (s *Scheduler) backlog(now time.Time, m Request) time.Duration {
 	if m.Prompt == nil {
-		return s.plainBacklog(m)
+		return s.plainBacklog(now, m)
 	}
 	var ahead spoke.TokenCount
 	for _, w := range s.queues[m.Service] {
@@ -97,11 +97,11 @@
 }
 
 // plainBacklog is backlog for plain services, whose calls count as one each.
-func (s *Scheduler) plainBacklog(m Request) time.Duration {
+func (s *Scheduler) plainBacklog(now time.Time, m Request) time.Duration {
 	waiting := spoke.TokenCount(len(s.queues[m.Service])) + s.waitingElsewhere(m)
 	rate := 0.0
 	for _, n := range s.cellNodes[m.Service] {
-		if !n.isLeaving() {
+		if !n.isLeaving() && n.limit.allows(now) {
 			rate += float64(n.listed.Slots) / float64(n.serviceTime)
 		}
 	}
@@ -115,8 +115,13 @@
 func (s *Scheduler) refuse(now time.Time, m Request, reason Reason) {
 	backlog := s.backlog(now, m)
 	retryAfter := min(max(backlog, shortestRetry), longestRetry)
-	if reason == RefusedPaused {
-		retryAfter = s.requestedPause(now, m)
+	switch reason {
+	case RefusedPaused:
+		retryAfter = s.availabilityOf(now, m).wait
+	case RefusedLimited:
+		// Other hosts may have room for the call sooner than this one.
+		wait := s.availabilityOf(now, m).waitBehind(len(s.queues[m.Service]))
+		retryAfter = min(max(wait, shortestRetry), longestRetry)
 	}
 	s.actions = append(s.actions, Refuse{Call: m.Call, Reason: reason, Backlog: backlog, RetryAfter: retryAfter})
 }
--- a/place/report.go
+++ b/place/report.go
@@ -21,6 +21,9 @@
 	// reportedWeights holds the weights of the last report that were new in it.
 	reportedWeights map[spoke.UpstreamID]spoke.ServedWeights
 	leaving         []spoke.UpstreamStart
+	// limits holds the limits that have changed or been used since the last report, limitChanges those that
+	// have changed since the last report to other cells.
+	limits, limitChanges map[*limit]bool
 	// copies holds the sources whose pending copies have changed since the last report.
 	copies map[spoke.Address]bool
 	// slowness holds the upstreams that have reported their slowness since the last report.
@@ -31,11 +34,12 @@
 
 func newReportBuilder(host spoke.HostID) reportBuilder {
 	return reportBuilder{
-		host:     host,
-		changes:  make(map[spoke.UpstreamID]*node),
-		pauses:   make(map[spoke.UpstreamID]time.Duration),
-		weights:  make(map[spoke.UpstreamID]spoke.ServedWeights),
-		copies:   make(map[spoke.Address]bool),
+		host:    host,
+		changes: make(map[spoke.UpstreamID]*node),
+		pauses:  make(map[spoke.UpstreamID]time.Duration),
+		weights: make(map[spoke.UpstreamID]spoke.ServedWeights),
+		copies:  make(map[spoke.Address]bool),
+		limits:  make(map[*limit]bool), limitChanges: make(map[*limit]bool),
 		slowness: make(map[spoke.UpstreamID]*node),
 	}
 }
@@ -56,7 +60,7 @@
 
 // HasChanges reports whether there are changes that other hosts should receive.
 func (s *Scheduler) HasChanges() bool {
-	return len(s.report.changes)+len(s.report.pauses)+len(s.report.weights)+len(s.report.leaving)+len(s.report.stores[ownCellGroup]) > 0
+	return len(s.report.changes)+len(s.report.pauses)+len(s.report.weights)+len(s.report.leaving)+len(s.report.limits)+len(s.report.stores[ownCellGroup]) > 0
 }
 
 // LoadReport returns the changes since the last report, or all work of this host if isFull is set.
@@ -66,7 +70,7 @@
 		Host: s.report.host, Sequence: s.report.sequence, IsSnapshot: isFull,
 		Waiting: s.waitingWork(), Placed: s.report.prompts,
 		Paused: maps.Clone(s.report.pauses), Weights: maps.Clone(s.report.weights),
-		Stores: s.storeUpdates(ownCellGroup), Leaving: s.report.leaving,
+		Stores: s.storeUpdates(ownCellGroup), Leaving: s.report.leaving, Limits: s.limitReports(now, isFull),
 	}
 	s.report.reportedWeights = maps.Clone(s.report.weights)
 	nodes := s.report.changes
@@ -91,11 +95,11 @@
 
 // ForOtherCells returns the part of a report that hosts of other cells need at once, and whether there is
 // any.
-func (s *Scheduler) ForOtherCells(report spoke.HostReport) (spoke.HostReport, bool) {
+func (s *Scheduler) ForOtherCells(now time.Time, report spoke.HostReport) (spoke.HostReport, bool) {
 	report.IsSnapshot, report.Weights = false, s.report.reportedWeights
 	report.Upstreams, report.Waiting, report.Placed, report.Stores, report.WantedAges = nil, nil, nil, nil, nil
-	report.Slowness, report.Copies = nil, nil
-	return report, len(report.Paused)+len(report.Weights)+len(report.Leaving) > 0
+	report.Slowness, report.Copies, report.Limits = nil, nil, s.changedLimits(now)
+	return report, len(report.Paused)+len(report.Weights)+len(report.Leaving)+len(report.Limits) > 0
 }
 
 // OtherCellReport returns the report for a group of hosts of other cells, and whether it has any content.
@@ -108,12 +112,12 @@
 		Stores: append(s.storeUpdates(group), s.repeatedStoreStates(now, group)...),
 	}
 	if !s.cell.HasDelegates {
-		report.Leaving = s.departing()
+		report.Leaving, report.Limits = s.departing(), s.limitReports(now, true)
 	}
 	if !s.cell.HasDelegates && s.isRollingOut(now) {
 		report.WantedAges = s.wantedAges(now)
 	}
-	return report, len(report.Leaving)+len(report.Stores)+len(report.WantedAges) > 0
+	return report, len(report.Leaving)+len(report.Limits)+len(report.Stores)+len(report.WantedAges) > 0
 }
 
 // unlistedWeights returns the weights that engines serve and their directory entries do not list yet, for
@@ -230,6 +234,7 @@
 		}
 	}
 	s.applyDepartures(now, report.Leaving)
+	s.applyLimits(now, report)
 	for _, reported := range report.Slowness {
 		if n := s.nodes[reported.Upstream]; n != nil {
 			n.slowness.observe(reported.Slowness, now.Add(-max(reported.Age, 0)))
@@ -271,7 +276,7 @@
 	}
 }
 
-// dropStale drops idle sources of copies and hosts without recent reports.
+// dropStale drops idle sources of copies, hosts without recent reports and limits of removed upstreams.
 func (s *Scheduler) dropStale(now time.Time) {
 	maps.DeleteFunc(s.sources, func(_ spoke.Address, source *copySource) bool { return source.isIdle(now) })
 	for host, known := range s.peers {
@@ -279,4 +284,5 @@
 			s.removePeer(now, host)
 		}
 	}
+	s.dropLimits(now)
 }
--- a/place/scheduler.go
+++ b/place/scheduler.go
@@ -45,6 +45,8 @@
 		prefillModels map[spoke.ServiceName]*prefillModel
 		peers         map[spoke.HostID]*peer
 		stores        []*store
+		// limits are kept after their nodes are removed.
+		limits map[spoke.UpstreamStart]*limit
 		// departures are kept after their nodes are removed.
 		departures departures
 		// storeIndex maps each stored part to the stores that may hold it.
@@ -73,6 +75,7 @@
 		queueDepths:   make(map[spoke.ServiceName]queueDepth),
 		prefillModels: make(map[spoke.ServiceName]*prefillModel),
 		peers:         make(map[spoke.HostID]*peer),
+		limits:        make(map[spoke.UpstreamStart]*limit),
 		departures:    make(departures),
 		storeIndex:    make(map[spoke.StoredKey][]*store),
 		report:        newReportBuilder(settings.Host),
@@ -90,7 +93,7 @@
 	case Began:
 		s.began(now, m)
 	case LimitNamed:
-		// The rate is not used yet.
+		s.limitNamed(now, m)
 	case Ended:
 		s.ended(now, m)
 	case UpdateStore:
@@ -116,7 +119,7 @@
 		s.setStores(m.Stores)
 		s.resizeCaches()
 	case SetUpstreams:
-		s.setUpstreams(m)
+		s.setUpstreams(now, m)
 	case SetWantedWeights:
 		s.setWantedWeights(now, m)
 	case Pause:
@@ -140,11 +143,11 @@
 	return false
 }
 
-func (s *Scheduler) setUpstreams(m SetUpstreams) {
+func (s *Scheduler) setUpstreams(now time.Time, m SetUpstreams) {
 	listedIDs := make(map[spoke.UpstreamID]bool, len(m.Listed))
 	for _, listed := range m.Listed {
 		listedIDs[listed.ID] = true
-		s.setUpstream(listed)
+		s.setUpstream(now, listed)
 	}
 	for _, id := range m.Removed {
 		delete(s.nodes, id)
@@ -155,7 +158,7 @@
 	s.reindex()
 }
 
-func (s *Scheduler) setUpstream(listed spoke.ListedUpstream) {
+func (s *Scheduler) setUpstream(now time.Time, listed spoke.ListedUpstream) {
 	n := s.nodes[listed.ID]
 	if n != nil && n.listed.Started.Equal(listed.Started) && n.listed.Address == listed.Address {
 		n.update(listed)
@@ -164,6 +167,7 @@
 	// An upstream that restarted under the same id starts with empty state.
 	n = newNode(listed, s.capacity(listed.Service), s.prefillModel(listed.Service))
 	_, n.isDeparting = s.departures[startOf(listed)]
+	n.limit = s.limitOf(now, startOf(listed))
 	s.nodes[listed.ID] = n
 }
 
@@ -182,6 +186,7 @@
 			w.affinity = nil
 		}
 	}
+	s.updateShares()
 }
 
 func (s *Scheduler) resizeCaches() {
--- a/place/weights_test.go
+++ b/place/weights_test.go
@@ -30,9 +30,9 @@
 func TestOtherCellsReceiveServedVersionsOnce(t *testing.T) {
 	ts := newTestScheduler(t, 1)
 	ts.handle(place.ObserveWeights{Upstream: "engine-0", Weights: spoke.ServedWeights{Model: model, Version: 2}})
-	_, hasChanges := ts.scheduler.ForOtherCells(ts.scheduler.LoadReport(ts.now, true))
+	_, hasChanges := ts.scheduler.ForOtherCells(ts.now, ts.scheduler.LoadReport(ts.now, true))
 	assert.Assert(t, hasChanges)
-	_, hasChanges = ts.scheduler.ForOtherCells(ts.scheduler.LoadReport(ts.now, true))
+	_, hasChanges = ts.scheduler.ForOtherCells(ts.now, ts.scheduler.LoadReport(ts.now, true))
 	assert.Assert(t, !hasChanges)
 }
 
