--- a/place/budget_test.go
+++ b/place/budget_test.go
@@ -18,7 +18,7 @@
 			for second := 12; second <= 30; second++ {
 				f.run(float64(second))
 				calls, retries := f.recentCalls(10 * time.Second)
-			assert.Assert(t, float64(retries) <= 0.2*float64(calls)+10, "%d s: %d retries, %d calls", second, retries, calls)
+				assert.Assert(t, float64(retries) <= 0.2*float64(calls)+10, "%d s: %d retries, %d calls", second, retries, calls)
 			}
 		})
 	}
--- a/place/limits.go
+++ b/place/limits.go
@@ -10,8 +10,8 @@
 const (
 	// limitWindow is the span in which the calls of all hosts to a limited upstream are counted.
 	limitWindow = 4 * time.Second
-	// limitCountWindow is longer than limitWindow by the width of a slot of a counter.
-	limitCountWindow = limitWindow * (budgetSlots + 1) / budgetSlots
+	// limitCountWindow is longer than limitWindow by a slot of a counter, of which the newest is partly filled.
+	limitCountWindow = limitWindow * budgetSlots / (budgetSlots - 1)
 	// limitWindowFactor and limitWindowReserve bound the calls of all hosts within limitWindow: the factor
 	// applies to what the limit allows, the reserve is a number of calls. Upstreams tolerate one and a half
 	// times their limit and five calls; the rest is for calls that hosts send before they receive each
