Give the scheduler its upstreams before the first routing table

Callers of a host that had just started got 503 and no-upstream, truly not run, although upstreams were listed.

--- a/edge/apply.go
+++ b/edge/apply.go
@@ -65,11 +65,6 @@
 
 // applyChange passes a change of the directory to the tasks that it concerns.
 func (h *Host) applyChange(change spoke.DirectoryChange) {
-	if change.Table != nil && h.conf.install(change.Table) {
-		h.deps.Log.WithFields(logrus.Fields{"table": change.Table.Version, "routes": len(change.Table.Routes)}).Info("routing table in force")
-		h.post(place.SetTable{Services: change.Table.Services, Stores: change.Table.Stores})
-		h.stores.setStores(change.Table.Stores)
-	}
 	for _, wanted := range change.Weights {
 		h.deps.Log.WithFields(logrus.Fields{"model": wanted.Model, "version": wanted.Version}).Info("weights wanted")
 		h.post(h.weightsMessage(change, wanted))
@@ -77,6 +72,12 @@
 	if change.IsSnapshot || len(change.Upstreams)+len(change.RemovedUpstreams) > 0 {
 		h.applyUpstreams(change)
 	}
+	// A host accepts calls from its first table on, so the scheduler gets the upstreams before.
+	if change.Table != nil && h.conf.install(change.Table) {
+		h.deps.Log.WithFields(logrus.Fields{"table": change.Table.Version, "routes": len(change.Table.Routes)}).Info("routing table in force")
+		h.post(place.SetTable{Services: change.Table.Services, Stores: change.Table.Stores})
+		h.stores.setStores(change.Table.Stores)
+	}
 	if change.IsSnapshot || len(change.Weights)+len(change.Upstreams)+len(change.RemovedUpstreams) > 0 {
 		h.orders.in <- directoryUpdate{change}
 		h.stores.updateWeights(change)
--- a/edge/limit_test.go
+++ b/edge/limit_test.go
@@ -53,7 +53,9 @@
 	d := start(t, 4)
 	hosts := []*deployment{d}
 	for i := 1; i < limitedHosts; i++ {
-		hosts = append(hosts, d.startBeside(spoke.HostID(fmt.Sprint("host-", i+1))))
+		host := d.beside(spoke.HostID(fmt.Sprint("host-", i+1)))
+		host.runHost()
+		hosts = append(hosts, host)
 	}
 	for i := range 30 {
 		_, err := hosts[i%limitedHosts].send(chatCall(fmt.Sprint("before-", i)))
--- a/edge/setup_test.go
+++ b/edge/setup_test.go
@@ -44,6 +44,8 @@
 	ended    chan error
 	// logs is the directory of the host's log file.
 	logs string
+	// hook receives the host's log lines, if it is set.
+	hook logrus.Hook
 }
 
 // start runs a host with a number of engines, each of which answers streams with four events.
@@ -83,14 +85,13 @@
 	return d
 }
 
-// startBeside runs one more host on the same platform.
-func (d *deployment) startBeside(host spoke.HostID) *deployment {
+// beside returns one more host on the same platform, which does not run yet.
+func (d *deployment) beside(host spoke.HostID) *deployment {
 	d.t.Helper()
 	beside := &deployment{t: d.t, store: d.store, engines: d.engines, settings: d.settings, signals: make(chan os.Signal, 2), ended: make(chan error, 1)}
 	beside.settings.Host = host
 	beside.settings.Caller, beside.settings.Readiness = freeAddress(d.t), freeAddress(d.t)
 	beside.settings.PeerPort, beside.settings.MetricsPort = freePort(d.t), freePort(d.t)
-	beside.runHost()
 	return beside
 }
 
@@ -103,6 +104,9 @@
 	go func() { _ = writer.Run(writing) }()
 	d.t.Cleanup(stop)
 	log := writer.Logger(logrus.InfoLevel, logrus.Fields{"host-id": d.settings.Host})
+	if d.hook != nil {
+		log.(*logrus.Entry).Logger.AddHook(d.hook)
+	}
 	boot := timer.NewBoot()
 	client := platform.NewStore(d.settings.Store, boot.Now)
 	control := platform.NewControl()
