Tell hosts that join of the limits at once

Found by the random test: a host that had just started sent calls to a limited upstream, which looks idle to it, until an answer or the next full report, up to 1 s later, told it of the limit. Hosts now repeat all limits in the next report when their list of hosts changes, which is when they have the address of the new one.

--- a/place/limit_reports.go
+++ b/place/limit_reports.go
@@ -23,6 +23,15 @@
 	}
 }
 
+// repeatLimits adds all limits to the next load report, for hosts that have joined.
+func (s *Scheduler) repeatLimits() {
+	for _, l := range s.limits {
+		if l.isActive {
+			s.report.limits[l] = true
+		}
+	}
+}
+
 // limitReports returns the limits that have changed, or all with isFull.
 func (s *Scheduler) limitReports(now time.Time, isFull bool) []spoke.UpstreamLimit {
 	var reports []spoke.UpstreamLimit
--- a/place/scheduler.go
+++ b/place/scheduler.go
@@ -127,6 +127,7 @@
 	case SetCell:
 		s.cell = m
 		s.reindex()
+		s.repeatLimits()
 	case Tick:
 		s.dropStale(now)
 		s.recallOutdated(now)
