Keep reports of limits to the own cell and to others apart

Found by reading the change: a report to hosts of other cells emptied the list of limits that the next report to the own cell had to carry, so that hosts there learned up to 1 s later; and the end of a limit was repeated as long as the upstream answered, since its time is that of the newest answer. Both are covered by TestLimitIsReportedToAllHosts, which fails with either.

--- a/edge/feed_test.go
+++ b/edge/feed_test.go
@@ -5,7 +5,6 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
-	"os"
 	"slices"
 	"strings"
 	"syscall"
@@ -22,10 +21,7 @@
 // addHost starts another host with the same store and engines.
 func (d *deployment) addHost(id spoke.HostID) *deployment {
 	d.t.Helper()
-	other := &deployment{t: d.t, store: d.store, engines: d.engines, settings: d.settings, signals: make(chan os.Signal, 2), ended: make(chan error, 1)}
-	other.settings.Host = id
-	other.settings.Caller, other.settings.Readiness = freeAddress(d.t), freeAddress(d.t)
-	other.settings.PeerPort, other.settings.MetricsPort = freePort(d.t), freePort(d.t)
+	other := d.beside(id)
 	other.runHost()
 	return other
 }
--- a/edge/limit_test.go
+++ b/edge/limit_test.go
@@ -53,9 +53,7 @@
 	d := start(t, 4)
 	hosts := []*deployment{d}
 	for i := 1; i < limitedHosts; i++ {
-		host := d.beside(spoke.HostID(fmt.Sprint("host-", i+1)))
-		host.runHost()
-		hosts = append(hosts, host)
+		hosts = append(hosts, d.addHost(spoke.HostID(fmt.Sprint("host-", i+1))))
 	}
 	for i := range 30 {
 		_, err := hosts[i%limitedHosts].send(chatCall(fmt.Sprint("before-", i)))
--- a/edge/setup_test.go
+++ b/edge/setup_test.go
@@ -85,7 +85,7 @@
 	return d
 }
 
-// beside returns one more host on the same platform, which does not run yet.
+// beside returns another host with the same store and engines, which does not run yet.
 func (d *deployment) beside(host spoke.HostID) *deployment {
 	d.t.Helper()
 	beside := &deployment{t: d.t, store: d.store, engines: d.engines, settings: d.settings, signals: make(chan os.Signal, 2), ended: make(chan error, 1)}
--- a/place/limit_reports.go
+++ b/place/limit_reports.go
@@ -32,37 +32,41 @@
 	}
 }
 
-// limitReports returns the limits that have changed, or all with isFull.
-func (s *Scheduler) limitReports(now time.Time, isFull bool) []spoke.UpstreamLimit {
+// limitReports returns the limits that have changed or been used since the last report.
+func (s *Scheduler) limitReports(now time.Time) []spoke.UpstreamLimit {
+	return takeLimits(now, s.report.limits)
+}
+
+// changedLimits returns the limits that this host has found to have changed since the last report to hosts of
+// other cells.
+func (s *Scheduler) changedLimits(now time.Time) []spoke.UpstreamLimit {
+	return takeLimits(now, s.report.limitChanges)
+}
+
+// allLimits returns all limits in force and those that have ended lately.
+func (s *Scheduler) allLimits(now time.Time) []spoke.UpstreamLimit {
 	var reports []spoke.UpstreamLimit
-	for l := range s.report.limits {
-		reports = append(reports, l.report(now))
-	}
-	if isFull {
-		reports = nil
-		for _, l := range s.limits {
-			if l.isReported(now) {
-				reports = append(reports, l.report(now))
-			}
+	for _, l := range s.limits {
+		if l.isReported(now) {
+			reports = append(reports, l.report(now))
 		}
 	}
-	clear(s.report.limits)
 	return reports
 }
 
-// changedLimits returns the limits that this host has found to have changed.
-func (s *Scheduler) changedLimits(now time.Time) []spoke.UpstreamLimit {
+// takeLimits empties a set of limits and returns their reports.
+func takeLimits(now time.Time, limits map[*limit]bool) []spoke.UpstreamLimit {
 	var reports []spoke.UpstreamLimit
-	for l := range s.report.limitChanges {
+	for l := range limits {
 		reports = append(reports, l.report(now))
 	}
-	clear(s.report.limitChanges)
+	clear(limits)
 	return reports
 }
 
 // isReported reports whether snapshots of the load include the limit.
 func (l *limit) isReported(now time.Time) bool {
-	return l.isActive || (!l.statedAt.IsZero() && now.Sub(l.statedAt) <= limitEndReports)
+	return l.isActive || (!l.changedAt.IsZero() && now.Sub(l.changedAt) <= limitEndReports)
 }
 
 func (l *limit) report(now time.Time) spoke.UpstreamLimit {
--- a/place/limit_test.go
+++ b/place/limit_test.go
@@ -216,6 +216,39 @@
 	assert.DeepEqual(t, limits, []spoke.UpstreamLimit{{Upstream: spoke.UpstreamStart{ID: granted.Upstream.ID}, Rate: 2, Sent: 1}})
 }
 
+// Guards against reports to other cells that take a limit out of the reports to the own cell, and against the
+// end of a limit that is reported for ever.
+func TestLimitIsReportedToAllHosts(t *testing.T) {
+	ts := newTestScheduler(t, 1)
+	ts.handle(place.SetCell{Cell: 0, Count: 2})
+	first := ts.grant(ts.request(0, "s", 100, 100))
+	ts.handle(place.LimitNamed{Call: first.Call, Limit: 2})
+	want := []spoke.UpstreamLimit{{Upstream: spoke.UpstreamStart{ID: "engine-0"}, Rate: 2, Sent: 1}}
+	other, hasContent := ts.scheduler.OtherCellReport(ts.now, 0)
+	assert.Assert(t, hasContent)
+	assert.DeepEqual(t, other.Limits, want)
+	own := ts.scheduler.LoadReport(ts.now, false)
+	assert.DeepEqual(t, own.Limits, want)
+	rest, hasChanges := ts.scheduler.ForOtherCells(ts.now, own)
+	assert.Assert(t, hasChanges)
+	assert.DeepEqual(t, rest.Limits, want)
+	assert.Equal(t, len(ts.scheduler.LoadReport(ts.now, false).Limits), 0)
+	assert.DeepEqual(t, ts.scheduler.LoadReport(ts.now, true).Limits, want)
+
+	ts.handle(place.SetCell{Cell: 0, Count: 1, Hosts: []spoke.HostID{"host-1"}, Members: []spoke.HostID{"host-1"}})
+	ts.handle(place.Ended{Call: first.Call})
+	for range 20 {
+		ts.now = ts.now.Add(time.Second)
+		granted := ts.grant(ts.request(0, "s", 100, 100))
+		ts.handle(place.Began{Call: granted.Call, NamesNoLimit: true})
+		ts.handle(place.Ended{Call: granted.Call})
+		if ts.now.Sub(time.Unix(1000, 0)) < 10*time.Second {
+			assert.Assert(t, ts.scheduler.LoadReport(ts.now, true).Limits[0].IsEnded)
+		}
+	}
+	assert.Equal(t, len(ts.scheduler.LoadReport(ts.now, true).Limits), 0)
+}
+
 // Guards against a limit that outlives the start of the upstream which named it, or is lost while the
 // upstream is not listed.
 func TestLimitBelongsToTheStartOfAnUpstream(t *testing.T) {
--- a/place/limits.go
+++ b/place/limits.go
@@ -37,8 +37,8 @@
 		rate  spoke.RequestRate
 		// isActive is set from the first answer that names a limit until one names none.
 		isActive bool
-		// activeSince is when this host learned of the limit.
-		activeSince time.Time
+		// changedAt is when this host learned of the limit, or of its end.
+		changedAt time.Time
 		// statedAt is the time of the newest answer that named the rate; once the limit has ended, the time at
 		// which the request was sent whose answer named none.
 		statedAt time.Time
@@ -101,7 +101,7 @@
 	l.rate, l.isActive = rate, true
 	s.updateShare(l)
 	if !wasActive {
-		l.activeSince, l.tokensAt, l.tokens = now, now, l.share.firstTokens()
+		l.changedAt, l.tokensAt, l.tokens = now, now, l.share.firstTokens()
 	}
 	s.reportLimitChange(l, by)
 }
@@ -113,7 +113,7 @@
 	}
 	l.statedAt = statedAt
 	if l.isActive {
-		l.isActive, l.usedAt = false, now
+		l.isActive, l.changedAt = false, now
 		s.reportLimitChange(l, by)
 	}
 }
@@ -169,7 +169,7 @@
 			known++
 		}
 	}
-	if now.Sub(l.activeSince) > limitWindow || known >= l.share.hosts {
+	if now.Sub(l.changedAt) > limitWindow || known >= l.share.hosts {
 		return float64(count)
 	}
 	return float64(count) * float64(l.share.hosts) / float64(known)
--- a/place/report.go
+++ b/place/report.go
@@ -70,13 +70,13 @@
 		Host: s.report.host, Sequence: s.report.sequence, IsSnapshot: isFull,
 		Waiting: s.waitingWork(), Placed: s.report.prompts,
 		Paused: maps.Clone(s.report.pauses), Weights: maps.Clone(s.report.weights),
-		Stores: s.storeUpdates(ownCellGroup), Leaving: s.report.leaving, Limits: s.limitReports(now, isFull),
+		Stores: s.storeUpdates(ownCellGroup), Leaving: s.report.leaving, Limits: s.limitReports(now),
 	}
 	s.report.reportedWeights = maps.Clone(s.report.weights)
 	nodes := s.report.changes
 	if isFull {
 		nodes = s.nodes
-		report.WantedAges, report.Leaving = s.wantedAges(now), s.departing()
+		report.WantedAges, report.Leaving, report.Limits = s.wantedAges(now), s.departing(), s.allLimits(now)
 		report.Stores = append(report.Stores, s.repeatedStoreStates(now, ownCellGroup)...)
 		maps.Copy(report.Weights, s.unlistedWeights())
 	}
@@ -112,7 +112,7 @@
 		Stores: append(s.storeUpdates(group), s.repeatedStoreStates(now, group)...),
 	}
 	if !s.cell.HasDelegates {
-		report.Leaving, report.Limits = s.departing(), s.limitReports(now, true)
+		report.Leaving, report.Limits = s.departing(), s.allLimits(now)
 	}
 	if !s.cell.HasDelegates && s.isRollingOut(now) {
 		report.WantedAges = s.wantedAges(now)
