--- a/cmd/trial/soak/callers.go
+++ b/cmd/trial/soak/callers.go
@@ -32,6 +32,7 @@
 	// outcome is the result of one call as its caller observed it.
 	outcome struct {
 		id     string
+		host   *host
 		route  string
 		status int
 		// isCut is set if the connection failed before the end of the answer.
@@ -72,7 +73,7 @@
 
 // call makes one call and checks its answer.
 func (c *callers) call(client *http.Client, h *host, route, id string) outcome {
-	result := outcome{id: id, route: route}
+	result := outcome{id: id, host: h, route: route}
 	call := fake.Call{
 		HostAddress: h.callerAddress, HostName: hostName, Path: "/" + route + "/x", RequestID: id, APIKey: permanentKey, Body: bodyOf(id), Timeout: callerTimeout,
 	}
--- a/cmd/trial/soak/run.go
+++ b/cmd/trial/soak/run.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"magnoliaspoke.example/spoke"
 	fake "magnoliaspoke.example/spoke/fake/platform"
 )
 
@@ -35,14 +36,26 @@
 	LogDirectory string
 }
 
+// Option changes a run.
+type Option func(*options)
+
+type options struct{ limit spoke.RequestRate }
+
+// WithLimit makes every second engine name a limit in its answers, which hosts must keep together.
+func WithLimit(limit spoke.RequestRate) Option { return func(o *options) { o.limit = limit } }
+
 // Run injects the faults of one seed for the duration into hosts that run program, and checks the
 // guarantees. It writes logs into a new subdirectory of directory.
-func Run(program, directory string, seed uint64, duration time.Duration) (Report, error) {
+func Run(program, directory string, seed uint64, duration time.Duration, changes ...Option) (Report, error) {
+	var set options
+	for _, change := range changes {
+		change(&set)
+	}
 	report := Report{Seed: seed, Statuses: make(map[string]int), LogDirectory: filepath.Join(directory, fmt.Sprintf("seed-%d", seed))}
 	if err := os.MkdirAll(report.LogDirectory, 0o700); err != nil {
 		return report, err
 	}
-	b, err := newTestbed(program, report.LogDirectory)
+	b, err := newTestbed(program, report.LogDirectory, set.limit)
 	defer b.close()
 	if err != nil {
 		return report, err
@@ -51,9 +64,11 @@
 		return report, fmt.Errorf("hosts are not ready, logs in %s", report.LogDirectory)
 	}
 	c := &callers{testbed: b}
-	report.FaultLog = runFaults(b, c, seed, duration)
+	var faulty *host
+	report.FaultLog, faulty = runFaults(b, c, seed, duration)
 	c.checkRecovery()
 	c.checkRuns()
+	c.checkLimits(faulty)
 	report.Violations = c.violations
 	for _, result := range c.outcomes {
 		report.Statuses[fmt.Sprintf("%s %d", result.route, result.status)]++
@@ -61,8 +76,9 @@
 	return report, nil
 }
 
-// runFaults sends calls and injects faults for the duration, and returns the log of the faults.
-func runFaults(b *testbed, c *callers, seed uint64, duration time.Duration) []string {
+// runFaults sends calls and injects faults for the duration, and returns the log of the faults and the host
+// that process faults applied to.
+func runFaults(b *testbed, c *callers, seed uint64, duration time.Duration) ([]string, *host) {
 	var mu sync.Mutex
 	var faultLog []string
 	started := time.Now()
@@ -72,7 +88,8 @@
 		faultLog = append(faultLog, fmt.Sprintf("%.2f s: ", time.Since(started).Seconds())+fmt.Sprintf(format, args...))
 	}}
 	random := rand.New(rand.NewPCG(seed, 0))
-	inj.target <- b.hosts[random.IntN(len(b.hosts))]
+	faulty := b.hosts[random.IntN(len(b.hosts))]
+	inj.target <- faulty
 	ctx, cancel := context.WithTimeout(context.Background(), duration)
 	defer cancel()
 	callCtx, stopCalls := context.WithCancel(context.Background())
@@ -81,7 +98,7 @@
 	inj.run(ctx, random)
 	stopCalls()
 	group.Wait()
-	return faultLog
+	return faultLog, faulty
 }
 
 func (b *testbed) awaitReady(timeout time.Duration) bool {
--- a/cmd/trial/soak/soak_test.go
+++ b/cmd/trial/soak/soak_test.go
@@ -17,6 +17,8 @@
 const (
 	// faultTime is the time for which the faults of one seed are injected.
 	faultTime = 6 * time.Second
+	// engineLimit is the limit that engines name, in requests a second.
+	engineLimit = 3
 	// seedsVariable is the environment variable for the seeds that replace the default ones, such as
 	// 100-149.
 	seedsVariable = "SOAK_SEEDS"
@@ -34,17 +36,43 @@
 	program := build(t)
 	for _, seed := range seeds(t) {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
-			report, err := soak.Run(program, t.TempDir(), seed, faultTime)
-			assert.NilError(t, err)
-			if len(report.Violations) > 0 {
-				t.Fatalf("seed %d, %v, logs in %s\nfaults:\n%s\nviolations:\n%s", seed, report.Statuses, copyLogs(t, report.LogDirectory),
-					strings.Join(report.FaultLog, "\n"), strings.Join(report.Violations, "\n"))
-			}
-			t.Logf("%v\n%s", report.Statuses, strings.Join(report.FaultLog, "\n"))
+			run(t, program, seed)
 		})
 	}
 }
 
+// Guards against hosts that together send an engine more than the limit that it names, over real processes
+// and while faults overlap.
+func TestSoakWithLimits(t *testing.T) {
+	program := build(t)
+	for _, seed := range seeds(t)[:limitSeeds(t)] {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			run(t, program, seed, soak.WithLimit(engineLimit))
+		})
+	}
+}
+
+// limitSeeds returns the number of seeds with limits: the first one, or all that are given by hand.
+func limitSeeds(t *testing.T) int {
+	t.Helper()
+	if os.Getenv(seedsVariable) == "" {
+		return 1
+	}
+	return len(seeds(t))
+}
+
+// run runs a seed and fails the test if a guarantee is violated.
+func run(t *testing.T, program string, seed uint64, options ...soak.Option) {
+	t.Helper()
+	report, err := soak.Run(program, t.TempDir(), seed, faultTime, options...)
+	assert.NilError(t, err)
+	if len(report.Violations) > 0 {
+		t.Fatalf("seed %d, %v, logs in %s\nfaults:\n%s\nviolations:\n%s", seed, report.Statuses, copyLogs(t, report.LogDirectory),
+			strings.Join(report.FaultLog, "\n"), strings.Join(report.Violations, "\n"))
+	}
+	t.Logf("%v\n%s", report.Statuses, strings.Join(report.FaultLog, "\n"))
+}
+
 // build compiles the program of an entry host and returns its path.
 func build(t *testing.T) string {
 	t.Helper()
--- a/cmd/trial/soak/testbed.go
+++ b/cmd/trial/soak/testbed.go
@@ -35,7 +35,8 @@
 	// engine is an engine stand-in that hosts reach through a relay.
 	engine struct {
 		*fake.Engine
-		relay *relay.Relay
+		relay     *relay.Relay
+		isLimited bool
 	}
 
 	// host is an entry host that reaches the store through a relay.
@@ -54,6 +55,9 @@
 		store     *fake.Store
 		hosts     []*host
 
+		// limit is the rate that every second engine names, zero for none.
+		limit spoke.RequestRate
+
 		mu            sync.Mutex
 		engines       []*engine
 		retired       []*engine
@@ -63,8 +67,8 @@
 	}
 )
 
-func newTestbed(program, directory string) (*testbed, error) {
-	b := &testbed{directory: directory, fleet: fleet.New(directory), store: fake.NewStore(), weights: 1}
+func newTestbed(program, directory string, limit spoke.RequestRate) (*testbed, error) {
+	b := &testbed{directory: directory, fleet: fleet.New(directory), store: fake.NewStore(), weights: 1, limit: limit}
 	b.putConfig()
 	for range engineCount {
 		if err := b.addEngine(); err != nil {
@@ -109,10 +113,15 @@
 	b.mu.Lock()
 	b.lastEngine++
 	id, weights := fmt.Sprintf("i-%d", b.lastEngine), b.weights
+	isLimited := b.limit > 0 && b.lastEngine%2 == 0
 	b.mu.Unlock()
 	e := &engine{Engine: fake.NewEngine(id, eventCount)}
 	e.SetEventInterval(5 * time.Millisecond)
 	e.SetVersion(weights)
+	if isLimited {
+		e.SetLimit(fmt.Sprint(float64(b.limit)))
+		e.isLimited = true
+	}
 	var err error
 	if e.relay, err = relay.New("127.0.0.1:0", spoke.Address(e.Address())); err != nil {
 		return eris.Wrapf(err, "relay of engine %s", id)
--- a/edge/limit_test.go
+++ b/edge/limit_test.go
@@ -91,16 +91,17 @@
 
 // assertLimitKept fails the test if more calls arrived in some span of 4 s, from 3 s after the begin, than a
 // limit allows.
-func assertLimitKept(t *testing.T, begin time.Time, arrivals []time.Time, rate float64) {
+func assertLimitKept(t *testing.T, begin time.Time, arrivals []fake.Arrival, rate float64) {
 	t.Helper()
 	allowed := int(1.5*4*rate + 5)
-	for last, at := range arrivals {
+	for last, arrival := range arrivals {
+		at := arrival.At
 		if at.Sub(begin) < 3*time.Second {
 			continue
 		}
 		count := 0
 		for _, earlier := range arrivals[:last+1] {
-			if at.Sub(earlier) < 4*time.Second {
+			if at.Sub(earlier.At) < 4*time.Second {
 				count++
 			}
 		}
--- a/fake/platform/engine.go
+++ b/fake/platform/engine.go
@@ -60,6 +60,12 @@
 		Body   string
 	}
 
+	// Arrival is a request that arrived at an engine.
+	Arrival struct {
+		ID string
+		At time.Time
+	}
+
 	// Engine is a stand-in for an engine or a plain upstream.
 	Engine struct {
 		ID     string
@@ -76,9 +82,8 @@
 		eventInterval time.Duration
 		isLeaving     bool
 		// limits are the Server-Limit headers of each response.
-		limits []string
-		// arrivals are the times at which requests arrived, whatever the response.
-		arrivals []time.Time
+		limits   []string
+		arrivals []Arrival
 		// retryAfter is the Retry-After header of each shed request, if it is set.
 		retryAfter string
 		// shedCount is the number of requests that were shed.
@@ -138,8 +143,8 @@
 	e.limits = values
 }
 
-// Arrivals returns the times at which requests arrived, whatever the response.
-func (e *Engine) Arrivals() []time.Time {
+// Arrivals returns the requests that arrived, whatever the response.
+func (e *Engine) Arrivals() []Arrival {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return slices.Clone(e.arrivals)
@@ -235,7 +240,7 @@
 func (e *Engine) serveRun(w http.ResponseWriter, r *http.Request) {
 	body, _ := io.ReadAll(r.Body)
 	e.mu.Lock()
-	e.arrivals = append(e.arrivals, time.Now())
+	e.arrivals = append(e.arrivals, Arrival{ID: r.Header.Get(headerRequestID), At: time.Now()})
 	w.Header()["Server-Limit"] = e.limits
 	behaviour, version := e.behaviour, e.version
 	expected := r.Header.Get(headerExpectVersion)
