--- a/place/fleet_test.go
+++ b/place/fleet_test.go
@@ -114,17 +114,16 @@
 }
 
 // join starts a new host, which the others learn of with the next announce.
-func (f *fleet) join() *fleetHost {
+func (f *fleet) join() {
 	h := &fleetHost{id: spoke.HostID(fmt.Sprintf("host-%d", len(f.hosts)))}
 	f.hosts = append(f.hosts, h)
 	f.boot(h)
-	return h
 }
 
 // boot starts a host with empty state.
 func (f *fleet) boot(h *fleetHost) {
 	h.testScheduler = newTestSchedulerFor(f.t, h.id, 0)
-	h.testScheduler.now = f.now
+	h.now = f.now
 	h.isDown, h.told, h.retries = false, make(map[spoke.UpstreamID]time.Time), make(map[spoke.CallNumber]bool)
 	h.starts, h.startedAt = h.starts+1, f.now
 	h.next = spoke.CallNumber(h.starts) * 1e6
@@ -137,7 +136,7 @@
 	f.after(delay, func() {
 		for _, h := range f.hosts {
 			if !h.isDown && !h.isFenced {
-				h.testScheduler.now = f.now
+				h.now = f.now
 				f.removePeers(h)
 				f.apply(h, h.handle(f.cellOf(h)))
 			}
@@ -193,7 +192,7 @@
 			if h.isDown {
 				continue
 			}
-			h.testScheduler.now = f.now
+			h.now = f.now
 			if f.random.Float64() < f.callsPerSecond*fleetStep.Seconds() {
 				f.firsts = append(f.firsts, f.now)
 				f.apply(h, h.handle(f.call(h)))
@@ -243,7 +242,7 @@
 			if other == h || other.isDown || other.isCut || h.isCut {
 				continue
 			}
-			other.testScheduler.now = f.now
+			other.now = f.now
 			if slices.Contains(near, other.id) {
 				f.apply(other, other.handle(place.ReceiveReport{Report: report}))
 			} else if isForAll {
@@ -281,7 +280,7 @@
 	tell := func(delay time.Duration, message place.Message) {
 		f.after(delay, func() {
 			if h.starts == start && !h.isDown {
-				h.testScheduler.now = f.now
+				h.now = f.now
 				f.apply(h, h.handle(message))
 			}
 		})
@@ -325,7 +324,7 @@
 		if h.starts != start || h.isDown {
 			return
 		}
-		h.testScheduler.now = f.now
+		h.now = f.now
 		request := f.call(h)
 		request.IsRetry, request.Tried = true, []spoke.UpstreamID{g.Upstream.ID}
 		h.retries[request.Call] = true
