--- a/place/limit_test.go
+++ b/place/limit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -119,6 +120,18 @@
 	}
 }
 
+// Guards against a limit of zero, whatever its sign, that lets calls through other than the one every 5 s which
+// checks whether it has ended.
+func TestLimitOfZeroGetsProbesOnly(t *testing.T) {
+	for _, sign := range []float64{1, -1} {
+		f := newFleet(t, 7, 9)
+		f.at(8, func() { f.limit("engine-3", spoke.RequestRate(math.Copysign(0, sign))) })
+		f.run(25)
+		probes := f.countSince("engine-3", 9)
+		assert.Assert(t, probes >= 1 && probes <= 4, "%d calls", probes)
+	}
+}
+
 // Guards against the limit being exceeded while hosts join, restart, are cut off from each other or from the
 // directory, and learn late of the limit or of other hosts.
 func TestLimitIsKeptWhileHostsChange(t *testing.T) {
--- a/place/limits.go
+++ b/place/limits.go
@@ -220,6 +220,9 @@
 	if calls <= 0 {
 		return 0
 	}
+	if rate <= 0 {
+		return unknownWait
+	}
 	seconds := math.Min(calls/float64(rate), unknownWait.Seconds())
 	return time.Duration(math.Ceil(seconds * float64(time.Second)))
 }
