--- a/edge/limit_test.go
+++ b/edge/limit_test.go
@@ -14,11 +14,13 @@
 	fake "magnoliaspoke.example/spoke/fake/platform"
 )
 
-// Calls are sent for limitedFor at an interval of limitedCallInterval at each of limitedHosts hosts.
 const (
+	// Calls are sent for limitedFor at an interval of limitedCallInterval at each of limitedHosts hosts.
 	limitedHosts        = 3
 	limitedFor          = 9 * time.Second
 	limitedCallInterval = 60 * time.Millisecond
+	// limitedTarget is the latency target of the routes.
+	limitedTarget = 300 * time.Millisecond
 )
 
 // Guards against limits of upstreams that neither log nor metrics show, and that do not reach the caller.
@@ -89,6 +91,33 @@
 	assertLimitKept(t, begin, d.engines[1].Arrivals(), 0.5)
 }
 
+// Guards against calls that wait for an upstream whose limit leaves no room, that are sent all the same, or
+// that are refused without a time to come back.
+func TestCallsAboveLimitAreRefusedAtOnce(t *testing.T) {
+	d := start(t, 1)
+	d.engines[0].SetLimit("0.4")
+	served := 0
+	for i := range 40 {
+		c := []call{lookCall(fmt.Sprint("call-", i)), chatCall(fmt.Sprint("call-", i)), bookCall(fmt.Sprint("call-", i))}[i%3]
+		begin := time.Now()
+		got, err := d.send(c)
+		assert.NilError(t, err)
+		if got.status == http.StatusOK {
+			served++
+			continue
+		}
+		assert.Equal(t, got.status, http.StatusServiceUnavailable)
+		assert.Assert(t, time.Since(begin) < limitedTarget, "%s", time.Since(begin))
+		hint, err := time.ParseDuration(got.header.Get("Retry-After") + "s")
+		assert.NilError(t, err)
+		assert.Assert(t, hint >= 100*time.Millisecond && hint <= 4*time.Second, "%s", hint)
+	}
+	// A limit of 0.4 allows seven calls in 4 s, one and a half times itself and five.
+	assert.Assert(t, served >= 1 && served <= 7, "%d calls", served)
+	assert.Equal(t, len(d.engines[0].Arrivals()), served)
+	awaitTrue(t, "reason not logged", func() bool { return d.hasLogged("upstreams-limited") })
+}
+
 // assertLimitKept fails the test if more calls arrived in some span of 4 s, from 3 s after the begin, than a
 // limit allows.
 func assertLimitKept(t *testing.T, begin time.Time, arrivals []fake.Arrival, rate float64) {
