--- a/edge/apply.go
+++ b/edge/apply.go
@@ -66,8 +66,12 @@
 // applyChange passes a change of the directory to the tasks that it concerns.
 func (h *Host) applyChange(change spoke.DirectoryChange) {
 	for _, wanted := range change.Weights {
-		h.deps.Log.WithFields(logrus.Fields{"model": wanted.Model, "version": wanted.Version}).Info("weights wanted")
-		h.post(h.weightsMessage(change, wanted))
+		message := h.weightsMessage(change, wanted)
+		h.deps.Log.WithFields(logrus.Fields{
+			"model": wanted.Model, "version": wanted.Version, "age": message.Age.String(), "is-estimate": message.IsEstimate,
+			"is-snapshot": change.IsSnapshot, "is-direct": h.follower.isDirect.Load(), "revision": change.Revision,
+		}).Info("weights wanted")
+		h.post(message)
 	}
 	if change.IsSnapshot || len(change.Upstreams)+len(change.RemovedUpstreams) > 0 {
 		h.applyUpstreams(change)
--- a/edge/host.go
+++ b/edge/host.go
@@ -87,15 +87,16 @@
 		peers: make(map[spoke.HostID]spoke.ListedPeer),
 	}
 	quarantine := newQuarantine()
+	metrics := newMetrics()
 	h.planner = newPlanner(place.NewScheduler(place.Settings{
 		Host: settings.Host, DataCentre: settings.DataCentre,
 		RetryShare: float64(settings.RetryShare), RetryReserve: float64(settings.RetryReserve),
 		RetryWindow: settings.RetryWindow, WeightsApply: settings.WeightsApply,
-	}), deps.Timer, deps.Log, quarantine, h.conf, socket.Send)
+	}), deps.Timer, deps.Log, quarantine, h.conf, metrics, socket.Send)
 	h.relayer = &relayer{
 		conf: h.conf, codec: deps.Codec, planner: h.planner, pool: link.New(), quarantine: quarantine,
 		answerMemory: &byteBudget{limit: int64(settings.Memory) / answerMemoryDivisor},
-		log:          deps.Log, metrics: newMetrics(),
+		log:          deps.Log, metrics: metrics,
 	}
 	// The holder name differs at each start, so that a previous process of this host never counts
 	// as the holder of a lease that the new one acquired.
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -36,6 +36,8 @@
 		endless atomic.Int64
 		// limited counts the answers in which upstreams named a limit.
 		limited atomic.Int64
+		// recalled counts the calls that were recalled from upstreams because of outdated weights.
+		recalled atomic.Int64
 	}
 )
 
@@ -49,8 +51,8 @@
 // ServeHTTP writes the metrics in the format of package expvar.
 func (m *metrics) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
-	_, _ = fmt.Fprintf(w, "{\n%q: %s,\n%q: %s,\n%q: %d,\n%q: %d\n}\n",
-		"answers", expvar.Func(m.answers), "times", expvar.Func(m.percentiles), "endless", m.endless.Load(), "limited", m.limited.Load())
+	_, _ = fmt.Fprintf(w, "{\n%q: %s,\n%q: %s,\n%q: %d,\n%q: %d,\n%q: %d\n}\n",
+		"answers", expvar.Func(m.answers), "times", expvar.Func(m.percentiles), "endless", m.endless.Load(), "limited", m.limited.Load(), "recalled", m.recalled.Load())
 }
 
 func (m *metrics) addAnswer(route spoke.RouteName, outcome string, arrived time.Time) {
@@ -65,6 +67,8 @@
 
 func (m *metrics) addLimited() { m.limited.Add(1) }
 
+func (m *metrics) addRecalled() { m.recalled.Add(1) }
+
 func (m *metrics) addWait(route spoke.RouteName, took time.Duration) { m.add("wait ", route, took) }
 
 func (m *metrics) addFirst(route spoke.RouteName, took time.Duration) { m.add("first ", route, took) }
--- a/edge/planner.go
+++ b/edge/planner.go
@@ -56,6 +56,7 @@
 		reportConflict func(spoke.ServiceName)
 		quarantine     *quarantine
 		conf           *configState
+		metrics        *metrics
 		peerAddresses  peerAddresses
 		reportedAt     time.Time
 		fullReportAt   time.Time
@@ -66,11 +67,11 @@
 	}
 )
 
-func newPlanner(scheduler *place.Scheduler, timer spoke.Timer, log logrus.FieldLogger, quarantine *quarantine, conf *configState, send func(spoke.HostReport, []netip.AddrPort)) *planner {
+func newPlanner(scheduler *place.Scheduler, timer spoke.Timer, log logrus.FieldLogger, quarantine *quarantine, conf *configState, metrics *metrics, send func(spoke.HostReport, []netip.AddrPort)) *planner {
 	pollInterval, reportInterval := place.IntervalsFor(1)
 	return &planner{
 		pollInterval: pollInterval, reportInterval: reportInterval,
-		scheduler: scheduler, timer: timer, log: log, send: send, quarantine: quarantine, conf: conf,
+		scheduler: scheduler, timer: timer, log: log, send: send, quarantine: quarantine, conf: conf, metrics: metrics,
 		in:      make(chan schedulerMessage, queueLength),
 		peers:   make(chan peerAddresses, 1),
 		replies: make(map[spoke.CallNumber]chan place.Action),
@@ -149,6 +150,9 @@
 	case place.LimitChanged:
 		p.logLimit(a)
 		return
+	case place.WantedAgeChanged:
+		p.logWantedAge(a)
+		return
 	case place.StoreConflict:
 		p.reportConflict(a.Store)
 		return
@@ -169,10 +173,19 @@
 // recall cancels an attempt that must no longer begin.
 func (p *planner) recall(call spoke.CallNumber) {
 	if cancel := p.recalls[call]; cancel != nil {
+		p.metrics.addRecalled()
 		cancel(errOutdatedWeights)
 	}
 }
 
+// logWantedAge logs that another host has reported a better time since which weights are wanted.
+func (p *planner) logWantedAge(a place.WantedAgeChanged) {
+	p.log.WithFields(logrus.Fields{
+		"model": a.Wanted.Model, "version": a.Wanted.Version, "before": a.Before.String(), "age": a.Age.String(),
+		"was-estimate": a.WasEstimate, "reported-by": a.Host,
+	}).Info("age of wanted weights changed")
+}
+
 // publishLoad sends the load report of this host to the others if it has changed or a full one is due.
 func (p *planner) publishLoad() {
 	now := p.timer.Now()
--- a/place/calls.go
+++ b/place/calls.go
@@ -128,6 +128,12 @@
 // setWantedWeights records when a version became wanted, or a better time for a recorded version.
 func (s *Scheduler) setWantedWeights(now time.Time, m SetWantedWeights) {
 	update := wantedVersion{version: m.Wanted.Version, since: now.Add(-m.Age), isEstimate: m.IsEstimate}
+	before, isKnown := s.wanted[m.Wanted.Model].find(update.version)
 	known := s.wanted[m.Wanted.Model].add(update)
+	if after, _ := known.find(update.version); isKnown && after.differsFrom(before) {
+		s.actions = append(s.actions, WantedAgeChanged{
+			Wanted: m.Wanted, Before: now.Sub(before.since), Age: m.Age, WasEstimate: before.isEstimate, Host: m.Host,
+		})
+	}
 	s.wanted[m.Wanted.Model] = known.prune(now.Add(-s.settings.WeightsApply))
 }
--- a/place/messages.go
+++ b/place/messages.go
@@ -138,6 +138,8 @@
 		Age    time.Duration
 		// IsEstimate says that the age is estimated; a known age from another host replaces it.
 		IsEstimate bool
+		// Host is the host that reported the age, empty if the directory shows the version.
+		Host spoke.HostID
 	}
 
 	// ObserveWeights reports the weights that an engine was observed to serve.
@@ -220,6 +222,17 @@
 		Host spoke.HostID
 	}
 
+	// WantedAgeChanged reports that another time is known since which a recorded version is wanted.
+	WantedAgeChanged struct {
+		Wanted spoke.WantedWeights
+		// Before and Age are the times since the version became wanted, as assumed so far and from now on.
+		Before, Age time.Duration
+		// WasEstimate says that Before was estimated.
+		WasEstimate bool
+		// Host is the host that reported the age, empty for the directory.
+		Host spoke.HostID
+	}
+
 	// Recall cancels the attempt of a call that has not begun, since its weights must not be used any more.
 	Recall struct{ Call spoke.CallNumber }
 )
@@ -244,5 +257,6 @@
 func (Refuse) isAction() {}
 func (Recall) isAction() {}
 
-func (LimitChanged) isAction()  {}
-func (StoreConflict) isAction() {}
+func (LimitChanged) isAction()     {}
+func (StoreConflict) isAction()    {}
+func (WantedAgeChanged) isAction() {}
--- a/place/report.go
+++ b/place/report.go
@@ -241,7 +241,7 @@
 		}
 	}
 	for _, known := range report.WantedAges {
-		s.setWantedWeights(now, SetWantedWeights{Wanted: known.Wanted, Age: known.Age})
+		s.setWantedWeights(now, SetWantedWeights{Wanted: known.Wanted, Age: known.Age, Host: report.Host})
 	}
 	for id, seen := range report.Weights {
 		if n := s.nodes[id]; n != nil {
--- a/place/version_history.go
+++ b/place/version_history.go
@@ -8,6 +8,10 @@
 	"magnoliaspoke.example/spoke"
 )
 
+// minReportedShift is the difference of two times below which a better time is not reported; ages lose
+// fractions of milliseconds in reports.
+const minReportedShift = 10 * time.Millisecond
+
 type (
 	// versionHistory holds the wanted versions of a model's weights in ascending order.
 	versionHistory []wantedVersion
@@ -21,12 +25,30 @@
 	}
 )
 
+// find returns the entry of a version.
+func (h versionHistory) find(version spoke.WeightVersion) (wantedVersion, bool) {
+	position, isKnown := h.position(version)
+	if !isKnown {
+		return wantedVersion{}, false
+	}
+	return h[position], true
+}
+
+func (h versionHistory) position(version spoke.WeightVersion) (int, bool) {
+	return slices.BinarySearchFunc(h, version, func(known wantedVersion, version spoke.WeightVersion) int {
+		return cmp.Compare(known.version, version)
+	})
+}
+
+// differsFrom reports whether two entries differ in more than the precision of reports.
+func (w wantedVersion) differsFrom(other wantedVersion) bool {
+	return w.isEstimate != other.isEstimate || w.since.Sub(other.since).Abs() >= minReportedShift
+}
+
 // add returns the history with a version, or with a better time for a version that it contains: a known
 // time replaces an estimate, and an earlier one a later one.
 func (h versionHistory) add(update wantedVersion) versionHistory {
-	position, isKnown := slices.BinarySearchFunc(h, update.version, func(known wantedVersion, version spoke.WeightVersion) int {
-		return cmp.Compare(known.version, version)
-	})
+	position, isKnown := h.position(update.version)
 	if !isKnown {
 		return slices.Insert(h, position, update)
 	}
