--- /dev/null
+++ b/place/weightage_test.go
@@ -0,0 +1,33 @@
+package place_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"magnoliaspoke.example/spoke"
+	"magnoliaspoke.example/spoke/place"
+)
+
+// A host learns long after a rollout began that its engine is on replaced weights, while a call waits
+// inside it. Guards against a call that is not recalled because the rollout counts as over.
+func TestWaitingCallIsRecalledWhenOldRolloutIsLearned(t *testing.T) {
+	ts := newTestScheduler(t, 1)
+	stuck := ts.grant(ts.request(0, "s", 100, 100))
+	actions := ts.handle(place.SetWantedWeights{Wanted: spoke.WantedWeights{Model: model, Version: 2}, Age: time.Minute, IsEstimate: true})
+	actions = append(actions, ts.advance(100*time.Millisecond)...)
+	assert.DeepEqual(t, actions, []place.Action{place.Recall{Call: stuck.Call}})
+}
+
+// Guards against a call whose recall waits for the next tick although another host has already reported
+// that its weights are outdated.
+func TestWaitingCallIsRecalledWhenAnotherHostReportsTheAge(t *testing.T) {
+	ts := newTestScheduler(t, 1)
+	stuck := ts.grant(ts.request(0, "s", 100, 100))
+	ts.setWanted(2)
+	actions := ts.handle(place.ReceiveReport{Report: spoke.HostReport{
+		Host: "host-2", Sequence: 1, WantedAges: []spoke.WantedAge{{Wanted: spoke.WantedWeights{Model: model, Version: 2}, Age: time.Minute}},
+	}})
+	assert.DeepEqual(t, actions[len(actions)-1], place.Recall{Call: stuck.Call})
+}
