Count the time of old weights from when changes may have been made

Cause: a host counted that time from when it received the change. Nothing bounded how late that was unless the directory counted as lost: two polls of silent watchers (1.3 s), a change passed on within 500 ms, the pause between two watches, and a directory read again after an outage all gave an age of zero or of half the limit, as a known time that others adopt. A bound that counts from an event was counted from its receipt.

Now each host keeps the time up to which it has received all changes; a change is as old as the time since then that no waiting call covered. Hosts that pass changes on report theirs. A host that starts knows no age and uses no replaced weights until another host reports it. Ages above 500 ms are estimates. A version that the directory shows again keeps its age.

Ruled out: recalls without effect (the callers had the answers of these attempts), and hosts that did not know the version.

--- a/directory.go
+++ b/directory.go
@@ -52,8 +52,7 @@
 	DirectoryChange struct {
 		// IsSnapshot reports whether the change lists all entries, so that others do not exist.
 		IsSnapshot bool
-		// MaxAge bounds the time between the change and its receipt; zero means that it was
-		// received at once.
+		// MaxAge bounds the time between the change and its receipt.
 		MaxAge time.Duration
 		// KeepsUnlistedUpstreams reports whether unlisted upstreams are kept even in a snapshot,
 		// because they may reappear after an outage.
--- a/edge/apply.go
+++ b/edge/apply.go
@@ -18,6 +18,9 @@
 	// acquireBackoff limits the rate of acquisitions while the store is unavailable or other hosts
 	// acquire the lease first.
 	acquireBackoff = 500 * time.Millisecond
+	// maxKnownAge is the maximum age of a change up to which it counts as known. Larger ones may be far above
+	// the true age, so a known age from another host replaces them.
+	maxKnownAge = 500 * time.Millisecond
 )
 
 // throttledLeases acquires the orders lease only while the directory shows that no host holds it, so
@@ -94,15 +97,10 @@
 	}
 }
 
-// weightsMessage returns the scheduler's message for wanted weights. A snapshot of the directory does not
-// show when the weights were published, so the host assumes that half of the time in which older weights
-// may be used has passed, until its peers report the age. After a suspension or a loss of the directory,
-// the age of a change includes all the time in which the host could not read it.
+// weightsMessage returns the scheduler's message for wanted weights. A started host cannot know when the
+// weights were named, and uses no older ones until its peers report the age.
 func (h *Host) weightsMessage(change spoke.DirectoryChange, wanted spoke.WantedWeights) place.SetWantedWeights {
-	if change.IsSnapshot {
-		return place.SetWantedWeights{Wanted: wanted, Age: h.settings.WeightsApply / 2, IsEstimate: true}
-	}
-	return place.SetWantedWeights{Wanted: wanted, Age: change.MaxAge, IsEstimate: change.MaxAge > 0}
+	return place.SetWantedWeights{Wanted: wanted, Age: change.MaxAge, IsEstimate: change.MaxAge > maxKnownAge}
 }
 
 // post sends a message to the scheduler.
--- a/edge/configstate.go
+++ b/edge/configstate.go
@@ -12,7 +12,7 @@
 	// the current one, unless it was confirmed again, may be out of date.
 	staleFraction = 0.8
 	// pauseThreshold is longer than the time between two steps of a process that is not suspended.
-	pauseThreshold = 500 * time.Millisecond
+	pauseThreshold = 200 * time.Millisecond
 	// neverReachedAge is the age at the start, before the directory was first reached.
 	neverReachedAge = 24 * time.Hour
 	// pauseRetention is the time after a pause within which changes are received that may have been made
--- a/edge/feed.go
+++ b/edge/feed.go
@@ -42,6 +42,8 @@
 		// completeFrom is the revision from which the entries are complete.
 		completeFrom spoke.Revision
 		revision     spoke.Revision
+		// completeAt is the time up to which the host has received all changes.
+		completeAt time.Time
 		// isLost is set while this host cannot reach the directory, or waits for entries that expired
 		// during an outage, so that others must read the directory themselves.
 		isLost  bool
@@ -70,8 +72,8 @@
 func (e feedEntry) maxAge(now time.Time) time.Duration { return e.initialAge + now.Sub(e.seenAt) }
 
 // restart starts an empty feed at a revision at which the whole directory was read.
-func (f *feed) restart(revision spoke.Revision) {
-	f.publish(&feedState{completeFrom: revision, revision: revision})
+func (f *feed) restart(revision spoke.Revision, completeAt time.Time) {
+	f.publish(&feedState{completeFrom: revision, revision: revision, completeAt: completeAt})
 }
 
 // markLost makes other hosts read the directory themselves until this host follows it again.
@@ -83,20 +85,21 @@
 	}
 }
 
-// add appends a change to the feed and publishes it. A change without content only advances the revision
-// or shows that this host follows the directory again.
-func (f *feed) add(change feedEntry) {
+// add appends a change to the feed and publishes it with the time up to which the host is complete. A change
+// without content only advances the revision and that time, or shows that this host follows the directory
+// again.
+func (f *feed) add(change feedEntry, completeAt time.Time) {
 	previous := f.state.Load()
-	next := &feedState{completeFrom: previous.completeFrom, revision: max(change.revision, previous.revision), entries: previous.entries}
+	next := &feedState{
+		completeFrom: previous.completeFrom, revision: max(change.revision, previous.revision), completeAt: completeAt, entries: previous.entries,
+	}
 	if len(change.raw) > 0 && change.revision > previous.revision {
 		next.entries = append(append([]feedEntry{}, previous.entries...), change)
 	}
 	for len(next.entries) > maxFeedEntries || sizeOf(next.entries) > maxFeedBytes {
 		next.completeFrom, next.entries = next.entries[0].revision, next.entries[1:]
 	}
-	if previous.isLost || next.revision > previous.revision {
-		f.publish(next)
-	}
+	f.publish(next)
 }
 
 func sizeOf(all []feedEntry) int {
@@ -168,8 +171,9 @@
 		w.WriteHeader(http.StatusGone)
 		return
 	}
-	answer := feedAnswer{view: spoke.DirectoryView{Revision: state.revision, Age: f.conf.age()}, entries: found}
-	raw, err := encodeFeed(f.now(), answer)
+	now := f.now()
+	answer := feedAnswer{view: spoke.DirectoryView{Revision: state.revision, Age: f.conf.age()}, completeAge: now.Sub(state.completeAt), entries: found}
+	raw, err := encodeFeed(now, answer)
 	if err != nil {
 		f.log.WithError(err).Warn("changes of the directory not sent to a peer")
 		w.WriteHeader(http.StatusInternalServerError)
--- a/edge/feedcodec.go
+++ b/edge/feedcodec.go
@@ -7,14 +7,17 @@
 	"github.com/rotisserie/eris"
 
 	"magnoliaspoke.example/spoke"
+	"magnoliaspoke.example/spoke/place"
 )
 
 // The answer to a host that polls the feed of another one.
 type (
 	feedRow struct {
-		Revision uint64         `json:"revision"`
-		AgeMs    int64          `json:"age-ms"`
-		Entries  []feedEntryRow `json:"news,omitempty"`
+		Revision uint64 `json:"revision"`
+		AgeMs    int64  `json:"age-ms"`
+		// CompleteMs is how long ago the host had received all changes, in milliseconds; absent if unknown.
+		CompleteMs *int64         `json:"complete-ms,omitempty"`
+		Entries    []feedEntryRow `json:"news,omitempty"`
 	}
 
 	feedEntryRow struct {
@@ -27,13 +30,17 @@
 
 	// feedAnswer is the directory view of a host and its changes after a revision.
 	feedAnswer struct {
-		view    spoke.DirectoryView
-		entries []feedEntry
+		view spoke.DirectoryView
+		// completeAge is how long ago the host had received all changes.
+		completeAge time.Duration
+		entries     []feedEntry
+		receivedAt  time.Time
 	}
 )
 
 func encodeFeed(now time.Time, answer feedAnswer) ([]byte, error) {
-	row := feedRow{Revision: uint64(answer.view.Revision), AgeMs: answer.view.Age.Milliseconds()}
+	complete := answer.completeAge.Milliseconds()
+	row := feedRow{Revision: uint64(answer.view.Revision), AgeMs: answer.view.Age.Milliseconds(), CompleteMs: &complete}
 	for _, entry := range answer.entries {
 		row.Entries = append(row.Entries, feedEntryRow{
 			After: uint64(entry.after), Revision: uint64(entry.revision), MissedMs: entry.maxAge(now).Milliseconds(), Raw: entry.raw,
@@ -48,7 +55,13 @@
 	if err := json.Unmarshal(raw, &row); err != nil {
 		return feedAnswer{}, eris.Wrap(err, "decode changes of the directory")
 	}
-	answer := feedAnswer{view: spoke.DirectoryView{Revision: spoke.Revision(row.Revision), Age: max(time.Duration(row.AgeMs), 0) * time.Millisecond}}
+	answer := feedAnswer{
+		view:        spoke.DirectoryView{Revision: spoke.Revision(row.Revision), Age: max(time.Duration(row.AgeMs), 0) * time.Millisecond},
+		completeAge: place.UnknownAge, receivedAt: now,
+	}
+	if row.CompleteMs != nil {
+		answer.completeAge = max(time.Duration(*row.CompleteMs), 0) * time.Millisecond
+	}
 	last := spoke.Revision(0)
 	for _, entry := range row.Entries {
 		if entry.Revision <= entry.After || spoke.Revision(entry.Revision) <= last || entry.Revision > row.Revision {
--- a/edge/follower.go
+++ b/edge/follower.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"magnoliaspoke.example/spoke"
+	"magnoliaspoke.example/spoke/place"
 	"magnoliaspoke.example/spoke/timer"
 )
 
@@ -49,8 +50,8 @@
 		isDirect atomic.Bool
 
 		lostSince time.Time
-		// answeredAt is when the directory last answered this host.
-		answeredAt time.Time
+		// changeAge bounds the age of changes.
+		changeAge place.ChangeAge
 		// settlingUntil is when entries that are missing after an outage count as removed.
 		settlingUntil time.Time
 		// directUntil is when this host may poll other hosts again.
@@ -64,11 +65,14 @@
 // run follows the directory until ctx ends.
 func (f *follower) run(ctx context.Context) error {
 	for ctx.Err() == nil {
+		asked := f.timer.Now()
 		change, err := f.directory.Read(ctx)
 		if err != nil {
 			f.handleFailure(ctx, err)
 			continue
 		}
+		change.MaxAge = f.changeAge.OfSnapshot(f.timer.Now())
+		f.changeAge.CompleteSnapshot(asked)
 		f.handleAnswer(change)
 		f.watch(ctx, change.Revision)
 	}
@@ -84,6 +88,7 @@
 			revision = f.pollPeers(ctx, revision)
 			continue
 		}
+		asked := f.timer.Now()
 		change, isCut, err := f.watchOnce(ctx, revision)
 		switch {
 		case isCut:
@@ -95,6 +100,7 @@
 			f.handleFailure(ctx, err)
 			continue
 		}
+		change.MaxAge = f.recordAnswer(asked)
 		f.handleAnswer(change)
 		f.publish(revision, change)
 		revision = change.Revision
@@ -122,6 +128,7 @@
 // pollPeers waits for changes at hosts that watch the directory and returns the revision up to which
 // this host is up to date.
 func (f *follower) pollPeers(ctx context.Context, revision spoke.Revision) spoke.Revision {
+	asked := f.timer.Now()
 	answer, err := f.client.poll(ctx, revision)
 	switch {
 	case errors.Is(err, errFeedLost):
@@ -134,6 +141,7 @@
 		f.directUntil = f.timer.Now().Add(directWatchTime)
 		return revision
 	}
+	paused := f.conf.recentPause()
 	for _, entry := range answer.entries {
 		change, err := f.directory.Decode(entry.raw)
 		if err != nil {
@@ -142,15 +150,13 @@
 			return revision
 		}
 		change.Revision = entry.revision
-		change.MaxAge = f.maxChangeAge()
-		if entry.initialAge > pauseThreshold {
-			change.MaxAge = max(change.MaxAge, entry.initialAge)
-		}
+		change.MaxAge = f.changeAge.OfReport(asked, answer.receivedAt, entry.initialAge, paused)
 		f.applyChange(change)
 		f.publish(revision, change)
 		revision = entry.revision
 		f.conf.revision.Store(uint64(revision))
 	}
+	f.changeAge.CompleteReport(asked, answer.receivedAt, answer.completeAge, paused)
 	f.conf.confirmFromPeer(answer.view)
 	return revision
 }
@@ -160,7 +166,16 @@
 	if f.isSettling() {
 		return
 	}
-	f.feed.add(feedEntry{after: after, revision: change.Revision, raw: change.Raw, seenAt: f.timer.Now(), initialAge: change.MaxAge})
+	entry := feedEntry{after: after, revision: change.Revision, raw: change.Raw, seenAt: f.timer.Now(), initialAge: change.MaxAge}
+	f.feed.add(entry, f.changeAge.CompleteAt())
+}
+
+// recordAnswer returns the maximum age of the changes in an answer to a watch, and records that they have been
+// received.
+func (f *follower) recordAnswer(asked time.Time) time.Duration {
+	now, paused := f.timer.Now(), f.conf.recentPause()
+	defer f.changeAge.CompleteAnswer(asked, now, paused)
+	return f.changeAge.OfAnswer(asked, now, paused)
 }
 
 // watchOnce waits for changes; the wait is cut short when a peer reports a later revision.
@@ -220,12 +235,10 @@
 func (f *follower) isSettling() bool { return !f.settlingUntil.IsZero() }
 
 func (f *follower) handleAnswer(change spoke.DirectoryChange) {
-	change.MaxAge = f.maxChangeAge()
-	f.answeredAt = f.timer.Now()
 	f.conf.confirm()
 	f.backoff = 0
 	if change.IsSnapshot && f.lostSince.IsZero() && !f.isSettling() {
-		f.feed.restart(change.Revision)
+		f.feed.restart(change.Revision, f.changeAge.CompleteAt())
 	}
 	if !f.lostSince.IsZero() {
 		f.log.WithField("lost-for", f.timer.Now().Sub(f.lostSince).String()).Info("directory regained")
@@ -247,14 +260,6 @@
 	f.apply(change)
 }
 
-// maxChangeAge returns how long before this answer a change may have been made unnoticed.
-func (f *follower) maxChangeAge() time.Duration {
-	if !f.lostSince.IsZero() && !f.answeredAt.IsZero() {
-		return f.timer.Now().Sub(f.answeredAt)
-	}
-	return f.conf.recentPause()
-}
-
 // withoutRemovals drops removals of upstreams from a change until settlingUntil, since their entries may
 // merely have expired during an outage.
 func (f *follower) withoutRemovals(change spoke.DirectoryChange) spoke.DirectoryChange {
--- a/edge/weightage_test.go
+++ b/edge/weightage_test.go
@@ -30,8 +30,8 @@
 	return answered
 }
 
-func (d *deployment) nameWeights(version int) time.Time {
-	d.store.Put("op/version/model-a", map[string]any{"model": "model-a", "version": version})
+func (d *deployment) nameWeights() time.Time {
+	d.store.Put("op/version/model-a", map[string]any{"model": "model-a", "version": 2})
 	return time.Now()
 }
 
@@ -67,7 +67,7 @@
 	answered := d.holdCall("stuck")
 	d.listWatchers(watcher.Listener.Addr().String())
 	<-polled
-	assertRecalled(t, answered, d.nameWeights(2), limit)
+	assertRecalled(t, answered, d.nameWeights(), limit)
 }
 
 // The host that watches the directory for this one passes changes on after a while that it states.
@@ -83,7 +83,7 @@
 	t.Cleanup(watcher.Close)
 	t.Cleanup(watcher.CloseClientConnections)
 	d.listWatchers(watcher.Listener.Addr().String())
-	assertRecalled(t, answered, d.nameWeights(2), limit)
+	assertRecalled(t, answered, d.nameWeights(), limit)
 }
 
 // lateFeed answers polls for changes with those of the store after a lag, which it states.
@@ -118,7 +118,7 @@
 	d := startWithSettings(t, 1, func(settings *config.Relay) { settings.OrdersPause = time.Minute })
 	d.signals <- syscall.SIGTERM
 	assert.NilError(t, <-d.ended)
-	d.nameWeights(2)
+	d.nameWeights()
 	other := d.addHost("host-2")
 	got, err := other.send(quoteCall("early"))
 	assert.NilError(t, err)
@@ -138,7 +138,7 @@
 	answered := d.holdCall("stuck")
 	d.store.Refuse(true)
 	awaitTrue(t, "outage not noticed", func() bool { return d.hasLogged("directory lost") })
-	named := d.nameWeights(2)
+	named := d.nameWeights()
 	d.store.Compact()
 	<-time.After(outage - time.Since(named))
 	d.store.Refuse(false)
@@ -149,7 +149,7 @@
 // refusing calls for longer than reports need, although the weights may still be used.
 func TestStartedHostLearnsAgeOfWeightsFromOthers(t *testing.T) {
 	d := startWithSettings(t, 1, func(settings *config.Relay) { settings.OrdersPause = time.Minute })
-	d.nameWeights(2)
+	d.nameWeights()
 	awaitTrue(t, "weights not known", func() bool { return d.hasLogged("weights wanted") })
 	other := d.addHost("host-2")
 	var attempts atomic.Int64
--- a/place/weightage_test.go
+++ b/place/weightage_test.go
@@ -31,3 +31,16 @@
 	}})
 	assert.DeepEqual(t, actions[len(actions)-1], place.Recall{Call: stuck.Call})
 }
+
+// A host estimates the age of a rollout and reads the whole directory again, as it does after an outage.
+// Guards against a limit that starts again with a version which is recorded already.
+func TestVersionThatIsReadAgainKeepsItsAge(t *testing.T) {
+	for _, isEstimate := range []bool{false, true} {
+		ts := newTestScheduler(t, 1)
+		wanted := spoke.WantedWeights{Model: model, Version: 2}
+		ts.handle(place.SetWantedWeights{Wanted: wanted, Age: 5 * time.Second, IsEstimate: isEstimate})
+		ts.handle(place.SetWantedWeights{Wanted: wanted, Age: 50 * time.Millisecond})
+		ts.now = ts.now.Add(500 * time.Millisecond)
+		assert.Equal(t, ts.refusal(ts.request(0, "s", 500, 200)).Reason, place.RefusedWeights)
+	}
+}
