Recall waiting calls as soon as the age of newer weights is known

A call that waited inside an engine was recalled only by a tick, and only while the rollout counted as recent. A host that learned late, for example after a long loss of the directory, never recalled its calls, which then began on weights whose time was over.

Each new or better age of wanted weights now recalls what is outdated at once.

--- a/place/calls.go
+++ b/place/calls.go
@@ -134,10 +134,15 @@
 		return
 	}
 	known := s.wanted[m.Wanted.Model].add(update)
-	if after, _ := known.find(update.version); isKnown && after.differsFrom(before) {
+	s.wanted[m.Wanted.Model] = known.prune(now.Add(-s.settings.WeightsApply))
+	after, _ := known.find(update.version)
+	if isKnown && !after.differsFrom(before) {
+		return
+	}
+	if isKnown {
 		s.actions = append(s.actions, WantedAgeChanged{
 			Wanted: m.Wanted, Before: now.Sub(before.since), Age: m.Age, WasEstimate: before.isEstimate, Host: m.Host,
 		})
 	}
-	s.wanted[m.Wanted.Model] = known.prune(now.Add(-s.settings.WeightsApply))
+	s.recallOutdated(now)
 }
--- a/place/recall.go
+++ b/place/recall.go
@@ -23,9 +23,6 @@
 
 // recallOutdated cancels attempts that wait inside engines on outdated weights.
 func (s *Scheduler) recallOutdated(now time.Time) {
-	if !s.isRollingOut(now) {
-		return
-	}
 	for _, call := range slices.Sorted(maps.Keys(s.running)) {
 		if run := s.running[call]; s.isOutdated(now, run) {
 			run.isRecalled = true
--- a/place/scheduler.go
+++ b/place/scheduler.go
@@ -130,7 +130,9 @@
 		s.repeatLimits()
 	case Tick:
 		s.dropStale(now)
-		s.recallOutdated(now)
+		if s.isRollingOut(now) {
+			s.recallOutdated(now)
+		}
 	}
 }
 
