Count ages in reports that were unread during a suspension

A host that wakes up reads load reports which were sent while it was suspended. Their ages of wanted weights and of the directory counted from when they were read, so that newer weights seemed up to the suspension younger, as a known time.

Ages in such reports now include the suspension, and count as estimates. With these lines taken out, TestAgeInUnreadReportIncludesSuspension fails: the call is granted on weights that may be outdated.

--- a/edge/host.go
+++ b/edge/host.go
@@ -229,8 +229,10 @@
 		h.relayer.quarantine.registry.Merge(time.Now(), report.Marks)
 	}
 	h.conf.recordPeerReport()
+	delay := h.conf.recentPause()
+	report.Directory.Age += delay
 	h.follower.receiveView(report.Directory)
-	h.planner.in <- schedulerMessage{message: place.ReceiveReport{Report: report}}
+	h.planner.in <- schedulerMessage{message: place.ReceiveReport{Report: report, MaxDelay: delay}}
 }
 
 func (h *Host) metricsServer() *http.Server {
--- a/place/messages.go
+++ b/place/messages.go
@@ -155,7 +155,11 @@
 	}
 
 	// ReceiveReport applies the load report of another host.
-	ReceiveReport struct{ Report spoke.HostReport }
+	ReceiveReport struct {
+		Report spoke.HostReport
+		// MaxDelay bounds how long the report was unread because this host was suspended.
+		MaxDelay time.Duration
+	}
 
 	// RemovePeer drops the state of a host that has left.
 	RemovePeer struct{ Host spoke.HostID }
--- a/place/report.go
+++ b/place/report.go
@@ -188,7 +188,8 @@
 
 // receiveReport applies the load report of another host. Reports that arrive out of order are dropped,
 // unless none arrived from the host for peerTimeout: it may have restarted with lower sequence numbers.
-func (s *Scheduler) receiveReport(now time.Time, report spoke.HostReport) {
+func (s *Scheduler) receiveReport(now time.Time, m ReceiveReport) {
+	report := m.Report
 	known := s.peers[report.Host]
 	if known == nil {
 		known = &peer{}
@@ -213,6 +214,11 @@
 		}
 	}
 	s.applyState(now, report)
+	for _, known := range report.WantedAges {
+		s.setWantedWeights(now, SetWantedWeights{
+			Wanted: known.Wanted, Age: known.Age + m.MaxDelay, IsEstimate: m.MaxDelay > 0, Host: report.Host,
+		})
+	}
 }
 
 // applyState applies the parts of a report other than the work of the host.
@@ -240,9 +246,6 @@
 			n.slowness.observe(reported.Slowness, now.Add(-max(reported.Age, 0)))
 		}
 	}
-	for _, known := range report.WantedAges {
-		s.setWantedWeights(now, SetWantedWeights{Wanted: known.Wanted, Age: known.Age, Host: report.Host})
-	}
 	for id, seen := range report.Weights {
 		if n := s.nodes[id]; n != nil {
 			n.observeWeights(seen.Model, seen.Version)
--- a/place/scheduler.go
+++ b/place/scheduler.go
@@ -101,7 +101,7 @@
 	case ObserveWeights:
 		s.observeWeights(m.Upstream, m.Weights)
 	case ReceiveReport:
-		s.receiveReport(now, m.Report)
+		s.receiveReport(now, m)
 	case RemovePeer:
 		s.removePeer(now, m.Host)
 	default:
--- a/place/weightage_test.go
+++ b/place/weightage_test.go
@@ -44,3 +44,17 @@
 		assert.Equal(t, ts.refusal(ts.request(0, "s", 500, 200)).Reason, place.RefusedWeights)
 	}
 }
+
+// A host was suspended while weights were named, and reads a report that was sent at the beginning of that time.
+// Guards against the age in the report counting from when it was read.
+func TestAgeInUnreadReportIncludesSuspension(t *testing.T) {
+	ts := newTestScheduler(t, 1)
+	wanted := spoke.WantedWeights{Model: model, Version: 2}
+	ts.handle(place.SetWantedWeights{Wanted: wanted, Age: 5500 * time.Millisecond, IsEstimate: true})
+	report := spoke.HostReport{Host: "host-2", Sequence: 1, WantedAges: []spoke.WantedAge{{Wanted: wanted, Age: time.Second}}}
+	ts.handle(place.ReceiveReport{Report: report, MaxDelay: 4 * time.Second})
+	assert.Equal(t, ts.refusal(ts.request(0, "s", 500, 200)).Reason, place.RefusedWeights)
+	report.Sequence++
+	ts.handle(place.ReceiveReport{Report: report})
+	assert.Equal(t, ts.grant(ts.request(0, "s", 500, 200)).Weights, spoke.WeightVersion(1))
+}
