Report estimated ages of wanted weights to other hosts

A report that came before the directory's own change hid the earlier time of that.

Ages in reports now say whether they are estimates. Only a second sight of the directory is ignored, not its first.

--- a/peers/codec.go
+++ b/peers/codec.go
@@ -83,6 +83,8 @@
 		Model   string `json:"model"`
 		Version int64  `json:"version"`
 		AgeMs   int64  `json:"age-ms"`
+		// IsEstimate says that the age is only a bound.
+		IsEstimate bool `json:"estimate,omitempty"`
 	}
 
 	storeRow struct {
@@ -128,7 +130,7 @@
 		row.Marks = append(row.Marks, markRow{string(mark.Fingerprint), mark.Deaths, mark.Expires.Sub(now).Milliseconds()})
 	}
 	for _, w := range report.WantedAges {
-		row.Wanted = append(row.Wanted, wantedRow{string(w.Wanted.Model), int64(w.Wanted.Version), w.Age.Milliseconds()})
+		row.Wanted = append(row.Wanted, wantedRow{string(w.Wanted.Model), int64(w.Wanted.Version), w.Age.Milliseconds(), w.IsEstimate})
 	}
 	for _, start := range report.Leaving {
 		row.Leaving = append(row.Leaving, encodeStart(start))
@@ -191,7 +193,7 @@
 	for _, w := range row.Wanted {
 		report.WantedAges = append(report.WantedAges, spoke.WantedAge{
 			Wanted: spoke.WantedWeights{Model: spoke.ModelName(w.Model), Version: spoke.WeightVersion(w.Version)},
-			Age:    time.Duration(w.AgeMs) * time.Millisecond,
+			Age:    time.Duration(w.AgeMs) * time.Millisecond, IsEstimate: w.IsEstimate,
 		})
 	}
 	for _, start := range row.Leaving {
--- a/place/calls.go
+++ b/place/calls.go
@@ -128,9 +128,9 @@
 // setWantedWeights records when a version became wanted, or a better time for a recorded version from another
 // host. The directory may show a recorded version again, which does not mean that it became wanted again.
 func (s *Scheduler) setWantedWeights(now time.Time, m SetWantedWeights) {
-	update := wantedVersion{version: m.Wanted.Version, since: now.Add(-m.Age), isEstimate: m.IsEstimate}
+	update := wantedVersion{version: m.Wanted.Version, since: now.Add(-m.Age), isEstimate: m.IsEstimate, isListed: m.Host == ""}
 	before, isKnown := s.wanted[m.Wanted.Model].find(update.version)
-	if isKnown && m.Host == "" {
+	if before.isListed && update.isListed {
 		return
 	}
 	known := s.wanted[m.Wanted.Model].add(update)
--- a/place/report.go
+++ b/place/report.go
@@ -145,16 +145,17 @@
 	return starts
 }
 
-// wantedAges returns how long ago versions became wanted, as far as that is known.
+// wantedAges returns how long ago versions became wanted, unless nothing is known of that.
 func (s *Scheduler) wantedAges(now time.Time) []spoke.WantedAge {
 	ages := make([]spoke.WantedAge, 0, len(s.wanted))
 	for model, versions := range s.wanted {
 		for _, known := range versions {
-			if known.isEstimate {
+			age := now.Sub(known.since)
+			if known.isEstimate && age >= UnknownAge {
 				continue
 			}
 			ages = append(ages, spoke.WantedAge{
-				Wanted: spoke.WantedWeights{Model: model, Version: known.version}, Age: now.Sub(known.since),
+				Wanted: spoke.WantedWeights{Model: model, Version: known.version}, Age: age, IsEstimate: known.isEstimate,
 			})
 		}
 	}
@@ -216,7 +217,7 @@
 	s.applyState(now, report)
 	for _, known := range report.WantedAges {
 		s.setWantedWeights(now, SetWantedWeights{
-			Wanted: known.Wanted, Age: known.Age + m.MaxDelay, IsEstimate: m.MaxDelay > 0, Host: report.Host,
+			Wanted: known.Wanted, Age: known.Age + m.MaxDelay, IsEstimate: known.IsEstimate || m.MaxDelay > 0, Host: report.Host,
 		})
 	}
 }
--- a/placement.go
+++ b/placement.go
@@ -128,6 +128,8 @@
 	WantedAge struct {
 		Wanted WantedWeights
 		Age    time.Duration
+		// IsEstimate says that the age is only a bound; the true one may be lower.
+		IsEstimate bool
 	}
 
 	// ServedWeights is a weight version that an engine was observed to serve. Lists of the oldest
