Keep times of receipt and suspensions out of ages of the directory

A table was taken for confirmed when an answer was processed after a suspension, or at the end of a read that began long before; a datagram left unread counted as contact with its host; a short pause hid a longer one before it; ages were computed when a change was received and applied when the scheduler came to it, and changes passed on to other hosts counted from after they were applied.

--- a/directory.go
+++ b/directory.go
@@ -52,8 +52,9 @@
 	DirectoryChange struct {
 		// IsSnapshot reports whether the change lists all entries, so that others do not exist.
 		IsSnapshot bool
-		// MaxAge bounds the time between the change and its receipt.
-		MaxAge time.Duration
+		// MaxAge bounds the time between the change and its receipt at ReceivedAt.
+		MaxAge     time.Duration
+		ReceivedAt time.Time
 		// KeepsUnlistedUpstreams reports whether unlisted upstreams are kept even in a snapshot,
 		// because they may reappear after an outage.
 		KeepsUnlistedUpstreams bool
--- a/edge/configstate.go
+++ b/edge/configstate.go
@@ -47,8 +47,8 @@
 // elapsed returns the time since origin in nanoseconds.
 func (c *configState) elapsed() int64 { return int64(c.now().Sub(c.origin)) }
 
-// confirm records that the directory was reached.
-func (c *configState) confirm() { c.confirmedAt.Store(c.elapsed()) }
+// confirm records that the directory answered with its state of the given age.
+func (c *configState) confirm(age time.Duration) { c.confirmedAt.Store(c.elapsed() - int64(age)) }
 
 // confirmFromPeer records that a peer reached the directory, if this host has the peer's revision.
 func (c *configState) confirmFromPeer(view spoke.DirectoryView) {
@@ -62,27 +62,37 @@
 // recordStep records that the process is running, and the pause before it if there was one.
 func (c *configState) recordStep() {
 	now := c.elapsed()
-	before := c.steppedAt.Swap(now)
+	before := c.steppedAt.Load()
 	if pause := now - before; before != 0 && pause > int64(pauseThreshold) {
-		c.lastPause.Store(pause)
+		// A short pause soon after a long one must not hide it: answers from before both may still be unread.
+		c.lastPause.Store(max(pause, int64(c.pauseWithin(now))))
 		c.lastPauseEnd.Store(now)
 	}
+	c.steppedAt.Store(now)
 }
 
 // recentPause returns the length of a current or recent pause of the process, zero if there is none.
 func (c *configState) recentPause() time.Duration {
 	now := c.elapsed()
+	last := c.pauseWithin(now)
 	if before := c.steppedAt.Load(); before != 0 && now-before > int64(pauseThreshold) {
-		return time.Duration(now - before)
+		return max(last, time.Duration(now-before))
 	}
+	return last
+}
+
+// pauseWithin returns the length of the last pause if it ended within pauseRetention, zero otherwise.
+func (c *configState) pauseWithin(now int64) time.Duration {
 	if now-c.lastPauseEnd.Load() < int64(pauseRetention) {
 		return time.Duration(c.lastPause.Load())
 	}
 	return 0
 }
 
-// recordPeerReport records that another host sent a load report.
-func (c *configState) recordPeerReport() { c.peerReportAt.Store(c.elapsed()) }
+// recordPeerReport records that another host sent a load report, which may have been unread for delay.
+func (c *configState) recordPeerReport(delay time.Duration) {
+	c.peerReportAt.Store(max(c.peerReportAt.Load(), c.elapsed()-int64(delay)))
+}
 
 // isIsolated reports whether neither the directory was reached nor another host reported within limit.
 func (c *configState) isIsolated(limit time.Duration) bool {
--- a/edge/follower.go
+++ b/edge/follower.go
@@ -71,8 +71,10 @@
 			f.handleFailure(ctx, err)
 			continue
 		}
-		change.MaxAge = f.changeAge.OfSnapshot(f.timer.Now())
+		now := f.timer.Now()
+		change.MaxAge, change.ReceivedAt = f.changeAge.OfSnapshot(now), now
 		f.changeAge.CompleteSnapshot(asked)
+		f.conf.confirm(now.Sub(asked))
 		f.handleAnswer(change)
 		f.watch(ctx, change.Revision)
 	}
@@ -100,7 +102,8 @@
 			f.handleFailure(ctx, err)
 			continue
 		}
-		change.MaxAge = f.recordAnswer(asked)
+		change.ReceivedAt = f.timer.Now()
+		change.MaxAge = f.recordAnswer(asked, change.ReceivedAt)
 		f.handleAnswer(change)
 		f.publish(revision, change)
 		revision = change.Revision
@@ -150,13 +153,14 @@
 			return revision
 		}
 		change.Revision = entry.revision
-		change.MaxAge = f.changeAge.OfReport(asked, answer.receivedAt, entry.initialAge, paused)
+		change.MaxAge, change.ReceivedAt = f.changeAge.OfReport(asked, answer.receivedAt, entry.initialAge, paused), answer.receivedAt
 		f.applyChange(change)
 		f.publish(revision, change)
 		revision = entry.revision
 		f.conf.revision.Store(uint64(revision))
 	}
 	f.changeAge.CompleteReport(asked, answer.receivedAt, answer.completeAge, paused)
+	answer.view.Age += paused
 	f.conf.confirmFromPeer(answer.view)
 	return revision
 }
@@ -166,14 +170,15 @@
 	if f.isSettling() {
 		return
 	}
-	entry := feedEntry{after: after, revision: change.Revision, raw: change.Raw, seenAt: f.timer.Now(), initialAge: change.MaxAge}
+	entry := feedEntry{after: after, revision: change.Revision, raw: change.Raw, seenAt: change.ReceivedAt, initialAge: change.MaxAge}
 	f.feed.add(entry, f.changeAge.CompleteAt())
 }
 
 // recordAnswer returns the maximum age of the changes in an answer to a watch, and records that they have been
 // received.
-func (f *follower) recordAnswer(asked time.Time) time.Duration {
-	now, paused := f.timer.Now(), f.conf.recentPause()
+func (f *follower) recordAnswer(asked, now time.Time) time.Duration {
+	paused := f.conf.recentPause()
+	f.conf.confirm(paused)
 	defer f.changeAge.CompleteAnswer(asked, now, paused)
 	return f.changeAge.OfAnswer(asked, now, paused)
 }
@@ -235,7 +240,6 @@
 func (f *follower) isSettling() bool { return !f.settlingUntil.IsZero() }
 
 func (f *follower) handleAnswer(change spoke.DirectoryChange) {
-	f.conf.confirm()
 	f.backoff = 0
 	if change.IsSnapshot && f.lostSince.IsZero() && !f.isSettling() {
 		f.feed.restart(change.Revision, f.changeAge.CompleteAt())
--- a/edge/host.go
+++ b/edge/host.go
@@ -205,7 +205,7 @@
 	for {
 		if err := h.deps.Directory.Announce(ctx, self); err == nil {
 			if h.follower.isDirect.Load() {
-				h.conf.confirm()
+				h.conf.confirm(h.conf.recentPause())
 			}
 		} else if ctx.Err() == nil {
 			h.deps.Log.WithError(err).Info("announcement of this host in the directory failed")
@@ -228,11 +228,11 @@
 	if len(report.Marks) > 0 {
 		h.relayer.quarantine.registry.Merge(time.Now(), report.Marks)
 	}
-	h.conf.recordPeerReport()
 	delay := h.conf.recentPause()
+	h.conf.recordPeerReport(delay)
 	report.Directory.Age += delay
 	h.follower.receiveView(report.Directory)
-	h.planner.in <- schedulerMessage{message: place.ReceiveReport{Report: report, MaxDelay: delay}}
+	h.planner.in <- schedulerMessage{message: place.ReceiveReport{Report: report, At: h.deps.Timer.Now(), MaxDelay: delay}}
 }
 
 func (h *Host) metricsServer() *http.Server {
--- a/edge/weightage_test.go
+++ b/edge/weightage_test.go
@@ -135,9 +135,10 @@
 		outage = 2400 * time.Millisecond
 	)
 	d := startWithSettings(t, 1, func(settings *config.Relay) { settings.WeightsApply = limit })
-	answered := d.holdCall("stuck")
 	d.store.Refuse(true)
 	awaitTrue(t, "outage not noticed", func() bool { return d.hasLogged("directory lost") })
+	// The call begins now, so that its own deadline of 4 s is after the limit.
+	answered := d.holdCall("stuck")
 	named := d.nameWeights()
 	d.store.Compact()
 	<-time.After(outage - time.Since(named))
--- a/place/calls.go
+++ b/place/calls.go
@@ -128,7 +128,11 @@
 // setWantedWeights records when a version became wanted, or a better time for a recorded version from another
 // host. The directory may show a recorded version again, which does not mean that it became wanted again.
 func (s *Scheduler) setWantedWeights(now time.Time, m SetWantedWeights) {
-	update := wantedVersion{version: m.Wanted.Version, since: now.Add(-m.Age), isEstimate: m.IsEstimate, isListed: m.Host == ""}
+	since := now.Add(-m.Age)
+	if !m.At.IsZero() {
+		since = m.At.Add(-m.Age)
+	}
+	update := wantedVersion{version: m.Wanted.Version, since: since, isEstimate: m.IsEstimate, isListed: m.Host == ""}
 	before, isKnown := s.wanted[m.Wanted.Model].find(update.version)
 	if before.isListed && update.isListed {
 		return
--- a/place/messages.go
+++ b/place/messages.go
@@ -136,6 +136,8 @@
 	SetWantedWeights struct {
 		Wanted spoke.WantedWeights
 		Age    time.Duration
+		// At is the time at which the version had the age, zero for now.
+		At time.Time
 		// IsEstimate says that the age is estimated; a known age from another host replaces it.
 		IsEstimate bool
 		// Host is the host that reported the age, empty if the directory shows the version.
@@ -157,6 +159,8 @@
 	// ReceiveReport applies the load report of another host.
 	ReceiveReport struct {
 		Report spoke.HostReport
+		// At is when the report was received, zero for now.
+		At time.Time
 		// MaxDelay bounds how long the report was unread because this host was suspended.
 		MaxDelay time.Duration
 	}
--- a/place/report.go
+++ b/place/report.go
@@ -217,7 +217,7 @@
 	s.applyState(now, report)
 	for _, known := range report.WantedAges {
 		s.setWantedWeights(now, SetWantedWeights{
-			Wanted: known.Wanted, Age: known.Age + m.MaxDelay, IsEstimate: known.IsEstimate || m.MaxDelay > 0, Host: report.Host,
+			Wanted: known.Wanted, Age: known.Age + m.MaxDelay, At: m.At, IsEstimate: known.IsEstimate || m.MaxDelay > 0, Host: report.Host,
 		})
 	}
 }
