Test answers without length or chunks at the relaying host

The platform's pages name such answers, streams too: they end with their connection, and a stream that ends inside an event has been broken off. The stand-in's engines now send them: HTTP/1.1 with and without Connection: close, HTTP/1.0 with and without keep-alive; status 200 and 500; whole, empty, cut inside an event by a close, cut anywhere by a reset.

Whole answers reach the caller whole and with their end; resets give 502, or close the caller's connection before the end of chunks once events were sent; resumable streams go on after the last whole event.

--- a/fake/platform/engine.go
+++ b/fake/platform/engine.go
@@ -42,6 +42,8 @@
 	// OwnAnswer is the body of the correct response, which OtherFirst and ShedCopyFirst send second.
 	OwnAnswer = "own answer"
 
+	// Unframed sends the response that was set with SetUnframedAnswer.
+	Unframed Behaviour = "unframed"
 	// Unproved responds without the server stamp that proves the origin of a response.
 	Unproved Behaviour = "unproved"
 )
@@ -89,6 +91,7 @@
 		// shedCount is the number of requests that were shed.
 		shedCount           int
 		longestEndlessWrite time.Duration
+		unframed            UnframedAnswer
 	}
 )
 
@@ -304,6 +307,8 @@
 		})
 	case Trickle:
 		e.trickle(w, r)
+	case Unframed:
+		e.writeUnframed(w, r)
 	default:
 		if r.Header.Get(headerModel) == "" {
 			_, _ = io.WriteString(w, WholeAnswer(e.ID))
--- /dev/null
+++ b/fake/platform/unframed.go
@@ -0,0 +1,56 @@
+package platform
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+)
+
+// UnframedAnswer is a response with neither a length nor chunks, which ends with its connection.
+type UnframedAnswer struct {
+	// Head is the status line and the header fields that concern the connection, without line ends.
+	Head []string
+	// Body is sent to requests that begin a run. Requests that resume a stream get all its missing events.
+	Body string
+	// IsReset resets the connection after the body in place of closing it.
+	IsReset bool
+}
+
+// SetUnframedAnswer sets the response to the following requests.
+func (e *Engine) SetUnframedAnswer(answer UnframedAnswer) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.behaviour, e.unframed = Unframed, answer
+}
+
+// WholeStream returns all events of a stream after the given event; the first has the number 1.
+func WholeStream(after, events int) string {
+	var stream strings.Builder
+	for id := after + 1; id <= events; id++ {
+		fmt.Fprintf(&stream, "id: %d\ndata: piece %d\n\n", id, id)
+	}
+	return stream.String()
+}
+
+func (e *Engine) writeUnframed(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	answer := e.unframed
+	e.mu.Unlock()
+	if after, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
+		answer.Body, answer.IsReset = WholeStream(after, e.events), false
+	}
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(err)
+	}
+	head := slices.Concat(answer.Head, []string{headerRequestID + ": " + r.Header.Get(headerRequestID), headerServerStamp + ": " + stampPrefix + e.ID})
+	_, _ = io.WriteString(conn, strings.Join(head, "\r\n")+"\r\n\r\n"+answer.Body)
+	if answer.IsReset {
+		_ = conn.(*net.TCPConn).SetLinger(0)
+	}
+	_ = conn.Close()
+}
