Break off a stream whose resumption fails

What callers saw: a resumable stream broke inside an event, the next engine answered the resumption with a failure of its own, and the body of that failure followed the delivered events. The answer then ended as complete, with status 200.

Cause: relayBuffered delivered an engine's final failure whatever the caller had received. mayRetry is false once a stream has begun, so this was the path of every resumption that got another status than 200 and was not stated as not run. Ruled out: statements of "not run", resets and answers of unknown origin end as failed attempts, whose final answer checks first whether a stream has begun.

Such an answer is now a failed attempt: another engine may still resume the stream, and without one the caller's connection is closed before the end of chunks.

--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -201,6 +201,10 @@
 	if err != nil {
 		return a.recordFailure(ctx, place.EndBroken, errors.Join(errors.New("answer is incomplete"), err))
 	}
+	if a.progress.stream.hasBegun() {
+		// The caller has the head and a part of a stream, which no other answer can complete.
+		return a.recordFailure(ctx, place.EndFailed, errors.New("stream was not resumed, with status "+http.StatusText(a.head.Status)))
+	}
 	a.ending = place.EndServed
 	if a.head.Status >= http.StatusInternalServerError {
 		a.ending = place.EndFailed
--- a/edge/relay_test.go
+++ b/edge/relay_test.go
@@ -85,6 +85,17 @@
 	assert.Equal(t, d.runs(), 1)
 }
 
+// Guards against the body of a failure that is sent as a part of a stream and ends it as complete, when the
+// engine that should resume the stream fails.
+func TestFailureOnResumptionAbortsStream(t *testing.T) {
+	d := start(t, 2)
+	d.setBehaviour(fake.FailResumed)
+	got, err := d.send(chatCall("r1"))
+	assert.ErrorContains(t, err, "unexpected EOF")
+	assert.Equal(t, got.body, "id: 1\ndata: piece 1\n\n")
+	assert.Equal(t, d.runs(), 2)
+}
+
 // Guards against "not run" answers for requests that may have run, and against repeatable requests that
 // are not retried.
 func TestUpstreamFailuresAreRetriedOrReported(t *testing.T) {
--- a/fake/platform/engine.go
+++ b/fake/platform/engine.go
@@ -31,6 +31,8 @@
 	ResetAtOnce Behaviour = "reset-at-once"
 	// ResetMidway closes the connection within an event of a new stream; resumed streams are served.
 	ResetMidway Behaviour = "reset-midway"
+	// FailResumed closes the connection within an event of a new stream and responds to resumed ones as Fail.
+	FailResumed Behaviour = "fail-resumed"
 	// Hang accepts the request and sends no response.
 	Hang Behaviour = "hang"
 	// OtherFirst sends the response to another request before the correct one.
@@ -324,8 +326,13 @@
 	if after, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
 		first = after + 1
 	}
+	if behaviour == FailResumed && first > 1 {
+		http.Error(w, "engine failed", http.StatusInternalServerError)
+		return
+	}
+	isBreaking := behaviour == ResetMidway || behaviour == FailResumed
 	for id := first; id <= e.events; id++ {
-		if behaviour == ResetMidway && first == 1 && id == 2 {
+		if isBreaking && first == 1 && id == 2 {
 			_, _ = fmt.Fprintf(w, "id: %d\ndata: tor", id)
 			_ = http.NewResponseController(w).Flush()
 			panic(http.ErrAbortHandler)
