Test answers without length or chunks at the entry host

fake/frame sends the responses of the stand-ins of engines and plain services so that they end with their connection: HTTP/1.1 with and without Connection: close, HTTP/1.0 with and without keep-alive; whole, cut or reset.

A stream is complete only with its finish reason and the event [DONE], however its connection ends; one that ends between two events is broken too, and a broken one is resumed at its offset. Answers of plain services and refusals of engines count only if no reset cut them.

--- a/host/pair_test.go
+++ b/host/pair_test.go
@@ -18,6 +18,7 @@
 
 	"magnoliaspoke.example/spoke"
 	"magnoliaspoke.example/spoke/config"
+	"magnoliaspoke.example/spoke/fake/frame"
 	"magnoliaspoke.example/spoke/fake/kvsvc"
 	"magnoliaspoke.example/spoke/fake/model"
 	"magnoliaspoke.example/spoke/fake/plain"
@@ -48,6 +49,8 @@
 		platform *kvsvc.Service
 		bookings *plain.Service
 		servers  [2]*loopbackHost
+		// engines serve the responses of u0 to u5, in the shape that a test sets.
+		engines [services]*frame.Handler
 	}
 )
 
@@ -67,7 +70,8 @@
 		service := spoke.ServiceName(fmt.Sprint("s", i))
 		name := spoke.ModelName(fmt.Sprint("m", i))
 		engine := model.New(model.WithModel(name, "v1"), model.WithDecodeRate(decodeRate))
-		at := p.serve(engine)
+		p.engines[i] = frame.New(engine)
+		at := p.serve(p.engines[i])
 		t.Cleanup(engine.Close)
 		workspace.Services = append(workspace.Services, service)
 		objects = append(objects,
