Report an internal stream that ends inside a frame as owner lost

What callers saw: when the owner of an upstream was lost in the middle of a frame, the attempt counted as one of the four failures of the request and as one of the two after which the upstream is excluded, though nothing spoke against the upstream.

Cause: bufio.Scanner hands out the rest after the last line end as a line, also after a read error; decoding it failed with an error that is not ErrOwnerLost. Ruled out: a cut frame taken for a whole one, since a part of a JSON object is not valid JSON, and a stream without its end frame taken for complete (TestTruncatedStreamIsAnError).

--- a/wire/stream.go
+++ b/wire/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -87,6 +88,7 @@
 func newRemoteStream(attempt spoke.AttemptID, body io.ReadCloser, timer spoke.Timer, cancel context.CancelFunc) *remoteStream {
 	lines := bufio.NewScanner(body)
 	lines.Buffer(nil, maxFrameBytes)
+	lines.Split(splitFrames)
 	stream := &remoteStream{
 		attempt: attempt, body: body, lines: lines, timer: timer, cancel: cancel,
 		frames: make(chan frameResult), done: make(chan struct{}),
@@ -95,6 +97,14 @@
 	return stream
 }
 
+// splitFrames is bufio.ScanLines without a last line that has no end: the stream ended inside that frame.
+func splitFrames(data []byte, atEOF bool) (advance int, token []byte, err error) {
+	if bytes.IndexByte(data, '\n') < 0 {
+		return 0, nil, nil
+	}
+	return bufio.ScanLines(data, atEOF)
+}
+
 // read runs in its own goroutine, because a blocked read of an idle connection
 // cannot observe the idle timeout.
 func (s *remoteStream) read() {
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -15,6 +15,7 @@
 
 	"magnoliaspoke.example/spoke"
 	"magnoliaspoke.example/spoke/events"
+	"magnoliaspoke.example/spoke/fake/frame"
 	"magnoliaspoke.example/spoke/member"
 	"magnoliaspoke.example/spoke/timer"
 	"magnoliaspoke.example/spoke/wire"
@@ -161,6 +162,28 @@
 	assert.ErrorIs(t, streamError(t, client, addressOf(truncated)), spoke.ErrOwnerLost)
 }
 
+// Guards against a stream that ends inside a frame and is reported as a failure of the upstream, which then
+// gets no more attempts of the request, although its owner was lost.
+func TestStreamEndingInsideFrameLosesOwner(t *testing.T) {
+	const line = `{"kind":"piece","attempt":"r1-1","version":"v1","tokens":1,"text":"ab"}`
+	handler := frame.New(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, line+"\n"+line+"\n")
+	}))
+	truncated := httptest.NewServer(handler)
+	t.Cleanup(truncated.Close)
+	client, _ := startServer(t, &scriptedPeer{})
+	for _, shape := range frame.Shapes() {
+		for _, rest := range []int{1, len(line) / 2} {
+			for _, shape.IsReset = range []bool{false, true} {
+				shape.Cut = func(body []byte) []byte { return body[:len(body)-rest] }
+				handler.SetShape(shape)
+				err := streamError(t, client, addressOf(truncated))
+				assert.Check(t, errors.Is(err, spoke.ErrOwnerLost), "%d bytes missing: %v", rest, err)
+			}
+		}
+	}
+}
+
 // Guards against accepting messages of processes that do not have the peer secret.
 func TestForeignSignatureIsRejected(t *testing.T) {
 	_, at := startServer(t, &scriptedPeer{})
