Take a stream that closes before its first event as broken

What callers saw: an engine that was gone after the head of a stream, with neither a length nor chunks, gave status 200 and an empty stream that looked complete. The attempt counted as served, so that resumable streams were not tried elsewhere and the end of the engine did not count as a crash by this request.

Cause: the regular end of the connection was taken for the end of the stream, whatever had arrived. Ruled out: streams whose head gives a length of zero or that end with a last chunk say that they are complete, and a stream that is resumed behind its last event may have nothing left; all of these stay whole.

--- a/edge/stream.go
+++ b/edge/stream.go
@@ -25,7 +25,10 @@
 	eventDelimiter = []byte("\n\n")
 
 	errTruncatedEvent = errors.New("stream ended inside an event")
-	errLargeEvent     = errors.New("event exceeds the size limit")
+	// errNoEvents reports a stream whose connection was closed after the head: each generation has an event,
+	// so the engine has broken it off, unless the stream resumes one behind its last event.
+	errNoEvents   = errors.New("stream ended before its first event")
+	errLargeEvent = errors.New("event exceeds the size limit")
 )
 
 // streamState is the part of a stream that the caller has received, over all attempts.
@@ -63,6 +66,9 @@
 		if !errors.Is(err, io.EOF) {
 			return a.recordFailure(ctx, place.EndBroken, err)
 		}
+		if answer.EndsWithConnection && !state.hasBegun() && a.spec.LastEventID == "" {
+			return a.recordFailure(ctx, place.EndBroken, errNoEvents)
+		}
 		return a.finishStream(state)
 	}
 }
--- a/edge/unframed_test.go
+++ b/edge/unframed_test.go
@@ -102,9 +102,11 @@
 // callOfService returns the call with the path of a service that addServices has added.
 func callOfService(c call, service int) call {
 	if strings.HasPrefix(c.path, "/chat/") || strings.HasPrefix(c.path, "/quote/") {
-		c.header = http.Header{
+		prompt := http.Header{
 			"Magnoliaspoke-Model": {"model-a"}, "Magnoliaspoke-Token-Usage": {"300,20"}, "Magnoliaspoke-Prefix-Hash": {"aa:100,bb:150,cc:50"},
 		}
+		maps.Copy(prompt, c.header)
+		c.header = prompt
 	}
 	c.path = fmt.Sprintf("/%d%s", service, c.path)
 	return c
@@ -167,3 +169,31 @@
 		resumed("reset after last event", wholeStream, true),
 	})
 }
+
+// Guards against an engine that crashed between the head and the first event of a stream and whose answer
+// looks complete. Streams without events are complete if their head or a last chunk says so, and behind the
+// last event.
+func TestUnframedStreamsWithoutEventsAreBroken(t *testing.T) {
+	behindLastEvent := func(id string) call {
+		c := chatCall(id)
+		c.header = http.Header{"Last-Event-Id": {"4"}}
+		return c
+	}
+	testUnframed(t, []unframedCase{
+		{name: "ends after head", call: quoteCall, status: 200, wantStatus: 502, wantRuns: 1},
+		{name: "ends after head at both engines", call: chatCall, status: 200, wantStatus: 502, wantRuns: 2},
+		{name: "nothing to resume", call: behindLastEvent, status: 200, wantStatus: 200, wantRuns: 1},
+	})
+
+	d := start(t, 1)
+	for i, framed := range []fake.UnframedAnswer{
+		{Head: []string{"HTTP/1.1 200 OK", "Content-Length: 0"}},
+		{Head: []string{"HTTP/1.1 200 OK", "Transfer-Encoding: chunked"}, Body: "0\r\n\r\n"},
+	} {
+		d.engines[0].SetUnframedAnswer(framed)
+		got, err := d.send(quoteCall(fmt.Sprint("framed-", i)))
+		assert.NilError(t, err)
+		assert.Equal(t, got.status, http.StatusOK)
+		assert.Equal(t, got.body, "")
+	}
+}
--- a/link/exchange.go
+++ b/link/exchange.go
@@ -46,6 +46,8 @@
 		Body   io.Reader
 		// Length is the size of the body in bytes, negative if the head does not state it.
 		Length int64
+		// EndsWithConnection is set if neither a length nor chunks show the end of the body.
+		EndsWithConnection bool
 
 		pool       *Pool
 		address    spoke.Address
@@ -105,7 +107,8 @@
 			closeAfter = closeAfter || response.Close || response.ProtoMajor != 1 || response.ProtoMinor != 1
 			return &Response{
 				Status: response.StatusCode, Header: response.Header, Body: body, Length: response.ContentLength,
-				pool: p, address: request.Address, conn: c, body: body, written: written, closeAfter: closeAfter,
+				EndsWithConnection: response.ContentLength < 0 && len(response.TransferEncoding) == 0,
+				pool:               p, address: request.Address, conn: c, body: body, written: written, closeAfter: closeAfter,
 			}, nil
 		}
 		closeAfter = true
