Reset callers without chunks when a stream breaks off

What callers saw: a caller of HTTP/1.0 gets a stream without chunks. When the stream broke off, its connection was closed regularly after the last whole event, which is the end of a complete stream without chunks.

Cause: abortStream aborts the handler, and net/http then closes the connection; only the missing last chunk shows that the end is missing. Ruled out: answers that are read whole have a length, and the entry host's streams end with [DONE], so both can be told apart whatever the version.

A whole stream still ends regularly.

--- a/edge/handler.go
+++ b/edge/handler.go
@@ -60,7 +60,9 @@
 		// deadline is when the call gets its final answer at the latest.
 		deadline time.Time
 		writer   http.ResponseWriter
-		log      logrus.FieldLogger
+		// takesChunks is set if the caller's version of HTTP has chunks, which show the end of a stream.
+		takesChunks bool
+		log         logrus.FieldLogger
 	}
 )
 
@@ -82,7 +84,7 @@
 		writeError(w, http.StatusBadRequest, "bad-request", 0)
 		return
 	}
-	e := &exchange{relayer: h, call: call, arrived: arrived, writer: w, log: h.log.WithField("request-id", call.Request)}
+	e := &exchange{relayer: h, call: call, arrived: arrived, writer: w, takesChunks: r.ProtoAtLeast(1, 1), log: h.log.WithField("request-id", call.Request)}
 	if !e.resolve() {
 		return
 	}
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"slices"
 	"time"
@@ -202,9 +203,24 @@
 func (e *exchange) abortStream(reason string, fields logrus.Fields) {
 	e.log.WithFields(fields).WithFields(logrus.Fields{"reason": reason, "held": time.Since(e.arrived).String()}).Warn("stream broken off")
 	e.metrics.addAnswer(e.route.Name, "broken-off", e.arrived)
+	if !e.takesChunks {
+		resetConnection(e.writer)
+	}
 	panic(http.ErrAbortHandler)
 }
 
+// resetConnection resets the caller's connection. A regular end would be the end of a stream without chunks.
+func resetConnection(w http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
 // appendUnique adds an upstream to a list that does not contain it.
 func appendUnique(ids []spoke.UpstreamID, id spoke.UpstreamID) []spoke.UpstreamID {
 	if slices.Contains(ids, id) {
--- a/edge/unframed_test.go
+++ b/edge/unframed_test.go
@@ -1,14 +1,18 @@
 package edge_test
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
 	"maps"
+	"net"
 	"net/http"
 	"slices"
 	"strings"
+	"syscall"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -197,3 +201,23 @@
 		assert.Equal(t, got.body, "")
 	}
 }
+
+// Guards against a broken stream that looks complete to a caller of HTTP/1.0: it gets no chunks, so only a
+// reset shows that the end is missing.
+func TestBrokenStreamResetsCallerWithoutChunks(t *testing.T) {
+	d := start(t, 1)
+	for behaviour, isBroken := range map[fake.Behaviour]bool{fake.ResetMidway: true, fake.Serve: false} {
+		d.setBehaviour(behaviour)
+		conn, err := net.Dial("tcp", string(d.settings.Caller))
+		assert.NilError(t, err)
+		defer conn.Close()
+		assert.NilError(t, conn.SetDeadline(time.Now().Add(5*time.Second)))
+		var message bytes.Buffer
+		assert.NilError(t, d.request(quoteCall("old-"+string(behaviour))).Write(&message))
+		_, err = io.WriteString(conn, strings.Replace(message.String(), "HTTP/1.1", "HTTP/1.0", 1))
+		assert.NilError(t, err)
+		raw, err := io.ReadAll(conn)
+		assert.Equal(t, errors.Is(err, syscall.ECONNRESET), isBroken, "%s: %v after %q", behaviour, err, raw)
+		assert.Assert(t, isBroken || strings.HasSuffix(string(raw), "\r\n\r\n"+wholeStream), "%q", raw)
+	}
+}
