Log and count crashes of upstreams

Whether requests that differ never add up, whether hosts know and do not share, or whether they know late or send without a check could not be told apart.

A warning line at each crash that a host sees names the upstream and its start, the request, its fingerprint, the number of its parts, whether the answer had begun, which attempt it was and how long it ran; the metric `crashes` counts them.

go test -p 1 ./edge rc 0.

--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/http"
 	"slices"
 	"time"
@@ -16,9 +15,6 @@
 )
 
 const (
-	// probeTimeout bounds the connection attempt that distinguishes a dead upstream from a broken
-	// connection.
-	probeTimeout = 250 * time.Millisecond
 	// lowestUrgency is the lowest urgency that engines distinguish.
 	lowestUrgency spoke.Priority = 9
 	// idleTargetFactor is the multiple of the route's latency target after which a repeatable call
@@ -47,6 +43,8 @@
 		id          spoke.AttemptID
 		head        answerHead
 		ending      place.Ending
+		// hasBegun is set once the first event of the upstream's answer has arrived.
+		hasBegun bool
 		// idleTimer cancels the attempt if the upstream sends nothing for too long; nil for no limit.
 		idleTimer *time.Timer
 	}
@@ -64,7 +62,11 @@
 	now := time.Now()
 	a.quarantine.registry.Begin(now, a.id, a.grant.Upstream.ID, a.fingerprint)
 	result := a.roundTrip(ctx)
-	a.quarantine.registry.End(time.Now(), a.id, a.ending == place.EndBroken && ctx.Err() == nil && a.isDead())
+	isCrash := a.isCrash(ctx)
+	if isCrash {
+		a.logCrash(now)
+	}
+	a.quarantine.registry.End(time.Now(), a.id, isCrash)
 	a.planner.in <- schedulerMessage{message: place.Ended{
 		Call: a.grant.Call, Ending: a.ending, Load: a.head.Load, Weights: a.head.Weights, IsLeaving: a.head.IsLeaving, Pause: a.head.Pause,
 		NamesNoLimit: a.head.NamesNoLimit(),
@@ -229,13 +231,3 @@
 func (a *attempt) mayRetry() bool {
 	return a.route.IsRepeatable() && len(a.progress.sent) < a.route.MaxUpstreams && !a.progress.stream.hasBegun()
 }
-
-// isDead reports whether the upstream no longer accepts connections.
-func (a *attempt) isDead() bool {
-	probe, err := net.DialTimeout("tcp", string(a.grant.Upstream.Address), probeTimeout)
-	if err != nil {
-		return true
-	}
-	_ = probe.Close()
-	return false
-}
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -38,6 +38,8 @@
 		limited atomic.Int64
 		// recalled counts the calls that were recalled from upstreams because of outdated weights.
 		recalled atomic.Int64
+		// crashes counts the attempts during which this host saw their upstream crash.
+		crashes atomic.Int64
 	}
 )
 
@@ -51,8 +53,9 @@
 // ServeHTTP writes the metrics in the format of package expvar.
 func (m *metrics) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
-	_, _ = fmt.Fprintf(w, "{\n%q: %s,\n%q: %s,\n%q: %d,\n%q: %d,\n%q: %d\n}\n",
-		"answers", expvar.Func(m.answers), "times", expvar.Func(m.percentiles), "endless", m.endless.Load(), "limited", m.limited.Load(), "recalled", m.recalled.Load())
+	_, _ = fmt.Fprintf(w, "{\n%q: %s,\n%q: %s,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d\n}\n",
+		"answers", expvar.Func(m.answers), "times", expvar.Func(m.percentiles), "endless", m.endless.Load(), "limited", m.limited.Load(),
+		"recalled", m.recalled.Load(), "crashes", m.crashes.Load())
 }
 
 func (m *metrics) addAnswer(route spoke.RouteName, outcome string, arrived time.Time) {
@@ -69,6 +72,8 @@
 
 func (m *metrics) addRecalled() { m.recalled.Add(1) }
 
+func (m *metrics) addCrash() { m.crashes.Add(1) }
+
 func (m *metrics) addWait(route spoke.RouteName, took time.Duration) { m.add("wait ", route, took) }
 
 func (m *metrics) addFirst(route spoke.RouteName, took time.Duration) { m.add("first ", route, took) }
--- a/edge/stream.go
+++ b/edge/stream.go
@@ -55,6 +55,7 @@
 			return a.recordFailure(ctx, place.EndBroken, errNotEvents)
 		}
 		if len(chunk) > 0 {
+			a.hasBegun = true
 			if !a.forward(state, chunk) {
 				a.ending = place.EndCancelled
 				return false
