Reproduce crashes by a prompt part over real sockets

The stand-in engine can now crash: when it begins to respond to a request with a given part at any place but the last, it closes its port and all connections, and returns with a new start time. TestCrashingPartIsQuarantined sends such requests, no two alike in body, path, order of parts or last part, to three hosts in turn beside sound ones with the same key and parts.

Each of the three hosts logged 36 to 40 crashes of 25 to 28 requests, each with a fingerprint of its own, and refused none. So crashes are counted by the content of whole requests, and requests that differ never add up. Hosts that know and do not share, and knowledge that comes late, are ruled out as the cause here: no host knew. First and second attempts both crash upstreams, so a check has to come before each of them.

--- a/edge/setup_test.go
+++ b/edge/setup_test.go
@@ -198,7 +198,9 @@
 	if strings.HasPrefix(c.path, "/chat/") || strings.HasPrefix(c.path, "/quote/") {
 		request.Header.Set("Magnoliaspoke-Model", "model-a")
 		request.Header.Set("Magnoliaspoke-Token-Usage", "300,20")
-		request.Header.Set("Magnoliaspoke-Prefix-Hash", "aa:100,bb:150,cc:50")
+		if request.Header.Get("Magnoliaspoke-Prefix-Hash") == "" {
+			request.Header.Set("Magnoliaspoke-Prefix-Hash", "aa:100,bb:150,cc:50")
+		}
 	}
 	return request
 }
--- a/fake/platform/engine.go
+++ b/fake/platform/engine.go
@@ -68,14 +68,18 @@
 	Arrival struct {
 		ID string
 		At time.Time
+		// PrefixHashes is the header that lists the parts of the prompt.
+		PrefixHashes string
 	}
 
 	// Engine is a stand-in for an engine or a plain upstream.
 	Engine struct {
-		ID     string
-		server *httptest.Server
+		ID      string
+		address string
+		handler http.Handler
 
 		mu            sync.Mutex
+		server        *httptest.Server
 		behaviour     Behaviour
 		runs          []Run
 		cancelled     int
@@ -94,6 +98,11 @@
 		shedCount           int
 		longestEndlessWrite time.Duration
 		unframed            UnframedAnswer
+		crashing            Crashing
+		crashes             []time.Time
+		// isDown is set from a crash to the next start.
+		isDown   bool
+		isClosed bool
 	}
 )
 
@@ -104,7 +113,8 @@
 	mux.HandleFunc("GET /report", e.serveReport)
 	mux.HandleFunc("POST /order", e.serveOrder)
 	mux.HandleFunc("/", e.serveRun)
-	e.server = httptest.NewServer(mux)
+	e.server, e.handler = httptest.NewServer(mux), mux
+	e.address = e.server.Listener.Addr().String()
 	return e
 }
 
@@ -112,12 +122,16 @@
 func WholeAnswer(engine string) string { return "whole answer of " + engine }
 
 // Address returns the engine's IP number and port.
-func (e *Engine) Address() string { return e.server.Listener.Addr().String() }
+func (e *Engine) Address() string { return e.address }
 
 // Close stops the engine.
 func (e *Engine) Close() {
-	e.server.CloseClientConnections()
-	e.server.Close()
+	e.mu.Lock()
+	server := e.server
+	e.isClosed = true
+	e.mu.Unlock()
+	server.CloseClientConnections()
+	server.Close()
 }
 
 // SetBehaviour sets how the engine responds to the following requests.
@@ -245,7 +259,7 @@
 func (e *Engine) serveRun(w http.ResponseWriter, r *http.Request) {
 	body, _ := io.ReadAll(r.Body)
 	e.mu.Lock()
-	e.arrivals = append(e.arrivals, Arrival{ID: r.Header.Get(headerRequestID), At: time.Now()})
+	e.arrivals = append(e.arrivals, Arrival{ID: r.Header.Get(headerRequestID), At: time.Now(), PrefixHashes: r.Header.Get(headerPrefixHash)})
 	w.Header()["Server-Limit"] = e.limits
 	behaviour, version := e.behaviour, e.version
 	expected := r.Header.Get(headerExpectVersion)
@@ -290,6 +304,7 @@
 	if behaviour != Unproved {
 		header.Set(headerServerStamp, stampPrefix+e.ID)
 	}
+	e.crashOn(w, r)
 	switch behaviour {
 	case Fail:
 		http.Error(w, "engine failed", http.StatusInternalServerError)
