Define the interface of the registry of crashing prompt parts

One part of a prompt may crash each upstream that begins to answer it, in requests of which no two are alike, so fingerprints of requests find nothing. The types and signatures come first, so that the tasks around the decisions can be written against them; the bodies are empty.

--- a/placement.go
+++ b/placement.go
@@ -74,6 +74,8 @@
 		Directory DirectoryView
 		// WantedAges holds the time since each weight version became the wanted one.
 		WantedAges []WantedAge
+		// Crashes holds what the host knows of prompt parts that crash upstreams.
+		Crashes CrashReport
 	}
 
 	// CopyReport describes the pending and recently completed copies of one host from a source.
