Mark prompt parts that crash upstreams

A part may crash each upstream that begins an answer to a request with it, in requests of which no two are alike. Fingerprints of requests do not find it, so such requests crashed one upstream after another.

Hosts now exchange crashes with the parts of the requests that the upstream had not begun to answer; an answer that begins later clears its parts.

--- a/crashes.go
+++ b/crashes.go
@@ -29,6 +29,9 @@
 	// mark.
 	PartMark struct {
 		Part PartHash
+		// With lists parts that a request has to contain too in order to be refused, while it is not known
+		// which of them crashes upstreams.
+		With []PartHash
 		// Revision orders the marks of a part; each crash of a probe and the end of the mark raise it.
 		Revision uint64
 		// Term is the time from the last crash to the first probe.
@@ -38,7 +41,10 @@
 		IsEnded   bool
 	}
 
-	// CrashReport is what a host reports about prompt parts that crash upstreams.
+	// CrashReport is what a host reports about prompt parts that crash upstreams. It is empty as long as no
+	// upstream crashes. A crash takes the upstream's id and 8 bytes for each suspected part before encoding,
+	// in one report when it is observed and in the full reports of the next 5 s. Package crash bounds a
+	// report to 32 crashes with together 384 parts, 128 served parts and 64 marks.
 	CrashReport struct {
 		Crashes []UpstreamCrash
 		Served  []ServedPart
