Refuse calls with prompt parts that crash upstreams

Cause: crashes were counted by the content of whole requests, so that no fingerprint ever had two.

The registry of parts is now asked before a call is queued, when a part is marked while the call waits, and again right before each attempt, retries and resumed streams included. A call of which nothing may have run gets 503, not-run, with the time of the next probe; others get the final answer that they have without another attempt, and the place at the upstream is given back. What is new is sent at once to all hosts, in both kinds of cells, and repeated in full reports; a new or restarted host gets all of it. A crash is a broken attempt of a present caller whose upstream no longer accepts connections afterwards; a connection that timed out does not count here, since it shows that a machine or the network failed. A stream without events clears no part. The id of an attempt contains the call number, since two calls with the same request id may run at the same time. The quarantine by fingerprint is unchanged.

In scratch copies without the check before an attempt, without giving the place back, without the refusal of waiting calls and with a not-run answer to a begun stream, one of the new tests fails each time.

--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -43,6 +44,8 @@
 		id          spoke.AttemptID
 		head        answerHead
 		ending      place.Ending
+		// failure is the error that ended the attempt, nil if there was none.
+		failure error
 		// hasBegun is set once the first event of the upstream's answer has arrived.
 		hasBegun bool
 		// idleTimer cancels the attempt if the upstream sends nothing for too long; nil for no limit.
@@ -50,11 +53,10 @@
 	}
 )
 
-// run sends the call, relays the answer and reports whether the caller has its final answer.
+// run sends the prepared call, relays the answer and reports whether the caller has its final answer.
 func (a *attempt) run(ctx context.Context) bool {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	a.prepare()
 	a.idleTimer = a.startIdleTimer(cancel)
 	if a.idleTimer != nil {
 		defer a.idleTimer.Stop()
@@ -67,6 +69,7 @@
 		a.logCrash(now)
 	}
 	a.quarantine.registry.End(time.Now(), a.id, isCrash)
+	a.endParts(isCrash)
 	a.planner.in <- schedulerMessage{message: place.Ended{
 		Call: a.grant.Call, Ending: a.ending, Load: a.head.Load, Weights: a.head.Weights, IsLeaving: a.head.IsLeaving, Pause: a.head.Pause,
 		NamesNoLimit: a.head.NamesNoLimit(),
@@ -74,8 +77,10 @@
 	return result
 }
 
+// prepare sets what the attempt sends. Two calls with the same request id may run at the same time, so the id
+// of the attempt contains the call number.
 func (a *attempt) prepare() {
-	a.id = spoke.AttemptID(string(a.call.Request) + "/" + string(a.grant.Upstream.ID))
+	a.id = spoke.AttemptID(string(a.call.Request) + "/" + strconv.FormatUint(uint64(a.grant.Call), 10))
 	a.spec = spoke.RelayedAttempt{
 		Call: a.call, Upstream: a.grant.Upstream.ID, Workspace: a.owner.Workspace,
 		Remaining: time.Until(a.deadline), Weights: a.grant.Weights, LastEventID: a.call.LastEventID, FetchSources: a.grant.FetchSources, SaveTargets: a.grant.SaveTargets,
@@ -179,7 +184,7 @@
 // recordFailure records and logs a failed attempt. A call whose caller disconnected or whose deadline
 // passed is not a failure of the upstream.
 func (a *attempt) recordFailure(ctx context.Context, ending place.Ending, err error) bool {
-	a.ending = ending
+	a.ending, a.failure = ending, err
 	if ctx.Err() != nil && (a.idleTimer == nil || a.idleTimer.Stop()) {
 		a.ending = place.EndCancelled
 	}
--- a/edge/handler.go
+++ b/edge/handler.go
@@ -39,6 +39,7 @@
 		planner    *planner
 		pool       *link.Pool
 		quarantine *quarantine
+		parts      *partQuarantine
 		// answerMemory bounds the memory of large answers that are buffered until they are complete.
 		answerMemory *byteBudget
 		log          logrus.FieldLogger
--- a/edge/host.go
+++ b/edge/host.go
@@ -86,15 +86,15 @@
 		conf:  newConfigState(settings.ConfigApply, deps.Timer.Now),
 		peers: make(map[spoke.HostID]spoke.ListedPeer),
 	}
-	quarantine := newQuarantine()
-	metrics := newMetrics()
+	quarantine, metrics := newQuarantine(), newMetrics()
+	parts := newPartQuarantine(settings.Host, deps.Log, metrics)
 	h.planner = newPlanner(place.NewScheduler(place.Settings{
 		Host: settings.Host, DataCentre: settings.DataCentre,
 		RetryShare: float64(settings.RetryShare), RetryReserve: float64(settings.RetryReserve),
 		RetryWindow: settings.RetryWindow, WeightsApply: settings.WeightsApply,
-	}), deps.Timer, deps.Log, quarantine, h.conf, metrics, socket.Send)
+	}), deps.Timer, deps.Log, quarantine, parts, h.conf, metrics, socket.Send)
 	h.relayer = &relayer{
-		conf: h.conf, codec: deps.Codec, planner: h.planner, pool: link.New(), quarantine: quarantine,
+		conf: h.conf, codec: deps.Codec, planner: h.planner, pool: link.New(), quarantine: quarantine, parts: parts,
 		answerMemory: &byteBudget{limit: int64(settings.Memory) / answerMemoryDivisor},
 		log:          deps.Log, metrics: metrics,
 	}
@@ -229,6 +229,7 @@
 		h.relayer.quarantine.registry.Merge(time.Now(), report.Marks)
 	}
 	delay := h.conf.recentPause()
+	h.relayer.parts.receive(time.Now(), report)
 	h.conf.recordPeerReport(delay)
 	report.Directory.Age += delay
 	h.follower.receiveView(report.Directory)
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -40,6 +40,9 @@
 		recalled atomic.Int64
 		// crashes counts the attempts during which this host saw their upstream crash.
 		crashes atomic.Int64
+		// partMarks counts the decisions to refuse calls with a prompt part, partRefusals the calls that were
+		// refused or not sent again because of one.
+		partMarks, partRefusals atomic.Int64
 	}
 )
 
@@ -53,9 +56,9 @@
 // ServeHTTP writes the metrics in the format of package expvar.
 func (m *metrics) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
-	_, _ = fmt.Fprintf(w, "{\n%q: %s,\n%q: %s,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d\n}\n",
+	_, _ = fmt.Fprintf(w, "{\n%q: %s,\n%q: %s,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d\n}\n",
 		"answers", expvar.Func(m.answers), "times", expvar.Func(m.percentiles), "endless", m.endless.Load(), "limited", m.limited.Load(),
-		"recalled", m.recalled.Load(), "crashes", m.crashes.Load())
+		"recalled", m.recalled.Load(), "crashes", m.crashes.Load(), "part-marks", m.partMarks.Load(), "part-refusals", m.partRefusals.Load())
 }
 
 func (m *metrics) addAnswer(route spoke.RouteName, outcome string, arrived time.Time) {
@@ -74,6 +77,10 @@
 
 func (m *metrics) addCrash() { m.crashes.Add(1) }
 
+func (m *metrics) addPartMark() { m.partMarks.Add(1) }
+
+func (m *metrics) addPartRefusal() { m.partRefusals.Add(1) }
+
 func (m *metrics) addWait(route spoke.RouteName, took time.Duration) { m.add("wait ", route, took) }
 
 func (m *metrics) addFirst(route spoke.RouteName, took time.Duration) { m.add("first ", route, took) }
--- a/edge/planner.go
+++ b/edge/planner.go
@@ -31,6 +31,8 @@
 	schedulerMessage struct {
 		message place.Message
 		reply   chan place.Action
+		// parts are all parts of the prompt of a call.
+		parts []spoke.PromptPart
 		// recall cancels the attempt that follows a grant.
 		recall context.CancelCauseFunc
 	}
@@ -42,6 +44,12 @@
 		otherCells []netip.AddrPort
 	}
 
+	// waitingCall is a call without a decision of the scheduler.
+	waitingCall struct {
+		reply chan place.Action
+		parts []spoke.PromptPart
+	}
+
 	// planner is the task that owns the scheduler and publishes its load reports.
 	planner struct {
 		scheduler *place.Scheduler
@@ -49,12 +57,13 @@
 		log       logrus.FieldLogger
 		in        chan schedulerMessage
 		peers     chan peerAddresses
-		replies   map[spoke.CallNumber]chan place.Action
+		waiting   map[spoke.CallNumber]waitingCall
 		recalls   map[spoke.CallNumber]context.CancelCauseFunc
 		send      func(spoke.HostReport, []netip.AddrPort)
 		// reportConflict is called with each store that this host follows and that another host reports too.
 		reportConflict func(spoke.ServiceName)
 		quarantine     *quarantine
+		parts          *partQuarantine
 		conf           *configState
 		metrics        *metrics
 		peerAddresses  peerAddresses
@@ -67,14 +76,14 @@
 	}
 )
 
-func newPlanner(scheduler *place.Scheduler, timer spoke.Timer, log logrus.FieldLogger, quarantine *quarantine, conf *configState, metrics *metrics, send func(spoke.HostReport, []netip.AddrPort)) *planner {
+func newPlanner(scheduler *place.Scheduler, timer spoke.Timer, log logrus.FieldLogger, quarantine *quarantine, parts *partQuarantine, conf *configState, metrics *metrics, send func(spoke.HostReport, []netip.AddrPort)) *planner {
 	pollInterval, reportInterval := place.IntervalsFor(1)
 	return &planner{
 		pollInterval: pollInterval, reportInterval: reportInterval,
-		scheduler: scheduler, timer: timer, log: log, send: send, quarantine: quarantine, conf: conf, metrics: metrics,
+		scheduler: scheduler, timer: timer, log: log, send: send, quarantine: quarantine, parts: parts, conf: conf, metrics: metrics,
 		in:      make(chan schedulerMessage, queueLength),
 		peers:   make(chan peerAddresses, 1),
-		replies: make(map[spoke.CallNumber]chan place.Action),
+		waiting: make(map[spoke.CallNumber]waitingCall),
 		recalls: make(map[spoke.CallNumber]context.CancelCauseFunc),
 	}
 }
@@ -89,6 +98,7 @@
 		select {
 		case m := <-p.in:
 			p.handle(m)
+			p.applyCrashes()
 			wanted = p.pollInterval.AfterMessage(p.scheduler.HasWaitingCalls())
 		case p.peerAddresses = <-p.peers:
 			p.pollInterval, p.reportInterval = place.IntervalsFor(p.peerAddresses.hostCount())
@@ -97,6 +107,7 @@
 				p.fullReportAt = time.Time{}
 			}
 			p.step(p.peerAddresses.cell)
+			p.parts.setHosts(p.peerAddresses.cell.Hosts)
 		case <-tick.C():
 			p.conf.recordStep()
 			if p.scheduler.NeedsTick(p.timer.Now()) {
@@ -117,7 +128,7 @@
 func (p *planner) handle(m schedulerMessage) {
 	switch message := m.message.(type) {
 	case place.Request:
-		p.replies[message.Call], p.recalls[message.Call] = m.reply, m.recall
+		p.waiting[message.Call], p.recalls[message.Call] = waitingCall{m.reply, m.parts}, m.recall
 	case place.Ended:
 		delete(p.recalls, message.Call)
 	case place.Withdraw:
@@ -129,7 +140,7 @@
 }
 
 func (p *planner) forget(call spoke.CallNumber) {
-	delete(p.replies, call)
+	delete(p.waiting, call)
 	delete(p.recalls, call)
 }
 
@@ -161,8 +172,8 @@
 		p.reportConflict(a.Store)
 		return
 	}
-	reply := p.replies[call]
-	delete(p.replies, call)
+	reply := p.waiting[call].reply
+	delete(p.waiting, call)
 	if reply != nil {
 		reply <- action
 		return
@@ -192,6 +203,7 @@
 
 // publishLoad sends the load report of this host to the others if it has changed or a full one is due.
 func (p *planner) publishLoad() {
+	p.applyCrashes()
 	now := p.timer.Now()
 	p.publishOtherCellLoad(now)
 	if now.Sub(p.reportedAt) < p.reportInterval-plannerInterval/2 {
@@ -201,14 +213,26 @@
 	if !isFull && !p.scheduler.HasChanges() {
 		return
 	}
+	p.sendReport(now, isFull)
+}
+
+// sendReport sends the load report of this host to those of its cell, and the urgent part of it to others.
+func (p *planner) sendReport(now time.Time, isFull bool) {
 	p.reportedAt = now
 	if isFull {
 		p.fullReportAt = now
 		p.step(place.Tick{})
 	}
 	report := p.addHostState(now, p.scheduler.LoadReport(now, isFull))
+	crashes, hasCrashes := p.parts.report(now, isFull)
+	report.Crashes = crashes
 	p.send(report, p.peerAddresses.sameCell)
-	if rest, ok := p.scheduler.ForOtherCells(now, report); ok {
+	rest, ok := p.scheduler.ForOtherCells(now, report)
+	if isFull {
+		// Hosts of other cells get it in their rotation.
+		rest.Crashes, hasCrashes = spoke.CrashReport{}, false
+	}
+	if ok || hasCrashes {
 		p.send(rest, p.peerAddresses.otherCells)
 	}
 }
@@ -224,7 +248,9 @@
 	}
 	report, hasContent := p.scheduler.OtherCellReport(now, group)
 	report = p.addHostState(now, report)
-	if hasContent || (len(report.Marks) > 0 && !p.peerAddresses.cell.HasDelegates) {
+	var hasCrashes bool
+	report.Crashes, hasCrashes = p.otherCellCrashes(now)
+	if hasContent || hasCrashes || (len(report.Marks) > 0 && !p.peerAddresses.cell.HasDelegates) {
 		p.send(report, p.peerAddresses.otherCellGroup(group))
 	}
 }
@@ -250,10 +276,10 @@
 
 // requestUpstream waits for a grant or a refusal and withdraws the call when ctx ends. A grant may be
 // recalled later.
-func (p *planner) requestUpstream(ctx context.Context, request place.Request, recall context.CancelCauseFunc) (place.Action, error) {
+func (p *planner) requestUpstream(ctx context.Context, request place.Request, parts []spoke.PromptPart, recall context.CancelCauseFunc) (place.Action, error) {
 	reply := make(chan place.Action, 1)
 	select {
-	case p.in <- schedulerMessage{message: request, reply: reply, recall: recall}:
+	case p.in <- schedulerMessage{message: request, reply: reply, parts: parts, recall: recall}:
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -66,6 +66,9 @@
 
 // tryUpstream makes one attempt and reports whether the caller has its final answer.
 func (e *exchange) tryUpstream(ctx context.Context, p *progress, fingerprint spoke.Fingerprint) bool {
+	if e.refuseQuarantined(ctx, p) {
+		return true
+	}
 	attemptCtx, recall := context.WithCancelCause(ctx)
 	defer recall(nil)
 	grant, ok := e.awaitGrant(ctx, p, recall)
@@ -73,13 +76,19 @@
 		return true
 	}
 	a := &attempt{exchange: e, grant: grant, progress: p, fingerprint: fingerprint}
+	a.prepare()
+	if verdict := a.beginParts(); verdict.IsBlocked {
+		e.planner.in <- schedulerMessage{message: place.Ended{Call: grant.Call, Ending: place.EndCancelled}}
+		e.endQuarantined(ctx, p, verdict)
+		return true
+	}
 	return a.run(attemptCtx)
 }
 
 // awaitGrant waits for an upstream. If the call is refused or ctx ends, it sends the caller its final answer
 // and returns false.
 func (e *exchange) awaitGrant(ctx context.Context, p *progress, recall context.CancelCauseFunc) (place.Grant, bool) {
-	action, err := e.planner.requestUpstream(ctx, e.schedulerRequest(p), recall)
+	action, err := e.planner.requestUpstream(ctx, e.schedulerRequest(p), e.call.Prompt.Parts, recall)
 	if err != nil {
 		e.sendFinalAnswer(ctx, p)
 		return place.Grant{}, false
@@ -93,7 +102,9 @@
 		e.metrics.addWait(e.route.Name, a.Waited)
 		return a, true
 	case place.Refuse:
-		e.handleRefusal(p, a)
+		if a.Reason != refusedQuarantined || !e.refuseQuarantined(ctx, p) {
+			e.handleRefusal(p, a)
+		}
 	}
 	return place.Grant{}, false
 }
--- a/edge/stream.go
+++ b/edge/stream.go
@@ -55,7 +55,7 @@
 			return a.recordFailure(ctx, place.EndBroken, errNotEvents)
 		}
 		if len(chunk) > 0 {
-			a.hasBegun = true
+			a.recordFirstEvent()
 			if !a.forward(state, chunk) {
 				a.ending = place.EndCancelled
 				return false
@@ -74,6 +74,14 @@
 	}
 }
 
+// recordFirstEvent records that the answer to the attempt has begun.
+func (a *attempt) recordFirstEvent() {
+	if !a.hasBegun {
+		a.hasBegun = true
+		a.parts.registry.Began(time.Now(), a.id)
+	}
+}
+
 // readEvents reads into the buffer and returns the complete events in it; io.EOF means that the
 // stream ended after a complete event.
 func readEvents(body io.Reader, buffer *[]byte) ([]byte, error) {
--- a/peers/codec.go
+++ b/peers/codec.go
@@ -30,6 +30,9 @@
 		Limits         []limitRow            `json:"limits,omitempty"`
 		Copies         []copyRow             `json:"copies,omitempty"`
 		Slowness       []slownessRow         `json:"slowness,omitempty"`
+		Crashes        []crashRow            `json:"crashes,omitempty"`
+		ServedParts    []servedPartRow       `json:"served-parts,omitempty"`
+		PartMarks      []partMarkRow         `json:"part-marks,omitempty"`
 		Revision       uint64                `json:"revision,omitempty"`
 		DirectoryAgeMs int64                 `json:"age-ms,omitempty"`
 	}
@@ -147,6 +150,7 @@
 	for _, state := range report.Stores {
 		row.Stores = append(row.Stores, encodeStore(state))
 	}
+	encodeCrashes(&row, report.Crashes)
 	raw, err := json.Marshal(row)
 	return raw, eris.Wrap(err, "encode load report")
 }
@@ -216,6 +220,7 @@
 	for _, state := range row.Stores {
 		report.Stores = append(report.Stores, decodeStore(state))
 	}
+	report.Crashes = decodeCrashes(row)
 	return report, nil
 }
 
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -29,6 +29,7 @@
 		Copies:     []spoke.CopyReport{{Source: "10.0.0.1:1", PendingTime: 30 * time.Millisecond, Completed: 2, MeanDelay: 900 * time.Millisecond}},
 		Slowness:   []spoke.UpstreamSlowness{{Upstream: "e", Slowness: 2.5, Age: 40 * time.Millisecond}},
 		Directory:  spoke.DirectoryView{Revision: 9, Age: time.Second},
+		Crashes:    sampleCrashes(),
 		WantedAges: []spoke.WantedAge{{Wanted: spoke.WantedWeights{Model: "m", Version: 3}, Age: 2 * time.Second}},
 	}
 }
@@ -71,6 +72,7 @@
 	}
 	f.Add(raw)
 	f.Add([]byte(`{"host":"a","upstreams":[{}],"placed":[{"prefixes":[[1]]}]}`))
+	f.Add([]byte(`{"host":"a","crashes":[{},{"id":"e","age-ms":-9223372036854775808}],"served-parts":[{}],"part-marks":[{"term-ms":9223372036854775807}]}`))
 	f.Fuzz(func(_ *testing.T, raw []byte) {
 		// Any error is acceptable, as long as Decode returns.
 		_, _ = peers.Decode(raw, time.Now())
