Add engines that crash on a prompt part to the soak

TestSoakWithCrashingPart: besides the usual calls and faults, requests with one part, no two alike, reach the hosts at random; each crashes its engine, which returns after 0.5 s. From 3 s after the fifth crash, at most three may reach engines, those of the host that is killed and frozen not counted. Hosts reach engines without a relay then, since a relay would go on to accept connections.

--- a/cmd/trial/soak/callers.go
+++ b/cmd/trial/soak/callers.go
@@ -56,6 +56,10 @@
 		random := rand.New(rand.NewPCG(seed, uint64(number)))
 		group.Go(func() { c.runCaller(ctx, random, number) })
 	}
+	if c.testbed.hasCrashes {
+		random := rand.New(rand.NewPCG(seed, callerCount))
+		group.Go(func() { c.runCrashing(ctx, random) })
+	}
 	group.Wait()
 }
 
@@ -73,12 +77,19 @@
 
 // call makes one call and checks its answer.
 func (c *callers) call(client *http.Client, h *host, route, id string) outcome {
+	var parts []string
+	if route == chat || route == quote {
+		parts = []string{"aa:100", "bb:150", id[len(id)-1:] + ":50"}
+	}
+	return c.callPrompt(client, h, route, id, parts)
+}
+
+// callPrompt makes one call whose prompt has the given parts, or that has no prompt, and checks its answer.
+func (c *callers) callPrompt(client *http.Client, h *host, route, id string, parts []string) outcome {
 	result := outcome{id: id, host: h, route: route}
 	call := fake.Call{
 		HostAddress: h.callerAddress, HostName: hostName, Path: "/" + route + "/x", RequestID: id, APIKey: permanentKey, Body: bodyOf(id), Timeout: callerTimeout,
-	}
-	if route == chat || route == quote {
-		call.PrefixHashes = "aa:100,bb:150," + id[len(id)-1:] + ":50"
+		PrefixHashes: strings.Join(parts, ","),
 	}
 	request, err := call.Request()
 	if err != nil {
--- a/cmd/trial/soak/memory.go
+++ b/cmd/trial/soak/memory.go
@@ -30,7 +30,7 @@
 // MeasureMemory returns the resident memory of one entry host before and while it holds open
 // streams and idle connections.
 func MeasureMemory(program, directory string, streams, idle int) (MemoryUse, error) {
-	b, err := newTestbed(program, directory, 0)
+	b, err := newTestbed(program, directory, options{})
 	defer b.close()
 	if err != nil {
 		return MemoryUse{}, err
--- a/cmd/trial/soak/run.go
+++ b/cmd/trial/soak/run.go
@@ -39,11 +39,17 @@
 // Option changes a run.
 type Option func(*options)
 
-type options struct{ limit spoke.RequestRate }
+type options struct {
+	limit      spoke.RequestRate
+	hasCrashes bool
+}
 
 // WithLimit makes every second engine name a limit in its answers, which hosts must keep together.
 func WithLimit(limit spoke.RequestRate) Option { return func(o *options) { o.limit = limit } }
 
+// WithCrashingPart makes engines crash on a prompt part, whose requests hosts must stop sending together.
+func WithCrashingPart() Option { return func(o *options) { o.hasCrashes = true } }
+
 // Run injects the faults of one seed for the duration into hosts that run program, and checks the
 // guarantees. It writes logs into a new subdirectory of directory.
 func Run(program, directory string, seed uint64, duration time.Duration, changes ...Option) (Report, error) {
@@ -55,7 +61,7 @@
 	if err := os.MkdirAll(report.LogDirectory, 0o700); err != nil {
 		return report, err
 	}
-	b, err := newTestbed(program, report.LogDirectory, set.limit)
+	b, err := newTestbed(program, report.LogDirectory, set)
 	defer b.close()
 	if err != nil {
 		return report, err
@@ -69,6 +75,9 @@
 	c.checkRecovery()
 	c.checkRuns()
 	c.checkLimits(faulty)
+	if set.hasCrashes {
+		c.checkCrashes(faulty)
+	}
 	report.Violations = c.violations
 	for _, result := range c.outcomes {
 		report.Statuses[fmt.Sprintf("%s %d", result.route, result.status)]++
--- a/cmd/trial/soak/soak_test.go
+++ b/cmd/trial/soak/soak_test.go
@@ -17,6 +17,8 @@
 const (
 	// faultTime is the time for which the faults of one seed are injected.
 	faultTime = 6 * time.Second
+	// crashFaultTime replaces it if engines crash on a prompt part, since that takes some seconds to find.
+	crashFaultTime = 10 * time.Second
 	// engineLimit is the limit that engines name, in requests a second.
 	engineLimit = 3
 	// seedsVariable is the environment variable for the seeds that replace the default ones, such as
@@ -36,7 +38,7 @@
 	program := build(t)
 	for _, seed := range seeds(t) {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
-			run(t, program, seed)
+			run(t, program, seed, faultTime)
 		})
 	}
 }
@@ -47,12 +49,23 @@
 	program := build(t)
 	for _, seed := range seeds(t)[:limitSeeds(t)] {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
-			run(t, program, seed, soak.WithLimit(engineLimit))
+			run(t, program, seed, faultTime, soak.WithLimit(engineLimit))
 		})
 	}
 }
 
-// limitSeeds returns the number of seeds with limits: the first one, or all that are given by hand.
+// Guards against hosts that together go on to send engines requests with a prompt part that crashes them, over
+// real processes and while faults overlap.
+func TestSoakWithCrashingPart(t *testing.T) {
+	program := build(t)
+	for _, seed := range seeds(t)[:limitSeeds(t)] {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			run(t, program, seed, crashFaultTime, soak.WithCrashingPart())
+		})
+	}
+}
+
+// limitSeeds returns the number of seeds with limits or crashes: the first one, or all that are given by hand.
 func limitSeeds(t *testing.T) int {
 	t.Helper()
 	if os.Getenv(seedsVariable) == "" {
@@ -62,9 +75,9 @@
 }
 
 // run runs a seed and fails the test if a guarantee is violated.
-func run(t *testing.T, program string, seed uint64, options ...soak.Option) {
+func run(t *testing.T, program string, seed uint64, duration time.Duration, options ...soak.Option) {
 	t.Helper()
-	report, err := soak.Run(program, t.TempDir(), seed, faultTime, options...)
+	report, err := soak.Run(program, t.TempDir(), seed, duration, options...)
 	assert.NilError(t, err)
 	if len(report.Violations) > 0 {
 		t.Fatalf("seed %d, %v, logs in %s\nfaults:\n%s\nviolations:\n%s", seed, report.Statuses, copyLogs(t, report.LogDirectory),
--- a/cmd/trial/soak/testbed.go
+++ b/cmd/trial/soak/testbed.go
@@ -37,6 +37,8 @@
 		*fake.Engine
 		relay     *relay.Relay
 		isLimited bool
+		// isLeaving is set once the engine's entry states that it leaves.
+		isLeaving bool
 	}
 
 	// host is an entry host that reaches the store through a relay.
@@ -57,6 +59,8 @@
 
 		// limit is the rate that every second engine names, zero for none.
 		limit spoke.RequestRate
+		// hasCrashes is set if engines crash on a prompt part.
+		hasCrashes bool
 
 		mu            sync.Mutex
 		engines       []*engine
@@ -67,8 +71,11 @@
 	}
 )
 
-func newTestbed(program, directory string, limit spoke.RequestRate) (*testbed, error) {
-	b := &testbed{directory: directory, fleet: fleet.New(directory), store: fake.NewStore(), weights: 1, limit: limit}
+func newTestbed(program, directory string, set options) (*testbed, error) {
+	b := &testbed{
+		directory: directory, fleet: fleet.New(directory), store: fake.NewStore(), weights: 1,
+		limit: set.limit, hasCrashes: set.hasCrashes,
+	}
 	b.putConfig()
 	for range engineCount {
 		if err := b.addEngine(); err != nil {
@@ -126,20 +133,34 @@
 	if e.relay, err = relay.New("127.0.0.1:0", spoke.Address(e.Address())); err != nil {
 		return eris.Wrapf(err, "relay of engine %s", id)
 	}
+	if b.hasCrashes {
+		b.setCrashing(e)
+	}
 	b.mu.Lock()
+	defer b.mu.Unlock()
 	b.engines = append(b.engines, e)
-	b.mu.Unlock()
-	b.store.PutEngine(e.Engine, service, string(e.relay.Address()), false)
+	b.store.PutEngine(e.Engine, service, b.addressOf(e), false)
 	return nil
 }
 
+// addressOf returns the address at which hosts reach an engine.
+func (b *testbed) addressOf(e *engine) string {
+	if b.hasCrashes {
+		return e.Address()
+	}
+	return string(e.relay.Address())
+}
+
 // retire marks an engine as leaving in the store and removes its entry 2.5 s later.
 func (b *testbed) retire(ctx context.Context, e *engine) {
-	b.store.PutEngine(e.Engine, service, string(e.relay.Address()), true)
+	b.mu.Lock()
+	e.isLeaving = true
+	b.store.PutEngine(e.Engine, service, b.addressOf(e), true)
+	b.mu.Unlock()
 	sleep(ctx, 2500*time.Millisecond)
-	b.store.RemoveEngine(e.Engine)
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.store.RemoveEngine(e.Engine)
 	for i, other := range b.engines {
 		if other == e {
 			b.engines = append(b.engines[:i:i], b.engines[i+1:]...)
