Bound the time in which suspected prompt parts are judged

Found by a review: each part in three crashes was compared with all other suspects, under the mutex of the registry and each 50 ms, before it was known whether a decision is due. With 5,400 suspects, as long prompts beside many crashes or a malformed peer give, each call took 1.05 to 1.22 s.

Parts are compared only once a decision is due, and at most 64 of them, those with the most crashes. Beside that, the end of an attempt is taken from before the connection attempt that tells a crash from a broken connection, since its 250 ms made an answer that had just begun look long under way.

--- a/crash/part_blame.go
+++ b/crash/part_blame.go
@@ -1,6 +1,7 @@
 package crash
 
 import (
+	"cmp"
 	"math"
 	"math/bits"
 	"slices"
@@ -40,6 +41,8 @@
 	majority, servedMajority = 60, 90
 	// missingShare is the number of crashes of which one may have been missed.
 	missingShare = 4
+	// maxCandidates bounds the parts that are judged at a time. Judging one compares it with all suspects.
+	maxCandidates = 64
 	// evaluationInterval is the time after which the evidence is looked at again without a change.
 	evaluationInterval = 50 * time.Millisecond
 )
@@ -129,9 +132,10 @@
 func (r *PartRegistry) convict(now time.Time) (conviction, bool) {
 	collected := r.collect(now)
 	var best conviction
-	for part, found := range collected {
-		if found.all.count() < requestsToMark || found.all.count() < best.crashes {
-			continue
+	for _, part := range candidates(collected) {
+		found := collected[part]
+		if found.all.count() < best.crashes {
+			break
 		}
 		with, ok := r.judge(now, part, collected)
 		if !ok {
@@ -144,6 +148,20 @@
 	return best, best.crashes > 0
 }
 
+// candidates returns the parts with enough crashes to be judged, those with the most crashes first.
+func candidates(collected map[spoke.PartHash]evidence) []spoke.PartHash {
+	var parts []spoke.PartHash
+	for part, found := range collected {
+		if found.all.count() >= requestsToMark {
+			parts = append(parts, part)
+		}
+	}
+	slices.SortFunc(parts, func(a, b spoke.PartHash) int {
+		return cmp.Or(cmp.Compare(collected[b].all.count(), collected[a].all.count()), cmp.Compare(a, b))
+	})
+	return parts[:min(len(parts), maxCandidates)]
+}
+
 // judge returns whether the part is to be marked. If nothing distinguishes it from others and the decision must
 // not wait, those are returned that, like the part itself, were never served.
 func (r *PartRegistry) judge(now time.Time, part spoke.PartHash, collected map[spoke.PartHash]evidence) ([]spoke.PartHash, bool) {
@@ -151,11 +169,16 @@
 	if r.wasServed(part) || !r.seen.isReliable(now) {
 		return nil, r.isServedPartConvicted(now, part, collected)
 	}
-	if rivals := rivalsOf(part, collected); len(rivals) > 0 {
-		rivals = slices.DeleteFunc(rivals, r.wasServed)
-		return rivals, r.isHurried(now, found, tieDelay)
+	isDue := r.isHurried(now, found, usualDelay) || r.isRipe(now, found, usualDelay)
+	isTieDue := r.isHurried(now, found, tieDelay)
+	if !isDue && !isTieDue {
+		return nil, false
+	}
+	rivals := rivalsOf(part, collected)
+	if len(rivals) == 0 {
+		return nil, isDue
 	}
-	return nil, r.isHurried(now, found, usualDelay) || r.isRipe(now, found, usualDelay)
+	return slices.DeleteFunc(rivals, r.wasServed), isTieDue
 }
 
 // isServedPartConvicted judges a part that was sound at an earlier time. It is convicted if it explains most
--- a/crash/part_bounds_test.go
+++ b/crash/part_bounds_test.go
@@ -158,3 +158,29 @@
 		assert.Assert(t, !r.Admit(now, promptOf("part")).IsBlocked)
 	}
 }
+
+// Guards against a registry that holds up all calls of a host while it compares thousands of suspects with
+// each other.
+func TestManySuspectsAreJudgedQuickly(t *testing.T) {
+	r := crash.NewPartRegistry()
+	now := start
+	r.Begin(now, crash.PartAttempt{ID: "served", Fingerprint: "served", Upstream: spoke.UpstreamStart{ID: "engine"}, Parts: promptOf("part")})
+	r.End(now, "served", crash.PartEndServed)
+	now = now.Add(10 * time.Second)
+	for i := range 64 {
+		for host := range 4 {
+			observed := spoke.UpstreamCrash{Upstream: spoke.UpstreamStart{ID: spoke.UpstreamID(fmt.Sprint(i))}}
+			for part := range 64 {
+				observed.Parts = append(observed.Parts, spoke.PartHash((i/3)*256+host*64+part))
+			}
+			r.Receive(now, spoke.HostID(fmt.Sprint("host-", host)), spoke.CrashReport{Crashes: []spoke.UpstreamCrash{observed}})
+		}
+		now = now.Add(200 * time.Millisecond)
+	}
+	begun := time.Now()
+	for range 5 {
+		now = now.Add(60 * time.Millisecond)
+		r.Admit(now, promptOf("part"))
+	}
+	assert.Assert(t, time.Since(begun) < time.Second, "%s", time.Since(begun))
+}
--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -64,12 +64,14 @@
 	now := time.Now()
 	a.quarantine.registry.Begin(now, a.id, a.grant.Upstream.ID, a.fingerprint)
 	result := a.roundTrip(ctx)
+	// The probe of isCrash takes a while, in which an answer that had just begun would seem to be long under way.
+	endedAt := time.Now()
 	isCrash := a.isCrash(ctx)
 	if isCrash {
 		a.logCrash(now)
 	}
 	a.quarantine.registry.End(time.Now(), a.id, isCrash)
-	a.endParts(isCrash)
+	a.endParts(endedAt, isCrash)
 	a.planner.in <- schedulerMessage{message: place.Ended{
 		Call: a.grant.Call, Ending: a.ending, Load: a.head.Load, Weights: a.head.Weights, IsLeaving: a.head.IsLeaving, Pause: a.head.Pause,
 		NamesNoLimit: a.head.NamesNoLimit(),
--- a/edge/partquarantine.go
+++ b/edge/partquarantine.go
@@ -122,7 +122,7 @@
 
 // endParts records the end of the attempt. A connection that timed out shows that a machine or the network
 // failed, not that the upstream crashed; a stream without events shows nothing.
-func (a *attempt) endParts(isCrash bool) {
+func (a *attempt) endParts(now time.Time, isCrash bool) {
 	ending := crash.PartEndOther
 	switch {
 	case isCrash && !isTimeout(a.failure):
@@ -130,7 +130,7 @@
 	case a.ending == place.EndServed && a.head.Status < http.StatusMultipleChoices && (a.hasBegun || a.route.Rule != spoke.RuleStream):
 		ending = crash.PartEndServed
 	}
-	a.parts.registry.End(time.Now(), a.id, ending)
+	a.parts.registry.End(now, a.id, ending)
 	a.parts.logDecisions()
 }
 
