Log and count what transfers of directory changes cost

A call for changes that ends early says how many bytes it had received, a watch that is ended for a later revision of another host is logged, and feed-bytes counts what a host has sent to others.

--- a/edge/feed.go
+++ b/edge/feed.go
@@ -59,11 +59,13 @@
 		conf  *configState
 		now   func() time.Time
 		log   logrus.FieldLogger
+		// metrics counts the bytes sent to other hosts.
+		metrics *metrics
 	}
 )
 
-func newFeed(conf *configState, now func() time.Time, log logrus.FieldLogger) *feed {
-	f := &feed{conf: conf, now: now, log: log}
+func newFeed(conf *configState, now func() time.Time, log logrus.FieldLogger, metrics *metrics) *feed {
+	f := &feed{conf: conf, now: now, log: log, metrics: metrics}
 	f.state.Store(&feedState{isLost: true, replaced: make(chan struct{})})
 	return f
 }
@@ -179,7 +181,9 @@
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
-	if _, err := w.Write(raw); err != nil {
+	sent, err := w.Write(raw)
+	f.metrics.addFeedBytes(sent)
+	if err != nil {
 		f.log.WithError(err).Debug("changes of the directory not sent to a peer")
 	}
 }
--- a/edge/feedclient.go
+++ b/edge/feedclient.go
@@ -100,7 +100,7 @@
 	defer response.Body.Close()
 	raw, err := io.ReadAll(io.LimitReader(response.Body, maxFeedAnswer))
 	if err != nil {
-		return feedAnswer{}, 0, err
+		return feedAnswer{}, 0, eris.Wrapf(err, "directory feed of host %s: answer ended after %d bytes", source, len(raw))
 	}
 	if response.StatusCode != http.StatusOK {
 		return feedAnswer{}, response.StatusCode, eris.Errorf("directory feed of host %s: status %d", source, response.StatusCode)
--- a/edge/follower.go
+++ b/edge/follower.go
@@ -94,6 +94,7 @@
 		change, isCut, err := f.watchOnce(ctx, revision)
 		switch {
 		case isCut:
+			f.log.WithError(err).WithField("revision", revision).Info("watch of the directory ended, since another host has a later revision")
 			continue
 		case errors.Is(err, spoke.ErrHistoryGone):
 			f.log.WithField("revision", revision).Info("changes after this revision are no longer available, reading the whole directory again")
--- a/edge/host.go
+++ b/edge/host.go
@@ -106,7 +106,7 @@
 	h.follower = &follower{
 		directory: deps.Directory, timer: deps.Timer, conf: h.conf, log: deps.Log,
 		batchDelay: directoryBatchDelay, apply: h.applyChange, newer: make(chan spoke.Revision, 1),
-		feed:   newFeed(h.conf, deps.Timer.Now, deps.Log),
+		feed:   newFeed(h.conf, deps.Timer.Now, deps.Log, metrics),
 		client: newFeedClient(h.conf.staleAfter, deps.Timer.Now),
 	}
 	h.stores = newStoreFollowers(settings, deps, h.planner, h.conf)
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -43,6 +43,8 @@
 		// partMarks counts the decisions to refuse calls with a prompt part, partRefusals the calls that were
 		// refused or not sent again because of one.
 		partMarks, partRefusals atomic.Int64
+		// feedBytes counts the bytes of directory changes that this host sent to other hosts.
+		feedBytes atomic.Int64
 	}
 )
 
@@ -56,9 +58,10 @@
 // ServeHTTP writes the metrics in the format of package expvar.
 func (m *metrics) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
-	_, _ = fmt.Fprintf(w, "{\n%q: %s,\n%q: %s,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d\n}\n",
+	_, _ = fmt.Fprintf(w, "{\n%q: %s,\n%q: %s,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d\n}\n",
 		"answers", expvar.Func(m.answers), "times", expvar.Func(m.percentiles), "endless", m.endless.Load(), "limited", m.limited.Load(),
-		"recalled", m.recalled.Load(), "crashes", m.crashes.Load(), "part-marks", m.partMarks.Load(), "part-refusals", m.partRefusals.Load())
+		"recalled", m.recalled.Load(), "crashes", m.crashes.Load(), "part-marks", m.partMarks.Load(), "part-refusals", m.partRefusals.Load(),
+		"feed-bytes", m.feedBytes.Load())
 }
 
 func (m *metrics) addAnswer(route spoke.RouteName, outcome string, arrived time.Time) {
@@ -81,6 +84,8 @@
 
 func (m *metrics) addPartRefusal() { m.partRefusals.Add(1) }
 
+func (m *metrics) addFeedBytes(count int) { m.feedBytes.Add(int64(count)) }
+
 func (m *metrics) addWait(route spoke.RouteName, took time.Duration) { m.add("wait ", route, took) }
 
 func (m *metrics) addFirst(route spoke.RouteName, took time.Duration) { m.add("first ", route, took) }
