Do not end a watch of the store while its answer arrives

Callers saw a confirmed table that was not in force: on a link of 10 Mbit/s an answer with 1,400 routes takes 0.4 s and more, and a host ended its watch 0.25 s after another host had reported a later revision, to begin again.

--- a/directory.go
+++ b/directory.go
@@ -80,8 +80,9 @@
 		// Read returns the whole directory.
 		Read(ctx context.Context) (DirectoryChange, error)
 		// Watch waits for changes after a revision; it returns an empty change if there was none,
-		// and ErrHistoryGone if the directory has to be read again.
-		Watch(ctx context.Context, after Revision, wait time.Duration) (DirectoryChange, error)
+		// and ErrHistoryGone if the directory has to be read again. Once end is closed it waits no
+		// longer and returns an error, unless the answer has begun.
+		Watch(ctx context.Context, after Revision, wait time.Duration, end <-chan struct{}) (DirectoryChange, error)
 		// Decode decodes the Raw field of a change that another host received from Watch.
 		Decode(raw []byte) (DirectoryChange, error)
 		// Announce adds this host to the directory until the announcement expires; calling it
--- a/edge/follower.go
+++ b/edge/follower.go
@@ -186,23 +186,21 @@
 
 // watchOnce waits for changes; the wait is cut short when a peer reports a later revision.
 func (f *follower) watchOnce(ctx context.Context, revision spoke.Revision) (change spoke.DirectoryChange, isCut bool, err error) {
-	callCtx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	done := make(chan struct{})
+	done, end := make(chan struct{}), make(chan struct{})
 	cut := make(chan bool, 1)
-	go func() { cut <- f.awaitNewer(revision, done, cancel) }()
-	change, err = f.directory.Watch(callCtx, revision, f.watchTimeout())
+	go func() { cut <- f.awaitNewer(revision, done, end) }()
+	change, err = f.directory.Watch(ctx, revision, f.watchTimeout(), end)
 	close(done)
 	return change, <-cut && err != nil && !errors.Is(err, spoke.ErrHistoryGone), err
 }
 
-// awaitNewer cancels a watch when a peer reports a later revision; it returns whether it did.
-func (f *follower) awaitNewer(revision spoke.Revision, done <-chan struct{}, cancel func()) bool {
+// awaitNewer closes end when a peer reports a later revision; it returns whether it did.
+func (f *follower) awaitNewer(revision spoke.Revision, done <-chan struct{}, end chan<- struct{}) bool {
 	for {
 		select {
 		case ahead := <-f.newer:
 			if ahead > revision {
-				cancel()
+				close(end)
 				return true
 			}
 		case <-done:
