Pass large tables on as differences along a tree of hosts

Callers saw a confirmed table that was not in force: a watcher sent the whole table, encoded twice, to every host of its data centre, 5.1 MB to ten hosts for one of 1,400 routes, and all calls ended without result. A change now names a large value by its digest, and hosts get the difference to what they have from the host above them in a tree, so the bytes of the busiest host no longer grow with the hosts.

Ruled out: a history smaller than one change (no status 410 in the record), the time to decode.

The table is in force at all of twelve hosts in time, also with a watcher and another host silent.

--- a/directory.go
+++ b/directory.go
@@ -71,8 +71,27 @@
 		OrdersHolder   *HostID
 		InvalidRecords []InvalidRecord
 		Revision       Revision
-		// Raw is the platform's response to Watch, which another host can decode with Decode.
+		// Raw encodes the change of Watch for other hosts, which can decode it with Decode.
 		Raw []byte
+		// References are the large values of a decoded change that Raw does not hold, Contents those that a
+		// change from the platform holds.
+		References []ContentReference
+		Contents   []DirectoryContent
+	}
+
+	// ContentID identifies a large value by its content, whatever entry has it.
+	ContentID string
+
+	// ContentReference is the directory entry of a large value without that value.
+	ContentReference struct {
+		Key string
+		ID  ContentID
+	}
+
+	// DirectoryContent is a large value of a directory entry.
+	DirectoryContent struct {
+		ContentReference
+		Value []byte
 	}
 
 	// Directory is the platform's directory of upstreams, entry hosts and configuration.
@@ -85,6 +104,9 @@
 		Watch(ctx context.Context, after Revision, wait time.Duration, end <-chan struct{}) (DirectoryChange, error)
 		// Decode decodes the Raw field of a change that another host received from Watch.
 		Decode(raw []byte) (DirectoryChange, error)
+		// DecodeContent decodes a large value that another host received; it fails if the value is not
+		// the one that its identifier names.
+		DecodeContent(content DirectoryContent) (DirectoryChange, error)
 		// Announce adds this host to the directory until the announcement expires; calling it
 		// again extends the announcement.
 		Announce(ctx context.Context, peer ListedPeer) error
--- a/edge/apply.go
+++ b/edge/apply.go
@@ -152,6 +152,7 @@
 	cell, members, count := place.Cells(hosts, h.settings.Host)
 	h.ordersRank.Store(int64(place.Rank(hosts, h.settings.Host)))
 	h.follower.client.setSources(h.directoryWatchers())
+	h.follower.contentClient.setSources(h.contentSources())
 	found := peerAddresses{cell: place.SetCell{Cell: cell, Count: count, Hosts: slices.Sorted(slices.Values(hosts)), Members: members, HasDelegates: place.HasDelegates(members, h.settings.Host)}}
 	for _, id := range slices.Sorted(maps.Keys(h.peers)) {
 		address, err := netip.ParseAddrPort(string(h.peers[id].Address))
@@ -172,12 +173,25 @@
 // directoryWatchers returns the addresses of the hosts that watch the directory for this one, none if
 // it is one of them.
 func (h *Host) directoryWatchers() []netip.AddrPort {
-	self := spoke.ListedPeer{ID: h.settings.Host, DataCentre: h.settings.DataCentre}
+	watchers := place.Watchers(slices.Collect(maps.Values(h.peers)), h.self())
+	if slices.Contains(watchers, h.settings.Host) {
+		return nil
+	}
+	return h.peerAddresses(watchers)
+}
+
+// contentSources returns the addresses of the hosts from which this one gets large values of the directory.
+func (h *Host) contentSources() []netip.AddrPort {
+	return h.peerAddresses(place.ContentSources(slices.Collect(maps.Values(h.peers)), h.self()))
+}
+
+func (h *Host) self() spoke.ListedPeer {
+	return spoke.ListedPeer{ID: h.settings.Host, DataCentre: h.settings.DataCentre}
+}
+
+func (h *Host) peerAddresses(ids []spoke.HostID) []netip.AddrPort {
 	var found []netip.AddrPort
-	for _, id := range place.Watchers(slices.Collect(maps.Values(h.peers)), self) {
-		if id == self.ID {
-			return nil
-		}
+	for _, id := range ids {
 		if address, err := netip.ParseAddrPort(string(h.peers[id].Address)); err == nil {
 			found = append(found, address)
 		}
--- a/edge/feed.go
+++ b/edge/feed.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	feedPath  = "/directory"
+	feedPath  = "/changes"
 	feedAfter = "after"
 	feedWait  = "wait-ms"
 	// maxFeedEntries and maxFeedBytes bound the changes that a host keeps for others; a host that lags
--- a/edge/feed_test.go
+++ b/edge/feed_test.go
@@ -129,7 +129,7 @@
 }
 
 func (d *deployment) pollFeed(query string) int {
-	response, err := http.Get(fmt.Sprintf("http://127.0.0.1:%d/directory%s", d.settings.PeerPort, query))
+	response, err := http.Get(fmt.Sprintf("http://127.0.0.1:%d/changes%s", d.settings.PeerPort, query))
 	assert.NilError(d.t, err)
 	defer response.Body.Close()
 	_, err = io.Copy(io.Discard, response.Body)
--- a/edge/feedclient.go
+++ b/edge/feedclient.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"net/netip"
 	"sync/atomic"
@@ -13,13 +12,14 @@
 
 	"magnoliaspoke.example/spoke"
 	"magnoliaspoke.example/spoke/dial"
+	"magnoliaspoke.example/spoke/fetch"
 )
 
 const (
 	// feedTimeoutMargin is the time beyond its wait that a host may take to answer.
 	feedTimeoutMargin = 250 * time.Millisecond
-	// maxFeedAnswer bounds an answer, in bytes.
-	maxFeedAnswer = 4 << 20
+	// maxFeedAnswer bounds an answer.
+	maxFeedAnswer spoke.ByteSize = 4 << 20
 	// maxPeerAgeFraction is the maximum age of the directory view of a peer, as a fraction of the age at
 	// which a configuration is stale.
 	maxPeerAgeFraction = 0.6
@@ -86,28 +86,22 @@
 
 func (c *feedClient) pollSource(ctx context.Context, source netip.AddrPort, after spoke.Revision) (feedAnswer, int, error) {
 	wait := time.Duration(feedWaitFraction * float64(c.staleAfter))
-	ctx, cancel := context.WithTimeout(ctx, wait+feedTimeoutMargin)
-	defer cancel()
 	target := fmt.Sprintf("http://%s%s?%s=%d&%s=%d", source, feedPath, feedAfter, after, feedWait, wait.Milliseconds())
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
 	if err != nil {
 		return feedAnswer{}, 0, err
 	}
-	response, err := c.http.Do(request)
+	limits := fetch.Limits{Head: wait + feedTimeoutMargin, Idle: feedTimeoutMargin, Body: maxFeedAnswer}
+	response, err := fetch.Do(c.http, request, limits, nil)
 	if err != nil {
-		return feedAnswer{}, 0, err
-	}
-	defer response.Body.Close()
-	raw, err := io.ReadAll(io.LimitReader(response.Body, maxFeedAnswer))
-	if err != nil {
-		return feedAnswer{}, 0, eris.Wrapf(err, "directory feed of host %s: answer ended after %d bytes", source, len(raw))
+		return feedAnswer{}, 0, eris.Wrapf(err, "directory feed of host %s", source)
 	}
-	if response.StatusCode != http.StatusOK {
-		return feedAnswer{}, response.StatusCode, eris.Errorf("directory feed of host %s: status %d", source, response.StatusCode)
+	if response.Status != http.StatusOK {
+		return feedAnswer{}, response.Status, eris.Errorf("directory feed of host %s: status %d", source, response.Status)
 	}
-	answer, err := decodeFeed(c.now(), raw)
+	answer, err := decodeFeed(c.now(), response.Body)
 	if err == nil && answer.view.Age > time.Duration(maxPeerAgeFraction*float64(c.staleAfter)) {
 		err = eris.Wrapf(errFeedStale, "host %s: %s", source, answer.view.Age)
 	}
-	return answer, response.StatusCode, err
+	return answer, response.Status, err
 }
--- a/edge/follower.go
+++ b/edge/follower.go
@@ -44,6 +44,9 @@
 		// feed publishes changes to other hosts, client polls their feeds.
 		feed   *feed
 		client *feedClient
+		// contents holds the large values of the directory, contentClient gets them from other hosts.
+		contents      *contents
+		contentClient *contentClient
 		// newer receives revisions that a peer has and this host does not.
 		newer chan spoke.Revision
 		// isDirect is set while this host watches the directory itself.
@@ -60,6 +63,12 @@
 		// isCatchingUp is set from the report of a later revision until the check after catchUpTime.
 		isCatchingUp atomic.Bool
 	}
+
+	// referencedChange is a change with a large value that this host does not have yet.
+	referencedChange struct {
+		reference spoke.ContentReference
+		change    spoke.DirectoryChange
+	}
 )
 
 // run follows the directory until ctx ends.
@@ -146,6 +155,8 @@
 		return revision
 	}
 	paused := f.conf.recentPause()
+	references := make(map[string]referencedChange)
+	last := revision
 	for _, entry := range answer.entries {
 		change, err := f.directory.Decode(entry.raw)
 		if err != nil {
@@ -156,14 +167,38 @@
 		change.Revision = entry.revision
 		change.MaxAge, change.ReceivedAt = f.changeAge.OfReport(asked, answer.receivedAt, entry.initialAge, paused), answer.receivedAt
 		f.applyChange(change)
-		f.publish(revision, change)
-		revision = entry.revision
-		f.conf.revision.Store(uint64(revision))
+		f.publish(last, change)
+		last = entry.revision
+		for _, reference := range change.References {
+			references[reference.Key] = referencedChange{reference, change}
+		}
+	}
+	if err := f.applyReferences(ctx, references); err != nil {
+		if ctx.Err() == nil {
+			f.log.WithError(err).Info("large value of the directory not received from other hosts, watching the directory directly")
+		}
+		f.directUntil = f.timer.Now().Add(directWatchTime)
+		return revision
 	}
+	f.conf.revision.Store(uint64(last))
 	f.changeAge.CompleteReport(asked, answer.receivedAt, answer.completeAge, paused)
 	answer.view.Age += paused
 	f.conf.confirmFromPeer(answer.view)
-	return revision
+	return last
+}
+
+// applyReferences applies the newest large value of each entry that other hosts have reported.
+func (f *follower) applyReferences(ctx context.Context, references map[string]referencedChange) error {
+	for _, newest := range references {
+		change, err := f.contentClient.fetch(ctx, newest.reference)
+		if err != nil {
+			return err
+		}
+		reported := newest.change
+		change.Revision, change.MaxAge, change.ReceivedAt = reported.Revision, reported.MaxAge, reported.ReceivedAt
+		f.applyChange(change)
+	}
+	return nil
 }
 
 // publish adds a change that this host has seen to its feed.
@@ -240,6 +275,7 @@
 
 func (f *follower) handleAnswer(change spoke.DirectoryChange) {
 	f.backoff = 0
+	f.contents.add(change.Contents...)
 	if change.IsSnapshot && f.lostSince.IsZero() && !f.isSettling() {
 		f.feed.restart(change.Revision, f.changeAge.CompleteAt())
 	}
--- a/edge/host.go
+++ b/edge/host.go
@@ -56,15 +56,16 @@
 
 	// Host is an entry host that relays calls.
 	Host struct {
-		settings config.Relay
-		deps     Dependencies
-		conf     *configState
-		planner  *planner
-		relayer  *relayer
-		orders   *orders
-		keeper   *lease.Keeper
-		stores   *storeFollowers
-		follower *follower
+		settings      config.Relay
+		deps          Dependencies
+		conf          *configState
+		planner       *planner
+		relayer       *relayer
+		orders        *orders
+		keeper        *lease.Keeper
+		stores        *storeFollowers
+		follower      *follower
+		contentServer *contentServer
 		// ordersRank is the position of this host among all hosts that may acquire the orders lease.
 		ordersRank   atomic.Int64
 		socket       *peers.Socket
@@ -103,11 +104,14 @@
 	holder := spoke.HostID(fmt.Sprintf("%s-%d", settings.Host, time.Now().UnixNano()))
 	h.keeper = lease.New(&throttledLeases{Leases: deps.Leases, host: h, log: deps.Log}, deps.OrdersLease, holder, ordersTTL, lease.WithTimer(deps.LeaseTimer))
 	h.orders = newOrders(holder, settings.OrdersPause, deps, h.keeper, h.planner)
+	kept := newContents()
+	h.contentServer = newContentServer(kept, deps.Log, metrics)
 	h.follower = &follower{
 		directory: deps.Directory, timer: deps.Timer, conf: h.conf, log: deps.Log,
 		batchDelay: directoryBatchDelay, apply: h.applyChange, newer: make(chan spoke.Revision, 1),
-		feed:   newFeed(h.conf, deps.Timer.Now, deps.Log, metrics),
-		client: newFeedClient(h.conf.staleAfter, deps.Timer.Now),
+		feed:     newFeed(h.conf, deps.Timer.Now, deps.Log, metrics),
+		client:   newFeedClient(h.conf.staleAfter, deps.Timer.Now),
+		contents: kept, contentClient: newContentClient(kept, deps.Directory, h.conf.staleAfter),
 	}
 	h.stores = newStoreFollowers(settings, deps, h.planner, h.conf)
 	h.planner.reportConflict = h.stores.recordConflict
@@ -143,6 +147,7 @@
 	}
 	peerMux := http.NewServeMux()
 	peerMux.Handle("GET "+feedPath, h.follower.feed)
+	peerMux.Handle("GET "+contentPath, h.contentServer)
 	if err := h.listen(&group, &http.Server{Handler: peerMux, ReadHeaderTimeout: callerHeaderTimeout}, h.socket.Address()); err != nil {
 		return err
 	}
--- a/edge/narrow_test.go
+++ b/edge/narrow_test.go
@@ -1,16 +1,21 @@
 package edge_test
 
 import (
+	"cmp"
 	"context"
+	"encoding/json"
 	"fmt"
 	"net"
+	"net/http"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 	"gotest.tools/v3/assert"
 
@@ -34,6 +39,14 @@
 		address spoke.Address
 	}
 
+	// narrowHost is a host behind a narrow link.
+	narrowHost struct {
+		*deployment
+		// link is the way of other hosts to this one.
+		link   *relay.Relay
+		tables *tableTimes
+	}
+
 	// tableTimes records when each routing table came into force at a host.
 	tableTimes struct {
 		mu    sync.Mutex
@@ -41,6 +54,8 @@
 	}
 )
 
+func newTableTimes() *tableTimes { return &tableTimes{times: make(map[spoke.TableVersion]time.Time)} }
+
 func (d *linkedDirectory) Announce(ctx context.Context, peer spoke.ListedPeer) error {
 	peer.Address = d.address
 	return d.Directory.Announce(ctx, peer)
@@ -75,37 +90,35 @@
 }
 
 // startBehindNarrowLinks starts hosts whose links to the store and to each other carry narrowLink each.
-func startBehindNarrowLinks(t *testing.T, count int, change func(*config.Relay)) ([]*deployment, []*tableTimes) {
+func startBehindNarrowLinks(t *testing.T, count int, change func(*config.Relay)) []narrowHost {
 	t.Helper()
 	first := startWithSettings(t, 1, change)
-	var hosts []*deployment
-	var times []*tableTimes
+	var hosts []narrowHost
 	for i := range count {
-		host := first.beside(spoke.HostID(fmt.Sprint("narrow-", i+1)))
-		recorded := &tableTimes{times: make(map[spoke.TableVersion]time.Time)}
-		host.hook = recorded
-		host.settings.Store = limitedRelay(t, host.settings.Store)
+		host := narrowHost{deployment: first.beside(spoke.HostID(fmt.Sprint("narrow-", i+1))), tables: newTableTimes()}
+		host.hook = host.tables
+		host.settings.Store = limitedRelay(t, host.settings.Store).Address()
 		address := netip.AddrPortFrom(host.settings.Address, uint16(host.settings.PeerPort))
-		linked := limitedRelay(t, spoke.Address(address.String()))
-		forwardDatagrams(t, linked, address)
-		host.directory = func(d spoke.Directory) spoke.Directory { return &linkedDirectory{d, linked} }
+		host.link = limitedRelay(t, spoke.Address(address.String()))
+		forwardDatagrams(t, host.link.Address(), address)
+		host.directory = func(d spoke.Directory) spoke.Directory { return &linkedDirectory{d, host.link.Address()} }
 		host.runHost()
-		hosts, times = append(hosts, host), append(times, recorded)
+		hosts = append(hosts, host)
 	}
 	for _, host := range hosts {
 		awaitTrue(t, "host does not list the others", func() bool { return host.hasLogged(fmt.Sprintf(`"peers":%d`, count)) })
 	}
-	return hosts, times
+	return hosts
 }
 
-// limitedRelay returns the address of a relay to a target that sends at most narrowLink.
-func limitedRelay(t *testing.T, target spoke.Address) spoke.Address {
+// limitedRelay returns a relay to a target that sends at most narrowLink.
+func limitedRelay(t *testing.T, target spoke.Address) *relay.Relay {
 	t.Helper()
 	r, err := relay.New("127.0.0.1:0", target)
 	assert.NilError(t, err)
 	r.Limit(relay.Backward, narrowLink)
 	t.Cleanup(func() { _ = r.Close() })
-	return r.Address()
+	return r
 }
 
 // forwardDatagrams passes the datagrams that arrive at an address on to a host.
@@ -142,29 +155,48 @@
 }
 
 // Guards against a confirmed table that comes into force too late, because hosts with narrow links pass the whole
-// table on to all others, or end its transfer and begin again.
+// table on to all others, or end its transfer and begin again; also while hosts are silent.
 func TestLargeTableIsInForceInTimeOnNarrowLinks(t *testing.T) {
 	const (
-		hostCount  = 12
 		routes     = 1400
 		applyLimit = 3 * time.Second
 	)
-	hosts, times := startBehindNarrowLinks(t, hostCount, func(s *config.Relay) { s.ConfigApply = applyLimit })
-	var confirmed []time.Time
-	for version := 2; version <= 3; version++ {
-		hosts[0].store.Put("op/config", largeTable(version, "key-2", routes+version))
-		confirmed = append(confirmed, time.Now())
-		<-time.After(applyLimit / 3)
-	}
-	<-time.After(time.Until(confirmed[1].Add(applyLimit)))
-	for i, recorded := range times {
-		for change, at := range confirmed {
-			since, isInForce := recorded.since(spoke.TableVersion(change + 2))
-			if !isInForce {
-				since = time.Now()
+	// The first hosts by hash watch the directory for the others, and the next ones pass large tables on.
+	for name, silent := range map[string][]int{"all reachable": nil, "watcher and another host silent": {0, 3}} {
+		t.Run(name, func(t *testing.T) {
+			hosts := startBehindNarrowLinks(t, 12, func(s *config.Relay) { s.ConfigApply = applyLimit })
+			slices.SortFunc(hosts, func(a, b narrowHost) int {
+				return cmp.Compare(xxhash.Sum64String(string(a.settings.Host)), xxhash.Sum64String(string(b.settings.Host)))
+			})
+			for _, i := range silent {
+				hosts[i].link.Cut()
 			}
-			assert.Check(t, isInForce && since.Sub(at) < applyLimit, "table %d at host %d, in force: %t, %s after its confirmation", change+2, i+1, isInForce, since.Sub(at))
-		}
+			var confirmed []time.Time
+			for version := 2; version <= 3; version++ {
+				hosts[0].store.Put("op/config", largeTable(version, "key-2", routes+version))
+				confirmed = append(confirmed, time.Now())
+				<-time.After(applyLimit / 3)
+			}
+			<-time.After(time.Until(confirmed[1].Add(applyLimit)))
+			for i, host := range hosts {
+				for change, at := range confirmed {
+					since, isInForce := host.tables.since(spoke.TableVersion(change + 2))
+					assert.Check(t, isInForce, "table %d is not in force at host %d", change+2, i+1)
+					assert.Check(t, since.Sub(at) < applyLimit, "table %d at host %d after %s", change+2, i+1, since.Sub(at))
+				}
+			}
+			stopAll(hosts)
+		})
+	}
+}
+
+// stopAll stops hosts and waits until they have ended, so that their ports are free.
+func stopAll(hosts []narrowHost) {
+	for _, host := range hosts {
+		host.signals <- syscall.SIGTERM
+	}
+	for _, host := range hosts {
+		<-host.ended
 	}
 }
 
@@ -172,11 +204,11 @@
 // revisions, and never gets the table.
 func TestTableArrivesDespiteReportsOfLaterRevisions(t *testing.T) {
 	const routes = 1400
-	recorded := &tableTimes{times: make(map[spoke.TableVersion]time.Time)}
+	recorded := newTableTimes()
 	first := start(t, 1)
 	host := first.beside("narrow-1")
 	host.hook = recorded
-	host.settings.Store = limitedRelay(t, host.settings.Store)
+	host.settings.Store = limitedRelay(t, host.settings.Store).Address()
 	host.runHost()
 	first.signals <- syscall.SIGTERM
 	sendReports(t, host, spoke.HostReport{Host: "host-9", Directory: spoke.DirectoryView{Revision: 1 << 30}})
@@ -213,3 +245,45 @@
 		}
 	}()
 }
+
+// Guards against a host that sends large tables to ever more hosts as an installation grows.
+func TestBusiestHostSendsNoMoreToMoreHosts(t *testing.T) {
+	const (
+		routes     = 1400
+		tableBytes = 300_000
+		// tolerated covers the small answers that each host gets from a watcher.
+		tolerated = 1.2
+	)
+	busiest := make(map[int]int)
+	for _, hostCount := range []int{5, 10} {
+		hosts := startBehindNarrowLinks(t, hostCount, func(s *config.Relay) { s.ConfigApply = 3 * time.Second })
+		before := make([]int, hostCount)
+		for i, host := range hosts {
+			before[i] = host.feedBytes()
+		}
+		hosts[0].store.Put("op/config", largeTable(2, callerKey, routes))
+		for i, host := range hosts {
+			awaitTrue(t, fmt.Sprintf("table is not in force at host %d", i+1), func() bool { _, isInForce := host.tables.since(2); return isInForce })
+		}
+		for i, host := range hosts {
+			busiest[hostCount] = max(busiest[hostCount], host.feedBytes()-before[i])
+		}
+		stopAll(hosts)
+	}
+	t.Logf("bytes of the busiest host by number of hosts: %v", busiest)
+	assert.Check(t, float64(busiest[10]) < tolerated*float64(busiest[5]), "%v", busiest)
+	assert.Check(t, busiest[10] < tableBytes, "%v", busiest)
+}
+
+// feedBytes returns how many bytes of changes a host has sent to others.
+func (d *deployment) feedBytes() int {
+	d.t.Helper()
+	response, err := http.Get(fmt.Sprintf("http://127.0.0.1:%d/metrics", d.settings.MetricsPort))
+	assert.NilError(d.t, err)
+	defer response.Body.Close()
+	var counts struct {
+		FeedBytes int `json:"feed-bytes"`
+	}
+	assert.NilError(d.t, json.NewDecoder(response.Body).Decode(&counts))
+	return counts.FeedBytes
+}
--- a/place/cells.go
+++ b/place/cells.go
@@ -46,6 +46,12 @@
 // Watchers returns the hosts that watch the directory for the group of self, since calls to the platform's
 // store are expensive. The group is all hosts, or those of one data centre if there are several cells.
 func Watchers(peers []spoke.ListedPeer, self spoke.ListedPeer) []spoke.HostID {
+	group := watchGroup(peers, self)
+	return group[:min(watchersPerGroup, len(group))]
+}
+
+// watchGroup returns the hosts that follow the directory through the same watchers as self, the watchers first.
+func watchGroup(peers []spoke.ListedPeer, self spoke.ListedPeer) []spoke.HostID {
 	isDivided := len(peers)+1 >= 2*hostsPerCell
 	group := []spoke.HostID{self.ID}
 	for _, peer := range peers {
@@ -53,8 +59,7 @@
 			group = append(group, peer.ID)
 		}
 	}
-	group = hostsByHash(group)
-	return group[:min(watchersPerGroup, len(group))]
+	return hostsByHash(group)
 }
 
 // Rank returns the position of a host in an order of all hosts that is the same on each of them.
