--- /dev/null
+++ b/edge/restored_test.go
@@ -0,0 +1,132 @@
+package edge_test
+
+import (
+	"fmt"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"magnoliaspoke.example/spoke"
+	fake "magnoliaspoke.example/spoke/fake/platform"
+)
+
+// rewriteDelay is the time after the return of a store in which others write again what it has lost.
+const rewriteDelay = 500 * time.Millisecond
+
+// advance raises the store's revision without a change that concerns hosts.
+func advance(store *fake.Store, count int) {
+	for i := range count {
+		store.Put("other/key", i)
+	}
+}
+
+// Guards against hosts that miss confirmed changes after the store has returned from an older copy, since they wait
+// for revisions that are given out again, and against older tables that come into force meanwhile.
+func TestChangesAfterReturnOfStoreAreInForce(t *testing.T) {
+	for name, behind := range map[string]int{"revisions stay behind": 0, "revisions are given out again": 60} {
+		t.Run(name, func(t *testing.T) {
+			hosts := startHosts(t, 4)
+			store := hosts[0].store
+			copied := store.Copy()
+			advance(store, 30)
+			store.Put("op/config", table(3, "key-3"))
+			awaitKey(t, hosts, "key-3")
+
+			store.Restore(copied)
+			advance(store, behind)
+			until := time.Now().Add(rewriteDelay)
+			for i := 0; time.Now().Before(until); i++ {
+				for _, host := range hosts {
+					assert.Equal(t, host.bookingStatus(fmt.Sprintf("kept-%d-%s", i, host.settings.Host), "key-3"), http.StatusOK)
+					older := host.bookingStatus(fmt.Sprintf("old-%d-%s", i, host.settings.Host), callerKey)
+					assert.Assert(t, older != http.StatusOK, "older key is accepted")
+				}
+			}
+			store.Put("op/config", table(3, "key-3"))
+			store.Put("op/config", table(4, "key-4"))
+			begin := time.Now()
+			awaitKey(t, hosts, "key-4")
+			assert.Assert(t, time.Since(begin) < hosts[0].settings.ConfigApply, "%s", time.Since(begin))
+		})
+	}
+}
+
+// Guards against hosts that deny a key which was confirmed before the store returned from an older copy.
+func TestReturnedStoreDeniesNoConfirmedKey(t *testing.T) {
+	d := start(t, 1)
+	copied := d.store.Copy()
+	d.store.Put("op/config", table(2, "key-2"))
+	// The host does not see the table: the store returns at once.
+	d.store.Restore(copied)
+	until := time.Now().Add(rewriteDelay)
+	for i := 0; time.Now().Before(until); i++ {
+		status := d.bookingStatus(fmt.Sprint("a-", i), "key-2")
+		assert.Assert(t, status == http.StatusOK || status == http.StatusServiceUnavailable || time.Until(until) > rewriteDelay/2, "status %d", status)
+	}
+}
+
+// Guards against calls to engines that have left or are leaving, and against engines that are no longer used, since a
+// store that returned from an older copy shows their earlier entries.
+func TestReturnedStoreChangesNoUpstreams(t *testing.T) {
+	d := start(t, 4)
+	left, leaving, started, sound := d.engines[0], d.engines[1], d.engines[2], d.engines[3]
+	d.store.Remove("servers/" + started.ID)
+	awaitTrue(t, "engine is not removed", func() bool { return d.hasLogged("upstream is gone") })
+	copied := d.store.Copy()
+	d.store.Put("servers/"+started.ID, d.laterEntry(started, "ready", 2))
+	d.store.Put("servers/"+leaving.ID, d.laterEntry(leaving, "draining", 2))
+	d.store.Remove("servers/" + left.ID)
+	awaitTrue(t, "engine is not leaving", func() bool { return d.hasLogged("upstream is leaving") })
+	<-time.After(rewriteDelay)
+	before := map[string]int{left.ID: len(left.Runs()), leaving.ID: len(leaving.Runs())}
+	d.store.Restore(copied)
+	until := time.Now().Add(3 * time.Second)
+	for i := 0; time.Now().Before(until); i++ {
+		assert.Equal(t, d.bookingStatus(fmt.Sprint("a-", i), callerKey), http.StatusOK)
+	}
+	assert.Equal(t, len(left.Runs()), before[left.ID], "calls to an engine that has left")
+	assert.Equal(t, len(leaving.Runs()), before[leaving.ID], "calls to an engine that is leaving")
+	assert.Assert(t, len(started.Runs()) > 0 && len(sound.Runs()) > 0, "engine is no longer used")
+}
+
+// laterEntry returns the entry that an engine writes with a later number.
+func (d *deployment) laterEntry(engine *fake.Engine, state string, sequence int) map[string]any {
+	entry := engine.Entry("models", "a", state)
+	entry["sequence"] = sequence
+	return entry
+}
+
+// Guards against a host that serves by an older table, since it started when the store had just returned from an
+// older copy.
+func TestStartedHostGetsNewerTableFromPeers(t *testing.T) {
+	hosts := startHosts(t, 3)
+	store := hosts[0].store
+	copied := store.Copy()
+	store.Put("op/config", table(3, "key-3"))
+	awaitKey(t, hosts, "key-3")
+	store.Restore(copied)
+	started := hosts[0].addHost("host-9")
+	awaitTrue(t, "started host does not know the newer table", func() bool { return started.bookingStatus("a", "key-3") == http.StatusOK })
+	assert.Assert(t, started.bookingStatus("b", callerKey) != http.StatusOK)
+}
+
+// Guards against a host that is no longer listed, since the lease of its announcement has gone, or its id has been
+// given to another host.
+func TestHostsAreListedAgainAfterReturnOfStore(t *testing.T) {
+	first := start(t, 1)
+	copied := first.store.Copy()
+	hosts := []*deployment{first}
+	for i := range 3 {
+		hosts = append(hosts, first.addHost(spoke.HostID(fmt.Sprint("host-", i+2))))
+	}
+	awaitTrue(t, "hosts are not listed", func() bool { return len(first.store.Keys("spoke/hosts/")) == len(hosts) })
+	first.store.Restore(copied)
+	awaitTrue(t, "hosts are not listed again", func() bool { return len(first.store.Keys("spoke/hosts/")) == len(hosts) })
+	// The ids of leases have been given out again: the end of one host must not end the entry of another.
+	hosts[1].signals <- syscall.SIGTERM
+	<-hosts[1].ended
+	assert.Equal(t, len(first.store.Keys("spoke/hosts/")), len(hosts)-1)
+}
--- a/fake/platform/store.go
+++ b/fake/platform/store.go
@@ -2,12 +2,15 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -29,12 +32,34 @@
 		loseAnswers       bool
 		delay             time.Duration
 		watches           int
+		// era counts the times that the store has returned to a copy.
+		era atomic.Uint64
+	}
+
+	// StoreCopy is a state of the store to which it can return.
+	StoreCopy struct {
+		revision, compactedRevision, nextID uint64
+		items                               map[string]item
+		history                             []item
+		leases                              map[uint64]time.Time
+	}
+
+	// eraWriter adds the store's era to each response.
+	eraWriter struct {
+		http.ResponseWriter
+		store *Store
 	}
 )
 
+func (w eraWriter) WriteHeader(status int) {
+	w.Header().Set("Store-Era", strconv.FormatUint(w.store.era.Load(), 10))
+	w.ResponseWriter.WriteHeader(status)
+}
+
 // NewStore starts an empty store on loopback.
 func NewStore() *Store {
 	s := &Store{changed: make(chan struct{}), revision: 1, items: make(map[string]item), leases: make(map[uint64]time.Time)}
+	s.era.Store(1)
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /kv-range", s.serveRange)
 	mux.HandleFunc("GET /kv-watch", s.serveWatch)
@@ -120,6 +145,26 @@
 	s.compactedRevision = s.revision
 }
 
+// Copy returns a copy of the store.
+func (s *Store) Copy() StoreCopy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return StoreCopy{
+		revision: s.revision, compactedRevision: s.compactedRevision, nextID: s.nextID,
+		items: maps.Clone(s.items), history: slices.Clone(s.history), leases: maps.Clone(s.leases),
+	}
+}
+
+// Restore returns the store to a copy, so that it gives out revisions and leases again.
+func (s *Store) Restore(from StoreCopy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era.Add(1)
+	s.revision, s.compactedRevision, s.nextID = from.revision, from.compactedRevision, from.nextID
+	s.items, s.history, s.leases = maps.Clone(from.items), slices.Clone(from.history), maps.Clone(from.leases)
+	s.notifyWatches()
+}
+
 // Keys returns the sorted keys with a prefix.
 func (s *Store) Keys(prefix string) []string {
 	s.mu.Lock()
@@ -140,6 +185,7 @@
 		s.mu.Lock()
 		refuse, loseAnswers, delay := s.refuse, s.loseAnswers, s.delay
 		s.mu.Unlock()
+		w = eraWriter{w, s}
 		time.Sleep(delay)
 		if refuse {
 			w.WriteHeader(http.StatusServiceUnavailable)
@@ -223,7 +269,7 @@
 	for {
 		s.mu.Lock()
 		s.expire()
-		events, current, isCompacted, changed := s.eventsAfter(query.Get("prefix"), after), s.revision, after < s.compactedRevision, s.changed
+		events, current, isCompacted, changed := s.eventsAfter(query.Get("prefix"), after), s.revision, after < s.compactedRevision || after > s.revision, s.changed
 		s.mu.Unlock()
 		if isCompacted {
 			w.WriteHeader(http.StatusGone)
