Order revisions, fencing tokens and leases across returns of the store

When the store returned from an older copy, hosts that others serve missed every change until revisions had caught up (8 s and more in the test), a watch went on from a revision that had been given out again, the next holder of the orders lease had a lower fencing token, and hosts renewed leases whose ids others had been given.

A revision now contains the era that the store names, so whatever compares revisions holds across eras: watches, feeds, reports, fencing tokens.

--- a/ids.go
+++ b/ids.go
@@ -48,8 +48,11 @@
 
 	// TicketNumber orders change tickets; zero means that no ticket is in force.
 	TicketNumber uint64
-	// Revision is the version of a key in the key-value service; zero means absent.
+	// Revision is the version of a key in the key-value service, or of the whole directory; zero means absent.
+	// Revisions of a later era are higher.
 	Revision uint64
+	// Era counts how often a service has returned from an older copy, after which it gives out revisions again.
+	Era uint64
 	// FencingToken orders the successive holders of a lease.
 	FencingToken uint64
 	// Incarnation orders the process starts of one host, which raises its incarnation if peers
@@ -80,6 +83,13 @@
 	BlockKey [32]byte
 )
 
+const (
+	// countBits is the number of bits of a revision below its era. Eras up to 8,191 keep revisions, and the fencing
+	// tokens made of them, below 2^53, up to which JSON numbers are exact.
+	countBits = 40
+	maxCount  = 1<<countBits - 1
+)
+
 const (
 	// BytesPerToken is the assumed size of a token of prompt text.
 	BytesPerToken ByteSize = 4
@@ -89,6 +99,17 @@
 	PieceTokens TokenCount = TokenCount(PieceSize / BytesPerToken)
 )
 
+// NewRevision returns the revision that a service in the given era calls count.
+func NewRevision(era Era, count uint64) Revision {
+	return Revision(uint64(era)<<countBits | count&maxCount)
+}
+
+// Era returns the era in which the revision was given out.
+func (r Revision) Era() Era { return Era(r >> countBits) }
+
+// Count returns the revision as the service calls it.
+func (r Revision) Count() uint64 { return uint64(r) & maxCount }
+
 // String returns the key in lower-case hexadecimal.
 func (k BlockKey) String() string {
 	return hex.EncodeToString(k[:])
