Do not take outdated entries of a returned store for news

Hosts keep the latest entry of each upstream and take a lower number, or an earlier start, for outdated.

--- a/directory.go
+++ b/directory.go
@@ -25,6 +25,8 @@
 		// Started is the start time on the upstream's own clock; a different value identifies a
 		// different upstream.
 		Started time.Time
+		// Sequence orders the entries of one start of the upstream.
+		Sequence int64
 		// Weights holds the weight version of each model that the upstream serves.
 		Weights map[ModelName]WeightVersion
 	}
@@ -55,9 +57,9 @@
 		// MaxAge bounds the time between the change and its receipt at ReceivedAt.
 		MaxAge     time.Duration
 		ReceivedAt time.Time
-		// KeepsUnlistedUpstreams reports whether unlisted upstreams are kept even in a snapshot,
+		// KeepsUnlisted reports whether unlisted upstreams and hosts are kept even in a snapshot,
 		// because they may reappear after an outage.
-		KeepsUnlistedUpstreams bool
+		KeepsUnlisted bool
 		// Table is nil if it did not change.
 		Table     *RoutingTable
 		Weights   []WantedWeights
--- a/edge/apply.go
+++ b/edge/apply.go
@@ -115,7 +115,7 @@
 	for _, id := range change.RemovedUpstreams {
 		h.deps.Log.WithField("upstream", id).Info("upstream is gone")
 	}
-	h.post(place.SetUpstreams{IsSnapshot: change.IsSnapshot && !change.KeepsUnlistedUpstreams, Listed: change.Upstreams, Removed: change.RemovedUpstreams})
+	h.post(place.SetUpstreams{IsSnapshot: change.IsSnapshot && !change.KeepsUnlisted, Listed: change.Upstreams, Removed: change.RemovedUpstreams})
 }
 
 // applyOrdersHolder stores the holder of the orders lease; a snapshot of the directory without a holder
@@ -130,7 +130,7 @@
 }
 
 func (h *Host) applyPeers(change spoke.DirectoryChange) {
-	if change.IsSnapshot {
+	if change.IsSnapshot && !change.KeepsUnlisted {
 		h.peers = make(map[spoke.HostID]spoke.ListedPeer)
 	}
 	for _, peer := range change.Peers {
--- a/edge/follower.go
+++ b/edge/follower.go
@@ -55,6 +55,10 @@
 		lostSince time.Time
 		// changeAge bounds the age of changes.
 		changeAge place.ChangeAge
+		// latestEntries recognizes outdated entries of upstreams.
+		latestEntries place.LatestEntries
+		// era is the one of the last snapshot, zero before the first.
+		era spoke.Era
 		// settlingUntil is when entries that are missing after an outage count as removed.
 		settlingUntil time.Time
 		// directUntil is when this host may poll other hosts again.
@@ -84,12 +88,25 @@
 		change.MaxAge, change.ReceivedAt = f.changeAge.OfSnapshot(now), now
 		f.changeAge.CompleteSnapshot(asked)
 		f.conf.confirm(now.Sub(asked))
+		f.observeEra(change.Revision.Era())
 		f.handleAnswer(change)
 		f.watch(ctx, change.Revision)
 	}
 	return ctx.Err()
 }
 
+// observeEra notices that the directory has returned from an older copy. Until others have written again what it has
+// lost, its entries may be outdated or missing.
+func (f *follower) observeEra(era spoke.Era) {
+	if f.era != 0 && era > f.era {
+		f.log.WithFields(logrus.Fields{"era": era, "before": f.era}).Warn("directory returned from an older copy")
+		f.feed.markLost()
+		f.settlingUntil = f.timer.Now().Add(settlingTime)
+		f.latestEntries.Return(f.timer.Now())
+	}
+	f.era = max(f.era, era)
+}
+
 // watch applies changes until the whole directory has to be read again.
 func (f *follower) watch(ctx context.Context, revision spoke.Revision) {
 	for ctx.Err() == nil {
@@ -288,7 +305,7 @@
 }
 
 // applyChange logs invalid entries and applies a change. Until settlingUntil it leaves out removals of
-// upstreams.
+// upstreams, and always their outdated entries.
 func (f *follower) applyChange(change spoke.DirectoryChange) {
 	for _, invalid := range change.InvalidRecords {
 		f.log.WithError(invalid.Err).WithField("key", invalid.Key).Warn("directory entry ignored")
@@ -296,15 +313,15 @@
 	if f.isSettling() {
 		change = f.withoutRemovals(change)
 	}
-	f.apply(change)
+	f.apply(f.latestEntries.Update(f.timer.Now(), change))
 }
 
-// withoutRemovals drops removals of upstreams from a change until settlingUntil, since their entries may
-// merely have expired during an outage.
+// withoutRemovals drops removals of upstreams and hosts from a change until settlingUntil, since their entries
+// may merely have expired during an outage, or may not have been written again yet.
 func (f *follower) withoutRemovals(change spoke.DirectoryChange) spoke.DirectoryChange {
 	if f.timer.Now().Before(f.settlingUntil) {
-		change.KeepsUnlistedUpstreams = true
-		change.RemovedUpstreams = nil
+		change.KeepsUnlisted = true
+		change.RemovedUpstreams, change.RemovedPeers = nil, nil
 	}
 	return change
 }
--- a/edge/orders.go
+++ b/edge/orders.go
@@ -132,7 +132,7 @@
 		o.wanted[wanted.Model] = max(o.wanted[wanted.Model], wanted.Version)
 	}
 	before := o.upstreams
-	if change.IsSnapshot && !change.KeepsUnlistedUpstreams {
+	if change.IsSnapshot && !change.KeepsUnlisted {
 		o.upstreams = make(map[spoke.UpstreamID]spoke.ListedUpstream)
 	}
 	for _, listed := range change.Upstreams {
--- a/edge/stores.go
+++ b/edge/stores.go
@@ -139,7 +139,7 @@
 	for _, wanted := range change.Weights {
 		f.outdated.SetWanted(now, wanted)
 	}
-	isSnapshot := change.IsSnapshot && !change.KeepsUnlistedUpstreams
+	isSnapshot := change.IsSnapshot && !change.KeepsUnlisted
 	f.outdated.SetUpstreams(isSnapshot, change.Upstreams, change.RemovedUpstreams)
 }
 
