Do not deny keys that a returned store may have lost

A key that was confirmed just before the store returned from an older copy was denied with 401 at a host that had not seen its table yet. For 4 s after a new era, in which others write again what the store has lost, hosts answer unknown keys and routes with 503 and a time to come back.

--- a/edge/configstate.go
+++ b/edge/configstate.go
@@ -18,6 +18,9 @@
 	// pauseRetention is the time after a pause within which changes are received that may have been made
 	// during the pause.
 	pauseRetention = time.Second
+	// rewriteTime is the time after the return of the directory from an older copy in which others write again
+	// what it has lost.
+	rewriteTime = 4 * time.Second
 )
 
 // configState is the configuration that the host uses and how old it may be. It is safe for concurrent
@@ -33,6 +36,8 @@
 	steppedAt    atomic.Int64
 	lastPause    atomic.Int64
 	lastPauseEnd atomic.Int64
+	// returnedUntil is when the directory counts as complete again after its return from an older copy.
+	returnedUntil atomic.Int64
 	staleAfter   time.Duration
 	now          func() time.Time
 	// origin is the time from which the other times count, so that jumps of the wall clock do not
@@ -113,6 +118,13 @@
 // this one may exist.
 func (c *configState) isStale() bool { return c.age() > c.staleAfter }
 
+// recordReturn records that the directory has returned from an older copy.
+func (c *configState) recordReturn() { c.returnedUntil.Store(c.elapsed() + int64(rewriteTime)) }
+
+// mayMissChanges reports whether a confirmed table may be newer than this one, although the directory does not
+// show it.
+func (c *configState) mayMissChanges() bool { return c.isStale() || c.elapsed() < c.returnedUntil.Load() }
+
 // install puts a table in force unless the current one is the same or newer; it returns whether it did.
 func (c *configState) install(table *spoke.RoutingTable) bool {
 	current := c.table.Load()
--- a/edge/follower.go
+++ b/edge/follower.go
@@ -101,6 +101,7 @@
 	if f.era != 0 && era > f.era {
 		f.log.WithFields(logrus.Fields{"era": era, "before": f.era}).Warn("directory returned from an older copy")
 		f.feed.markLost()
+		f.conf.recordReturn()
 		f.settlingUntil = f.timer.Now().Add(settlingTime)
 		f.latestEntries.Return(f.timer.Now())
 	}
--- a/edge/handler.go
+++ b/edge/handler.go
@@ -139,7 +139,7 @@
 // force elsewhere, the caller is asked to retry rather than denied.
 func (e *exchange) refuseUnknown(status int, reason string, version spoke.TableVersion) {
 	fields := logrus.Fields{"table": version, "knowledge-age": e.conf.age().String()}
-	if e.conf.isStale() {
+	if e.conf.mayMissChanges() {
 		e.refuse(http.StatusServiceUnavailable, reason+"-stale", shortRetryAfter, fields)
 		return
 	}
