Get newer routing tables from other hosts

A host that started just after the store had returned from an older copy served by an older table, with keys that had been revoked, until the operator wrote again; so did one that had no way to the store. Full reports now name the table in force, and a host that lags behind for half a second gets it from the host that reported it. Changes of another host at or below this host's revision are passed over.

--- a/directory.go
+++ b/directory.go
@@ -79,6 +79,14 @@
 		// change from the platform holds.
 		References []ContentReference
 		Contents   []DirectoryContent
+		// TableContent identifies the content of Table.
+		TableContent ContentReference
+	}
+
+	// TableReference identifies a version of the routing table.
+	TableReference struct {
+		Version TableVersion
+		Content ContentReference
 	}
 
 	// ContentID identifies a large value by its content, whatever entry has it.
--- a/edge/apply.go
+++ b/edge/apply.go
@@ -80,7 +80,7 @@
 		h.applyUpstreams(change)
 	}
 	// A host accepts calls from its first table on, so the scheduler gets the upstreams before.
-	if change.Table != nil && h.conf.install(change.Table) {
+	if change.Table != nil && h.conf.install(change.Table, change.TableContent) {
 		h.deps.Log.WithFields(logrus.Fields{"table": change.Table.Version, "routes": len(change.Table.Routes)}).Info("routing table in force")
 		h.post(place.SetTable{Services: change.Table.Services, Stores: change.Table.Stores})
 		h.stores.setStores(change.Table.Stores)
@@ -153,6 +153,7 @@
 	h.ordersRank.Store(int64(place.Rank(hosts, h.settings.Host)))
 	h.follower.client.setSources(h.directoryWatchers())
 	h.follower.contentClient.setSources(h.contentSources())
+	addresses := make(map[spoke.HostID]netip.AddrPort, len(h.peers))
 	found := peerAddresses{cell: place.SetCell{Cell: cell, Count: count, Hosts: slices.Sorted(slices.Values(hosts)), Members: members, HasDelegates: place.HasDelegates(members, h.settings.Host)}}
 	for _, id := range slices.Sorted(maps.Keys(h.peers)) {
 		address, err := netip.ParseAddrPort(string(h.peers[id].Address))
@@ -160,12 +161,14 @@
 			h.deps.Log.WithError(err).WithField("peer", id).Warn("peer ignored: invalid address")
 			continue
 		}
+		addresses[id] = address
 		if slices.Contains(members, id) {
 			found.sameCell = append(found.sameCell, address)
 		} else {
 			found.otherCells = append(found.otherCells, address)
 		}
 	}
+	h.offers.setAddresses(addresses)
 	h.deps.Log.WithFields(logrus.Fields{"peers": len(h.peers), "cell": cell, "cells": count, "near": len(found.sameCell)}).Info("peers changed")
 	return found
 }
--- a/edge/configstate.go
+++ b/edge/configstate.go
@@ -26,9 +26,11 @@
 // configState is the configuration that the host uses and how old it may be. It is safe for concurrent
 // use, except that only one task may install tables.
 type configState struct {
-	table       atomic.Pointer[spoke.RoutingTable]
-	confirmedAt atomic.Int64
-	revision    atomic.Uint64
+	table atomic.Pointer[spoke.RoutingTable]
+	// tableReference identifies the table for other hosts.
+	tableReference atomic.Pointer[spoke.TableReference]
+	confirmedAt    atomic.Int64
+	revision       atomic.Uint64
 	// peerReportAt is when the last load report of another host was received.
 	peerReportAt atomic.Int64
 	// steppedAt is when the process last made a step; lastPause and lastPauseEnd describe the last
@@ -38,8 +40,8 @@
 	lastPauseEnd atomic.Int64
 	// returnedUntil is when the directory counts as complete again after its return from an older copy.
 	returnedUntil atomic.Int64
-	staleAfter   time.Duration
-	now          func() time.Time
+	staleAfter    time.Duration
+	now           func() time.Time
 	// origin is the time from which the other times count, so that jumps of the wall clock do not
 	// matter.
 	origin time.Time
@@ -123,14 +125,34 @@
 
 // mayMissChanges reports whether a confirmed table may be newer than this one, although the directory does not
 // show it.
-func (c *configState) mayMissChanges() bool { return c.isStale() || c.elapsed() < c.returnedUntil.Load() }
+func (c *configState) mayMissChanges() bool {
+	return c.isStale() || c.elapsed() < c.returnedUntil.Load()
+}
 
 // install puts a table in force unless the current one is the same or newer; it returns whether it did.
-func (c *configState) install(table *spoke.RoutingTable) bool {
+func (c *configState) install(table *spoke.RoutingTable, content spoke.ContentReference) bool {
 	current := c.table.Load()
 	if current != nil && table.Version <= current.Version {
 		return false
 	}
 	c.table.Store(table)
+	c.tableReference.Store(&spoke.TableReference{Version: table.Version, Content: content})
 	return true
 }
+
+// tableVersion returns the version of the table in force, zero if there is none.
+func (c *configState) tableVersion() spoke.TableVersion {
+	if table := c.table.Load(); table != nil {
+		return table.Version
+	}
+	return 0
+}
+
+// fullView returns the directory view of this host with the table in force.
+func (c *configState) fullView() spoke.DirectoryView {
+	view := c.view()
+	if table := c.tableReference.Load(); table != nil {
+		view.Table = *table
+	}
+	return view
+}
--- a/edge/contentclient.go
+++ b/edge/contentclient.go
@@ -48,8 +48,16 @@
 
 func (c *contentClient) setSources(sources []netip.AddrPort) { c.sources.Store(&sources) }
 
-// fetch returns the change that a content makes, which this host has or gets from one of the sources.
-func (c *contentClient) fetch(ctx context.Context, wanted spoke.ContentReference) (spoke.DirectoryChange, error) {
+// fetchFromSources returns the change that a content makes, which this host has or gets from one of the sources.
+func (c *contentClient) fetchFromSources(ctx context.Context, wanted spoke.ContentReference) (spoke.DirectoryChange, error) {
+	if sources := c.sources.Load(); sources != nil {
+		return c.fetch(ctx, wanted, *sources...)
+	}
+	return c.fetch(ctx, wanted)
+}
+
+// fetch returns the change that a content makes, which this host has or gets from the first of other hosts that has it.
+func (c *contentClient) fetch(ctx context.Context, wanted spoke.ContentReference, sources ...netip.AddrPort) (spoke.DirectoryChange, error) {
 	if known, isKnown := c.contents.get(wanted.ID); isKnown {
 		return c.decode(known)
 	}
@@ -57,11 +65,7 @@
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
 	failure := eris.Wrapf(errContentUnknown, "content of %s", wanted.Key)
-	sources := c.sources.Load()
-	if sources == nil {
-		return spoke.DirectoryChange{}, failure
-	}
-	for _, source := range *sources {
+	for _, source := range sources {
 		change, err := c.fetchFrom(ctx, source, wanted)
 		if err == nil {
 			return change, nil
--- a/edge/feed_test.go
+++ b/edge/feed_test.go
@@ -110,12 +110,12 @@
 	d := start(t, 1)
 	for query, expected := range map[string]int{
 		"": http.StatusBadRequest, "?after=x&wait-ms=1": http.StatusBadRequest, "?after=1&wait-ms=-1": http.StatusBadRequest,
-		"?after=0&wait-ms=1": http.StatusGone, "?after=999999&wait-ms=1": http.StatusOK,
+		"?after=0&wait-ms=1": http.StatusGone, "?after=9000000000000000&wait-ms=1": http.StatusOK,
 	} {
 		assert.Equal(t, d.pollFeed(query), expected, "%q", query)
 	}
 	d.store.Refuse(true)
-	awaitTrue(t, "feed still serves a lost directory", func() bool { return d.pollFeed("?after=999999&wait-ms=1") == http.StatusServiceUnavailable })
+	awaitTrue(t, "feed still serves a lost directory", func() bool { return d.pollFeed("?after=9000000000000000&wait-ms=1") == http.StatusServiceUnavailable })
 }
 
 // isWatcher reports whether a host watches the store for the others.
--- a/edge/follower.go
+++ b/edge/follower.go
@@ -49,6 +49,8 @@
 		contentClient *contentClient
 		// newer receives revisions that a peer has and this host does not.
 		newer chan spoke.Revision
+		// offered receives tables that other hosts have in force.
+		offered chan spoke.DirectoryChange
 		// isDirect is set while this host watches the directory itself.
 		isDirect atomic.Bool
 
@@ -112,6 +114,7 @@
 func (f *follower) watch(ctx context.Context, revision spoke.Revision) {
 	for ctx.Err() == nil {
 		f.conf.revision.Store(uint64(revision))
+		f.applyOffered()
 		f.isDirect.Store(!f.mayPollPeers(revision))
 		if !f.isDirect.Load() {
 			revision = f.pollPeers(ctx, revision)
@@ -143,6 +146,15 @@
 	}
 }
 
+// applyOffered applies a table that another host has in force, if there is one.
+func (f *follower) applyOffered() {
+	select {
+	case change := <-f.offered:
+		f.applyChange(change)
+	default:
+	}
+}
+
 // mayPollPeers reports whether other hosts are polled in place of the directory itself.
 func (f *follower) mayPollPeers(revision spoke.Revision) bool {
 	if !f.client.hasSources() || !f.lostSince.IsZero() || f.isSettling() || f.timer.Now().Before(f.directUntil) {
@@ -176,6 +188,10 @@
 	references := make(map[string]referencedChange)
 	last := revision
 	for _, entry := range answer.entries {
+		if entry.revision <= last {
+			// The other host follows an earlier era.
+			continue
+		}
 		change, err := f.directory.Decode(entry.raw)
 		if err != nil {
 			f.log.WithError(err).Warn("invalid change of the directory from a peer ignored")
@@ -208,7 +224,7 @@
 // applyReferences applies the newest large value of each entry that other hosts have reported.
 func (f *follower) applyReferences(ctx context.Context, references map[string]referencedChange) error {
 	for _, newest := range references {
-		change, err := f.contentClient.fetch(ctx, newest.reference)
+		change, err := f.contentClient.fetchFromSources(ctx, newest.reference)
 		if err != nil {
 			return err
 		}
--- a/edge/host.go
+++ b/edge/host.go
@@ -66,6 +66,7 @@
 		stores        *storeFollowers
 		follower      *follower
 		contentServer *contentServer
+		offers        *tableOffers
 		// ordersRank is the position of this host among all hosts that may acquire the orders lease.
 		ordersRank   atomic.Int64
 		socket       *peers.Socket
@@ -112,7 +113,9 @@
 		feed:     newFeed(h.conf, deps.Timer.Now, deps.Log, metrics),
 		client:   newFeedClient(h.conf.staleAfter, deps.Timer.Now),
 		contents: kept, contentClient: newContentClient(kept, deps.Directory, h.conf.staleAfter),
+		offered: make(chan spoke.DirectoryChange, 1),
 	}
+	h.offers = newTableOffers(h.follower.contentClient, h.conf, deps.Log, h.follower.offered)
 	h.stores = newStoreFollowers(settings, deps, h.planner, h.conf)
 	h.planner.reportConflict = h.stores.recordConflict
 	return h, nil
@@ -135,6 +138,7 @@
 	task(h.sweep)
 	task(func(ctx context.Context) error { return h.socket.Receive(ctx, h.receiveLoad) })
 	task(h.follower.run)
+	task(h.offers.run)
 	callers := &http.Server{
 		Handler: h.relayer, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
@@ -238,6 +242,7 @@
 	h.conf.recordPeerReport(delay)
 	report.Directory.Age += delay
 	h.follower.receiveView(report.Directory)
+	h.offers.offer(report.Host, report.Directory.Table)
 	h.planner.in <- schedulerMessage{message: place.ReceiveReport{Report: report, At: h.deps.Timer.Now(), MaxDelay: delay}}
 }
 
--- a/edge/narrow_test.go
+++ b/edge/narrow_test.go
@@ -211,7 +211,7 @@
 	host.settings.Store = limitedRelay(t, host.settings.Store).Address()
 	host.runHost()
 	first.signals <- syscall.SIGTERM
-	sendReports(t, host, spoke.HostReport{Host: "host-9", Directory: spoke.DirectoryView{Revision: 1 << 30}})
+	sendReports(t, host, spoke.HostReport{Host: "host-9", Directory: spoke.DirectoryView{Revision: spoke.NewRevision(9, 1)}})
 	host.store.Put("op/config", largeTable(2, callerKey, routes))
 	begin := time.Now()
 	awaitTrue(t, "table is not in force", func() bool { _, isInForce := recorded.since(2); return isInForce })
--- a/edge/planner.go
+++ b/edge/planner.go
@@ -258,6 +258,9 @@
 // addHostState adds the directory view and the quarantine marks of this host to a load report.
 func (p *planner) addHostState(now time.Time, report spoke.HostReport) spoke.HostReport {
 	report.Directory = p.conf.view()
+	if report.IsSnapshot {
+		report.Directory = p.conf.fullView()
+	}
 	report.Marks = p.quarantine.list(now, maxMarks)
 	return report
 }
--- a/peers/codec.go
+++ b/peers/codec.go
@@ -35,6 +35,14 @@
 		PartMarks      []partMarkRow         `json:"part-marks,omitempty"`
 		Revision       uint64                `json:"revision,omitempty"`
 		DirectoryAgeMs int64                 `json:"age-ms,omitempty"`
+		Table          *tableRow             `json:"table,omitempty"`
+	}
+
+	// tableRow identifies the routing table in force.
+	tableRow struct {
+		Version uint64 `json:"version"`
+		Key     string `json:"key"`
+		Content string `json:"content"`
 	}
 
 	upstreamRow struct {
@@ -114,6 +122,9 @@
 func Encode(report spoke.HostReport, now time.Time) ([]byte, error) {
 	row := reportRow{Host: string(report.Host), Sequence: report.Sequence, IsSnapshot: report.IsSnapshot}
 	row.Revision, row.DirectoryAgeMs = uint64(report.Directory.Revision), report.Directory.Age.Milliseconds()
+	if table := report.Directory.Table; table.Version != 0 {
+		row.Table = &tableRow{uint64(table.Version), table.Content.Key, string(table.Content.ID)}
+	}
 	for _, u := range report.Upstreams {
 		row.Upstreams = append(row.Upstreams, upstreamRow{string(u.Upstream), int64(u.Prefill), int64(u.Memory), u.Runs, u.CopyTime.Milliseconds()})
 	}
@@ -168,6 +179,11 @@
 	report.Directory = spoke.DirectoryView{
 		Revision: spoke.Revision(row.Revision), Age: time.Duration(row.DirectoryAgeMs) * time.Millisecond,
 	}
+	if row.Table != nil {
+		report.Directory.Table = spoke.TableReference{
+			Version: spoke.TableVersion(row.Table.Version), Content: spoke.ContentReference{Key: row.Table.Key, ID: spoke.ContentID(row.Table.Content)},
+		}
+	}
 	for _, u := range row.Upstreams {
 		report.Upstreams = append(report.Upstreams, spoke.HostUpstreamLoad{
 			Upstream: spoke.UpstreamID(u.ID), Prefill: spoke.TokenCount(u.Prefill), Memory: spoke.TokenCount(u.Memory), Runs: u.Runs,
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -28,7 +28,7 @@
 		Limits:     []spoke.UpstreamLimit{{Upstream: spoke.UpstreamStart{ID: "e", Started: time.UnixMilli(7).UTC()}, Rate: 2.6, IsEnded: true, Age: 50 * time.Millisecond, Sent: 4}},
 		Copies:     []spoke.CopyReport{{Source: "10.0.0.1:1", PendingTime: 30 * time.Millisecond, Completed: 2, MeanDelay: 900 * time.Millisecond}},
 		Slowness:   []spoke.UpstreamSlowness{{Upstream: "e", Slowness: 2.5, Age: 40 * time.Millisecond}},
-		Directory:  spoke.DirectoryView{Revision: 9, Age: time.Second},
+		Directory:  spoke.DirectoryView{Revision: 9, Age: time.Second, Table: spoke.TableReference{Version: 3, Content: spoke.ContentReference{Key: "k", ID: "d1"}}},
 		Crashes:    sampleCrashes(),
 		WantedAges: []spoke.WantedAge{{Wanted: spoke.WantedWeights{Model: "m", Version: 3}, Age: 2 * time.Second}},
 	}
--- a/placement.go
+++ b/placement.go
@@ -117,6 +117,8 @@
 		Revision Revision
 		// Age is the time since the directory was last reached.
 		Age time.Duration
+		// Table identifies the table in force in full reports, and is zero in others.
+		Table TableReference
 	}
 
 	// UpstreamStart is one start of an upstream.
