Do not follow a host that has stayed in an earlier era

A host that others poll and that had not noticed the return of the store looked up to date to those that had: they waited for its changes. It counts as stale now.

--- a/edge/feed_test.go
+++ b/edge/feed_test.go
@@ -147,6 +147,12 @@
 		"backward": func(w http.ResponseWriter, _ *http.Request) {
 			_, _ = io.WriteString(w, `{"revision":9,"news":[{"after":9,"revision":3}]}`)
 		},
+		"backward in a later era": func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, `{"revision":9000000000000000,"news":[{"after":9000000000000000,"revision":3}]}`)
+		},
+		"unread in a later era": func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, `{"revision":9000000000000000,"news":[{"after":1,"revision":9000000000000000,"raw":"fQ=="}]}`)
+		},
 		"unread": func(w http.ResponseWriter, _ *http.Request) {
 			_, _ = io.WriteString(w, `{"revision":999,"news":[{"after":1,"revision":999,"raw":"fQ=="}]}`)
 		},
--- a/edge/feedclient.go
+++ b/edge/feedclient.go
@@ -103,5 +103,8 @@
 	if err == nil && answer.view.Age > time.Duration(maxPeerAgeFraction*float64(c.staleAfter)) {
 		err = eris.Wrapf(errFeedStale, "host %s: %s", source, answer.view.Age)
 	}
+	if err == nil && answer.view.Revision.Era() < after.Era() {
+		err = eris.Wrapf(errFeedStale, "host %s: era %d", source, answer.view.Revision.Era())
+	}
 	return answer, response.Status, err
 }
--- a/edge/follower.go
+++ b/edge/follower.go
@@ -189,7 +189,7 @@
 	last := revision
 	for _, entry := range answer.entries {
 		if entry.revision <= last {
-			// The other host follows an earlier era.
+			// This host has followed the directory itself meanwhile.
 			continue
 		}
 		change, err := f.directory.Decode(entry.raw)
