Let an odd entry stop no updates of an engine

An entry of another writer under an engine's id, with a high number or a late start, made hosts take all later entries of the engine for outdated, its leaving included. Numbers count only within 6 s after the store has returned from an older copy, where its order says nothing. TestOddNumbersDoNotStopUpdates failed before.

--- a/place/latest_entries.go
+++ b/place/latest_entries.go
@@ -7,16 +7,16 @@
 )
 
 const (
-	// returnTime is the time after the return of the directory from an older copy in which it may show entries of
-	// upstreams that have left.
+	// returnTime is the time after the return of the directory from an older copy in which it may show outdated
+	// entries. At other times its order counts, whatever numbers an entry has.
 	returnTime = 6 * time.Second
 	// removedRetention is how long removed upstreams are remembered.
 	removedRetention = time.Minute
 )
 
 type (
-	// LatestEntries recognizes entries of upstreams that are older than what the directory has shown before, as
-	// after its return from an older copy. The zero value has seen nothing.
+	// LatestEntries recognizes entries of upstreams that are older than what the directory has shown before, for a
+	// time after its return from an older copy. The zero value has seen nothing.
 	LatestEntries struct {
 		known         map[spoke.UpstreamID]latestEntry
 		returnedUntil time.Time
@@ -64,7 +64,7 @@
 // newest returns the latest entry of an upstream; it returns false if that has left.
 func (l *LatestEntries) newest(now time.Time, entry spoke.ListedUpstream) (spoke.ListedUpstream, bool) {
 	known, isKnown := l.known[entry.ID]
-	if !isKnown || entry.Started.IsZero() || known.listed.Started.IsZero() || entry.Started.After(known.listed.Started) {
+	if !isKnown || !now.Before(l.returnedUntil) || entry.Started.IsZero() || known.listed.Started.IsZero() || entry.Started.After(known.listed.Started) {
 		return entry, true
 	}
 	isOlder := entry.Started.Before(known.listed.Started) || entry.Sequence < known.listed.Sequence
@@ -75,8 +75,7 @@
 		return entry, true
 	}
 	isSame := entry.Started.Equal(known.listed.Started) && entry.Sequence == known.listed.Sequence
-	isReturned := now.Before(l.returnedUntil) && (isOlder || isSame)
-	return entry, !isReturned
+	return entry, !isOlder && !isSame
 }
 
 func (l *LatestEntries) remove(now time.Time, id spoke.UpstreamID) {
--- a/place/latest_entries_test.go
+++ b/place/latest_entries_test.go
@@ -43,3 +43,14 @@
 	latest.Update(now.Add(24*time.Second), spoke.DirectoryChange{RemovedUpstreams: []spoke.UpstreamID{"left"}})
 	assert.Equal(t, again(25*time.Second, entry("left", 7, 1, false)), 1)
 }
+
+// Guards against an engine that is no longer followed, since another writer has left an entry with a high number or a
+// late start under its id.
+func TestOddNumbersDoNotStopUpdates(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var latest place.LatestEntries
+	for _, written := range []spoke.ListedUpstream{entry("engine", 1, 1<<60, false), entry("engine", 1<<40, 1, false), entry("engine", 1, 2, true)} {
+		got := latest.Update(now, spoke.DirectoryChange{Upstreams: []spoke.ListedUpstream{written}})
+		assert.DeepEqual(t, got.Upstreams, []spoke.ListedUpstream{written})
+	}
+}
