Do not believe a refusal that names no request on a kept connection

A faulty engine that repeated an earlier refusal without a request id on a kept connection made hosts tell callers that their calls had not run (503), though they had, or send them to another engine. Such a refusal counts only on a connection that has carried no other request; else the outcome is unknown (502). Copies that name another request were skipped before. After a 421, after which the same call may go to the same engine again, the connection is closed.

TestRepeatedRefusalIsNoAnswer failed before with 503.

--- a/calls.go
+++ b/calls.go
@@ -98,6 +98,8 @@
 		Fault  AnswerFault
 		// IsNotRun reports whether the upstream states that it has not run the request and will not.
 		IsNotRun bool
+		// NamesRequest reports whether the answer names the request that it belongs to.
+		NamesRequest bool
 		// IsMisdirected reports whether another upstream has the address or other weights are loaded.
 		IsMisdirected bool
 		// IsUpstreamReplaced reports whether another upstream has the address, so that the
--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -31,6 +31,9 @@
 	http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable,
 }
 
+// errRepeatedRefusal reports a refusal that may belong to an earlier request on the connection.
+var errRepeatedRefusal = errors.New("refusal names no request on a connection that has carried others")
+
 type (
 	answerHead = spoke.AnswerHead
 
@@ -131,10 +134,18 @@
 		// Otherwise the intended engine is not at the address, or would take the call with other weights.
 		a.recordSent()
 	}
-	if a.head.IsNotRun {
+	if a.head.IsMisdirected {
+		// The upstream may get this call again; a copy of this answer on the connection would look like its own.
+		answer.Discard()
+	}
+	if a.head.IsNotRun && !a.isRepeated(answer) {
 		return a.handleNotRun()
 	}
 	a.progress.mayHaveRun = true
+	if a.head.IsNotRun {
+		answer.Discard()
+		return a.recordFailure(ctx, place.EndBroken, errRepeatedRefusal)
+	}
 	if a.head.Fault != spoke.FaultNone {
 		return a.recordFailure(ctx, place.EndBroken, errors.New(string(a.head.Fault)))
 	}
@@ -144,6 +155,12 @@
 	return a.relayBuffered(ctx, answer)
 }
 
+// isRepeated reports whether a refusal may be a copy of an earlier one: it does not name its request, and the
+// connection has carried others.
+func (a *attempt) isRepeated(answer *link.Response) bool {
+	return answer.IsReused && !a.head.NamesRequest
+}
+
 func (a *attempt) recordSent() {
 	a.progress.tried = appendUnique(a.progress.tried, a.grant.Upstream.ID)
 	a.progress.sent = appendUnique(a.progress.sent, a.grant.Upstream.ID)
--- a/edge/stalled_test.go
+++ b/edge/stalled_test.go
@@ -22,6 +22,25 @@
 	assert.Equal(t, d.runs(), 1)
 }
 
+// Guards against an earlier refusal that a faulty engine repeats, without a request id, on a kept connection: the caller
+// was told that its call had not run, or the call ran again at another engine.
+func TestRepeatedRefusalIsNoAnswer(t *testing.T) {
+	d := start(t, 1)
+	got, err := d.send(bookCall("first"))
+	assert.NilError(t, err)
+	assert.Equal(t, got.status, http.StatusOK)
+	d.setBehaviour(fake.AnonymousShedFirst)
+	got, err = d.send(bookCall("second"))
+	assert.NilError(t, err)
+	assert.Equal(t, got.status, http.StatusBadGateway)
+	assert.Equal(t, d.runs(), 2)
+
+	// On a new connection there is nothing to repeat.
+	got, err = d.send(bookCall("third"))
+	assert.NilError(t, err)
+	assert.Equal(t, got.status, http.StatusServiceUnavailable)
+}
+
 // Guards against a stalled stream that never times out because its engine sends single bytes.
 func TestTricklingStreamTimesOut(t *testing.T) {
 	d := start(t, 2)
--- a/fake/platform/engine.go
+++ b/fake/platform/engine.go
@@ -39,6 +39,9 @@
 	OtherFirst Behaviour = "other-first"
 	// ShedCopyFirst first sends a 503 that states that another request was not run, then the correct response.
 	ShedCopyFirst Behaviour = "shed-copy-first"
+	// AnonymousShedFirst first sends a 503 without a request id that states that a request was not run, then the
+	// correct response.
+	AnonymousShedFirst Behaviour = "anonymous-shed-first"
 	// Trickle sends the beginning of an event and then one byte per interval.
 	Trickle Behaviour = "trickle"
 	// OwnAnswer is the body of the correct response, which OtherFirst and ShedCopyFirst send second.
@@ -304,6 +307,10 @@
 		e.respondTwice(w, r, func(buffer *bufio.ReadWriter) {
 			_, _ = buffer.WriteString("HTTP/1.1 503 Service Unavailable\r\n" + headerRequestID + ": other\r\n" + headerNotExecuted + ": 1\r\nContent-Length: 0\r\n\r\n")
 		})
+	case AnonymousShedFirst:
+		e.respondTwice(w, r, func(buffer *bufio.ReadWriter) {
+			_, _ = buffer.WriteString("HTTP/1.1 503 Service Unavailable\r\n" + headerNotExecuted + ": 1\r\nContent-Length: 0\r\n\r\n")
+		})
 	case Trickle:
 		e.trickle(w, r)
 	case Unframed:
--- a/link/exchange.go
+++ b/link/exchange.go
@@ -48,6 +48,8 @@
 		Length int64
 		// EndsWithConnection is set if neither a length nor chunks show the end of the body.
 		EndsWithConnection bool
+		// IsReused is set if the connection has carried earlier responses.
+		IsReused bool
 
 		pool       *Pool
 		address    spoke.Address
@@ -107,6 +109,7 @@
 			closeAfter = closeAfter || response.Close || response.ProtoMajor != 1 || response.ProtoMinor != 1
 			return &Response{
 				Status: response.StatusCode, Header: response.Header, Body: body, Length: response.ContentLength,
+				IsReused:           c.isReused,
 				EndsWithConnection: response.ContentLength < 0 && len(response.TransferEncoding) == 0,
 				pool:               p, address: request.Address, conn: c, body: body, written: written, closeAfter: closeAfter,
 			}, nil
@@ -175,6 +178,9 @@
 	return n, err
 }
 
+// Discard keeps the connection from being used again.
+func (r *Response) Discard() { r.closeAfter = true }
+
 // Close ends the exchange. The connection returns to the pool if the response was read to its end
 // and nothing prevents its reuse; idleTimeout is that of the upstream, zero if unknown.
 func (r *Response) Close(idleTimeout time.Duration) {
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -197,3 +197,24 @@
 		now = now.Add(1500 * time.Millisecond)
 	}
 }
+
+// Guards against a connection that is used again although a copy of its last response may follow.
+func TestDiscardedConnectionIsNotReused(t *testing.T) {
+	address := upstream(t, func(conn net.Conn, _ *http.Request) {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	})
+	pool := link.New()
+	defer pool.Close()
+	for _, isDiscarded := range []bool{false, true} {
+		response, err := pool.Do(t.Context(), link.Request{Address: address, Method: http.MethodGet, Target: "/", HostName: "h"}, acceptAny)
+		assert.NilError(t, err)
+		assert.Equal(t, response.IsReused, isDiscarded)
+		_, err = io.ReadAll(response.Body)
+		assert.NilError(t, err)
+		if isDiscarded {
+			response.Discard()
+		}
+		response.Close(0)
+	}
+	assert.Equal(t, pool.Idle(), 0)
+}
