--- a/edge/contents.go
+++ b/edge/contents.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -67,7 +68,7 @@
 }
 
 func (c *contents) append(content spoke.DirectoryContent) {
-	kept := append(c.byKey[content.Key], content)
+	kept := slices.Concat(c.byKey[content.Key], []spoke.DirectoryContent{content})
 	c.byKey[content.Key] = kept[max(len(kept)-maxContentsPerKey, 0):]
 	c.keys = append(without(c.keys, content.Key), content.Key)
 	if len(c.keys) > maxContentKeys {
--- a/edge/narrow_test.go
+++ b/edge/narrow_test.go
@@ -185,18 +185,19 @@
 					assert.Check(t, since.Sub(at) < applyLimit, "table %d at host %d after %s", change+2, i+1, since.Sub(at))
 				}
 			}
-			stopAll(hosts)
+			stopAll(t, hosts)
 		})
 	}
 }
 
 // stopAll stops hosts and waits until they have ended, so that their ports are free.
-func stopAll(hosts []narrowHost) {
+func stopAll(t *testing.T, hosts []narrowHost) {
+	t.Helper()
 	for _, host := range hosts {
 		host.signals <- syscall.SIGTERM
 	}
 	for _, host := range hosts {
-		<-host.ended
+		assert.NilError(t, <-host.ended)
 	}
 }
 
@@ -268,7 +269,7 @@
 		for i, host := range hosts {
 			busiest[hostCount] = max(busiest[hostCount], host.feedBytes()-before[i])
 		}
-		stopAll(hosts)
+		stopAll(t, hosts)
 	}
 	t.Logf("bytes of the busiest host by number of hosts: %v", busiest)
 	assert.Check(t, float64(busiest[10]) < tolerated*float64(busiest[5]), "%v", busiest)
--- a/edge/restored_test.go
+++ b/edge/restored_test.go
@@ -128,6 +128,6 @@
 	awaitTrue(t, "hosts are not listed again", func() bool { return len(first.store.Keys("spoke/hosts/")) == len(hosts) })
 	// The ids of leases have been given out again: the end of one host must not end the entry of another.
 	hosts[1].signals <- syscall.SIGTERM
-	<-hosts[1].ended
+	assert.NilError(t, <-hosts[1].ended)
 	assert.Equal(t, len(first.store.Keys("spoke/hosts/")), len(hosts)-1)
 }
--- a/fetch/fetch.go
+++ b/fetch/fetch.go
@@ -84,7 +84,7 @@
 
 // withCause names the lack of progress where it has ended the call.
 func withCause(ctx context.Context, err error) error {
-	if err != nil && context.Cause(ctx) == ErrNoProgress {
+	if err != nil && errors.Is(context.Cause(ctx), ErrNoProgress) {
 		return errors.Join(ErrNoProgress, err)
 	}
 	return err
