--- a/cmd/trial/soak/run.go
+++ b/cmd/trial/soak/run.go
@@ -42,6 +42,7 @@
 type options struct {
 	limit      spoke.RequestRate
 	hasCrashes bool
+	hasReturns bool
 }
 
 // WithLimit makes every second engine name a limit in its answers, which hosts must keep together.
@@ -50,6 +51,9 @@
 // WithCrashingPart makes engines crash on a prompt part, whose requests hosts must stop sending together.
 func WithCrashingPart() Option { return func(o *options) { o.hasCrashes = true } }
 
+// WithReturns makes the store return from older copies beside the other faults.
+func WithReturns() Option { return func(o *options) { o.hasReturns = true } }
+
 // Run injects the faults of one seed for the duration into hosts that run program, and checks the
 // guarantees. It writes logs into a new subdirectory of directory.
 func Run(program, directory string, seed uint64, duration time.Duration, changes ...Option) (Report, error) {
@@ -71,7 +75,7 @@
 	}
 	c := &callers{testbed: b}
 	var faulty *host
-	report.FaultLog, faulty = runFaults(b, c, seed, duration)
+	report.FaultLog, faulty = runFaults(b, c, seed, duration, set.hasReturns)
 	c.checkRecovery()
 	c.checkRuns()
 	c.checkLimits(faulty)
@@ -87,7 +91,7 @@
 
 // runFaults sends calls and injects faults for the duration, and returns the log of the faults and the host
 // that process faults applied to.
-func runFaults(b *testbed, c *callers, seed uint64, duration time.Duration) ([]string, *host) {
+func runFaults(b *testbed, c *callers, seed uint64, duration time.Duration, hasReturns bool) ([]string, *host) {
 	var mu sync.Mutex
 	var faultLog []string
 	started := time.Now()
@@ -104,7 +108,12 @@
 	callCtx, stopCalls := context.WithCancel(context.Background())
 	var group sync.WaitGroup
 	group.Go(func() { c.run(callCtx, seed) })
+	var returns sync.WaitGroup
+	if hasReturns {
+		returns.Go(func() { inj.returnStore(ctx, rand.New(rand.NewPCG(seed, 1))) })
+	}
 	inj.run(ctx, random)
+	returns.Wait()
 	stopCalls()
 	group.Wait()
 	return faultLog, faulty
--- a/cmd/trial/soak/soak_test.go
+++ b/cmd/trial/soak/soak_test.go
@@ -65,7 +65,18 @@
 	}
 }
 
-// limitSeeds returns the number of seeds with limits or crashes: the first one, or all that are given by hand.
+// Guards against guarantees that do not hold while the store returns from older copies, over real processes and while
+// other faults overlap.
+func TestSoakWithReturnsOfStore(t *testing.T) {
+	program := build(t)
+	for _, seed := range seeds(t)[:limitSeeds(t)] {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			run(t, program, seed, faultTime, soak.WithReturns())
+		})
+	}
+}
+
+// limitSeeds returns the number of seeds with limits, crashes or returns: the first one, or all that are given by hand.
 func limitSeeds(t *testing.T) int {
 	t.Helper()
 	if os.Getenv(seedsVariable) == "" {
--- a/cmd/trial/soak/testbed.go
+++ b/cmd/trial/soak/testbed.go
@@ -108,6 +108,10 @@
 	b.configVersion += 3
 	version := b.configVersion
 	b.mu.Unlock()
+	b.writeConfig(version)
+}
+
+func (b *testbed) writeConfig(version int) {
 	b.store.PutConfig(version, hostName, service, workspace, []string{permanentKey, fmt.Sprintf("key-%d", version)}, []fake.Route{
 		{Name: chat, Kind: "streaming", MaxAttempts: 2, HasPrompt: true, IsResumable: true},
 		{Name: quote, Kind: "streaming", MaxAttempts: 1, HasPrompt: true},
--- a/fake/platform/engine.go
+++ b/fake/platform/engine.go
@@ -63,13 +63,15 @@
 		address string
 		handler http.Handler
 
-		mu            sync.Mutex
-		server        *httptest.Server
-		behaviour     Behaviour
-		runs          []Run
-		cancelled     int
-		version       int
-		orders        int
+		mu        sync.Mutex
+		server    *httptest.Server
+		behaviour Behaviour
+		runs      []Run
+		cancelled int
+		version   int
+		orders    int
+		// entries counts the entries that the engine has written since its start.
+		entries       int
 		restarts      int64
 		events        int
 		eventInterval time.Duration
@@ -193,7 +195,7 @@
 func (e *Engine) Restart(version int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.version, e.orders = version, 0
+	e.version, e.orders, e.entries = version, 0, 0
 	e.restarts++
 }
 
@@ -208,9 +210,10 @@
 func (e *Engine) Entry(service, zone, state string) map[string]any {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.entries++
 	return map[string]any{
 		"service": service, "address": e.Address(), "zone": zone, "version": "v1", "slots": 8, "state": state,
-		"cold-left-ms": 0, "sequence": e.orders, "born": firstStartMs + e.restarts,
+		"cold-left-ms": 0, "sequence": e.entries, "born": firstStartMs + e.restarts,
 		"models": []map[string]any{{"name": ModelName, "version": e.version, "adapters": []string{}}},
 	}
 }
