--- a/edge/relay_test.go
+++ b/edge/relay_test.go
@@ -96,6 +96,37 @@
 	assert.Equal(t, d.runs(), 2)
 }
 
+// Guards against the text or the head of an error in the middle of a caller's stream, and against a stream that ends as
+// if it were whole, when the next engine answers with an error, with other bytes or not at all.
+func TestErrorOfNextEngineStaysOutOfStream(t *testing.T) {
+	const own = "Magnoliaspoke-Request-Id: " + fake.RequestIDPlace + "\r\nMagnoliaspoke-Server-Stamp: s\r\n"
+	const text = "Content-Length: 12\r\n\r\nengine error"
+	for name, raw := range map[string]string{
+		"not run":        "HTTP/1.1 503 Service Unavailable\r\nMagnoliaspoke-Not-Executed: 1\r\n" + own + text,
+		"not run, no id": "HTTP/1.1 429 Too Many Requests\r\nMagnoliaspoke-Not-Executed: 1\r\n" + text,
+		"failed":         "HTTP/1.1 500 Internal Server Error\r\n" + own + text,
+		"unframed error": "HTTP/1.1 502 Bad Gateway\r\n" + own + "\r\nengine error\n\n",
+		"bad request":    "HTTP/1.1 400 Bad Request\r\n" + own + text,
+		"no stamp":       "HTTP/1.1 200 OK\r\nMagnoliaspoke-Request-Id: " + fake.RequestIDPlace + "\r\n" + text,
+		"other request":  "HTTP/1.1 200 OK\r\nMagnoliaspoke-Request-Id: other\r\nMagnoliaspoke-Server-Stamp: s\r\n" + text,
+		"two heads":      "HTTP/1.1 200 OK\r\n" + own + "\r\nHTTP/1.1 500 Internal Server Error\r\n" + own + text,
+		"bare lines":     "HTTP/1.1 200 OK\r\n" + own + "\r\nHTTP/1.1 500 Internal Server Error\nContent-Length: 12\n\nengine error\n\n",
+		"no head":        "engine error\n\n",
+		"half a head":    "HTTP/1.1 500 Internal",
+		"nothing":        "",
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := start(t, 2)
+			for _, engine := range d.engines {
+				engine.SetResumedAnswer(raw)
+			}
+			got, err := d.send(chatCall("r1"))
+			assert.ErrorContains(t, err, "unexpected EOF")
+			assert.Equal(t, got.body, "id: 1\ndata: piece 1\n\n")
+		})
+	}
+}
+
 // Guards against "not run" answers for requests that may have run, and against repeatable requests that
 // are not retried.
 func TestUpstreamFailuresAreRetriedOrReported(t *testing.T) {
--- a/fake/platform/engine.go
+++ b/fake/platform/engine.go
@@ -33,6 +33,9 @@
 	ResetMidway Behaviour = "reset-midway"
 	// FailResumed closes the connection within an event of a new stream and responds to resumed ones as Fail.
 	FailResumed Behaviour = "fail-resumed"
+	// RawResumed closes the connection within an event of a new stream and responds to resumed ones with the bytes
+	// that were set with SetResumedAnswer.
+	RawResumed Behaviour = "raw-resumed"
 	// Hang accepts the request and sends no response.
 	Hang Behaviour = "hang"
 	// OtherFirst sends the response to another request before the correct one.
@@ -85,8 +88,10 @@
 		shedCount           int
 		longestEndlessWrite time.Duration
 		unframed            UnframedAnswer
-		crashing            Crashing
-		crashes             []time.Time
+		// resumed is the response to resumed streams.
+		resumed  string
+		crashing Crashing
+		crashes  []time.Time
 		// isDown is set from a crash to the next start.
 		isDown   bool
 		isClosed bool
@@ -337,7 +342,11 @@
 		http.Error(w, "engine failed", http.StatusInternalServerError)
 		return
 	}
-	isBreaking := behaviour == ResetMidway || behaviour == FailResumed
+	if behaviour == RawResumed && first > 1 {
+		e.writeResumed(w, r)
+		return
+	}
+	isBreaking := behaviour == ResetMidway || behaviour == FailResumed || behaviour == RawResumed
 	for id := first; id <= e.events; id++ {
 		if isBreaking && first == 1 && id == 2 {
 			_, _ = fmt.Fprintf(w, "id: %d\ndata: tor", id)
