--- a/logs/read.go
+++ b/logs/read.go
@@ -135,8 +135,8 @@
 }
 
 func decodeEntry(line []byte) (Entry, error) {
-	var raw map[string]any
-	if err := json.Unmarshal(line, &raw); err != nil {
+	raw, err := decodeFields(line)
+	if err != nil {
 		return Entry{}, eris.Wrap(err, "not a log line")
 	}
 	text := func(name string) string {
@@ -159,6 +159,19 @@
 	return entry, nil
 }
 
+// decodeFields decodes the fields of a line. Numbers stay as they were written, since revisions and fencing tokens have
+// more digits than other formats of numbers show.
+func decodeFields(line []byte) (map[string]any, error) {
+	if !json.Valid(line) {
+		return nil, eris.New("invalid JSON")
+	}
+	decoder := json.NewDecoder(bytes.NewReader(line))
+	decoder.UseNumber()
+	var raw map[string]any
+	err := decoder.Decode(&raw)
+	return raw, err
+}
+
 // sortEntries merges the files by time. The order within a file is kept, since the wall clock may have
 // jumped: a line counts as written no earlier than the one before it.
 func sortEntries(entries []Entry) {
--- a/logs/read_test.go
+++ b/logs/read_test.go
@@ -45,3 +45,14 @@
 	_, _, err = logs.ReadDirectory(t.TempDir())
 	assert.ErrorContains(t, err, "no files")
 }
+
+// Guards against fencing tokens and revisions that are shown rounded, so that they cannot be compared.
+func TestLongNumbersAreShownExactly(t *testing.T) {
+	directory := t.TempDir()
+	line := `{"time":"2026-01-01T00:00:01Z","host-id":"one","level":"info","msg":"orders lease changed","fence":1099511627789,"share":0.25}`
+	assert.NilError(t, os.WriteFile(filepath.Join(directory, "one.log"), []byte(line), 0o600))
+	entries, report, err := logs.ReadDirectory(directory)
+	assert.NilError(t, err)
+	assert.NilError(t, report.Err())
+	assert.Equal(t, entries[0].Text(), "00:00:01.000   one      info    orders lease changed  fence=1099511627789 share=0.25")
+}
