--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -26,13 +26,15 @@
 	streamIdleTimeout = 2 * time.Second
 )
 
-// notRunStatuses are the statuses that signal to a caller that its request was not run.
-var notRunStatuses = []int{
-	http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable,
-}
+var (
+	// notRunStatuses are the statuses that signal to a caller that its request was not run.
+	notRunStatuses = []int{
+		http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable,
+	}
 
-// errRepeatedRefusal reports a refusal that may belong to an earlier request on the connection.
-var errRepeatedRefusal = errors.New("refusal names no request on a connection that has carried others")
+	// errRepeatedRefusal reports a refusal that may belong to an earlier request on the connection.
+	errRepeatedRefusal = errors.New("refusal names no request on a connection that has carried others")
+)
 
 type (
 	answerHead = spoke.AnswerHead
--- a/fake/platform/store.go
+++ b/fake/platform/store.go
@@ -51,6 +51,7 @@
 	}
 )
 
+// WriteHeader writes the head with the era.
 func (w eraWriter) WriteHeader(status int) {
 	w.Header().Set("Store-Era", strconv.FormatUint(w.store.era.Load(), 10))
 	w.ResponseWriter.WriteHeader(status)
--- a/fetch/fetch.go
+++ b/fetch/fetch.go
@@ -41,6 +41,7 @@
 	}
 )
 
+// Read reads a part of the body.
 func (r *progressReader) Read(p []byte) (int, error) {
 	count, err := r.Reader.Read(p)
 	if count > 0 {
