Test roll-outs and cut-off hosts over returns of the store

Two cases that the change of revisions covers: the next lease holder's orders after a return, at engines that check fencing tokens, and two returns in a row with a host that is cut off from the store meanwhile and gets tables from others.

--- a/edge/restored_test.go
+++ b/edge/restored_test.go
@@ -11,6 +11,7 @@
 
 	"magnoliaspoke.example/spoke"
 	fake "magnoliaspoke.example/spoke/fake/platform"
+	"magnoliaspoke.example/spoke/relay"
 )
 
 // rewriteDelay is the time after the return of a store in which others write again what it has lost.
@@ -131,3 +132,73 @@
 	assert.NilError(t, <-hosts[1].ended)
 	assert.Equal(t, len(first.store.Keys("spoke/hosts/")), len(hosts)-1)
 }
+
+// Guards against engines that refuse the orders of the next lease holder after the store has returned from an older
+// copy, since its fencing token is lower, and against a roll-out that nobody goes on with.
+func TestWeightsAreLoadedAfterReturnOfStore(t *testing.T) {
+	hosts := startHosts(t, 3)
+	store := hosts[0].store
+	copied := store.Copy()
+	advance(store, 30)
+	// The next holder takes the lease at a revision that the copy does not have.
+	for _, host := range hosts {
+		if host.hasLogged(`"held":true`) {
+			host.signals <- syscall.SIGTERM
+			assert.NilError(t, <-host.ended)
+		}
+	}
+	store.Put("op/version/model-a", map[string]any{"model": "model-a", "version": 2})
+	awaitVersion(t, hosts[0], 2)
+
+	store.Restore(copied)
+	<-time.After(rewriteDelay)
+	store.Put("op/version/model-a", map[string]any{"model": "model-a", "version": 2})
+	store.Put("op/version/model-a", map[string]any{"model": "model-a", "version": 3})
+	begin := time.Now()
+	awaitVersion(t, hosts[0], 3)
+	assert.Assert(t, time.Since(begin) < hosts[0].settings.WeightsApply, "%s", time.Since(begin))
+}
+
+func awaitVersion(t *testing.T, d *deployment, wanted int) {
+	t.Helper()
+	awaitTrue(t, fmt.Sprintf("weights %d not loaded", wanted), func() bool {
+		for _, engine := range d.engines {
+			if version, _ := engine.Version(); version != wanted {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// Guards against hosts that miss changes if the store returns twice in a row, and against one that is cut off from the
+// store meanwhile and serves by an older table, then and afterwards.
+func TestHostsFollowTwoReturnsOfStore(t *testing.T) {
+	hosts := startHosts(t, 3)
+	store := hosts[0].store
+	cut := hosts[0].beside("host-9")
+	storeLink, err := relay.New("127.0.0.1:0", spoke.Address(store.Address()))
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = storeLink.Close() })
+	cut.settings.Store = storeLink.Address()
+	cut.runHost()
+	awaitTrue(t, "host does not list the others", func() bool { return cut.hasLogged(`"peers":3`) })
+
+	first := store.Copy()
+	store.Put("op/config", table(3, "key-3"))
+	awaitKey(t, append(hosts, cut), "key-3")
+	second := store.Copy()
+	store.Put("op/config", table(4, "key-4"))
+	awaitKey(t, append(hosts, cut), "key-4")
+	storeLink.Cut()
+	store.Restore(second)
+	<-time.After(rewriteDelay)
+	store.Restore(first)
+	store.Put("op/config", table(5, "key-5"))
+	awaitKey(t, append(hosts, cut), "key-5")
+	storeLink.Restore()
+	store.Put("op/config", table(6, "key-6"))
+	begin := time.Now()
+	awaitKey(t, append(hosts, cut), "key-6")
+	assert.Assert(t, time.Since(begin) < cut.settings.ConfigApply, "%s", time.Since(begin))
+}
--- a/fake/platform/engine.go
+++ b/fake/platform/engine.go
@@ -73,6 +73,8 @@
 		cancelled int
 		version   int
 		orders    int
+		// highestFence is the highest fencing token of an accepted order.
+		highestFence int
 		// entries counts the entries that the engine has written since its start.
 		entries       int
 		restarts      int64
@@ -200,7 +202,7 @@
 func (e *Engine) Restart(version int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.version, e.orders, e.entries = version, 0, 0
+	e.version, e.orders, e.entries, e.highestFence = version, 0, 0, 0
 	e.restarts++
 }
 
@@ -240,10 +242,15 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if order.Fence < e.highestFence {
+		w.WriteHeader(http.StatusPreconditionFailed)
+		return
+	}
 	if order.Expected != e.orders {
 		w.WriteHeader(http.StatusConflict)
 		return
 	}
+	e.highestFence = order.Fence
 	e.orders++
 	e.version = order.Version
 	w.WriteHeader(http.StatusAccepted)
