Wait for other hosts before serving by a returned store's table

A host that started after the store had returned from an older copy accepted revoked keys for a second or two, until the reports of others had come. It now is not ready, and refuses as not run, until one of them has confirmed its table or sent a newer one, 1.5 s at most; only where the store has ever returned and other hosts are listed. TestStartedHostGetsNewerTableFromPeers, which now also asks with an older key from the first moment on, failed without it.

--- a/edge/configstate.go
+++ b/edge/configstate.go
@@ -21,6 +21,9 @@
 	// rewriteTime is the time after the return of the directory from an older copy in which others write again
 	// what it has lost.
 	rewriteTime = 4 * time.Second
+	// provisionalTime bounds the time for which a started host waits for the reports of others before it serves by
+	// a table that the directory may show from an older copy. Full reports come every second.
+	provisionalTime = 1500 * time.Millisecond
 )
 
 // configState is the configuration that the host uses and how old it may be. It is safe for concurrent
@@ -40,8 +43,10 @@
 	lastPauseEnd atomic.Int64
 	// returnedUntil is when the directory counts as complete again after its return from an older copy.
 	returnedUntil atomic.Int64
-	staleAfter    time.Duration
-	now           func() time.Time
+	// provisionalUntil is when this host serves by its first table at the latest.
+	provisionalUntil atomic.Int64
+	staleAfter       time.Duration
+	now              func() time.Time
 	// origin is the time from which the other times count, so that jumps of the wall clock do not
 	// matter.
 	origin time.Time
@@ -129,6 +134,23 @@
 	return c.isStale() || c.elapsed() < c.returnedUntil.Load()
 }
 
+// beginProvisional makes this host wait with its first table until endProvisional, at most provisionalTime.
+func (c *configState) beginProvisional() {
+	c.provisionalUntil.Store(c.elapsed() + int64(provisionalTime))
+}
+
+func (c *configState) endProvisional() { c.provisionalUntil.Store(0) }
+
+func (c *configState) isProvisional() bool { return c.elapsed() < c.provisionalUntil.Load() }
+
+// servedTable returns the table to serve by, nil if there is none yet.
+func (c *configState) servedTable() *spoke.RoutingTable {
+	if c.isProvisional() {
+		return nil
+	}
+	return c.table.Load()
+}
+
 // install puts a table in force unless the current one is the same or newer; it returns whether it did.
 func (c *configState) install(table *spoke.RoutingTable, content spoke.ContentReference) bool {
 	current := c.table.Load()
--- a/edge/follower.go
+++ b/edge/follower.go
@@ -26,6 +26,10 @@
 	// minBackoff and maxBackoff bound the pause after a failed call.
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = 800 * time.Millisecond
+	// firstEra is the era of a directory that has never returned from an older copy.
+	firstEra spoke.Era = 1
+	// provisionalWatchWait is short, so that a table of another host is soon in force.
+	provisionalWatchWait = 50 * time.Millisecond
 	// settlingTime is the time after an outage within which expired entries are announced again.
 	settlingTime = 2 * time.Second
 )
@@ -90,7 +94,7 @@
 		change.MaxAge, change.ReceivedAt = f.changeAge.OfSnapshot(now), now
 		f.changeAge.CompleteSnapshot(asked)
 		f.conf.confirm(now.Sub(asked))
-		f.observeEra(change.Revision.Era())
+		f.observeEra(change.Revision.Era(), len(change.Peers) > 0)
 		f.handleAnswer(change)
 		f.watch(ctx, change.Revision)
 	}
@@ -98,8 +102,11 @@
 }
 
 // observeEra notices that the directory has returned from an older copy. Until others have written again what it has
-// lost, its entries may be outdated or missing.
-func (f *follower) observeEra(era spoke.Era) {
+// lost, its entries may be outdated or missing. A started host cannot know when that was, and asks others.
+func (f *follower) observeEra(era spoke.Era, hasPeers bool) {
+	if f.era == 0 && era > firstEra && hasPeers {
+		f.conf.beginProvisional()
+	}
 	if f.era != 0 && era > f.era {
 		f.log.WithFields(logrus.Fields{"era": era, "before": f.era}).Warn("directory returned from an older copy")
 		f.feed.markLost()
@@ -151,6 +158,7 @@
 	select {
 	case change := <-f.offered:
 		f.applyChange(change)
+		f.conf.endProvisional()
 	default:
 	}
 }
@@ -302,6 +310,9 @@
 	if f.isSettling() {
 		return max(f.settlingUntil.Sub(f.timer.Now()), time.Millisecond)
 	}
+	if f.conf.isProvisional() {
+		return provisionalWatchWait
+	}
 	return maxWatchWait
 }
 
--- a/edge/handler.go
+++ b/edge/handler.go
@@ -98,7 +98,7 @@
 // resolve looks up the route and the workspace of the call and sets its deadline. It refuses the call and
 // returns false if one of them is missing or this host stops too soon.
 func (e *exchange) resolve() bool {
-	table := e.conf.table.Load()
+	table := e.conf.servedTable()
 	if table == nil {
 		e.refuse(http.StatusServiceUnavailable, "not-ready", shortRetryAfter, logrus.Fields{"knowledge-age": e.conf.age().String()})
 		return false
--- a/edge/host.go
+++ b/edge/host.go
@@ -199,7 +199,7 @@
 
 // serveReadiness answers the platform's readiness probe: whether this host accepts new connections.
 func (h *Host) serveReadiness(w http.ResponseWriter, _ *http.Request) {
-	if h.isLeaving.Load() || h.conf.table.Load() == nil {
+	if h.isLeaving.Load() || h.conf.servedTable() == nil {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/edge/restored_test.go
+++ b/edge/restored_test.go
@@ -1,6 +1,7 @@
 package edge_test
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"syscall"
@@ -110,9 +111,27 @@
 	store.Put("op/config", table(3, "key-3"))
 	awaitKey(t, hosts, "key-3")
 	store.Restore(copied)
-	started := hosts[0].addHost("host-9")
+	// Its peers are listed again by their next announcement.
+	awaitTrue(t, "peers are not listed", func() bool { return len(store.Keys("spoke/hosts/")) == len(hosts) })
+	started := hosts[0].beside("host-9")
+	served := make(chan bool, 1)
+	polling, stop := context.WithCancel(t.Context())
+	go func() { served <- started.servesBefore(polling, callerKey) }()
+	started.runHost()
 	awaitTrue(t, "started host does not know the newer table", func() bool { return started.bookingStatus("a", "key-3") == http.StatusOK })
-	assert.Assert(t, started.bookingStatus("b", callerKey) != http.StatusOK)
+	stop()
+	assert.Assert(t, !<-served, "an older key was accepted")
+}
+
+// servesBefore reports whether the host accepts a key before ctx ends.
+func (d *deployment) servesBefore(ctx context.Context, key string) bool {
+	for i := 0; ctx.Err() == nil; i++ {
+		if d.bookingStatus(fmt.Sprint("early-", i), key) == http.StatusOK {
+			return true
+		}
+		<-time.After(5 * time.Millisecond)
+	}
+	return false
 }
 
 // Guards against a host that is no longer listed, since the lease of its announcement has gone, or its id has been
--- a/edge/tableoffers.go
+++ b/edge/tableoffers.go
@@ -50,9 +50,14 @@
 	o.addresses.Store(&addresses)
 }
 
-// offer passes on the table of another host without waiting; a later report repeats it.
+// offer passes on the table of another host without waiting; a later report repeats it. Another host with the same
+// table, or an older one, confirms that of this host.
 func (o *tableOffers) offer(host spoke.HostID, table spoke.TableReference) {
-	if table.Version <= o.conf.tableVersion() {
+	own := o.conf.tableVersion()
+	if own != 0 && table.Version != 0 && table.Version <= own {
+		o.conf.endProvisional()
+	}
+	if table.Version <= own {
 		return
 	}
 	select {
@@ -83,7 +88,7 @@
 		o.newerSince = now
 	}
 	addresses := o.addresses.Load()
-	if addresses == nil || now.Sub(o.newerSince) < offerDelay {
+	if addresses == nil || (!o.conf.isProvisional() && now.Sub(o.newerSince) < offerDelay) {
 		return
 	}
 	address, isListed := (*addresses)[offer.host]
