Use more ports in tests

Test hosts take ports from a range of 300 in place of 100, which many hosts in one process used up: 17 tests of edge failed in make test with no free port.

--- a/fake/ports/free.go
+++ b/fake/ports/free.go
@@ -12,8 +12,8 @@
 	// firstPort and the ranges after it lie below the ephemeral ports of the system, because an
 	// outgoing connection could take such a port between the check and its use.
 	firstPort  = 20000
-	rangeCount = 120
-	rangeSize  = 100
+	rangeCount = 40
+	rangeSize  = 300
 )
 
 // triedPorts counts the ports that this process has checked.
