--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -158,9 +158,9 @@
 }
 
 // isRepeated reports whether a refusal may be a copy of an earlier one: it does not name its request, and the
-// connection has carried others.
+// connection has carried others. A connection carries no request after one that was misdirected.
 func (a *attempt) isRepeated(answer *link.Response) bool {
-	return answer.IsReused && !a.head.NamesRequest
+	return answer.IsReused && !a.head.NamesRequest && !a.head.IsMisdirected
 }
 
 func (a *attempt) recordSent() {
--- a/fake/platform/engine.go
+++ b/fake/platform/engine.go
@@ -286,6 +286,7 @@
 		w.Header().Set(headerWeightVersions, strconv.Itoa(version))
 		w.WriteHeader(http.StatusMisdirectedRequest)
 	case behaviour == Shed:
+		w.Header().Set(headerRequestID, r.Header.Get(headerRequestID))
 		w.Header().Set(headerNotExecuted, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 	default:
