--- a/edge/contents.go
+++ b/edge/contents.go
@@ -70,7 +70,7 @@
 func (c *contents) append(content spoke.DirectoryContent) {
 	kept := slices.Concat(c.byKey[content.Key], []spoke.DirectoryContent{content})
 	c.byKey[content.Key] = kept[max(len(kept)-maxContentsPerKey, 0):]
-	c.keys = append(without(c.keys, content.Key), content.Key)
+	c.keys = append(slices.DeleteFunc(c.keys, func(key string) bool { return key == content.Key }), content.Key)
 	if len(c.keys) > maxContentKeys {
 		delete(c.byKey, c.keys[0])
 		c.keys = c.keys[1:]
@@ -181,14 +181,3 @@
 	c.deltas = append(c.deltas, added)
 	c.deltas = c.deltas[max(len(c.deltas)-maxDeltas, 0):]
 }
-
-// without returns a list without an item.
-func without[T comparable](items []T, left T) []T {
-	var kept []T
-	for _, item := range items {
-		if item != left {
-			kept = append(kept, item)
-		}
-	}
-	return kept
-}
--- a/place/fanout.go
+++ b/place/fanout.go
@@ -1,6 +1,10 @@
 package place
 
-import "magnoliaspoke.example/spoke"
+import (
+	"slices"
+
+	"magnoliaspoke.example/spoke"
+)
 
 // contentFanOut is the number of hosts that get large values of the directory from one host while all are well.
 const contentFanOut = 3
@@ -11,10 +15,7 @@
 // logarithm.
 func ContentSources(peers []spoke.ListedPeer, self spoke.ListedPeer) []spoke.HostID {
 	group := watchGroup(peers, self)
-	rank := 0
-	for group[rank] != self.ID {
-		rank++
-	}
+	rank := slices.Index(group, self.ID)
 	if rank < watchersPerGroup {
 		return nil
 	}
