Begin a new lag with each routing table

Reading the change again: the time since which another host has a newer table was set at the first change and, as reports of tables that are not newer are dropped before, practically never cleared. From the second change on a host that was behind for a moment asked the first host that reported a newer table, and not the one above it in the tree; with many hosts that puts the load on one of them again. The rule is a pure decision now (place.TableLag). TestEachTableBeginsANewLag fails with the old rule.

--- a/edge/tableoffers.go
+++ b/edge/tableoffers.go
@@ -4,20 +4,15 @@
 	"context"
 	"net/netip"
 	"sync/atomic"
-	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"magnoliaspoke.example/spoke"
+	"magnoliaspoke.example/spoke/place"
 )
 
-const (
-	// offerDelay is the time in which a newer table of another host arrives from the directory or from those that
-	// watch it; after that, this host asks the other one.
-	offerDelay = 500 * time.Millisecond
-	// offerQueue bounds the reports that have not been looked at.
-	offerQueue = 8
-)
+// offerQueue bounds the reports that have not been looked at.
+const offerQueue = 8
 
 type (
 	// tableOffer is a newer routing table that another host has in force.
@@ -37,8 +32,7 @@
 		out chan<- spoke.DirectoryChange
 		// addresses are those of the other hosts.
 		addresses atomic.Pointer[map[spoke.HostID]netip.AddrPort]
-		// newerSince is when another host first reported a newer table than the one in force, zero if none does.
-		newerSince time.Time
+		lag       place.TableLag
 	}
 )
 
@@ -79,16 +73,10 @@
 }
 
 func (o *tableOffers) handle(ctx context.Context, offer tableOffer) {
-	now := o.conf.now()
-	if offer.table.Version <= o.conf.tableVersion() {
-		o.newerSince = time.Time{}
-		return
-	}
-	if o.newerSince.IsZero() {
-		o.newerSince = now
-	}
+	own := o.conf.tableVersion()
+	isLagging := o.lag.Observe(o.conf.now(), own, offer.table.Version)
 	addresses := o.addresses.Load()
-	if addresses == nil || (!o.conf.isProvisional() && now.Sub(o.newerSince) < offerDelay) {
+	if offer.table.Version <= own || addresses == nil || (!isLagging && !o.conf.isProvisional()) {
 		return
 	}
 	address, isListed := (*addresses)[offer.host]
