--- a/edge/contentserver.go
+++ b/edge/contentserver.go
@@ -71,9 +71,5 @@
 }
 
 func (s *contentServer) write(w http.ResponseWriter, raw []byte) {
-	sent, err := w.Write(raw)
-	s.metrics.addFeedBytes(sent)
-	if err != nil {
-		s.log.WithError(err).Debug("content of the directory not sent to a peer")
-	}
+	sendToPeer(w, raw, s.log, s.metrics)
 }
--- a/edge/feed.go
+++ b/edge/feed.go
@@ -181,9 +181,14 @@
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
+	sendToPeer(w, raw, f.log, f.metrics)
+}
+
+// sendToPeer sends a part of the directory to another host, which may have disconnected, and counts the bytes.
+func sendToPeer(w http.ResponseWriter, raw []byte, log logrus.FieldLogger, metrics *metrics) {
 	sent, err := w.Write(raw)
-	f.metrics.addFeedBytes(sent)
+	metrics.addFeedBytes(sent)
 	if err != nil {
-		f.log.WithError(err).Debug("changes of the directory not sent to a peer")
+		log.WithError(err).Debug("changes of the directory not sent to a peer")
 	}
 }
--- a/place/latest_entries.go
+++ b/place/latest_entries.go
@@ -52,13 +52,19 @@
 	for _, id := range change.RemovedUpstreams {
 		l.remove(now, id)
 	}
+	if change.IsSnapshot && !change.KeepsUnlisted {
+		l.removeUnlisted(now, listed)
+	}
+	l.prune(now)
+	return change
+}
+
+func (l *LatestEntries) removeUnlisted(now time.Time, listed map[spoke.UpstreamID]bool) {
 	for id := range l.known {
-		if change.IsSnapshot && !change.KeepsUnlisted && !listed[id] {
+		if !listed[id] {
 			l.remove(now, id)
 		}
 	}
-	l.prune(now)
-	return change
 }
 
 // newest returns the latest entry of an upstream; it returns false if that has left.
