Test responses that are cut after each byte

Another operator reported an engine that stopped inside the head of its answer: the caller got a 200 with an empty body, framed as whole. The bytes of a body that ends with its connection are left out, since a regular end is its end.

--- a/fake/frame/handler.go
+++ b/fake/frame/handler.go
@@ -11,7 +11,7 @@
 )
 
 type (
-	// Handler serves the responses of another handler without framing.
+	// Handler serves the responses of another handler with another framing.
 	Handler struct {
 		next  http.Handler
 		shape atomic.Pointer[Shape]
@@ -29,6 +29,13 @@
 		Cut func(body []byte) []byte
 		// IsReset resets the connection after the body in place of closing it.
 		IsReset bool
+		// Framing is how the response shows the end of its body.
+		Framing Framing
+		// Interim is an informational response that is sent first.
+		Interim string
+		// CutMessage returns the number of bytes of the message that are sent; nil stands for all. The head includes
+		// the informational response.
+		CutMessage func(head, body []byte) int
 	}
 )
 
@@ -68,21 +75,26 @@
 
 func (s Shape) write(conn net.Conn, recorded *httptest.ResponseRecorder) {
 	var message bytes.Buffer
+	message.WriteString(s.Interim)
 	fmt.Fprintf(&message, "%s %d %s\r\n", s.Version, recorded.Code, http.StatusText(recorded.Code))
 	if s.Connection != "" {
 		fmt.Fprintf(&message, "Connection: %s\r\n", s.Connection)
 	}
+	body := recorded.Body.Bytes()
+	if s.Cut != nil {
+		body = s.Cut(body)
+	}
 	header := recorded.Header()
-	header.Del("Content-Length")
+	body = s.Framing.addTo(header, body)
 	// Writing to a buffer does not fail.
 	_ = header.Write(&message)
 	_, _ = io.WriteString(&message, "\r\n")
-	body := recorded.Body.Bytes()
-	if s.Cut != nil {
-		body = s.Cut(body)
+	sent := message.Len() + len(body)
+	if s.CutMessage != nil {
+		sent = s.CutMessage(message.Bytes(), body)
 	}
 	_, _ = message.Write(body)
-	_, _ = conn.Write(message.Bytes())
+	_, _ = conn.Write(message.Bytes()[:sent])
 	if s.IsReset {
 		_ = conn.(*net.TCPConn).SetLinger(0)
 	}
