Read responses of store hosts to their end

A response whose JSON value is whole but whose last chunk is missing counted as whole: the decoder stops after the value, so the end of the body was never checked. The test cuts a response after each byte and failed for seven cuts of each chunked response, whether closed or reset; with a length, or cut inside the head, none was accepted. The body is now read to its end before it is decoded.

--- a/store/client.go
+++ b/store/client.go
@@ -122,11 +122,10 @@
 	if err := statusError(response, method, path, at); err != nil {
 		return err
 	}
-	limited := io.LimitReader(response.Body, maxResponseSize)
-	if result == nil {
-		_, err = io.Copy(io.Discard, limited)
-	} else {
-		err = json.NewDecoder(limited).Decode(result)
+	// The body is read to its end, since a value may be whole in a body that was cut.
+	raw, err := io.ReadAll(io.LimitReader(response.Body, maxResponseSize))
+	if err == nil && result != nil {
+		err = json.Unmarshal(raw, result)
 	}
 	return eris.Wrapf(err, "answer of store host %s to %s", at, path)
 }
