Read responses to control calls to their end

The test cuts a response after each byte and failed for seven cuts of each chunked response. The body is now read to its end before it is decoded.

--- a/engine/control.go
+++ b/engine/control.go
@@ -138,11 +138,20 @@
 	if response.StatusCode >= http.StatusMultipleChoices {
 		return responseError(addr, response)
 	}
-	limited := io.LimitReader(response.Body, maxResponseSize)
+	return eris.Wrapf(decodeWhole(response.Body, result), "answer of engine %s to %s", addr, path)
+}
+
+// decodeWhole reads a body to its end, since a value may be whole in a body that was cut, and decodes it into result
+// unless that is nil.
+func decodeWhole(body io.Reader, result any) error {
+	limited := io.LimitReader(body, maxResponseSize)
 	if result == nil {
-		_, err = io.Copy(io.Discard, limited)
-	} else {
-		err = json.NewDecoder(limited).Decode(result)
+		_, err := io.Copy(io.Discard, limited)
+		return err
+	}
+	content, err := io.ReadAll(limited)
+	if err != nil {
+		return err
 	}
-	return eris.Wrapf(err, "answer of engine %s to %s", addr, path)
+	return json.Unmarshal(content, result)
 }
