Treat a cut refusal of an engine as no refusal

A refusal states that the run has not begun, so that it may begin elsewhere. One whose JSON value is whole but whose last chunk is missing counted, since the error that ended its body was ignored. The test cuts a refusal after each byte and failed for cuts behind the value. The outcome of such a run is now unknown, as with any other cut response.

--- a/engine/errors.go
+++ b/engine/errors.go
@@ -20,9 +20,12 @@
 }
 
 // responseError maps an error response to an error. Only the codes listed by the protocol prove
-// that nothing ran; any other response leaves the outcome unknown.
+// that nothing ran; any other response, and one that was cut, leaves the outcome unknown.
 func responseError(addr spoke.Address, response *http.Response) error {
-	raw, _ := io.ReadAll(io.LimitReader(response.Body, maxErrorBody))
+	raw, err := io.ReadAll(io.LimitReader(response.Body, maxErrorBody))
+	if err != nil {
+		return eris.Wrapf(err, "engine %s answered %d with a body that was cut", addr, response.StatusCode)
+	}
 	var body errorBody
 	_ = json.Unmarshal(raw, &body)
 	cause := eris.Errorf("engine %s answered %d %q: %s", addr, response.StatusCode, body.Error.Code, body.Error.Message)
