Refuse waiting calls once their upstreams are gone

A new call is refused at once if no listed upstream may take it now or later. A call that already waited when the last such upstream was removed, announced that it leaves or proved to be replaced at its address was held until its deadline instead, and its caller had no time left for another host. The scheduler now applies the same check to waiting calls.

--- a/place/dispatch.go
+++ b/place/dispatch.go
@@ -70,6 +70,10 @@
 		s.refuse(now, w.request, RefusedDeadline)
 		return true
 	}
+	if !s.hasUpstream(w.request) {
+		s.refuse(now, w.request, RefusedNoUpstream)
+		return true
+	}
 	if reason := s.unavailableReason(now, w.request, 0); reason != "" {
 		s.refuse(now, w.request, reason)
 		return true
