Refuse calls that wait for a service gone from the table

A waiting call whose service a newer table dropped waited on: for models without memory, since the capacity of an unknown service is zero, so until an engine was idle or the deadline came. Its engines leave soon, and the caller's retry reaches the service that has replaced it. Such a call is now refused at once, as not run, unless an engine takes it now; running calls go on.

A call could also reach the scheduler by a new table before the table itself did. The scheduler now gets a table before it is in force, so that it refuses no call of a service that has just been added.

--- a/edge/apply.go
+++ b/edge/apply.go
@@ -79,10 +79,11 @@
 	if change.IsSnapshot || len(change.Upstreams)+len(change.RemovedUpstreams) > 0 {
 		h.applyUpstreams(change)
 	}
-	// A host accepts calls from its first table on, so the scheduler gets the upstreams before.
-	if change.Table != nil && h.conf.install(change.Table, change.TableContent) {
-		h.deps.Log.WithFields(logrus.Fields{"table": change.Table.Version, "routes": len(change.Table.Routes)}).Info("routing table in force")
+	// A table in force leads calls to its upstreams and services, so the scheduler gets both before.
+	if change.Table != nil && h.conf.isNewer(change.Table) {
 		h.post(place.SetTable{Services: change.Table.Services, Stores: change.Table.Stores})
+		h.conf.install(change.Table, change.TableContent)
+		h.deps.Log.WithFields(logrus.Fields{"table": change.Table.Version, "routes": len(change.Table.Routes)}).Info("routing table in force")
 		h.stores.setStores(change.Table.Stores)
 	}
 	if change.IsSnapshot || len(change.Weights)+len(change.Upstreams)+len(change.RemovedUpstreams) > 0 {
--- a/edge/configstate.go
+++ b/edge/configstate.go
@@ -151,15 +151,16 @@
 	return c.table.Load()
 }
 
-// install puts a table in force unless the current one is the same or newer; it returns whether it did.
-func (c *configState) install(table *spoke.RoutingTable, content spoke.ContentReference) bool {
+// isNewer reports whether a table is newer than the one in force, or none is in force.
+func (c *configState) isNewer(table *spoke.RoutingTable) bool {
 	current := c.table.Load()
-	if current != nil && table.Version <= current.Version {
-		return false
-	}
+	return current == nil || table.Version > current.Version
+}
+
+// install puts a table in force.
+func (c *configState) install(table *spoke.RoutingTable, content spoke.ContentReference) {
 	c.table.Store(table)
 	c.tableReference.Store(&spoke.TableReference{Version: table.Version, Content: content})
-	return true
 }
 
 // tableVersion returns the version of the table in force, zero if there is none.
--- a/place/dispatch.go
+++ b/place/dispatch.go
@@ -79,10 +79,15 @@
 		return true
 	}
 	best, ok := s.choose(now, w)
-	if ok {
+	switch {
+	case ok:
 		s.grant(now, w, best)
+	case s.removed[w.request.Service]:
+		s.refuse(now, w.request, RefusedServiceRemoved)
+	default:
+		return false
 	}
-	return ok
+	return true
 }
 
 // order sorts a queue by urgency, then calls that can still meet their target before late ones, then by
--- a/place/scheduler.go
+++ b/place/scheduler.go
@@ -30,7 +30,9 @@
 	Scheduler struct {
 		settings Settings
 		services map[spoke.ServiceName]spoke.ServedService
-		nodes    map[spoke.UpstreamID]*node
+		// removed are the services of earlier tables that are not in the current one.
+		removed map[spoke.ServiceName]bool
+		nodes   map[spoke.UpstreamID]*node
 		// byService holds the nodes of a service in the order of their ids, cellNodes those that this
 		// host's cell uses.
 		byService     map[spoke.ServiceName][]*node
@@ -63,6 +65,7 @@
 	return &Scheduler{
 		settings:      settings,
 		services:      make(map[spoke.ServiceName]spoke.ServedService),
+		removed:       make(map[spoke.ServiceName]bool),
 		nodes:         make(map[spoke.UpstreamID]*node),
 		byService:     make(map[spoke.ServiceName][]*node),
 		cellNodes:     make(map[spoke.ServiceName][]*node),
@@ -115,7 +118,7 @@
 func (s *Scheduler) applyChange(now time.Time, message Message) {
 	switch m := message.(type) {
 	case SetTable:
-		s.services = m.Services
+		s.setServices(m.Services)
 		s.setStores(m.Stores)
 		s.resizeCaches()
 	case SetUpstreams:
@@ -192,6 +195,16 @@
 	s.updateShares()
 }
 
+func (s *Scheduler) setServices(services map[spoke.ServiceName]spoke.ServedService) {
+	for name := range s.services {
+		s.removed[name] = true
+	}
+	for name := range services {
+		delete(s.removed, name)
+	}
+	s.services = services
+}
+
 func (s *Scheduler) resizeCaches() {
 	for _, n := range s.nodes {
 		n.cache.capacity = s.capacity(n.listed.Service)
