Log on what evidence a caller counts as gone

The connections of callers are wrapped now (package caller) and keep the first error of a read and of a write; the line has the fields evidence and sent.

No decision changes.

--- /dev/null
+++ b/caller/conn.go
@@ -0,0 +1,86 @@
+package caller
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"sync/atomic"
+)
+
+// errNotTCP reports a connection that does not have the methods of a TCP connection.
+var errNotTCP = errors.New("connection of the caller is not a TCP connection")
+
+// conn records the errors of a caller's connection. It has no ReadFrom, so that all bytes pass through Write.
+type conn struct {
+	net.Conn
+	readErr  atomic.Pointer[error]
+	writeErr atomic.Pointer[error]
+}
+
+// Read reads the caller's bytes and records the error that ended them.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	record(&c.readErr, err)
+	return n, err
+}
+
+// Write writes to the caller and records the first error.
+func (c *conn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	record(&c.writeErr, err)
+	return n, err
+}
+
+// CloseWrite closes the sending side.
+func (c *conn) CloseWrite() error {
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return errNotTCP
+	}
+	return tcp.CloseWrite()
+}
+
+// SetLinger sets how Close handles unsent bytes; with zero seconds, it resets the connection.
+func (c *conn) SetLinger(seconds int) error {
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return errNotTCP
+	}
+	return tcp.SetLinger(seconds)
+}
+
+// record keeps the first error; the server itself ends reads with a deadline.
+func record(target *atomic.Pointer[error], err error) {
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		target.CompareAndSwap(nil, &err)
+	}
+}
+
+func load(from *atomic.Pointer[error]) error {
+	if err := from.Load(); err != nil {
+		return *err
+	}
+	return nil
+}
+
+// Evidence returns what shows that the caller of a request has left, empty if nothing does.
+func Evidence(ctx context.Context) string {
+	c := connOf(ctx)
+	if c == nil {
+		return ""
+	}
+	if err := load(&c.writeErr); err != nil {
+		return err.Error()
+	}
+	err := load(&c.readErr)
+	switch {
+	case err == nil:
+		return ""
+	case errors.Is(err, io.EOF):
+		return "end of the caller's bytes"
+	default:
+		return err.Error()
+	}
+}
--- a/edge/host.go
+++ b/edge/host.go
@@ -15,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 
 	"magnoliaspoke.example/spoke"
+	"magnoliaspoke.example/spoke/caller"
 	"magnoliaspoke.example/spoke/config"
 	"magnoliaspoke.example/spoke/lease"
 	"magnoliaspoke.example/spoke/link"
@@ -142,22 +143,22 @@
 	callers := &http.Server{
 		Handler: h.relayer, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
-	if err := h.listen(&group, callers, h.settings.Caller); err != nil {
+	if err := h.listen(&group, callers, h.settings.Caller, caller.Serve); err != nil {
 		return err
 	}
 	readiness := &http.Server{Handler: http.HandlerFunc(h.serveReadiness), ReadHeaderTimeout: callerHeaderTimeout}
-	if err := h.listen(&group, readiness, h.settings.Readiness); err != nil {
+	if err := h.listen(&group, readiness, h.settings.Readiness, (*http.Server).Serve); err != nil {
 		return err
 	}
 	peerMux := http.NewServeMux()
 	peerMux.Handle("GET "+feedPath, h.follower.feed)
 	peerMux.Handle("GET "+contentPath, h.contentServer)
-	if err := h.listen(&group, &http.Server{Handler: peerMux, ReadHeaderTimeout: callerHeaderTimeout}, h.socket.Address()); err != nil {
+	if err := h.listen(&group, &http.Server{Handler: peerMux, ReadHeaderTimeout: callerHeaderTimeout}, h.socket.Address(), (*http.Server).Serve); err != nil {
 		return err
 	}
 	if h.settings.MetricsPort != 0 {
 		at := netip.AddrPortFrom(h.settings.Address, uint16(h.settings.MetricsPort))
-		if err := h.listen(&group, h.metricsServer(), spoke.Address(at.String())); err != nil {
+		if err := h.listen(&group, h.metricsServer(), spoke.Address(at.String()), (*http.Server).Serve); err != nil {
 			return err
 		}
 	}
@@ -176,14 +177,14 @@
 	return err
 }
 
-func (h *Host) listen(group *run.Group, server *http.Server, at spoke.Address) error {
+func (h *Host) listen(group *run.Group, server *http.Server, at spoke.Address, serveOn func(*http.Server, net.Listener) error) error {
 	listener, err := net.Listen("tcp", string(at))
 	if err != nil {
 		return err
 	}
 	ended := make(chan struct{})
 	serve := func() error {
-		err := server.Serve(listener)
+		err := serveOn(server, listener)
 		if errors.Is(err, http.ErrServerClosed) {
 			// The other tasks continue until the calls in flight have ended.
 			<-ended
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/http"
 	"slices"
 	"time"
@@ -12,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"magnoliaspoke.example/spoke"
+	"magnoliaspoke.example/spoke/caller"
 	"magnoliaspoke.example/spoke/place"
 )
 
@@ -193,7 +193,9 @@
 	fields := logrus.Fields{"tried": p.tried, "last-fault": p.lastFault}
 	switch {
 	case errors.Is(ctx.Err(), context.Canceled):
-		e.log.WithFields(fields).WithField("held", time.Since(e.arrived).String()).Info("caller left")
+		e.log.WithFields(fields).WithFields(logrus.Fields{
+			"held": time.Since(e.arrived).String(), "evidence": caller.Evidence(ctx), "sent": p.sendCount > 0,
+		}).Info("caller left")
 		e.metrics.addAnswer(e.route.Name, "caller-left", e.arrived)
 		panic(http.ErrAbortHandler)
 	case p.stream.hasBegun():
@@ -226,8 +228,8 @@
 	if err != nil {
 		return
 	}
-	if tcp, ok := conn.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0)
+	if lingering, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = lingering.SetLinger(0)
 	}
 	_ = conn.Close()
 }
