Answer callers that close only their sending side

A caller that shut down its sending side after the whole request and waited got no answer: the server's library cancels the context of a request at the end of the caller's bytes, and the call ended as "caller left".

A connection that was closed in both directions looks the same until something is written to it, so nothing that only reads can tell the two apart (keepalive probes are acknowledged as well). caller.Watch gives the handler a context of its own. At the end of the bytes it writes an interim response (102) and looks for a reset every 25 ms; it repeats the response after 50, 150, 350 and 750 ms, because a proxy forwards the reset only when it writes a second time. Once the answer has begun, its own bytes take that part. One lock keeps interim responses out of the answer. Callers of HTTP/1.0, which has no interim responses, count as gone as before.

Remains: in a stream whose engine is silent, a caller that has left is noticed at the next event.

--- a/caller/conn.go
+++ b/caller/conn.go
@@ -6,7 +6,10 @@
 	"io"
 	"net"
 	"os"
+	"sync"
 	"sync/atomic"
+
+	"golang.org/x/sys/unix"
 )
 
 // errNotTCP reports a connection that does not have the methods of a TCP connection.
@@ -17,6 +20,11 @@
 	net.Conn
 	readErr  atomic.Pointer[error]
 	writeErr atomic.Pointer[error]
+
+	// writing keeps interim responses out of the answer.
+	writing sync.Mutex
+	// mayProbe is set while a request is served whose answer has not begun.
+	mayProbe bool
 }
 
 // Read reads the caller's bytes and records the error that ended them.
@@ -28,6 +36,9 @@
 
 // Write writes to the caller and records the first error.
 func (c *conn) Write(p []byte) (int, error) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	c.mayProbe = false
 	n, err := c.Conn.Write(p)
 	record(&c.writeErr, err)
 	return n, err
@@ -51,6 +62,28 @@
 	return tcp.SetLinger(seconds)
 }
 
+// pendingError returns the error that the network has reported for the connection, such as a reset.
+func (c *conn) pendingError() error {
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return nil
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var pending int
+	if controlErr := raw.Control(func(fd uintptr) {
+		pending, err = unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_ERROR)
+	}); controlErr != nil {
+		return controlErr
+	}
+	if err == nil && pending != 0 {
+		err = unix.Errno(pending)
+	}
+	return err
+}
+
 // record keeps the first error; the server itself ends reads with a deadline.
 func record(target *atomic.Pointer[error], err error) {
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
--- a/caller/doc.go
+++ b/caller/doc.go
@@ -1,2 +1,3 @@
-// Package caller follows the connections of callers, to report on what evidence a caller counts as gone.
+// Package caller follows the connections of callers, to tell a caller that has left from one that has only
+// closed its sending side and waits for its answer.
 package caller
--- a/edge/callerleft_test.go
+++ b/edge/callerleft_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"net/http"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -11,11 +12,16 @@
 
 // openCall sends a call on a connection of its own and returns the connection.
 func (d *deployment) openCall(c call) *net.TCPConn {
+	d.t.Helper()
+	return d.openRequest(d.request(c))
+}
+
+func (d *deployment) openRequest(request *http.Request) *net.TCPConn {
 	d.t.Helper()
 	conn, err := net.Dial("tcp", string(d.settings.Caller))
 	assert.NilError(d.t, err)
 	d.t.Cleanup(func() { conn.Close() })
-	assert.NilError(d.t, d.request(c).Write(conn))
+	assert.NilError(d.t, request.Write(conn))
 	return conn.(*net.TCPConn)
 }
 
--- a/edge/handler.go
+++ b/edge/handler.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"magnoliaspoke.example/spoke"
+	"magnoliaspoke.example/spoke/caller"
 	"magnoliaspoke.example/spoke/link"
 )
 
@@ -92,7 +93,9 @@
 	if !e.readBody(r) {
 		return
 	}
-	e.serve(r.Context())
+	ctx, stop := caller.Watch(r)
+	defer stop()
+	e.serve(ctx)
 }
 
 // resolve looks up the route and the workspace of the call and sets its deadline. It refuses the call and
