Give callers that count as gone their final answer

A call whose caller counted as gone ended with an aborted connection. The evidence may be wrong (a caller of HTTP/1.0 that closed only its sending side), and writing to a caller that is gone harms nobody. Such a call gets the answer that it would get otherwise now: a stored failure of an upstream, 502 if it may have run, else 503 not run. Only a stream that has begun is cut, by a reset where chunks do not show its end.

A call that may run only once was cancelled at its engine when its caller left, although nobody can repeat it; it runs to its end now, within its deadline.

Before: the four cases of TestCallerThatCountsAsGoneIsAnswered read "unexpected EOF", and TestOnceOnlyCallRunsToItsEnd finds no line "answered". After: 200, 502, 503 and the engine's own 500.

--- a/edge/answer.go
+++ b/edge/answer.go
@@ -49,11 +49,7 @@
 
 // deliver sends a complete answer of an upstream to the caller.
 func (e *exchange) deliver(head answerHead, body []byte) {
-	header := e.writer.Header()
-	copyHeader(header, head.Header)
-	header.Set("Content-Length", strconv.Itoa(len(body)))
-	e.writer.WriteHeader(head.Status)
-	if _, err := e.writer.Write(body); err != nil {
+	if err := e.writeAnswer(head, body); err != nil {
 		e.log.WithError(err).Info("caller left before its answer was written")
 	}
 	level := logrus.InfoLevel
@@ -66,6 +62,15 @@
 	e.metrics.addAnswer(e.route.Name, "status-"+strconv.Itoa(head.Status), e.arrived)
 }
 
+func (e *exchange) writeAnswer(head answerHead, body []byte) error {
+	header := e.writer.Header()
+	copyHeader(header, head.Header)
+	header.Set("Content-Length", strconv.Itoa(len(body)))
+	e.writer.WriteHeader(head.Status)
+	_, err := e.writer.Write(body)
+	return err
+}
+
 // copyHeader copies header fields and keeps the server from adding a content type.
 func copyHeader(target, source http.Header) {
 	for name, values := range source {
--- a/edge/callerhalf_test.go
+++ b/edge/callerhalf_test.go
@@ -24,8 +24,8 @@
 	leaveLimit = 500 * time.Millisecond
 )
 
-// startDistant runs a host with one engine that requests reach after answerDelay.
-func startDistant(t *testing.T) *deployment {
+// startDistant runs a host with one engine that requests reach after a delay.
+func startDistant(t *testing.T, delay time.Duration) *deployment {
 	t.Helper()
 	d := start(t, 0)
 	engine := fake.NewEngine("i-far", 4)
@@ -36,7 +36,7 @@
 	d.engines = append(d.engines, engine)
 	d.store.PutEngine(engine, "models", string(line.Address()), false)
 	awaitTrue(t, "engine not in use", func() bool { got, err := d.send(bookCall("first")); return err == nil && got.status == http.StatusOK })
-	line.Delay(relay.Forward, answerDelay)
+	line.Delay(relay.Forward, delay)
 	return d
 }
 
@@ -72,7 +72,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			d := startDistant(t)
+			d := startDistant(t, answerDelay)
 			d.setBehaviour(c.behaviour)
 			conn := d.openCall(c.call)
 			assert.NilError(t, conn.CloseWrite())
@@ -151,7 +151,7 @@
 func TestWaitingCallEndsWhenCallerCloses(t *testing.T) {
 	d := start(t, 1)
 	d.setBehaviour(fake.Hang)
-	conn := d.openWaiting()
+	conn := d.openWaiting(d.openRequest)
 	requireQuiet(t, conn)
 	conn.Close()
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
@@ -168,7 +168,7 @@
 func TestHalfClosedCallerGetsRefusalAfterWaiting(t *testing.T) {
 	d := start(t, 1)
 	d.setBehaviour(fake.Hang)
-	conn := d.openWaiting()
+	conn := d.openWaiting(d.openRequest)
 	requireQuiet(t, conn)
 	assert.NilError(t, conn.CloseWrite())
 	assert.Equal(t, readFinal(t, conn).StatusCode, http.StatusServiceUnavailable)
@@ -177,12 +177,12 @@
 
 // openWaiting sends two calls whose prompts fill the only engine, and returns the connection of the second one,
 // which waits.
-func (d *deployment) openWaiting() *net.TCPConn {
+func (d *deployment) openWaiting(open func(*http.Request) *net.TCPConn) *net.TCPConn {
 	d.t.Helper()
 	large := func(id string) *net.TCPConn {
 		request := d.request(quoteCall(id))
 		request.Header.Set("Magnoliaspoke-Token-Usage", "90000,20")
-		return d.openRequest(request)
+		return open(request)
 	}
 	large("running")
 	awaitTrue(d.t, "call not sent", func() bool { return d.runs() == 1 })
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -11,7 +11,6 @@
 	"github.com/sirupsen/logrus"
 
 	"magnoliaspoke.example/spoke"
-	"magnoliaspoke.example/spoke/caller"
 	"magnoliaspoke.example/spoke/place"
 )
 
@@ -69,7 +68,9 @@
 	if e.refuseQuarantined(ctx, p) {
 		return true
 	}
-	attemptCtx, recall := context.WithCancelCause(ctx)
+	attemptCtx, cancel := e.attemptContext(ctx)
+	defer cancel()
+	attemptCtx, recall := context.WithCancelCause(attemptCtx)
 	defer recall(nil)
 	grant, ok := e.awaitGrant(ctx, p, recall)
 	if !ok {
@@ -193,11 +194,7 @@
 	fields := logrus.Fields{"tried": p.tried, "last-fault": p.lastFault}
 	switch {
 	case errors.Is(ctx.Err(), context.Canceled):
-		e.log.WithFields(fields).WithFields(logrus.Fields{
-			"held": time.Since(e.arrived).String(), "evidence": caller.Evidence(ctx), "sent": p.sendCount > 0,
-		}).Info("caller left")
-		e.metrics.addAnswer(e.route.Name, "caller-left", e.arrived)
-		panic(http.ErrAbortHandler)
+		e.endLeft(ctx, p, fields)
 	case p.stream.hasBegun():
 		e.abortStream("broken", fields)
 	case p.answer != nil:
@@ -216,6 +213,11 @@
 func (e *exchange) abortStream(reason string, fields logrus.Fields) {
 	e.log.WithFields(fields).WithFields(logrus.Fields{"reason": reason, "held": time.Since(e.arrived).String()}).Warn("stream broken off")
 	e.metrics.addAnswer(e.route.Name, "broken-off", e.arrived)
+	e.cutConnection()
+}
+
+// cutConnection closes the caller's connection in the middle of an answer.
+func (e *exchange) cutConnection() {
 	if !e.takesChunks {
 		resetConnection(e.writer)
 	}
