Read the body of a refused call behind its answer

Calls that are refused by their head (malformed, not ready, no route, unknown key, stopping) and bodies above the limit were answered while the caller still sent. The server's library reads up to 256 KB more, waits 500 ms and closes; unread bytes make that a reset, which deletes the answer from the receive buffer of a caller that reads it only after its body. It also held such an answer back until up to 256 KB of a small body had arrived.

The answer is sent at once now (full duplex), and the handler reads on until the body ends, for at most 64 MB and the time of the call's own deadline; connections whose body ended are kept. Reading the body before the answer was the alternative; it would hold a refusal back from callers that read while they send. A 413 asks the caller to close. A caller that waits for 100-continue is refused at once and its connection closed, as before.

Before: TestAnswerBeforeBodyIsNotLost fails with "broken pipe" after 0.5 to 0.9 s of a body that takes 1 s, in all five cases; TestRefusalPrecedesEndOfBody times out. After: both pass. TestCallerThatAwaitsConsentIsRefusedAtOnce passes before and after.

--- /dev/null
+++ b/edge/callerbody.go
@@ -0,0 +1,25 @@
+package edge
+
+import (
+	"net/http"
+	"time"
+
+	"magnoliaspoke.example/spoke"
+	"magnoliaspoke.example/spoke/caller"
+)
+
+// discardTime returns how long the body of a refused call is read.
+func discardTime(call *spoke.RelayedCall) time.Duration {
+	if call.Timeout > 0 {
+		return min(call.Timeout, defaultWait)
+	}
+	return defaultWait
+}
+
+// discardBody reads the rest of the body of a refused call. A caller that waits for the server's consent to
+// send its body sends none after a refusal.
+func discardBody(w http.ResponseWriter, r *http.Request, deadline time.Time, isAwaited bool) {
+	if isAwaited || r.Header.Get("Expect") == "" {
+		caller.Discard(w, r, deadline)
+	}
+}
--- a/edge/handler.go
+++ b/edge/handler.go
@@ -64,6 +64,8 @@
 		writer   http.ResponseWriter
 		// takesChunks is set if the caller's version of HTTP has chunks, which show the end of a stream.
 		takesChunks bool
+		// hasReadBody is set once the body was read to its end or to its limit, so that the caller sends all of it.
+		hasReadBody bool
 		log         logrus.FieldLogger
 	}
 )
@@ -73,6 +75,7 @@
 	arrived := time.Now()
 	h.inFlight.Add(1)
 	defer h.inFlight.Add(-1)
+	caller.AllowEarlyAnswer(w)
 	if h.stopDeadline.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
@@ -84,13 +87,12 @@
 		h.log.WithError(err).Warn("call refused: malformed")
 		h.metrics.addAnswer("", "malformed", arrived)
 		writeError(w, http.StatusBadRequest, "bad-request", 0)
+		discardBody(w, r, arrived.Add(defaultWait), false)
 		return
 	}
 	e := &exchange{relayer: h, call: call, arrived: arrived, writer: w, takesChunks: r.ProtoAtLeast(1, 1), log: h.log.WithField("request-id", call.Request)}
-	if !e.resolve() {
-		return
-	}
-	if !e.readBody(r) {
+	if !e.resolve() || !e.readBody(r) {
+		discardBody(w, r, arrived.Add(discardTime(call)), e.hasReadBody)
 		return
 	}
 	ctx, stop := caller.Watch(r)
@@ -173,9 +175,11 @@
 		limit = int64(table.Limits.Body)
 	}
 	if r.ContentLength > limit {
+		e.writer.Header().Set("Connection", "close")
 		e.refuse(http.StatusRequestEntityTooLarge, "too-large", 0, logrus.Fields{"length": r.ContentLength})
 		return false
 	}
+	e.hasReadBody = true
 	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
 	if err != nil {
 		e.log.WithError(err).Info("caller left before its request was read")
@@ -183,6 +187,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	if int64(len(body)) > limit {
+		e.writer.Header().Set("Connection", "close")
 		e.refuse(http.StatusRequestEntityTooLarge, "too-large", 0, logrus.Fields{"length": len(body)})
 		return false
 	}
