Log each call that a stop cuts off or refuses

A stop logged only how many calls it cut off. The log could not tell which calls they were, whether an engine had them, or whether a stream had begun, so a call that was cut in a planned stop could not be told from one that crossed the close.

The host now keeps the calls under way with their request id, route and stage (reading, waiting, sent, begun), and logs one line for each that remains at the end of the stop. A call refused as "stopping" logs the time left and the time that calls of its route are expected to take.

The decisions are unchanged.

--- a/edge/callerbody.go
+++ b/edge/callerbody.go
@@ -23,3 +23,8 @@
 		caller.Discard(w, r, deadline)
 	}
 }
+
+// discardBody reads the rest of the body of this call after its refusal.
+func (e *exchange) discardBody(r *http.Request) {
+	discardBody(e.writer, r, e.arrived.Add(discardTime(e.call)), e.hasReadBody)
+}
--- a/edge/handler.go
+++ b/edge/handler.go
@@ -46,7 +46,7 @@
 		log          logrus.FieldLogger
 		metrics      *metrics
 		callNumbers  atomic.Uint64
-		inFlight     atomic.Int64
+		underWay     *callsUnderWay
 		// stopDeadline is set while the host stops: callers are asked to close their connections, so
 		// that new ones reach other hosts, and calls that would not end in time are refused.
 		stopDeadline atomic.Pointer[time.Time]
@@ -66,6 +66,7 @@
 		takesChunks bool
 		// hasReadBody is set once the body was read to its end or to its limit, so that the caller sends all of it.
 		hasReadBody bool
+		state       *callState
 		log         logrus.FieldLogger
 	}
 )
@@ -73,8 +74,6 @@
 // ServeHTTP answers one call.
 func (h *relayer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
-	h.inFlight.Add(1)
-	defer h.inFlight.Add(-1)
 	caller.AllowEarlyAnswer(w)
 	if h.stopDeadline.Load() != nil {
 		w.Header().Set("Connection", "close")
@@ -91,10 +90,17 @@
 		return
 	}
 	e := &exchange{relayer: h, call: call, arrived: arrived, writer: w, takesChunks: r.ProtoAtLeast(1, 1), log: h.log.WithField("request-id", call.Request)}
-	if !e.resolve() || !e.readBody(r) {
-		discardBody(w, r, arrived.Add(discardTime(call)), e.hasReadBody)
+	if !e.resolve() {
+		e.discardBody(r)
 		return
 	}
+	e.state = h.underWay.add(call.Request, e.route.Name, arrived)
+	defer h.underWay.remove(e.state)
+	if !e.readBody(r) {
+		e.discardBody(r)
+		return
+	}
+	h.underWay.setStage(e.state, stageWaiting)
 	ctx, stop := caller.Watch(r)
 	defer stop()
 	e.serve(ctx)
@@ -119,7 +125,7 @@
 	}
 	e.route = route
 	if stopAt := e.stopDeadline.Load(); stopAt != nil && time.Until(*stopAt) < usualTime(route) {
-		e.refuse(http.StatusServiceUnavailable, "stopping", stoppingRetryAfter, logrus.Fields{"left": time.Until(*stopAt).String()})
+		e.refuse(http.StatusServiceUnavailable, "stopping", stoppingRetryAfter, logrus.Fields{"left": time.Until(*stopAt).String(), "expected": usualTime(route).String()})
 		return false
 	}
 	if table.NeedsKey(route) {
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -83,6 +83,7 @@
 		e.endQuarantined(ctx, p, verdict)
 		return true
 	}
+	e.underWay.setStage(e.state, stageSent)
 	return a.run(attemptCtx)
 }
 
--- a/edge/stop.go
+++ b/edge/stop.go
@@ -58,11 +58,22 @@
 	if err := callers.Shutdown(shutdownCtx); err != nil {
 		h.deps.Log.WithError(err).Warn("calls under way are cut off")
 	}
-	h.deps.Log.WithFields(logrus.Fields{"cut-off": h.relayer.inFlight.Load(), "took": time.Since(begun).String()}).Info("stopped")
+	cutOff := h.relayer.underWay.list()
+	h.logCutOff(cutOff)
+	h.deps.Log.WithFields(logrus.Fields{"cut-off": len(cutOff), "took": time.Since(begun).String()}).Info("stopped")
 	h.withdraw(ctx)
 	return errStopped
 }
 
+// logCutOff logs the calls that get no final answer because the process ends.
+func (h *Host) logCutOff(calls []callState) {
+	for _, call := range calls {
+		h.deps.Log.WithFields(logrus.Fields{
+			"request-id": call.request, "route": call.route, "stage": call.stage, "held": time.Since(call.arrived).String(),
+		}).Warn("call cut off")
+	}
+}
+
 // withdraw removes the announcement of this host; if the store is slow, the announcement expires.
 func (h *Host) withdraw(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, withdrawTimeout)
--- a/edge/stream.go
+++ b/edge/stream.go
@@ -151,6 +151,7 @@
 	copyHeader(a.writer.Header(), a.head.Header)
 	a.writer.WriteHeader(a.head.Status)
 	a.planner.in <- schedulerMessage{message: place.Began{Call: a.grant.Call, Load: a.head.Load, Weights: a.head.Weights, IsLeaving: a.head.IsLeaving, NamesNoLimit: a.head.NamesNoLimit()}}
+	a.underWay.setStage(a.state, stageBegun)
 	first := time.Since(a.arrived)
 	a.metrics.addFirst(a.route.Name, first)
 	a.log.WithFields(logrus.Fields{"upstream": a.grant.Upstream.ID, "first-event": first.String(), "target": a.route.Target.String(), "weights": a.head.Weights}).Info("stream began")
