Estimate from recent calls whether a call ends within a stop

A stopping host took any buffered call while 1.5 s were left and any stream while 4 s were left. Calls that last longer were passed on and cut without an answer when the server closed, among them calls that may run only once. A call whose body arrived slowly was checked only before its body.

place.CallTimes keeps the times of the last 128 calls of each route and, for prompts, of each power of two of expected output tokens. The estimate is the longest of them and a quarter more, at least the age of the oldest call of the kind that is still without an answer, and at most what the route's timeout and the call's own deadline leave. A call is taken in a stop only if this and a reserve of 300 ms fit, and is checked again once its body has been read. Calls that end without an answer count only if they took longer than the answered ones, so that a fast failure shows nothing.

Streams of a route that has shown nothing need the whole timeout of the route, also if their own deadline is sooner: a stream that ends at a deadline is broken. Answers of such a route are expected within five times its latency target, or its timeout if it has none.

--- a/edge/answer.go
+++ b/edge/answer.go
@@ -52,6 +52,7 @@
 	if err := e.writeAnswer(head, body); err != nil {
 		e.log.WithError(err).Info("caller left before its answer was written")
 	}
+	e.isAnswered = head.Status < http.StatusInternalServerError
 	level := logrus.InfoLevel
 	if head.Status >= http.StatusInternalServerError {
 		// The caller gets the upstream's failure, so its line must not be dropped with those of
--- a/edge/handler.go
+++ b/edge/handler.go
@@ -14,6 +14,7 @@
 	"magnoliaspoke.example/spoke"
 	"magnoliaspoke.example/spoke/caller"
 	"magnoliaspoke.example/spoke/link"
+	"magnoliaspoke.example/spoke/place"
 )
 
 const (
@@ -24,10 +25,6 @@
 	shortRetryAfter = 300 * time.Millisecond
 	// stoppingRetryAfter is the Retry-After while this host stops; a retry reaches another host.
 	stoppingRetryAfter = 50 * time.Millisecond
-	// usualStreamTime and usualAnswerTime are the times that a stopping host must have left to accept
-	// a call.
-	usualStreamTime = 4 * time.Second
-	usualAnswerTime = 1500 * time.Millisecond
 	// defaultWait is the deadline of a call whose caller does not state one.
 	defaultWait = 30 * time.Second
 )
@@ -47,6 +44,7 @@
 		metrics      *metrics
 		callNumbers  atomic.Uint64
 		underWay     *callsUnderWay
+		times        *callTimes
 		// stopDeadline is set while the host stops: callers are asked to close their connections, so
 		// that new ones reach other hosts, and calls that would not end in time are refused.
 		stopDeadline atomic.Pointer[time.Time]
@@ -67,7 +65,9 @@
 		// hasReadBody is set once the body was read to its end or to its limit, so that the caller sends all of it.
 		hasReadBody bool
 		state       *callState
-		log         logrus.FieldLogger
+		// isAnswered is set once the caller has a complete answer of an upstream that did not fail.
+		isAnswered bool
+		log        logrus.FieldLogger
 	}
 )
 
@@ -94,13 +94,14 @@
 		e.discardBody(r)
 		return
 	}
-	e.state = h.underWay.add(call.Request, e.route.Name, arrived)
-	defer h.underWay.remove(e.state)
-	if !e.readBody(r) {
+	e.state = h.underWay.add(call.Request, e.route.Name, place.OutputSize(e.prompt()), arrived)
+	defer e.end()
+	// The body may have taken long to arrive.
+	if !e.readBody(r) || e.refuseStopping() {
 		e.discardBody(r)
 		return
 	}
-	h.underWay.setStage(e.state, stageWaiting)
+	h.underWay.recordReceipt(e.state)
 	ctx, stop := caller.Watch(r)
 	defer stop()
 	e.serve(ctx)
@@ -124,10 +125,6 @@
 		return false
 	}
 	e.route = route
-	if stopAt := e.stopDeadline.Load(); stopAt != nil && time.Until(*stopAt) < usualTime(route) {
-		e.refuse(http.StatusServiceUnavailable, "stopping", stoppingRetryAfter, logrus.Fields{"left": time.Until(*stopAt).String(), "expected": usualTime(route).String()})
-		return false
-	}
 	if table.NeedsKey(route) {
 		if e.owner, ok = table.Owners[e.call.APIKey]; !ok {
 			e.refuseUnknown(http.StatusUnauthorized, "unknown-key", table.Version)
@@ -135,15 +132,7 @@
 		}
 	}
 	e.setDeadline()
-	return true
-}
-
-// usualTime returns the time within which calls of the route usually end.
-func usualTime(route spoke.Route) time.Duration {
-	if route.Rule == spoke.RuleStream {
-		return usualStreamTime
-	}
-	return usualAnswerTime
+	return !e.refuseStopping()
 }
 
 // refuseUnknown refuses a call whose route or key is not in the table. If a newer table may be in
--- a/edge/host.go
+++ b/edge/host.go
@@ -99,8 +99,8 @@
 	h.relayer = &relayer{
 		conf: h.conf, codec: deps.Codec, planner: h.planner, pool: link.New(), quarantine: quarantine, parts: parts,
 		answerMemory: &byteBudget{limit: int64(settings.Memory) / answerMemoryDivisor},
-		underWay:     newCallsUnderWay(),
-		log:          deps.Log, metrics: metrics,
+		underWay:     newCallsUnderWay(), times: newCallTimes(),
+		log: deps.Log, metrics: metrics,
 	}
 	// The holder name differs at each start, so that a previous process of this host never counts
 	// as the holder of a lease that the new one acquired.
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -131,16 +131,12 @@
 }
 
 func (e *exchange) schedulerRequest(p *progress) place.Request {
-	request := place.Request{
+	return place.Request{
 		Call: spoke.CallNumber(e.callNumbers.Add(1)), Service: e.service(), Group: place.OwnerGroup(e.owner),
 		Urgency: e.urgency(), Arrived: e.arrived, Target: e.arrived.Add(e.route.Target), GapTarget: e.route.GapTarget, Deadline: e.deadline,
 		LeavesAt: e.leavesAt(p),
-		Tried:    p.tried, IsRetry: p.sendCount > 0,
+		Tried:    p.tried, IsRetry: p.sendCount > 0, Prompt: e.prompt(),
 	}
-	if e.route.IsPrompt && e.call.Prompt.Model != "" {
-		request.Prompt = &e.call.Prompt
-	}
-	return request
 }
 
 // leavesAt returns when the caller disconnects unless it has received an event, zero if it waits until
--- /dev/null
+++ b/edge/stop_calls_test.go
@@ -0,0 +1,223 @@
+package edge_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const (
+	shortGrace = 5 * time.Second
+	// soonTime bounds the answer to a call that is refused at once.
+	soonTime = 500 * time.Millisecond
+)
+
+type (
+	// callerConn is a connection of a caller that keeps it open.
+	callerConn struct {
+		d      *deployment
+		conn   net.Conn
+		reader *bufio.Reader
+	}
+
+	// stopResult is what a caller got and when.
+	stopResult struct {
+		answer
+		err  error
+		took time.Duration
+	}
+)
+
+func (d *deployment) dial() *callerConn {
+	d.t.Helper()
+	conn, err := net.Dial("tcp", string(d.settings.Caller))
+	assert.NilError(d.t, err)
+	d.t.Cleanup(func() { _ = conn.Close() })
+	return &callerConn{d: d, conn: conn, reader: bufio.NewReader(conn)}
+}
+
+// send makes a call whose caller waits for longer than the host takes to stop.
+func (c *callerConn) send(sent call) stopResult {
+	c.d.t.Helper()
+	request := c.d.request(sent)
+	request.Header.Set("Magnoliaspoke-Deadline-Ms", "30000")
+	begun := time.Now()
+	if err := request.Write(c.conn); err != nil {
+		return stopResult{err: err, took: time.Since(begun)}
+	}
+	return c.receive(begun)
+}
+
+func (c *callerConn) receive(begun time.Time) stopResult {
+	response, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		return stopResult{err: err, took: time.Since(begun)}
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return stopResult{answer{response.StatusCode, response.Header, response.Close, string(body)}, err, time.Since(begun)}
+}
+
+// startLong runs a host whose routes permit calls of 30 s.
+func startLong(t *testing.T, grace time.Duration) *deployment {
+	t.Helper()
+	d := startWithGrace(t, 1, grace)
+	d.putLongTable(100)
+	return d
+}
+
+// putLongTable publishes routes that permit calls of 30 s, with a number of connections to the engines.
+func (d *deployment) putLongTable(connections int) {
+	next := table(2, "key-2")
+	for _, route := range next["routes"].([]any) {
+		route.(map[string]any)["timeout-ms"] = 30000
+		route.(map[string]any)["target-latency-ms"] = 3000
+	}
+	next["services"].([]any)[0].(map[string]any)["max-conns"] = connections
+	d.store.Put("op/config", next)
+	awaitTrue(d.t, "new table not known", func() bool { return d.bookingStatus("probe", "key-2") == http.StatusOK })
+}
+
+func longCall(c call) call {
+	c.key = "key-2"
+	return c
+}
+
+// stopAt sends SIGTERM and returns a function that waits until a time after it.
+func (d *deployment) stopAt() (begun time.Time, await func(time.Duration)) {
+	begun = time.Now()
+	d.signals <- syscall.SIGTERM
+	return begun, func(after time.Duration) {
+		awaitTrue(d.t, "the time has not come", func() bool { return time.Since(begun) >= after })
+	}
+}
+
+func (d *deployment) awaitEnd(begun time.Time, grace time.Duration) {
+	d.t.Helper()
+	assert.NilError(d.t, <-d.ended)
+	assert.Assert(d.t, time.Since(begun) < grace, "took %s", time.Since(begun))
+}
+
+func assertNotRun(t *testing.T, got stopResult, name string) {
+	t.Helper()
+	assert.NilError(t, got.err, name)
+	assert.Equal(t, got.status, http.StatusServiceUnavailable, name)
+	assert.Assert(t, strings.Contains(got.body, "not-run"), "%s: %s", name, got.body)
+	assert.Assert(t, got.header.Get("Retry-After") != "", name)
+}
+
+// Guards against calls that come late in a stop, are passed on although calls of their route take longer than what is
+// left, and are cut without an answer.
+func TestStoppingHostRefusesCallsThatTakeLongerThanItHas(t *testing.T) {
+	d := startLong(t, shortGrace)
+	d.engines[0].SetAnswerDelay(2500 * time.Millisecond)
+	calls := []call{longCall(bookCall("book")), longCall(lookCall("look"))}
+	kept := []*callerConn{d.dial(), d.dial()}
+	var callers sync.WaitGroup
+	for i, c := range calls {
+		callers.Go(func() {
+			status := kept[i].send(c).status
+			assert.Check(t, status == http.StatusOK, "%s: %d", c.path, status)
+		})
+	}
+	callers.Wait()
+	runs := d.runs()
+	begun, await := d.stopAt()
+	await(1800 * time.Millisecond)
+	for i, c := range calls {
+		for name, conn := range map[string]*callerConn{"kept": kept[i], "new": d.dial()} {
+			got := conn.send(c)
+			assertNotRun(t, got, name+c.path)
+			assert.Assert(t, got.took < soonTime, "%s connection, %s took %s", name, c.path, got.took)
+		}
+	}
+	assert.Equal(t, d.runs(), runs)
+	d.awaitEnd(begun, shortGrace)
+}
+
+// Guards against streams that a stopping host takes without knowing that they end in time, and cuts.
+func TestStoppingHostRefusesStreamsOfUnknownLength(t *testing.T) {
+	const grace = 8 * time.Second
+	d := startLong(t, grace)
+	d.engines[0].SetEventInterval(1700 * time.Millisecond)
+	begun, await := d.stopAt()
+	await(500 * time.Millisecond)
+	for _, c := range []call{chatCall("chat"), quoteCall("quote")} {
+		got := d.dial().send(longCall(c))
+		assertNotRun(t, got, c.path)
+		assert.Assert(t, got.took < soonTime, "%s took %s", c.path, got.took)
+	}
+	d.awaitEnd(begun, grace)
+}
+
+// sendPart sends a call with the first part of its body.
+func (c *callerConn) sendPart(sent call, part string) {
+	c.d.t.Helper()
+	request := c.d.request(sent)
+	request.Header.Set("Magnoliaspoke-Deadline-Ms", "30000")
+	var message strings.Builder
+	assert.NilError(c.d.t, request.Write(&message))
+	head, _, _ := strings.Cut(message.String(), "\r\n\r\n")
+	_, err := io.WriteString(c.conn, head+"\r\n\r\n"+part)
+	assert.NilError(c.d.t, err)
+}
+
+// Guards against a call that is passed on late in a stop because it was checked before its slow body arrived.
+func TestStoppingHostChecksTimeAfterBody(t *testing.T) {
+	d := startLong(t, shortGrace)
+	d.engines[0].SetAnswerDelay(1500 * time.Millisecond)
+	assert.Equal(t, d.dial().send(longCall(bookCall("shown"))).status, http.StatusOK)
+	runs := d.runs()
+	slow := d.dial()
+	slow.sendPart(longCall(bookCall("slow")), "one car")
+	begun, await := d.stopAt()
+	await(3 * time.Second)
+	_, err := io.WriteString(slow.conn, "ton")
+	assert.NilError(t, err)
+	sentAt := time.Now()
+	got := slow.receive(sentAt)
+	assertNotRun(t, got, "slow")
+	assert.Assert(t, got.took < soonTime, "took %s", got.took)
+	assert.Equal(t, d.runs(), runs)
+	d.awaitEnd(begun, shortGrace)
+}
+
+// Guards against a stream that is cut before the end of the grace period, or that looks whole although it was cut.
+func TestStoppingHostCutsBegunStreamAtEnd(t *testing.T) {
+	d := startLong(t, shortGrace)
+	d.engines[0].SetEventInterval(time.Minute)
+	cut := make(chan stopResult, 1)
+	go func() { cut <- d.dial().send(longCall(quoteCall("held"))) }()
+	awaitTrue(t, "stream not begun", func() bool { return d.hasLogged("stream began") })
+	begun, _ := d.stopAt()
+	got := <-cut
+	assert.Assert(t, time.Since(begun) > 3500*time.Millisecond, "cut after %s", time.Since(begun))
+	assert.ErrorContains(t, got.err, "unexpected EOF")
+	assert.Equal(t, got.body, "id: 1\ndata: piece 1\n\n")
+	d.awaitEnd(begun, shortGrace)
+}
+
+// Guards against a stop that a second SIGTERM or a SIGHUP cuts short.
+func TestFurtherSignalsDoNotCutStopShort(t *testing.T) {
+	d := startLong(t, shortGrace)
+	d.engines[0].SetEventInterval(700 * time.Millisecond)
+	whole := make(chan stopResult, 1)
+	go func() { whole <- d.dial().send(longCall(quoteCall("open"))) }()
+	awaitTrue(t, "stream not begun", func() bool { return d.hasLogged("stream began") })
+	begun, await := d.stopAt()
+	await(100 * time.Millisecond)
+	d.signals <- syscall.SIGTERM
+	d.signals <- syscall.SIGHUP
+	got := <-whole
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.body, wholeStream)
+	d.awaitEnd(begun, shortGrace)
+}
--- /dev/null
+++ b/edge/stopping.go
@@ -0,0 +1,76 @@
+package edge
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"magnoliaspoke.example/spoke"
+	"magnoliaspoke.example/spoke/place"
+)
+
+// callTimes are the times that calls have taken, for concurrent use.
+type callTimes struct {
+	mu    sync.Mutex
+	times *place.CallTimes
+}
+
+func newCallTimes() *callTimes { return &callTimes{times: place.NewCallTimes()} }
+
+func (t *callTimes) record(state callState, isAnswered bool) {
+	if state.received.IsZero() {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	took := time.Since(state.received)
+	if isAnswered {
+		t.times.Record(state.route, state.size, took)
+		return
+	}
+	t.times.RecordUnfinished(state.route, state.size, took)
+}
+
+func (t *callTimes) expected(bounds place.CallBounds) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.times.Expected(bounds)
+}
+
+// refuseStopping refuses the call and returns true if this host stops and the call is not expected to end in time.
+func (e *exchange) refuseStopping() bool {
+	stopAt := e.stopDeadline.Load()
+	if stopAt == nil {
+		return false
+	}
+	expected, left := e.times.expected(e.bounds()), time.Until(*stopAt)
+	if place.FitsStop(expected, left) {
+		return false
+	}
+	e.refuse(http.StatusServiceUnavailable, "stopping", stoppingRetryAfter, logrus.Fields{"left": left.String(), "expected": expected.String()})
+	return true
+}
+
+func (e *exchange) bounds() place.CallBounds {
+	bounds := place.CallBounds{
+		Route: e.route, Prompt: e.prompt(), Timeout: e.route.Timeout, Wait: time.Until(e.deadline),
+		Oldest: e.underWay.longestHeld(e.route.Name, place.OutputSize(e.prompt())),
+	}
+	if bounds.Timeout == 0 {
+		bounds.Timeout = defaultWait
+	}
+	return bounds
+}
+
+// prompt returns the description of the call's prompt, nil if it has none.
+func (e *exchange) prompt() *spoke.PromptMetadata {
+	if !e.route.IsPrompt || e.call.Prompt.Model == "" {
+		return nil
+	}
+	return &e.call.Prompt
+}
+
+// end removes the call from those under way and records how long it took.
+func (e *exchange) end() { e.times.record(e.underWay.remove(e.state), e.isAnswered) }
--- a/edge/stream.go
+++ b/edge/stream.go
@@ -163,6 +163,7 @@
 		a.writeHead()
 	}
 	a.ending = place.EndServed
+	a.isAnswered = true
 	a.log.WithFields(logrus.Fields{
 		"events": state.events, "widest-gap": state.widestGap.String(), "gap-target": a.route.GapTarget.String(), "took": time.Since(a.arrived).String(),
 		"status": a.head.Status,
--- a/edge/underway.go
+++ b/edge/underway.go
@@ -26,8 +26,12 @@
 	callState struct {
 		request spoke.RequestID
 		route   spoke.RouteName
+		// size is the size class of the expected output.
+		size    int
 		arrived time.Time
-		stage   callStage
+		// received is when the body had been read, zero before.
+		received time.Time
+		stage    callStage
 	}
 
 	// callsUnderWay are the calls without their final answers.
@@ -42,18 +46,40 @@
 }
 
 // add adds a call whose body has not been read.
-func (c *callsUnderWay) add(request spoke.RequestID, route spoke.RouteName, arrived time.Time) *callState {
-	state := &callState{request: request, route: route, arrived: arrived, stage: stageReading}
+func (c *callsUnderWay) add(request spoke.RequestID, route spoke.RouteName, size int, arrived time.Time) *callState {
+	state := &callState{request: request, route: route, size: size, arrived: arrived, stage: stageReading}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.calls[state] = struct{}{}
 	return state
 }
 
-func (c *callsUnderWay) remove(state *callState) {
+// remove removes a call and returns its last state.
+func (c *callsUnderWay) remove(state *callState) callState {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	delete(c.calls, state)
+	return *state
+}
+
+// recordReceipt records that the body of a call has been read.
+func (c *callsUnderWay) recordReceipt(state *callState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	state.received, state.stage = time.Now(), stageWaiting
+}
+
+// longestHeld returns the longest time since a call of the route and size was received, zero if there is none.
+func (c *callsUnderWay) longestHeld(route spoke.RouteName, size int) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	longest := time.Duration(0)
+	for state := range c.calls {
+		if state.route == route && state.size == size && !state.received.IsZero() {
+			longest = max(longest, time.Since(state.received))
+		}
+	}
+	return longest
 }
 
 // setStage sets the stage of a call; a stream that has begun stays in that stage when it is sent again.
--- a/fake/platform/engine.go
+++ b/fake/platform/engine.go
@@ -80,6 +80,7 @@
 		restarts      int64
 		events        int
 		eventInterval time.Duration
+		answerDelay   time.Duration
 		isLeaving     bool
 		// limits are the Server-Limit headers of each response.
 		limits   []string
@@ -333,7 +334,7 @@
 		e.writeUnframed(w, r)
 	default:
 		if r.Header.Get(headerModel) == "" {
-			_, _ = io.WriteString(w, WholeAnswer(e.ID))
+			e.writeDelayed(w, r)
 			return
 		}
 		e.stream(w, r, behaviour)
