Answer the calls under way before a stopping host closes

At the end of a stop the server closed all connections. A caller whose call an engine still had, whose stream had no event yet, or whose call waited for an engine got the end of its connection and no answer.

All calls under way now end 250 ms before the connections are closed, with a cause of their own, and pass through sendFinalAnswer: 504 if the call may have run, 503 "not run" if no engine had it, and a broken connection only for a stream that has begun. Reading a body that still arrives ends at the same time, with 503. A call taken during the stop has that time as its deadline, so that the scheduler refuses it at once if no engine is free in time, and the engine is told the time it has.

With a grace period of 8 s the calls end 6.85 s after SIGTERM, so within its last sixth, and the process ends as early as before.

TestStoppingHostAnswersCallsThatDoNotEnd before: unexpected EOF for the booking, the repeatable call, all streams and the call whose body still arrived. After: 504 for those that the engine had, 503 for the others, and no line "call cut off".

--- a/edge/handler.go
+++ b/edge/handler.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -48,6 +49,9 @@
 		// stopDeadline is set while the host stops: callers are asked to close their connections, so
 		// that new ones reach other hosts, and calls that would not end in time are refused.
 		stopDeadline atomic.Pointer[time.Time]
+		// stopEnd ends at that time, with errStopEnd as its cause.
+		stopEnd  context.Context
+		endCalls context.CancelCauseFunc
 	}
 
 	// exchange is one call of a caller, with the writer of its answer.
@@ -59,7 +63,9 @@
 		arrived time.Time
 		// deadline is when the call gets its final answer at the latest.
 		deadline time.Time
-		writer   http.ResponseWriter
+		// endsWithStop is set if the deadline is that of the stop of this host.
+		endsWithStop bool
+		writer       http.ResponseWriter
 		// takesChunks is set if the caller's version of HTTP has chunks, which show the end of a stream.
 		takesChunks bool
 		// hasReadBody is set once the body was read to its end or to its limit, so that the caller sends all of it.
@@ -157,6 +163,9 @@
 		wait = min(wait, e.route.Timeout)
 	}
 	e.deadline = e.arrived.Add(wait)
+	if stopAt := e.stopDeadline.Load(); stopAt != nil && stopAt.Before(e.deadline) {
+		e.deadline, e.endsWithStop = *stopAt, true
+	}
 	if !e.route.IsResumable {
 		e.call.LastEventID = ""
 	}
@@ -175,7 +184,11 @@
 		return false
 	}
 	e.hasReadBody = true
+	defer e.endReadWithStop()()
 	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	if err != nil && e.refuseStopping() {
+		return false
+	}
 	if err != nil {
 		e.log.WithError(err).Info("caller left before its request was read")
 		e.metrics.addAnswer(e.route.Name, "unread", e.arrived)
--- a/edge/host.go
+++ b/edge/host.go
@@ -102,6 +102,7 @@
 		underWay:     newCallsUnderWay(), times: newCallTimes(),
 		log: deps.Log, metrics: metrics,
 	}
+	h.relayer.stopEnd, h.relayer.endCalls = context.WithCancelCause(context.Background())
 	// The holder name differs at each start, so that a previous process of this host never counts
 	// as the holder of a lease that the new one acquired.
 	holder := spoke.HostID(fmt.Sprintf("%s-%d", settings.Host, time.Now().UnixNano()))
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -43,7 +43,7 @@
 
 // serve sends the call to upstreams until the caller has its final answer.
 func (e *exchange) serve(ctx context.Context) {
-	ctx, cancel := context.WithDeadline(ctx, e.deadline)
+	ctx, cancel := e.withDeadline(ctx)
 	defer cancel()
 	fingerprint := fingerprintOf(e.owner.Workspace, e.call)
 	if until := e.quarantine.blockedUntil(e.arrived, e.call.Request, fingerprint); !until.IsZero() {
@@ -190,6 +190,8 @@
 func (e *exchange) sendFinalAnswer(ctx context.Context, p *progress) {
 	fields := logrus.Fields{"tried": p.tried, "last-fault": p.lastFault}
 	switch {
+	case errors.Is(context.Cause(ctx), errStopEnd):
+		e.endWithStop(p, fields)
 	case errors.Is(ctx.Err(), context.Canceled):
 		e.endLeft(ctx, p, fields)
 	case p.stream.hasBegun():
--- a/edge/stop.go
+++ b/edge/stop.go
@@ -19,6 +19,9 @@
 	unreadyDelay = 2500 * time.Millisecond
 	// stopMargin is the part of the grace period that is reserved for the end of the process.
 	stopMargin = 900 * time.Millisecond
+	// answerMargin is the time between the end of the calls under way and the close of their connections, in
+	// which their answers are written.
+	answerMargin = 250 * time.Millisecond
 	// withdrawTimeout bounds the withdrawal of the announcement, within that part.
 	withdrawTimeout = 300 * time.Millisecond
 )
@@ -49,7 +52,10 @@
 	begun := time.Now()
 	h.isLeaving.Store(true)
 	deadline := begun.Add(h.settings.StopGrace - stopMargin)
-	h.relayer.stopDeadline.Store(&deadline)
+	answersBy := deadline.Add(-answerMargin)
+	h.relayer.stopDeadline.Store(&answersBy)
+	end := time.AfterFunc(time.Until(answersBy), func() { h.relayer.endCalls(errStopEnd) })
+	defer end.Stop()
 	timer.Wait(ctx, h.deps.Timer, min(unreadyDelay, time.Until(deadline)))
 	// Shutdown returns only once every request that was read has its answer. Polling the number of calls
 	// in flight instead would cut off a call that arrives between the last poll and the end.
--- a/edge/stop_calls_test.go
+++ b/edge/stop_calls_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -12,6 +14,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	fake "magnoliaspoke.example/spoke/fake/platform"
 )
 
 const (
@@ -70,18 +74,17 @@
 func startLong(t *testing.T, grace time.Duration) *deployment {
 	t.Helper()
 	d := startWithGrace(t, 1, grace)
-	d.putLongTable(100)
+	d.putLongTable()
 	return d
 }
 
-// putLongTable publishes routes that permit calls of 30 s, with a number of connections to the engines.
-func (d *deployment) putLongTable(connections int) {
+// putLongTable publishes routes that permit calls of 30 s.
+func (d *deployment) putLongTable() {
 	next := table(2, "key-2")
 	for _, route := range next["routes"].([]any) {
 		route.(map[string]any)["timeout-ms"] = 30000
 		route.(map[string]any)["target-latency-ms"] = 3000
 	}
-	next["services"].([]any)[0].(map[string]any)["max-conns"] = connections
 	d.store.Put("op/config", next)
 	awaitTrue(d.t, "new table not known", func() bool { return d.bookingStatus("probe", "key-2") == http.StatusOK })
 }
@@ -106,12 +109,12 @@
 	assert.Assert(d.t, time.Since(begun) < grace, "took %s", time.Since(begun))
 }
 
-func assertNotRun(t *testing.T, got stopResult, name string) {
+func checkNotRun(t *testing.T, got stopResult, name string) {
 	t.Helper()
-	assert.NilError(t, got.err, name)
-	assert.Equal(t, got.status, http.StatusServiceUnavailable, name)
-	assert.Assert(t, strings.Contains(got.body, "not-run"), "%s: %s", name, got.body)
-	assert.Assert(t, got.header.Get("Retry-After") != "", name)
+	assert.Check(t, got.err, name)
+	assert.Check(t, got.status == http.StatusServiceUnavailable, "%s: status %d", name, got.status)
+	assert.Check(t, strings.Contains(got.body, "not-run"), "%s: %s", name, got.body)
+	assert.Check(t, got.header.Get("Retry-After") != "", name)
 }
 
 // Guards against calls that come late in a stop, are passed on although calls of their route take longer than what is
@@ -135,7 +138,7 @@
 	for i, c := range calls {
 		for name, conn := range map[string]*callerConn{"kept": kept[i], "new": d.dial()} {
 			got := conn.send(c)
-			assertNotRun(t, got, name+c.path)
+			checkNotRun(t, got, name+c.path)
 			assert.Assert(t, got.took < soonTime, "%s connection, %s took %s", name, c.path, got.took)
 		}
 	}
@@ -152,7 +155,7 @@
 	await(500 * time.Millisecond)
 	for _, c := range []call{chatCall("chat"), quoteCall("quote")} {
 		got := d.dial().send(longCall(c))
-		assertNotRun(t, got, c.path)
+		checkNotRun(t, got, c.path)
 		assert.Assert(t, got.took < soonTime, "%s took %s", c.path, got.took)
 	}
 	d.awaitEnd(begun, grace)
@@ -184,7 +187,7 @@
 	assert.NilError(t, err)
 	sentAt := time.Now()
 	got := slow.receive(sentAt)
-	assertNotRun(t, got, "slow")
+	checkNotRun(t, got, "slow")
 	assert.Assert(t, got.took < soonTime, "took %s", got.took)
 	assert.Equal(t, d.runs(), runs)
 	d.awaitEnd(begun, shortGrace)
@@ -221,3 +224,48 @@
 	assert.Equal(t, got.body, wholeStream)
 	d.awaitEnd(begun, shortGrace)
 }
+
+// Guards against calls under way whose connections are closed without an answer at the end of a stop: those that an
+// engine has, streams without an event, those that wait for an engine and those whose body is still arriving.
+func TestStoppingHostAnswersCallsThatDoNotEnd(t *testing.T) {
+	const streams = 12
+	d := startLong(t, shortGrace)
+	before := d.runs()
+	d.setBehaviour(fake.Hang)
+	calls := []call{longCall(bookCall("book")), longCall(lookCall("look"))}
+	for number := range streams {
+		calls = append(calls, longCall(quoteCall(fmt.Sprintf("stream-%d", number))))
+	}
+	results := make([]stopResult, len(calls))
+	var callers sync.WaitGroup
+	for i, c := range calls {
+		conn := d.dial()
+		callers.Go(func() { results[i] = conn.send(c) })
+	}
+	arriving := d.dial()
+	arriving.sendPart(longCall(bookCall("arriving")), "one car")
+	awaitTrue(t, "calls not sent", func() bool { return d.hasRun("book") && d.hasRun("look") && d.runs() > before+2 })
+	begun, _ := d.stopAt()
+	checkNotRun(t, arriving.receive(begun), "arriving")
+	callers.Wait()
+	waited := 0
+	for i, c := range calls {
+		got := results[i]
+		if !d.hasRun(c.id) {
+			checkNotRun(t, got, c.id)
+			waited++
+			continue
+		}
+		assert.Check(t, got.err, c.id)
+		assert.Check(t, got.status == http.StatusBadGateway || got.status == http.StatusGatewayTimeout, "%s: status %d", c.id, got.status)
+		assert.Check(t, strings.Contains(got.body, "outcome-unknown"), "%s: %s", c.id, got.body)
+	}
+	assert.Check(t, waited > 0, "no call waits for an engine")
+	d.awaitEnd(begun, shortGrace)
+	assert.Assert(t, !d.hasLogged("call cut off"))
+}
+
+// hasRun reports whether an engine has started to run a request.
+func (d *deployment) hasRun(id string) bool {
+	return slices.ContainsFunc(d.engines[0].Runs(), func(run fake.Run) bool { return run.ID == id })
+}
--- a/edge/stopping.go
+++ b/edge/stopping.go
@@ -1,6 +1,8 @@
 package edge
 
 import (
+	"context"
+	"errors"
 	"net/http"
 	"sync"
 	"time"
@@ -11,6 +13,9 @@
 	"magnoliaspoke.example/spoke/place"
 )
 
+// errStopEnd is the cause with which calls end that are still under way at the end of a stop of this host.
+var errStopEnd = errors.New("host ends")
+
 // callTimes are the times that calls have taken, for concurrent use.
 type callTimes struct {
 	mu    sync.Mutex
@@ -64,6 +69,43 @@
 	return bounds
 }
 
+// withDeadline returns a context that ends at the deadline of the call or at the end of a stop of this host.
+func (e *exchange) withDeadline(ctx context.Context) (context.Context, context.CancelFunc) {
+	cause := context.DeadlineExceeded
+	if e.endsWithStop {
+		cause = errStopEnd
+	}
+	ctx, end := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(e.stopEnd, func() { end(errStopEnd) })
+	ctx, cancel := context.WithDeadlineCause(ctx, e.deadline, cause)
+	return ctx, func() {
+		stop()
+		cancel()
+		end(nil)
+	}
+}
+
+// endReadWithStop ends reading from the caller's connection at the end of a stop of this host; the returned
+// function removes this limit.
+func (e *exchange) endReadWithStop() func() {
+	stop := context.AfterFunc(e.stopEnd, func() { _ = http.NewResponseController(e.writer).SetReadDeadline(time.Now()) })
+	return func() { stop() }
+}
+
+// endWithStop answers a call that is still under way at the end of a stop of this host.
+func (e *exchange) endWithStop(p *progress, fields logrus.Fields) {
+	switch {
+	case p.stream.hasBegun():
+		e.abortStream("stopping", fields)
+	case p.answer != nil:
+		e.deliver(p.answer.head, p.answer.body)
+	case p.mayHaveRun:
+		e.fail(http.StatusGatewayTimeout, "stopping", fields)
+	default:
+		e.refuse(http.StatusServiceUnavailable, "stopping", stoppingRetryAfter, fields)
+	}
+}
+
 // prompt returns the description of the call's prompt, nil if it has none.
 func (e *exchange) prompt() *spoke.PromptMetadata {
 	if !e.route.IsPrompt || e.call.Prompt.Model == "" {
