--- a/caller/discard.go
+++ b/caller/discard.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"time"
@@ -16,12 +17,15 @@
 	_ = http.NewResponseController(w).EnableFullDuplex()
 }
 
-// Discard sends the answer and reads the rest of the body until the deadline. Closing a connection with unread
-// bytes resets it, and a caller that reads the answer only after it has sent its body would lose the answer.
-func Discard(w http.ResponseWriter, r *http.Request, deadline time.Time) {
+// Discard sends the answer and reads the rest of the body until the deadline or the end of ctx. Closing a connection
+// with unread bytes resets it, and a caller that reads the answer only after it has sent its body would lose the
+// answer.
+func Discard(ctx context.Context, w http.ResponseWriter, r *http.Request, deadline time.Time) {
 	control := http.NewResponseController(w)
 	if control.Flush() != nil || control.SetReadDeadline(deadline) != nil {
 		return
 	}
+	stop := context.AfterFunc(ctx, func() { _ = control.SetReadDeadline(time.Now()) })
+	defer stop()
 	_, _ = io.CopyN(io.Discard, r.Body, maxDiscardBytes) // The answer is sent; the connection ends if the body does not.
 }
--- a/edge/callerbody.go
+++ b/edge/callerbody.go
@@ -18,13 +18,13 @@
 
 // discardBody reads the rest of the body of a refused call. A caller that waits for the server's consent to
 // send its body sends none after a refusal.
-func discardBody(w http.ResponseWriter, r *http.Request, deadline time.Time, isAwaited bool) {
+func (h *relayer) discardBody(w http.ResponseWriter, r *http.Request, deadline time.Time, isAwaited bool) {
 	if isAwaited || r.Header.Get("Expect") == "" {
-		caller.Discard(w, r, deadline)
+		caller.Discard(h.stopEnd, w, r, deadline)
 	}
 }
 
-// discardBody reads the rest of the body of this call after its refusal.
-func (e *exchange) discardBody(r *http.Request) {
-	discardBody(e.writer, r, e.arrived.Add(discardTime(e.call)), e.hasReadBody)
+// discardRest reads the rest of the body of this call after its refusal.
+func (e *exchange) discardRest(r *http.Request) {
+	e.discardBody(e.writer, r, e.arrived.Add(discardTime(e.call)), e.hasReadBody)
 }
--- a/edge/callerleft.go
+++ b/edge/callerleft.go
@@ -11,13 +11,13 @@
 	"magnoliaspoke.example/spoke/caller"
 )
 
-// attemptContext returns the context of an attempt. A call that may run only once runs to its end when its
-// caller has left, since neither the caller nor this host can repeat it.
+// attemptContext returns the context of an attempt. A call that may run only once goes on when its caller has left,
+// until its deadline or the end of a stop of this host, since neither the caller nor this host can repeat it.
 func (e *exchange) attemptContext(ctx context.Context) (context.Context, context.CancelFunc) {
 	if e.route.Rule != spoke.RuleOnce {
 		return context.WithCancel(ctx)
 	}
-	return context.WithDeadline(context.WithoutCancel(ctx), e.deadline)
+	return e.withDeadline(context.WithoutCancel(ctx))
 }
 
 // endLeft ends a call whose caller counts as gone. The caller gets its final answer all the same, since the
--- a/edge/handler.go
+++ b/edge/handler.go
@@ -92,19 +92,19 @@
 		h.log.WithError(err).Warn("call refused: malformed")
 		h.metrics.addAnswer("", "malformed", arrived)
 		writeError(w, http.StatusBadRequest, "bad-request", 0)
-		discardBody(w, r, arrived.Add(defaultWait), false)
+		h.discardBody(w, r, arrived.Add(defaultWait), false)
 		return
 	}
 	e := &exchange{relayer: h, call: call, arrived: arrived, writer: w, takesChunks: r.ProtoAtLeast(1, 1), log: h.log.WithField("request-id", call.Request)}
 	if !e.resolve() {
-		e.discardBody(r)
+		e.discardRest(r)
 		return
 	}
 	e.state = h.underWay.add(call.Request, e.route.Name, place.OutputSize(e.prompt()), arrived)
 	defer e.end()
 	// The body may have taken long to arrive.
 	if !e.readBody(r) || e.refuseStopping() {
-		e.discardBody(r)
+		e.discardRest(r)
 		return
 	}
 	h.underWay.recordReceipt(e.state)
