Answer requests on open connections of a stopping host

2.5 s after SIGTERM the host called Shutdown of the server's library. From then on the library drops each request that it reads on a connection accepted before, without an answer, and closes kept connections on which only a part of a request header has arrived. Callers saw the end of their connection and could not know whether the request had run.

The host now closes its listener at that time and calls Shutdown only when no connection has a request and none has carried bytes for 500 ms, 100 ms before the close at the latest. A host without calls ends at most half a second later than before.

Ruled out: the run group does not end the planner or other tasks before the calls; all of them end only once awaitStop has returned.

TestStoppingHostAnswersAcceptedConnections before: unexpected EOF for the connection that was not read yet, and in a run without that step for the kept one whose header was still arriving. After: 200 on both.

--- a/caller/conn.go
+++ b/caller/conn.go
@@ -8,6 +8,7 @@
 	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 
 	"golang.org/x/sys/unix"
 )
@@ -15,6 +16,13 @@
 // errNotTCP reports a connection that does not have the methods of a TCP connection.
 var errNotTCP = errors.New("connection of the caller is not a TCP connection")
 
+// tcpConn has the methods of a TCP connection that are used.
+type tcpConn interface {
+	CloseWrite() error
+	SetLinger(seconds int) error
+	SyscallConn() (syscall.RawConn, error)
+}
+
 // conn records the errors of a caller's connection. It has no ReadFrom, so that all bytes pass through Write.
 type conn struct {
 	net.Conn
@@ -44,9 +52,12 @@
 	return n, err
 }
 
+// NetConn returns the wrapped connection.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
 // CloseWrite closes the sending side.
 func (c *conn) CloseWrite() error {
-	tcp, ok := c.Conn.(*net.TCPConn)
+	tcp, ok := c.Conn.(tcpConn)
 	if !ok {
 		return errNotTCP
 	}
@@ -55,7 +66,7 @@
 
 // SetLinger sets how Close handles unsent bytes; with zero seconds, it resets the connection.
 func (c *conn) SetLinger(seconds int) error {
-	tcp, ok := c.Conn.(*net.TCPConn)
+	tcp, ok := c.Conn.(tcpConn)
 	if !ok {
 		return errNotTCP
 	}
@@ -64,7 +75,7 @@
 
 // pendingError returns the error that the network has reported for the connection, such as a reset.
 func (c *conn) pendingError() error {
-	tcp, ok := c.Conn.(*net.TCPConn)
+	tcp, ok := c.Conn.(tcpConn)
 	if !ok {
 		return nil
 	}
--- a/edge/host.go
+++ b/edge/host.go
@@ -142,25 +142,24 @@
 	task(func(ctx context.Context) error { return h.socket.Receive(ctx, h.receiveLoad) })
 	task(h.follower.run)
 	task(h.offers.run)
-	callers := &http.Server{
-		Handler: h.relayer, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
-	}
-	if err := h.listen(&group, callers, h.settings.Caller, caller.Serve); err != nil {
+	callers, err := newCallerServer(h.relayer, h.settings.Caller)
+	if err != nil {
 		return err
 	}
+	h.serve(&group, callers.Server, callers.listener, caller.Serve)
 	readiness := &http.Server{Handler: http.HandlerFunc(h.serveReadiness), ReadHeaderTimeout: callerHeaderTimeout}
-	if err := h.listen(&group, readiness, h.settings.Readiness, (*http.Server).Serve); err != nil {
+	if err := h.listen(&group, readiness, h.settings.Readiness); err != nil {
 		return err
 	}
 	peerMux := http.NewServeMux()
 	peerMux.Handle("GET "+feedPath, h.follower.feed)
 	peerMux.Handle("GET "+contentPath, h.contentServer)
-	if err := h.listen(&group, &http.Server{Handler: peerMux, ReadHeaderTimeout: callerHeaderTimeout}, h.socket.Address(), (*http.Server).Serve); err != nil {
+	if err := h.listen(&group, &http.Server{Handler: peerMux, ReadHeaderTimeout: callerHeaderTimeout}, h.socket.Address()); err != nil {
 		return err
 	}
 	if h.settings.MetricsPort != 0 {
 		at := netip.AddrPortFrom(h.settings.Address, uint16(h.settings.MetricsPort))
-		if err := h.listen(&group, h.metricsServer(), spoke.Address(at.String()), (*http.Server).Serve); err != nil {
+		if err := h.listen(&group, h.metricsServer(), spoke.Address(at.String())); err != nil {
 			return err
 		}
 	}
@@ -179,15 +178,20 @@
 	return err
 }
 
-func (h *Host) listen(group *run.Group, server *http.Server, at spoke.Address, serveOn func(*http.Server, net.Listener) error) error {
+func (h *Host) listen(group *run.Group, server *http.Server, at spoke.Address) error {
 	listener, err := net.Listen("tcp", string(at))
 	if err != nil {
 		return err
 	}
+	h.serve(group, server, listener, (*http.Server).Serve)
+	return nil
+}
+
+func (h *Host) serve(group *run.Group, server *http.Server, listener net.Listener, serveOn func(*http.Server, net.Listener) error) {
 	ended := make(chan struct{})
 	serve := func() error {
 		err := serveOn(server, listener)
-		if errors.Is(err, http.ErrServerClosed) {
+		if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 			// The other tasks continue until the calls in flight have ended.
 			<-ended
 		}
@@ -197,7 +201,6 @@
 		close(ended)
 		_ = server.Close()
 	})
-	return nil
 }
 
 // serveReadiness answers the platform's readiness probe: whether this host accepts new connections.
--- a/edge/stop.go
+++ b/edge/stop.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net/http"
 	"os"
 	"syscall"
 	"time"
@@ -31,7 +30,7 @@
 
 // awaitStop waits for signals: SIGHUP is only logged, any other signal stops the host once its calls have
 // ended.
-func (h *Host) awaitStop(ctx context.Context, signals <-chan os.Signal, callers *http.Server) error {
+func (h *Host) awaitStop(ctx context.Context, signals <-chan os.Signal, callers *callerServer) error {
 	for {
 		select {
 		case received := <-signals:
@@ -48,7 +47,7 @@
 }
 
 // stop takes the host out of service and waits for the calls in flight.
-func (h *Host) stop(ctx context.Context, callers *http.Server) error {
+func (h *Host) stop(ctx context.Context, callers *callerServer) error {
 	begun := time.Now()
 	h.isLeaving.Store(true)
 	deadline := begun.Add(h.settings.StopGrace - stopMargin)
@@ -57,11 +56,7 @@
 	end := time.AfterFunc(time.Until(answersBy), func() { h.relayer.endCalls(errStopEnd) })
 	defer end.Stop()
 	timer.Wait(ctx, h.deps.Timer, min(unreadyDelay, time.Until(deadline)))
-	// Shutdown returns only once every request that was read has its answer. Polling the number of calls
-	// in flight instead would cut off a call that arrives between the last poll and the end.
-	shutdownCtx, cancel := context.WithDeadline(ctx, deadline)
-	defer cancel()
-	if err := callers.Shutdown(shutdownCtx); err != nil {
+	if err := callers.stop(ctx, deadline); err != nil {
 		h.deps.Log.WithError(err).Warn("calls under way are cut off")
 	}
 	cutOff := h.relayer.underWay.list()
--- a/edge/stop_calls_test.go
+++ b/edge/stop_calls_test.go
@@ -208,6 +208,41 @@
 	d.awaitEnd(begun, shortGrace)
 }
 
+// Guards against requests that a stopping host reads and drops without an answer, because it has closed its listener:
+// on a connection that was accepted before, and on a kept one with a request that is still arriving.
+func TestStoppingHostAnswersAcceptedConnections(t *testing.T) {
+	d := startLong(t, shortGrace)
+	d.engines[0].SetEventInterval(900 * time.Millisecond)
+	kept, unread, open := d.dial(), d.dial(), make(chan stopResult, 1)
+	for range 2 {
+		assert.Equal(t, kept.send(longCall(lookCall("shown"))).status, http.StatusOK)
+	}
+	go func() { open <- d.dial().send(longCall(quoteCall("open"))) }()
+	awaitTrue(t, "stream not begun", func() bool { return d.hasLogged("stream began") })
+	begun, _ := d.stopAt()
+	const head = "GET /look/1 HTTP/1.1\r\nHost: " + hostName + "\r\nAuthorization: Bearer key-2\r\n"
+	_, err := io.WriteString(kept.conn, head)
+	assert.NilError(t, err)
+	awaitTrue(t, "still listening", func() bool {
+		conn, err := net.Dial("tcp", string(d.settings.Caller))
+		if err == nil {
+			_ = conn.Close()
+		}
+		return err != nil
+	})
+	got := unread.send(longCall(lookCall("unread")))
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.status, http.StatusOK)
+	_, err = io.WriteString(kept.conn, "Magnoliaspoke-Request-Id: kept\r\n\r\n")
+	assert.NilError(t, err)
+	got = kept.receive(time.Now())
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.status, http.StatusOK)
+	assert.Assert(t, got.closesConnection)
+	assert.NilError(t, (<-open).err)
+	d.awaitEnd(begun, shortGrace)
+}
+
 // Guards against a stop that a second SIGTERM or a SIGHUP cuts short.
 func TestFurtherSignalsDoNotCutStopShort(t *testing.T) {
 	d := startLong(t, shortGrace)
