Answer requests on open connections of a draining entry host

After its drain delay an entry host called Shutdown of the server's library, which from then on drops each request that it reads on a connection accepted before, without an answer.

The host now closes the listener for callers, waits until no connection has a request and none has carried bytes for 500 ms, and then calls Shutdown, 100 ms before the drain deadline at the latest. The listener for other hosts is left as it is, since their heartbeats keep its connections in use; whether a run that another host sends there at that moment is dropped was not tested.

TestDrainAnswersAcceptedConnection before: unexpected EOF.

--- a/host/drain.go
+++ b/host/drain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"magnoliaspoke.example/spoke"
+	"magnoliaspoke.example/spoke/drain"
 	"magnoliaspoke.example/spoke/member"
 	"magnoliaspoke.example/spoke/timer"
 )
@@ -16,12 +18,18 @@
 const (
 	// announceTimeout bounds how long a host waits for its peers to acknowledge an announcement.
 	announceTimeout = time.Second
+	// unusedTime is the time without bytes after which a connection without a request is closed.
+	unusedTime = 500 * time.Millisecond
+	// shutdownTime is the time that the server has at most to close its connections.
+	shutdownTime = 100 * time.Millisecond
 )
 
 type (
 	// drainer stops a host without cutting off requests.
 	drainer struct {
 		callerServer   *http.Server
+		callerListener net.Listener
+		connections    *drain.Connections
 		internalServer *http.Server
 		members        *memberTask
 		timer          spoke.Timer
@@ -65,6 +73,9 @@
 	}()
 	d.announce(ctx)
 	timer.Wait(ctx, d.timer, d.delay)
+	// The server drops requests that it reads once Shutdown has begun.
+	_ = d.callerListener.Close()
+	d.awaitQuiet(ctx)
 	// The internal listener closes last, because peers still read runs that
 	// this host owns.
 	d.shutdown(ctx, "caller", d.callerServer)
@@ -72,6 +83,13 @@
 	d.events.Record(spoke.Event{Kind: "drain-finished"})
 }
 
+// awaitQuiet waits until the open requests of callers have ended.
+func (d *drainer) awaitQuiet(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, d.deadline-shutdownTime)
+	defer cancel()
+	d.connections.AwaitQuiet(ctx, unusedTime)
+}
+
 func (d *drainer) announce(ctx context.Context) {
 	d.draining.Store(true)
 	d.events.Record(spoke.Event{Kind: "drain-started"})
--- a/host/drain_test.go
+++ b/host/drain_test.go
@@ -6,9 +6,13 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
+
+	"magnoliaspoke.example/spoke/fake/plain"
 )
 
 // Guards against a drain that resets a keep-alive connection on which a request is arriving:
@@ -33,6 +37,52 @@
 	assert.Assert(t, isLast, "a draining host keeps the connection open")
 }
 
+// Guards against requests that a draining host reads and drops without an answer, on a connection that was accepted
+// before its listener closed.
+func TestDrainAnswersAcceptedConnection(t *testing.T) {
+	p := startPair(t)
+	leaving := p.servers[1]
+	p.bookings.SetFaults(plain.Faults{Delay: time.Second})
+	conn, err := net.Dial("tcp", leaving.listeners.Caller.Addr().String())
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	held := make(chan int, 1)
+	go func() { held <- leaving.book(t, "held") }()
+	p.wait("booking not sent", func() bool { return p.bookings.Runs().Total == 1 })
+	leaving.startDrain()
+	p.wait("closed caller listener", leaving.refusesConnections)
+	send(t, conn, "GET /ready HTTP/1.1\r\nHost: entry\r\n\r\n")
+	status, isLast := readResponse(t, bufio.NewReader(conn))
+	assert.Equal(t, status, http.StatusServiceUnavailable)
+	assert.Assert(t, isLast)
+	assert.Equal(t, <-held, http.StatusOK)
+}
+
+// book sends a call that may not be repeated and returns its status, zero if there was no answer.
+func (s *loopbackHost) book(t *testing.T, key string) int {
+	req, err := http.NewRequest(http.MethodPost, "http://"+s.listeners.Caller.Addr().String()+"/services/booking/dispatches", strings.NewReader("one carton"))
+	assert.Check(t, err)
+	req.Header.Set("Authorization", "Bearer "+apiKey)
+	req.Header.Set("Idempotency-Key", key)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = resp.Body.Close() }()
+	_, err = io.Copy(io.Discard, resp.Body)
+	assert.Check(t, err)
+	return resp.StatusCode
+}
+
+// refusesConnections reports whether the host no longer listens for callers.
+func (s *loopbackHost) refusesConnections() bool {
+	conn, err := net.Dial("tcp", s.listeners.Caller.Addr().String())
+	if err == nil {
+		_ = conn.Close()
+	}
+	return err != nil
+}
+
 func send(t *testing.T, conn net.Conn, text string) {
 	t.Helper()
 	_, err := io.WriteString(conn, text)
--- a/host/host.go
+++ b/host/host.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -17,6 +18,7 @@
 	"magnoliaspoke.example/spoke/config"
 	"magnoliaspoke.example/spoke/coord"
 	"magnoliaspoke.example/spoke/crash"
+	"magnoliaspoke.example/spoke/drain"
 	"magnoliaspoke.example/spoke/engine"
 	"magnoliaspoke.example/spoke/events"
 	"magnoliaspoke.example/spoke/member"
@@ -195,10 +197,12 @@
 	adminAPI := administration{host: h, acceptor: ticket.NewAcceptor(h.platform)}
 	h.adminServer = server(admin.NewHandler(adminAPI, ticketCodec{}, h.settings.AdminKeys, admin.WithLog(h.log)))
 	h.drainer = &drainer{
-		callerServer: h.callerServer, internalServer: h.internalServer, members: h.members, timer: h.timer,
+		callerServer: h.callerServer, callerListener: h.listeners.Caller, connections: drain.NewConnections(),
+		internalServer: h.internalServer, members: h.members, timer: h.timer,
 		events: h.events, log: h.log, delay: h.settings.DrainDelay, deadline: h.settings.DrainDeadline,
 		begin: make(chan struct{}, 1), force: force,
 	}
+	h.callerServer.ConnState = h.drainer.connections.ObserveState
 	h.callerServer.Handler = h.drainer.withConnectionClose(h.withReadiness(h.metrics.countRequests(callerAPI)))
 }
 
@@ -221,7 +225,7 @@
 		group.Add(func() error { return task(h.baseCtx) }, func(error) { h.cancel() })
 	}
 	// The drain shuts the first two servers down; the others serve until it has ended.
-	h.addServer(&group, func() error { return h.callerServer.Serve(h.listeners.Caller) }, nil)
+	h.addServer(&group, func() error { return h.callerServer.Serve(h.drainer.connections.Listen(h.listeners.Caller)) }, nil)
 	h.addServer(&group, func() error { return h.internalServer.Serve(h.listeners.Internal) }, nil)
 	h.addServer(&group, func() error { return h.adminServer.Serve(h.listeners.Admin) }, h.adminServer)
 	h.addServer(&group, func() error { return h.metricsServer.Serve(h.listeners.Metrics) }, h.metricsServer)
@@ -269,7 +273,7 @@
 func (h *Host) addServer(group *run.Group, serve func() error, closeOnStop *http.Server) {
 	group.Add(func() error {
 		err := serve()
-		if errors.Is(err, http.ErrServerClosed) {
+		if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 			<-h.baseCtx.Done()
 			return nil
 		}
