Answer the requests that are open at the end of a drain

At the drain deadline, or when a second signal cut the drain short, an entry host closed all connections. Callers of requests that were still open got no answer, among them those of calls that may not be repeated.

The contexts of all open requests now end 250 ms before, with a cause of their own. The caller API answers such a request with 504 if it may have run and with 503 and a Retry-After if it has not, as the code for a caller that leaves already distinguishes; a stream that has begun passes through the code for broken streams.

TestDrainAnswersCallsThatDoNotEnd, with a call that may not be repeated, before: no answer (the connection was closed). The second signal, streams and runs that other hosts read were not tested.

--- a/host/drain.go
+++ b/host/drain.go
@@ -22,6 +22,9 @@
 	unusedTime = 500 * time.Millisecond
 	// shutdownTime is the time that the server has at most to close its connections.
 	shutdownTime = 100 * time.Millisecond
+	// answerMargin is the time between the end of the open requests and the close of their connections, in which
+	// their answers are written.
+	answerMargin = 250 * time.Millisecond
 )
 
 type (
@@ -30,6 +33,7 @@
 		callerServer   *http.Server
 		callerListener net.Listener
 		connections    *drain.Connections
+		requests       *drain.Requests
 		internalServer *http.Server
 		members        *memberTask
 		timer          spoke.Timer
@@ -67,10 +71,14 @@
 	go func() {
 		select {
 		case <-d.force:
+			d.requests.End()
+			timer.Wait(ctx, d.timer, answerMargin)
 			cancel()
 		case <-ctx.Done():
 		}
 	}()
+	end := time.AfterFunc(d.delay+d.deadline-answerMargin, d.requests.End)
+	defer end.Stop()
 	d.announce(ctx)
 	timer.Wait(ctx, d.timer, d.delay)
 	// The server drops requests that it reads once Shutdown has begun.
@@ -83,7 +91,7 @@
 	d.events.Record(spoke.Event{Kind: "drain-finished"})
 }
 
-// awaitQuiet waits until the open requests of callers have ended.
+// awaitQuiet waits until the open requests of callers have ended, on their own or at the end of the drain.
 func (d *drainer) awaitQuiet(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, d.deadline-shutdownTime)
 	defer cancel()
--- a/host/drain_test.go
+++ b/host/drain_test.go
@@ -58,6 +58,19 @@
 	assert.Equal(t, <-held, http.StatusOK)
 }
 
+// Guards against calls that may not be repeated and whose connection a draining host closes without an answer, because
+// they last longer than the drain.
+func TestDrainAnswersCallsThatDoNotEnd(t *testing.T) {
+	p := startPairWithDeadline(t, 800*time.Millisecond)
+	leaving := p.servers[1]
+	p.bookings.SetFaults(plain.Faults{Delay: 3 * time.Second})
+	held := make(chan int, 1)
+	go func() { held <- leaving.book(t, "held") }()
+	p.wait("booking not sent", func() bool { return p.bookings.Runs().Total == 1 })
+	leaving.startDrain()
+	assert.Equal(t, <-held, http.StatusGatewayTimeout)
+}
+
 // book sends a call that may not be repeated and returns its status, zero if there was no answer.
 func (s *loopbackHost) book(t *testing.T, key string) int {
 	req, err := http.NewRequest(http.MethodPost, "http://"+s.listeners.Caller.Addr().String()+"/services/booking/dispatches", strings.NewReader("one carton"))
--- a/host/host.go
+++ b/host/host.go
@@ -197,13 +197,13 @@
 	adminAPI := administration{host: h, acceptor: ticket.NewAcceptor(h.platform)}
 	h.adminServer = server(admin.NewHandler(adminAPI, ticketCodec{}, h.settings.AdminKeys, admin.WithLog(h.log)))
 	h.drainer = &drainer{
-		callerServer: h.callerServer, callerListener: h.listeners.Caller, connections: drain.NewConnections(),
+		callerServer: h.callerServer, callerListener: h.listeners.Caller, connections: drain.NewConnections(), requests: drain.NewRequests(),
 		internalServer: h.internalServer, members: h.members, timer: h.timer,
 		events: h.events, log: h.log, delay: h.settings.DrainDelay, deadline: h.settings.DrainDeadline,
 		begin: make(chan struct{}, 1), force: force,
 	}
 	h.callerServer.ConnState = h.drainer.connections.ObserveState
-	h.callerServer.Handler = h.drainer.withConnectionClose(h.withReadiness(h.metrics.countRequests(callerAPI)))
+	h.callerServer.Handler = h.drainer.withConnectionClose(h.withReadiness(h.metrics.countRequests(h.drainer.requests.Handle(callerAPI))))
 }
 
 func server(handler http.Handler) *http.Server {
--- a/host/pair_test.go
+++ b/host/pair_test.go
@@ -49,6 +49,8 @@
 		platform *kvsvc.Service
 		bookings *plain.Service
 		servers  [2]*loopbackHost
+
+		drainDeadline time.Duration
 		// engines serve the responses of u0 to u5, in the shape that a test sets.
 		engines [services]*frame.Handler
 	}
@@ -56,7 +58,13 @@
 
 func startPair(t *testing.T) *hostPair {
 	t.Helper()
-	p := &hostPair{t: t, platform: kvsvc.New(), bookings: plain.New()}
+	return startPairWithDeadline(t, 10*time.Second)
+}
+
+// startPairWithDeadline starts a pair whose hosts wait for their open requests for the given time.
+func startPairWithDeadline(t *testing.T, drainDeadline time.Duration) *hostPair {
+	t.Helper()
+	p := &hostPair{t: t, drainDeadline: drainDeadline, platform: kvsvc.New(), bookings: plain.New()}
 	objects := []spoke.Object{
 		spoke.Rank{Name: "urgent", FirstTokenTarget: 5 * time.Second, Floor: 0.1, Worth: 1},
 		spoke.Service{
@@ -103,7 +111,7 @@
 		settings.Caller, settings.Internal, settings.Admin, settings.Metrics = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
 		settings.Platform, settings.PeerSecret = platform, "a secret of enough bytes"
 		settings.HeartbeatInterval = 50 * time.Millisecond
-		settings.DrainDelay, settings.DrainDeadline = 100*time.Millisecond, 10*time.Second
+		settings.DrainDelay, settings.DrainDeadline = 100*time.Millisecond, p.drainDeadline
 		listeners, err := host.Listen(settings)
 		assert.NilError(p.t, err)
 		p.servers[i] = &loopbackHost{listeners: listeners, ended: make(chan error, 1)}
--- a/openai/handler.go
+++ b/openai/handler.go
@@ -1,6 +1,7 @@
 package openai
 
 import (
+	"context"
 	"errors"
 	"net/http"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"magnoliaspoke.example/spoke"
+	"magnoliaspoke.example/spoke/drain"
 )
 
 const (
@@ -21,6 +23,9 @@
 	// defaultWriteTimeout is the default time limit for writing one part of a response.
 	defaultWriteTimeout = 10 * time.Second
 
+	// hostEndsRetryAfter is the Retry-After of a host that ends; a retry reaches another host.
+	hostEndsRetryAfter = time.Second
+
 	requestIDHeader = "X-Request-Id"
 )
 
@@ -165,5 +170,18 @@
 	}
 	withID := *refusal
 	withID.Request = x.id
+	if withID.Code == spoke.CodeCancelled && errors.Is(context.Cause(x.r.Context()), drain.ErrEnd) {
+		setHostEnds(&withID)
+	}
 	return &withID
 }
+
+// setHostEnds makes the refusal of a cancelled request one of a host that ends, whose caller waits for the answer.
+func setHostEnds(refusal *spoke.Refusal) {
+	refusal.Message = drain.ErrEnd.Error()
+	if refusal.Outcome == spoke.OutcomeNotRun {
+		refusal.Code, refusal.RetryAfter = spoke.CodeNotReady, hostEndsRetryAfter
+		return
+	}
+	refusal.Code = spoke.CodeDeadline
+}
