--- a/edge/unframed_test.go
+++ b/edge/unframed_test.go
@@ -75,27 +75,16 @@
 // addServices adds services with the routes of table and two engines each, and waits until they are in use.
 func (d *deployment) addServices(count int) [][]*fake.Engine {
 	d.t.Helper()
-	next := table(2, callerKey)
-	routes, service := next["routes"].([]any), next["services"].([]any)[0].(map[string]any)
 	engines := make([][]*fake.Engine, count)
 	for i := range count {
-		name := fmt.Sprint("service-", i)
-		for _, route := range routes[:4] {
-			own := maps.Clone(route.(map[string]any))
-			own["name"], own["service"], own["prefix"] = fmt.Sprint(own["name"], "-", i), name, fmt.Sprintf("/%d%s", i, own["prefix"])
-			next["routes"] = append(next["routes"].([]any), own)
-		}
-		own := maps.Clone(service)
-		own["name"] = name
-		next["services"] = append(next["services"].([]any), own)
 		for j := range 2 {
 			engine := fake.NewEngine(fmt.Sprintf("i-%d-%d", i, j), 4)
 			d.t.Cleanup(engine.Close)
 			engines[i] = append(engines[i], engine)
-			d.store.Put("servers/"+engine.ID, engine.Entry(name, "a", "ready"))
+			d.store.Put("servers/"+engine.ID, engine.Entry(fmt.Sprint("service-", i), "a", "ready"))
 		}
 	}
-	d.store.Put("op/config", next)
+	d.store.Put("op/config", tableOfServices(2, count))
 	awaitTrue(d.t, "services are not in use", func() bool {
 		got, err := d.send(callOfService(lookCall("first"), count-1))
 		return err == nil && got.status == http.StatusOK
@@ -103,6 +92,24 @@
 	return engines
 }
 
+// tableOfServices returns table with further services, each with the routes of table.
+func tableOfServices(version, count int) map[string]any {
+	next := table(version, callerKey)
+	routes, service := next["routes"].([]any), next["services"].([]any)[0].(map[string]any)
+	for i := range count {
+		name := fmt.Sprint("service-", i)
+		for _, route := range routes[:4] {
+			own := maps.Clone(route.(map[string]any))
+			own["name"], own["service"], own["prefix"] = fmt.Sprint(own["name"], "-", i), name, fmt.Sprintf("/%d%s", i, own["prefix"])
+			next["routes"] = append(next["routes"].([]any), own)
+		}
+		own := maps.Clone(service)
+		own["name"] = name
+		next["services"] = append(next["services"].([]any), own)
+	}
+	return next
+}
+
 // callOfService returns the call with the path of a service that addServices has added.
 func callOfService(c call, service int) call {
 	if strings.HasPrefix(c.path, "/chat/") || strings.HasPrefix(c.path, "/quote/") {
--- a/fake/platform/engine.go
+++ b/fake/platform/engine.go
@@ -91,6 +91,7 @@
 		shedCount           int
 		longestEndlessWrite time.Duration
 		unframed            UnframedAnswer
+		held                *hold
 		// resumed is the response to resumed streams.
 		resumed  string
 		crashing Crashing
@@ -290,6 +291,9 @@
 		w.Header().Set(headerRequestID, r.Header.Get(headerRequestID))
 		w.Header().Set(headerNotExecuted, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
+	case behaviour == Echo, behaviour == EchoReset:
+		e.awaitRelease(r, 0)
+		echo(w, body, behaviour == EchoReset)
 	default:
 		e.respond(w, r, behaviour)
 	}
@@ -307,6 +311,7 @@
 		header.Set(headerServerStamp, stampPrefix+e.ID)
 	}
 	e.crashOn(w, r)
+	e.awaitRelease(r, 0)
 	switch behaviour {
 	case Fail:
 		http.Error(w, "engine failed", http.StatusInternalServerError)
@@ -364,6 +369,7 @@
 		}
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: piece %d\n\n", id, id)
 		_ = http.NewResponseController(w).Flush()
+		e.awaitRelease(r, id)
 		if !e.wait(r, e.eventInterval) {
 			return
 		}
--- /dev/null
+++ b/fake/platform/hold.go
@@ -0,0 +1,61 @@
+package platform
+
+import (
+	"io"
+	"net"
+	"net/http"
+)
+
+const (
+	// Echo sends the body of the request as the bytes of the response and closes the connection.
+	Echo Behaviour = "echo"
+	// EchoReset sends the body of the request as the bytes of the response and resets the connection.
+	EchoReset Behaviour = "echo-reset"
+)
+
+// hold stops runs until it is released.
+type hold struct {
+	// events is the number of events of a stream after which it stops; zero stops before the head.
+	events   int
+	released chan struct{}
+}
+
+// Hold stops the following runs after a number of events, with zero before the head, until release is called.
+func (e *Engine) Hold(events int) (release func()) {
+	held := &hold{events: events, released: make(chan struct{})}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.held = held
+	return func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.held = nil
+		close(held.released)
+	}
+}
+
+// awaitRelease blocks a run that is held after the given number of events.
+func (e *Engine) awaitRelease(r *http.Request, events int) {
+	e.mu.Lock()
+	held := e.held
+	e.mu.Unlock()
+	if held == nil || held.events != events {
+		return
+	}
+	select {
+	case <-held.released:
+	case <-r.Context().Done():
+	}
+}
+
+func echo(w http.ResponseWriter, body []byte, isReset bool) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(err)
+	}
+	_, _ = io.WriteString(conn, string(body))
+	if isReset {
+		_ = conn.(*net.TCPConn).SetLinger(0)
+	}
+	_ = conn.Close()
+}
