Log what ended a failed attempt and how long its upstream was silent

Ruled out: deriving it from "held" and the routes, since attempts follow each other.

Change: the idle timer cancels with a cause of its own. The line has "ended-by" and "silent", the time since the last bytes of the upstream.

Conclusion: the next incident of this kind shows which way ended the answer.

--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -34,6 +34,8 @@
 
 	// errRepeatedRefusal reports a refusal that may belong to an earlier request on the connection.
 	errRepeatedRefusal = errors.New("refusal names no request on a connection that has carried others")
+	// errIdleTimeout is the cause with which an attempt is cancelled whose upstream sends nothing for too long.
+	errIdleTimeout = errors.New("idle timeout")
 )
 
 type (
@@ -55,18 +57,21 @@
 		hasBegun bool
 		// idleTimer cancels the attempt if the upstream sends nothing for too long; nil for no limit.
 		idleTimer *time.Timer
+		// heardAt is when the upstream sent the last bytes, or when the attempt began.
+		heardAt time.Time
 	}
 )
 
 // run sends the prepared call, relays the answer and reports whether the caller has its final answer.
 func (a *attempt) run(ctx context.Context) bool {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	a.idleTimer = a.startIdleTimer(cancel)
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	a.idleTimer = a.startIdleTimer(func() { cancel(errIdleTimeout) })
 	if a.idleTimer != nil {
 		defer a.idleTimer.Stop()
 	}
 	now := time.Now()
+	a.heardAt = now
 	a.quarantine.registry.Begin(now, a.id, a.grant.Upstream.ID, a.fingerprint)
 	result := a.roundTrip(ctx)
 	// The probe of isCrash takes a while, in which an answer that had just begun would seem to be long under way.
@@ -104,7 +109,7 @@
 
 // startIdleTimer starts the idle timer of a call that another upstream could still serve, or returns
 // nil.
-func (a *attempt) startIdleTimer(cancel context.CancelFunc) *time.Timer {
+func (a *attempt) startIdleTimer(cancel func()) *time.Timer {
 	if !a.route.IsRepeatable() || len(a.progress.sent)+1 >= a.route.MaxUpstreams {
 		return nil
 	}
@@ -132,6 +137,7 @@
 		return a.recordFailure(ctx, place.EndBroken, err)
 	}
 	defer func() { answer.Close(a.head.IdleTimeout) }()
+	answer.Body = &heardReader{Reader: answer.Body, heard: func() { a.heardAt = time.Now() }}
 	if !a.head.IsMisdirected {
 		// Otherwise the intended engine is not at the address, or would take the call with other weights.
 		a.recordSent()
@@ -175,7 +181,7 @@
 	if head.Fault == spoke.FaultOtherRequest {
 		return false
 	}
-	a.head = head
+	a.head, a.heardAt = head, time.Now()
 	if head.InvalidPause != "" {
 		a.log.WithFields(logrus.Fields{"upstream": a.grant.Upstream.ID, "value": head.InvalidPause}).Warn("ignored the pause that the upstream asked for: not a valid time in seconds")
 	}
@@ -218,6 +224,7 @@
 	a.progress.lastFault = err.Error()
 	a.log.WithError(err).WithFields(logrus.Fields{
 		"upstream": a.grant.Upstream.ID, "may-have-run": a.progress.mayHaveRun, "held": time.Since(a.arrived).String(),
+		"ended-by": endedBy(ctx), "silent": time.Since(a.heardAt).String(),
 	}).Warn("attempt failed")
 	return false
 }
