Keep a call at a silent upstream until another one takes it

Cause: the idle timer (2 s for resumable streams, 1.6 x target for repeatable calls) cancelled the attempt at once. If the scheduler then refused another attempt, or the next engine did not take the call, a begun stream was cut and other calls got 502, although the first engine was sound and would have gone on.

Ruled out: a longer timer, since it delays the rescue from dead engines and still cuts; a second attempt beside the silent one, since a call must not run at two engines.

If the next upstream brings nothing, the call may return to the silent one, the only one that Request.Only permits, so that it reaches no more engines than its route allows. Bytes of a buffered answer count as progress, of a stream only whole events, as before. Requests of calls that still run (Request.IsRunning) use half of the retry budget and count against it when they are accepted, since all calls of a silent rack ask at the same moment and would all wait within the budget.

Before: all 24 cases of TestSilentEngineKeepsCallThatNoOtherTakes and TestCallOfSilentEngineSurvivesFailureOfNext fail: "unexpected EOF" in begun streams, 502 with no-upstream, retry-budget or upstream-failed in others, "deadline" beside a full engine. With the whole budget for running calls, 12 streams of a silent rack of two engines move and TestLongSilenceOfRackLeavesRetryBudget fails; counted only when granted, 32 waiting streams move and TestWaitingStreamsOfSilentRackKeepToRetryBudget fails. After: all pass. The tests of the rescue from dead engines pass unchanged.

Conclusion: a timer alone ends no answer any more. A call whose next engine answers with a failure of its own (500) still gets that, since a final answer is not held back.

--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -18,12 +18,6 @@
 const (
 	// lowestUrgency is the lowest urgency that engines distinguish.
 	lowestUrgency spoke.Priority = 9
-	// idleTargetFactor is the multiple of the route's latency target after which a repeatable call
-	// without an answer is sent to another upstream.
-	idleTargetFactor = 1.6
-	// streamIdleTimeout is the time without an event after which a resumable stream is resumed at
-	// another upstream.
-	streamIdleTimeout = 2 * time.Second
 )
 
 var (
@@ -34,7 +28,7 @@
 
 	// errRepeatedRefusal reports a refusal that may belong to an earlier request on the connection.
 	errRepeatedRefusal = errors.New("refusal names no request on a connection that has carried others")
-	// errIdleTimeout is the cause with which an attempt is cancelled whose upstream sends nothing for too long.
+	// errIdleTimeout is the cause with which an attempt is cancelled whose upstream is silent while another one is free.
 	errIdleTimeout = errors.New("idle timeout")
 )
 
@@ -55,25 +49,24 @@
 		failure error
 		// hasBegun is set once the first event of the upstream's answer has arrived.
 		hasBegun bool
-		// idleTimer cancels the attempt if the upstream sends nothing for too long; nil for no limit.
-		idleTimer *time.Timer
+		// idle looks for another upstream while this one sends nothing; nil if no other may take the call.
+		idle *idleWatcher
 		// heardAt is when the upstream sent the last bytes, or when the attempt began.
 		heardAt time.Time
 	}
 )
 
-// run sends the prepared call, relays the answer and reports whether the caller has its final answer.
-func (a *attempt) run(ctx context.Context) bool {
+// run sends the prepared call, relays the answer and reports whether the caller has its final answer. ctx is that of
+// the attempt, callCtx that of the call.
+func (a *attempt) run(callCtx, ctx context.Context) bool {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	a.idleTimer = a.startIdleTimer(func() { cancel(errIdleTimeout) })
-	if a.idleTimer != nil {
-		defer a.idleTimer.Stop()
-	}
+	a.idle = a.watchIdle(callCtx, cancel)
 	now := time.Now()
 	a.heardAt = now
 	a.quarantine.registry.Begin(now, a.id, a.grant.Upstream.ID, a.fingerprint)
 	result := a.roundTrip(ctx)
+	a.progress.next = a.idle.stop()
 	// The probe of isCrash takes a while, in which an answer that had just begun would seem to be long under way.
 	endedAt := time.Now()
 	isCrash := a.isCrash(ctx)
@@ -107,19 +100,6 @@
 	}
 }
 
-// startIdleTimer starts the idle timer of a call that another upstream could still serve, or returns
-// nil.
-func (a *attempt) startIdleTimer(cancel func()) *time.Timer {
-	if !a.route.IsRepeatable() || len(a.progress.sent)+1 >= a.route.MaxUpstreams {
-		return nil
-	}
-	limit := time.Duration(idleTargetFactor * float64(a.route.Target))
-	if a.route.Rule == spoke.RuleStream {
-		limit = max(streamIdleTimeout, 2*a.grant.Predicted)
-	}
-	return time.AfterFunc(limit, cancel)
-}
-
 // roundTrip sends the call, handles the answer and sets the ending of the attempt.
 func (a *attempt) roundTrip(ctx context.Context) bool {
 	answer, err := a.pool.Do(ctx, link.Request{
@@ -137,7 +117,7 @@
 		return a.recordFailure(ctx, place.EndBroken, err)
 	}
 	defer func() { answer.Close(a.head.IdleTimeout) }()
-	answer.Body = &heardReader{Reader: answer.Body, heard: func() { a.heardAt = time.Now() }}
+	answer.Body = &heardReader{Reader: answer.Body, heard: a.recordBytes}
 	if !a.head.IsMisdirected {
 		// Otherwise the intended engine is not at the address, or would take the call with other weights.
 		a.recordSent()
@@ -181,7 +161,8 @@
 	if head.Fault == spoke.FaultOtherRequest {
 		return false
 	}
-	a.head, a.heardAt = head, time.Now()
+	a.head = head
+	a.recordBytes()
 	if head.InvalidPause != "" {
 		a.log.WithFields(logrus.Fields{"upstream": a.grant.Upstream.ID, "value": head.InvalidPause}).Warn("ignored the pause that the upstream asked for: not a valid time in seconds")
 	}
@@ -209,10 +190,14 @@
 }
 
 // recordFailure records and logs a failed attempt. A call whose caller disconnected or whose deadline
-// passed is not a failure of the upstream.
+// passed is not a failure of the upstream, but a silence that another upstream has ended is.
 func (a *attempt) recordFailure(ctx context.Context, ending place.Ending, err error) bool {
 	a.ending, a.failure = ending, err
-	if ctx.Err() != nil && (a.idleTimer == nil || a.idleTimer.Stop()) {
+	isIdle := errors.Is(context.Cause(ctx), errIdleTimeout)
+	if isIdle {
+		a.progress.stalled = a.grant.Upstream.ID
+	}
+	if ctx.Err() != nil && !isIdle {
 		a.ending = place.EndCancelled
 	}
 	if errors.Is(context.Cause(ctx), errOutdatedWeights) {
@@ -260,6 +245,15 @@
 	return true
 }
 
+// recordBytes records that the upstream has sent bytes of its answer. Bytes of a stream are no progress until an event
+// is complete.
+func (a *attempt) recordBytes() {
+	a.heardAt = time.Now()
+	if a.route.Rule != spoke.RuleStream {
+		a.idle.heard(a.idlePeriod())
+	}
+}
+
 // mayRetry reports whether the call may be sent to another upstream after a failure.
 func (a *attempt) mayRetry() bool {
 	return a.route.IsRepeatable() && len(a.progress.sent) < a.route.MaxUpstreams && !a.progress.stream.hasBegun()
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -33,6 +33,19 @@
 		stream     *streamState
 		// answer is an upstream's own failure, which the caller gets if no other attempt is made.
 		answer *bufferedAnswer
+		// next is the grant that an attempt received while its upstream was silent, nil if it received none.
+		next *grantedAttempt
+		// stalled is the upstream whose attempt was ended in favour of another one, until the call returns to it.
+		stalled spoke.UpstreamID
+		// only is the single upstream that may still take the call, empty if any may.
+		only spoke.UpstreamID
+	}
+
+	// grantedAttempt is a grant with the context of its attempt, which the scheduler may recall.
+	grantedAttempt struct {
+		grant  place.Grant
+		ctx    context.Context
+		recall context.CancelCauseFunc
 	}
 
 	bufferedAnswer struct {
@@ -51,11 +64,12 @@
 		return
 	}
 	p := &progress{}
+	defer e.releaseNext(p)
 	for range maxAttempts {
 		if e.tryUpstream(ctx, p, fingerprint) {
 			return
 		}
-		if !e.mayTryNext(ctx, p) {
+		if !e.mayTryNext(ctx, p) && !e.mayReturn(ctx, p) {
 			e.sendFinalAnswer(ctx, p)
 			return
 		}
@@ -68,23 +82,43 @@
 	if e.refuseQuarantined(ctx, p) {
 		return true
 	}
-	attemptCtx, cancel := e.attemptContext(ctx)
-	defer cancel()
-	attemptCtx, recall := context.WithCancelCause(attemptCtx)
-	defer recall(nil)
-	grant, ok := e.awaitGrant(ctx, p, recall)
-	if !ok {
-		return true
+	next := p.next
+	if next == nil {
+		next = e.newGrantedAttempt(ctx)
+		var ok bool
+		if next.grant, ok = e.awaitGrant(ctx, p, next.recall); !ok {
+			next.recall(nil)
+			return true
+		}
 	}
-	a := &attempt{exchange: e, grant: grant, progress: p, fingerprint: fingerprint}
+	p.next = nil
+	defer next.recall(nil)
+	a := &attempt{exchange: e, grant: next.grant, progress: p, fingerprint: fingerprint}
 	a.prepare()
 	if verdict := a.beginParts(); verdict.IsBlocked {
-		e.planner.in <- schedulerMessage{message: place.Ended{Call: grant.Call, Ending: place.EndCancelled}}
+		e.planner.in <- schedulerMessage{message: place.Ended{Call: next.grant.Call, Ending: place.EndCancelled}}
 		e.endQuarantined(ctx, p, verdict)
 		return true
 	}
 	e.underWay.setStage(e.state, stageSent)
-	return a.run(attemptCtx)
+	return a.run(ctx, next.ctx)
+}
+
+func (e *exchange) newGrantedAttempt(ctx context.Context) *grantedAttempt {
+	ctx, end := e.attemptContext(ctx)
+	ctx, recall := context.WithCancelCause(ctx)
+	return &grantedAttempt{ctx: ctx, recall: func(cause error) {
+		recall(cause)
+		end()
+	}}
+}
+
+// releaseNext returns a grant that no attempt uses.
+func (e *exchange) releaseNext(p *progress) {
+	if p.next != nil {
+		p.next.recall(nil)
+		e.planner.in <- schedulerMessage{message: place.Ended{Call: p.next.grant.Call, Ending: place.EndCancelled}}
+	}
 }
 
 // awaitGrant waits for an upstream. If the call is refused or ctx ends, it sends the caller its final answer
@@ -97,11 +131,7 @@
 	}
 	switch a := action.(type) {
 	case place.Grant:
-		e.log.WithFields(logrus.Fields{
-			"upstream": a.Upstream.ID, "weights": a.Weights, "prompt": e.call.Prompt.Input, "cached": a.Cached, "fetched": a.Fetched, "predicted": a.Predicted.String(),
-			"waited": a.Waited.String(), "route": e.route.Name, "attempt": len(p.tried) + 1,
-		}).Info("placed")
-		e.metrics.addWait(e.route.Name, a.Waited)
+		e.recordPlaced(a, len(p.tried)+1)
 		return a, true
 	case place.Refuse:
 		if a.Reason != refusedQuarantined || !e.refuseQuarantined(ctx, p) {
@@ -111,6 +141,14 @@
 	return place.Grant{}, false
 }
 
+func (e *exchange) recordPlaced(a place.Grant, attempt int) {
+	e.log.WithFields(logrus.Fields{
+		"upstream": a.Upstream.ID, "weights": a.Weights, "prompt": e.call.Prompt.Input, "cached": a.Cached, "fetched": a.Fetched, "predicted": a.Predicted.String(),
+		"waited": a.Waited.String(), "route": e.route.Name, "attempt": attempt,
+	}).Info("placed")
+	e.metrics.addWait(e.route.Name, a.Waited)
+}
+
 func (e *exchange) handleRefusal(p *progress, a place.Refuse) {
 	fields := logrus.Fields{"backlog": a.Backlog.String(), "tried": p.tried, "last-fault": p.lastFault}
 	switch {
@@ -135,7 +173,7 @@
 		Call: spoke.CallNumber(e.callNumbers.Add(1)), Service: e.service(), Group: place.OwnerGroup(e.owner),
 		Urgency: e.urgency(), Arrived: e.arrived, Target: e.arrived.Add(e.route.Target), GapTarget: e.route.GapTarget, Deadline: e.deadline,
 		LeavesAt: e.leavesAt(p),
-		Tried:    p.tried, IsRetry: p.sendCount > 0, Prompt: e.prompt(),
+		Tried:    p.tried, Only: p.only, IsRetry: p.sendCount > 0, Prompt: e.prompt(),
 	}
 }
 
@@ -186,6 +224,17 @@
 	return len(p.sent) < e.route.MaxUpstreams
 }
 
+// mayReturn reports whether the call may be sent once more to the upstream that it left because of its silence, after
+// the next one has brought nothing. It does not count as a further upstream.
+func (e *exchange) mayReturn(ctx context.Context, p *progress) bool {
+	if ctx.Err() != nil || p.stalled == "" {
+		return false
+	}
+	p.only, p.stalled = p.stalled, ""
+	p.tried = slices.DeleteFunc(p.tried, func(id spoke.UpstreamID) bool { return id == p.only })
+	return true
+}
+
 // sendFinalAnswer ends a call for which no attempt has sent the caller a complete answer.
 func (e *exchange) sendFinalAnswer(ctx context.Context, p *progress) {
 	fields := logrus.Fields{"tried": p.tried, "last-fault": p.lastFault}
--- a/edge/stream.go
+++ b/edge/stream.go
@@ -137,9 +137,7 @@
 	if id := lastID(events); id != "" {
 		state.lastID = id
 	}
-	if a.idleTimer != nil {
-		a.idleTimer.Reset(streamIdleTimeout)
-	}
+	a.idle.heard(streamIdleTimeout)
 	if _, err := a.writer.Write(events); err != nil {
 		return false
 	}
--- a/fake/platform/delay.go
+++ b/fake/platform/delay.go
@@ -1,7 +1,6 @@
 package platform
 
 import (
-	"io"
 	"net/http"
 	"time"
 )
@@ -19,6 +18,6 @@
 	delay := e.answerDelay
 	e.mu.Unlock()
 	if delay == 0 || e.wait(r, delay) {
-		_, _ = io.WriteString(w, WholeAnswer(e.ID))
+		e.writeAnswer(w, r)
 	}
 }
--- a/fake/platform/engine.go
+++ b/fake/platform/engine.go
@@ -92,6 +92,7 @@
 		longestEndlessWrite time.Duration
 		unframed            UnframedAnswer
 		held                *hold
+		stall               Stall
 		// resumed is the response to resumed streams.
 		resumed  string
 		crashing Crashing
@@ -367,6 +368,9 @@
 			_ = http.NewResponseController(w).Flush()
 			panic(http.ErrAbortHandler)
 		}
+		if !e.stallAfter(r, id-1) {
+			return
+		}
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: piece %d\n\n", id, id)
 		_ = http.NewResponseController(w).Flush()
 		e.awaitRelease(r, id)
--- /dev/null
+++ b/fake/platform/stall.go
@@ -0,0 +1,48 @@
+package platform
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// Stall is a time in which an engine sends nothing in the middle of a response.
+type Stall struct {
+	// After is the number of events, or of halves of another body, that precede the stall.
+	After int
+	For   time.Duration
+}
+
+// SetStall makes the engine fall silent in the next response that has such a place.
+func (e *Engine) SetStall(stall Stall) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.stall = stall
+}
+
+// stallAfter waits if the engine stalls after the given part, and reports whether the caller stayed connected.
+func (e *Engine) stallAfter(r *http.Request, part int) bool {
+	e.mu.Lock()
+	stall := e.stall
+	isDue := stall.For > 0 && stall.After == part
+	if isDue {
+		e.stall = Stall{}
+	}
+	e.mu.Unlock()
+	return !isDue || e.wait(r, stall.For)
+}
+
+// writeAnswer writes the correct response to a request without a prompt in two halves.
+func (e *Engine) writeAnswer(w http.ResponseWriter, r *http.Request) {
+	body := WholeAnswer(e.ID)
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	half := len(body) / 2
+	for part, text := range []string{body[:half], body[half:]} {
+		if !e.stallAfter(r, part) {
+			return
+		}
+		_, _ = io.WriteString(w, text)
+		_ = http.NewResponseController(w).Flush()
+	}
+}
--- a/place/calls.go
+++ b/place/calls.go
@@ -10,7 +10,11 @@
 func (s *Scheduler) admit(now time.Time, m Request) {
 	budget := s.budget(m.Service)
 	if m.IsRetry {
-		if !budget.allows(now, s.settings.RetryShare*retrySafetyFactor, s.ownReserve()) {
+		share := retrySafetyFactor
+		if m.IsRunning {
+			share *= runningRetryShare
+		}
+		if !budget.allows(now, s.settings.RetryShare*share, s.ownReserve()*share/retrySafetyFactor) {
 			s.refuse(now, m, RefusedBudget)
 			return
 		}
@@ -22,6 +26,10 @@
 		s.refuse(now, m, reason)
 		return
 	}
+	if m.IsRunning {
+		// Calls of a silent rack all ask at the same moment, and would all wait within the budget.
+		budget.retries.add(now)
+	}
 	s.placeOrQueue(now, w)
 }
 
--- a/place/choose.go
+++ b/place/choose.go
@@ -44,14 +44,14 @@
 // other cells are considered only while none of this cell is usable.
 func (s *Scheduler) choose(now time.Time, w *waitingCall) (candidate, bool) {
 	nodes := s.cellNodes[w.request.Service]
-	if !isAnyUsable(now, nodes, w.request.Tried) {
+	if !isAnyUsable(now, nodes, w.request) {
 		nodes = s.byService[w.request.Service]
 	}
 	var best candidate
 	found := false
 	affinity := s.affinityNode(w)
 	for _, n := range nodes {
-		if !n.isUsable(now) || slices.Contains(w.request.Tried, n.listed.ID) {
+		if !n.isUsable(now) || w.request.excludes(n.listed.ID) {
 			continue
 		}
 		c, ok := s.evaluate(now, w, n)
@@ -68,9 +68,9 @@
 	return best, found
 }
 
-func isAnyUsable(now time.Time, nodes []*node, tried []spoke.UpstreamID) bool {
+func isAnyUsable(now time.Time, nodes []*node, m Request) bool {
 	return slices.ContainsFunc(nodes, func(n *node) bool {
-		return n.isUsable(now) && !slices.Contains(tried, n.listed.ID)
+		return n.isUsable(now) && !m.excludes(n.listed.ID)
 	})
 }
 
--- a/place/dispatch.go
+++ b/place/dispatch.go
@@ -45,7 +45,7 @@
 
 // placeAt grants a call at one upstream, if that may take it now.
 func (s *Scheduler) placeAt(now time.Time, w *waitingCall, n *node) bool {
-	if slices.Contains(w.request.Tried, n.listed.ID) || !n.limit.allows(now) {
+	if w.request.excludes(n.listed.ID) || !n.limit.allows(now) {
 		return false
 	}
 	c, ok := s.evaluate(now, w, n)
@@ -142,7 +142,7 @@
 		s.report.placed(c.node, w.prefixes[c.weights])
 	}
 	s.report.changed(c.node)
-	if m.IsRetry {
+	if m.IsRetry && !m.IsRunning {
 		s.budget(m.Service).retries.add(now)
 	}
 	granted := Grant{
--- a/place/messages.go
+++ b/place/messages.go
@@ -77,6 +77,10 @@
 		LeavesAt time.Time
 		// Tried lists the upstreams that have already been tried.
 		Tried []spoke.UpstreamID
+		// Only is the single upstream that may take the call, empty if all others may.
+		Only spoke.UpstreamID
+		// IsRunning says that the call is still at its last upstream, which is silent.
+		IsRunning bool
 		// IsRetry says that the call was sent to an upstream before, so that it counts against the retry
 		// budget.
 		IsRetry bool
--- a/place/node.go
+++ b/place/node.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"magnoliaspoke.example/spoke"
@@ -224,7 +223,7 @@
 
 // mayServe reports whether the upstream may take the call now or later.
 func (n *node) mayServe(m Request) bool {
-	return !n.isLeaving() && !n.isAddressReused && !slices.Contains(m.Tried, n.listed.ID)
+	return !n.isLeaving() && !n.isAddressReused && !m.excludes(n.listed.ID)
 }
 
 // pauseForLoading keeps calls away while weights are loaded. Zero ends the pause; a shorter time does not
--- a/place/options.go
+++ b/place/options.go
@@ -72,6 +72,9 @@
 	// retrySafetyFactor scales the retry budget down, to leave room for retries that other hosts make at
 	// the same time.
 	retrySafetyFactor = 0.7
+	// runningRetryShare is the fraction of the retry budget for calls that are still at a silent upstream. When a
+	// whole rack falls silent for a moment, the rest remains for calls whose upstream has failed.
+	runningRetryShare = 0.5
 	// weightsMargin is the time before the end of Settings.WeightsApply from which older weights get no
 	// more calls.
 	weightsMargin = 600 * time.Millisecond
--- a/place/refuse.go
+++ b/place/refuse.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"slices"
 	"time"
 
 	"magnoliaspoke.example/spoke"
@@ -31,6 +32,11 @@
 // hasLeft reports whether the caller disconnects by the given time unless it receives an event.
 func (m Request) hasLeft(at time.Time) bool { return !m.LeavesAt.IsZero() && !at.Before(m.LeavesAt) }
 
+// excludes reports whether the call must not be sent to the upstream.
+func (m Request) excludes(id spoke.UpstreamID) bool {
+	return slices.Contains(m.Tried, id) || (m.Only != "" && m.Only != id)
+}
+
 // hasUpstream reports whether an upstream may take the call now or later.
 func (s *Scheduler) hasUpstream(m Request) bool {
 	for _, n := range s.byService[m.Service] {
@@ -68,7 +74,7 @@
 	}
 	ahead += s.waitingElsewhere(m)
 	rate := 0.0
-	isAny := isAnyUsable(now, s.cellNodes[m.Service], m.Tried)
+	isAny := isAnyUsable(now, s.cellNodes[m.Service], m)
 	for _, n := range s.cellNodes[m.Service] {
 		// Engines that are not usable add no capacity, unless none is usable.
 		if n.isLeaving() || (isAny && !n.isUsable(now)) {
