Ask again for a broken stream while its caller waits

Cause: a stream whose engine broke off was cut at once if the scheduler refused the next attempt, although an engine would have taken it a little later. The target of a begun stream has passed, so that a paused or limited engine counts as unavailable however short its pause is.

Change: refusals because of overload, pauses, limits or the retry budget are temporary. Streams that no engine can take on are still ended at once.

That a used-up budget frees in time has no test of its own.

--- a/edge/serve.go
+++ b/edge/serve.go
@@ -124,7 +124,7 @@
 // awaitGrant waits for an upstream. If the call is refused or ctx ends, it sends the caller its final answer
 // and returns false.
 func (e *exchange) awaitGrant(ctx context.Context, p *progress, recall context.CancelCauseFunc) (place.Grant, bool) {
-	action, err := e.planner.requestUpstream(ctx, e.schedulerRequest(p), e.call.Prompt.Parts, recall)
+	action, err := e.requestUpstream(ctx, p, recall)
 	if err != nil {
 		e.sendFinalAnswer(ctx, p)
 		return place.Grant{}, false
--- a/place/refuse.go
+++ b/place/refuse.go
@@ -29,6 +29,15 @@
 	return ""
 }
 
+// IsTemporary reports whether an upstream may take a call a little later that none takes now.
+func (r Reason) IsTemporary() bool {
+	switch r {
+	case RefusedOverload, RefusedBudget, RefusedPaused, RefusedLimited:
+		return true
+	}
+	return false
+}
+
 // hasLeft reports whether the caller disconnects by the given time unless it receives an event.
 func (m Request) hasLeft(at time.Time) bool { return !m.LeavesAt.IsZero() && !at.Before(m.LeavesAt) }
 
--- /dev/null
+++ b/place/refuse_test.go
@@ -0,0 +1,35 @@
+package place_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"magnoliaspoke.example/spoke/place"
+)
+
+// A stream broke off while the only other engine had requested a pause of 0.5 s. Guards against a refusal that counts as
+// lasting although the engine takes the stream after the pause, and against one that counts as temporary although no
+// engine exists.
+func TestRefusalOfBrokenStreamIsTemporary(t *testing.T) {
+	ts := newTestScheduler(t, 2)
+	broken := ts.request(0, "session", 20, 20)
+	broken.Tried, broken.IsRetry = append(broken.Tried, "engine-0"), true
+	paused := ts.request(0, "session", 20, 20)
+	paused.Only = "engine-1"
+	ts.grant(paused)
+	ts.handle(place.Ended{Call: paused.Call, Ending: place.EndRefused, Pause: 500 * time.Millisecond})
+
+	broken.Target = ts.now
+	refused := ts.refusal(broken)
+	assert.Equal(t, refused.Reason, place.RefusedPaused)
+	assert.Assert(t, refused.Reason.IsTemporary())
+	ts.now = ts.now.Add(500 * time.Millisecond)
+	ts.grant(broken)
+
+	broken.Tried = append(broken.Tried, "engine-1")
+	refused = ts.refusal(broken)
+	assert.Equal(t, refused.Reason, place.RefusedNoUpstream)
+	assert.Assert(t, !refused.Reason.IsTemporary())
+}
