Test that the idle timers of the own mode cut no answer

Cause: it was open whether a silence of an engine of one or two seconds cuts answers in the product's own mode as it did in edge.

Ruled out by reading and by these tests, which pass without a change: the owner's idle timeout is at least 2 s between pieces and 5 s before the first, and owners send heartbeats every second. If it fires, the runner prefers the same upstream for the rest, and waits through rounds of refusals.

Change: tests only. With an idle timeout of 1 s in the owner, TestShortSilenceEndsNoStream fails, "no piece within 1s".

Conclusion: nothing to fix for silences below 2 s. A longer one costs a resumption.

--- a/host/owner_test.go
+++ b/host/owner_test.go
@@ -169,6 +169,40 @@
 	})
 }
 
+// pausingStream pauses before its last pieces.
+type pausingStream struct {
+	*fakeStream
+	left  int
+	pause time.Duration
+}
+
+func (s *pausingStream) Next(ctx context.Context) (spoke.Piece, error) {
+	if len(s.pieces) == s.left {
+		s.left = -1
+		select {
+		case <-timer.NewSystem().After(s.pause).C():
+		case <-ctx.Done():
+			return spoke.Piece{}, context.Cause(ctx)
+		}
+	}
+	return s.fakeStream.Next(ctx)
+}
+
+// Guards against an answer that ends because its engine is silent for up to two seconds, before the first piece or
+// between pieces that came fast, and goes on.
+func TestShortSilenceEndsNoStream(t *testing.T) {
+	for _, left := range []int{36, 4} {
+		engine := &scriptedEngine{run: func(context.Context) (spoke.RunStream, error) {
+			return &pausingStream{&fakeStream{pieces: answerPieces(36), final: io.EOF}, left, 1900 * time.Millisecond}, nil
+		}}
+		withOwner(t, &policy{}, engine, func(ctx context.Context, t *testing.T, owner *host.Owner) {
+			tokens, err := readTokens(ctx, startRun(ctx, t, owner))
+			assert.ErrorIs(t, err, io.EOF)
+			assert.Equal(t, tokens, spoke.TokenCount(36))
+		})
+	}
+}
+
 // Guards against a stream that opens as the timeout passes and stays open without a reader.
 func TestStreamOpenedAfterTimeoutIsClosed(t *testing.T) {
 	closed := false
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -96,6 +96,22 @@
 	})
 }
 
+// Guards against an answer that is cut because its engine was silent beyond the idle limit and no engine takes the rest
+// for most of a second.
+func TestIdleStreamSurvivesRefusals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &scriptedDispatcher{attempts: []attemptScript{{end: "silent", stopAt: 5, delay: 40 * time.Millisecond}}}
+		for range 6 {
+			s.attempts = append(s.attempts, attemptScript{end: "overloaded"})
+		}
+		began := time.Now()
+		got, err := readAll(context.Background(), newRunner(s), request("p"))
+		assert.NilError(t, err)
+		assert.Equal(t, got, text("p", "v1", 0, answerTokens))
+		assert.Assert(t, time.Since(began) > 2500*time.Millisecond, "%s", time.Since(began))
+	})
+}
+
 // Guards against attempts that continue after the caller cancelled or the deadline passed.
 func TestCancellationAndDeadlineStopWork(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
