Answer a once-only call at its deadline with 504

The attempt of a call that may run only once has a timer of its own since it no longer follows its caller, which may fire before that of the call: the call then got 502 with the reason upstream-failed. TestSilentEngineTimesOutAtCallerDeadline failed once in a run beside other work: 502 in place of 504.

--- a/edge/serve.go
+++ b/edge/serve.go
@@ -239,7 +239,7 @@
 func (e *exchange) sendFinalAnswer(ctx context.Context, p *progress) {
 	fields := logrus.Fields{"tried": p.tried, "last-fault": p.lastFault}
 	switch {
-	case errors.Is(context.Cause(ctx), errStopEnd):
+	case e.isStopOver(ctx):
 		e.endWithStop(p, fields)
 	case errors.Is(ctx.Err(), context.Canceled):
 		e.endLeft(ctx, p, fields)
@@ -247,7 +247,7 @@
 		e.abortStream("broken", fields)
 	case p.answer != nil:
 		e.deliver(p.answer.head, p.answer.body)
-	case ctx.Err() != nil:
+	case ctx.Err() != nil || e.isTimeOver():
 		e.fail(http.StatusGatewayTimeout, "deadline", fields)
 	case p.mayHaveRun:
 		e.fail(http.StatusBadGateway, "upstream-failed", fields)
--- a/edge/stopping.go
+++ b/edge/stopping.go
@@ -85,6 +85,15 @@
 	}
 }
 
+// isTimeOver reports whether the deadline of the call has passed. The context of a once-only attempt has a timer of its
+// own, which may end it a moment before that of the call.
+func (e *exchange) isTimeOver() bool { return !time.Now().Before(e.deadline) }
+
+// isStopOver reports whether the call ends because the stop of this host does.
+func (e *exchange) isStopOver(ctx context.Context) bool {
+	return errors.Is(context.Cause(ctx), errStopEnd) || e.stopEnd.Err() != nil || e.endsWithStop && e.isTimeOver()
+}
+
 // endReadWithStop ends reading from the caller's connection at the end of a stop of this host; the returned
 // function removes this limit.
 func (e *exchange) endReadWithStop() func() {
