Let calls that may have run wait for a service that is gone

Reading the change again: the refusal of waiting calls whose upstreams or service are gone also met calls that had been sent before. Theirs could not be refused as not run, and a begun stream would have been cut, although an engine of a removed service that is listed may still take it. Such calls wait now, and the memory of engines of a removed service stays known.

--- a/place/dispatch.go
+++ b/place/dispatch.go
@@ -70,7 +70,7 @@
 		s.refuse(now, w.request, RefusedDeadline)
 		return true
 	}
-	if !s.hasUpstream(w.request) {
+	if !w.request.IsRetry && !s.hasUpstream(w.request) {
 		s.refuse(now, w.request, RefusedNoUpstream)
 		return true
 	}
@@ -79,10 +79,11 @@
 		return true
 	}
 	best, ok := s.choose(now, w)
+	_, isRemoved := s.removed[w.request.Service]
 	switch {
 	case ok:
 		s.grant(now, w, best)
-	case s.removed[w.request.Service]:
+	case isRemoved && !w.request.IsRetry:
 		s.refuse(now, w.request, RefusedServiceRemoved)
 	default:
 		return false
--- a/place/gone_test.go
+++ b/place/gone_test.go
@@ -27,7 +27,7 @@
 }
 
 // Guards against a call that waits until its deadline although each upstream that could take it is gone, leaves or
-// has left its address to another.
+// has left its address to another. A retry waits for another engine, since a refusal would break off its stream.
 func TestWaitingCallIsRefusedOnceUpstreamsAreGone(t *testing.T) {
 	leaving := engine(0)
 	leaving.IsLeaving = true
@@ -47,6 +47,9 @@
 			running := ts.fill()
 			waiting := ts.request(1, "session", 100, 10)
 			ts.waits(waiting)
+			retry := ts.request(1, "session", 100, 10)
+			retry.IsRetry = true
+			ts.waits(retry)
 			ts.now = ts.now.Add(50 * time.Millisecond)
 			actions := append(ts.handle(change(running[0])), ts.advance(20*time.Millisecond)...)
 			assert.Equal(t, len(actions), 1, "%v", actions)
--- a/place/messages.go
+++ b/place/messages.go
@@ -30,7 +30,8 @@
 	RefusedOverload Reason = "overloaded"
 	// RefusedNoUpstream means that there is no usable upstream.
 	RefusedNoUpstream Reason = "no-upstream"
-	// RefusedServiceRemoved means that the call would have to wait for a service that is no longer in the table.
+	// RefusedServiceRemoved means that a call that has not run would wait for a service that is no longer in the
+	// table.
 	RefusedServiceRemoved Reason = "service-removed"
 	// RefusedBudget means that the retry budget is used up.
 	RefusedBudget Reason = "retry-budget"
--- a/place/removed_service_test.go
+++ b/place/removed_service_test.go
@@ -15,8 +15,8 @@
 }
 
 // Guards against a call that waits although its service is gone from the table, so that no engine of it starts
-// again: its caller may reach the service that has replaced it. Calls of other services go on waiting, and calls
-// that run are not ended.
+// again: its caller may reach the service that has replaced it. Calls of other services and calls that may have run
+// go on waiting, since no refusal would be true of the latter.
 func TestWaitingCallIsRefusedOnceServiceIsGone(t *testing.T) {
 	ts := newTestScheduler(t, 1)
 	running := ts.fill()
@@ -32,9 +32,11 @@
 
 	// A call that was read under the older table is refused while no engine takes it, and served otherwise.
 	assert.Equal(t, ts.refusal(ts.request(1, "session", 100, 10)).Reason, place.RefusedServiceRemoved)
-	for _, run := range running {
-		ts.handle(place.Ended{Call: run.Call, Ending: place.EndServed})
-	}
+	retry := ts.request(1, "session", 100, 10)
+	retry.IsRetry = true
+	ts.waits(retry)
+	assert.Equal(t, ts.grant(place.Ended{Call: running[0].Call, Ending: place.EndServed}).Call, retry.Call)
+	ts.handle(place.Ended{Call: running[1].Call, Ending: place.EndServed})
 	ts.grant(ts.request(1, "session", 100, 10))
 }
 
--- a/place/scheduler.go
+++ b/place/scheduler.go
@@ -31,7 +31,7 @@
 		settings Settings
 		services map[spoke.ServiceName]spoke.ServedService
 		// removed are the services of earlier tables that are not in the current one.
-		removed map[spoke.ServiceName]bool
+		removed map[spoke.ServiceName]spoke.ServedService
 		nodes   map[spoke.UpstreamID]*node
 		// byService holds the nodes of a service in the order of their ids, cellNodes those that this
 		// host's cell uses.
@@ -65,7 +65,7 @@
 	return &Scheduler{
 		settings:      settings,
 		services:      make(map[spoke.ServiceName]spoke.ServedService),
-		removed:       make(map[spoke.ServiceName]bool),
+		removed:       make(map[spoke.ServiceName]spoke.ServedService),
 		nodes:         make(map[spoke.UpstreamID]*node),
 		byService:     make(map[spoke.ServiceName][]*node),
 		cellNodes:     make(map[spoke.ServiceName][]*node),
@@ -196,9 +196,7 @@
 }
 
 func (s *Scheduler) setServices(services map[spoke.ServiceName]spoke.ServedService) {
-	for name := range s.services {
-		s.removed[name] = true
-	}
+	maps.Copy(s.removed, s.services)
 	for name := range services {
 		delete(s.removed, name)
 	}
@@ -212,10 +210,15 @@
 }
 
 func (s *Scheduler) capacity(service spoke.ServiceName) spoke.TokenCount {
-	if engine := s.services[service].Engine; engine != nil {
-		return engine.CacheCapacity
+	served, ok := s.services[service]
+	if !ok {
+		// Engines go on with the calls of a removed service.
+		served = s.removed[service]
+	}
+	if served.Engine == nil {
+		return 0
 	}
-	return 0
+	return served.Engine.CacheCapacity
 }
 
 func (s *Scheduler) budget(service spoke.ServiceName) *budget {
