--- a/edge/callerbody_test.go
+++ b/edge/callerbody_test.go
@@ -49,7 +49,8 @@
 			assert.NilError(t, err)
 			defer conn.Close()
 			assert.NilError(t, request.Write(conn))
-			assert.Equal(t, readFinal(t, conn).StatusCode, c.status)
+			status, _ := readFinal(t, conn)
+			assert.Equal(t, status, c.status)
 		})
 	}
 }
--- a/edge/callerhalf_test.go
+++ b/edge/callerhalf_test.go
@@ -40,8 +40,8 @@
 	return d
 }
 
-// readFinal reads the answer of a connection behind interim responses.
-func readFinal(t *testing.T, conn net.Conn) *http.Response {
+// readFinal returns the status and the body of the answer behind interim responses.
+func readFinal(t *testing.T, conn net.Conn) (int, io.Reader) {
 	t.Helper()
 	assert.NilError(t, conn.SetReadDeadline(time.Now().Add(6*time.Second)))
 	reader := bufio.NewReader(conn)
@@ -50,7 +50,7 @@
 		assert.NilError(t, err)
 		if response.StatusCode >= http.StatusOK {
 			t.Cleanup(func() { response.Body.Close() })
-			return response
+			return response.StatusCode, response.Body
 		}
 	}
 }
@@ -76,11 +76,7 @@
 			d.setBehaviour(c.behaviour)
 			conn := d.openCall(c.call)
 			assert.NilError(t, conn.CloseWrite())
-			response := readFinal(t, conn)
-			body, err := io.ReadAll(response.Body)
-			assert.NilError(t, err)
-			assert.Equal(t, response.StatusCode, c.status)
-			assert.Equal(t, string(body), c.body)
+			assertAnswer(t, conn, c.status, c.body)
 		})
 	}
 }
@@ -90,12 +86,12 @@
 	d := start(t, 1)
 	d.engines[0].SetEventInterval(300 * time.Millisecond)
 	conn := d.openCall(chatCall("a"))
-	response := readFinal(t, conn)
+	_, body := readFinal(t, conn)
 	first := make([]byte, 3)
-	_, err := io.ReadFull(response.Body, first)
+	_, err := io.ReadFull(body, first)
 	assert.NilError(t, err)
 	assert.NilError(t, conn.CloseWrite())
-	rest, err := io.ReadAll(response.Body)
+	rest, err := io.ReadAll(body)
 	assert.NilError(t, err)
 	assert.Equal(t, string(first)+string(rest), wholeStream)
 }
@@ -115,7 +111,8 @@
 		d := start(t, 1)
 		d.engines[0].SetEventInterval(120 * time.Millisecond)
 		conn := d.openCall(chatCall("a"))
-		_, err := io.ReadFull(readFinal(t, conn).Body, make([]byte, 1))
+		_, body := readFinal(t, conn)
+		_, err := io.ReadFull(body, make([]byte, 1))
 		assert.NilError(t, err)
 		conn.Close()
 		d.awaitCancelled()
@@ -171,7 +168,8 @@
 	conn := d.openWaiting(d.openRequest)
 	requireQuiet(t, conn)
 	assert.NilError(t, conn.CloseWrite())
-	assert.Equal(t, readFinal(t, conn).StatusCode, http.StatusServiceUnavailable)
+	status, _ := readFinal(t, conn)
+	assert.Equal(t, status, http.StatusServiceUnavailable)
 	assert.Equal(t, d.runs(), 1)
 }
 
--- a/edge/callerleft_test.go
+++ b/edge/callerleft_test.go
@@ -92,10 +92,10 @@
 
 func assertAnswer(t *testing.T, conn net.Conn, status int, body string) {
 	t.Helper()
-	response := readFinal(t, conn)
-	got, err := io.ReadAll(response.Body)
+	gotStatus, gotBody := readFinal(t, conn)
+	got, err := io.ReadAll(gotBody)
 	assert.NilError(t, err)
-	assert.Equal(t, response.StatusCode, status)
+	assert.Equal(t, gotStatus, status)
 	assert.Equal(t, string(got), body)
 }
 
