--- a/calls.go
+++ b/calls.go
@@ -54,7 +54,10 @@
 		Timeout time.Duration
 		// LastEventID is the id of the event after which a stream resumes, empty for a new stream.
 		LastEventID string
-		Prompt      PromptMetadata
+		// Resumes is the request with which the caller received the first event of the stream that the
+		// call resumes, empty if the caller names none.
+		Resumes RequestID
+		Prompt  PromptMetadata
 	}
 
 	// RelayedAttempt is one attempt to send a call to an upstream.
--- a/directory.go
+++ b/directory.go
@@ -18,6 +18,7 @@
 		Service    ServiceName
 		Address    Address
 		DataCentre DataCentreID
+		Software   SoftwareVersion
 		Slots      int
 		IsLeaving  bool
 		// WarmUpRemaining is the time until the upstream reaches its usual speed after a start.
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -63,6 +63,7 @@
 		e.refuse(http.StatusServiceUnavailable, "quarantined", time.Until(until), logrus.Fields{"fingerprint": fingerprint})
 		return
 	}
+	e.logResumption()
 	p := &progress{}
 	defer e.releaseNext(p)
 	for range maxAttempts {
@@ -143,7 +144,7 @@
 
 func (e *exchange) recordPlaced(a place.Grant, attempt int) {
 	e.log.WithFields(logrus.Fields{
-		"upstream": a.Upstream.ID, "weights": a.Weights, "prompt": e.call.Prompt.Input, "cached": a.Cached, "fetched": a.Fetched, "predicted": a.Predicted.String(),
+		"upstream": a.Upstream.ID, "software": a.Upstream.Software, "weights": a.Weights, "prompt": e.call.Prompt.Input, "cached": a.Cached, "fetched": a.Fetched, "predicted": a.Predicted.String(),
 		"waited": a.Waited.String(), "route": e.route.Name, "attempt": attempt,
 	}).Info("placed")
 	e.metrics.addWait(e.route.Name, a.Waited)
--- a/edge/stream.go
+++ b/edge/stream.go
@@ -152,7 +152,7 @@
 	a.underWay.setStage(a.state, stageBegun)
 	first := time.Since(a.arrived)
 	a.metrics.addFirst(a.route.Name, first)
-	a.log.WithFields(logrus.Fields{"upstream": a.grant.Upstream.ID, "first-event": first.String(), "target": a.route.Target.String(), "weights": a.head.Weights}).Info("stream began")
+	a.log.WithFields(logrus.Fields{"upstream": a.grant.Upstream.ID, "software": a.grant.Upstream.Software, "first-event": first.String(), "target": a.route.Target.String(), "weights": a.head.Weights}).Info("stream began")
 }
 
 // finishStream ends a stream whose last event was complete.
--- a/ids.go
+++ b/ids.go
@@ -25,6 +25,8 @@
 	ModelName string
 	// ModelVersion names one set of weights of a model.
 	ModelVersion string
+	// SoftwareVersion names a version of an upstream's software, which has no order; empty means unknown.
+	SoftwareVersion string
 	// AdapterName names an adapter of a model; it is empty for the base model.
 	AdapterName string
 	// RankName names a request rank.
