Go on with a broken stream only at its software version

When an engine broke off, the host resumed the stream, within the same answer, at any engine with the weights.

Cause: the scheduler did not know at which software version a stream had begun.

Ruled out: asking the directory again at the next attempt. The entry may have gone, or its id may have been given to a new start of another version meanwhile.

Change: from the first event on the stream's state keeps a copy of the version that was listed when its upstream was granted, and later attempts carry it to the scheduler (place.Request.Software). That places them only at upstreams of the version, those of other cells if its own has none, and refuses them at once ("software-version") when none is usable, also while they wait. Calls of other versions no longer wait behind such a call. An entry that changes its version is a new upstream, with empty state.

Over a caller's tries nothing has changed yet.

--- a/edge/serve.go
+++ b/edge/serve.go
@@ -174,7 +174,7 @@
 		Call: spoke.CallNumber(e.callNumbers.Add(1)), Service: e.service(), Group: place.OwnerGroup(e.owner),
 		Urgency: e.urgency(), Arrived: e.arrived, Target: e.arrived.Add(e.route.Target), GapTarget: e.route.GapTarget, Deadline: e.deadline,
 		LeavesAt: e.leavesAt(p),
-		Tried:    p.tried, Only: p.only, IsRetry: p.sendCount > 0, Prompt: e.prompt(),
+		Tried:    p.tried, Only: p.only, IsRetry: p.sendCount > 0, Prompt: e.prompt(), Software: p.stream.requiredSoftware(),
 	}
 }
 
--- a/edge/stream.go
+++ b/edge/stream.go
@@ -11,6 +11,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"magnoliaspoke.example/spoke"
 	"magnoliaspoke.example/spoke/link"
 	"magnoliaspoke.example/spoke/place"
 )
@@ -37,6 +38,9 @@
 	events      int
 	lastEventAt time.Time
 	widestGap   time.Duration
+	// software is the version at which the stream began, as listed when its upstream was granted. It is a copy,
+	// since the entry of the upstream may change or go.
+	software spoke.SoftwareVersion
 }
 
 func (s *streamState) hasBegun() bool { return s != nil && s.events > 0 }
@@ -128,6 +132,7 @@
 	}
 	now := time.Now()
 	if state.events == 0 {
+		state.software = a.grant.Upstream.Software
 		a.writeHead()
 	} else {
 		state.widestGap = max(state.widestGap, now.Sub(state.lastEventAt))
--- a/fake/platform/engine.go
+++ b/fake/platform/engine.go
@@ -72,7 +72,9 @@
 		runs      []Run
 		cancelled int
 		version   int
-		orders    int
+		// software is the version of the engine's software.
+		software string
+		orders   int
 		// highestFence is the highest fencing token of an accepted order.
 		highestFence int
 		// entries counts the entries that the engine has written since its start.
@@ -105,7 +107,7 @@
 
 // NewEngine starts an engine on loopback; each of its streams has the given number of events.
 func NewEngine(id string, events int) *Engine {
-	e := &Engine{ID: id, behaviour: Serve, version: 1, events: events}
+	e := &Engine{ID: id, behaviour: Serve, version: 1, software: "v1", events: events}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /report", e.serveReport)
 	mux.HandleFunc("POST /order", e.serveOrder)
@@ -201,6 +203,20 @@
 	e.version = version
 }
 
+// SetSoftware sets the version of the engine's software, which its next entry names.
+func (e *Engine) SetSoftware(version string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.software = version
+}
+
+// Software returns the version of the engine's software.
+func (e *Engine) Software() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.software
+}
+
 // Restart simulates a restart of the engine with the same ID and the given version of the weights.
 func (e *Engine) Restart(version int) {
 	e.mu.Lock()
@@ -222,7 +238,7 @@
 	defer e.mu.Unlock()
 	e.entries++
 	return map[string]any{
-		"service": service, "address": e.Address(), "zone": zone, "version": "v1", "slots": 8, "state": state,
+		"service": service, "address": e.Address(), "zone": zone, "version": e.software, "slots": 8, "state": state,
 		"cold-left-ms": 0, "sequence": e.entries, "born": firstStartMs + e.restarts,
 		"models": []map[string]any{{"name": ModelName, "version": e.version, "adapters": []string{}}},
 	}
--- a/place/choose.go
+++ b/place/choose.go
@@ -51,7 +51,7 @@
 	found := false
 	affinity := s.affinityNode(w)
 	for _, n := range nodes {
-		if !n.isUsable(now) || w.request.excludes(n.listed.ID) {
+		if !n.isUsable(now) || !n.suits(w.request) {
 			continue
 		}
 		c, ok := s.evaluate(now, w, n)
@@ -69,9 +69,7 @@
 }
 
 func isAnyUsable(now time.Time, nodes []*node, m Request) bool {
-	return slices.ContainsFunc(nodes, func(n *node) bool {
-		return n.isUsable(now) && !m.excludes(n.listed.ID)
-	})
+	return slices.ContainsFunc(nodes, func(n *node) bool { return n.isUsable(now) && n.suits(m) })
 }
 
 // evaluate returns one upstream as a candidate with its cost, and false if it may not take the call now.
--- a/place/dispatch.go
+++ b/place/dispatch.go
@@ -12,12 +12,20 @@
 // placeOrQueue grants or refuses a new call. It queues the call if no upstream can take it now, or if
 // waiting calls precede it, since these could not be placed so far.
 func (s *Scheduler) placeOrQueue(now time.Time, w *waitingCall) {
-	isBehind := slices.ContainsFunc(s.queues[w.request.Service], func(other *waitingCall) bool { return s.compare(now, other, w) <= 0 })
+	isBehind := slices.ContainsFunc(s.queues[w.request.Service], func(other *waitingCall) bool {
+		return other.waitsFor(w.request) && s.compare(now, other, w) <= 0
+	})
 	if isBehind || !s.resolve(now, w) {
 		s.queues[w.request.Service] = append(s.queues[w.request.Service], w)
 	}
 }
 
+// waitsFor reports whether a waiting call would take each upstream that another call may take, so that none was
+// free for either.
+func (w *waitingCall) waitsFor(m Request) bool {
+	return w.request.Software == "" || w.request.Software == m.Software
+}
+
 // offer tries the first waiting calls at an upstream that has made progress. Matching all calls with all
 // upstreams at each step of progress takes more CPU time than a small host has when many calls wait.
 func (s *Scheduler) offer(now time.Time, n *node) {
@@ -45,7 +53,7 @@
 
 // placeAt grants a call at one upstream, if that may take it now.
 func (s *Scheduler) placeAt(now time.Time, w *waitingCall, n *node) bool {
-	if w.request.excludes(n.listed.ID) || !n.limit.allows(now) {
+	if !n.suits(w.request) || !n.limit.allows(now) {
 		return false
 	}
 	c, ok := s.evaluate(now, w, n)
@@ -70,8 +78,9 @@
 		s.refuse(now, w.request, RefusedDeadline)
 		return true
 	}
-	if !w.request.IsRetry && !s.hasUpstream(w.request) {
-		s.refuse(now, w.request, RefusedNoUpstream)
+	// A call that was sent before waits for another upstream, unless that must have a version of which none is left.
+	if reason := s.absenceReason(w.request); reason == RefusedSoftware || (reason != "" && !w.request.IsRetry) {
+		s.refuse(now, w.request, reason)
 		return true
 	}
 	if reason := s.unavailableReason(now, w.request, 0); reason != "" {
--- a/place/messages.go
+++ b/place/messages.go
@@ -43,6 +43,8 @@
 	RefusedLimited Reason = "upstreams-limited"
 	// RefusedWeights means that no engine serves a weight version that may still be used.
 	RefusedWeights Reason = "weights"
+	// RefusedSoftware means that no usable upstream has the software version that the call needs.
+	RefusedSoftware Reason = "software-version"
 )
 
 type (
@@ -82,6 +84,9 @@
 		Only spoke.UpstreamID
 		// IsRunning says that the call is still at its last upstream, which is silent.
 		IsRunning bool
+		// Software is the version that the upstream must have, since it goes on with a stream that another one
+		// began; empty means any.
+		Software spoke.SoftwareVersion
 		// IsRetry says that the call was sent to an upstream before, so that it counts against the retry
 		// budget.
 		IsRetry bool
--- a/place/node.go
+++ b/place/node.go
@@ -223,7 +223,13 @@
 
 // mayServe reports whether the upstream may take the call now or later.
 func (n *node) mayServe(m Request) bool {
-	return !n.isLeaving() && !n.isAddressReused && !m.excludes(n.listed.ID)
+	return !n.isLeaving() && !n.isAddressReused && n.suits(m)
+}
+
+// suits reports whether the call may be sent to the upstream at all: it is not excluded and has the software version
+// that the call needs.
+func (n *node) suits(m Request) bool {
+	return !m.excludes(n.listed.ID) && (m.Software == "" || n.listed.Software == m.Software)
 }
 
 // pauseForLoading keeps calls away while weights are loaded. Zero ends the pause; a shorter time does not
--- a/place/refuse.go
+++ b/place/refuse.go
@@ -13,8 +13,8 @@
 	if !now.Before(m.Deadline) {
 		return RefusedDeadline
 	}
-	if !s.hasUpstream(m) {
-		return RefusedNoUpstream
+	if reason := s.absenceReason(m); reason != "" {
+		return reason
 	}
 	if reason := s.unavailableReason(now, m, len(s.queues[m.Service])); reason != "" {
 		return reason
@@ -46,6 +46,17 @@
 	return slices.Contains(m.Tried, id) || (m.Only != "" && m.Only != id)
 }
 
+// absenceReason returns why no upstream may take the call now or later, empty if one may.
+func (s *Scheduler) absenceReason(m Request) Reason {
+	switch {
+	case s.hasUpstream(m):
+		return ""
+	case m.Software != "":
+		return RefusedSoftware
+	}
+	return RefusedNoUpstream
+}
+
 // hasUpstream reports whether an upstream may take the call now or later.
 func (s *Scheduler) hasUpstream(m Request) bool {
 	for _, n := range s.byService[m.Service] {
@@ -59,6 +70,9 @@
 // hasWeights reports whether an engine serves weights that may be used, or is loading weights.
 func (s *Scheduler) hasWeights(now time.Time, m Request) bool {
 	for _, n := range s.byService[m.Service] {
+		if !n.suits(m) {
+			continue
+		}
 		if now.Before(n.loadingUntil) {
 			return true
 		}
--- a/place/scheduler.go
+++ b/place/scheduler.go
@@ -166,7 +166,7 @@
 
 func (s *Scheduler) setUpstream(now time.Time, listed spoke.ListedUpstream) {
 	n := s.nodes[listed.ID]
-	if n != nil && n.listed.Started.Equal(listed.Started) && n.listed.Address == listed.Address {
+	if n != nil && n.listed.Started.Equal(listed.Started) && n.listed.Address == listed.Address && n.listed.Software == listed.Software {
 		n.update(listed)
 		return
 	}
