Go on with a taken-up stream only at the version that began it

Cause: a caller's new attempt was placed at any engine. Nothing in its path knew at which software version the stream had begun, and the host that could have known it was mostly the one that had died.

A host where a stream is taken up knows the version or asks those that may have been told, 200 ms at most, and places the call only at it. If the version is not known or none of it is left, it answers 503, not run, at once. A host without news of the directory cannot know that there is one version only and asks too. While one version serves, no message is sent. An engine that starts under its id with another version makes the streams doubtful that may have begun there unnoticed.

--- a/edge/apply.go
+++ b/edge/apply.go
@@ -108,6 +108,7 @@
 func (h *Host) post(message place.Message) { h.planner.in <- schedulerMessage{message: message} }
 
 func (h *Host) applyUpstreams(change spoke.DirectoryChange) {
+	h.relayer.origins.applyUpstreams(change)
 	for _, listed := range change.Upstreams {
 		if listed.IsLeaving {
 			h.deps.Log.WithField("upstream", listed.ID).Info("upstream is leaving")
@@ -142,6 +143,7 @@
 		h.post(place.RemovePeer{Host: id})
 	}
 	delete(h.peers, h.settings.Host)
+	h.relayer.origins.setPeers(h.peers)
 	h.planner.peers <- h.groupPeers()
 	h.stores.setPeers(slices.Collect(maps.Keys(h.peers)))
 }
--- a/edge/handler.go
+++ b/edge/handler.go
@@ -39,6 +39,7 @@
 		pool       *link.Pool
 		quarantine *quarantine
 		parts      *partQuarantine
+		origins    *origins
 		// answerMemory bounds the memory of large answers that are buffered until they are complete.
 		answerMemory *byteBudget
 		log          logrus.FieldLogger
@@ -57,10 +58,12 @@
 	// exchange is one call of a caller, with the writer of its answer.
 	exchange struct {
 		*relayer
-		call    *spoke.RelayedCall
-		route   spoke.Route
-		owner   spoke.KeyOwner
-		arrived time.Time
+		call  *spoke.RelayedCall
+		route spoke.Route
+		owner spoke.KeyOwner
+		// resumedSoftware is the software version at which a stream of an earlier call has to go on, empty for any.
+		resumedSoftware spoke.SoftwareVersion
+		arrived         time.Time
 		// deadline is when the call gets its final answer at the latest.
 		deadline time.Time
 		// endsWithStop is set if the deadline is that of the stop of this host.
--- a/edge/host.go
+++ b/edge/host.go
@@ -96,8 +96,9 @@
 		RetryShare: float64(settings.RetryShare), RetryReserve: float64(settings.RetryReserve),
 		RetryWindow: settings.RetryWindow, WeightsApply: settings.WeightsApply,
 	}), deps.Timer, deps.Log, quarantine, parts, h.conf, metrics, socket.Send)
+	h.planner.origins = newOrigins(h.self(), h.conf, deps.Timer, deps.Log, metrics, socket.Send)
 	h.relayer = &relayer{
-		conf: h.conf, codec: deps.Codec, planner: h.planner, pool: link.New(), quarantine: quarantine, parts: parts,
+		conf: h.conf, codec: deps.Codec, planner: h.planner, pool: link.New(), quarantine: quarantine, parts: parts, origins: h.planner.origins,
 		answerMemory: &byteBudget{limit: int64(settings.Memory) / answerMemoryDivisor},
 		underWay:     newCallsUnderWay(), times: newCallTimes(),
 		log: deps.Log, metrics: metrics,
@@ -142,6 +143,7 @@
 	task(func(ctx context.Context) error { return h.socket.Receive(ctx, h.receiveLoad) })
 	task(h.follower.run)
 	task(h.offers.run)
+	task(h.relayer.origins.run)
 	callers, err := newCallerServer(h.relayer, h.settings.Caller)
 	if err != nil {
 		return err
@@ -154,6 +156,7 @@
 	peerMux := http.NewServeMux()
 	peerMux.Handle("GET "+feedPath, h.follower.feed)
 	peerMux.Handle("GET "+contentPath, h.contentServer)
+	peerMux.Handle("GET "+originPath, h.relayer.origins)
 	if err := h.listen(&group, &http.Server{Handler: peerMux, ReadHeaderTimeout: callerHeaderTimeout}, h.socket.Address()); err != nil {
 		return err
 	}
@@ -240,6 +243,10 @@
 
 // receiveLoad handles the load report of another host.
 func (h *Host) receiveLoad(report spoke.HostReport) {
+	h.relayer.origins.receive(report)
+	if len(report.Origins) > 0 {
+		return
+	}
 	if len(report.Marks) > 0 {
 		h.relayer.quarantine.registry.Merge(time.Now(), report.Marks)
 	}
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -45,6 +45,9 @@
 		partMarks, partRefusals atomic.Int64
 		// feedBytes counts the bytes of directory changes that this host sent to other hosts.
 		feedBytes atomic.Int64
+		// originDatagrams and originRequests count the messages to other hosts about the software versions of
+		// streams.
+		originDatagrams, originRequests atomic.Int64
 	}
 )
 
@@ -58,10 +61,10 @@
 // ServeHTTP writes the metrics in the format of package expvar.
 func (m *metrics) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
-	_, _ = fmt.Fprintf(w, "{\n%q: %s,\n%q: %s,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d\n}\n",
+	_, _ = fmt.Fprintf(w, "{\n%q: %s,\n%q: %s,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d\n}\n",
 		"answers", expvar.Func(m.answers), "times", expvar.Func(m.percentiles), "endless", m.endless.Load(), "limited", m.limited.Load(),
 		"recalled", m.recalled.Load(), "crashes", m.crashes.Load(), "part-marks", m.partMarks.Load(), "part-refusals", m.partRefusals.Load(),
-		"feed-bytes", m.feedBytes.Load())
+		"feed-bytes", m.feedBytes.Load(), "origin-datagrams", m.originDatagrams.Load(), "origin-requests", m.originRequests.Load())
 }
 
 func (m *metrics) addAnswer(route spoke.RouteName, outcome string, arrived time.Time) {
@@ -86,6 +89,10 @@
 
 func (m *metrics) addFeedBytes(count int) { m.feedBytes.Add(int64(count)) }
 
+func (m *metrics) addOriginDatagrams(count int) { m.originDatagrams.Add(int64(count)) }
+
+func (m *metrics) addOriginRequest() { m.originRequests.Add(1) }
+
 func (m *metrics) addWait(route spoke.RouteName, took time.Duration) { m.add("wait ", route, took) }
 
 func (m *metrics) addFirst(route spoke.RouteName, took time.Duration) { m.add("first ", route, took) }
--- a/edge/origin.go
+++ b/edge/origin.go
@@ -1,22 +1,70 @@
 package edge
 
 import (
+	"context"
+	"errors"
+	"net/http"
+
 	"github.com/sirupsen/logrus"
 
 	"magnoliaspoke.example/spoke"
 )
 
-// logResumption logs a call that resumes a stream, with the request that the caller names as the first one.
-func (e *exchange) logResumption() {
-	if e.call.LastEventID != "" {
-		e.log.WithFields(logrus.Fields{"last-event-id": e.call.LastEventID, "resumes": e.call.Resumes}).Info("call resumes a stream")
+// errOtherSoftware reports an upstream that has started with another software version than a stream needs.
+var errOtherSoftware = errors.New("upstream has started with another software version")
+
+// findOrigin sets the software version at which a stream that the call resumes has to go on. It refuses the call and
+// returns false if the version is not known, since the events of two versions must not be joined.
+func (e *exchange) findOrigin(ctx context.Context) bool {
+	if e.call.LastEventID == "" {
+		return true
+	}
+	fields := logrus.Fields{"last-event-id": e.call.LastEventID, "resumes": e.call.Resumes}
+	software, isKnown := e.origins.required(ctx, e.service(), e.call.Resumes)
+	if !isKnown {
+		e.refuse(http.StatusServiceUnavailable, "software-version-unknown", e.capRetryAfter(shortRetryAfter), fields)
+		return false
+	}
+	e.resumedSoftware = software
+	e.log.WithFields(fields).WithField("software", software).Info("call resumes a stream")
+	return true
+}
+
+// originRequest returns the caller's request that brought the first event of the stream.
+func (e *exchange) originRequest() spoke.RequestID {
+	if e.call.LastEventID != "" && e.call.Resumes != "" {
+		return e.call.Resumes
+	}
+	return e.call.Request
+}
+
+// requiredSoftware returns the software version at which the call has to be served, empty for any.
+func (e *exchange) requiredSoftware(p *progress) spoke.SoftwareVersion {
+	if p.stream.hasBegun() {
+		return p.stream.software
 	}
+	return e.resumedSoftware
+}
+
+// mayGoOn reports whether the stream of the call, if it has begun, may go on at another upstream.
+func (e *exchange) mayGoOn(p *progress) bool {
+	if !p.stream.hasBegun() || !e.route.IsResumable {
+		return true
+	}
+	software, isKnown := e.origins.find(e.originRequest())
+	return !isKnown || software == p.stream.software
+}
+
+// hasOtherSoftware reports whether the upstream of the attempt has started with another software version than the
+// one that it was chosen for.
+func (a *attempt) hasOtherSoftware() bool {
+	return !a.hasBegun && a.requiredSoftware(a.progress) != "" && a.origins.isReplaced(a.grant.Upstream)
 }
 
-// requiredSoftware returns the software version at which the stream has to go on, empty if it has not begun.
-func (s *streamState) requiredSoftware() spoke.SoftwareVersion {
-	if !s.hasBegun() {
-		return ""
+// recordOrigin records the software version of a stream before its first event is sent to the caller.
+func (a *attempt) recordOrigin(state *streamState) {
+	state.software = a.grant.Upstream.Software
+	if a.route.IsResumable {
+		a.origins.began(a.originRequest(), a.service(), a.grant.Upstream)
 	}
-	return s.software
 }
--- /dev/null
+++ b/edge/originclient.go
@@ -0,0 +1,93 @@
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"time"
+
+	"magnoliaspoke.example/spoke"
+	"magnoliaspoke.example/spoke/dial"
+	"magnoliaspoke.example/spoke/fetch"
+)
+
+const (
+	originPath    = "/stream-origin"
+	originRequest = "request"
+	// originTimeout bounds the wait for other hosts; callers wait meanwhile.
+	originTimeout = 200 * time.Millisecond
+	// maxOriginBody bounds the answer of another host.
+	maxOriginBody spoke.ByteSize = 1 << 10
+)
+
+type (
+	// originBody is the answer to a host that asks at which software version a stream began.
+	originBody struct {
+		Version string `json:"version"`
+	}
+
+	// originClient asks other hosts at which software version a stream began.
+	originClient struct {
+		http    *http.Client
+		metrics *metrics
+	}
+)
+
+func newOriginClient(metrics *metrics) *originClient {
+	transport := &http.Transport{DialContext: dial.New(originTimeout).DialContext, DisableCompression: true}
+	return &originClient{http: &http.Client{Transport: transport}, metrics: metrics}
+}
+
+// ask returns the first version that one of the hosts knows; it returns false if none has answered with one in time.
+func (c *originClient) ask(ctx context.Context, request spoke.RequestID, hosts []netip.AddrPort) (spoke.SoftwareVersion, bool) {
+	ctx, cancel := context.WithTimeout(ctx, originTimeout)
+	defer cancel()
+	answers := make(chan spoke.SoftwareVersion, len(hosts))
+	for _, host := range hosts {
+		go func() { answers <- c.askHost(ctx, request, host) }()
+	}
+	for range hosts {
+		select {
+		case software := <-answers:
+			if software != "" {
+				return software, true
+			}
+		case <-ctx.Done():
+			return "", false
+		}
+	}
+	return "", false
+}
+
+// askHost returns the version that a host knows, empty if there is none.
+func (c *originClient) askHost(ctx context.Context, id spoke.RequestID, host netip.AddrPort) spoke.SoftwareVersion {
+	target := url.URL{Scheme: "http", Host: host.String(), Path: originPath, RawQuery: url.Values{originRequest: {string(id)}}.Encode()}
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target.String(), nil)
+	if err != nil {
+		return ""
+	}
+	c.metrics.addOriginRequest()
+	response, err := fetch.Do(c.http, request, fetch.Limits{Head: originTimeout, Idle: originTimeout, Body: maxOriginBody}, nil)
+	var body originBody
+	if err != nil || response.Status != http.StatusOK || json.Unmarshal(response.Body, &body) != nil {
+		return ""
+	}
+	return spoke.SoftwareVersion(body.Version)
+}
+
+// ServeHTTP answers a host that asks at which software version a stream began.
+func (o *origins) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	software, _ := o.find(spoke.RequestID(r.URL.Query().Get(originRequest)))
+	if software == "" {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	// The type always encodes.
+	raw, _ := json.Marshal(originBody{Version: string(software)})
+	w.Header().Set("Content-Type", "application/json")
+	if _, err := w.Write(raw); err != nil {
+		o.log.WithError(err).Debug("origin of a stream not sent to a peer")
+	}
+}
--- /dev/null
+++ b/edge/origins.go
@@ -0,0 +1,194 @@
+package edge
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"magnoliaspoke.example/spoke"
+	"magnoliaspoke.example/spoke/origin"
+)
+
+// originInterval is the interval at which this host checks whether a service has got a second software version.
+const originInterval = 100 * time.Millisecond
+
+// origins keeps at which software versions streams began, at this host and at others. It is safe for concurrent use.
+type origins struct {
+	conf    *configState
+	timer   spoke.Timer
+	log     logrus.FieldLogger
+	metrics *metrics
+	sender  *originSender
+	client  *originClient
+
+	mu       sync.Mutex
+	streams  *origin.Streams
+	versions *origin.Versions
+	self     spoke.ListedPeer
+	peers    []spoke.ListedPeer
+	// addresses holds the addresses of peers that can be parsed.
+	addresses map[spoke.HostID]netip.AddrPort
+	// shared holds the services whose streams other hosts are told of.
+	shared map[spoke.ServiceName]bool
+}
+
+func newOrigins(self spoke.ListedPeer, conf *configState, timer spoke.Timer, log logrus.FieldLogger, metrics *metrics, send func(spoke.HostReport, []netip.AddrPort)) *origins {
+	return &origins{
+		conf: conf, timer: timer, log: log, metrics: metrics, self: self,
+		sender: newOriginSender(self.ID, send, metrics), client: newOriginClient(metrics),
+		streams: origin.NewStreams(), versions: origin.NewVersions(), shared: make(map[spoke.ServiceName]bool),
+	}
+}
+
+// run tells other hosts of the streams of services that have got a second software version, until ctx ends.
+func (o *origins) run(ctx context.Context) error {
+	return runTask(ctx, o.timer, originInterval, nil, nil, func(context.Context) { o.step() })
+}
+
+func (o *origins) step() {
+	o.mu.Lock()
+	now := o.timer.Now()
+	for _, service := range o.versions.Services() {
+		isShared := o.isShared(now, service)
+		if isShared && !o.shared[service] {
+			recent := o.streams.Untold(now, service)
+			o.log.WithFields(logrus.Fields{
+				"service": service, "versions": o.versions.Of(now, service), "is-stale": o.conf.isStale(), "streams": len(recent),
+			}).Info("streams of a service may have begun at several software versions")
+			for _, stream := range recent {
+				o.sender.queue(stream, o.holders(stream.Request))
+			}
+		}
+		o.shared[service] = isShared
+	}
+	o.mu.Unlock()
+	o.sender.sendQueued()
+}
+
+// isShared reports whether streams of the service may have begun at several software versions. While this host has no
+// news of the directory, others may know of one that it does not.
+func (o *origins) isShared(now time.Time, service spoke.ServiceName) bool {
+	return len(o.versions.Of(now, service)) > 1 || (len(o.peers) > 0 && o.conf.isStale())
+}
+
+// holders returns the addresses of the hosts that are told of a stream of this host.
+func (o *origins) holders(request spoke.RequestID) []netip.AddrPort {
+	return o.addressesOf(origin.Holders(request, o.peers, o.self))
+}
+
+func (o *origins) addressesOf(hosts []spoke.HostID) []netip.AddrPort {
+	var found []netip.AddrPort
+	for _, id := range hosts {
+		if address, isKnown := o.addresses[id]; isKnown {
+			found = append(found, address)
+		}
+	}
+	return found
+}
+
+func (o *origins) setPeers(peers map[spoke.HostID]spoke.ListedPeer) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.peers, o.addresses = nil, make(map[spoke.HostID]netip.AddrPort, len(peers))
+	for id, peer := range peers {
+		o.peers = append(o.peers, peer)
+		if address, err := netip.ParseAddrPort(string(peer.Address)); err == nil {
+			o.addresses[id] = address
+		}
+	}
+}
+
+// applyUpstreams applies a change of the directory. Other hosts are told at once of the streams whose version has
+// become doubtful.
+func (o *origins) applyUpstreams(change spoke.DirectoryChange) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := o.timer.Now()
+	for _, restart := range o.versions.Apply(now, change) {
+		doubtful := o.streams.Doubt(now, restart.Upstream, restart.Started)
+		for _, stream := range doubtful {
+			o.sender.send([]spoke.StreamOrigin{stream}, o.holders(stream.Request))
+		}
+		o.log.WithFields(logrus.Fields{"upstream": restart.Upstream, "started": restart.Started, "doubtful-streams": len(doubtful)}).Info("upstream started with another software version")
+	}
+}
+
+// receive applies what another host has reported.
+func (o *origins) receive(report spoke.HostReport) {
+	if len(report.Origins)+len(report.Software) == 0 {
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := o.timer.Now()
+	o.versions.Observe(now, report.Software)
+	for _, stream := range report.Origins {
+		o.streams.Receive(now, stream)
+	}
+}
+
+// software returns the versions of those services that have recently had several, for the report to other hosts.
+func (o *origins) software() []spoke.ListedSoftware {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.versions.Several(o.timer.Now())
+}
+
+// began records the software version of a stream that begins or goes on at an upstream, and tells other hosts of it
+// if the service has several.
+func (o *origins) began(request spoke.RequestID, service spoke.ServiceName, upstream spoke.ListedUpstream) {
+	o.mu.Lock()
+	now := o.timer.Now()
+	stream := origin.Stream{Request: request, Service: service, Upstream: upstream.ID, Software: upstream.Software}
+	if o.versions.IsReplaced(upstream) {
+		stream.Software = ""
+	}
+	isShared := o.isShared(now, service)
+	reported := o.streams.Add(now, stream, isShared)
+	var holders []netip.AddrPort
+	if isShared {
+		holders = o.holders(request)
+	}
+	o.mu.Unlock()
+	o.sender.send([]spoke.StreamOrigin{reported}, holders)
+}
+
+// isReplaced reports whether the directory lists another software version under the id of an upstream.
+func (o *origins) isReplaced(upstream spoke.ListedUpstream) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.versions.IsReplaced(upstream)
+}
+
+// find returns the software version at which a stream began, as far as this host knows.
+func (o *origins) find(request spoke.RequestID) (spoke.SoftwareVersion, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.streams.Find(o.timer.Now(), request)
+}
+
+// required returns the software version at which a caller's stream has to go on; it returns false if that is not
+// known. Other hosts are asked only if the service has had several versions.
+func (o *origins) required(ctx context.Context, service spoke.ServiceName, resumed spoke.RequestID) (spoke.SoftwareVersion, bool) {
+	if known, isKnown := o.find(resumed); isKnown && resumed != "" {
+		return known, known != ""
+	}
+	o.mu.Lock()
+	now := o.timer.Now()
+	versions, isShared := o.versions.Of(now, service), o.isShared(now, service)
+	sources := o.addressesOf(origin.Sources(resumed, o.peers, o.self))
+	o.mu.Unlock()
+	switch {
+	case isShared && resumed != "":
+		return o.client.ask(ctx, resumed, sources)
+	case isShared:
+		return "", false
+	case len(versions) == 0:
+		// The service has no upstream, and the first one that comes need not have the version.
+		return "", false
+	}
+	return versions[0], true
+}
--- a/edge/planner.go
+++ b/edge/planner.go
@@ -64,6 +64,7 @@
 		reportConflict func(spoke.ServiceName)
 		quarantine     *quarantine
 		parts          *partQuarantine
+		origins        *origins
 		conf           *configState
 		metrics        *metrics
 		peerAddresses  peerAddresses
@@ -260,6 +261,7 @@
 	report.Directory = p.conf.view()
 	if report.IsSnapshot {
 		report.Directory = p.conf.fullView()
+		report.Software = p.origins.software()
 	}
 	report.Marks = p.quarantine.list(now, maxMarks)
 	return report
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -63,7 +63,9 @@
 		e.refuse(http.StatusServiceUnavailable, "quarantined", time.Until(until), logrus.Fields{"fingerprint": fingerprint})
 		return
 	}
-	e.logResumption()
+	if !e.findOrigin(ctx) {
+		return
+	}
 	p := &progress{}
 	defer e.releaseNext(p)
 	for range maxAttempts {
@@ -174,7 +176,7 @@
 		Call: spoke.CallNumber(e.callNumbers.Add(1)), Service: e.service(), Group: place.OwnerGroup(e.owner),
 		Urgency: e.urgency(), Arrived: e.arrived, Target: e.arrived.Add(e.route.Target), GapTarget: e.route.GapTarget, Deadline: e.deadline,
 		LeavesAt: e.leavesAt(p),
-		Tried:    p.tried, Only: p.only, IsRetry: p.sendCount > 0, Prompt: e.prompt(), Software: p.stream.requiredSoftware(),
+		Tried:    p.tried, Only: p.only, IsRetry: p.sendCount > 0, Prompt: e.prompt(), Software: e.requiredSoftware(p),
 	}
 }
 
@@ -195,7 +197,7 @@
 }
 
 // service picks one of the services of the route in proportion to their weights; all attempts of a
-// call get the same one.
+// call get the same one, and so do calls that resume its stream.
 func (e *exchange) service() spoke.ServiceName {
 	total := 0
 	for _, share := range e.route.Services {
@@ -204,7 +206,7 @@
 	if total == 0 {
 		return e.route.Services[0].Service
 	}
-	point := int(xxhash.Sum64String(string(e.call.Request)) % uint64(total))
+	point := int(xxhash.Sum64String(string(e.originRequest())) % uint64(total))
 	for _, share := range e.route.Services {
 		point -= max(share.Weight, 0)
 		if point < 0 {
@@ -216,7 +218,7 @@
 
 // mayTryNext reports whether the call may be sent to another upstream.
 func (e *exchange) mayTryNext(ctx context.Context, p *progress) bool {
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || !e.mayGoOn(p) {
 		return false
 	}
 	if p.mayHaveRun && !e.route.IsRepeatable() {
--- a/edge/setup_test.go
+++ b/edge/setup_test.go
@@ -76,17 +76,22 @@
 		d.engines = append(d.engines, engine)
 		d.putEntry(engine, "ready")
 	}
-	d.settings = config.Relay{
+	d.settings = usualSettings(t, d.store)
+	change(&d.settings)
+	d.runHost()
+	return d
+}
+
+func usualSettings(t testing.TB, store *fake.Store) config.Relay {
+	t.Helper()
+	return config.Relay{
 		Host: "host-1", DataCentre: "a", Address: netip.MustParseAddr("127.0.0.1"),
-		Caller: freeAddress(t), Readiness: freeAddress(t), Store: spoke.Address(d.store.Address()),
+		Caller: freeAddress(t), Readiness: freeAddress(t), Store: spoke.Address(store.Address()),
 		PeerPort: freePort(t), MetricsPort: freePort(t), Memory: 128 << 20, Descriptors: 1000,
 		ConfigApply: 2 * time.Second, WeightsApply: 6 * time.Second, OrdersPause: 900 * time.Millisecond,
 		LeaveNotice: 2 * time.Second, StopGrace: 8 * time.Second,
 		RetryShare: 0.2, RetryReserve: 50, RetryWindow: 10 * time.Second,
 	}
-	change(&d.settings)
-	d.runHost()
-	return d
 }
 
 // beside returns another host with the same store and engines, which does not run yet.
--- a/edge/stream.go
+++ b/edge/stream.go
@@ -58,6 +58,9 @@
 		if len(chunk) > 0 && !haveEventForm(chunk) {
 			return a.recordFailure(ctx, place.EndBroken, errNotEvents)
 		}
+		if len(chunk) > 0 && a.hasOtherSoftware() {
+			return a.recordFailure(ctx, place.EndBroken, errOtherSoftware)
+		}
 		if len(chunk) > 0 {
 			a.recordFirstEvent()
 			if !a.forward(state, chunk) {
@@ -132,7 +135,7 @@
 	}
 	now := time.Now()
 	if state.events == 0 {
-		state.software = a.grant.Upstream.Software
+		a.recordOrigin(state)
 		a.writeHead()
 	} else {
 		state.widestGap = max(state.widestGap, now.Sub(state.lastEventAt))
--- a/peers/codec.go
+++ b/peers/codec.go
@@ -33,6 +33,8 @@
 		Crashes        []crashRow            `json:"crashes,omitempty"`
 		ServedParts    []servedPartRow       `json:"served-parts,omitempty"`
 		PartMarks      []partMarkRow         `json:"part-marks,omitempty"`
+		Software       []softwareRow         `json:"software,omitempty"`
+		Origins        []originRow           `json:"origins,omitempty"`
 		Revision       uint64                `json:"revision,omitempty"`
 		DirectoryAgeMs int64                 `json:"age-ms,omitempty"`
 		Table          *tableRow             `json:"table,omitempty"`
@@ -162,6 +164,7 @@
 		row.Stores = append(row.Stores, encodeStore(state))
 	}
 	encodeCrashes(&row, report.Crashes)
+	encodeOrigins(&row, report)
 	raw, err := json.Marshal(row)
 	return raw, eris.Wrap(err, "encode load report")
 }
@@ -237,6 +240,7 @@
 		report.Stores = append(report.Stores, decodeStore(state))
 	}
 	report.Crashes = decodeCrashes(row)
+	decodeOrigins(row, &report)
 	return report, nil
 }
 
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -30,6 +30,8 @@
 		Slowness:   []spoke.UpstreamSlowness{{Upstream: "e", Slowness: 2.5, Age: 40 * time.Millisecond}},
 		Directory:  spoke.DirectoryView{Revision: 9, Age: time.Second, Table: spoke.TableReference{Version: 3, Content: spoke.ContentReference{Key: "k", ID: "d1"}}},
 		Crashes:    sampleCrashes(),
+		Software:   []spoke.ListedSoftware{{Service: "s", Software: "v1.2", Age: 3 * time.Second}},
+		Origins:    []spoke.StreamOrigin{{Request: "r", Software: "v1", Age: 4 * time.Millisecond}, {Request: "q"}},
 		WantedAges: []spoke.WantedAge{{Wanted: spoke.WantedWeights{Model: "m", Version: 3}, Age: 2 * time.Second}},
 	}
 }
@@ -73,6 +75,7 @@
 	f.Add(raw)
 	f.Add([]byte(`{"host":"a","upstreams":[{}],"placed":[{"prefixes":[[1]]}]}`))
 	f.Add([]byte(`{"host":"a","crashes":[{},{"id":"e","age-ms":-9223372036854775808}],"served-parts":[{}],"part-marks":[{"term-ms":9223372036854775807}]}`))
+	f.Add([]byte(`{"host":"a","software":[{},{"age-ms":9223372036854775807}],"origins":[{},{"request":"r","age-ms":-9223372036854775808}]}`))
 	f.Fuzz(func(_ *testing.T, raw []byte) {
 		// Any error is acceptable, as long as Decode returns.
 		_, _ = peers.Decode(raw, time.Now())
--- a/placement.go
+++ b/placement.go
@@ -76,6 +76,10 @@
 		WantedAges []WantedAge
 		// Crashes holds what the host knows of prompt parts that crash upstreams.
 		Crashes CrashReport
+		// Software lists the software versions of services that have recently had several, in full reports.
+		Software []ListedSoftware
+		// Origins lists streams of the host; a report with origins holds nothing else.
+		Origins []StreamOrigin
 	}
 
 	// CopyReport describes the pending and recently completed copies of one host from a source.
