Play engines of two software versions in the soak

Change: TestSoakWithSoftwareVersions gives engines two versions in turn; four more callers break streams off after some events and take them up at random hosts with Resumes and Last-Event-Id, up to three times. Each run that goes on with a stream, also within one answer, must be at an engine of the version that began it, and its events must follow those before.

--- a/cmd/trial/soak/callers.go
+++ b/cmd/trial/soak/callers.go
@@ -46,6 +46,8 @@
 		mu         sync.Mutex
 		outcomes   []outcome
 		violations []string
+		// chains holds the streams that were taken up.
+		chains []chain
 	}
 )
 
@@ -60,6 +62,12 @@
 		random := rand.New(rand.NewPCG(seed, callerCount))
 		group.Go(func() { c.runCrashing(ctx, random) })
 	}
+	if c.testbed.hasVersions {
+		for number := range resumingCount {
+			random := rand.New(rand.NewPCG(seed, uint64(callerCount+1+number)))
+			group.Go(func() { c.runResuming(ctx, random, number) })
+		}
+	}
 	group.Wait()
 }
 
--- a/cmd/trial/soak/run.go
+++ b/cmd/trial/soak/run.go
@@ -43,6 +43,8 @@
 	limit      spoke.RequestRate
 	hasCrashes bool
 	hasReturns bool
+	// hasVersions is set if engines have two software versions.
+	hasVersions bool
 }
 
 // WithLimit makes every second engine name a limit in its answers, which hosts must keep together.
@@ -54,6 +56,10 @@
 // WithReturns makes the store return from older copies beside the other faults.
 func WithReturns() Option { return func(o *options) { o.hasReturns = true } }
 
+// WithSoftwareVersions gives engines two software versions in turn, which no stream may mix; callers break streams
+// off and take them up at other hosts.
+func WithSoftwareVersions() Option { return func(o *options) { o.hasVersions = true } }
+
 // Run injects the faults of one seed for the duration into hosts that run program, and checks the
 // guarantees. It writes logs into a new subdirectory of directory.
 func Run(program, directory string, seed uint64, duration time.Duration, changes ...Option) (Report, error) {
@@ -82,6 +88,9 @@
 	if set.hasCrashes {
 		c.checkCrashes(faulty)
 	}
+	if set.hasVersions {
+		c.checkSoftware()
+	}
 	report.Violations = c.violations
 	for _, result := range c.outcomes {
 		report.Statuses[fmt.Sprintf("%s %d", result.route, result.status)]++
--- a/cmd/trial/soak/soak_test.go
+++ b/cmd/trial/soak/soak_test.go
@@ -76,7 +76,18 @@
 	}
 }
 
-// limitSeeds returns the number of seeds with limits, crashes or returns: the first one, or all that are given by hand.
+// Guards against streams that go on at another software version than the one that began them, over real processes and
+// while faults overlap.
+func TestSoakWithSoftwareVersions(t *testing.T) {
+	program := build(t)
+	for _, seed := range seeds(t)[:limitSeeds(t)] {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			run(t, program, seed, faultTime, soak.WithSoftwareVersions())
+		})
+	}
+}
+
+// limitSeeds returns the number of seeds with limits, crashes, returns or software versions: the first one, or all that are given by hand.
 func limitSeeds(t *testing.T) int {
 	t.Helper()
 	if os.Getenv(seedsVariable) == "" {
--- a/cmd/trial/soak/testbed.go
+++ b/cmd/trial/soak/testbed.go
@@ -61,6 +61,8 @@
 		limit spoke.RequestRate
 		// hasCrashes is set if engines crash on a prompt part.
 		hasCrashes bool
+		// hasVersions is set if engines have two software versions.
+		hasVersions bool
 
 		mu            sync.Mutex
 		engines       []*engine
@@ -74,7 +76,7 @@
 func newTestbed(program, directory string, set options) (*testbed, error) {
 	b := &testbed{
 		directory: directory, fleet: fleet.New(directory), store: fake.NewStore(), weights: 1,
-		limit: set.limit, hasCrashes: set.hasCrashes,
+		limit: set.limit, hasCrashes: set.hasCrashes, hasVersions: set.hasVersions,
 	}
 	b.putConfig()
 	for range engineCount {
@@ -125,10 +127,15 @@
 	b.lastEngine++
 	id, weights := fmt.Sprintf("i-%d", b.lastEngine), b.weights
 	isLimited := b.limit > 0 && b.lastEngine%2 == 0
+	software := "v1"
+	if b.hasVersions && b.lastEngine%2 == 0 {
+		software = "v2"
+	}
 	b.mu.Unlock()
 	e := &engine{Engine: fake.NewEngine(id, eventCount)}
 	e.SetEventInterval(5 * time.Millisecond)
 	e.SetVersion(weights)
+	e.SetSoftware(software)
 	if isLimited {
 		e.SetLimit(fmt.Sprint(float64(b.limit)))
 		e.isLimited = true
--- a/fake/platform/caller.go
+++ b/fake/platform/caller.go
@@ -43,6 +43,10 @@
 		Timeout     time.Duration
 		// PrefixHashes describes the prompt parts of a call to a model; it is empty for other calls.
 		PrefixHashes string
+		// LastEventID and Resumes are set in a call that takes a stream up: its last event, and the request that
+		// brought its first one.
+		LastEventID string
+		Resumes     string
 	}
 
 	// Response is the origin of a response as stated in its header.
@@ -73,6 +77,10 @@
 	request.Header.Set(headerRequestID, c.RequestID)
 	request.Header.Set(headerDeadline, fmt.Sprint(c.Timeout.Milliseconds()))
 	request.Header.Set("Authorization", "Bearer "+c.APIKey)
+	if c.LastEventID != "" {
+		request.Header.Set("Last-Event-Id", c.LastEventID)
+		request.Header.Set("Resumes", c.Resumes)
+	}
 	if c.PrefixHashes != "" {
 		request.Header.Set(headerModel, ModelName)
 		request.Header.Set(headerTokenUsage, "300,20")
@@ -128,6 +136,9 @@
 // Workspace returns the workspace that a run was made for.
 func (r Run) Workspace() string { return r.Header.Get(headerTenant) }
 
+// IsResumed reports whether a run goes on with a stream.
+func (r Run) IsResumed() bool { return r.Header.Get("Last-Event-Id") != "" }
+
 // HasKey reports whether the caller's API key was forwarded to the engine.
 func (r Run) HasKey() bool { return r.Header.Get("Authorization") != "" }
 
