Answer callers of cmd/entry that close only their sending side

A caller that shut down its sending side behind a whole request and waited lost its answer: completions, streams and plain calls ran under the context of the request, which the server's library cancels at the end of the caller's bytes.

The listener for callers is served by caller.Serve now, and caller.Handle gives each request the context of caller.Watch, as cmd/edge has it. It wraps the handler of package drain, so that the end of a drain still ends the requests. Ruled out: a watch in package openai after the body is read; its context would no longer end with the drain, whose cause it could not see.

Remains: callers of HTTP/1.0 count as gone as before, and in a stream that is silent a caller that closed is noticed at the next piece.

--- /dev/null
+++ b/caller/handle.go
@@ -0,0 +1,12 @@
+package caller
+
+import "net/http"
+
+// Handle returns a handler whose requests end when their callers have left; Watch notices that once a body is read.
+func Handle(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx, stop := Watch(r)
+		defer stop()
+		next.ServeHTTP(w, r.WithContext(ctx))
+	})
+}
--- a/host/host.go
+++ b/host/host.go
@@ -14,6 +14,7 @@
 	"magnoliaspoke.example/spoke"
 	"magnoliaspoke.example/spoke/admin"
 	"magnoliaspoke.example/spoke/cache"
+	"magnoliaspoke.example/spoke/caller"
 	"magnoliaspoke.example/spoke/claim"
 	"magnoliaspoke.example/spoke/config"
 	"magnoliaspoke.example/spoke/coord"
@@ -203,7 +204,7 @@
 		begin: make(chan struct{}, 1), force: force,
 	}
 	h.callerServer.ConnState = h.drainer.connections.ObserveState
-	h.callerServer.Handler = h.drainer.withConnectionClose(h.withReadiness(h.metrics.countRequests(h.drainer.requests.Handle(callerAPI))))
+	h.callerServer.Handler = h.drainer.withConnectionClose(h.withReadiness(h.metrics.countRequests(caller.Handle(h.drainer.requests.Handle(callerAPI)))))
 }
 
 func server(handler http.Handler) *http.Server {
@@ -225,7 +226,7 @@
 		group.Add(func() error { return task(h.baseCtx) }, func(error) { h.cancel() })
 	}
 	// The drain shuts the first two servers down; the others serve until it has ended.
-	h.addServer(&group, func() error { return h.callerServer.Serve(h.drainer.connections.Listen(h.listeners.Caller)) }, nil)
+	h.addServer(&group, func() error { return caller.Serve(h.callerServer, h.drainer.connections.Listen(h.listeners.Caller)) }, nil)
 	h.addServer(&group, func() error { return h.internalServer.Serve(h.listeners.Internal) }, nil)
 	h.addServer(&group, func() error { return h.adminServer.Serve(h.listeners.Admin) }, h.adminServer)
 	h.addServer(&group, func() error { return h.metricsServer.Serve(h.listeners.Metrics) }, h.metricsServer)
