Read the body of a request behind a refusal at cmd/entry

Requests refused by their head (key, deadline, path, service, rank, limit of the workspace) and bodies above the limit were answered while the caller still sent. The server's library reads up to 256 KB more, waits 500 ms and closes; unread bytes make that a reset, which deletes the answer at a caller that reads it only behind its body. A refusal was also held back until up to 256 KB of a small body had arrived.

The answer is sent at once and the rest of the body is read behind it with caller.Discard, as in cmd/edge, until the 30 s for the body end or the host stops. The same holds for answers of endpoints that take no body. Ruled out: reading the body first, which would hold the refusal back.

Remains: redirects of the server's library for unclean paths, and /ready, are answered without reading a body.

--- a/host/callerhalf_test.go
+++ b/host/callerhalf_test.go
@@ -18,7 +18,8 @@
 )
 
 const (
-	bookingPath = "/services/booking/dispatches"
+	bookingPath   = "/services/booking/dispatches"
+	authorization = "Authorization: Bearer " + apiKey + "\r\n"
 	// runTime is the time that a booking takes.
 	runTime = 500 * time.Millisecond
 	// leaveLimit is the time within which a request of a caller that has left ends.
@@ -28,12 +29,9 @@
 // open sends a request to the caller API of a host and returns its connection.
 func (s *loopbackHost) open(t *testing.T, path, header, body string) *net.TCPConn {
 	t.Helper()
-	conn, err := net.Dial("tcp", s.listeners.Caller.Addr().String())
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = conn.Close() })
-	assert.NilError(t, conn.SetDeadline(time.Now().Add(6*time.Second)))
-	send(t, conn, fmt.Sprintf("POST %s HTTP/1.1\r\nHost: entry\r\nAuthorization: Bearer %s\r\n%sContent-Length: %d\r\n\r\n%s", path, apiKey, header, len(body), body))
-	return conn.(*net.TCPConn)
+	conn := s.openBody(t, path, authorization+header, len(body))
+	send(t, conn, body)
+	return conn
 }
 
 // readFinal returns the status and the body of the answer behind interim responses.
--- a/openai/complete.go
+++ b/openai/complete.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"magnoliaspoke.example/spoke"
+	"magnoliaspoke.example/spoke/caller"
 )
 
 // bodyReadTimeout bounds the time to read a request body.
@@ -47,7 +48,8 @@
 }
 
 func (x *exchange) readBody() ([]byte, error) {
-	_ = http.NewResponseController(x.w).SetReadDeadline(time.Now().Add(bodyReadTimeout))
+	_ = http.NewResponseController(x.w).SetReadDeadline(x.bodyDeadline)
+	x.hasAwaitedBody = true
 	raw, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, int64(x.bodyLimit)))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
@@ -59,9 +61,19 @@
 		return nil, badField("body", "the body cannot be read: %s", err)
 	}
 	_ = http.NewResponseController(x.w).SetReadDeadline(time.Time{})
+	x.hasReadBody = true
 	return raw, nil
 }
 
+// discardBody reads the rest of a body behind its answer. A caller that waits for the server's consent to send its
+// body sends none after a refusal.
+func (x *exchange) discardBody() {
+	hasNone := x.r.Body == http.NoBody || x.r.Header.Get("Expect") != "" && !x.hasAwaitedBody
+	if !x.hasReadBody && !hasNone {
+		caller.Discard(x.r.Context(), x.w, x.r, x.bodyDeadline)
+	}
+}
+
 // complete resolves and runs a request and writes the response.
 func (x *exchange) complete(body completionBody, prompt string, builder responseBuilder) error {
 	request, err := x.resolve(body, prompt)
--- a/openai/handler.go
+++ b/openai/handler.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"magnoliaspoke.example/spoke"
+	"magnoliaspoke.example/spoke/caller"
 	"magnoliaspoke.example/spoke/drain"
 )
 
@@ -59,6 +60,12 @@
 		manifest  *spoke.Manifest
 		workspace spoke.Workspace
 		deadline  time.Time
+		// bodyDeadline is when the body must have been read.
+		bodyDeadline time.Time
+		// hasAwaitedBody is set once the body is read from, so that the caller sends it.
+		hasAwaitedBody bool
+		// hasReadBody is set once the body was read to its end.
+		hasReadBody bool
 	}
 )
 
@@ -136,10 +143,12 @@
 func (h *Handler) serve(endpoint func(*exchange) error) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		id := spoke.RequestID(w.Header().Get(requestIDHeader))
-		x := &exchange{Handler: h, w: w, r: r, id: id, received: h.now()}
+		x := &exchange{Handler: h, w: w, r: r, id: id, received: h.now(), bodyDeadline: time.Now().Add(bodyReadTimeout)}
+		caller.AllowEarlyAnswer(w)
 		if err := x.run(endpoint); err != nil {
 			x.writeRefusal(err)
 		}
+		x.discardBody()
 	}
 }
 
