Answer requests of cmd/entry whose handler panics

The server's library ends a request whose handler panics by closing its connection; the caller got no answer and could not know whether the request had run.

The handler of the caller API recovers: it logs the panic with its stack and refuses the request, as not run with Retry-After (503) while the backend has not been called, and with an unknown outcome (502) from then on. An answer that has begun is aborted, so that it does not look complete. Ruled out: a recover around the whole server, which does not know whether the backend was called.

Remains: goroutines of the backend that panic still end the process, and a panic inside the backend may leave its own records open; no test covers this.

--- a/openai/complete.go
+++ b/openai/complete.go
@@ -80,6 +80,7 @@
 	if err != nil {
 		return err
 	}
+	x.isPassedOn = true
 	run, err := x.backend.Complete(x.r.Context(), request)
 	if err != nil {
 		return err
--- a/openai/errors.go
+++ b/openai/errors.go
@@ -108,6 +108,7 @@
 	}
 	header.Set("Content-Length", strconv.Itoa(len(raw)))
 	x.extendWriteDeadline()
+	x.hasBegun = true
 	x.w.WriteHeader(status)
 	if _, err := x.w.Write(raw); err != nil {
 		panic(http.ErrAbortHandler)
--- a/openai/handler.go
+++ b/openai/handler.go
@@ -27,6 +27,9 @@
 	// hostEndsRetryAfter is the Retry-After of a host that ends; a retry reaches another host.
 	hostEndsRetryAfter = time.Second
 
+	// panicRetryAfter is the Retry-After of a request whose handler panicked before the request was passed on.
+	panicRetryAfter = time.Second
+
 	requestIDHeader = "X-Request-Id"
 )
 
@@ -66,6 +69,10 @@
 		hasAwaitedBody bool
 		// hasReadBody is set once the body was read to its end.
 		hasReadBody bool
+		// isPassedOn is set once the backend may have run the request.
+		isPassedOn bool
+		// hasBegun is set once the answer has begun.
+		hasBegun bool
 	}
 )
 
@@ -144,6 +151,7 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		id := spoke.RequestID(w.Header().Get(requestIDHeader))
 		x := &exchange{Handler: h, w: w, r: r, id: id, received: h.now(), bodyDeadline: time.Now().Add(bodyReadTimeout)}
+		defer x.recoverAnswer()
 		caller.AllowEarlyAnswer(w)
 		if err := x.run(endpoint); err != nil {
 			x.writeRefusal(err)
--- a/openai/service.go
+++ b/openai/service.go
@@ -54,6 +54,7 @@
 	for _, name := range notForwarded {
 		header.Del(name)
 	}
+	x.isPassedOn = true
 	response, err := x.backend.Call(x.r.Context(), spoke.ServiceCall{
 		ID:        x.id,
 		Workspace: x.workspace.ID,
--- a/openai/stream.go
+++ b/openai/stream.go
@@ -81,6 +81,7 @@
 }
 
 func (e *eventWriter) flush() error {
+	e.x.hasBegun = true
 	e.x.extendWriteDeadline()
 	_, err := e.x.w.Write(e.buffer.Bytes())
 	e.buffer.Reset()
