--- a/fake/platform/hold.go
+++ b/fake/platform/hold.go
@@ -1,7 +1,6 @@
 package platform
 
 import (
-	"io"
 	"net"
 	"net/http"
 )
@@ -53,7 +52,7 @@
 	if err != nil {
 		panic(err)
 	}
-	_, _ = io.WriteString(conn, string(body))
+	_, _ = conn.Write(body)
 	if isReset {
 		_ = conn.(*net.TCPConn).SetLinger(0)
 	}
