Ask for the software version of a silent stream's first event

The watch that asks for another engine while a stream's own is silent named no software version, and its grant went past the constraint of later attempts: a stream begun at v1 went on at v2. The watch learns the version with each event now, and a grant that came just before the first event is returned if its version differs.

TestSilentStreamGoesOnAtItsSoftwareVersion failed in both cases with events of v1 and v2 in one answer, and passes.

--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -250,7 +250,7 @@
 func (a *attempt) recordBytes() {
 	a.heardAt = time.Now()
 	if a.route.Rule != spoke.RuleStream {
-		a.idle.heard(a.idlePeriod())
+		a.idle.heard(a.idlePeriod(), a.requiredSoftware(a.progress))
 	}
 }
 
--- a/edge/idlewatch.go
+++ b/edge/idlewatch.go
@@ -40,7 +40,9 @@
 		state *place.IdleWatch
 		timer *time.Timer
 		// hasBegun is set once the answer has begun, in this attempt or an earlier one.
-		hasBegun  bool
+		hasBegun bool
+		// software is the version that another upstream must have, empty for any.
+		software  spoke.SoftwareVersion
 		isStopped bool
 		// withdraw ends the request for another upstream, nil if there is none.
 		withdraw context.CancelFunc
@@ -63,7 +65,8 @@
 	w := &idleWatcher{
 		exchange: a.exchange, callCtx: callCtx, cancel: cancel, ended: make(chan struct{}),
 		tried: appendUnique(slices.Clone(a.progress.tried), a.grant.Upstream.ID), hasBegun: a.progress.stream.hasBegun(),
-		state: place.NewIdleWatch(time.Now(), a.idlePeriod()),
+		software: a.requiredSoftware(a.progress),
+		state:    place.NewIdleWatch(time.Now(), a.idlePeriod()),
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -79,14 +82,14 @@
 	return time.Duration(idleTargetFactor * float64(a.route.Target))
 }
 
-// heard records progress of the upstream, with the period that applies from now on.
-func (w *idleWatcher) heard(period time.Duration) {
+// heard records progress of the upstream, with the period and the software version of others that apply from now on.
+func (w *idleWatcher) heard(period time.Duration, software spoke.SoftwareVersion) {
 	if w == nil {
 		return
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.hasBegun = true
+	w.hasBegun, w.software = true, software
 	if w.state.Heard(time.Now(), period) {
 		w.withdraw()
 	}
@@ -157,7 +160,7 @@
 	}
 	w.withdraw = withdraw
 	request := w.schedulerRequest(&progress{tried: w.tried})
-	request.IsRetry, request.IsRunning = true, true
+	request.IsRetry, request.IsRunning, request.Software = true, true, w.software
 	if w.hasBegun {
 		request.LeavesAt = time.Time{}
 	}
--- a/edge/origin_test.go
+++ b/edge/origin_test.go
@@ -89,6 +89,34 @@
 	}
 }
 
+// Guards against a stream whose engine falls silent behind its first event and that goes on at another software
+// version, since the request for another engine names none.
+func TestSilentStreamGoesOnAtItsSoftwareVersion(t *testing.T) {
+	for name, versions := range map[string][]string{
+		"another of the version": {"v1", "v2", "v1", "v2"},
+		"none of the version":    {"v1", "v2"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := start(t, len(versions))
+			d.listSoftware(versions...)
+			for _, engine := range d.engines {
+				engine.SetStall(fake.Stall{After: 1, For: 2500 * time.Millisecond})
+			}
+			await := background(func() (answer, error) { return d.send(chatCall("a")) })
+			awaitTrue(t, "stream not begun", func() bool { return d.hasLogged("stream began") })
+			for _, engine := range d.engines {
+				if len(engine.Runs()) == 0 {
+					engine.SetStall(fake.Stall{})
+				}
+			}
+			got, err := await()
+			assert.NilError(t, err)
+			assert.Equal(t, got.body, wholeStream)
+			assert.Equal(t, len(d.softwareOf("a")), 1, "%v", d.softwareOf("a"))
+		})
+	}
+}
+
 // begin starts a stream, reads its first event and closes the connection. It returns the engine's software version.
 func (d *deployment) begin(sent call) string {
 	d.t.Helper()
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -85,7 +85,7 @@
 	if e.refuseQuarantined(ctx, p) {
 		return true
 	}
-	next := p.next
+	next := e.takeNext(p)
 	if next == nil {
 		next = e.newGrantedAttempt(ctx)
 		var ok bool
@@ -94,7 +94,6 @@
 			return true
 		}
 	}
-	p.next = nil
 	defer next.recall(nil)
 	a := &attempt{exchange: e, grant: next.grant, progress: p, fingerprint: fingerprint}
 	a.prepare()
@@ -116,11 +115,26 @@
 	}}
 }
 
+// takeNext returns the grant that an attempt received while its upstream was silent, nil if there is none. An event
+// that arrived beside the grant may have shown that the stream needs another software version.
+func (e *exchange) takeNext(p *progress) *grantedAttempt {
+	if p.next == nil {
+		return nil
+	}
+	if software := e.requiredSoftware(p); software != "" && software != p.next.grant.Upstream.Software {
+		e.releaseNext(p)
+	}
+	next := p.next
+	p.next = nil
+	return next
+}
+
 // releaseNext returns a grant that no attempt uses.
 func (e *exchange) releaseNext(p *progress) {
 	if p.next != nil {
 		p.next.recall(nil)
 		e.planner.in <- schedulerMessage{message: place.Ended{Call: p.next.grant.Call, Ending: place.EndCancelled}}
+		p.next = nil
 	}
 }
 
--- a/edge/stream.go
+++ b/edge/stream.go
@@ -145,7 +145,7 @@
 	if id := lastID(events); id != "" {
 		state.lastID = id
 	}
-	a.idle.heard(streamIdleTimeout)
+	a.idle.heard(streamIdleTimeout, state.software)
 	if _, err := a.writer.Write(events); err != nil {
 		return false
 	}
