End the watch of a silent upstream when an attempt panics

A panic in an attempt left its watch: it went on asking for another upstream for the rest of the process, and a grant that it had just received was never returned. Found by review, from reading; no test shows it, since nothing of it can be observed from outside the package. The tests of panics and of silent upstreams pass.

--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -66,7 +66,7 @@
 	a.heardAt = now
 	a.quarantine.registry.Begin(now, a.id, a.grant.Upstream.ID, a.fingerprint)
 	result := a.roundTrip(ctx)
-	a.progress.next = a.idle.stop()
+	a.endWatch()
 	// The probe of isCrash takes a while, in which an answer that had just begun would seem to be long under way.
 	endedAt := time.Now()
 	isCrash := a.isCrash(ctx)
@@ -245,6 +245,14 @@
 	return true
 }
 
+// endWatch ends the watch for another upstream and keeps the one that it was granted, if any.
+func (a *attempt) endWatch() {
+	if next := a.idle.stop(); next != nil {
+		a.progress.next = next
+	}
+	a.idle = nil
+}
+
 // recordBytes records that the upstream has sent bytes of its answer. Bytes of a stream are no progress until an event
 // is complete.
 func (a *attempt) recordBytes() {
--- a/edge/callerpanic.go
+++ b/edge/callerpanic.go
@@ -69,6 +69,7 @@
 		if hasReturned {
 			return
 		}
+		a.endWatch()
 		now := time.Now()
 		a.quarantine.registry.End(now, a.id, false)
 		a.endParts(now, false)
