--- a/edge/originclient.go
+++ b/edge/originclient.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"net/netip"
 	"net/url"
@@ -22,18 +21,11 @@
 	maxOriginBody spoke.ByteSize = 1 << 10
 )
 
-type (
-	// originBody is the answer to a host that asks at which software version a stream began.
-	originBody struct {
-		Version string `json:"version"`
-	}
-
-	// originClient asks other hosts at which software version a stream began.
-	originClient struct {
-		http    *http.Client
-		metrics *metrics
-	}
-)
+// originClient asks other hosts at which software version a stream began.
+type originClient struct {
+	http    *http.Client
+	metrics *metrics
+}
 
 func newOriginClient(metrics *metrics) *originClient {
 	transport := &http.Transport{DialContext: dial.New(originTimeout).DialContext, DisableCompression: true}
@@ -70,11 +62,10 @@
 	}
 	c.metrics.addOriginRequest()
 	response, err := fetch.Do(c.http, request, fetch.Limits{Head: originTimeout, Idle: originTimeout, Body: maxOriginBody}, nil)
-	var body originBody
-	if err != nil || response.Status != http.StatusOK || json.Unmarshal(response.Body, &body) != nil {
+	if err != nil || response.Status != http.StatusOK {
 		return ""
 	}
-	return spoke.SoftwareVersion(body.Version)
+	return decodeOrigin(response.Body)
 }
 
 // ServeHTTP answers a host that asks at which software version a stream began.
@@ -84,10 +75,8 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	// The type always encodes.
-	raw, _ := json.Marshal(originBody{Version: string(software)})
 	w.Header().Set("Content-Type", "application/json")
-	if _, err := w.Write(raw); err != nil {
+	if _, err := w.Write(encodeOrigin(software)); err != nil {
 		o.log.WithError(err).Debug("origin of a stream not sent to a peer")
 	}
 }
