Parse peer addresses once and find holders only when they are asked

Cause: the addresses of all peers were parsed twice at each change of the list of hosts, and a call that takes up a stream ranked all hosts for its lookup although nobody is asked while one software version serves. Change: the origins get the addresses that groupPeers has parsed, and the hosts to ask are found where they are asked. No behaviour changes; the tests of streams that are taken up pass.

--- a/edge/apply.go
+++ b/edge/apply.go
@@ -143,13 +143,12 @@
 		h.post(place.RemovePeer{Host: id})
 	}
 	delete(h.peers, h.settings.Host)
-	h.relayer.origins.setPeers(h.peers)
 	h.planner.peers <- h.groupPeers()
 	h.stores.setPeers(slices.Collect(maps.Keys(h.peers)))
 }
 
 // groupPeers divides the addresses of the other hosts into those of this host's cell and the rest. It also
-// updates ordersRank and the hosts whose directory feeds are polled.
+// updates ordersRank, the hosts whose directory feeds are polled and those that are told of streams.
 func (h *Host) groupPeers() peerAddresses {
 	hosts := append(slices.Collect(maps.Keys(h.peers)), h.settings.Host)
 	cell, members, count := place.Cells(hosts, h.settings.Host)
@@ -172,6 +171,7 @@
 		}
 	}
 	h.offers.setAddresses(addresses)
+	h.relayer.origins.setPeers(slices.Collect(maps.Values(h.peers)), addresses)
 	h.deps.Log.WithFields(logrus.Fields{"peers": len(h.peers), "cell": cell, "cells": count, "near": len(found.sameCell)}).Info("peers changed")
 	return found
 }
--- a/edge/origins.go
+++ b/edge/origins.go
@@ -79,6 +79,13 @@
 	return o.addressesOf(origin.Holders(request, o.peers, o.self))
 }
 
+// sources returns the addresses of the hosts that are asked at which version a stream began.
+func (o *origins) sources(request spoke.RequestID) []netip.AddrPort {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.addressesOf(origin.Sources(request, o.peers, o.self))
+}
+
 func (o *origins) addressesOf(hosts []spoke.HostID) []netip.AddrPort {
 	var found []netip.AddrPort
 	for _, id := range hosts {
@@ -89,16 +96,11 @@
 	return found
 }
 
-func (o *origins) setPeers(peers map[spoke.HostID]spoke.ListedPeer) {
+// setPeers sets the other hosts and the addresses of those that have a valid one.
+func (o *origins) setPeers(peers []spoke.ListedPeer, addresses map[spoke.HostID]netip.AddrPort) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.peers, o.addresses = nil, make(map[spoke.HostID]netip.AddrPort, len(peers))
-	for id, peer := range peers {
-		o.peers = append(o.peers, peer)
-		if address, err := netip.ParseAddrPort(string(peer.Address)); err == nil {
-			o.addresses[id] = address
-		}
-	}
+	o.peers, o.addresses = peers, addresses
 }
 
 // applyUpstreams applies a change of the directory. Other hosts are told at once of the streams whose version has
@@ -179,11 +181,10 @@
 	o.mu.Lock()
 	now := o.timer.Now()
 	versions, isShared := o.versions.Of(now, service), o.isShared(now, service)
-	sources := o.addressesOf(origin.Sources(resumed, o.peers, o.self))
 	o.mu.Unlock()
 	switch {
 	case isShared && resumed != "":
-		return o.client.ask(ctx, resumed, sources)
+		return o.client.ask(ctx, resumed, o.sources(resumed))
 	case isShared:
 		return "", false
 	case len(versions) == 0:
