Probe upstreams in one way

Cause: the watch of a silent upstream and the search for crashes both connected to an upstream for a moment, each with code of its own. Change: both call probe, with the dialer of package dial and the same time.

--- a/edge/idlewatch.go
+++ b/edge/idlewatch.go
@@ -11,7 +11,6 @@
 	"github.com/sirupsen/logrus"
 
 	"magnoliaspoke.example/spoke"
-	"magnoliaspoke.example/spoke/dial"
 	"magnoliaspoke.example/spoke/place"
 )
 
@@ -180,10 +179,7 @@
 // grant ended.
 func (w *idleWatcher) take(ctx context.Context, next *grantedAttempt) (place.Ending, bool) {
 	upstream := next.grant.Upstream
-	conn, err := dial.New(probeTimeout).DialContext(ctx, "tcp", string(upstream.Address))
-	if err == nil {
-		_ = conn.Close()
-	}
+	err := probe(ctx, upstream.Address)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if ctx.Err() != nil || !w.state.Granted() {
--- a/edge/upstreamcrash.go
+++ b/edge/upstreamcrash.go
@@ -2,16 +2,16 @@
 
 import (
 	"context"
-	"net"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"magnoliaspoke.example/spoke"
+	"magnoliaspoke.example/spoke/dial"
 	"magnoliaspoke.example/spoke/place"
 )
 
-// probeTimeout bounds the connection attempt that distinguishes a dead upstream from a broken
-// connection.
+// probeTimeout bounds the connection attempt that shows whether an upstream can be reached.
 const probeTimeout = 250 * time.Millisecond
 
 // isCrash reports whether the upstream crashed during the attempt. An attempt that was cancelled shows
@@ -22,12 +22,17 @@
 
 // isDead reports whether the upstream no longer accepts connections.
 func (a *attempt) isDead() bool {
-	probe, err := net.DialTimeout("tcp", string(a.grant.Upstream.Address), probeTimeout)
+	return probe(context.Background(), a.grant.Upstream.Address) != nil
+}
+
+// probe returns why an upstream does not accept connections, nil if it does.
+func probe(ctx context.Context, address spoke.Address) error {
+	conn, err := dial.New(probeTimeout).DialContext(ctx, "tcp", string(address))
 	if err != nil {
-		return true
+		return err
 	}
-	_ = probe.Close()
-	return false
+	_ = conn.Close()
+	return nil
 }
 
 // logCrash logs and counts a crash of the upstream that ran the attempt.
