End calls with a stop of the host by package drain alone

Cause: both programs end what is still open at the end of a stop, edge with a context, a cause and their merging of its own beside drain.Requests. Change: drain.Requests offers the context that Handle makes, and edge uses it; errStopEnd is gone.

--- a/drain/end.go
+++ b/drain/end.go
@@ -22,15 +22,26 @@
 	return r
 }
 
-// End ends the context of each open request with the cause ErrEnd.
+// End ends the open requests.
 func (r *Requests) End() { r.end(ErrEnd) }
 
+// Ending returns a context that ends with End and has the cause ErrEnd then.
+func (r *Requests) Ending() context.Context { return r.ending }
+
+// Context returns a context that also ends with End, with the cause ErrEnd; the caller must call the returned function.
+func (r *Requests) Context(parent context.Context) (context.Context, context.CancelFunc) {
+	ctx, end := context.WithCancelCause(parent)
+	stop := context.AfterFunc(r.ending, func() { end(ErrEnd) })
+	return ctx, func() {
+		stop()
+		end(nil)
+	}
+}
+
 // Handle returns a handler whose requests end with End.
 func (r *Requests) Handle(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
-		ctx, end := context.WithCancelCause(req.Context())
-		defer end(nil)
-		stop := context.AfterFunc(r.ending, func() { end(ErrEnd) })
+		ctx, stop := r.Context(req.Context())
 		defer stop()
 		next.ServeHTTP(w, req.WithContext(ctx))
 	})
--- a/edge/callerbody.go
+++ b/edge/callerbody.go
@@ -20,7 +20,7 @@
 // send its body sends none after a refusal.
 func (h *relayer) discardBody(w http.ResponseWriter, r *http.Request, deadline time.Time, isAwaited bool) {
 	if isAwaited || r.Header.Get("Expect") == "" {
-		caller.Discard(h.stopEnd, w, r, deadline)
+		caller.Discard(h.requests.Ending(), w, r, deadline)
 	}
 }
 
--- a/edge/handler.go
+++ b/edge/handler.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"context"
 	"errors"
 	"io"
 	"net"
@@ -14,6 +13,7 @@
 
 	"magnoliaspoke.example/spoke"
 	"magnoliaspoke.example/spoke/caller"
+	"magnoliaspoke.example/spoke/drain"
 	"magnoliaspoke.example/spoke/link"
 	"magnoliaspoke.example/spoke/place"
 )
@@ -50,9 +50,8 @@
 		// stopDeadline is set while the host stops: callers are asked to close their connections, so
 		// that new ones reach other hosts, and calls that would not end in time are refused.
 		stopDeadline atomic.Pointer[time.Time]
-		// stopEnd ends at that time, with errStopEnd as its cause.
-		stopEnd  context.Context
-		endCalls context.CancelCauseFunc
+		// requests ends the calls that are still under way at that time.
+		requests *drain.Requests
 	}
 
 	// exchange is one call of a caller, with the writer of its answer.
--- a/edge/host.go
+++ b/edge/host.go
@@ -17,6 +17,7 @@
 	"magnoliaspoke.example/spoke"
 	"magnoliaspoke.example/spoke/caller"
 	"magnoliaspoke.example/spoke/config"
+	"magnoliaspoke.example/spoke/drain"
 	"magnoliaspoke.example/spoke/lease"
 	"magnoliaspoke.example/spoke/link"
 	"magnoliaspoke.example/spoke/peers"
@@ -100,10 +101,9 @@
 	h.relayer = &relayer{
 		conf: h.conf, codec: deps.Codec, planner: h.planner, pool: link.New(), quarantine: quarantine, parts: parts, origins: h.planner.origins,
 		answerMemory: &byteBudget{limit: int64(settings.Memory) / answerMemoryDivisor},
-		underWay:     newCallsUnderWay(), times: newCallTimes(),
+		underWay:     newCallsUnderWay(), times: newCallTimes(), requests: drain.NewRequests(),
 		log: deps.Log, metrics: metrics,
 	}
-	h.relayer.stopEnd, h.relayer.endCalls = context.WithCancelCause(context.Background())
 	// The holder name differs at each start, so that a previous process of this host never counts
 	// as the holder of a lease that the new one acquired.
 	holder := spoke.HostID(fmt.Sprintf("%s-%d", settings.Host, time.Now().UnixNano()))
--- a/edge/stop.go
+++ b/edge/stop.go
@@ -53,7 +53,7 @@
 	deadline := begun.Add(h.settings.StopGrace - stopMargin)
 	answersBy := deadline.Add(-answerMargin)
 	h.relayer.stopDeadline.Store(&answersBy)
-	end := time.AfterFunc(time.Until(answersBy), func() { h.relayer.endCalls(errStopEnd) })
+	end := time.AfterFunc(time.Until(answersBy), h.relayer.requests.End)
 	defer end.Stop()
 	timer.Wait(ctx, h.deps.Timer, min(unreadyDelay, time.Until(deadline)))
 	if err := callers.stop(ctx, deadline); err != nil {
--- a/edge/stopping.go
+++ b/edge/stopping.go
@@ -10,12 +10,10 @@
 	"github.com/sirupsen/logrus"
 
 	"magnoliaspoke.example/spoke"
+	"magnoliaspoke.example/spoke/drain"
 	"magnoliaspoke.example/spoke/place"
 )
 
-// errStopEnd is the cause with which calls end that are still under way at the end of a stop of this host.
-var errStopEnd = errors.New("host ends")
-
 // callTimes are the times that calls have taken, for concurrent use.
 type callTimes struct {
 	mu    sync.Mutex
@@ -73,15 +71,13 @@
 func (e *exchange) withDeadline(ctx context.Context) (context.Context, context.CancelFunc) {
 	cause := context.DeadlineExceeded
 	if e.endsWithStop {
-		cause = errStopEnd
+		cause = drain.ErrEnd
 	}
-	ctx, end := context.WithCancelCause(ctx)
-	stop := context.AfterFunc(e.stopEnd, func() { end(errStopEnd) })
+	ctx, stop := e.requests.Context(ctx)
 	ctx, cancel := context.WithDeadlineCause(ctx, e.deadline, cause)
 	return ctx, func() {
-		stop()
 		cancel()
-		end(nil)
+		stop()
 	}
 }
 
@@ -91,13 +87,13 @@
 
 // isStopOver reports whether the call ends because the stop of this host does.
 func (e *exchange) isStopOver(ctx context.Context) bool {
-	return errors.Is(context.Cause(ctx), errStopEnd) || e.stopEnd.Err() != nil || e.endsWithStop && e.isTimeOver()
+	return errors.Is(context.Cause(ctx), drain.ErrEnd) || e.requests.Ending().Err() != nil || e.endsWithStop && e.isTimeOver()
 }
 
 // endReadWithStop ends reading from the caller's connection at the end of a stop of this host; the returned
 // function removes this limit.
 func (e *exchange) endReadWithStop() func() {
-	stop := context.AfterFunc(e.stopEnd, func() { _ = http.NewResponseController(e.writer).SetReadDeadline(time.Now()) })
+	stop := context.AfterFunc(e.requests.Ending(), func() { _ = http.NewResponseController(e.writer).SetReadDeadline(time.Now()) })
 	return func() { stop() }
 }
 
