Shut servers of callers down in one place

Cause: both programs closed the listener, waited for quiet connections and shut the server down, each with the same three constants and steps. Change: drain.Connections.Shutdown does it for both. The tests of drain and host pass, and those of edge on stops.

--- a/drain/connections.go
+++ b/drain/connections.go
@@ -9,8 +9,14 @@
 	"time"
 )
 
-// pollInterval is the interval at which connections are checked.
-const pollInterval = 20 * time.Millisecond
+const (
+	// pollInterval is the interval at which connections are checked.
+	pollInterval = 20 * time.Millisecond
+	// unusedTime is the time without bytes after which no request is expected on a connection.
+	unusedTime = 500 * time.Millisecond
+	// shutdownTime is the time that the server has at most to close its connections.
+	shutdownTime = 100 * time.Millisecond
+)
 
 type (
 	// Connections are the open connections of one HTTP server.
@@ -65,6 +71,18 @@
 	}
 }
 
+// Shutdown closes the listener and shuts the server down, by the deadline of ctx, which it must have. Once
+// http.Server.Shutdown has begun, the server drops requests that it reads, so it begins only when no request is
+// expected or the deadline is near.
+func (c *Connections) Shutdown(ctx context.Context, server *http.Server, on net.Listener) error {
+	_ = on.Close()
+	deadline, _ := ctx.Deadline()
+	quietCtx, cancel := context.WithDeadline(ctx, deadline.Add(-shutdownTime))
+	defer cancel()
+	c.AwaitQuiet(quietCtx, unusedTime)
+	return server.Shutdown(ctx)
+}
+
 // AwaitQuiet waits until no connection has a request or has been used for the given time, or until ctx ends.
 func (c *Connections) AwaitQuiet(ctx context.Context, unused time.Duration) {
 	tick := time.NewTicker(pollInterval)
--- a/edge/callerserver.go
+++ b/edge/callerserver.go
@@ -10,13 +10,6 @@
 	"magnoliaspoke.example/spoke/drain"
 )
 
-const (
-	// unusedTime is the time without bytes after which a stopping host closes a connection without a request.
-	unusedTime = 500 * time.Millisecond
-	// shutdownTime is the time that the server has at most to close its connections.
-	shutdownTime = 100 * time.Millisecond
-)
-
 // callerServer serves the calls of callers.
 type callerServer struct {
 	*http.Server
@@ -40,14 +33,9 @@
 	}, nil
 }
 
-// stop refuses new connections and returns once all requests have their answers. Once Shutdown has begun, the
-// server drops requests that it reads, so it begins only when no request is expected or the deadline is near.
+// stop refuses new connections and returns once all requests have their answers, or at the deadline.
 func (s *callerServer) stop(ctx context.Context, deadline time.Time) error {
-	_ = s.listener.Close()
-	quietCtx, cancelQuiet := context.WithDeadline(ctx, deadline.Add(-shutdownTime))
-	defer cancelQuiet()
-	s.connections.AwaitQuiet(quietCtx, unusedTime)
-	shutdownCtx, cancel := context.WithDeadline(ctx, deadline)
+	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
-	return s.Shutdown(shutdownCtx)
+	return s.connections.Shutdown(ctx, s.Server, s.listener)
 }
--- a/host/drain.go
+++ b/host/drain.go
@@ -18,10 +18,6 @@
 const (
 	// announceTimeout bounds how long a host waits for its peers to acknowledge an announcement.
 	announceTimeout = time.Second
-	// unusedTime is the time without bytes after which a connection without a request is closed.
-	unusedTime = 500 * time.Millisecond
-	// shutdownTime is the time that the server has at most to close its connections.
-	shutdownTime = 100 * time.Millisecond
 	// answerMargin is the time between the end of the open requests and the close of their connections, in which
 	// their answers are written.
 	answerMargin = 250 * time.Millisecond
@@ -81,23 +77,13 @@
 	defer end.Stop()
 	d.announce(ctx)
 	timer.Wait(ctx, d.timer, d.delay)
-	// The server drops requests that it reads once Shutdown has begun.
-	_ = d.callerListener.Close()
-	d.awaitQuiet(ctx)
 	// The internal listener closes last, because peers still read runs that
 	// this host owns.
-	d.shutdown(ctx, "caller", d.callerServer)
-	d.shutdown(ctx, "internal", d.internalServer)
+	d.endShutdown("caller", d.callerServer, d.connections.Shutdown(ctx, d.callerServer, d.callerListener))
+	d.endShutdown("internal", d.internalServer, d.internalServer.Shutdown(ctx))
 	d.events.Record(spoke.Event{Kind: "drain-finished"})
 }
 
-// awaitQuiet waits until the open requests of callers have ended, on their own or at the end of the drain.
-func (d *drainer) awaitQuiet(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, d.deadline-shutdownTime)
-	defer cancel()
-	d.connections.AwaitQuiet(ctx, unusedTime)
-}
-
 func (d *drainer) announce(ctx context.Context) {
 	d.draining.Store(true)
 	d.events.Record(spoke.Event{Kind: "drain-started"})
@@ -121,8 +107,8 @@
 	})
 }
 
-func (d *drainer) shutdown(ctx context.Context, name string, server *http.Server) {
-	err := server.Shutdown(ctx)
+// endShutdown closes a server whose shutdown has failed.
+func (d *drainer) endShutdown(name string, server *http.Server, err error) {
 	if err == nil {
 		return
 	}
