End calls that get no other attempt in one place

Cause: a refusal of the scheduler and the end of a stop chose between a cut stream, a stored answer, a failure and a refusal in two ladders of the same steps. Change: endUnserved serves both, with reason, status and hint given. No behaviour changes; the tests of edge on refusals, stops, silence, broken streams, callers, limits and pauses pass.

--- a/edge/serve.go
+++ b/edge/serve.go
@@ -48,6 +48,16 @@
 		recall context.CancelCauseFunc
 	}
 
+	// unserved is why a call gets no other attempt.
+	unserved struct {
+		reason string
+		// status is that of the answer if an upstream may have run the call.
+		status int
+		// retryAfter is the hint of the refusal if none has.
+		retryAfter time.Duration
+		fields     logrus.Fields
+	}
+
 	bufferedAnswer struct {
 		head spoke.AnswerHead
 		body []byte
@@ -168,15 +178,20 @@
 
 func (e *exchange) handleRefusal(p *progress, a place.Refuse) {
 	fields := logrus.Fields{"backlog": a.Backlog.String(), "tried": p.tried, "last-fault": p.lastFault}
+	e.endUnserved(p, unserved{reason: string(a.Reason), status: http.StatusBadGateway, retryAfter: e.capRetryAfter(a.RetryAfter), fields: fields})
+}
+
+// endUnserved ends a call that gets no other attempt.
+func (e *exchange) endUnserved(p *progress, u unserved) {
 	switch {
 	case p.stream.hasBegun():
-		e.abortStream(string(a.Reason), fields)
+		e.abortStream(u.reason, u.fields)
 	case p.answer != nil:
 		e.deliver(p.answer.head, p.answer.body)
 	case p.mayHaveRun:
-		e.fail(http.StatusBadGateway, string(a.Reason), fields)
+		e.fail(u.status, u.reason, u.fields)
 	default:
-		e.refuse(http.StatusServiceUnavailable, string(a.Reason), e.capRetryAfter(a.RetryAfter), fields)
+		e.refuse(http.StatusServiceUnavailable, u.reason, u.retryAfter, u.fields)
 	}
 }
 
@@ -257,7 +272,7 @@
 	fields := logrus.Fields{"tried": p.tried, "last-fault": p.lastFault}
 	switch {
 	case e.isStopOver(ctx):
-		e.endWithStop(p, fields)
+		e.endUnserved(p, unserved{reason: "stopping", status: http.StatusGatewayTimeout, retryAfter: stoppingRetryAfter, fields: fields})
 	case errors.Is(ctx.Err(), context.Canceled):
 		e.endLeft(ctx, p, fields)
 	case p.stream.hasBegun():
--- a/edge/stopping.go
+++ b/edge/stopping.go
@@ -97,20 +97,6 @@
 	return func() { stop() }
 }
 
-// endWithStop answers a call that is still under way at the end of a stop of this host.
-func (e *exchange) endWithStop(p *progress, fields logrus.Fields) {
-	switch {
-	case p.stream.hasBegun():
-		e.abortStream("stopping", fields)
-	case p.answer != nil:
-		e.deliver(p.answer.head, p.answer.body)
-	case p.mayHaveRun:
-		e.fail(http.StatusGatewayTimeout, "stopping", fields)
-	default:
-		e.refuse(http.StatusServiceUnavailable, "stopping", stoppingRetryAfter, fields)
-	}
-}
-
 // prompt returns the description of the call's prompt, nil if it has none.
 func (e *exchange) prompt() *spoke.PromptMetadata {
 	if !e.route.IsPrompt || e.call.Prompt.Model == "" {
