Recover from panics of handlers in one way

Cause: both programs told aborted answers from panics and logged the latter with the same lines. Change: caller.PanicFields does it for both.

--- a/edge/callerpanic.go
+++ b/edge/callerpanic.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
 	"net/http"
-	"runtime/debug"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"magnoliaspoke.example/spoke/caller"
 	"magnoliaspoke.example/spoke/place"
 )
 
@@ -37,16 +35,11 @@
 // recoverAnswer gives the caller an answer after a panic, which the server's library would end without one. It
 // aborts an answer that has begun.
 func (e *exchange) recoverAnswer(w *answerWriter, r *http.Request) {
-	fault := recover()
-	if fault == nil {
+	fields := caller.PanicFields(recover())
+	if fields == nil {
 		return
 	}
-	if err, ok := fault.(error); ok && errors.Is(err, http.ErrAbortHandler) {
-		panic(fault)
-	}
-	e.log.WithFields(logrus.Fields{
-		"panic": fmt.Sprint(fault), "stack": string(debug.Stack()), "passed-on": e.isPassedOn, "begun": w.hasBegun, "route": e.route.Name,
-	}).Error("handler panicked")
+	e.log.WithFields(fields).WithFields(logrus.Fields{"passed-on": e.isPassedOn, "begun": w.hasBegun, "route": e.route.Name}).Error("handler panicked")
 	e.metrics.addAnswer(e.route.Name, "panic", e.arrived)
 	if w.hasBegun {
 		e.cutConnection()
--- a/openai/panic.go
+++ b/openai/panic.go
@@ -1,29 +1,22 @@
 package openai
 
 import (
-	"errors"
-	"fmt"
 	"net/http"
-	"runtime/debug"
 
 	"github.com/sirupsen/logrus"
 
 	"magnoliaspoke.example/spoke"
+	"magnoliaspoke.example/spoke/caller"
 )
 
 // recoverAnswer gives the caller a refusal after a panic, which the server's library would end without one. It aborts
 // an answer that has begun.
 func (x *exchange) recoverAnswer() {
-	fault := recover()
-	if fault == nil {
+	fields := caller.PanicFields(recover())
+	if fields == nil {
 		return
 	}
-	if err, ok := fault.(error); ok && errors.Is(err, http.ErrAbortHandler) {
-		panic(fault)
-	}
-	x.log.WithFields(logrus.Fields{
-		"request-id": x.id, "panic": fmt.Sprint(fault), "stack": string(debug.Stack()), "passed-on": x.isPassedOn, "begun": x.hasBegun,
-	}).Error("handler panicked")
+	x.log.WithFields(fields).WithFields(logrus.Fields{"request-id": x.id, "passed-on": x.isPassedOn, "begun": x.hasBegun}).Error("handler panicked")
 	if x.hasBegun {
 		panic(http.ErrAbortHandler)
 	}
