Name the stop of the host where it ends an attempt

Cause: the line of a failed attempt named the caller for all causes that it did not know, so also for the end of a stop; on-call would have looked at the wrong side. Found while reading the change again. TestStoppingHostAnswersCallsThatDoNotEnd wants the line that names the stop now; it failed without the new case and passes.

--- a/edge/idlewatch.go
+++ b/edge/idlewatch.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"magnoliaspoke.example/spoke"
+	"magnoliaspoke.example/spoke/drain"
 	"magnoliaspoke.example/spoke/place"
 )
 
@@ -214,6 +215,8 @@
 		return "recall"
 	case errors.Is(cause, context.DeadlineExceeded):
 		return "deadline"
+	case errors.Is(cause, drain.ErrEnd):
+		return "stop"
 	}
 	return "caller"
 }
--- a/edge/stop_calls_test.go
+++ b/edge/stop_calls_test.go
@@ -293,6 +293,7 @@
 	assert.Check(t, waited > 0, "no call waits for an engine")
 	d.awaitEnd(begun, shortGrace)
 	assert.Assert(t, !d.hasLogged("call cut off"))
+	assert.Assert(t, d.hasLogged(`"ended-by":"stop"`), "no line names the stop")
 }
 
 // Guards against a process that exceeds its grace period, or drops answers, because many calls end at once: most of
