--- a/host/drain.go
+++ b/host/drain.go
@@ -38,8 +38,10 @@
 		delay          time.Duration
 		deadline       time.Duration
 		draining       atomic.Bool
-		begin          chan struct{}
-		force          <-chan struct{}
+		// requestsEnd is set once the host no longer listens for callers.
+		requestsEnd atomic.Pointer[time.Time]
+		begin       chan struct{}
+		force       <-chan struct{}
 	}
 )
 
@@ -62,6 +64,7 @@
 }
 
 func (d *drainer) drain() {
+	begun := time.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), d.delay+d.deadline)
 	defer cancel()
 	go func() {
@@ -73,10 +76,12 @@
 		case <-ctx.Done():
 		}
 	}()
-	end := time.AfterFunc(d.delay+d.deadline-answerMargin, d.requests.End)
+	requestsEnd := begun.Add(d.delay + d.deadline - answerMargin)
+	end := time.AfterFunc(time.Until(requestsEnd), d.requests.End)
 	defer end.Stop()
 	d.announce(ctx)
 	timer.Wait(ctx, d.timer, d.delay)
+	d.requestsEnd.Store(&requestsEnd)
 	// The internal listener closes last, because peers still read runs that
 	// this host owns.
 	d.endShutdown("caller", d.callerServer, d.connections.Shutdown(ctx, d.callerServer, d.callerListener))
@@ -84,6 +89,14 @@
 	d.events.Record(spoke.Event{Kind: "drain-finished"})
 }
 
+// endOfRequests returns when the open requests end, zero while the host listens for callers.
+func (d *drainer) endOfRequests() time.Time {
+	if end := d.requestsEnd.Load(); end != nil {
+		return *end
+	}
+	return time.Time{}
+}
+
 func (d *drainer) announce(ctx context.Context) {
 	d.draining.Store(true)
 	d.events.Record(spoke.Event{Kind: "drain-started"})
--- a/host/drain_test.go
+++ b/host/drain_test.go
@@ -71,6 +71,37 @@
 	assert.Equal(t, <-held, http.StatusGatewayTimeout)
 }
 
+// Guards against calls that a draining host passes on although it may end before them: they come on connections that were
+// accepted before its listener closed, and their callers would reach another host with the next connection.
+func TestDrainRefusesLateCallsWithoutBound(t *testing.T) {
+	p := startPairWithDeadline(t, 3*time.Second)
+	leaving := p.servers[1]
+	p.bookings.SetFaults(plain.Faults{Delay: 2 * time.Second})
+	held := make(chan int, 1)
+	go func() { held <- leaving.book(t, "held") }()
+	p.wait("booking not sent", func() bool { return p.bookings.Runs().Total == 1 })
+	var kept [2]net.Conn
+	for i := range kept {
+		conn, err := net.Dial("tcp", leaving.listeners.Caller.Addr().String())
+		assert.NilError(t, err)
+		defer func() { _ = conn.Close() }()
+		kept[i] = conn
+	}
+	leaving.startDrain()
+	p.wait("closed caller listener", leaving.refusesConnections)
+	p.bookings.SetFaults(plain.Faults{})
+	const head = "POST /services/booking/dispatches HTTP/1.1\r\nHost: entry\r\nAuthorization: Bearer " + apiKey + "\r\nContent-Length: 3\r\n"
+	send(t, kept[0], head+"Idempotency-Key: late\r\nX-Spoke-Deadline-Ms: 30000\r\n\r\none")
+	status, isLast := readResponse(t, bufio.NewReader(kept[0]))
+	assert.Equal(t, status, http.StatusServiceUnavailable)
+	assert.Assert(t, isLast)
+	assert.Equal(t, p.bookings.Runs().Total, 1)
+	send(t, kept[1], head+"Idempotency-Key: bounded\r\nX-Spoke-Deadline-Ms: 1000\r\n\r\none")
+	status, _ = readResponse(t, bufio.NewReader(kept[1]))
+	assert.Equal(t, status, http.StatusOK)
+	assert.Equal(t, <-held, http.StatusOK)
+}
+
 // book sends a call that may not be repeated and returns its status, zero if there was no answer.
 func (s *loopbackHost) book(t *testing.T, key string) int {
 	req, err := http.NewRequest(http.MethodPost, "http://"+s.listeners.Caller.Addr().String()+"/services/booking/dispatches", strings.NewReader("one carton"))
--- a/host/host.go
+++ b/host/host.go
@@ -190,7 +190,7 @@
 		runner.WithQuarantine(h.crashes),
 		runner.WithEvents(h.events),
 	)
-	callerAPI := openai.New(requests, h.manifestView, openai.WithLog(h.log))
+	callerAPI := openai.New(requests, h.manifestView, openai.WithLog(h.log), openai.WithEndOfRequests(func() time.Time { return h.drainer.endOfRequests() }))
 	h.metrics = newMetrics(h)
 	h.callerServer = openai.NewServer(callerAPI)
 	h.internalServer = server(wire.NewServer(peerAPI{h}, signer, h.timer, h.events))
--- a/openai/complete.go
+++ b/openai/complete.go
@@ -80,6 +80,9 @@
 	if err != nil {
 		return err
 	}
+	if err := x.refuseLate(); err != nil {
+		return err
+	}
 	x.isPassedOn = true
 	run, err := x.backend.Complete(x.r.Context(), request)
 	if err != nil {
--- a/openai/handler.go
+++ b/openai/handler.go
@@ -47,7 +47,9 @@
 		writeTimeout time.Duration
 		now          func() time.Time
 		newID        func() spoke.RequestID
-		log          logrus.FieldLogger
+		// endOfRequests returns when requests end at the latest because the host stops, zero while it does not.
+		endOfRequests func() time.Time
+		log           logrus.FieldLogger
 	}
 
 	// Option changes a setting of a Handler.
@@ -90,6 +92,8 @@
 		now:          time.Now,
 		newID:        func() spoke.RequestID { return spoke.RequestID(uuid.NewString()) },
 		log:          logrus.StandardLogger(),
+
+		endOfRequests: func() time.Time { return time.Time{} },
 	}
 	for _, opt := range opts {
 		opt(h)
@@ -134,6 +138,12 @@
 	return func(h *Handler) { h.newID = newID }
 }
 
+// WithEndOfRequests sets the source of the time at which requests end at the latest because the host stops, zero while it
+// does not.
+func WithEndOfRequests(end func() time.Time) Option {
+	return func(h *Handler) { h.endOfRequests = end }
+}
+
 // WithLog sets the logger.
 func WithLog(log logrus.FieldLogger) Option {
 	return func(h *Handler) { h.log = log }
@@ -173,6 +183,18 @@
 	return endpoint(x)
 }
 
+// refuseLate returns a refusal if the deadline of the request lies behind the end of the host: an estimate of how long
+// the request takes is not worth the risk of a broken stream or of a call that may have run.
+func (x *exchange) refuseLate() error {
+	end := x.endOfRequests()
+	if end.IsZero() || x.deadline.Before(end) {
+		return nil
+	}
+	refusal := spoke.RefuseNotRun(spoke.CodeNotReady, "host stops before the deadline of the request")
+	refusal.RetryAfter = hostEndsRetryAfter
+	return refusal
+}
+
 func (x *exchange) notFound() error {
 	return spoke.RefuseNotRun(spoke.CodeNotFound, "no resource at %s %s", x.r.Method, x.r.URL.Path)
 }
--- a/openai/service.go
+++ b/openai/service.go
@@ -54,6 +54,9 @@
 	for _, name := range notForwarded {
 		header.Del(name)
 	}
+	if err := x.refuseLate(); err != nil {
+		return err
+	}
 	x.isPassedOn = true
 	response, err := x.backend.Call(x.r.Context(), spoke.ServiceCall{
 		ID:        x.id,
