Count the directory as lost by the host's own calls alone

Cause: the 503 of a watcher that is cut off counted as a loss of the store by the polling host, whose own way was sound. Each following answer of the store began two seconds without removals, as long as drain-ms, again and again. Waiting watches that are cut twice in a row had the same effect.

Ruled out: late news of the removal, old views of watchers.

Now a report of others, or a cut watch, leads to a call of the host's own that does not wait; only its failure, or an answer after more than a second, counts as a loss.

--- a/directory.go
+++ b/directory.go
@@ -11,6 +11,10 @@
 // longer available, so that the directory has to be read again.
 var ErrHistoryGone = eris.New("changes after the watched revision are no longer available")
 
+// ErrWatchCut reports that the connection of a waiting watch has ended, which does not show that the directory cannot be
+// reached.
+var ErrWatchCut = eris.New("connection of the watch ended before its response")
+
 type (
 	// ListedUpstream is the directory entry of an upstream.
 	ListedUpstream struct {
@@ -110,8 +114,8 @@
 		// Read returns the whole directory.
 		Read(ctx context.Context) (DirectoryChange, error)
 		// Watch waits for changes after a revision; it returns an empty change if there was none,
-		// and ErrHistoryGone if the directory has to be read again. Once end is closed it waits no
-		// longer and returns an error, unless the answer has begun.
+		// ErrHistoryGone if the directory has to be read again, and ErrWatchCut if the connection ended.
+		// Once end is closed it waits no longer and returns an error, unless the answer has begun.
 		Watch(ctx context.Context, after Revision, wait time.Duration, end <-chan struct{}) (DirectoryChange, error)
 		// Decode decodes the Raw field of a change that another host received from Watch.
 		Decode(raw []byte) (DirectoryChange, error)
--- a/edge/follower.go
+++ b/edge/follower.go
@@ -30,6 +30,10 @@
 	firstEra spoke.Era = 1
 	// provisionalWatchWait is short, so that a table of another host is soon in force.
 	provisionalWatchWait = 50 * time.Millisecond
+	// checkWait is the wait of a call that checks whether this host reaches the directory.
+	checkWait = time.Millisecond
+	// maxCheckTime is the time after which an answer to such a call shows an outage.
+	maxCheckTime = time.Second
 	// settlingTime is the time after an outage within which expired entries are announced again.
 	settlingTime = 2 * time.Second
 )
@@ -59,6 +63,9 @@
 		isDirect atomic.Bool
 
 		lostSince time.Time
+		// isChecking is set while others report a loss of the directory, or a watch was cut, and this host has not
+		// called the directory itself since.
+		isChecking bool
 		// changeAge bounds the age of changes.
 		changeAge place.ChangeAge
 		// latestEntries recognizes outdated entries of upstreams.
@@ -133,6 +140,10 @@
 		case isCut:
 			f.log.WithError(err).WithField("revision", revision).Info("watch of the directory ended, since another host has a later revision")
 			continue
+		case errors.Is(err, spoke.ErrWatchCut) && !f.isChecking:
+			f.isChecking = true
+			f.log.WithError(err).Info("watch of the directory was cut, checking whether it can be reached")
+			continue
 		case errors.Is(err, spoke.ErrHistoryGone):
 			f.log.WithField("revision", revision).Info("changes after this revision are no longer available, reading the whole directory again")
 			return
@@ -142,6 +153,7 @@
 		}
 		change.ReceivedAt = f.timer.Now()
 		change.MaxAge = f.recordAnswer(asked, change.ReceivedAt)
+		f.endCheck(asked, change.ReceivedAt)
 		f.handleAnswer(change)
 		f.publish(revision, change)
 		revision = change.Revision
@@ -181,11 +193,9 @@
 func (f *follower) pollPeers(ctx context.Context, revision spoke.Revision) spoke.Revision {
 	asked := f.timer.Now()
 	answer, err := f.client.poll(ctx, revision)
-	switch {
-	case errors.Is(err, errFeedLost):
-		f.handleFailure(ctx, err)
-		return revision
-	case err != nil:
+	if err != nil {
+		// That others cannot reach the directory does not show that this host cannot.
+		f.isChecking = errors.Is(err, errFeedLost)
 		if ctx.Err() == nil {
 			f.log.WithError(err).Info("no usable answer from other hosts, watching the directory directly")
 		}
@@ -307,6 +317,9 @@
 // watchTimeout returns how long the next watch waits. It is short while expired entries may be
 // announced again, so that the whole directory is read soon after.
 func (f *follower) watchTimeout() time.Duration {
+	if f.isChecking {
+		return checkWait
+	}
 	if f.isSettling() {
 		return max(f.settlingUntil.Sub(f.timer.Now()), time.Millisecond)
 	}
@@ -316,6 +329,15 @@
 	return maxWatchWait
 }
 
+// endCheck ends a check with its answer. A late one has outlasted an outage.
+func (f *follower) endCheck(asked, now time.Time) {
+	if f.isChecking && f.lostSince.IsZero() && now.Sub(asked) > maxCheckTime {
+		f.lostSince = asked
+		f.log.WithField("took", now.Sub(asked).String()).Warn("directory lost")
+	}
+	f.isChecking = false
+}
+
 func (f *follower) isSettling() bool { return !f.settlingUntil.IsZero() }
 
 func (f *follower) handleAnswer(change spoke.DirectoryChange) {
--- a/fake/platform/store.go
+++ b/fake/platform/store.go
@@ -32,6 +32,8 @@
 		loseAnswers       bool
 		delay             time.Duration
 		watches           int
+		// cutAfter is the time after which waiting watches are cut, zero for never.
+		cutAfter time.Duration
 		// era counts the times that the store has returned to a copy.
 		era atomic.Uint64
 	}
@@ -103,6 +105,13 @@
 	s.delay = delay
 }
 
+// CutWatches sets the time after which waiting watches are cut, zero for never.
+func (s *Store) CutWatches(after time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cutAfter = after
+}
+
 // Put writes an item as an operator or engine would.
 func (s *Store) Put(key string, value any) {
 	raw, isRaw := value.([]byte)
@@ -261,7 +270,13 @@
 func (s *Store) serveWatch(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	s.watches++
+	cutAfter := s.cutAfter
 	s.mu.Unlock()
+	cut := time.NewTimer(cutAfter)
+	defer cut.Stop()
+	if cutAfter == 0 {
+		cut.Stop()
+	}
 	query := r.URL.Query()
 	after, _ := strconv.ParseUint(query.Get("after"), 10, 64)
 	wait, _ := strconv.Atoi(query.Get("wait-ms"))
@@ -282,6 +297,8 @@
 		}
 		select {
 		case <-changed:
+		case <-cut.C:
+			panic(http.ErrAbortHandler)
 		case <-timeout.C:
 			writeJSON(w, http.StatusOK, map[string]any{"events": []item{}, "current-rev": after})
 			return
