Name shared cache groups by the workspaces that are isolated

Cause: the salt of every tenant that is not isolated was "shared", so the parts of a tenant that becomes isolated stayed where all others look. Besides, a waiting call kept the salt of its arrival.

Ruled out: hosts without the new manifest, copies between engines.

Now the shared name contains a digest of the set of isolated tenants of the manifest in force; under a name there are only parts of tenants outside the set. A call gets its name when it is sent. The own mode was not affected: its salts contain the workspace.

--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -92,7 +92,8 @@
 		FetchDeadline: a.grant.FetchDeadline,
 	}
 	if a.route.IsPrompt {
-		a.spec.CacheGroup = place.CacheGroup(a.owner, a.call.Prompt.Model, a.grant.Weights)
+		// The workspace may have become isolated while the call waited.
+		a.spec.CacheGroup = place.CacheGroup(a.conf.cacheGroups.Load().Of(a.owner), a.call.Prompt.Model, a.grant.Weights)
 		a.spec.Urgency, a.spec.HasUrgency = min(max(a.grant.Urgency, 0), lowestUrgency), true
 	}
 	if a.progress.stream.hasBegun() && a.progress.stream.lastID != "" {
--- a/edge/configstate.go
+++ b/edge/configstate.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"magnoliaspoke.example/spoke"
+	"magnoliaspoke.example/spoke/place"
 )
 
 const (
@@ -30,6 +31,8 @@
 // use, except that only one task may install tables.
 type configState struct {
 	table atomic.Pointer[spoke.RoutingTable]
+	// cacheGroups names the cache groups of the table's workspaces.
+	cacheGroups atomic.Pointer[place.CacheGroups]
 	// tableReference identifies the table for other hosts.
 	tableReference atomic.Pointer[spoke.TableReference]
 	confirmedAt    atomic.Int64
@@ -159,6 +162,7 @@
 
 // install puts a table in force.
 func (c *configState) install(table *spoke.RoutingTable, content spoke.ContentReference) {
+	c.cacheGroups.Store(place.NewCacheGroups(table.Isolated))
 	c.table.Store(table)
 	c.tableReference.Store(&spoke.TableReference{Version: table.Version, Content: content})
 }
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -211,7 +211,7 @@
 
 func (e *exchange) schedulerRequest(p *progress) place.Request {
 	return place.Request{
-		Call: spoke.CallNumber(e.callNumbers.Add(1)), Service: e.service(), Group: place.OwnerGroup(e.owner),
+		Call: spoke.CallNumber(e.callNumbers.Add(1)), Service: e.service(), Group: e.conf.cacheGroups.Load().Of(e.owner),
 		Urgency: e.urgency(), Arrived: e.arrived, Target: e.arrived.Add(e.route.Target), GapTarget: e.route.GapTarget, Deadline: e.deadline,
 		LeavesAt: e.leavesAt(p),
 		Tried:    p.tried, Only: p.only, IsRetry: p.sendCount > 0, Prompt: e.prompt(), Software: e.requiredSoftware(p),
--- a/place/cache_test.go
+++ b/place/cache_test.go
@@ -43,7 +43,7 @@
 	ts.now = ts.now.Add(200 * time.Millisecond)
 	ts.handle(place.Ended{Call: first.Call, Ending: place.EndServed})
 	isolated := ts.request(2, "session", 8000, 1000)
-	isolated.Group = place.OwnerGroup(spoke.KeyOwner{Workspace: "w", IsCacheIsolated: true})
+	isolated.Group = place.NewCacheGroups([]spoke.WorkspaceID{"w"}).Of(spoke.KeyOwner{Workspace: "w"})
 	granted := ts.grant(isolated)
 	assert.Equal(t, granted.Cached, spoke.TokenCount(0))
 	ts.now = ts.now.Add(200 * time.Millisecond)
@@ -51,8 +51,8 @@
 	newer := ts.grant(ts.request(2, "session", 8000, 1000))
 	assert.Equal(t, newer.Weights, spoke.WeightVersion(2))
 	assert.Equal(t, newer.Cached, spoke.TokenCount(0))
-	assert.Assert(t, place.CacheGroup(spoke.KeyOwner{}, model, 1) != place.CacheGroup(spoke.KeyOwner{}, model, 2))
-	assert.Assert(t, place.CacheGroup(spoke.KeyOwner{}, model, 1) != place.CacheGroup(spoke.KeyOwner{}, "model-b", 1))
+	assert.Assert(t, place.CacheGroup("shared", model, 1) != place.CacheGroup("shared", model, 2))
+	assert.Assert(t, place.CacheGroup("shared", model, 1) != place.CacheGroup("shared", "model-b", 1))
 }
 
 // Guards against saving parts twice or without room, and against copying parts from a store before they
@@ -71,7 +71,7 @@
 	assert.DeepEqual(t, second.SaveTargets, []spoke.Address{"", ""})
 	ts.finish(second)
 
-	key := place.StoredKeyOf(spoke.StoredPart{Group: place.CacheGroup(spoke.KeyOwner{}, model, 1), Part: "session"})
+	key := place.StoredKeyOf(spoke.StoredPart{Group: place.CacheGroup("shared", model, 1), Part: "session"})
 	ts.handle(place.UpdateStore{State: spoke.StoreState{Store: "store", Epoch: 7, Used: 8000, Stored: []spoke.StoredKey{key}}})
 	ts.handle(place.Pause{Upstream: first.Upstream.ID, For: time.Minute})
 	copied := ts.grant(ts.request(2, "session", 8000, 1000))
@@ -146,7 +146,7 @@
 	var keys []spoke.StoredKey
 	for i := range 10 {
 		part := spoke.PartID(fmt.Sprint("s", i))
-		keys = append(keys, place.StoredKeyOf(spoke.StoredPart{Group: place.CacheGroup(spoke.KeyOwner{}, model, 1), Part: part}))
+		keys = append(keys, place.StoredKeyOf(spoke.StoredPart{Group: place.CacheGroup("shared", model, 1), Part: part}))
 	}
 	ts.handle(place.UpdateStore{State: spoke.StoreState{Store: "store", Epoch: 7, Used: 40000, Stored: keys}})
 	granted := 0
@@ -166,7 +166,7 @@
 // parts that are being saved again.
 func TestStoreStateExpiresWithoutReports(t *testing.T) {
 	ts := newTestScheduler(t, 2)
-	key := place.StoredKeyOf(spoke.StoredPart{Group: place.CacheGroup(spoke.KeyOwner{}, model, 1), Part: "session"})
+	key := place.StoredKeyOf(spoke.StoredPart{Group: place.CacheGroup("shared", model, 1), Part: "session"})
 	state := spoke.StoreState{Store: "store", Epoch: 7, Used: 8000, Stored: []spoke.StoredKey{key}}
 	ts.handle(place.ReceiveReport{Report: spoke.HostReport{Host: "host-2", Sequence: 1, Stores: []spoke.StoreState{state}}})
 	first := ts.grant(ts.request(2, "session", 8000, 1000))
--- a/place/copy_sources_test.go
+++ b/place/copy_sources_test.go
@@ -18,7 +18,7 @@
 	ts := newTestScheduler(t, engines)
 	var keys []spoke.StoredKey
 	for i := range sessions {
-		stored := spoke.StoredPart{Group: place.CacheGroup(spoke.KeyOwner{}, model, 1), Part: session(i)}
+		stored := spoke.StoredPart{Group: place.CacheGroup("shared", model, 1), Part: session(i)}
 		keys = append(keys, place.StoredKeyOf(stored))
 	}
 	ts.handle(place.UpdateStore{State: spoke.StoreState{Store: "store", Epoch: 7, Used: 10000, Stored: keys}})
--- a/place/outdated_test.go
+++ b/place/outdated_test.go
@@ -21,7 +21,7 @@
 }
 
 func groupAt(version spoke.WeightVersion) string {
-	return place.CacheGroup(spoke.KeyOwner{}, model, version)
+	return place.CacheGroup("shared", model, version)
 }
 
 // During a rollout, stores were full of parts computed with the older weights, which left no room for new
@@ -74,7 +74,7 @@
 	publish(3, 9*time.Second)
 	assert.Assert(t, reclaimer.MayFree(now, groupAt(2)))
 	assert.Assert(t, !reclaimer.MayFree(now, groupAt(3)))
-	assert.Assert(t, !reclaimer.MayFree(now, place.CacheGroup(spoke.KeyOwner{}, "model-b", 1)))
+	assert.Assert(t, !reclaimer.MayFree(now, place.CacheGroup("shared", "model-b", 1)))
 	assert.Assert(t, !reclaimer.MayFree(now, "a text of another program"))
 	reclaimer.Reset()
 	assert.Assert(t, !reclaimer.MayFree(now, groupAt(1)))
--- a/place/prefix.go
+++ b/place/prefix.go
@@ -1,9 +1,6 @@
 package place
 
 import (
-	"strconv"
-	"strings"
-
 	"github.com/cespare/xxhash/v2"
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 
@@ -16,10 +13,6 @@
 	// unsharedMemoryShare is the fraction of a call's memory that no other call can share: the end of its
 	// prompt and its output.
 	unsharedMemoryShare = 0.27
-
-	// modelSeparator and versionSeparator precede the model and the weight version in a cache group.
-	modelSeparator   = "|"
-	versionSeparator = "@"
 )
 
 // prefixCache estimates which prompt prefixes an engine has cached. Like the engine, it evicts the least
@@ -30,43 +23,8 @@
 	parts    *simplelru.LRU[spoke.PrefixKey, spoke.TokenCount]
 }
 
-// CacheGroup returns the cache group under which an engine caches the prompt parts of a workspace for one
-// weight version.
-func CacheGroup(owner spoke.KeyOwner, model spoke.ModelName, version spoke.WeightVersion) string {
-	return weightsGroup(OwnerGroup(owner), model, version)
-}
-
-// OwnerGroup returns the part of the cache group that does not depend on weights.
-func OwnerGroup(owner spoke.KeyOwner) string {
-	if owner.IsCacheIsolated {
-		return "only-" + string(owner.Workspace)
-	}
-	return "shared"
-}
-
-// ParseCacheGroup returns the model and the weight version of a cache group, and false if the text is not
-// one.
-func ParseCacheGroup(group string) (spoke.ModelName, spoke.WeightVersion, bool) {
-	rest, text, hasVersion := cutLast(group, versionSeparator)
-	_, model, hasModel := cutLast(rest, modelSeparator)
-	version, err := strconv.ParseInt(text, 10, 64)
-	return spoke.ModelName(model), spoke.WeightVersion(version), hasVersion && hasModel && err == nil
-}
-
-func weightsGroup(group string, model spoke.ModelName, version spoke.WeightVersion) string {
-	return group + modelSeparator + string(model) + versionSeparator + strconv.FormatInt(int64(version), 10)
-}
-
 func groupOf(m Request, version spoke.WeightVersion) string {
-	return weightsGroup(m.Group, m.Prompt.Model, version)
-}
-
-func cutLast(text, separator string) (before, after string, found bool) {
-	position := strings.LastIndex(text, separator)
-	if position < 0 {
-		return text, "", false
-	}
-	return text[:position], text[position+len(separator):], true
+	return CacheGroup(m.Group, m.Prompt.Model, version)
 }
 
 // prefixesOf returns the prefixes of a prompt, the shortest first.
--- a/routes.go
+++ b/routes.go
@@ -104,7 +104,9 @@
 		Stores   []PromptStore
 		// Owners maps API keys to their workspaces; without entries no call needs a key.
 		Owners map[string]KeyOwner
-		Limits CallerLimits
+		// Isolated lists the workspaces whose cached prompt parts are separated from those of all others.
+		Isolated []WorkspaceID
+		Limits   CallerLimits
 
 		byHost map[string][]Route
 	}
