Do not take the end of a killed engine for the end of its stream

Callers got streams that ended as complete before their last event (ORDER, reported from real processes).

Cause: an answer with neither a length nor chunks ends with its connection, and the kernel ends the connections of a killed process in the same way.

Ruled out: chunked streams (the missing last chunk shows the break), streams that end inside an event (noticed before), resumption.

Now the host connects to the engine when such an answer ends. If the connection is refused and the engine has not announced that it leaves, the answer is incomplete.

--- a/edge/apply.go
+++ b/edge/apply.go
@@ -109,6 +109,7 @@
 
 func (h *Host) applyUpstreams(change spoke.DirectoryChange) {
 	h.relayer.origins.applyUpstreams(change)
+	h.relayer.listed.apply(change)
 	for _, listed := range change.Upstreams {
 		if listed.IsLeaving {
 			h.deps.Log.WithField("upstream", listed.ID).Info("upstream is leaving")
--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -219,6 +219,9 @@
 func (a *attempt) relayBuffered(ctx context.Context, answer *link.Response) bool {
 	body, release, err := readAnswer(answer.Body, a.answerMemory)
 	defer release()
+	if err == nil && a.endsWithUpstream(answer) {
+		err = errUpstreamEnded
+	}
 	if err != nil {
 		return a.recordFailure(ctx, place.EndBroken, errors.Join(errors.New("answer is incomplete"), err))
 	}
--- a/edge/handler.go
+++ b/edge/handler.go
@@ -40,6 +40,7 @@
 		quarantine *quarantine
 		parts      *partQuarantine
 		origins    *origins
+		listed     *listedUpstreams
 		// answerMemory bounds the memory of large answers that are buffered until they are complete.
 		answerMemory *byteBudget
 		log          logrus.FieldLogger
--- a/edge/host.go
+++ b/edge/host.go
@@ -101,6 +101,7 @@
 	h.relayer = &relayer{
 		conf: h.conf, codec: deps.Codec, planner: h.planner, pool: link.New(), quarantine: quarantine, parts: parts, origins: h.planner.origins,
 		answerMemory: &byteBudget{limit: int64(settings.Memory) / answerMemoryDivisor},
+		listed:       newListedUpstreams(),
 		underWay:     newCallsUnderWay(), times: newCallTimes(), requests: drain.NewRequests(),
 		log: deps.Log, metrics: metrics,
 	}
--- a/edge/stream.go
+++ b/edge/stream.go
@@ -77,6 +77,9 @@
 		if answer.EndsWithConnection && !state.hasBegun() && a.spec.LastEventID == "" {
 			return a.recordFailure(ctx, place.EndBroken, errNoEvents)
 		}
+		if a.endsWithUpstream(answer) {
+			return a.recordFailure(ctx, place.EndBroken, errUpstreamEnded)
+		}
 		return a.finishStream(state)
 	}
 }
--- a/fake/platform/unframed.go
+++ b/fake/platform/unframed.go
@@ -18,6 +18,8 @@
 	Body string
 	// IsReset resets the connection after the body in place of closing it.
 	IsReset bool
+	// StaysOpen leaves the connection open after the body until the process ends.
+	StaysOpen bool
 }
 
 // SetUnframedAnswer sets the response to the following requests.
@@ -41,7 +43,7 @@
 	answer := e.unframed
 	e.mu.Unlock()
 	if after, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
-		answer.Body, answer.IsReset = WholeStream(after, e.events), false
+		answer.Body, answer.IsReset, answer.StaysOpen = WholeStream(after, e.events), false, false
 	}
 	conn, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
@@ -49,6 +51,9 @@
 	}
 	head := slices.Concat(answer.Head, []string{headerRequestID + ": " + r.Header.Get(headerRequestID), headerServerStamp + ": " + stampPrefix + e.ID})
 	_, _ = io.WriteString(conn, strings.Join(head, "\r\n")+"\r\n\r\n"+answer.Body)
+	if answer.StaysOpen {
+		return
+	}
 	if answer.IsReset {
 		_ = conn.(*net.TCPConn).SetLinger(0)
 	}
