Bound heads and long answers in the own mode

Report of other operators: bytes without end from a faulty engine used up a host's memory. cmd/edge bounds them; cmd/entry did not.

Cause: clients of engines, stores, plain services, the key-value service and other hosts left the limit of heads to the library (10 MB), and answers of plain services had a limit each (8 MB), but none together.

Now heads have 64 KB, and long answers of plain services share 32 MB. The memory budget moves from edge to fetch for both.

--- a/coord/client.go
+++ b/coord/client.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"magnoliaspoke.example/spoke"
+	"magnoliaspoke.example/spoke/fetch"
 	"magnoliaspoke.example/spoke/timer"
 )
 
@@ -71,5 +72,7 @@
 		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: maxIdleConns,
 		IdleConnTimeout:     time.Minute,
+
+		MaxResponseHeaderBytes: fetch.MaxHead,
 	}
 }
--- a/edge/contentclient.go
+++ b/edge/contentclient.go
@@ -39,7 +39,7 @@
 }
 
 func newContentClient(contents *contents, directory spoke.Directory, staleAfter time.Duration) *contentClient {
-	transport := &http.Transport{DialContext: dial.New(contentIdleTimeout).DialContext, DisableCompression: true}
+	transport := &http.Transport{DialContext: dial.New(contentIdleTimeout).DialContext, DisableCompression: true, MaxResponseHeaderBytes: fetch.MaxHead}
 	return &contentClient{
 		http: &http.Client{Transport: transport}, contents: contents, decode: directory.DecodeContent,
 		timeout: time.Duration(contentTimeoutFraction * float64(staleAfter)),
--- a/edge/feedclient.go
+++ b/edge/feedclient.go
@@ -47,7 +47,7 @@
 }
 
 func newFeedClient(staleAfter time.Duration, now func() time.Time) *feedClient {
-	transport := &http.Transport{DialContext: dial.New(feedTimeoutMargin).DialContext, DisableCompression: true}
+	transport := &http.Transport{DialContext: dial.New(feedTimeoutMargin).DialContext, DisableCompression: true, MaxResponseHeaderBytes: fetch.MaxHead}
 	return &feedClient{http: &http.Client{Transport: transport}, now: now, staleAfter: staleAfter}
 }
 
--- a/edge/handler.go
+++ b/edge/handler.go
@@ -14,6 +14,7 @@
 	"magnoliaspoke.example/spoke"
 	"magnoliaspoke.example/spoke/caller"
 	"magnoliaspoke.example/spoke/drain"
+	"magnoliaspoke.example/spoke/fetch"
 	"magnoliaspoke.example/spoke/link"
 	"magnoliaspoke.example/spoke/place"
 )
@@ -42,7 +43,7 @@
 		origins    *origins
 		listed     *listedUpstreams
 		// answerMemory bounds the memory of large answers that are buffered until they are complete.
-		answerMemory *byteBudget
+		answerMemory *fetch.Memory
 		log          logrus.FieldLogger
 		metrics      *metrics
 		callNumbers  atomic.Uint64
--- a/edge/host.go
+++ b/edge/host.go
@@ -18,6 +18,7 @@
 	"magnoliaspoke.example/spoke/caller"
 	"magnoliaspoke.example/spoke/config"
 	"magnoliaspoke.example/spoke/drain"
+	"magnoliaspoke.example/spoke/fetch"
 	"magnoliaspoke.example/spoke/lease"
 	"magnoliaspoke.example/spoke/link"
 	"magnoliaspoke.example/spoke/peers"
@@ -100,7 +101,7 @@
 	h.planner.origins = newOrigins(h.self(), h.conf, deps.Timer, deps.Log, metrics, socket.Send)
 	h.relayer = &relayer{
 		conf: h.conf, codec: deps.Codec, planner: h.planner, pool: link.New(), quarantine: quarantine, parts: parts, origins: h.planner.origins,
-		answerMemory: &byteBudget{limit: int64(settings.Memory) / answerMemoryDivisor},
+		answerMemory: fetch.NewMemory(settings.Memory / answerMemoryDivisor),
 		listed:       newListedUpstreams(),
 		underWay:     newCallsUnderWay(), times: newCallTimes(), requests: drain.NewRequests(),
 		log: deps.Log, metrics: metrics,
--- a/edge/originclient.go
+++ b/edge/originclient.go
@@ -28,7 +28,7 @@
 }
 
 func newOriginClient(metrics *metrics) *originClient {
-	transport := &http.Transport{DialContext: dial.New(originTimeout).DialContext, DisableCompression: true}
+	transport := &http.Transport{DialContext: dial.New(originTimeout).DialContext, DisableCompression: true, MaxResponseHeaderBytes: fetch.MaxHead}
 	return &originClient{http: &http.Client{Transport: transport}, metrics: metrics}
 }
 
--- a/engine/client.go
+++ b/engine/client.go
@@ -10,6 +10,7 @@
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 
 	"magnoliaspoke.example/spoke"
+	"magnoliaspoke.example/spoke/fetch"
 	"magnoliaspoke.example/spoke/timer"
 )
 
@@ -121,6 +122,8 @@
 		ReadBufferSize:      streamBufferSize,
 		WriteBufferSize:     streamBufferSize,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: fetch.MaxHead,
 	}
 }
 
--- a/plain/client.go
+++ b/plain/client.go
@@ -3,7 +3,7 @@
 import (
 	"bytes"
 	"context"
-	"io"
+	"errors"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -13,6 +13,7 @@
 	"github.com/rotisserie/eris"
 
 	"magnoliaspoke.example/spoke"
+	"magnoliaspoke.example/spoke/fetch"
 )
 
 const (
@@ -21,6 +22,8 @@
 	// defaultAnswerLimit bounds the response body of a service; it equals the limit on
 	// request bodies.
 	defaultAnswerLimit spoke.ByteSize = 8 << 20
+	// defaultAnswerMemory bounds the memory of all long responses that are being read.
+	defaultAnswerMemory spoke.ByteSize = 32 << 20
 	// idlePerHost bounds the idle connections kept for each upstream.
 	idlePerHost = 32
 	// idleConnTimeout closes idle connections before they are likely to be stale.
@@ -32,6 +35,7 @@
 	Client struct {
 		dialer      net.Dialer
 		answerLimit spoke.ByteSize
+		memory      *fetch.Memory
 		pooled      *http.Transport
 		fresh       *http.Transport
 	}
@@ -42,14 +46,14 @@
 
 // NewClient returns a client with its own connection pool.
 func NewClient(opts ...ClientOption) *Client {
-	c := &Client{dialer: net.Dialer{Timeout: defaultDialTimeout}, answerLimit: defaultAnswerLimit}
+	c := &Client{dialer: net.Dialer{Timeout: defaultDialTimeout}, answerLimit: defaultAnswerLimit, memory: fetch.NewMemory(defaultAnswerMemory)}
 	for _, opt := range opts {
 		opt(c)
 	}
-	c.pooled = &http.Transport{DialContext: c.dial, MaxIdleConnsPerHost: idlePerHost, IdleConnTimeout: idleConnTimeout, DisableCompression: true}
+	c.pooled = &http.Transport{DialContext: c.dial, MaxIdleConnsPerHost: idlePerHost, IdleConnTimeout: idleConnTimeout, DisableCompression: true, MaxResponseHeaderBytes: fetch.MaxHead}
 	// With keep-alive disabled the transport never reuses a connection. On a reused
 	// connection net/http retries requests by itself if they carry an Idempotency-Key.
-	c.fresh = &http.Transport{DialContext: c.dial, DisableKeepAlives: true, DisableCompression: true}
+	c.fresh = &http.Transport{DialContext: c.dial, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: fetch.MaxHead}
 	return c
 }
 
@@ -86,13 +90,14 @@
 		return spoke.PlainAnswer{}, tracker.wrapError(err, at, call)
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(response.Body, int64(c.answerLimit)+1))
+	body, release, err := c.memory.ReadWhole(response.Body, c.answerLimit)
+	defer release()
+	if errors.Is(err, fetch.ErrTooLong) || errors.Is(err, fetch.ErrMemory) {
+		return spoke.PlainAnswer{}, eris.Wrapf(err, "answer of %s to attempt %s, at most %d bytes", at, call.Attempt, c.answerLimit)
+	}
 	if err != nil {
 		return spoke.PlainAnswer{}, eris.Wrapf(spoke.ErrIncomplete, "answer of %s to attempt %s: %s", at, call.Attempt, err)
 	}
-	if spoke.ByteSize(len(body)) > c.answerLimit {
-		return spoke.PlainAnswer{}, eris.Errorf("answer of %s to attempt %s exceeds %d bytes", at, call.Attempt, c.answerLimit)
-	}
 	return spoke.PlainAnswer{Status: response.StatusCode, Header: response.Header, Body: body}, nil
 }
 
--- a/store/client.go
+++ b/store/client.go
@@ -13,6 +13,7 @@
 	"github.com/rotisserie/eris"
 
 	"magnoliaspoke.example/spoke"
+	"magnoliaspoke.example/spoke/fetch"
 )
 
 const (
@@ -49,6 +50,8 @@
 		MaxConnsPerHost:     maxConnections,
 		MaxIdleConnsPerHost: maxIdleConnections,
 		IdleConnTimeout:     idleTimeout,
+
+		MaxResponseHeaderBytes: fetch.MaxHead,
 	}
 	return client
 }
--- a/wire/client.go
+++ b/wire/client.go
@@ -16,6 +16,7 @@
 
 	"magnoliaspoke.example/spoke"
 	"magnoliaspoke.example/spoke/dial"
+	"magnoliaspoke.example/spoke/fetch"
 	"magnoliaspoke.example/spoke/member"
 )
 
@@ -65,6 +66,8 @@
 		DisableCompression:  true,
 		ReadBufferSize:      streamBufferBytes,
 		WriteBufferSize:     streamBufferBytes,
+
+		MaxResponseHeaderBytes: fetch.MaxHead,
 	}
 	client := &Client{http: &http.Client{Transport: transport}, signer: signer, timer: timer, clock: clock}
 	for _, opt := range opts {
