Bound the memory of long request bodies

Cause: each body was kept for its call and copied for each attempt, and all together had no bound.

Bodies above 64 KB now share a quarter of the host's memory. One that does not fit is refused as "not run" before it is read, if its length is stated. Attempts send the body without a copy.

--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -217,7 +217,7 @@
 
 // relayBuffered reads an answer to its end before it sends it to the caller.
 func (a *attempt) relayBuffered(ctx context.Context, answer *link.Response) bool {
-	body, release, err := a.answerMemory.ReadWhole(answer.Body, maxAnswerSize)
+	body, release, err := a.answerMemory.ReadWhole(answer.Body, unknownLength, maxAnswerSize)
 	defer release()
 	if err == nil && a.endsWithUpstream(answer) {
 		err = errUpstreamEnded
--- a/edge/handler.go
+++ b/edge/handler.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -20,8 +19,10 @@
 )
 
 const (
-	// defaultMaxBody is the limit of a request body, in bytes, if the configuration sets none.
-	defaultMaxBody = 8 << 20
+	// defaultMaxBody is the limit of a request body if the configuration sets none.
+	defaultMaxBody spoke.ByteSize = 8 << 20
+	// bodyMemoryDivisor divides the memory of the host; the result is the budget for large request bodies.
+	bodyMemoryDivisor = 4
 	// shortRetryAfter is the Retry-After if the configuration is missing or stale, or if no upstream
 	// took the call.
 	shortRetryAfter = 300 * time.Millisecond
@@ -44,11 +45,13 @@
 		listed     *listedUpstreams
 		// answerMemory bounds the memory of large answers that are buffered until they are complete.
 		answerMemory *fetch.Memory
-		log          logrus.FieldLogger
-		metrics      *metrics
-		callNumbers  atomic.Uint64
-		underWay     *callsUnderWay
-		times        *callTimes
+		// bodyMemory bounds the memory of large request bodies, which calls keep until they end.
+		bodyMemory  *fetch.Memory
+		log         logrus.FieldLogger
+		metrics     *metrics
+		callNumbers atomic.Uint64
+		underWay    *callsUnderWay
+		times       *callTimes
 		// stop is set while the host stops: callers are asked to close their connections, so that new
 		// ones reach other hosts, and calls that would not end in time are refused.
 		stop atomic.Pointer[stopTimes]
@@ -74,6 +77,8 @@
 		takesChunks bool
 		// hasReadBody is set once the body was read to its end or to its limit, so that the caller sends all of it.
 		hasReadBody bool
+		// releaseBody returns the memory of the body, nil before it was read.
+		releaseBody func()
 		state       *callState
 		// isAnswered is set once the caller has a complete answer of an upstream that did not fail.
 		isAnswered bool
@@ -181,31 +186,34 @@
 }
 
 // readBody reads the whole body, so that attempts can send it without waiting for the caller. It refuses
-// the call and returns false if the body is too large.
+// the call and returns false if the body is too large, or if there is no memory for it at present.
 func (e *exchange) readBody(r *http.Request) bool {
-	limit := int64(defaultMaxBody)
+	limit := defaultMaxBody
 	if table := e.conf.table.Load(); table.Limits.Body > 0 {
-		limit = int64(table.Limits.Body)
+		limit = table.Limits.Body
 	}
-	if r.ContentLength > limit {
+	if spoke.ByteSize(r.ContentLength) > limit {
 		e.refuse(http.StatusRequestEntityTooLarge, "too-large", 0, logrus.Fields{"length": r.ContentLength})
 		return false
 	}
 	e.hasReadBody = true
 	defer e.endReadWithStop()()
-	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
-	if err != nil && e.refuseStopping() {
+	body, release, err := e.bodyMemory.ReadWhole(r.Body, spoke.ByteSize(r.ContentLength), limit)
+	e.releaseBody = release
+	switch {
+	case errors.Is(err, fetch.ErrTooLong):
+		e.refuse(http.StatusRequestEntityTooLarge, "too-large", 0, logrus.Fields{"limit": limit})
 		return false
-	}
-	if err != nil {
+	case errors.Is(err, fetch.ErrMemory):
+		e.refuse(http.StatusServiceUnavailable, "body-memory", e.capRetryAfter(shortRetryAfter), logrus.Fields{"length": r.ContentLength})
+		return false
+	case err != nil && e.refuseStopping():
+		return false
+	case err != nil:
 		e.log.WithError(err).Info("caller left before its request was read")
 		e.metrics.addAnswer(e.route.Name, "unread", e.arrived)
 		panic(http.ErrAbortHandler)
 	}
-	if int64(len(body)) > limit {
-		e.refuse(http.StatusRequestEntityTooLarge, "too-large", 0, logrus.Fields{"length": len(body)})
-		return false
-	}
 	e.call.Body = body
 	return true
 }
--- a/edge/host.go
+++ b/edge/host.go
@@ -102,6 +102,7 @@
 	h.relayer = &relayer{
 		conf: h.conf, codec: deps.Codec, planner: h.planner, pool: link.New(), quarantine: quarantine, parts: parts, origins: h.planner.origins,
 		answerMemory: fetch.NewMemory(settings.Memory / answerMemoryDivisor),
+		bodyMemory:   fetch.NewMemory(settings.Memory / bodyMemoryDivisor),
 		listed:       newListedUpstreams(),
 		underWay:     newCallsUnderWay(), times: newCallTimes(), requests: drain.NewRequests(),
 		log: deps.Log, metrics: metrics,
--- a/fetch/memory.go
+++ b/fetch/memory.go
@@ -17,7 +17,7 @@
 	// end do not use up the memory of other calls.
 	smallBody spoke.ByteSize = 64 << 10
 	// readSize is the size of the first buffer for a body.
-	readSize = 1 << 10
+	readSize spoke.ByteSize = 1 << 10
 )
 
 var (
@@ -48,12 +48,21 @@
 // Release returns a part of the budget.
 func (m *Memory) Release(size spoke.ByteSize) { m.reserved.Add(-int64(size)) }
 
-// ReadWhole reads a body to its end; the caller must call release once it no longer needs the content. Its errors match
-// ErrTooLong above the limit and ErrMemory without memory for a long body.
-func (m *Memory) ReadWhole(body io.Reader, limit spoke.ByteSize) (content []byte, release func(), err error) {
+// ReadWhole reads a body to its end; the caller must call release once it no longer needs the content. length is the size
+// that the sender has stated, not above the limit, and negative if there is none. Its errors match ErrTooLong above the
+// limit and ErrMemory without memory for a long body.
+func (m *Memory) ReadWhole(body io.Reader, length, limit spoke.ByteSize) (content []byte, release func(), err error) {
 	var taken spoke.ByteSize
 	release = func() { m.Release(taken) }
-	content = make([]byte, 0, readSize)
+	// The end of a body of the stated size is found without a larger buffer.
+	first := max(readSize, length+1)
+	if first > smallBody {
+		if !m.Reserve(first) {
+			return nil, release, ErrMemory
+		}
+		taken = first
+	}
+	content = make([]byte, 0, first)
 	for {
 		if len(content) == cap(content) {
 			if spoke.ByteSize(len(content)) > limit {
--- a/link/exchange.go
+++ b/link/exchange.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"syscall"
@@ -125,21 +126,23 @@
 // send writes the request. A long one is written concurrently with reading the response, since an
 // upstream may respond before it has read the body. The channel receives the error of the write.
 func send(c *conn, request Request) (<-chan error, error) {
-	message := encode(request)
+	head := encodeHead(request)
 	written := make(chan error, 1)
-	if len(message) <= maxInlineBytes {
-		_, err := c.Write(message)
+	if len(head)+len(request.Body) <= maxInlineBytes {
+		_, err := c.Write(append(head, request.Body...))
 		written <- err
 		return written, err
 	}
 	go func() {
-		_, err := c.Write(message)
+		// The body is not copied, since long ones take much of a host's memory.
+		message := net.Buffers{head, request.Body}
+		_, err := message.WriteTo(c)
 		written <- err
 	}()
 	return written, nil
 }
 
-func encode(request Request) []byte {
+func encodeHead(request Request) []byte {
 	var message bytes.Buffer
 	message.WriteString(request.Method + " " + request.Target + " HTTP/1.1\r\nHost: " + request.HostName + "\r\n")
 	// Writing to a buffer does not fail.
@@ -148,7 +151,6 @@
 		message.WriteString("Content-Length: " + strconv.Itoa(len(request.Body)) + "\r\n")
 	}
 	message.WriteString("\r\n")
-	message.Write(request.Body)
 	return message.Bytes()
 }
 
