Probe requests that crash engines rarely and count crashes together

Cause: marks expired with their counts; crashes seen by different hosts did not add up; marks were looked up only when a call arrived.

Now a mark has growing terms and one probe after each, reports name the engines so that hosts count them together, and each attempt is compared with the marks. An answer ends a mark.

--- a/crash/registry.go
+++ b/crash/registry.go
@@ -26,10 +26,15 @@
 		expiry     time.Duration
 		maxEntries int
 		announce   func(spoke.QuarantineMark)
+		// firstTerm and longestTerm are set by WithTerms, otherwise zero.
+		firstTerm   time.Duration
+		longestTerm time.Duration
 
 		mu      sync.Mutex
 		entries map[spoke.Fingerprint]*entry
 		running map[spoke.AttemptID]run
+		self    spoke.HostID
+		hosts   []spoke.HostID
 	}
 
 	// Option changes a Registry.
@@ -44,6 +49,12 @@
 		// soloRequest is the only request with the fingerprint that may run now, empty
 		// if none has been admitted.
 		soloRequest spoke.RequestID
+		lastDeath   time.Time
+		// term and until are the length and the end of the current term of a mark, with WithTerms.
+		term  time.Duration
+		until time.Time
+		// clearedUntil is until when reports of others do not mark the fingerprint, since it was served.
+		clearedUntil time.Time
 	}
 
 	run struct {
@@ -92,10 +103,10 @@
 	defer r.mu.Unlock()
 	suspect := r.live(now, fingerprint)
 	switch {
-	case suspect == nil:
+	case suspect == nil || suspect.deaths == 0:
 		return spoke.Verdict{}
 	case suspect.deaths >= deathsToMark:
-		return spoke.Verdict{Until: suspect.expires}
+		return r.admitMarked(now, request, fingerprint, suspect)
 	case suspect.soloRequest != "" && suspect.soloRequest != request:
 		return spoke.Verdict{MustWait: true}
 	}
@@ -133,17 +144,24 @@
 	for _, mark := range marks {
 		// A peer whose clock is ahead must not extend a mark beyond the expiry of this host.
 		expires := mark.Expires
-		if latest := now.Add(r.expiry); expires.After(latest) {
+		if latest := now.Add(max(r.expiry, r.longestTerm)); expires.After(latest) {
 			expires = latest
 		}
 		if mark.Deaths < 1 || !expires.After(now) {
 			continue
 		}
 		known := r.getOrCreate(now, mark.Fingerprint)
+		if now.Before(known.clearedUntil) {
+			continue
+		}
+		known.addDeaths(now, mark.Upstreams)
 		known.deaths = max(known.deaths, min(mark.Deaths, deathsToMark))
 		if expires.After(known.expires) {
 			known.expires = expires
 		}
+		if r.firstTerm > 0 && known.deaths >= deathsToMark {
+			r.adoptTerm(now, expires, known)
+		}
 		r.evict(now, mark.Fingerprint)
 	}
 }
@@ -155,8 +173,12 @@
 	defer r.mu.Unlock()
 	var marks []spoke.QuarantineMark
 	for fingerprint := range r.entries {
-		if known := r.live(now, fingerprint); known != nil {
-			marks = append(marks, spoke.QuarantineMark{Fingerprint: fingerprint, Deaths: known.deaths, Expires: known.expires})
+		known := r.live(now, fingerprint)
+		if known == nil {
+			continue
+		}
+		if mark, ok := r.reported(now, fingerprint, known); ok {
+			marks = append(marks, mark)
 		}
 	}
 	slices.SortFunc(marks, func(a, b spoke.QuarantineMark) int { return compareImportance(b, a) })
@@ -177,9 +199,10 @@
 	}
 	suspect.diedAt[ended.upstream] = now
 	suspect.deaths = min(suspect.deaths+1, deathsToMark)
-	suspect.expires = now.Add(r.expiry)
+	r.extend(now, ended.began, suspect)
 	r.evict(now, ended.fingerprint)
-	return spoke.QuarantineMark{Fingerprint: ended.fingerprint, Deaths: suspect.deaths, Expires: suspect.expires}, true
+	mark, _ := r.reported(now, ended.fingerprint, suspect)
+	return mark, true
 }
 
 // live returns the entry of the fingerprint unless it has expired.
--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -73,7 +73,7 @@
 	if isCrash {
 		a.logCrash(now)
 	}
-	a.quarantine.registry.End(time.Now(), a.id, isCrash)
+	a.endFingerprint(isCrash)
 	a.endParts(endedAt, isCrash)
 	a.planner.in <- schedulerMessage{message: place.Ended{
 		Call: a.grant.Call, Ending: a.ending, Load: a.head.Load, Weights: a.head.Weights, IsLeaving: a.head.IsLeaving, Pause: a.head.Pause,
--- a/edge/planner.go
+++ b/edge/planner.go
@@ -109,6 +109,7 @@
 			}
 			p.step(p.peerAddresses.cell)
 			p.parts.setHosts(p.peerAddresses.cell.Hosts)
+			p.quarantine.registry.SetHosts(p.parts.self, p.peerAddresses.cell.Hosts)
 		case <-tick.C():
 			p.conf.recordStep()
 			if p.scheduler.NeedsTick(p.timer.Now()) {
--- a/edge/quarantine.go
+++ b/edge/quarantine.go
@@ -10,13 +10,20 @@
 	"magnoliaspoke.example/spoke/crash"
 )
 
-// markTTL is short, since calls that merely ran at the same time as the faulty one are marked too.
-const markTTL = 30 * time.Second
+const (
+	// markTTL is short, since calls that merely ran at the same time as the faulty one are marked too. It is also the
+	// time for which one crash counts.
+	markTTL = 30 * time.Second
+	// maxMarkTTL bounds the time for which a request is refused after each of its probes has crashed.
+	maxMarkTTL = 10 * time.Minute
+)
 
 // quarantine identifies requests that crash the upstreams that run them.
 type quarantine struct{ registry *crash.Registry }
 
-func newQuarantine() *quarantine { return &quarantine{registry: crash.New(crash.WithExpiry(markTTL))} }
+func newQuarantine() *quarantine {
+	return &quarantine{registry: crash.New(crash.WithExpiry(markTTL), crash.WithTerms(markTTL, maxMarkTTL))}
+}
 
 // fingerprintOf returns a fingerprint that is the same when the request is sent again, also through
 // another host.
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -105,6 +105,11 @@
 		}
 	}
 	defer next.recall(nil)
+	if until := e.quarantine.blockedUntil(time.Now(), e.call.Request, fingerprint); !until.IsZero() {
+		e.returnGrant(next.grant)
+		e.endMarked(p, fingerprint, until)
+		return true
+	}
 	if e.refuseLate(p) {
 		e.returnGrant(next.grant)
 		return true
@@ -120,6 +125,12 @@
 	return a.runGuarded(ctx, next.ctx)
 }
 
+// endMarked ends a call that was marked since it arrived.
+func (e *exchange) endMarked(p *progress, fingerprint spoke.Fingerprint, until time.Time) {
+	fields := logrus.Fields{"fingerprint": fingerprint, "tried": p.tried, "last-fault": p.lastFault}
+	e.endUnserved(p, unserved{reason: string(refusedQuarantined), status: http.StatusBadGateway, retryAfter: time.Until(until), fields: fields})
+}
+
 func (e *exchange) newGrantedAttempt(ctx context.Context) *grantedAttempt {
 	ctx, end := e.attemptContext(ctx)
 	ctx, recall := context.WithCancelCause(ctx)
--- a/edge/upstreamcrash.go
+++ b/edge/upstreamcrash.go
@@ -80,6 +80,15 @@
 	return !errors.Is(err, os.ErrDeadlineExceeded), nil
 }
 
+// endFingerprint records the end of the attempt for the quarantine of its request.
+func (a *attempt) endFingerprint(isCrash bool) {
+	if a.ending == place.EndServed {
+		a.quarantine.registry.EndServed(time.Now(), a.id)
+		return
+	}
+	a.quarantine.registry.End(time.Now(), a.id, isCrash)
+}
+
 // logCrash logs and counts a crash of the upstream that ran the attempt.
 func (a *attempt) logCrash(sentAt time.Time) {
 	a.metrics.addCrash()
--- a/members.go
+++ b/members.go
@@ -22,6 +22,8 @@
 		Fingerprint Fingerprint
 		Deaths      int
 		Expires     time.Time
+		// Upstreams lists some of those that it crashed, if they are known.
+		Upstreams []UpstreamID
 	}
 
 	// Digest is the state that a host publishes in its heartbeats.
--- a/peers/codec.go
+++ b/peers/codec.go
@@ -116,7 +116,8 @@
 		Fingerprint string `json:"fingerprint"`
 		Deaths      int    `json:"deaths"`
 		// ForMs is the time until the mark expires, relative because clocks differ between hosts.
-		ForMs int64 `json:"for-ms"`
+		ForMs     int64    `json:"for-ms"`
+		Upstreams []string `json:"upstreams,omitempty"`
 	}
 )
 
@@ -143,7 +144,10 @@
 		row.Weights = put(row.Weights, string(id), encodeWeights(served))
 	}
 	for _, mark := range report.Marks {
-		row.Marks = append(row.Marks, markRow{string(mark.Fingerprint), mark.Deaths, mark.Expires.Sub(now).Milliseconds()})
+		row.Marks = append(row.Marks, markRow{
+			Fingerprint: string(mark.Fingerprint), Deaths: mark.Deaths, ForMs: mark.Expires.Sub(now).Milliseconds(),
+			Upstreams: convertAll[string](mark.Upstreams),
+		})
 	}
 	for _, w := range report.WantedAges {
 		row.Wanted = append(row.Wanted, wantedRow{string(w.Wanted.Model), int64(w.Wanted.Version), w.Age.Milliseconds(), w.IsEstimate})
@@ -210,7 +214,8 @@
 	for _, mark := range row.Marks {
 		report.Marks = append(report.Marks, spoke.QuarantineMark{
 			Fingerprint: spoke.Fingerprint(mark.Fingerprint), Deaths: mark.Deaths,
-			Expires: now.Add(time.Duration(mark.ForMs) * time.Millisecond),
+			Expires:   now.Add(time.Duration(mark.ForMs) * time.Millisecond),
+			Upstreams: convertAll[spoke.UpstreamID](mark.Upstreams),
 		})
 	}
 	for _, w := range row.Wanted {
@@ -324,3 +329,12 @@
 	target[key] = value
 	return target
 }
+
+// convertAll converts the texts of a list; it returns nil for an empty one.
+func convertAll[To, From ~string](texts []From) []To {
+	var converted []To
+	for _, text := range texts {
+		converted = append(converted, To(text))
+	}
+	return converted
+}
