Report tables at once to hosts that start after a return of the store

Cause, from the logs of a failed run: the store returned at 58.80 s, the peers noticed at 59.69 s (their watches waited), their next full report came at up to 1 s later, and the newer table, received at 60.21 s, waited for the end of a poll of 0.4 s until 60.46 s. The started host waits 1.5 s, until 60.30 s.

Ruled out: a lost report, a failed transfer.

Now hosts send a full report when a host joins in the seconds after a return, and a host that waits for a table polls no others.

--- a/edge/configstate.go
+++ b/edge/configstate.go
@@ -133,9 +133,10 @@
 
 // mayMissChanges reports whether a confirmed table may be newer than this one, although the directory does not
 // show it.
-func (c *configState) mayMissChanges() bool {
-	return c.isStale() || c.elapsed() < c.returnedUntil.Load()
-}
+func (c *configState) mayMissChanges() bool { return c.isStale() || c.hasReturned() }
+
+// hasReturned reports whether the directory has just returned from an older copy.
+func (c *configState) hasReturned() bool { return c.elapsed() < c.returnedUntil.Load() }
 
 // beginProvisional makes this host wait with its first table until endProvisional, at most provisionalTime.
 func (c *configState) beginProvisional() {
--- a/edge/follower.go
+++ b/edge/follower.go
@@ -177,7 +177,8 @@
 
 // mayPollPeers reports whether other hosts are polled in place of the directory itself.
 func (f *follower) mayPollPeers(revision spoke.Revision) bool {
-	if !f.client.hasSources() || !f.lostSince.IsZero() || f.isSettling() || f.timer.Now().Before(f.directUntil) {
+	// A started host that waits for the tables of others has to apply them at once.
+	if !f.client.hasSources() || f.conf.isProvisional() || !f.lostSince.IsZero() || f.isSettling() || f.timer.Now().Before(f.directUntil) {
 		return false
 	}
 	select {
--- a/edge/planner.go
+++ b/edge/planner.go
@@ -103,8 +103,9 @@
 			wanted = p.pollInterval.AfterMessage(p.scheduler.HasWaitingCalls())
 		case p.peerAddresses = <-p.peers:
 			p.pollInterval, p.reportInterval = place.IntervalsFor(p.peerAddresses.hostCount())
-			if p.scheduler.IsRollingOut(p.timer.Now()) {
-				// Hosts that have just started do not know the age of the weights.
+			if p.scheduler.IsRollingOut(p.timer.Now()) || p.conf.hasReturned() {
+				// Hosts that have just started do not know the age of the weights, or a table that the directory
+				// has lost.
 				p.fullReportAt = time.Time{}
 			}
 			p.step(p.peerAddresses.cell)
