Keep marks of deadly requests comparable

The own mode compares marks to notice changes, and no longer compiled since they hold a list of engines.

--- a/crash/terms.go
+++ b/crash/terms.go
@@ -94,9 +94,9 @@
 }
 
 // addDeaths counts upstreams that the fingerprint crashed while other hosts ran it: each host alone may know of one.
-func (e *entry) addDeaths(now time.Time, upstreams []spoke.UpstreamID) {
-	for _, id := range upstreams[:min(len(upstreams), deathsToMark)] {
-		if _, isKnown := e.diedAt[id]; !isKnown {
+func (e *entry) addDeaths(now time.Time, upstreams [2]spoke.UpstreamID) {
+	for _, id := range upstreams {
+		if _, isKnown := e.diedAt[id]; id != "" && !isKnown {
 			e.diedAt[id] = now
 			e.deaths = min(e.deaths+1, deathsToMark)
 		}
@@ -105,10 +105,8 @@
 
 // reported returns the mark to report to other hosts, and false if there is nothing to report at present.
 func (r *Registry) reported(now time.Time, fingerprint spoke.Fingerprint, known *entry) (spoke.QuarantineMark, bool) {
-	upstreams := slices.Sorted(maps.Keys(known.diedAt))
-	mark := spoke.QuarantineMark{
-		Fingerprint: fingerprint, Deaths: known.deaths, Expires: known.expires, Upstreams: upstreams[:min(len(upstreams), deathsToMark)],
-	}
+	mark := spoke.QuarantineMark{Fingerprint: fingerprint, Deaths: known.deaths, Expires: known.expires}
+	copy(mark.Upstreams[:], slices.Sorted(maps.Keys(known.diedAt)))
 	if r.firstTerm > 0 && known.deaths >= deathsToMark {
 		mark.Expires = known.until
 	}
--- a/members.go
+++ b/members.go
@@ -22,8 +22,8 @@
 		Fingerprint Fingerprint
 		Deaths      int
 		Expires     time.Time
-		// Upstreams lists some of those that it crashed, if they are known.
-		Upstreams []UpstreamID
+		// Upstreams holds some of those that it crashed; entries that are not known are empty.
+		Upstreams [2]UpstreamID
 	}
 
 	// Digest is the state that a host publishes in its heartbeats.
--- a/peers/codec.go
+++ b/peers/codec.go
@@ -146,7 +146,7 @@
 	for _, mark := range report.Marks {
 		row.Marks = append(row.Marks, markRow{
 			Fingerprint: string(mark.Fingerprint), Deaths: mark.Deaths, ForMs: mark.Expires.Sub(now).Milliseconds(),
-			Upstreams: convertAll[string](mark.Upstreams),
+			Upstreams: encodeUpstreams(mark.Upstreams),
 		})
 	}
 	for _, w := range report.WantedAges {
@@ -215,7 +215,7 @@
 		report.Marks = append(report.Marks, spoke.QuarantineMark{
 			Fingerprint: spoke.Fingerprint(mark.Fingerprint), Deaths: mark.Deaths,
 			Expires:   now.Add(time.Duration(mark.ForMs) * time.Millisecond),
-			Upstreams: convertAll[spoke.UpstreamID](mark.Upstreams),
+			Upstreams: decodeUpstreams(mark.Upstreams),
 		})
 	}
 	for _, w := range row.Wanted {
@@ -330,11 +330,21 @@
 	return target
 }
 
-// convertAll converts the texts of a list; it returns nil for an empty one.
-func convertAll[To, From ~string](texts []From) []To {
-	var converted []To
-	for _, text := range texts {
-		converted = append(converted, To(text))
+// encodeUpstreams returns the upstreams of a mark without empty entries.
+func encodeUpstreams(upstreams [2]spoke.UpstreamID) []string {
+	var texts []string
+	for _, id := range upstreams {
+		if id != "" {
+			texts = append(texts, string(id))
+		}
 	}
-	return converted
+	return texts
+}
+
+// decodeUpstreams returns the first upstreams of a mark.
+func decodeUpstreams(texts []string) (upstreams [2]spoke.UpstreamID) {
+	for i, text := range texts[:min(len(texts), len(upstreams))] {
+		upstreams[i] = spoke.UpstreamID(text)
+	}
+	return upstreams
 }
