--- a/crash/terms.go
+++ b/crash/terms.go
@@ -94,7 +94,7 @@
 }
 
 // addDeaths counts upstreams that the fingerprint crashed while other hosts ran it: each host alone may know of one.
-func (e *entry) addDeaths(now time.Time, upstreams [2]spoke.UpstreamID) {
+func (e *entry) addDeaths(now time.Time, upstreams [spoke.MarkUpstreams]spoke.UpstreamID) {
 	for _, id := range upstreams {
 		if _, isKnown := e.diedAt[id]; id != "" && !isKnown {
 			e.diedAt[id] = now
--- a/directory.go
+++ b/directory.go
@@ -7,13 +7,15 @@
 	"github.com/rotisserie/eris"
 )
 
-// ErrHistoryGone reports that a watch cannot continue because the changes after its revision are no
-// longer available, so that the directory has to be read again.
-var ErrHistoryGone = eris.New("changes after the watched revision are no longer available")
+var (
+	// ErrHistoryGone reports that a watch cannot continue because the changes after its revision are no
+	// longer available, so that the directory has to be read again.
+	ErrHistoryGone = eris.New("changes after the watched revision are no longer available")
 
-// ErrWatchCut reports that the connection of a waiting watch has ended, which does not show that the directory cannot be
-// reached.
-var ErrWatchCut = eris.New("connection of the watch ended before its response")
+	// ErrWatchCut reports that the connection of a waiting watch has ended, which does not show that the directory
+	// cannot be reached.
+	ErrWatchCut = eris.New("connection of the watch ended before its response")
+)
 
 type (
 	// ListedUpstream is the directory entry of an upstream.
--- a/members.go
+++ b/members.go
@@ -11,6 +11,9 @@
 	PeerLeaving PeerState = "leaving"
 	// PeerDead marks a peer that has been removed from the membership.
 	PeerDead PeerState = "dead"
+
+	// MarkUpstreams is the number of upstreams that a QuarantineMark can name.
+	MarkUpstreams = 2
 )
 
 type (
@@ -23,7 +26,7 @@
 		Deaths      int
 		Expires     time.Time
 		// Upstreams holds some of those that it crashed; entries that are not known are empty.
-		Upstreams [2]UpstreamID
+		Upstreams [MarkUpstreams]UpstreamID
 	}
 
 	// Digest is the state that a host publishes in its heartbeats.
--- a/peers/codec.go
+++ b/peers/codec.go
@@ -331,7 +331,7 @@
 }
 
 // encodeUpstreams returns the upstreams of a mark without empty entries.
-func encodeUpstreams(upstreams [2]spoke.UpstreamID) []string {
+func encodeUpstreams(upstreams [spoke.MarkUpstreams]spoke.UpstreamID) []string {
 	var texts []string
 	for _, id := range upstreams {
 		if id != "" {
@@ -342,7 +342,7 @@
 }
 
 // decodeUpstreams returns the first upstreams of a mark.
-func decodeUpstreams(texts []string) (upstreams [2]spoke.UpstreamID) {
+func decodeUpstreams(texts []string) (upstreams [spoke.MarkUpstreams]spoke.UpstreamID) {
 	for i, text := range texts[:min(len(texts), len(upstreams))] {
 		upstreams[i] = spoke.UpstreamID(text)
 	}
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -22,7 +22,7 @@
 		Placed:     []spoke.PlacedPrompt{{Upstream: "e", Prefixes: []spoke.PromptPrefix{{Key: 1 << 63, Part: 2, Total: 3}}}},
 		Paused:     map[spoke.UpstreamID]time.Duration{"e": time.Second},
 		Weights:    map[spoke.UpstreamID]spoke.ServedWeights{"e": {Model: "m", Version: 3}},
-		Marks:      []spoke.QuarantineMark{{Fingerprint: "f", Deaths: 2, Upstreams: [2]spoke.UpstreamID{"i-1"}, Expires: now.Add(time.Second)}},
+		Marks:      []spoke.QuarantineMark{{Fingerprint: "f", Deaths: 2, Upstreams: [spoke.MarkUpstreams]spoke.UpstreamID{"i-1"}, Expires: now.Add(time.Second)}},
 		Stores:     []spoke.StoreState{{Store: "st", Epoch: 1 << 60, Used: 4, Stored: []spoke.StoredKey{1 << 63}, Freed: []spoke.StoredKey{2}, Clock: 5, Oldest: []spoke.ServedWeights{{Model: "m", Version: 2}}}},
 		Leaving:    []spoke.UpstreamStart{{ID: "e"}, {ID: "f", Started: time.UnixMilli(7).UTC()}},
 		Limits:     []spoke.UpstreamLimit{{Upstream: spoke.UpstreamStart{ID: "e", Started: time.UnixMilli(7).UTC()}, Rate: 2.6, IsEnded: true, Age: 50 * time.Millisecond, Sent: 4}},
