--- a/crash/registry.go
+++ b/crash/registry.go
@@ -154,7 +154,9 @@
 		if now.Before(known.clearedUntil) {
 			continue
 		}
-		known.addDeaths(now, mark.Upstreams)
+		if r.firstTerm > 0 {
+			known.addDeaths(now, mark.Upstreams)
+		}
 		known.deaths = max(known.deaths, min(mark.Deaths, deathsToMark))
 		if expires.After(known.expires) {
 			known.expires = expires
--- a/crash/terms.go
+++ b/crash/terms.go
@@ -106,7 +106,9 @@
 // reported returns the mark to report to other hosts, and false if there is nothing to report at present.
 func (r *Registry) reported(now time.Time, fingerprint spoke.Fingerprint, known *entry) (spoke.QuarantineMark, bool) {
 	mark := spoke.QuarantineMark{Fingerprint: fingerprint, Deaths: known.deaths, Expires: known.expires}
-	copy(mark.Upstreams[:], slices.Sorted(maps.Keys(known.diedAt)))
+	if r.firstTerm > 0 {
+		copy(mark.Upstreams[:], slices.Sorted(maps.Keys(known.diedAt)))
+	}
 	if r.firstTerm > 0 && known.deaths >= deathsToMark {
 		mark.Expires = known.until
 	}
