--- a/crash/registry.go
+++ b/crash/registry.go
@@ -154,14 +154,14 @@
 		if now.Before(known.clearedUntil) {
 			continue
 		}
-		if r.firstTerm > 0 {
+		if r.hasTerms() {
 			known.addDeaths(now, mark.Upstreams)
 		}
 		known.deaths = max(known.deaths, min(mark.Deaths, deathsToMark))
 		if expires.After(known.expires) {
 			known.expires = expires
 		}
-		if r.firstTerm > 0 && known.deaths >= deathsToMark {
+		if r.hasTerms() && known.deaths >= deathsToMark {
 			r.adoptTerm(now, expires, known)
 		}
 		r.evict(now, mark.Fingerprint)
--- a/crash/terms.go
+++ b/crash/terms.go
@@ -19,6 +19,8 @@
 	return func(r *Registry) { r.firstTerm, r.longestTerm = first, longest }
 }
 
+func (r *Registry) hasTerms() bool { return r.firstTerm > 0 }
+
 // SetHosts sets the hosts that exchange marks, self included, of which each probe is made by one.
 func (r *Registry) SetHosts(self spoke.HostID, hosts []spoke.HostID) {
 	r.mu.Lock()
@@ -33,7 +35,7 @@
 	ended, ok := r.running[attempt]
 	delete(r.running, attempt)
 	known := r.entries[ended.fingerprint]
-	if !ok || known == nil || r.firstTerm == 0 || !ended.began.After(known.lastDeath) {
+	if !ok || known == nil || !r.hasTerms() || !ended.began.After(known.lastDeath) {
 		return
 	}
 	cleared := now.Add(clearedHold)
@@ -43,7 +45,7 @@
 // admitMarked returns whether a marked request may run as a probe, or as a further attempt of one.
 func (r *Registry) admitMarked(now time.Time, request spoke.RequestID, fingerprint spoke.Fingerprint, marked *entry) spoke.Verdict {
 	switch {
-	case r.firstTerm == 0:
+	case !r.hasTerms():
 		return spoke.Verdict{Until: marked.expires}
 	case marked.soloRequest == request:
 		return spoke.Verdict{Solo: true}
@@ -67,7 +69,7 @@
 // extend sets until when a fingerprint is refused or suspected after a death; began is when the attempt did.
 func (r *Registry) extend(now, began time.Time, died *entry) {
 	died.expires = now.Add(r.expiry)
-	if r.firstTerm > 0 && died.deaths >= deathsToMark {
+	if r.hasTerms() && died.deaths >= deathsToMark {
 		switch {
 		case died.term == 0:
 			died.term = r.firstTerm
@@ -106,10 +108,10 @@
 // reported returns the mark to report to other hosts, and false if there is nothing to report at present.
 func (r *Registry) reported(now time.Time, fingerprint spoke.Fingerprint, known *entry) (spoke.QuarantineMark, bool) {
 	mark := spoke.QuarantineMark{Fingerprint: fingerprint, Deaths: known.deaths, Expires: known.expires}
-	if r.firstTerm > 0 {
+	if r.hasTerms() {
 		copy(mark.Upstreams[:], slices.Sorted(maps.Keys(known.diedAt)))
 	}
-	if r.firstTerm > 0 && known.deaths >= deathsToMark {
+	if r.hasTerms() && known.deaths >= deathsToMark {
 		mark.Expires = known.until
 	}
 	return mark, known.deaths > 0 && mark.Expires.After(now)
--- a/edge/answerbuffer.go
+++ b/edge/answerbuffer.go
@@ -11,8 +11,6 @@
 const (
 	// maxAnswerSize bounds an answer that is buffered until it is complete.
 	maxAnswerSize spoke.ByteSize = 16 << 20
-	// unknownLength makes the memory of an answer grow with its bytes, whatever length its upstream states.
-	unknownLength spoke.ByteSize = -1
 	// answerMemoryDivisor divides the memory of the host; the result is the budget for larger answers.
 	answerMemoryDivisor = 8
 )
--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"magnoliaspoke.example/spoke"
+	"magnoliaspoke.example/spoke/fetch"
 	"magnoliaspoke.example/spoke/link"
 	"magnoliaspoke.example/spoke/place"
 )
@@ -93,7 +94,7 @@
 	}
 	if a.route.IsPrompt {
 		// The workspace may have become isolated while the call waited.
-		a.spec.CacheGroup = place.CacheGroup(a.conf.cacheGroups.Load().Of(a.owner), a.call.Prompt.Model, a.grant.Weights)
+		a.spec.CacheGroup = place.CacheGroup(a.cacheGroup(), a.call.Prompt.Model, a.grant.Weights)
 		a.spec.Urgency, a.spec.HasUrgency = min(max(a.grant.Urgency, 0), lowestUrgency), true
 	}
 	if a.progress.stream.hasBegun() && a.progress.stream.lastID != "" {
@@ -217,7 +218,7 @@
 
 // relayBuffered reads an answer to its end before it sends it to the caller.
 func (a *attempt) relayBuffered(ctx context.Context, answer *link.Response) bool {
-	body, release, err := a.answerMemory.ReadWhole(answer.Body, unknownLength, maxAnswerSize)
+	body, release, err := a.answerMemory.ReadWhole(answer.Body, fetch.UnknownLength, maxAnswerSize)
 	defer release()
 	if err == nil && a.endsWithUpstream(answer) {
 		err = errUpstreamEnded
--- a/edge/contentclient.go
+++ b/edge/contentclient.go
@@ -14,7 +14,6 @@
 
 	"magnoliaspoke.example/spoke"
 	"magnoliaspoke.example/spoke/delta"
-	"magnoliaspoke.example/spoke/dial"
 	"magnoliaspoke.example/spoke/fetch"
 )
 
@@ -39,7 +38,7 @@
 }
 
 func newContentClient(contents *contents, directory spoke.Directory, staleAfter time.Duration) *contentClient {
-	transport := &http.Transport{DialContext: dial.New(contentIdleTimeout).DialContext, DisableCompression: true, MaxResponseHeaderBytes: fetch.MaxHead}
+	transport := newPeerTransport(contentIdleTimeout)
 	return &contentClient{
 		http: &http.Client{Transport: transport}, contents: contents, decode: directory.DecodeContent,
 		timeout: time.Duration(contentTimeoutFraction * float64(staleAfter)),
--- a/edge/feedclient.go
+++ b/edge/feedclient.go
@@ -11,7 +11,6 @@
 	"github.com/rotisserie/eris"
 
 	"magnoliaspoke.example/spoke"
-	"magnoliaspoke.example/spoke/dial"
 	"magnoliaspoke.example/spoke/fetch"
 )
 
@@ -47,7 +46,7 @@
 }
 
 func newFeedClient(staleAfter time.Duration, now func() time.Time) *feedClient {
-	transport := &http.Transport{DialContext: dial.New(feedTimeoutMargin).DialContext, DisableCompression: true, MaxResponseHeaderBytes: fetch.MaxHead}
+	transport := newPeerTransport(feedTimeoutMargin)
 	return &feedClient{http: &http.Client{Transport: transport}, now: now, staleAfter: staleAfter}
 }
 
--- a/edge/originclient.go
+++ b/edge/originclient.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"magnoliaspoke.example/spoke"
-	"magnoliaspoke.example/spoke/dial"
 	"magnoliaspoke.example/spoke/fetch"
 )
 
@@ -28,7 +27,7 @@
 }
 
 func newOriginClient(metrics *metrics) *originClient {
-	transport := &http.Transport{DialContext: dial.New(originTimeout).DialContext, DisableCompression: true, MaxResponseHeaderBytes: fetch.MaxHead}
+	transport := newPeerTransport(originTimeout)
 	return &originClient{http: &http.Client{Transport: transport}, metrics: metrics}
 }
 
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -222,7 +222,7 @@
 
 func (e *exchange) schedulerRequest(p *progress) place.Request {
 	return place.Request{
-		Call: spoke.CallNumber(e.callNumbers.Add(1)), Service: e.service(), Group: e.conf.cacheGroups.Load().Of(e.owner),
+		Call: spoke.CallNumber(e.callNumbers.Add(1)), Service: e.service(), Group: e.cacheGroup(),
 		Urgency: e.urgency(), Arrived: e.arrived, Target: e.arrived.Add(e.route.Target), GapTarget: e.route.GapTarget, Deadline: e.deadline,
 		LeavesAt: e.leavesAt(p),
 		Tried:    p.tried, Only: p.only, IsRetry: p.sendCount > 0, Prompt: e.prompt(), Software: e.requiredSoftware(p),
@@ -238,6 +238,9 @@
 	return e.arrived.Add(e.route.CallerTimeout)
 }
 
+// cacheGroup returns the cache group of the caller's workspace by the configuration in force.
+func (e *exchange) cacheGroup() string { return e.conf.cacheGroups.Load().Of(e.owner) }
+
 func (e *exchange) urgency() spoke.Priority {
 	if e.owner.HasUrgency {
 		return e.owner.Urgency
--- a/edge/stopping.go
+++ b/edge/stopping.go
@@ -62,9 +62,9 @@
 	if times == nil {
 		return false
 	}
-	bounds := e.bounds()
-	expected, stop := e.times.expected(bounds), times.remaining(time.Now())
-	fields := logrus.Fields{"left": stop.Left.String(), "expected": expected.String(), "listening": stop.IsListening}
+	bounds, stop := e.bounds(), times.remaining(time.Now())
+	expected := e.times.expected(bounds)
+	fields := stopFields(stop, expected)
 	if stop.Accepts(bounds, expected) {
 		e.log.WithFields(fields).WithField("route", e.route.Name).Info("call accepted while stopping")
 		return false
@@ -80,16 +80,20 @@
 	if times == nil || p.mayHaveRun || p.stream.hasBegun() {
 		return false
 	}
-	bounds := e.bounds()
-	expected, stop := e.times.expected(bounds), times.remaining(time.Now())
-	stop.IsListening = true
-	if stop.Accepts(bounds, expected) {
+	stop, expected := times.remaining(time.Now()), e.times.expected(e.bounds())
+	if stop.Fits(expected) {
 		return false
 	}
-	e.refuse(http.StatusServiceUnavailable, "stopping", stoppingRetryAfter, logrus.Fields{"left": stop.Left.String(), "expected": expected.String(), "last-fault": p.lastFault})
+	fields := stopFields(stop, expected)
+	fields["last-fault"] = p.lastFault
+	e.refuse(http.StatusServiceUnavailable, "stopping", stoppingRetryAfter, fields)
 	return true
 }
 
+func stopFields(stop place.Stop, expected time.Duration) logrus.Fields {
+	return logrus.Fields{"left": stop.Left.String(), "expected": expected.String(), "listening": stop.IsListening}
+}
+
 func (e *exchange) bounds() place.CallBounds {
 	bounds := place.CallBounds{
 		Route: e.route, Prompt: e.prompt(), Timeout: e.route.Timeout, Wait: time.Until(e.deadline),
--- a/fake/platform/store.go
+++ b/fake/platform/store.go
@@ -272,10 +272,9 @@
 	s.watches++
 	cutAfter := s.cutAfter
 	s.mu.Unlock()
-	cut := time.NewTimer(cutAfter)
-	defer cut.Stop()
-	if cutAfter == 0 {
-		cut.Stop()
+	var cut <-chan time.Time
+	if cutAfter > 0 {
+		cut = time.After(cutAfter)
 	}
 	query := r.URL.Query()
 	after, _ := strconv.ParseUint(query.Get("after"), 10, 64)
@@ -297,7 +296,7 @@
 		}
 		select {
 		case <-changed:
-		case <-cut.C:
+		case <-cut:
 			panic(http.ErrAbortHandler)
 		case <-timeout.C:
 			writeJSON(w, http.StatusOK, map[string]any{"events": []item{}, "current-rev": after})
--- a/fetch/memory.go
+++ b/fetch/memory.go
@@ -13,6 +13,8 @@
 const (
 	// MaxHead bounds the head of a response, in bytes.
 	MaxHead = 64 << 10
+	// UnknownLength makes the memory of a body grow with its bytes, whatever length its sender states.
+	UnknownLength spoke.ByteSize = -1
 	// smallBody is the size up to which a body is always read. Larger bodies share a budget, so that bodies without
 	// end do not use up the memory of other calls.
 	smallBody spoke.ByteSize = 64 << 10
--- a/place/call_times.go
+++ b/place/call_times.go
@@ -128,9 +128,12 @@
 	if !s.IsListening && call.Route.Rule != spoke.RuleRepeatable {
 		expected = call.Wait
 	}
-	return expected+stopReserve <= s.Left
+	return s.Fits(expected)
 }
 
+// Fits reports whether a call that takes the given time ends before the stop does.
+func (s Stop) Fits(expected time.Duration) bool { return expected+stopReserve <= s.Left }
+
 // longest returns the longest recent time of the calls of a route with the size, or if there are none with the
 // next larger one.
 func (t *CallTimes) longest(route spoke.RouteName, size int) (time.Duration, bool) {
--- a/plain/client.go
+++ b/plain/client.go
@@ -24,8 +24,6 @@
 	defaultAnswerLimit spoke.ByteSize = 8 << 20
 	// defaultAnswerMemory bounds the memory of all long responses that are being read.
 	defaultAnswerMemory spoke.ByteSize = 32 << 20
-	// unknownLength makes the memory of a response grow with its bytes, whatever length the service states.
-	unknownLength spoke.ByteSize = -1
 	// idlePerHost bounds the idle connections kept for each upstream.
 	idlePerHost = 32
 	// idleConnTimeout closes idle connections before they are likely to be stale.
@@ -92,7 +90,7 @@
 		return spoke.PlainAnswer{}, tracker.wrapError(err, at, call)
 	}
 	defer response.Body.Close()
-	body, release, err := c.memory.ReadWhole(response.Body, unknownLength, c.answerLimit)
+	body, release, err := c.memory.ReadWhole(response.Body, fetch.UnknownLength, c.answerLimit)
 	defer release()
 	if errors.Is(err, fetch.ErrTooLong) || errors.Is(err, fetch.ErrMemory) {
 		return spoke.PlainAnswer{}, eris.Wrapf(err, "answer of %s to attempt %s, at most %d bytes", at, call.Attempt, c.answerLimit)
