Share the endless stand-in and the held booking of tests

The tests of endless answers of engine and plain had the same server and measured the heap in the same way (frame.Endless, heap.PeakOf); three tests of drains began with the same held booking. Bounds, shapes and assertions stay.

--- a/fake/heap/peak.go
+++ b/fake/heap/peak.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"runtime"
+	"sync"
 	"time"
 )
 
@@ -32,3 +33,16 @@
 	}()
 	return result
 }
+
+// PeakOf makes calls at once, each with its number, and returns the maximum heap size in bytes until all have returned.
+func PeakOf(calls int, call func(number int)) uint64 {
+	ctx, end := context.WithCancel(context.Background())
+	peak := Peak(ctx)
+	var group sync.WaitGroup
+	for number := range calls {
+		group.Go(func() { call(number) })
+	}
+	group.Wait()
+	end()
+	return <-peak
+}
--- a/host/drain_test.go
+++ b/host/drain_test.go
@@ -42,13 +42,10 @@
 func TestDrainAnswersAcceptedConnection(t *testing.T) {
 	p := startPair(t)
 	leaving := p.servers[1]
-	p.bookings.SetFaults(plain.Faults{Delay: time.Second})
 	conn, err := net.Dial("tcp", leaving.listeners.Caller.Addr().String())
 	assert.NilError(t, err)
 	defer func() { _ = conn.Close() }()
-	held := make(chan int, 1)
-	go func() { held <- leaving.book(t, "held") }()
-	p.wait("booking not sent", func() bool { return p.bookings.Runs().Total == 1 })
+	held := p.holdBooking(leaving, time.Second)
 	leaving.startDrain()
 	p.wait("closed caller listener", leaving.refusesConnections)
 	send(t, conn, "GET /ready HTTP/1.1\r\nHost: entry\r\n\r\n")
@@ -63,10 +60,7 @@
 func TestDrainAnswersCallsThatDoNotEnd(t *testing.T) {
 	p := startPairWithDeadline(t, 800*time.Millisecond)
 	leaving := p.servers[1]
-	p.bookings.SetFaults(plain.Faults{Delay: 3 * time.Second})
-	held := make(chan int, 1)
-	go func() { held <- leaving.book(t, "held") }()
-	p.wait("booking not sent", func() bool { return p.bookings.Runs().Total == 1 })
+	held := p.holdBooking(leaving, 3*time.Second)
 	leaving.startDrain()
 	assert.Equal(t, <-held, http.StatusGatewayTimeout)
 }
@@ -76,10 +70,7 @@
 func TestDrainRefusesLateCallsWithoutBound(t *testing.T) {
 	p := startPairWithDeadline(t, 3*time.Second)
 	leaving := p.servers[1]
-	p.bookings.SetFaults(plain.Faults{Delay: 2 * time.Second})
-	held := make(chan int, 1)
-	go func() { held <- leaving.book(t, "held") }()
-	p.wait("booking not sent", func() bool { return p.bookings.Runs().Total == 1 })
+	held := p.holdBooking(leaving, 2*time.Second)
 	var kept [2]net.Conn
 	for i := range kept {
 		conn, err := net.Dial("tcp", leaving.listeners.Caller.Addr().String())
@@ -102,6 +93,17 @@
 	assert.Equal(t, <-held, http.StatusOK)
 }
 
+// holdBooking starts a call that may not be repeated and takes the given time, waits until it is sent, and returns the
+// channel for its status.
+func (p *hostPair) holdBooking(at *loopbackHost, lasts time.Duration) <-chan int {
+	p.t.Helper()
+	p.bookings.SetFaults(plain.Faults{Delay: lasts})
+	held := make(chan int, 1)
+	go func() { held <- at.book(p.t, "held") }()
+	p.wait("booking not sent", func() bool { return p.bookings.Runs().Total == 1 })
+	return held
+}
+
 // book sends a call that may not be repeated and returns its status, zero if there was no answer.
 func (s *loopbackHost) book(t *testing.T, key string) int {
 	req, err := http.NewRequest(http.MethodPost, "http://"+s.listeners.Caller.Addr().String()+"/services/booking/dispatches", strings.NewReader("one carton"))
