Make the test of common crash counts fail without them

Each host has its one crash before any exchange now, and the test fails without the change (not refused on three hosts). The other half, one crash seen by two hosts, is checked as before.

--- a/crash/terms_test.go
+++ b/crash/terms_test.go
@@ -136,21 +136,25 @@
 	assert.Assert(t, until.Sub(h.now) > firstTerm, "%s", until.Sub(h.now))
 }
 
-// Guards against a request that crashes an engine of each host before any of them marks it: each knows of one crash only, and
-// one crash that two hosts have seen counts once.
+// Guards against a request that crashes an engine of each host before any of them marks it, since each knows of one crash
+// only, and against one crash that counts twice, since two hosts have seen it.
 func TestCrashesAtDifferentHostsCountTogether(t *testing.T) {
-	h := newMarkHosts(3)
-	h.attempts = 2
-	assert.Assert(t, h.send(0, false))
-	h.attempts = 2
-	assert.Assert(t, h.send(1, false))
-	h.exchange()
-	for host, registry := range h.registries {
-		assert.Assert(t, registry.Admit(h.now, spoke.RequestID(fmt.Sprint("same-", host)), deadly).Until.IsZero(), "host %d", host)
-	}
-	assert.Assert(t, h.send(2, false))
-	h.exchange()
-	for host := range h.registries {
-		assert.Assert(t, !h.send(host, false), "host %d", host)
+	for name, c := range map[string]struct {
+		second spoke.UpstreamID
+		isSent bool
+	}{"two engines": {"engine-b", false}, "one engine": {"engine-a", true}} {
+		h := newMarkHosts(3)
+		for host, upstream := range []spoke.UpstreamID{"engine-a", c.second} {
+			registry, attempt := h.registries[host], spoke.AttemptID(fmt.Sprint("attempt-", host))
+			registry.Begin(h.now, attempt, upstream, deadly)
+			registry.End(h.now.Add(time.Millisecond), attempt, true)
+		}
+		h.now = h.now.Add(time.Second)
+		h.exchange()
+		h.exchange()
+		for host, registry := range h.registries {
+			until := registry.Admit(h.now, spoke.RequestID(fmt.Sprint("request-", host)), deadly).Until
+			assert.Check(t, until.IsZero() == c.isSent, "%s, host %d: refused until %s", name, host, until)
+		}
 	}
 }
