Log how answers of streams end and how long a host has been stopping

No logic changes; go test ./edge -run 'TestUnframed|TestExplain|TestStopping|TestStreamsOfKilled' passes.

--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -212,7 +212,7 @@
 	a.log.WithError(err).WithFields(logrus.Fields{
 		"upstream": a.grant.Upstream.ID, "may-have-run": a.progress.mayHaveRun, "held": time.Since(a.arrived).String(),
 		"ended-by": endedBy(ctx), "silent": time.Since(a.heardAt).String(),
-	}).Warn("attempt failed")
+	}).WithFields(a.stoppingFields()).Warn("attempt failed")
 	return false
 }
 
--- a/edge/callerleft.go
+++ b/edge/callerleft.go
@@ -23,7 +23,7 @@
 // endLeft ends a call whose caller counts as gone. The caller gets its final answer all the same, since the
 // evidence may be wrong.
 func (e *exchange) endLeft(ctx context.Context, p *progress, fields logrus.Fields) {
-	e.log.WithFields(fields).WithFields(logrus.Fields{
+	e.log.WithFields(fields).WithFields(e.stoppingFields()).WithFields(logrus.Fields{
 		"held": time.Since(e.arrived).String(), "evidence": caller.Evidence(ctx), "sent": p.sendCount > 0,
 	}).Info("caller left")
 	e.metrics.addAnswer(e.route.Name, "caller-left", e.arrived)
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -314,7 +314,7 @@
 // abortStream closes the caller's connection in the middle of an answer, so that the answer does not
 // look complete.
 func (e *exchange) abortStream(reason string, fields logrus.Fields) {
-	e.log.WithFields(fields).WithFields(logrus.Fields{"reason": reason, "held": time.Since(e.arrived).String()}).Warn("stream broken off")
+	e.log.WithFields(fields).WithFields(e.stoppingFields()).WithFields(logrus.Fields{"reason": reason, "held": time.Since(e.arrived).String()}).Warn("stream broken off")
 	e.metrics.addAnswer(e.route.Name, "broken-off", e.arrived)
 	e.cutConnection()
 }
--- a/edge/stop.go
+++ b/edge/stop.go
@@ -51,7 +51,7 @@
 	begun := time.Now()
 	h.isLeaving.Store(true)
 	deadline := begun.Add(h.settings.StopGrace - stopMargin)
-	times := stopTimes{listensUntil: begun.Add(unreadyDelay), endsAt: deadline.Add(-answerMargin)}
+	times := stopTimes{begun: begun, listensUntil: begun.Add(unreadyDelay), endsAt: deadline.Add(-answerMargin)}
 	h.relayer.stop.Store(&times)
 	end := time.AfterFunc(time.Until(times.endsAt), h.relayer.requests.End)
 	defer end.Stop()
--- a/edge/stopping.go
+++ b/edge/stopping.go
@@ -23,6 +23,8 @@
 
 	// stopTimes are the times of the stop of this host.
 	stopTimes struct {
+		// begun is when the host received the signal.
+		begun time.Time
 		// listensUntil is when the host stops accepting connections.
 		listensUntil time.Time
 		// endsAt is when the calls under way end.
@@ -94,6 +96,15 @@
 	return logrus.Fields{"left": stop.Left.String(), "expected": expected.String(), "listening": stop.IsListening}
 }
 
+// stoppingFields returns how long this host has been stopping, nothing if it is not.
+func (e *exchange) stoppingFields() logrus.Fields {
+	times := e.stop.Load()
+	if times == nil {
+		return nil
+	}
+	return logrus.Fields{"stopping-for": time.Since(times.begun).String()}
+}
+
 func (e *exchange) bounds() place.CallBounds {
 	bounds := place.CallBounds{
 		Route: e.route, Prompt: e.prompt(), Timeout: e.route.Timeout, Wait: time.Until(e.deadline),
--- a/edge/stream.go
+++ b/edge/stream.go
@@ -80,7 +80,7 @@
 		if a.endsWithUpstream(answer) {
 			return a.recordFailure(ctx, place.EndBroken, errUpstreamEnded)
 		}
-		return a.finishStream(state)
+		return a.finishStream(state, answer)
 	}
 }
 
@@ -167,7 +167,7 @@
 }
 
 // finishStream ends a stream whose last event was complete.
-func (a *attempt) finishStream(state *streamState) bool {
+func (a *attempt) finishStream(state *streamState, answer *link.Response) bool {
 	if !state.hasBegun() {
 		a.writeHead()
 	}
@@ -175,7 +175,7 @@
 	a.isAnswered = true
 	a.log.WithFields(logrus.Fields{
 		"events": state.events, "widest-gap": state.widestGap.String(), "gap-target": a.route.GapTarget.String(), "took": time.Since(a.arrived).String(),
-		"status": a.head.Status,
+		"status": a.head.Status, "framing": answer.Framing(), "upstream": a.grant.Upstream.ID,
 	}).Info("answered")
 	a.metrics.addGap(a.route.Name, state.widestGap)
 	a.metrics.addAnswer(a.route.Name, "status-"+strconv.Itoa(a.head.Status), a.arrived)
--- a/link/exchange.go
+++ b/link/exchange.go
@@ -180,6 +180,17 @@
 	return n, err
 }
 
+// Framing names what shows the end of the body: a length, chunks, or the end of the connection.
+func (r *Response) Framing() string {
+	switch {
+	case r.EndsWithConnection:
+		return "connection"
+	case r.Length >= 0:
+		return "length"
+	}
+	return "chunks"
+}
+
 // Discard keeps the connection from being used again.
 func (r *Response) Discard() { r.closeAfter = true }
 
