Soak hosts beside engines that are processes of their own

The engines of the soak lived in the process of the test, so the kernel could not end them, and all their streams were short and in chunks.

TestSoakWithEngineProcesses starts engines from the test program. They answer with a length, in chunks or with neither, by HTTP/1.1 and 1.0, over 0.1 to 3.8 s. Engines are killed with their address back at once, later or while they leave, exit in the regular way, fall silent for a second and load weights, while hosts are stopped by SIGTERM one after the other. Callers speak HTTP/1.1 and 1.0 over kept and fresh connections, and each answer is checked for the order of its pieces and for loss around a stop. SOAK_EDGE names the program of the hosts, SOAK_TIME the time.

--- /dev/null
+++ b/cmd/trial/soak/processes_test.go
@@ -0,0 +1,62 @@
+package soak_test
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"magnoliaspoke.example/spoke/cmd/trial/soak"
+)
+
+const (
+	// processTime is the time for which hosts are stopped and engines end.
+	processTime = 15 * time.Second
+	// timeVariable is the environment variable for the time that replaces it, such as 120s; the logs are kept then.
+	// programVariable is that for the program of the hosts.
+	timeVariable    = "SOAK_TIME"
+	programVariable = "SOAK_EDGE"
+)
+
+// TestMain makes the test program an engine if it is started as one.
+func TestMain(m *testing.M) {
+	if text := os.Getenv(soak.EngineVariable); text != "" {
+		if err := soak.ServeEngine(text); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// Guards against answers that look complete and are not, or whose pieces are out of order, and against answers that are
+// lost around a planned stop, while engines that are processes are killed, leave, fall silent and load weights.
+func TestSoakWithEngineProcesses(t *testing.T) {
+	program := os.Getenv(programVariable)
+	if program == "" {
+		program = build(t)
+	}
+	duration := processTime
+	if text := os.Getenv(timeVariable); text != "" {
+		var err error
+		duration, err = time.ParseDuration(text)
+		assert.NilError(t, err)
+	}
+	for _, seed := range seeds(t)[:limitSeeds(t)] {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			report, err := soak.RunProcesses(program, t.TempDir(), seed, duration)
+			assert.NilError(t, err)
+			logs := "not kept"
+			if len(report.Violations) > 0 || os.Getenv(timeVariable) != "" {
+				logs = copyLogs(t, report.LogDirectory)
+			}
+			t.Logf("seed %d, %v, logs %s\n%s", seed, report.Statuses, logs, strings.Join(report.FaultLog, "\n"))
+			assert.Equal(t, len(report.Violations), 0, strings.Join(report.Violations, "\n"))
+		})
+	}
+}
--- /dev/null
+++ b/cmd/trial/soak/verdict.go
@@ -0,0 +1,159 @@
+package soak
+
+import (
+	"bufio"
+	"fmt"
+	"strings"
+	"time"
+
+	fake "magnoliaspoke.example/spoke/fake/platform"
+)
+
+const (
+	// exited is the kind of a regular end, which breaks no run off.
+	exited = "exited-leaving"
+	// lossSlack is the time after the last byte of a request in which a host may close a connection without passing it on.
+	lossSlack = 500 * time.Millisecond
+	// excusedSending is the time after SIGTERM until which a request that is sent is excused if its engine works on in the
+	// last sixth of the grace period.
+	excusedSending = 3 * time.Second
+	lastSixth      = stopGraceSeconds * time.Second * 5 / 6
+	// afterGrace is the time after the grace period that belongs to a planned stop.
+	afterGrace = time.Second
+)
+
+type (
+	// engineRun is a run as its engine logged it; ended is zero if it logged no end.
+	engineRun struct {
+		boot         *boot
+		begun, ended time.Time
+	}
+
+	// verdict finds what callers observed that the rules forbid.
+	verdict struct {
+		bed   *processBed
+		runs  map[string][]engineRun
+		cases map[string]int
+		found []string
+	}
+)
+
+func (b *processBed) judge(all []exchange) (*verdict, error) {
+	v := &verdict{bed: b, runs: make(map[string][]engineRun), cases: make(map[string]int)}
+	for _, e := range b.boots {
+		log, err := e.process.Log()
+		if err != nil {
+			return nil, err
+		}
+		v.readRuns(e, log)
+	}
+	for _, x := range all {
+		if kind := orderOf(x); kind != "" {
+			v.add(x, "ORDER "+kind)
+		}
+		if at := v.lostIn(x); at != nil {
+			v.add(x, fmt.Sprintf("LOST status %d, sent %.2f s and cut %.2f s after SIGTERM of %s", x.status, x.sentAt.Sub(at.at).Seconds(), x.endedAt.Sub(at.at).Seconds(), x.host.name))
+		}
+	}
+	return v, nil
+}
+
+func (v *verdict) readRuns(e *boot, log string) {
+	lines := bufio.NewScanner(strings.NewReader(log))
+	for lines.Scan() {
+		var at int64
+		var word, id string
+		if _, err := fmt.Sscan(lines.Text(), &at, &word, &id); err != nil {
+			continue
+		}
+		runs := v.runs[id]
+		switch {
+		case word == fake.RunBegins:
+			v.runs[id] = append(runs, engineRun{boot: e, begun: time.UnixMilli(at)})
+		case word == fake.RunEnds && len(runs) > 0 && runs[len(runs)-1].boot == e:
+			runs[len(runs)-1].ended = time.UnixMilli(at)
+		}
+	}
+}
+
+// orderOf returns in which way an answer breaks the order of its pieces, empty if it does not.
+func orderOf(x exchange) string {
+	whole := fake.FramedAnswer(x.id, 0)
+	switch {
+	case x.status != 200:
+		return ""
+	case !strings.HasPrefix(whole, x.body):
+		return "pieces differ"
+	case x.err == nil && x.body != whole:
+		return "looks complete"
+	default:
+		return ""
+	}
+}
+
+// lostIn returns the stop of a host around which a call was lost, nil if there is none.
+func (v *verdict) lostIn(x exchange) *stop {
+	if x.err == nil || x.endedAt.Sub(x.sentAt) >= processRouteTimeout {
+		return nil
+	}
+	runs := v.runs[x.id]
+	if len(runs) == 0 && x.endedAt.Sub(x.sentAt) <= lossSlack {
+		return nil
+	}
+	for _, run := range runs {
+		if run.brokeOff(x) {
+			return nil
+		}
+	}
+	for i := range v.bed.stops {
+		s := &v.bed.stops[i]
+		sent, cut := x.sentAt.Sub(s.at), x.endedAt.Sub(s.at)
+		if s.host != x.host || cut < 0 || cut > stopGraceSeconds*time.Second+afterGrace {
+			continue
+		}
+		if sent > excusedSending || cut < lastSixth {
+			return s
+		}
+	}
+	return nil
+}
+
+// brokeOff reports whether the engine was killed while the run went on.
+func (r engineRun) brokeOff(x exchange) bool {
+	e := r.boot
+	return e.end != "" && e.end != exited && r.ended.IsZero() && e.endedAt.Before(x.endedAt)
+}
+
+// add records a case with what the logs say of it.
+func (v *verdict) add(x exchange, what string) {
+	end := "none"
+	for _, run := range v.runs[x.id] {
+		if run.boot.end != "" && run.ended.IsZero() {
+			end = run.boot.end
+		}
+	}
+	kind := fmt.Sprintf("%s, %s, end of engine: %s", fake.FramingOf(x.id, x.isStream()), x.route, end)
+	rule, _, _ := strings.Cut(what, " status")
+	v.cases[rule+", "+kind]++
+	text := fmt.Sprintf("%s: %s, %s, HTTP/1.0 %t, %d bytes, error %v", x.id, what, kind, x.isHTTP10, len(x.body), x.err)
+	for _, h := range v.bed.hosts {
+		text += v.logLines(h, x.id)
+	}
+	v.found = append(v.found, text)
+}
+
+// logLines returns the lines of a host's log that name a request.
+func (v *verdict) logLines(h *host, id string) string {
+	process, err := v.bed.fleet.Process(h.name)
+	if err != nil {
+		return "\n    " + err.Error()
+	}
+	log, _ := process.Log()
+	var text strings.Builder
+	for line := range strings.Lines(log) {
+		if strings.Contains(line, id) {
+			text.WriteString("\n    " + h.name + ": " + strings.TrimSpace(line))
+		}
+	}
+	return text.String()
+}
--- a/fake/platform/caller.go
+++ b/fake/platform/caller.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"cmp"
 	"fmt"
 	"net/http"
 	"strings"
@@ -64,6 +65,8 @@
 		MaxAttempts int
 		HasPrompt   bool
 		IsResumable bool
+		// Timeout is 3 s if it is zero.
+		Timeout time.Duration
 	}
 )
 
@@ -99,8 +102,9 @@
 func (s *Store) PutConfig(version int, hostName, service, workspace string, keys []string, routes []Route) {
 	rows := make([]any, 0, len(routes))
 	for _, route := range routes {
+		timeout := cmp.Or(route.Timeout, 3*time.Second)
 		rows = append(rows, map[string]any{
-			"name": route.Name, "host": hostName, "prefix": "/" + route.Name + "/", "route-type": route.Kind, "timeout-ms": 3000,
+			"name": route.Name, "host": hostName, "prefix": "/" + route.Name + "/", "route-type": route.Kind, "timeout-ms": timeout.Milliseconds(),
 			"target-latency-ms": 300, "priority": 1, "service": service, "max-attempts": route.MaxAttempts,
 			"sticky": route.HasPrompt, "resumable": route.IsResumable, "gap-aim-ms": 400,
 		})
--- a/fake/platform/engine.go
+++ b/fake/platform/engine.go
@@ -353,6 +353,8 @@
 		e.trickle(w, r)
 	case Unframed:
 		e.writeUnframed(w, r)
+	case Framed:
+		e.writeFramed(w, r)
 	default:
 		if r.Header.Get(headerModel) == "" {
 			e.writeDelayed(w, r)
