Count excused cuts of the soak and start its hosts again until they run

A run of 120 s on ended without a verdict, since another program on the machine held a port of a stopped host; a start is tried again now.

--- a/cmd/trial/soak/ends.go
+++ b/cmd/trial/soak/ends.go
@@ -13,6 +13,7 @@
 	minEndPause    = 300 * time.Millisecond
 	endPauseJitter = 1500 * time.Millisecond
 	minStopPause   = 500 * time.Millisecond
+	maxRestarts    = 20
 	silence        = time.Second
 	// leaveNotice is the time from the entry of an engine that leaves to its regular end.
 	leaveNotice = 2500 * time.Millisecond
@@ -164,11 +165,23 @@
 			process.Kill()
 		}
 		cancel()
-		sleep(context.Background(), restartDelay)
-		if _, err := b.fleet.Restart(context.Background(), h.name); err != nil {
+		if err := b.restartHost(h); err != nil {
 			return err
 		}
 		b.awaitReady(recoveryTime)
 	}
 	return nil
 }
+
+// restartHost starts a host again. Another program on the machine may hold one of its ports for a while.
+func (b *processBed) restartHost(h *host) error {
+	var err error
+	for range maxRestarts {
+		sleep(context.Background(), restartDelay)
+		if _, err = b.fleet.Restart(context.Background(), h.name); err == nil {
+			return nil
+		}
+		b.logf("%s not started: %.80s", h.name, err)
+	}
+	return err
+}
--- a/cmd/trial/soak/runprocesses.go
+++ b/cmd/trial/soak/runprocesses.go
@@ -87,6 +87,7 @@
 			r.Statuses[e.end]++
 		}
 	}
+	maps.Copy(r.Statuses, v.excused)
 	for _, kind := range slices.Sorted(maps.Keys(v.cases)) {
 		r.FaultLog = append(r.FaultLog, fmt.Sprintf("%d cases of %s", v.cases[kind], kind))
 	}
--- a/cmd/trial/soak/verdict.go
+++ b/cmd/trial/soak/verdict.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -34,12 +35,14 @@
 		bed   *processBed
 		runs  map[string][]engineRun
 		cases map[string]int
-		found []string
+		// excused counts the calls that were cut around a stop and do not count as lost.
+		excused map[string]int
+		found   []string
 	}
 )
 
 func (b *processBed) judge(all []exchange) (*verdict, error) {
-	v := &verdict{bed: b, runs: make(map[string][]engineRun), cases: make(map[string]int)}
+	v := &verdict{bed: b, runs: make(map[string][]engineRun), cases: make(map[string]int), excused: make(map[string]int)}
 	for _, e := range b.boots {
 		log, err := e.process.Log()
 		if err != nil {
@@ -91,33 +94,50 @@
 	}
 }
 
-// lostIn returns the stop of a host around which a call was lost, nil if there is none.
+// lostIn returns the stop of a host around which a call was lost, nil if there is none. It counts the calls that were cut
+// around a stop and are excused.
 func (v *verdict) lostIn(x exchange) *stop {
-	if x.err == nil || x.endedAt.Sub(x.sentAt) >= processRouteTimeout {
+	s := v.stopAround(x)
+	if x.err == nil || s == nil {
 		return nil
 	}
-	runs := v.runs[x.id]
-	if len(runs) == 0 && x.endedAt.Sub(x.sentAt) <= lossSlack {
-		return nil
-	}
-	for _, run := range runs {
-		if run.brokeOff(x) {
-			return nil
-		}
+	excuse := v.excuseOf(x, s)
+	if excuse == "" {
+		return s
 	}
+	v.excused[excuse]++
+	return nil
+}
+
+// stopAround returns the stop of the host in which an answer ended, nil if there is none.
+func (v *verdict) stopAround(x exchange) *stop {
 	for i := range v.bed.stops {
 		s := &v.bed.stops[i]
-		sent, cut := x.sentAt.Sub(s.at), x.endedAt.Sub(s.at)
-		if s.host != x.host || cut < 0 || cut > stopGraceSeconds*time.Second+afterGrace {
-			continue
-		}
-		if sent > excusedSending || cut < lastSixth {
+		ended := x.endedAt.Sub(s.at)
+		if s.host == x.host && ended >= 0 && ended <= stopGraceSeconds*time.Second+afterGrace {
 			return s
 		}
 	}
 	return nil
 }
 
+// excuseOf returns why a call that was cut around a stop does not count as lost, empty if it does.
+func (v *verdict) excuseOf(x exchange, s *stop) string {
+	runs, took := v.runs[x.id], x.endedAt.Sub(x.sentAt)
+	switch {
+	case took >= processRouteTimeout:
+		return "cut in a stop, timeout of the route"
+	case len(runs) == 0 && took <= lossSlack:
+		return "cut in a stop, not passed on"
+	case slices.ContainsFunc(runs, func(run engineRun) bool { return run.brokeOff(x) }):
+		return "cut in a stop, engine broke off"
+	case x.sentAt.Sub(s.at) <= excusedSending && x.endedAt.Sub(s.at) >= lastSixth:
+		return "cut in a stop, engine at work to the last"
+	default:
+		return ""
+	}
+}
+
 // brokeOff reports whether the engine was killed while the run went on.
 func (r engineRun) brokeOff(x exchange) bool {
 	e := r.boot
