Count unframed answers as whole only on evidence

Cause: the kernel ends the connections of a killed process in the regular way, which is also the end of such an answer. It counted as whole unless a connection was refused within 30 ms, and always if the engine was leaving or not listed. An engine that is back at its address at once, or whose process takes longer to end, refuses none.

Evidence: TestAnswersOfKilledEngineDoNotLookWhole kills an engine that is a process of its own in six ways, during four kinds of calls.

Change: such an answer is whole if it has as many events with an id as its caller allows tokens, or if the same start of its engine answers behind the end. That is one call for the report, only for answers of this form, on an idle connection if there is one. Another engine, another start or a refusal break the answer off at once; resets and silence are asked about again for 1.5 s, since sound engines cause them too. What follows a broken answer is as before.

Such a death counts as a crash, at the time of the end: an engine that is back at once accepts connections and looked sound. One that was leaving or unlisted ended as planned and does not count.

The test replaces TestStreamsOfKilledEngineDoNotLookWhole. Its case "leaving" demanded that the cut stream of an engine that leaves passes as whole, which was the decision that is changed; the new case demands that it is resumed or broken off.

The connect errors of link now wrap their cause, which tells a refusal from a time-out.

--- a/calls.go
+++ b/calls.go
@@ -125,8 +125,36 @@
 		IdleTimeout time.Duration
 	}
 
+	// IdentityRequest is a request that shows which upstream runs at an address.
+	IdentityRequest struct {
+		Method string
+		Target string
+		Header http.Header
+	}
+
+	// UpstreamIdentity is what the answer to an IdentityRequest shows.
+	UpstreamIdentity struct {
+		// IsOther reports whether another upstream than the one that was meant has the address.
+		IsOther bool
+		// Started is the start time on the upstream's own clock, the zero time if the answer does not give it.
+		Started time.Time
+		// IdleTimeout is how long the upstream keeps the connection open; zero means unknown.
+		IdleTimeout time.Duration
+	}
+
+	// IdentityCodec converts identity requests and their answers.
+	IdentityCodec interface {
+		// EncodeIdentityRequest returns the request about an upstream that should run at an address.
+		EncodeIdentityRequest(upstream UpstreamID) IdentityRequest
+		// IsIdentityAnswer reports whether an answer is none to an earlier call on the same connection.
+		IsIdentityAnswer(header http.Header) bool
+		// DecodeIdentity decodes the answer to the request about an upstream. A body that cannot be decoded shows nothing.
+		DecodeIdentity(upstream UpstreamID, status int, header http.Header, body []byte) UpstreamIdentity
+	}
+
 	// RelayCodec converts calls and answers between HTTP and the types of this package.
 	RelayCodec interface {
+		IdentityCodec
 		// DecodeCall decodes the head of a caller's request; an error means that it is malformed.
 		DecodeCall(r *http.Request) (*RelayedCall, error)
 		// EncodeAttempt returns the header of the request to the upstream.
--- a/edge/answer.go
+++ b/edge/answer.go
@@ -48,8 +48,9 @@
 }
 
 // deliver sends a complete answer of an upstream to the caller.
-func (e *exchange) deliver(head answerHead, body []byte) {
-	if err := e.writeAnswer(head, body); err != nil {
+func (e *exchange) deliver(answer *bufferedAnswer) {
+	head := answer.head
+	if err := e.writeAnswer(head, answer.body); err != nil {
 		e.log.WithError(err).Info("caller left before its answer was written")
 	}
 	e.isAnswered = head.Status < http.StatusInternalServerError
@@ -59,7 +60,7 @@
 		// successes when the log exceeds its limits.
 		level = logrus.WarnLevel
 	}
-	e.log.WithFields(logrus.Fields{"status": head.Status, "took": time.Since(e.arrived).String()}).Log(level, "answered")
+	e.log.WithFields(logrus.Fields{"status": head.Status, "took": time.Since(e.arrived).String()}).WithFields(evidenceFields(answer.evidence)).Log(level, "answered")
 	e.metrics.addAnswer(e.route.Name, "status-"+strconv.Itoa(head.Status), e.arrived)
 }
 
--- /dev/null
+++ b/edge/answerend.go
@@ -0,0 +1,101 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"syscall"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"magnoliaspoke.example/spoke/link"
+	"magnoliaspoke.example/spoke/place"
+)
+
+// maxIdentityBytes bounds the body of an answer about the upstream at an address.
+const maxIdentityBytes = 64 << 10
+
+// errUnconfirmedEnd reports an answer that ended with its connection and that nothing shows to be whole.
+var errUnconfirmedEnd = errors.New("nothing confirms that an answer with neither a length nor chunks is whole")
+
+// confirmEnd returns an error unless the answer, which was read to its end, is whole. events is the number of events of
+// its stream. An answer that ends with its connection needs evidence that its upstream has not ended meanwhile.
+func (a *attempt) confirmEnd(ctx context.Context, answer *link.Response, events int) error {
+	if !answer.EndsWithConnection || a.call.Method == http.MethodHead {
+		return nil
+	}
+	a.endedAt = time.Now()
+	a.evidence = place.EndAtLimit
+	if !a.route.IsPrompt || !place.IsAtLimit(a.call.Prompt, events) {
+		a.evidence = a.checkEnd(ctx)
+	}
+	if a.evidence.IsWhole() {
+		return nil
+	}
+	if ctx.Err() == nil {
+		a.metrics.addUnconfirmedEnd()
+	}
+	return errUnconfirmedEnd
+}
+
+// checkEnd asks who runs at the address of the upstream until that is known or the time for it is over.
+func (a *attempt) checkEnd(ctx context.Context) place.EndEvidence {
+	check := place.NewEndCheck(a.endedAt, a.deadline)
+	askAt, evidence := check.FirstAt(), place.EndNothing
+	for waitUntil(ctx, askAt) {
+		evidence = a.askIdentity(ctx, check.TryTime(time.Now()))
+		step := check.Tried(time.Now(), evidence)
+		if step.IsDecided {
+			break
+		}
+		askAt = step.AskAt
+	}
+	return evidence
+}
+
+// waitUntil waits for a time and reports whether ctx has not ended before.
+func waitUntil(ctx context.Context, at time.Time) bool {
+	pause := time.NewTimer(time.Until(at))
+	defer pause.Stop()
+	select {
+	case <-pause.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// askIdentity asks once who runs at the address of the upstream.
+func (a *attempt) askIdentity(ctx context.Context, limit time.Duration) place.EndEvidence {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	a.metrics.addEndCheck()
+	upstream := a.grant.Upstream
+	request := a.codec.EncodeIdentityRequest(upstream.ID)
+	answer, err := a.pool.Do(ctx, link.Request{
+		Address: upstream.Address, Method: request.Method, Target: request.Target, HostName: string(upstream.Address), Header: request.Header,
+	}, func(_ int, header http.Header) bool { return a.codec.IsIdentityAnswer(header) })
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return place.EndUpstreamRefused
+	}
+	if err != nil {
+		return place.EndNothing
+	}
+	body, err := io.ReadAll(io.LimitReader(answer.Body, maxIdentityBytes))
+	identity := a.codec.DecodeIdentity(upstream.ID, answer.Status, answer.Header, body)
+	answer.Close(identity.IdleTimeout)
+	if err != nil {
+		return place.EndNothing
+	}
+	return place.IdentityEvidence(upstream.Started, identity)
+}
+
+// evidenceFields returns what has shown whether the answer is whole, if it needed evidence.
+func evidenceFields(evidence place.EndEvidence) logrus.Fields {
+	if evidence == "" {
+		return nil
+	}
+	return logrus.Fields{"end-evidence": evidence}
+}
--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -54,6 +54,10 @@
 		idle *idleWatcher
 		// heardAt is when the upstream sent the last bytes, or when the attempt began.
 		heardAt time.Time
+		// endedAt is when an answer that needed evidence ended, the zero time if there was none.
+		endedAt time.Time
+		// evidence is what has shown whether the answer is whole, empty if that needed none.
+		evidence place.EndEvidence
 	}
 )
 
@@ -68,8 +72,11 @@
 	a.quarantine.registry.Begin(now, a.id, a.grant.Upstream.ID, a.fingerprint)
 	result := a.roundTrip(ctx)
 	a.endWatch()
-	// The probe of isCrash takes a while, in which an answer that had just begun would seem to be long under way.
-	endedAt := time.Now()
+	// The checks behind the end take a while, in which an answer that had just begun would seem to be long under way.
+	endedAt := a.endedAt
+	if endedAt.IsZero() {
+		endedAt = time.Now()
+	}
 	isCrash := a.isCrash(ctx)
 	if isCrash {
 		a.logCrash(now)
@@ -212,7 +219,7 @@
 	a.log.WithError(err).WithFields(logrus.Fields{
 		"upstream": a.grant.Upstream.ID, "may-have-run": a.progress.mayHaveRun, "held": time.Since(a.arrived).String(),
 		"ended-by": endedBy(ctx), "silent": time.Since(a.heardAt).String(),
-	}).WithFields(a.stoppingFields()).Warn("attempt failed")
+	}).WithFields(evidenceFields(a.evidence)).WithFields(a.stoppingFields()).Warn("attempt failed")
 	return false
 }
 
@@ -220,8 +227,8 @@
 func (a *attempt) relayBuffered(ctx context.Context, answer *link.Response) bool {
 	body, release, err := a.answerMemory.ReadWhole(answer.Body, fetch.UnknownLength, maxAnswerSize)
 	defer release()
-	if err == nil && a.endsWithUpstream(answer) {
-		err = errUpstreamEnded
+	if err == nil {
+		err = a.confirmEnd(ctx, answer, 0)
 	}
 	if err != nil {
 		return a.recordFailure(ctx, place.EndBroken, errors.Join(errors.New("answer is incomplete"), err))
@@ -234,10 +241,11 @@
 	if a.head.Status >= http.StatusInternalServerError {
 		a.ending = place.EndFailed
 	}
+	whole := &bufferedAnswer{head: a.head, body: body, evidence: a.evidence}
 	meansNotRun := slices.Contains(notRunStatuses, a.head.Status)
 	if a.ending == place.EndFailed || meansNotRun {
 		a.progress.lastFault = "status " + http.StatusText(a.head.Status)
-		a.progress.answer = &bufferedAnswer{head: a.head, body: body}
+		a.progress.answer = whole
 		if meansNotRun {
 			// The status would signal that the call was not run, which the upstream did not state.
 			a.progress.answer = nil
@@ -246,7 +254,7 @@
 			return false
 		}
 	}
-	a.deliver(a.head, body)
+	a.deliver(whole)
 	return true
 }
 
--- a/edge/killed_engine_test.go
+++ b/edge/killed_engine_test.go
@@ -7,10 +7,12 @@
 	"fmt"
 	"io"
 	"maps"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -18,28 +20,31 @@
 )
 
 const (
-	// engineProcess is the variable that makes the test program an engine process.
+	// engineProcess is the variable that makes the test program an engine process; its value is the body of its answers.
 	engineProcess = "SPOKE_TEST_ENGINE"
 	killedID      = "i-killed"
-	// begunEvents is the number of events that the process sends of a stream.
-	begunEvents = 2
+	// listenerFile is the descriptor of the listener that an engine process inherits.
+	listenerFile = 3
 )
 
 func TestMain(m *testing.M) {
-	if os.Getenv(engineProcess) != "" {
-		runEngineProcess()
+	if body := os.Getenv(engineProcess); body != "" {
+		runEngineProcess(body)
 		return
 	}
 	os.Exit(m.Run())
 }
 
-// runEngineProcess runs an engine whose streams have neither a length nor chunks and stop after some events, until the
-// end of standard input.
-func runEngineProcess() {
-	engine := fake.NewEngine(killedID, 4)
-	head := []string{"HTTP/1.1 200 OK", "Content-Type: text/event-stream", "Connection: close"}
-	whole, begun := fake.WholeStream(0, 4), fake.WholeStream(begunEvents, 4)
-	engine.SetUnframedAnswer(fake.UnframedAnswer{Head: head, Body: whole[:len(whole)-len(begun)], StaysOpen: true})
+// runEngineProcess runs an engine whose answers have neither a length nor chunks and stay open after the body, until the
+// end of standard input. It writes its entry and then a line for each answer.
+func runEngineProcess(body string) {
+	listener, err := net.FileListener(os.NewFile(listenerFile, "listener"))
+	if err != nil {
+		panic(err)
+	}
+	engine := fake.NewEngineAt(listener, killedID, 4)
+	head := []string{"HTTP/1.1 200 OK", "Connection: close"}
+	engine.SetUnframedAnswer(fake.UnframedAnswer{Head: head, Body: body, StaysOpen: true, OnSent: func() { fmt.Println("sent") }})
 	entry, err := json.Marshal(engine.Entry("models", "a", "ready"))
 	if err != nil {
 		panic(err)
@@ -48,11 +53,27 @@
 	_, _ = io.Copy(io.Discard, os.Stdin)
 }
 
-// startEngineProcess starts an engine as a process, lists it and returns its entry and a function that kills it.
-func (d *deployment) startEngineProcess() (entry map[string]any, kill func()) {
+// killedEngine is an engine process that is killed while it sends an answer.
+type killedEngine struct {
+	d        *deployment
+	entry    map[string]any
+	listener net.Listener
+	process  *os.Process
+	output   *bufio.Reader
+}
+
+// startEngineProcess starts an engine as a process and lists it. Its listener also belongs to the test, so that the
+// address accepts connections after the end of the process until the test closes it.
+func (d *deployment) startEngineProcess(body string) *killedEngine {
 	d.t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(d.t, err)
+	d.t.Cleanup(func() { _ = listener.Close() })
+	inherited, err := listener.(*net.TCPListener).File()
+	assert.NilError(d.t, err)
+	defer inherited.Close()
 	process := exec.Command(os.Args[0])
-	process.Env = append(os.Environ(), engineProcess+"=1")
+	process.Env, process.ExtraFiles = append(os.Environ(), engineProcess+"="+body), []*os.File{inherited}
 	input, err := process.StdinPipe()
 	assert.NilError(d.t, err)
 	output, err := process.StdoutPipe()
@@ -62,70 +83,138 @@
 		_ = input.Close()
 		_ = process.Wait()
 	})
-	line, err := bufio.NewReader(output).ReadBytes('\n')
+	k := &killedEngine{d: d, listener: listener, process: process.Process, output: bufio.NewReader(output)}
+	line, err := k.output.ReadBytes('\n')
 	assert.NilError(d.t, err)
-	assert.NilError(d.t, json.Unmarshal(line, &entry))
-	d.store.Put("servers/"+killedID, entry)
-	return entry, func() { assert.NilError(d.t, process.Process.Kill()) }
+	assert.NilError(d.t, json.Unmarshal(line, &k.entry))
+	d.store.Put("servers/"+killedID, k.entry)
+	return k
 }
 
-// awaitApplied waits until the host has applied what the store holds: the key of a route that it adds is missing.
+// awaitSent waits until the process has sent the body of an answer.
+func (k *killedEngine) awaitSent() {
+	k.d.t.Helper()
+	_, err := k.output.ReadBytes('\n')
+	assert.NilError(k.d.t, err)
+}
+
+func (k *killedEngine) kill() { assert.NilError(k.d.t, k.process.Kill()) }
+
+// deaths are the ways in which an engine process ends, by name.
+var deaths = map[string]func(k *killedEngine){
+	"gone": func(k *killedEngine) {
+		_ = k.listener.Close()
+		k.kill()
+	},
+	"leaving": func(k *killedEngine) {
+		_ = k.listener.Close()
+		k.entry["state"], k.entry["sequence"] = "draining", 2
+		k.d.store.Put("servers/"+killedID, k.entry)
+		k.d.awaitApplied()
+		k.kill()
+	},
+	"unlisted": func(k *killedEngine) {
+		_ = k.listener.Close()
+		k.d.store.Remove("servers/" + killedID)
+		k.d.awaitApplied()
+		k.kill()
+	},
+	"replaced": func(k *killedEngine) {
+		k.kill()
+		k.d.t.Cleanup(fake.NewEngineAt(k.listener, "i-other", 4).Close)
+	},
+	"restarted": func(k *killedEngine) {
+		k.kill()
+		engine := fake.NewEngineAt(k.listener, killedID, 4)
+		engine.Restart(1)
+		k.d.t.Cleanup(engine.Close)
+	},
+	"slow": func(k *killedEngine) {
+		// Connections are established, but nobody accepts them until they are reset.
+		k.kill()
+		time.AfterFunc(300*time.Millisecond, func() { _ = k.listener.Close() })
+	},
+}
+
+// awaitApplied waits until the host has applied what the store holds: the key of a route that it adds is missing. No call
+// of its table is late within two seconds, so that hosts do not turn to another engine before.
 func (d *deployment) awaitApplied() {
 	d.t.Helper()
-	next := table(2, callerKey)
+	d.applied++
+	name := fmt.Sprint("added-", d.applied)
+	next := table(1+d.applied, callerKey)
+	for _, route := range next["routes"].([]any) {
+		route.(map[string]any)["target-latency-ms"] = 2000
+	}
 	added := maps.Clone(next["routes"].([]any)[0].(map[string]any))
-	added["name"], added["prefix"] = "added", "/added/"
+	added["name"], added["prefix"] = name, "/"+name+"/"
 	next["routes"] = append(next["routes"].([]any), added)
 	d.store.Put("op/config", next)
 	awaitTrue(d.t, "table not in force", func() bool {
-		got, err := d.send(call{method: http.MethodGet, path: "/added/1", id: "probe"})
+		got, err := d.send(call{method: http.MethodGet, path: "/" + name + "/1", id: "probe"})
 		return err == nil && got.status == http.StatusUnauthorized
 	})
 }
 
-// Guards against streams that look whole although their engine was killed between two events: the kernel ends the
-// connections of a killed process in the regular way, which is also the end of an answer with neither a length nor chunks.
-// An engine that leaves may end right behind its last answer, which is whole.
-func TestStreamsOfKilledEngineDoNotLookWhole(t *testing.T) {
-	for name, c := range map[string]call{"resumable": chatCall("chat"), "other": quoteCall("quote"), "leaving": quoteCall("quote")} {
-		t.Run(name, func(t *testing.T) {
-			d := start(t, 0)
-			entry, kill := d.startEngineProcess()
-			type result struct {
-				answer
-				err error
-			}
-			received := make(chan result, 1)
-			go func() {
-				awaitTrue(t, "no stream begun", func() bool {
-					got, err := d.send(c)
-					if got.status == http.StatusOK {
-						received <- result{got, err}
-					}
-					return got.status == http.StatusOK
-				})
-			}()
-			awaitTrue(t, "stream not begun", func() bool { return d.hasLogged("stream began") })
-			next := fake.NewEngine("i-next", 4)
-			t.Cleanup(next.Close)
-			d.store.PutEngine(next, "models", next.Address(), false)
-			if name == "leaving" {
-				entry["state"], entry["sequence"] = "draining", 2
-				d.store.Put("servers/"+killedID, entry)
-			}
-			d.awaitApplied()
-			kill()
-			got := <-received
-			if name == "resumable" {
-				assert.NilError(t, got.err)
-				assert.Equal(t, got.body, wholeStream)
-				return
-			}
-			if name == "leaving" {
-				assert.NilError(t, got.err)
-				return
+// callKilled makes a call at an engine that dies in the given way after it has sent the body, while another one runs.
+func callKilled(t *testing.T, c call, body, death string) result {
+	t.Helper()
+	d := start(t, 0)
+	d.awaitApplied()
+	killed := d.startEngineProcess(body)
+	received := make(chan result, 1)
+	go func() {
+		awaitTrue(t, "no call placed", func() bool {
+			got, err := d.send(c)
+			isPlaced := got.status != http.StatusServiceUnavailable && got.status != 0
+			if isPlaced {
+				received <- result{got, err}
 			}
-			assert.Assert(t, errors.Is(got.err, io.ErrUnexpectedEOF), "error %v, body %q", got.err, got.body)
+			return isPlaced
+		})
+	}()
+	killed.awaitSent()
+	if body != cutBody {
+		awaitTrue(t, "stream not begun", func() bool { return d.hasLogged("stream began") })
+	}
+	next := fake.NewEngine("i-next", 4)
+	t.Cleanup(next.Close)
+	d.store.PutEngine(next, "models", next.Address(), false)
+	d.awaitApplied()
+	deaths[death](killed)
+	got := <-received
+	assert.Check(t, d.hasLogged("nothing confirms that an answer"))
+	isPlanned := death == "leaving" || death == "unlisted"
+	assert.Check(t, d.hasLogged("upstream crashed during an attempt") != isPlanned)
+	return got
+}
+
+// cutBody is the beginning of an answer that is not a stream.
+const cutBody = "who"
+
+// Guards against answers that look whole although their engine was killed while it sent them: the kernel ends the
+// connections of a killed process in the regular way, which is also the end of an answer with neither a length nor chunks.
+// The death counts as a crash unless the engine was leaving.
+func TestAnswersOfKilledEngineDoNotLookWhole(t *testing.T) {
+	for death := range deaths {
+		t.Run(death+" in resumable stream", func(t *testing.T) {
+			got := callKilled(t, chatCall("chat"), twoEvents, death)
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.answer.body, wholeStream)
+		})
+		t.Run(death+" in other stream", func(t *testing.T) {
+			got := callKilled(t, quoteCall("quote"), twoEvents, death)
+			assert.Assert(t, errors.Is(got.err, io.ErrUnexpectedEOF), "error %v, body %q", got.err, got.answer.body)
+		})
+		t.Run(death+" in repeatable call", func(t *testing.T) {
+			got := callKilled(t, lookCall("look"), cutBody, death)
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.answer.body, fake.WholeAnswer("i-next"))
+		})
+		t.Run(death+" in other call", func(t *testing.T) {
+			got := callKilled(t, bookCall("book"), cutBody, death)
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.answer.status, http.StatusBadGateway)
 		})
 	}
 }
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -48,6 +48,9 @@
 		// originDatagrams and originRequests count the messages to other hosts about the software versions of
 		// streams.
 		originDatagrams, originRequests atomic.Int64
+		// endChecks counts the calls that ask upstreams whether they still run behind the end of an answer, and
+		// unconfirmedEnds the answers that count as broken off after them.
+		endChecks, unconfirmedEnds atomic.Int64
 	}
 )
 
@@ -61,10 +64,11 @@
 // ServeHTTP writes the metrics in the format of package expvar.
 func (m *metrics) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
-	_, _ = fmt.Fprintf(w, "{\n%q: %s,\n%q: %s,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d\n}\n",
+	_, _ = fmt.Fprintf(w, "{\n%q: %s,\n%q: %s,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d\n}\n",
 		"answers", expvar.Func(m.answers), "times", expvar.Func(m.percentiles), "endless", m.endless.Load(), "limited", m.limited.Load(),
 		"recalled", m.recalled.Load(), "crashes", m.crashes.Load(), "part-marks", m.partMarks.Load(), "part-refusals", m.partRefusals.Load(),
-		"feed-bytes", m.feedBytes.Load(), "origin-datagrams", m.originDatagrams.Load(), "origin-requests", m.originRequests.Load())
+		"feed-bytes", m.feedBytes.Load(), "origin-datagrams", m.originDatagrams.Load(), "origin-requests", m.originRequests.Load(),
+		"end-checks", m.endChecks.Load(), "unconfirmed-ends", m.unconfirmedEnds.Load())
 }
 
 func (m *metrics) addAnswer(route spoke.RouteName, outcome string, arrived time.Time) {
@@ -93,6 +97,10 @@
 
 func (m *metrics) addOriginRequest() { m.originRequests.Add(1) }
 
+func (m *metrics) addEndCheck() { m.endChecks.Add(1) }
+
+func (m *metrics) addUnconfirmedEnd() { m.unconfirmedEnds.Add(1) }
+
 func (m *metrics) addWait(route spoke.RouteName, took time.Duration) { m.add("wait ", route, took) }
 
 func (m *metrics) addFirst(route spoke.RouteName, took time.Duration) { m.add("first ", route, took) }
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -61,6 +61,8 @@
 	bufferedAnswer struct {
 		head spoke.AnswerHead
 		body []byte
+		// evidence is what has shown that the answer is whole, empty if that needed none.
+		evidence place.EndEvidence
 	}
 )
 
@@ -207,7 +209,7 @@
 	case p.stream.hasBegun():
 		e.abortStream(u.reason, u.fields)
 	case p.answer != nil:
-		e.deliver(p.answer.head, p.answer.body)
+		e.deliver(p.answer)
 	case p.mayHaveRun:
 		e.fail(u.status, u.reason, u.fields)
 	default:
@@ -301,7 +303,7 @@
 	case p.stream.hasBegun():
 		e.abortStream("broken", fields)
 	case p.answer != nil:
-		e.deliver(p.answer.head, p.answer.body)
+		e.deliver(p.answer)
 	case ctx.Err() != nil || e.isTimeOver():
 		e.fail(http.StatusGatewayTimeout, "deadline", fields)
 	case p.mayHaveRun:
--- a/edge/setup_test.go
+++ b/edge/setup_test.go
@@ -50,6 +50,8 @@
 	directory func(spoke.Directory) spoke.Directory
 	// codec replaces the platform's codec, if it is set.
 	codec spoke.RelayCodec
+	// applied counts the tables of awaitApplied.
+	applied int
 }
 
 // start runs a host with a number of engines, each of which answers streams with four events.
--- a/edge/stream.go
+++ b/edge/stream.go
@@ -34,8 +34,10 @@
 
 // streamState is the part of a stream that the caller has received, over all attempts.
 type streamState struct {
-	lastID      string
-	events      int
+	lastID string
+	events int
+	// numbered is the number of events with an id; others may be without tokens.
+	numbered    int
 	lastEventAt time.Time
 	widestGap   time.Duration
 	// software is the version at which the stream began, as listed when its upstream was granted. It is a copy,
@@ -77,8 +79,8 @@
 		if answer.EndsWithConnection && !state.hasBegun() && a.spec.LastEventID == "" {
 			return a.recordFailure(ctx, place.EndBroken, errNoEvents)
 		}
-		if a.endsWithUpstream(answer) {
-			return a.recordFailure(ctx, place.EndBroken, errUpstreamEnded)
+		if err := a.confirmEnd(ctx, answer, state.numbered); err != nil {
+			return a.recordFailure(ctx, place.EndBroken, err)
 		}
 		return a.finishStream(state, answer)
 	}
@@ -145,6 +147,7 @@
 	}
 	state.lastEventAt = now
 	state.events += bytes.Count(events, eventDelimiter)
+	state.numbered += countNumbered(events)
 	if id := lastID(events); id != "" {
 		state.lastID = id
 	}
@@ -176,7 +179,7 @@
 	a.log.WithFields(logrus.Fields{
 		"events": state.events, "widest-gap": state.widestGap.String(), "gap-target": a.route.GapTarget.String(), "took": time.Since(a.arrived).String(),
 		"status": a.head.Status, "framing": answer.Framing(), "upstream": a.grant.Upstream.ID,
-	}).Info("answered")
+	}).WithFields(evidenceFields(a.evidence)).Info("answered")
 	a.metrics.addGap(a.route.Name, state.widestGap)
 	a.metrics.addAnswer(a.route.Name, "status-"+strconv.Itoa(a.head.Status), a.arrived)
 	return true
@@ -201,6 +204,17 @@
 	return kept
 }
 
+// countNumbered returns the number of events that have an id.
+func countNumbered(events []byte) int {
+	count := 0
+	for event := range bytes.SplitAfterSeq(events, eventDelimiter) {
+		if lastID(event) != "" {
+			count++
+		}
+	}
+	return count
+}
+
 // lastID returns the id of the last event that has one.
 func lastID(events []byte) string {
 	const field = "id:"
--- a/fake/platform/engine.go
+++ b/fake/platform/engine.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -92,6 +93,7 @@
 		shedCount           int
 		longestEndlessWrite time.Duration
 		unframed            UnframedAnswer
+		reports             reportTrouble
 		held                *hold
 		stall               Stall
 		// resumed is the response to resumed streams.
@@ -106,13 +108,21 @@
 
 // NewEngine starts an engine on loopback; each of its streams has the given number of events.
 func NewEngine(id string, events int) *Engine {
-	e := &Engine{ID: id, behaviour: Serve, version: 1, software: "v1", events: events}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(err)
+	}
+	return NewEngineAt(listener, id, events)
+}
+
+// NewEngineAt starts an engine that accepts connections from the listener.
+func NewEngineAt(listener net.Listener, id string, events int) *Engine {
+	e := &Engine{ID: id, behaviour: Serve, version: 1, software: "v1", events: events, address: listener.Addr().String()}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /report", e.serveReport)
 	mux.HandleFunc("POST /order", e.serveOrder)
 	mux.HandleFunc("/", e.serveRun)
-	e.server, e.handler = httptest.NewServer(mux), mux
-	e.address = e.server.Listener.Addr().String()
+	e.server, e.handler = newServer(listener, mux), mux
 	return e
 }
 
@@ -243,15 +253,6 @@
 	}
 }
 
-func (e *Engine) serveReport(w http.ResponseWriter, _ *http.Request) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	writeJSON(w, http.StatusOK, map[string]any{
-		"stage": "both", "busy": false, "sequence": e.orders, "waiting": 0, "running": 0, "clock_ms": time.Now().UnixMilli(),
-		"models": []map[string]any{{"name": ModelName, "version": e.version}},
-	})
-}
-
 func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
 	var order orderBody
 	if err := json.NewDecoder(r.Body).Decode(&order); err != nil || order.Fence == 0 {
--- a/fake/platform/unframed.go
+++ b/fake/platform/unframed.go
@@ -20,6 +20,8 @@
 	IsReset bool
 	// StaysOpen leaves the connection open after the body until the process ends.
 	StaysOpen bool
+	// OnSent, if set, is called after the body was sent to a request that begins a run.
+	OnSent func()
 }
 
 // SetUnframedAnswer sets the response to the following requests.
@@ -43,7 +45,7 @@
 	answer := e.unframed
 	e.mu.Unlock()
 	if after, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
-		answer.Body, answer.IsReset, answer.StaysOpen = WholeStream(after, e.events), false, false
+		answer.Body, answer.IsReset, answer.StaysOpen, answer.OnSent = WholeStream(after, e.events), false, false, nil
 	}
 	conn, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
@@ -51,6 +53,9 @@
 	}
 	head := slices.Concat(answer.Head, []string{headerRequestID + ": " + r.Header.Get(headerRequestID), headerServerStamp + ": " + stampPrefix + e.ID})
 	_, _ = io.WriteString(conn, strings.Join(head, "\r\n")+"\r\n\r\n"+answer.Body)
+	if answer.OnSent != nil {
+		answer.OnSent()
+	}
 	if answer.StaysOpen {
 		return
 	}
--- a/link/exchange.go
+++ b/link/exchange.go
@@ -61,6 +61,12 @@
 		stopCancel func() bool
 	}
 
+	// connectError reports that no connection was made; it wraps spoke.ErrNotRun and the cause.
+	connectError struct {
+		address spoke.Address
+		cause   error
+	}
+
 	// eofReader records whether a body was read to its end.
 	eofReader struct {
 		io.ReadCloser
@@ -68,13 +74,21 @@
 	}
 )
 
+// Error returns the address and the cause.
+func (e *connectError) Error() string {
+	return "connect to " + string(e.address) + ": " + e.cause.Error() + ": " + spoke.ErrNotRun.Error()
+}
+
+// Unwrap returns spoke.ErrNotRun and the cause.
+func (e *connectError) Unwrap() []error { return []error{spoke.ErrNotRun, e.cause} }
+
 // Do sends a request and returns its response when the head has been read; matches reports whether
 // a response belongs to this request and not to an earlier one. An error that wraps
 // spoke.ErrNotRun means that no byte was sent. The connection is closed when ctx ends.
 func (p *Pool) Do(ctx context.Context, request Request, matches func(status int, header http.Header) bool) (*Response, error) {
 	c, err := p.get(ctx, request.Address)
 	if err != nil {
-		return nil, eris.Wrapf(spoke.ErrNotRun, "connect to %s: %s", request.Address, err)
+		return nil, &connectError{address: request.Address, cause: err}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	response, err := p.exchange(c, request, matches)
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -3,12 +3,14 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -121,6 +123,7 @@
 	assert.NilError(t, listener.Close())
 	_, err = get(t, pool, closed)
 	assert.Assert(t, isNotRun(err), "%v", err)
+	assert.Assert(t, errors.Is(err, spoke.ErrNotRun) && errors.Is(err, syscall.ECONNREFUSED), "%v", err)
 }
 
 func isNotRun(err error) bool { return strings.Contains(err.Error(), spoke.ErrNotRun.Error()) }
