Reset unfinished answers to callers without chunks

Callers of HTTP/1.0 get no chunks, so the end of the connection is the end of a stream. A host that was killed, exited or closed its server in the middle ended it by FIN, and the caller took the part for the whole. So did cmd/entry when it broke off a stream itself.

The connection of such a call now has a linger of zero until its answer has ended, set and taken back in caller.Serve for both programs, so that the kernel resets it however the process ends. It is taken back when the server closes or reuses the connection after the handler has returned: the bytes are with the kernel then and reach slow callers even if the process dies.

Ruled out: setting the linger only once the answer is known to lack a length, which needs another writer around each answer and changes nothing for callers of answers with one; and taking it back when the handler returns, since net/http writes the last bytes after that.

--- a/caller/conn.go
+++ b/caller/conn.go
@@ -29,10 +29,11 @@
 	readErr  atomic.Pointer[error]
 	writeErr atomic.Pointer[error]
 
-	// writing keeps interim responses out of the answer.
+	// writing keeps interim responses out of the answer and guards the fields behind it.
 	writing sync.Mutex
 	// mayProbe is set while a request is served whose answer has not begun.
 	mayProbe bool
+	ending   answerEnding
 }
 
 // Read reads the caller's bytes and records the error that ended them.
@@ -49,9 +50,16 @@
 	c.mayProbe = false
 	n, err := c.Conn.Write(p)
 	record(&c.writeErr, err)
+	c.ending.hasFailed = c.ending.hasFailed || err != nil
 	return n, err
 }
 
+// Close closes the connection; it resets it under an answer that is not whole.
+func (c *conn) Close() error {
+	c.finishAnswer()
+	return c.Conn.Close()
+}
+
 // NetConn returns the wrapped connection.
 func (c *conn) NetConn() net.Conn { return c.Conn }
 
@@ -61,6 +69,7 @@
 	if !ok {
 		return errNotTCP
 	}
+	c.finishAnswer()
 	return tcp.CloseWrite()
 }
 
--- a/caller/listener.go
+++ b/caller/listener.go
@@ -14,11 +14,13 @@
 	connKey struct{}
 )
 
-// Serve serves callers on the listener until the server ends, and returns the error of http.Server.Serve.
+// Serve serves callers on the listener until the server ends, and returns the error of http.Server.Serve. The server must
+// have a handler.
 func Serve(server *http.Server, at net.Listener) error {
 	server.ConnContext = func(ctx context.Context, accepted net.Conn) context.Context {
 		return context.WithValue(ctx, connKey{}, accepted)
 	}
+	server.Handler, server.ConnState = resetUnfinished(server.Handler), finishReused(server.ConnState)
 	return server.Serve(listener{at})
 }
 
--- a/edge/killed_engine_test.go
+++ b/edge/killed_engine_test.go
@@ -32,6 +32,10 @@
 		runEngineProcess(body)
 		return
 	}
+	if os.Getenv(hostProcess) != "" {
+		runHostProcess()
+		return
+	}
 	os.Exit(m.Run())
 }
 
--- a/host/pair_test.go
+++ b/host/pair_test.go
@@ -101,16 +101,21 @@
 	return spoke.Address(testServer.Listener.Addr().String())
 }
 
+func hostSettings(id spoke.HostID, platform spoke.Address) config.Entry {
+	settings := config.Defaults()
+	settings.Host, settings.DataCentre = id, "dc1"
+	settings.Caller, settings.Internal, settings.Admin, settings.Metrics = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
+	settings.Platform, settings.PeerSecret = platform, "a secret of enough bytes"
+	settings.HeartbeatInterval = 50 * time.Millisecond
+	return settings
+}
+
 func (p *hostPair) startServers(platform spoke.Address) {
 	p.t.Helper()
 	var peers []config.Peer
 	entries := [2]config.Entry{}
 	for i := range entries {
-		settings := config.Defaults()
-		settings.Host, settings.DataCentre = spoke.HostID(fmt.Sprint("h", i)), "dc1"
-		settings.Caller, settings.Internal, settings.Admin, settings.Metrics = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
-		settings.Platform, settings.PeerSecret = platform, "a secret of enough bytes"
-		settings.HeartbeatInterval = 50 * time.Millisecond
+		settings := hostSettings(spoke.HostID(fmt.Sprint("h", i)), platform)
 		settings.DrainDelay, settings.DrainDeadline = 100*time.Millisecond, p.drainDeadline
 		listeners, err := host.Listen(settings)
 		assert.NilError(p.t, err)
