Keep streams whose silent engine and the next one both refuse

What callers saw: a begun stream of a resumable route whose connection ended, in a stop long before the host ends its calls. Its engine had been silent for 2 s and would have gone on.

Cause: silence moves a stream once another engine is granted and reachable, and that ends the run at the silent one. If the next engine then refused, the stream returned once, and the first refusal of the silent engine cut it; so did the scheduler's at once when that engine was leaving, as "software-version" or "no-upstream". Five attempts that nobody took ended it too, without a return. A decision that rests on a timer was final before anything better was at hand.

Now a stream that left an engine because of its silence asks the engines that it was sent to again, with a pause of 200 ms, while its caller waits for an event. They are no further engines for max-attempts, and each request passes the retry budget. A stream whose engine broke off is treated as before.

Ruled out: running the stream at the next engine before the silent one is left (two runs at once, which TestSilentEngineIsLeftBeforeNextRuns forbids), and no move for silence in a stop (an engine that hangs would then cost the stream).

--- a/edge/idlewatch.go
+++ b/edge/idlewatch.go
@@ -59,7 +59,7 @@
 // watchIdle starts the watch of a call that another upstream could still serve, or returns nil.
 func (a *attempt) watchIdle(callCtx context.Context, cancel context.CancelCauseFunc) *idleWatcher {
 	// A route without a latency target states no time after which its upstreams are silent.
-	if !a.route.IsRepeatable() || len(a.progress.sent)+1 >= a.route.MaxUpstreams || a.progress.only != "" || a.idlePeriod() <= 0 {
+	if !a.route.IsRepeatable() || len(a.progress.sent)+1 >= a.route.MaxUpstreams || len(a.progress.only) > 0 || a.idlePeriod() <= 0 {
 		return nil
 	}
 	w := &idleWatcher{
--- a/edge/patience.go
+++ b/edge/patience.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
+	"magnoliaspoke.example/spoke"
 	"magnoliaspoke.example/spoke/place"
 )
 
@@ -16,16 +18,57 @@
 	for {
 		action, err := e.planner.requestUpstream(ctx, e.schedulerRequest(p), e.call.Prompt.Parts, recall)
 		refusal, isRefusal := action.(place.Refuse)
-		if err != nil || !isRefusal || !refusal.Reason.IsTemporary() || !e.awaitsEvent(p) {
+		if err != nil || !isRefusal || !p.isTemporary(refusal.Reason) || !e.awaitsEvent(p) {
 			return action, err
 		}
-		pause := time.NewTimer(askAgainPause)
-		select {
-		case <-pause.C:
-		case <-ctx.Done():
-			pause.Stop()
+		if !e.pauseAsking(ctx) {
 			return nil, ctx.Err()
 		}
+		if p.hasLeftSilent() {
+			p.allowReturns(e.route.MaxUpstreams)
+		}
+	}
+}
+
+// isTemporary reports whether an upstream may take the call a little later. Those that have refused the call, or that
+// it left because of their silence, may.
+func (p *progress) isTemporary(reason place.Reason) bool {
+	isAbsent := reason == place.RefusedNoUpstream || reason == place.RefusedSoftware
+	return reason.IsTemporary() || p.hasLeftSilent() && isAbsent
+}
+
+// hasLeftSilent reports whether an attempt was ended in favour of another upstream.
+func (p *progress) hasLeftSilent() bool { return p.stalled != "" || p.hasReturned }
+
+// allowReturns lets upstreams take the call again that have received it before, and further ones up to the maximum.
+func (p *progress) allowReturns(maxUpstreams int) {
+	p.tried = slices.DeleteFunc(p.tried, func(id spoke.UpstreamID) bool { return slices.Contains(p.sent, id) })
+	p.only = nil
+	if len(p.sent) >= maxUpstreams {
+		p.only = slices.Clone(p.sent)
+	}
+}
+
+// mayAskAgain reports whether a stream may be sent once more to upstreams that have received it, after a pause: it left
+// one because of its silence, and the last one has not run it. The silent one would have gone on, so a refusal must not
+// cut the stream while its caller waits for an event.
+func (e *exchange) mayAskAgain(ctx context.Context, p *progress) bool {
+	if !p.hasLeftSilent() || !p.isNotRun || !e.mayGoOn(p) || !e.awaitsEvent(p) {
+		return false
+	}
+	p.allowReturns(e.route.MaxUpstreams)
+	return e.pauseAsking(ctx)
+}
+
+// pauseAsking waits between two requests for an upstream, and reports false if ctx ends.
+func (e *exchange) pauseAsking(ctx context.Context) bool {
+	pause := time.NewTimer(askAgainPause)
+	defer pause.Stop()
+	select {
+	case <-pause.C:
+		return true
+	case <-ctx.Done():
+		return false
 	}
 }
 
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -37,8 +37,12 @@
 		next *grantedAttempt
 		// stalled is the upstream whose attempt was ended in favour of another one, until the call returns to it.
 		stalled spoke.UpstreamID
-		// only is the single upstream that may still take the call, empty if any may.
-		only spoke.UpstreamID
+		// only are the upstreams that may still take the call, empty if any may.
+		only []spoke.UpstreamID
+		// hasReturned is set once the call has returned to it.
+		hasReturned bool
+		// isNotRun is set if the upstream of the last attempt has not run the call.
+		isNotRun bool
 	}
 
 	// grantedAttempt is a grant with the context of its attempt, which the scheduler may recall.
@@ -80,16 +84,12 @@
 	}
 	p := &progress{}
 	defer e.releaseNext(p)
-	for range maxAttempts {
-		if e.tryUpstream(ctx, p, fingerprint) {
-			return
-		}
-		if !e.mayTryNext(ctx, p) && !e.mayReturn(ctx, p) {
+	for attempts := 1; !e.tryUpstream(ctx, p, fingerprint); attempts++ {
+		if !e.mayTryNext(ctx, p, attempts) && !e.mayReturn(ctx, p) && !e.mayAskAgain(ctx, p) {
 			e.sendFinalAnswer(ctx, p)
 			return
 		}
 	}
-	e.sendFinalAnswer(ctx, p)
 }
 
 // tryUpstream makes one attempt and reports whether the caller has its final answer.
@@ -124,7 +124,9 @@
 		return true
 	}
 	e.underWay.setStage(e.state, stageSent)
-	return a.runGuarded(ctx, next.ctx)
+	isAnswered := a.runGuarded(ctx, next.ctx)
+	p.isNotRun = a.ending.IsNotRun()
+	return isAnswered
 }
 
 // endMarked ends a call that was marked since it arrived.
@@ -270,9 +272,9 @@
 	return e.route.Services[0].Service
 }
 
-// mayTryNext reports whether the call may be sent to another upstream.
-func (e *exchange) mayTryNext(ctx context.Context, p *progress) bool {
-	if ctx.Err() != nil || !e.mayGoOn(p) {
+// mayTryNext reports whether the call may be sent to another upstream after a number of attempts.
+func (e *exchange) mayTryNext(ctx context.Context, p *progress, attempts int) bool {
+	if ctx.Err() != nil || attempts >= maxAttempts || len(p.only) > 0 || !e.mayGoOn(p) {
 		return false
 	}
 	if p.mayHaveRun && !e.route.IsRepeatable() {
@@ -287,8 +289,7 @@
 	if ctx.Err() != nil || p.stalled == "" {
 		return false
 	}
-	p.only, p.stalled = p.stalled, ""
-	p.tried = slices.DeleteFunc(p.tried, func(id spoke.UpstreamID) bool { return id == p.only })
+	p.only, p.stalled, p.hasReturned = []spoke.UpstreamID{p.stalled}, "", true
 	return true
 }
 
--- a/place/idle_watch_test.go
+++ b/place/idle_watch_test.go
@@ -129,11 +129,11 @@
 func TestOnlyOneUpstreamMayTakeCall(t *testing.T) {
 	ts := newTestScheduler(t, 3)
 	request := ts.request(0, "session", 20, 20)
-	request.Only = "engine-2"
+	request.Only = []spoke.UpstreamID{"engine-2"}
 	assert.Equal(t, ts.grant(request).Upstream.ID, spoke.UpstreamID("engine-2"))
 
 	ts.handle(place.SetUpstreams{Removed: []spoke.UpstreamID{"engine-2"}})
 	request = ts.request(0, "session", 20, 20)
-	request.Only = "engine-2"
+	request.Only = []spoke.UpstreamID{"engine-2"}
 	assert.Equal(t, ts.refusal(request).Reason, place.RefusedNoUpstream)
 }
--- a/place/messages.go
+++ b/place/messages.go
@@ -25,6 +25,15 @@
 	EndAddressReused
 )
 
+// IsNotRun reports whether the upstream has certainly not run the call.
+func (e Ending) IsNotRun() bool {
+	switch e {
+	case EndRefused, EndUnreachable, EndWrongVersion, EndAddressReused:
+		return true
+	}
+	return false
+}
+
 const (
 	// RefusedOverload means that the call could not be served in time.
 	RefusedOverload Reason = "overloaded"
@@ -80,8 +89,8 @@
 		LeavesAt time.Time
 		// Tried lists the upstreams that have already been tried.
 		Tried []spoke.UpstreamID
-		// Only is the single upstream that may take the call, empty if all others may.
-		Only spoke.UpstreamID
+		// Only are the upstreams that may take the call, tried or not, empty if all others may.
+		Only []spoke.UpstreamID
 		// IsRunning says that the call is still at its last upstream, which is silent.
 		IsRunning bool
 		// Software is the version that the upstream must have, since it goes on with a stream that another one
--- a/place/refuse.go
+++ b/place/refuse.go
@@ -43,7 +43,10 @@
 
 // excludes reports whether the call must not be sent to the upstream.
 func (m Request) excludes(id spoke.UpstreamID) bool {
-	return slices.Contains(m.Tried, id) || (m.Only != "" && m.Only != id)
+	if len(m.Only) > 0 {
+		return !slices.Contains(m.Only, id)
+	}
+	return slices.Contains(m.Tried, id)
 }
 
 // absenceReason returns why no upstream may take the call now or later, empty if one may.
--- a/place/refuse_test.go
+++ b/place/refuse_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"magnoliaspoke.example/spoke"
 	"magnoliaspoke.example/spoke/place"
 )
 
@@ -17,7 +18,7 @@
 	broken := ts.request(0, "session", 20, 20)
 	broken.Tried, broken.IsRetry = append(broken.Tried, "engine-0"), true
 	paused := ts.request(0, "session", 20, 20)
-	paused.Only = "engine-1"
+	paused.Only = []spoke.UpstreamID{"engine-1"}
 	ts.grant(paused)
 	ts.handle(place.Ended{Call: paused.Call, Ending: place.EndRefused, Pause: 500 * time.Millisecond})
 
@@ -33,3 +34,13 @@
 	assert.Equal(t, refused.Reason, place.RefusedNoUpstream)
 	assert.Assert(t, !refused.Reason.IsTemporary())
 }
+
+// Guards against a call that may return to one of its upstreams and is refused, or reaches one that it was never sent to.
+func TestCallReturnsToUpstreamThatIsNotLeaving(t *testing.T) {
+	ts := newTestScheduler(t, 3)
+	request := ts.request(0, "session", 20, 20)
+	request.Tried, request.IsRetry = append(request.Tried, "engine-0", "engine-1"), true
+	request.Only = []spoke.UpstreamID{"engine-0", "engine-1"}
+	ts.handle(place.SetUpstreams{Removed: []spoke.UpstreamID{"engine-0"}})
+	assert.Equal(t, ts.grant(request).Upstream.ID, spoke.UpstreamID("engine-1"))
+}
