Count a stop's estimates from when the signal may have been sent

What callers saw: a host that had been frozen for 0.9 s around SIGTERM took a stream 3.27 s after the signal was sent and broke it off 7.75 s after it. Callers that send a request later than 3 s after the signal get a whole answer or a refusal.

Cause: the host counted from the moment its handler ran. The kernel does not say when a signal was sent, so a host that gets no processor time for a while decided by estimate for that much longer.

Now the task that waits for signals looks every 25 ms, and the signal was sent after the look before the last one (place.SignalTime; the last one may be the first after a freeze, before the signal is delivered). An estimate decides until 2.8 s after that time at the latest. The times at which the host closes its listener and ends its calls still count from the handler: callers need the listener until the platform has seen that the host is not ready, and an engine that is at work may go on. The line "stopping" says by how much the signal may be late.

Ruled out: counting the end of calls from that time too. A signal that was sent at the end of a freeze would then end engines at work too soon.

--- a/edge/setup_test.go
+++ b/edge/setup_test.go
@@ -52,6 +52,8 @@
 	codec spoke.RelayCodec
 	// applied counts the tables of awaitApplied.
 	applied int
+	// timer replaces the host's timer, if it is set.
+	timer spoke.Timer
 }
 
 // start runs a host with a number of engines, each of which answers streams with four events.
@@ -128,11 +130,15 @@
 	if d.codec != nil {
 		codec = d.codec
 	}
+	var clock spoke.Timer = timer.NewSystem()
+	if d.timer != nil {
+		clock = d.timer
+	}
 	control := platform.NewControl()
 	host, err := edge.New(d.settings, edge.Dependencies{
 		Directory: directory, Leases: platform.NewLeases(client), OrdersLease: platform.OrdersLease,
 		Control: control, Stores: control, Codec: codec,
-		Timer: timer.NewSystem(), LeaseTimer: boot, Log: log,
+		Timer: clock, LeaseTimer: boot, Log: log,
 	})
 	assert.NilError(d.t, err)
 	go func() { d.ended <- host.Run(d.signals) }()
--- a/edge/stop.go
+++ b/edge/stop.go
@@ -9,6 +9,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"magnoliaspoke.example/spoke/place"
 	"magnoliaspoke.example/spoke/timer"
 )
 
@@ -21,6 +22,11 @@
 	// answerMargin is the time between the end of the calls under way and the close of their connections, in
 	// which their answers are written.
 	answerMargin = 250 * time.Millisecond
+	// estimateTime is the time after the signal within which an estimate may decide that a call is accepted: a caller
+	// that sends it 3 s after the signal or later gets a whole answer or a refusal.
+	estimateTime = 2800 * time.Millisecond
+	// signalInterval is the interval of the looks that bound when the signal was sent.
+	signalInterval = 25 * time.Millisecond
 	// withdrawTimeout bounds the withdrawal of the announcement, within that part.
 	withdrawTimeout = 300 * time.Millisecond
 )
@@ -31,27 +37,36 @@
 // awaitStop waits for signals: SIGHUP is only logged, any other signal stops the host once its calls have
 // ended.
 func (h *Host) awaitStop(ctx context.Context, signals <-chan os.Signal, callers *callerServer) error {
+	var sent place.SignalTime
+	sent.NoneAt(time.Now())
 	for {
+		look := h.deps.Timer.After(signalInterval)
 		select {
 		case received := <-signals:
+			look.Stop()
 			if received == syscall.SIGHUP {
 				h.reload()
 				continue
 			}
-			h.deps.Log.WithField("signal", received.String()).Info("stopping")
-			return h.stop(ctx, callers)
+			now := time.Now()
+			earliest := sent.Earliest(now)
+			h.deps.Log.WithFields(logrus.Fields{"signal": received.String(), "late": now.Sub(earliest).String()}).Info("stopping")
+			return h.stop(ctx, callers, earliest)
+		case <-look.C():
+			sent.NoneAt(time.Now())
 		case <-ctx.Done():
+			look.Stop()
 			return ctx.Err()
 		}
 	}
 }
 
-// stop takes the host out of service and waits for the calls in flight.
-func (h *Host) stop(ctx context.Context, callers *callerServer) error {
+// stop takes the host out of service and waits for the calls in flight. The signal was sent at the given time or later.
+func (h *Host) stop(ctx context.Context, callers *callerServer, sent time.Time) error {
 	begun := time.Now()
 	h.isLeaving.Store(true)
 	deadline := begun.Add(h.settings.StopGrace - stopMargin)
-	times := stopTimes{begun: begun, listensUntil: begun.Add(unreadyDelay), endsAt: deadline.Add(-answerMargin)}
+	times := stopTimes{begun: begun, listensUntil: begun.Add(unreadyDelay), estimatesUntil: sent.Add(estimateTime), endsAt: deadline.Add(-answerMargin)}
 	h.relayer.stop.Store(&times)
 	end := time.AfterFunc(time.Until(times.endsAt), h.relayer.requests.End)
 	defer end.Stop()
--- a/edge/stopping.go
+++ b/edge/stopping.go
@@ -27,13 +27,15 @@
 		begun time.Time
 		// listensUntil is when the host stops accepting connections.
 		listensUntil time.Time
+		// estimatesUntil is when this host stops accepting calls by estimate, also if it still listens.
+		estimatesUntil time.Time
 		// endsAt is when the calls under way end.
 		endsAt time.Time
 	}
 )
 
 func (t stopTimes) remaining(now time.Time) place.Stop {
-	return place.Stop{Left: t.endsAt.Sub(now), IsListening: now.Before(t.listensUntil)}
+	return place.Stop{Left: t.endsAt.Sub(now), MayEstimate: now.Before(t.listensUntil) && now.Before(t.estimatesUntil)}
 }
 
 func newCallTimes() *callTimes { return &callTimes{times: place.NewCallTimes()} }
@@ -93,7 +95,7 @@
 }
 
 func stopFields(stop place.Stop, expected time.Duration) logrus.Fields {
-	return logrus.Fields{"left": stop.Left.String(), "expected": expected.String(), "listening": stop.IsListening}
+	return logrus.Fields{"left": stop.Left.String(), "expected": expected.String(), "estimates": stop.MayEstimate}
 }
 
 // stoppingFields returns how long this host has been stopping, nothing if it is not.
--- a/place/call_times.go
+++ b/place/call_times.go
@@ -60,8 +60,8 @@
 	Stop struct {
 		// Left is the time until the calls under way end.
 		Left time.Duration
-		// IsListening is set while callers may still open connections to this host.
-		IsListening bool
+		// MayEstimate is set while callers may still open connections to this host, until a time after the signal.
+		MayEstimate bool
 	}
 )
 
@@ -121,11 +121,12 @@
 }
 
 // Accepts reports whether a stopping host sends a call to an upstream that is expected to take the given time. While the
-// host listens, a caller that is refused may reach it again, and the expected time decides. After that, callers reach
-// other hosts, and an estimate is not worth the risk of a broken stream or of a call that may have run: only calls that
-// may be repeated, and those that end by their own limit, are accepted.
+// host listens, a caller that is refused may reach it again, and the expected time decides, unless the host learned of
+// its stop so late that callers count on whole answers. After that, callers reach other hosts, and an estimate is not
+// worth the risk of a broken stream or of a call that may have run: only calls that may be repeated, and those that end
+// by their own limit, are accepted.
 func (s Stop) Accepts(call CallBounds, expected time.Duration) bool {
-	if !s.IsListening && call.Route.Rule != spoke.RuleRepeatable {
+	if !s.MayEstimate && call.Route.Rule != spoke.RuleRepeatable {
 		expected = call.Wait
 	}
 	return s.Fits(expected)
--- a/place/call_times_test.go
+++ b/place/call_times_test.go
@@ -27,7 +27,7 @@
 }
 
 func fits(times *place.CallTimes, bounds place.CallBounds) bool {
-	return place.Stop{Left: stopLeft, IsListening: true}.Accepts(bounds, times.Expected(bounds))
+	return place.Stop{Left: stopLeft, MayEstimate: true}.Accepts(bounds, times.Expected(bounds))
 }
 
 // Guards against calls that are accepted late in a stop because most calls of their route end sooner: one booking in
@@ -105,7 +105,7 @@
 		call := boundsOf(rule, 0)
 		call.Wait = stop.Left
 		assert.Assert(t, !stop.Accepts(call, times.Expected(call)), rule)
-		listening := place.Stop{Left: stop.Left, IsListening: true}
+		listening := place.Stop{Left: stop.Left, MayEstimate: true}
 		assert.Assert(t, listening.Accepts(call, times.Expected(call)), "%s: a caller may reach this host again", rule)
 		call.Wait = 1500 * time.Millisecond
 		assert.Assert(t, stop.Accepts(call, times.Expected(call)), "%s: the deadline of the caller bounds the call", rule)
