Refuse cut answers of killed plain services

cmd/entry took an answer of a plain service with neither a length nor chunks for whole when its connection ended in the regular way, as the kernel ends those of a killed process. The caller got the part with status 200, a part was recorded for an idempotency key, and a call that may be repeated was not made again.

Behind the end of such an answer, the host now asks by a connection whether the process has ended, as edge does, in dial.HasEnded: if it is refused and the upstream is configured and not leaving, the answer is incomplete. The outcome is unknown, the key is recorded as run with its answer lost, and a call that may be repeated goes on to another upstream.

--- a/host/dispatcher.go
+++ b/host/dispatcher.go
@@ -7,6 +7,7 @@
 	"github.com/rotisserie/eris"
 
 	"magnoliaspoke.example/spoke"
+	"magnoliaspoke.example/spoke/dial"
 	"magnoliaspoke.example/spoke/member"
 	"magnoliaspoke.example/spoke/wire"
 )
@@ -60,5 +61,19 @@
 	if !ok {
 		return spoke.PlainAnswer{}, spoke.RefuseNotRun(spoke.CodeNoUpstream, "upstream %s is not configured", dispatch.Upstream)
 	}
-	return d.plain.Call(ctx, upstream.Address, dispatch.Call)
+	answer, err := d.plain.Call(ctx, upstream.Address, dispatch.Call)
+	if err == nil && answer.EndsWithConnection && d.hasEnded(ctx, upstream) {
+		return spoke.PlainAnswer{}, eris.Wrapf(spoke.ErrIncomplete, "upstream %s ended with its answer to attempt %s, which has neither a length nor chunks", upstream.ID, dispatch.Call.Attempt)
+	}
+	return answer, err
+}
+
+// hasEnded reports whether the process of an upstream has ended. The kernel ends the answers of a killed process in the
+// regular way. An upstream that leaves may end behind its last answer, which is whole.
+func (d *dispatcher) hasEnded(ctx context.Context, asked spoke.Upstream) bool {
+	if !dial.HasEnded(ctx, string(asked.Address)) {
+		return false
+	}
+	upstream, ok := d.manifest.Current().Upstream(asked.ID)
+	return ok && upstream.Address == asked.Address && upstream.State != spoke.UpstreamLeaving
 }
--- a/host/killed_host_test.go
+++ b/host/killed_host_test.go
@@ -37,6 +37,10 @@
 		runHostProcess()
 		return
 	}
+	if os.Getenv(serviceProcess) != "" {
+		runServiceProcess()
+		return
+	}
 	os.Exit(m.Run())
 }
 
@@ -67,25 +71,33 @@
 	}
 	encoded, err := json.Marshal(settings)
 	assert.NilError(p.t, err)
+	address, _, kill = startProcess(p.t, hostProcess, string(encoded))
+	p.wait("host process", func() bool {
+		raw, err := io.ReadAll(openOld(p.t, address, 1))
+		return err == nil && strings.HasPrefix(string(raw), "HTTP/1.0 200 OK\r\n")
+	})
+	return address, kill
+}
+
+// startProcess runs the test program with a variable and returns the address that it writes, its further lines and a
+// function that kills it.
+func startProcess(t *testing.T, variable, value string) (address string, lines *bufio.Reader, kill func()) {
+	t.Helper()
 	process := exec.Command(os.Args[0])
-	process.Env = append(os.Environ(), hostProcess+"="+string(encoded))
+	process.Env = append(os.Environ(), variable+"="+value)
 	input, err := process.StdinPipe()
-	assert.NilError(p.t, err)
+	assert.NilError(t, err)
 	output, err := process.StdoutPipe()
-	assert.NilError(p.t, err)
-	assert.NilError(p.t, process.Start())
-	p.t.Cleanup(func() {
+	assert.NilError(t, err)
+	assert.NilError(t, process.Start())
+	t.Cleanup(func() {
 		_ = input.Close()
 		_ = process.Wait()
 	})
-	line, err := bufio.NewReader(output).ReadString('\n')
-	assert.NilError(p.t, err)
-	address = strings.TrimSpace(line)
-	p.wait("host process", func() bool {
-		raw, err := io.ReadAll(openOld(p.t, address, 1))
-		return err == nil && strings.HasPrefix(string(raw), "HTTP/1.0 200 OK\r\n")
-	})
-	return address, func() { assert.NilError(p.t, process.Process.Kill()) }
+	lines = bufio.NewReader(output)
+	line, err := lines.ReadString('\n')
+	assert.NilError(t, err)
+	return strings.TrimSpace(line), lines, func() { assert.NilError(t, process.Process.Kill()) }
 }
 
 // openOld requests a stream of a number of tokens in HTTP/1.0 and returns the connection.
--- a/plain/client.go
+++ b/plain/client.go
@@ -98,7 +98,12 @@
 	if err != nil {
 		return spoke.PlainAnswer{}, eris.Wrapf(spoke.ErrIncomplete, "answer of %s to attempt %s: %s", at, call.Attempt, err)
 	}
-	return spoke.PlainAnswer{Status: response.StatusCode, Header: response.Header, Body: body}, nil
+	return spoke.PlainAnswer{Status: response.StatusCode, Header: response.Header, Body: body, EndsWithConnection: endsWithConnection(response)}, nil
+}
+
+// endsWithConnection reports whether an answer has neither a length nor chunks.
+func endsWithConnection(response *http.Response) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
 }
 
 func newRequest(ctx context.Context, at spoke.Address, call spoke.PlainCall) (*http.Request, error) {
--- a/upstream.go
+++ b/upstream.go
@@ -181,6 +181,8 @@
 		Status int
 		Header http.Header
 		Body   []byte
+		// EndsWithConnection is set if the answer has neither a length nor chunks, so that nothing in it shows its end.
+		EndsWithConnection bool
 	}
 
 	// Plain is a client of plain services.
