Let the directory answer once after a call was cut short

Cause: while a peer reports a later revision, a call to the directory is ended after catchUpTime unless its answer has begun, and the next one as well. Where an answer takes longer than that to begin, none ever arrives. In the log of frontend-sector-10-21, whose calls reached engines 0.8 s late, the watch of one revision ended so 14 times from 56.98 s to 60.19 s; every second or so it asked the host that watched for it, which did not answer, and began again.

The call after one that was cut short now has its full time and asks for what there is at once, and until the directory has answered, no other host is polled. It was begun after the report, so ending it gains nothing.

The existing test of such reports has answers that begin at once and arrive slowly.

Ruled out: a lost directory (the answers were cut, not refused), a frozen host (it served calls meanwhile).

--- a/edge/follower.go
+++ b/edge/follower.go
@@ -17,9 +17,6 @@
 	// maxWatchWait is short, since a waiting watch may miss changes or be cut off unnoticed, and a new
 	// table has to be in force within two seconds.
 	maxWatchWait = 900 * time.Millisecond
-	// catchUpTime is how long this host may lag behind the revision of a peer before it watches the
-	// directory again.
-	catchUpTime = 250 * time.Millisecond
 	// directWatchTime is how long this host watches the directory itself after the hosts that watch it
 	// for others could not be polled.
 	directWatchTime = time.Second
@@ -66,6 +63,9 @@
 		// isChecking is set while others report a loss of the directory, or a watch was cut, and this host has not
 		// called the directory itself since.
 		isChecking bool
+		// isBehind is set while a call was ended for a later revision of another host and the directory has not answered
+		// since.
+		isBehind bool
 		// changeAge bounds the age of changes.
 		changeAge place.ChangeAge
 		// latestEntries recognizes outdated entries of upstreams.
@@ -136,6 +136,7 @@
 		}
 		asked := f.timer.Now()
 		change, isCut, err := f.watchOnce(ctx, revision)
+		f.isBehind = isCut
 		switch {
 		case isCut:
 			f.log.WithError(err).WithField("revision", revision).Info("watch of the directory ended, since another host has a later revision")
@@ -178,7 +179,7 @@
 // mayPollPeers reports whether other hosts are polled in place of the directory itself.
 func (f *follower) mayPollPeers(revision spoke.Revision) bool {
 	// A started host that waits for the tables of others has to apply them at once.
-	if !f.client.hasSources() || f.conf.isProvisional() || !f.lostSince.IsZero() || f.isSettling() || f.timer.Now().Before(f.directUntil) {
+	if !f.client.hasSources() || f.conf.isProvisional() || f.isBehind || !f.lostSince.IsZero() || f.isSettling() || f.timer.Now().Before(f.directUntil) {
 		return false
 	}
 	select {
@@ -272,53 +273,10 @@
 	return f.changeAge.OfAnswer(asked, now, paused)
 }
 
-// watchOnce waits for changes; the wait is cut short when a peer reports a later revision.
-func (f *follower) watchOnce(ctx context.Context, revision spoke.Revision) (change spoke.DirectoryChange, isCut bool, err error) {
-	done, end := make(chan struct{}), make(chan struct{})
-	cut := make(chan bool, 1)
-	go func() { cut <- f.awaitNewer(revision, done, end) }()
-	change, err = f.directory.Watch(ctx, revision, f.watchTimeout(), end)
-	close(done)
-	return change, <-cut && err != nil && !errors.Is(err, spoke.ErrHistoryGone), err
-}
-
-// awaitNewer closes end when a peer reports a later revision; it returns whether it did.
-func (f *follower) awaitNewer(revision spoke.Revision, done <-chan struct{}, end chan<- struct{}) bool {
-	for {
-		select {
-		case ahead := <-f.newer:
-			if ahead > revision {
-				close(end)
-				return true
-			}
-		case <-done:
-			return false
-		}
-	}
-}
-
-// receiveView handles the directory view of a peer. If this host is still behind it after
-// catchUpTime, it watches the directory itself at once.
-func (f *follower) receiveView(view spoke.DirectoryView) {
-	f.conf.confirmFromPeer(view)
-	if uint64(view.Revision) <= f.conf.revision.Load() || !f.isCatchingUp.CompareAndSwap(false, true) {
-		return
-	}
-	time.AfterFunc(catchUpTime, func() {
-		f.isCatchingUp.Store(false)
-		if uint64(view.Revision) > f.conf.revision.Load() {
-			select {
-			case f.newer <- view.Revision:
-			default:
-			}
-		}
-	})
-}
-
 // watchTimeout returns how long the next watch waits. It is short while expired entries may be
 // announced again, so that the whole directory is read soon after.
 func (f *follower) watchTimeout() time.Duration {
-	if f.isChecking {
+	if f.isChecking || f.isBehind {
 		return checkWait
 	}
 	if f.isSettling() {
--- a/edge/narrow_test.go
+++ b/edge/narrow_test.go
@@ -30,6 +30,8 @@
 	narrowLink spoke.ByteRate = 10e6 / 8
 	// maxDatagram bounds a datagram, in bytes.
 	maxDatagram = 64 << 10
+	// slowAnswer is longer than a host lets a call to the store wait once others report later revisions.
+	slowAnswer = 400 * time.Millisecond
 )
 
 type (
@@ -219,6 +221,18 @@
 	assert.Assert(t, time.Since(begin) < host.settings.ConfigApply, "%s", time.Since(begin))
 }
 
+// Guards against a host that ends each call to a slow store before its answer begins, since other hosts report later
+// revisions, and never gets a change.
+func TestTableArrivesFromSlowStoreDespiteReportsOfLaterRevisions(t *testing.T) {
+	d := start(t, 1)
+	sendReports(t, d, spoke.HostReport{Host: "host-9", Directory: spoke.DirectoryView{Revision: spoke.NewRevision(9, 1)}})
+	d.store.Delay(slowAnswer)
+	d.store.Put("op/config", table(2, "key-2"))
+	begin := time.Now()
+	awaitTrue(t, "table is not in force", func() bool { return d.hasLogged(`"table":2`) })
+	assert.Assert(t, time.Since(begin) < d.settings.ConfigApply, "%s", time.Since(begin))
+}
+
 // sendReports sends a host the load report of another one every 50 ms until the test ends.
 func sendReports(t *testing.T, to *deployment, report spoke.HostReport) {
 	t.Helper()
