Pass on no event whose id goes back

Cause: events at or below the last id delivered were dropped only once the call had been sent to two engines, and not at all for an id that the caller named. Nobody compared ids within one attempt.

Change: a run that resumes a stream may repeat the events before, which are dropped, whoever named the id and whichever engine resumes. An id that goes back otherwise ends the attempt as broken, so that a resumable stream goes on behind the last good event and others are broken off: what follows may belong to another run.

Ruled out: a check for missing events.

--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -50,6 +50,8 @@
 		failure error
 		// hasBegun is set once the first event of the upstream's answer has arrived.
 		hasBegun bool
+		// hasNewEvent is set once the upstream has sent an event that the caller does not have.
+		hasNewEvent bool
 		// idle looks for another upstream while this one sends nothing; nil if no other may take the call.
 		idle *idleWatcher
 		// heardAt is when the upstream sent the last bytes, or when the attempt began.
--- a/edge/stream.go
+++ b/edge/stream.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net/http"
 	"strconv"
 	"time"
@@ -30,6 +31,8 @@
 	// so the engine has broken it off, unless the stream resumes one behind its last event.
 	errNoEvents   = errors.New("stream ended before its first event")
 	errLargeEvent = errors.New("event exceeds the size limit")
+	// errEventOrder reports an event that the caller has or that belongs before it.
+	errEventOrder = errors.New("ids of events do not increase")
 )
 
 // streamState is the part of a stream that the caller has received, over all attempts.
@@ -65,10 +68,14 @@
 		}
 		if len(chunk) > 0 {
 			a.recordFirstEvent()
-			if !a.forward(state, chunk) {
+			events, orderErr := a.newEvents(state, chunk)
+			if !a.forward(state, events) {
 				a.ending = place.EndCancelled
 				return false
 			}
+			if orderErr != nil {
+				return a.recordFailure(ctx, place.EndBroken, orderErr)
+			}
 		}
 		if err == nil {
 			continue
@@ -134,7 +141,6 @@
 
 // forward writes complete events to the caller and reports whether it is still connected.
 func (a *attempt) forward(state *streamState, events []byte) bool {
-	events = a.dropDelivered(state, events)
 	if len(events) == 0 {
 		return true
 	}
@@ -185,23 +191,37 @@
 	return true
 }
 
-// dropDelivered drops events that the caller received from an earlier attempt.
-func (a *attempt) dropDelivered(state *streamState, events []byte) []byte {
-	if state.lastID == "" || len(a.progress.sent) < 2 {
-		return events
-	}
-	after, err := strconv.ParseInt(state.lastID, 10, 64)
-	if err != nil {
-		return events
-	}
+// newEvents returns the events that follow those that the caller has. A run that resumes a stream may repeat the events
+// before; otherwise the ids of a run increase, and events behind one that goes back may belong to another run. Ids need not
+// be consecutive, so that a missing event does not show.
+func (a *attempt) newEvents(state *streamState, events []byte) ([]byte, error) {
+	after := a.lastDelivered(state)
 	var kept []byte
 	for event := range bytes.SplitAfterSeq(events, eventDelimiter) {
 		id, err := strconv.ParseInt(lastID(event), 10, 64)
-		if err != nil || id > after {
+		switch {
+		case err != nil:
 			kept = append(kept, event...)
+		case id > after:
+			kept, after, a.hasNewEvent = append(kept, event...), id, true
+		case a.hasNewEvent || a.spec.LastEventID == "":
+			return kept, errEventOrder
 		}
 	}
-	return kept
+	return kept, nil
+}
+
+// lastDelivered returns the id of the last event that the caller has, also from an earlier call of its own. It is below
+// all ids if there is none or it is no number.
+func (a *attempt) lastDelivered(state *streamState) int64 {
+	last := state.lastID
+	if last == "" {
+		last = a.spec.LastEventID
+	}
+	if id, err := strconv.ParseInt(last, 10, 64); err == nil {
+		return id
+	}
+	return math.MinInt64
 }
 
 // countNumbered returns the number of events that have an id.
--- a/fake/platform/unframed.go
+++ b/fake/platform/unframed.go
@@ -20,6 +20,8 @@
 	IsReset bool
 	// StaysOpen leaves the connection open after the body until the process ends.
 	StaysOpen bool
+	// IgnoresLastEvent sends the body to requests that resume a stream, too.
+	IgnoresLastEvent bool
 	// OnSent, if set, is called after the body was sent to a request that begins a run.
 	OnSent func()
 }
@@ -44,7 +46,7 @@
 	e.mu.Lock()
 	answer := e.unframed
 	e.mu.Unlock()
-	if after, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
+	if after, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil && !answer.IgnoresLastEvent {
 		answer.Body, answer.IsReset, answer.StaysOpen, answer.OnSent = WholeStream(after, e.events), false, false, nil
 	}
 	conn, _, err := http.NewResponseController(w).Hijack()
