Tell a lagging directory from another start of an engine

What callers could see: while the directory named the start before of an engine that had started again under its id, each whole answer of it with neither a length nor chunks was broken off, the calls counted as crashes of the engine, and sound requests were quarantined. The other way round, a start that was not ready yet and answered the question with an error confirmed a cut answer of the start before.

Cause: the start at the grant came from a directory that lags, and any response without a start counted as that of the start that was meant.

Evidence: TestOutdatedStartBreaksNoWholeAnswer failed before (unexpected EOF).

Now the uptime by the engine's own clock decides where starts differ: more than the time since the call was sent shows that this start gave the answer. Without an uptime the answer is broken off without counting a crash. An engine that serves prompts has to report.

Ruled out: comparing starts with this host's clock, which may jump.

--- a/calls.go
+++ b/calls.go
@@ -136,8 +136,12 @@
 	UpstreamIdentity struct {
 		// IsOther reports whether another upstream than the one that was meant has the address.
 		IsOther bool
+		// IsReport is set if the answer is a report that could be read. Plain upstreams have none.
+		IsReport bool
 		// Started is the start time on the upstream's own clock, the zero time if the answer does not give it.
 		Started time.Time
+		// Uptime is the time since the start by that clock, zero if the answer does not give it.
+		Uptime time.Duration
 		// IdleTimeout is how long the upstream keeps the connection open; zero means unknown.
 		IdleTimeout time.Duration
 	}
--- a/edge/answer_end_test.go
+++ b/edge/answer_end_test.go
@@ -34,6 +34,24 @@
 	}
 }
 
+// Guards against whole answers that are broken off, and count as crashes, because the directory still names the start
+// before the one that gave them.
+func TestOutdatedStartBreaksNoWholeAnswer(t *testing.T) {
+	d := start(t, 1)
+	d.engines[0].Restart(1)
+	restarted := time.Now()
+	d.engines[0].SetUnframedAnswer(fake.UnframedAnswer{Head: []string{"HTTP/1.1 200 OK"}, Body: wholeStream})
+	awaitTrue(t, "the engine has just started", func() bool { return time.Since(restarted) > 100*time.Millisecond })
+	for _, c := range []call{chatCall("chat"), quoteCall("quote"), lookCall("look"), bookCall("book")} {
+		got, err := d.send(c)
+		assert.NilError(t, err, c.id)
+		assert.Equal(t, got.status, http.StatusOK, c.id)
+		assert.Equal(t, got.body, wholeStream)
+	}
+	assert.Equal(t, d.runs(), 4)
+	assert.Assert(t, !d.hasLogged("upstream crashed during an attempt"))
+}
+
 // Guards against answers that stay unconfirmed and look whole, and against checks that last longer than their bound.
 func TestUnconfirmedAnswersDoNotLookWhole(t *testing.T) {
 	d := start(t, 1)
--- a/edge/answerend.go
+++ b/edge/answerend.go
@@ -89,7 +89,8 @@
 	if err != nil {
 		return place.EndNothing
 	}
-	return place.IdentityEvidence(upstream.Started, identity)
+	meant := place.EndOrigin{Started: upstream.Started, SentFor: time.Since(a.sentAt), MustReport: a.route.IsPrompt}
+	return place.IdentityEvidence(meant, identity)
 }
 
 // evidenceFields returns what has shown whether the answer is whole, if it needed evidence.
--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -56,6 +56,8 @@
 		idle *idleWatcher
 		// heardAt is when the upstream sent the last bytes, or when the attempt began.
 		heardAt time.Time
+		// sentAt is when the attempt began.
+		sentAt time.Time
 		// endedAt is when an answer that needed evidence ended, the zero time if there was none.
 		endedAt time.Time
 		// evidence is what has shown whether the answer is whole, empty if that needed none.
@@ -70,7 +72,7 @@
 	defer cancel(nil)
 	a.idle = a.watchIdle(callCtx, cancel)
 	now := time.Now()
-	a.heardAt = now
+	a.heardAt, a.sentAt = now, now
 	a.quarantine.registry.Begin(now, a.id, a.grant.Upstream.ID, a.fingerprint)
 	result := a.roundTrip(ctx)
 	a.endWatch()
--- a/fake/platform/crash.go
+++ b/fake/platform/crash.go
@@ -99,6 +99,7 @@
 	e.server = newServer(listener, e.handler)
 	e.isDown = false
 	e.restarts++
+	e.startedAt = time.Now()
 	e.mu.Unlock()
 	if crashing.OnStart != nil {
 		crashing.OnStart(e)
--- a/fake/platform/engine.go
+++ b/fake/platform/engine.go
@@ -80,6 +80,7 @@
 		// entries counts the entries that the engine has written since its start.
 		entries       int
 		restarts      int64
+		startedAt     time.Time
 		events        int
 		eventInterval time.Duration
 		answerDelay   time.Duration
@@ -117,7 +118,7 @@
 
 // NewEngineAt starts an engine that accepts connections from the listener.
 func NewEngineAt(listener net.Listener, id string, events int) *Engine {
-	e := &Engine{ID: id, behaviour: Serve, version: 1, software: "v1", events: events, address: listener.Addr().String()}
+	e := &Engine{ID: id, behaviour: Serve, version: 1, software: "v1", events: events, address: listener.Addr().String(), startedAt: time.Now()}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /report", e.serveReport)
 	mux.HandleFunc("POST /order", e.serveOrder)
@@ -232,6 +233,7 @@
 	defer e.mu.Unlock()
 	e.version, e.orders, e.entries, e.highestFence = version, 0, 0, 0
 	e.restarts++
+	e.startedAt = time.Now()
 }
 
 // Version returns the version of the loaded weights and the number of accepted orders.
--- a/fake/platform/process.go
+++ b/fake/platform/process.go
@@ -34,7 +34,7 @@
 // Serve serves from the moment the address is free until ctx ends, then finishes its runs. It writes a line for the begin
 // and the end of each run.
 func (p Process) Serve(ctx context.Context, log io.Writer) error {
-	e := &Engine{ID: p.ID, address: p.Address, behaviour: Framed, version: p.Weights, software: "v1", restarts: p.Started - firstStartMs}
+	e := &Engine{ID: p.ID, address: p.Address, behaviour: Framed, version: p.Weights, software: "v1", restarts: p.Started - firstStartMs, startedAt: time.Now()}
 	var runs sync.WaitGroup
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /report", e.serveReport)
--- a/fake/platform/report.go
+++ b/fake/platform/report.go
@@ -49,8 +49,9 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	born := firstStartMs + e.restarts
 	writeJSON(w, http.StatusOK, map[string]any{
-		"stage": "both", "busy": false, "sequence": e.orders, "waiting": 0, "running": 0, "clock_ms": time.Now().UnixMilli(), "born": firstStartMs + e.restarts,
+		"stage": "both", "busy": false, "sequence": e.orders, "waiting": 0, "running": 0, "clock_ms": born + time.Since(e.startedAt).Milliseconds(), "born": born,
 		"models": []map[string]any{{"name": ModelName, "version": e.version}},
 	})
 }
--- a/place/answer_end.go
+++ b/place/answer_end.go
@@ -15,6 +15,9 @@
 	EndUpstreamRefused EndEvidence = "upstream-refused"
 	// EndUpstreamReplaced states that another upstream, or another start of it, has the address.
 	EndUpstreamReplaced EndEvidence = "upstream-replaced"
+	// EndStartUnclear states that another start of the upstream has the address than the one that was granted, which may
+	// have been outdated.
+	EndStartUnclear EndEvidence = "upstream-start-unclear"
 	// EndNothing states that nothing was learned.
 	EndNothing EndEvidence = "nothing"
 
@@ -42,6 +45,16 @@
 		pause   time.Duration
 	}
 
+	// EndOrigin is what is known of the upstream that gave an answer.
+	EndOrigin struct {
+		// Started is the start that was granted, the zero time if it is not known.
+		Started time.Time
+		// SentFor is the time since the call was sent.
+		SentFor time.Duration
+		// MustReport is set if the upstream serves prompts.
+		MustReport bool
+	}
+
 	// EndStep is what to do after a try.
 	EndStep struct {
 		// IsDecided is set if no further try is made.
@@ -63,12 +76,22 @@
 	return prompt.MaxOutput > 0 && int64(events) >= int64(prompt.MaxOutput)
 }
 
-// IdentityEvidence returns what an answer about the upstream at an address shows; started is the start of the upstream
-// that was meant, the zero time if it is not known.
-func IdentityEvidence(started time.Time, identity spoke.UpstreamIdentity) EndEvidence {
-	isOtherStart := !started.IsZero() && !identity.Started.IsZero() && !started.Equal(identity.Started)
-	if identity.IsOther || isOtherStart {
+// IdentityEvidence returns what an answer about the upstream at an address shows. An upstream that serves prompts must
+// report, since a start that is not ready yet answers with an error. The directory may name an earlier start than the one
+// that the call was sent to, so that the uptime decides where the starts differ.
+func IdentityEvidence(meant EndOrigin, identity spoke.UpstreamIdentity) EndEvidence {
+	isSameStart := identity.Started.Equal(meant.Started)
+	switch {
+	case identity.IsOther:
+		return EndUpstreamReplaced
+	case meant.MustReport && !identity.IsReport:
+		return EndNothing
+	case isSameStart || identity.Uptime > meant.SentFor:
+		return EndUpstreamRuns
+	case identity.Uptime > 0:
 		return EndUpstreamReplaced
+	case !meant.Started.IsZero() && !identity.Started.IsZero():
+		return EndStartUnclear
 	}
 	return EndUpstreamRuns
 }
--- a/place/answer_end_test.go
+++ b/place/answer_end_test.go
@@ -96,23 +96,32 @@
 // Guards against another start of an engine that confirms an answer, and against starts that count although one is unknown.
 func TestOnlyTheSameStartConfirms(t *testing.T) {
 	first, second, unknown := time.UnixMilli(1), time.UnixMilli(2), time.Time{}
+	const sentFor, before, after = time.Second, 1001 * time.Millisecond, 999 * time.Millisecond
 	for _, c := range []struct {
 		granted  time.Time
 		identity spoke.UpstreamIdentity
 		want     place.EndEvidence
 	}{
-		{first, spoke.UpstreamIdentity{Started: first}, place.EndUpstreamRuns},
-		{first, spoke.UpstreamIdentity{Started: second}, place.EndUpstreamReplaced},
-		{first, spoke.UpstreamIdentity{Started: first, IsOther: true}, place.EndUpstreamReplaced},
-		{first, spoke.UpstreamIdentity{Started: unknown}, place.EndUpstreamRuns},
-		{unknown, spoke.UpstreamIdentity{Started: second}, place.EndUpstreamRuns},
+		{first, spoke.UpstreamIdentity{IsReport: true, Started: first}, place.EndUpstreamRuns},
+		{first, spoke.UpstreamIdentity{IsReport: true, Started: first, Uptime: after}, place.EndUpstreamRuns},
+		{first, spoke.UpstreamIdentity{IsReport: true, Started: second}, place.EndStartUnclear},
+		{first, spoke.UpstreamIdentity{IsReport: true, Started: second, Uptime: after}, place.EndUpstreamReplaced},
+		{first, spoke.UpstreamIdentity{IsReport: true, Started: second, Uptime: before}, place.EndUpstreamRuns},
+		{first, spoke.UpstreamIdentity{IsReport: true, Started: first, IsOther: true}, place.EndUpstreamReplaced},
+		{first, spoke.UpstreamIdentity{IsReport: true, Started: unknown}, place.EndUpstreamRuns},
+		{first, spoke.UpstreamIdentity{}, place.EndNothing},
+		{unknown, spoke.UpstreamIdentity{IsReport: true, Started: second}, place.EndUpstreamRuns},
+		{unknown, spoke.UpstreamIdentity{IsReport: true, Started: second, Uptime: after}, place.EndUpstreamReplaced},
 		{unknown, spoke.UpstreamIdentity{IsOther: true}, place.EndUpstreamReplaced},
 	} {
-		got := place.IdentityEvidence(c.granted, c.identity)
-		assert.Equal(t, got, c.want)
-		assert.Equal(t, got.IsWhole(), !got.IsDeath())
+		got := place.IdentityEvidence(place.EndOrigin{Started: c.granted, SentFor: sentFor, MustReport: true}, c.identity)
+		assert.Equal(t, got, c.want, "%v", c.identity)
+		isUnclear := got == place.EndNothing || got == place.EndStartUnclear
+		assert.Equal(t, got.IsWhole(), !got.IsDeath() && !isUnclear)
+		assert.Equal(t, got.IsDeath(), !got.IsWhole() && !isUnclear)
 	}
-	assert.Assert(t, !place.EndNothing.IsWhole() && !place.EndNothing.IsDeath())
+	plain := place.IdentityEvidence(place.EndOrigin{Started: first, SentFor: sentFor}, spoke.UpstreamIdentity{})
+	assert.Equal(t, plain, place.EndUpstreamRuns)
 }
 
 // Guards against streams that count as whole before as many events as the caller allows tokens.
