Ask for no other upstream while the end of an answer is checked

What it cost: a whole answer of a repeatable call with neither a length nor chunks ran at a second engine if the first one was silent behind its end, since the watch for silence went on during the check. A rack that falls silent for a second would draw on the retry budget for answers that the host already has.

TestCheckOfEndAsksForNoOtherUpstream failed before (2 runs in place of 1). The watch ends with the answer now.

--- a/edge/answer_end_test.go
+++ b/edge/answer_end_test.go
@@ -34,6 +34,20 @@
 	}
 }
 
+// Guards against a second run of an answer that is whole, because its engine is silent while the end is checked and another
+// one is free.
+func TestCheckOfEndAsksForNoOtherUpstream(t *testing.T) {
+	d := start(t, 2)
+	for _, engine := range d.engines {
+		engine.SetUnframedAnswer(fake.UnframedAnswer{Head: []string{"HTTP/1.1 200 OK"}, Body: "whole"})
+		engine.SilenceReports(1200 * time.Millisecond)
+	}
+	got, err := d.send(lookCall("look"))
+	assert.NilError(t, err)
+	assert.Equal(t, got.status, http.StatusOK)
+	assert.Equal(t, d.runs(), 1)
+}
+
 // Guards against whole answers that are broken off, and count as crashes, because the directory still names the start
 // before the one that gave them.
 func TestOutdatedStartBreaksNoWholeAnswer(t *testing.T) {
--- a/edge/answerend.go
+++ b/edge/answerend.go
@@ -27,6 +27,8 @@
 		return nil
 	}
 	a.endedAt = time.Now()
+	// The answer is over, so that its upstream is not silent while its end is checked.
+	a.endWatch()
 	a.evidence = place.EndAtLimit
 	if !a.route.IsPrompt || !place.IsAtLimit(a.call.Prompt, events) {
 		a.evidence = a.checkEnd(ctx)
