Tell the scheduler that a resumed run has begun

What callers saw: a begun stream whose connection ended although its engine sent events, some seconds after its first engine had broken off or fallen silent, when newer weights came into force.

Cause: a run that has not begun is recalled before the time of its weights is over. That a run has begun was reported with the head of the caller's answer, so only for the first run of a stream; a resumed one counted as waiting inside its engine as long as it ran.

Evidence: TestResumedStreamIsNotCutWhenWeightsExpire failed before (unexpected EOF) and passes now, as do the tests of recalls.

The report goes out with the first event of each run now. Ruled out: not recalling resumed runs at all, since one that waits inside an engine would then begin on outdated weights.

--- a/edge/stream.go
+++ b/edge/stream.go
@@ -93,12 +93,14 @@
 	}
 }
 
-// recordFirstEvent records that the answer to the attempt has begun.
+// recordFirstEvent records that the answer to the attempt has begun. The scheduler recalls runs that have not.
 func (a *attempt) recordFirstEvent() {
-	if !a.hasBegun {
-		a.hasBegun = true
-		a.parts.registry.Began(time.Now(), a.id)
+	if a.hasBegun {
+		return
 	}
+	a.hasBegun = true
+	a.parts.registry.Began(time.Now(), a.id)
+	a.planner.in <- schedulerMessage{message: place.Began{Call: a.grant.Call, Load: a.head.Load, Weights: a.head.Weights, IsLeaving: a.head.IsLeaving, NamesNoLimit: a.head.NamesNoLimit()}}
 }
 
 // readEvents reads into the buffer and returns the complete events in it; io.EOF means that the
@@ -168,7 +170,6 @@
 func (a *attempt) writeHead() {
 	copyHeader(a.writer.Header(), a.head.Header)
 	a.writer.WriteHeader(a.head.Status)
-	a.planner.in <- schedulerMessage{message: place.Began{Call: a.grant.Call, Load: a.head.Load, Weights: a.head.Weights, IsLeaving: a.head.IsLeaving, NamesNoLimit: a.head.NamesNoLimit()}}
 	a.underWay.setStage(a.state, stageBegun)
 	first := time.Since(a.arrived)
 	a.metrics.addFirst(a.route.Name, first)
--- a/edge/weightrecall_test.go
+++ b/edge/weightrecall_test.go
@@ -31,3 +31,21 @@
 	awaitTrue(t, "run not cancelled", func() bool { return d.engines[0].Cancelled() == 1 })
 	awaitTrue(t, "cause not logged", func() bool { return d.hasLogged("weights are outdated") })
 }
+
+// Guards against a stream that goes on at a second engine and is cut because its weights expire there, as if that run had
+// not begun.
+func TestResumedStreamIsNotCutWhenWeightsExpire(t *testing.T) {
+	const limit = 1500 * time.Millisecond
+	d := startWithSettings(t, 2, func(settings *config.Relay) { settings.WeightsApply = limit })
+	for _, engine := range d.engines {
+		engine.SetBehaviour(fake.ResetMidway)
+		engine.SetEventInterval(600 * time.Millisecond)
+	}
+	results := d.sendAsync(chatCall("resumed"))
+	awaitTrue(t, "stream is not resumed", func() bool { return d.runs() == 2 })
+	named := d.nameWeights()
+	got := <-results
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.answer.body, wholeStream)
+	assert.Assert(t, time.Since(named) > limit, "%s", time.Since(named))
+}
