--- a/cmd/trial/soak/processes.go
+++ b/cmd/trial/soak/processes.go
@@ -142,3 +142,6 @@
 	e.end, e.endedAt = kind, time.Now()
 	b.logf("%s %s at %s", kind, e.process.Name(), e.Address)
 }
+
+// isKilled reports whether the engine ended in another way than the regular one.
+func (e *boot) isKilled() bool { return e.end != "" && e.end != exited }
--- a/cmd/trial/soak/verdict.go
+++ b/cmd/trial/soak/verdict.go
@@ -14,11 +14,13 @@
 	// exited is the kind of a regular end, which breaks no run off.
 	exited = "exited-leaving"
 	// lossSlack is the time after the last byte of a request in which a host may close a connection without passing it on.
-	lossSlack = 500 * time.Millisecond
+	lossSlack = 200 * time.Millisecond
 	// excusedSending is the time after SIGTERM until which a request that is sent is excused if its engine works on in the
 	// last sixth of the grace period.
 	excusedSending = 3 * time.Second
 	lastSixth      = stopGraceSeconds * time.Second * 5 / 6
+	// calmTime is the time behind a run in which the end of its engine may break its answer off.
+	calmTime = 2 * time.Second
 	// afterGrace is the time after the grace period that belongs to a planned stop.
 	afterGrace = time.Second
 )
@@ -50,10 +52,16 @@
 		}
 		v.readRuns(e, log)
 	}
+	for _, runs := range v.runs {
+		slices.SortStableFunc(runs, func(a, b engineRun) int { return a.begun.Compare(b.begun) })
+	}
 	for _, x := range all {
 		if kind := orderOf(x); kind != "" {
 			v.add(x, "ORDER "+kind)
 		}
+		if v.isBrokenInCalm(x) {
+			v.add(x, "BROKEN")
+		}
 		if at := v.lostIn(x); at != nil {
 			v.add(x, fmt.Sprintf("LOST status %d, sent %.2f s and cut %.2f s after SIGTERM of %s", x.status, x.sentAt.Sub(at.at).Seconds(), x.endedAt.Sub(at.at).Seconds(), x.host.name))
 		}
@@ -129,19 +137,42 @@
 		return "cut in a stop, timeout of the route"
 	case len(runs) == 0 && took <= lossSlack:
 		return "cut in a stop, not passed on"
-	case slices.ContainsFunc(runs, func(run engineRun) bool { return run.brokeOff(x) }):
+	case len(runs) == 0:
+		return ""
+	}
+	last := runs[len(runs)-1]
+	switch {
+	case last.brokeOff(x):
 		return "cut in a stop, engine broke off"
-	case x.sentAt.Sub(s.at) <= excusedSending && x.endedAt.Sub(s.at) >= lastSixth:
+	case x.sentAt.Sub(s.at) <= excusedSending && last.isAtWork(s.at.Add(lastSixth)):
 		return "cut in a stop, engine at work to the last"
 	default:
 		return ""
 	}
 }
 
-// brokeOff reports whether the engine was killed while the run went on.
+// brokeOff reports whether the engine was killed while the run went on, before the call ended.
 func (r engineRun) brokeOff(x exchange) bool {
-	e := r.boot
-	return e.end != "" && e.end != exited && r.ended.IsZero() && e.endedAt.Before(x.endedAt)
+	return r.boot.isKilled() && r.ended.IsZero() && r.boot.endedAt.Before(x.endedAt)
+}
+
+// isAtWork reports whether the run goes on at a time.
+func (r engineRun) isAtWork(at time.Time) bool {
+	if r.boot.isKilled() && !r.boot.endedAt.After(at) {
+		return false
+	}
+	return r.ended.IsZero() || r.ended.After(at)
+}
+
+// isBrokenInCalm reports whether a begun answer was cut without a stop of its host, although its last run ended at an engine
+// that lived on.
+func (v *verdict) isBrokenInCalm(x exchange) bool {
+	runs := v.runs[x.id]
+	if x.err == nil || x.status == 0 || len(runs) == 0 || x.endedAt.Sub(x.sentAt) >= processRouteTimeout || v.stopAround(x) != nil {
+		return false
+	}
+	last := runs[len(runs)-1]
+	return !last.ended.IsZero() && (last.boot.end == "" || last.boot.endedAt.Sub(last.ended) > calmTime)
 }
 
 // add records a case with what the logs say of it.
