Comment the exported names of the soak's engines

The linter found two exported constants without comments and a parameter that always gets the same value. No behaviour changes; make lint passes.

--- a/cmd/trial/soak/ends.go
+++ b/cmd/trial/soak/ends.go
@@ -168,7 +168,7 @@
 		if err := b.restartHost(h); err != nil {
 			return err
 		}
-		b.awaitReady(recoveryTime)
+		b.awaitReady()
 	}
 	return nil
 }
--- a/cmd/trial/soak/memory.go
+++ b/cmd/trial/soak/memory.go
@@ -43,7 +43,7 @@
 	for _, e := range b.engines {
 		e.SetEventInterval(eventPause)
 	}
-	if !b.awaitReady(recoveryTime) {
+	if !b.awaitReady() {
 		return MemoryUse{}, eris.New("hosts are not ready")
 	}
 	process, err := b.fleet.Process(b.hosts[0].name)
--- a/cmd/trial/soak/run.go
+++ b/cmd/trial/soak/run.go
@@ -76,7 +76,7 @@
 	if err != nil {
 		return report, err
 	}
-	if !b.awaitReady(recoveryTime) {
+	if !b.awaitReady() {
 		return report, fmt.Errorf("hosts are not ready, logs in %s", report.LogDirectory)
 	}
 	c := &callers{testbed: b}
@@ -128,8 +128,8 @@
 	return faultLog, faulty
 }
 
-func (b *testbed) awaitReady(timeout time.Duration) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+func (b *testbed) awaitReady() bool {
+	ctx, cancel := context.WithTimeout(context.Background(), recoveryTime)
 	defer cancel()
 	for ctx.Err() == nil {
 		ready := 0
@@ -154,7 +154,7 @@
 // checkRecovery checks that hosts serve again after the last fault and that engines have loaded
 // the newest weights.
 func (c *callers) checkRecovery() {
-	if !c.testbed.awaitReady(recoveryTime) {
+	if !c.testbed.awaitReady() {
 		c.violationf("hosts are not ready %s after the last fault", recoveryTime)
 	}
 	sleep(context.Background(), recoveryTime)
--- a/cmd/trial/soak/runprocesses.go
+++ b/cmd/trial/soak/runprocesses.go
@@ -33,7 +33,7 @@
 	if err != nil {
 		return report, err
 	}
-	if !b.awaitReady(recoveryTime) {
+	if !b.awaitReady() {
 		return report, eris.New("hosts are not ready")
 	}
 	all, err := b.disrupt(seed, duration)
--- a/fake/platform/framed.go
+++ b/fake/platform/framed.go
@@ -18,8 +18,9 @@
 	FramedByChunks Framing = "chunks"
 	// FramedByLength answers with a length; streams have none.
 	FramedByLength Framing = "length"
-	// Unframed11 and Unframed10 answer with neither a length nor chunks and the status line of HTTP/1.1 or 1.0.
+	// Unframed11 answers with neither a length nor chunks and the status line of HTTP/1.1.
 	Unframed11 Framing = "neither-1.1"
+	// Unframed10 is Unframed11 with the status line of HTTP/1.0.
 	Unframed10 Framing = "neither-1.0"
 
 	// framedPieces is the number of pieces of a framed answer.
--- a/fake/platform/process.go
+++ b/fake/platform/process.go
@@ -11,9 +11,10 @@
 )
 
 const (
-	// RunBegins and RunEnds begin a line of a process that states a run, behind the Unix millisecond.
+	// RunBegins stands, behind the Unix millisecond, in the line of a process that states the begin of a run.
 	RunBegins = "begins"
-	RunEnds   = "ends"
+	// RunEnds stands in the line that states its end.
+	RunEnds = "ends"
 
 	// listenInterval is the time between two attempts to listen at an address that another process still holds.
 	listenInterval = 200 * time.Microsecond
