Give waits, resets, ids and the end of estimates one place in edge

A read of the change found logic that stands twice. pauseAsking has the select of waitUntil and calls it now. Package caller resets connections of callers without chunks under an answer that is not whole, so that the reset of cutConnection and takesChunks are needless. Each id of an event was parsed by newEvents and read again by countNumbered. A stop had two times of which the earlier one ended the estimates; it keeps that one.

No behaviour changes, no test is touched.

--- a/edge/handler.go
+++ b/edge/handler.go
@@ -73,8 +73,6 @@
 		// endsWithStop is set if the deadline is that of the stop of this host.
 		endsWithStop bool
 		writer       http.ResponseWriter
-		// takesChunks is set if the caller's version of HTTP has chunks, which show the end of a stream.
-		takesChunks bool
 		// hasReadBody is set once the body was read to its end or to its limit, so that the caller sends all of it.
 		hasReadBody bool
 		// releaseBody returns the memory of the body, nil before it was read.
@@ -92,7 +90,7 @@
 func (h *relayer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
 	answer := &answerWriter{ResponseWriter: w}
-	e := &exchange{relayer: h, arrived: arrived, writer: answer, takesChunks: r.ProtoAtLeast(1, 1), log: h.log}
+	e := &exchange{relayer: h, arrived: arrived, writer: answer, log: h.log}
 	defer e.recoverAnswer(answer, r)
 	caller.AllowEarlyAnswer(w)
 	if h.stop.Load() != nil {
--- a/edge/patience.go
+++ b/edge/patience.go
@@ -62,14 +62,7 @@
 
 // pauseAsking waits between two requests for an upstream, and reports false if ctx ends.
 func (e *exchange) pauseAsking(ctx context.Context) bool {
-	pause := time.NewTimer(askAgainPause)
-	defer pause.Stop()
-	select {
-	case <-pause.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return waitUntil(ctx, time.Now().Add(askAgainPause))
 }
 
 // awaitsEvent reports whether the stream has begun and its caller waits for another event.
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -322,25 +322,9 @@
 	e.cutConnection()
 }
 
-// cutConnection closes the caller's connection in the middle of an answer.
-func (e *exchange) cutConnection() {
-	if !e.takesChunks {
-		resetConnection(e.writer)
-	}
-	panic(http.ErrAbortHandler)
-}
-
-// resetConnection resets the caller's connection. A regular end would be the end of a stream without chunks.
-func resetConnection(w http.ResponseWriter) {
-	conn, _, err := http.NewResponseController(w).Hijack()
-	if err != nil {
-		return
-	}
-	if lingering, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
-		_ = lingering.SetLinger(0)
-	}
-	_ = conn.Close()
-}
+// cutConnection closes the caller's connection in the middle of an answer. Package caller resets it under an answer
+// without chunks, whose regular end would be that of the connection.
+func (e *exchange) cutConnection() { panic(http.ErrAbortHandler) }
 
 // appendUnique adds an upstream to a list that does not contain it.
 func appendUnique(ids []spoke.UpstreamID, id spoke.UpstreamID) []spoke.UpstreamID {
--- a/edge/stop.go
+++ b/edge/stop.go
@@ -66,7 +66,10 @@
 	begun := time.Now()
 	h.isLeaving.Store(true)
 	deadline := begun.Add(h.settings.StopGrace - stopMargin)
-	times := stopTimes{begun: begun, listensUntil: begun.Add(unreadyDelay), estimatesUntil: sent.Add(estimateTime), endsAt: deadline.Add(-answerMargin)}
+	times := stopTimes{begun: begun, estimatesUntil: begun.Add(unreadyDelay), endsAt: deadline.Add(-answerMargin)}
+	if end := sent.Add(estimateTime); end.Before(times.estimatesUntil) {
+		times.estimatesUntil = end
+	}
 	h.relayer.stop.Store(&times)
 	end := time.AfterFunc(time.Until(times.endsAt), h.relayer.requests.End)
 	defer end.Stop()
--- a/edge/stopping.go
+++ b/edge/stopping.go
@@ -25,9 +25,7 @@
 	stopTimes struct {
 		// begun is when the host received the signal.
 		begun time.Time
-		// listensUntil is when the host stops accepting connections.
-		listensUntil time.Time
-		// estimatesUntil is when this host stops accepting calls by estimate, also if it still listens.
+		// estimatesUntil is when this host stops accepting calls by estimate.
 		estimatesUntil time.Time
 		// endsAt is when the calls under way end.
 		endsAt time.Time
@@ -35,7 +33,7 @@
 )
 
 func (t stopTimes) remaining(now time.Time) place.Stop {
-	return place.Stop{Left: t.endsAt.Sub(now), MayEstimate: now.Before(t.listensUntil) && now.Before(t.estimatesUntil)}
+	return place.Stop{Left: t.endsAt.Sub(now), MayEstimate: now.Before(t.estimatesUntil)}
 }
 
 func newCallTimes() *callTimes { return &callTimes{times: place.NewCallTimes()} }
--- a/edge/stream.go
+++ b/edge/stream.go
@@ -155,7 +155,6 @@
 	}
 	state.lastEventAt = now
 	state.events += bytes.Count(events, eventDelimiter)
-	state.numbered += countNumbered(events)
 	if id := lastID(events); id != "" {
 		state.lastID = id
 	}
@@ -192,21 +191,26 @@
 	return true
 }
 
-// newEvents returns the events that follow those that the caller has. A run that resumes a stream may repeat the events
-// before; otherwise the ids of a run increase, and events behind one that goes back may belong to another run. Ids need not
-// be consecutive, so that a missing event does not show.
+// newEvents returns the events that follow those that the caller has, and counts those with an id. A run that resumes a
+// stream may repeat the events before; otherwise the ids of a run increase, and events behind one that goes back may belong
+// to another run. Ids need not be consecutive, so that a missing event does not show.
 func (a *attempt) newEvents(state *streamState, events []byte) ([]byte, error) {
 	after := a.lastDelivered(state)
 	var kept []byte
 	for event := range bytes.SplitAfterSeq(events, eventDelimiter) {
-		id, err := strconv.ParseInt(lastID(event), 10, 64)
+		text := lastID(event)
+		id, err := strconv.ParseInt(text, 10, 64)
 		switch {
-		case err != nil:
-			kept = append(kept, event...)
-		case id > after:
-			kept, after, a.hasNewEvent = append(kept, event...), id, true
-		case a.hasNewEvent || a.spec.LastEventID == "":
+		case err == nil && id > after:
+			after, a.hasNewEvent = id, true
+		case err == nil && (a.hasNewEvent || a.spec.LastEventID == ""):
 			return kept, errEventOrder
+		case err == nil:
+			continue
+		}
+		kept = append(kept, event...)
+		if text != "" {
+			state.numbered++
 		}
 	}
 	return kept, nil
@@ -225,17 +229,6 @@
 	return math.MinInt64
 }
 
-// countNumbered returns the number of events that have an id.
-func countNumbered(events []byte) int {
-	count := 0
-	for event := range bytes.SplitAfterSeq(events, eventDelimiter) {
-		if lastID(event) != "" {
-			count++
-		}
-	}
-	return count
-}
-
 // lastID returns the id of the last event that has one.
 func lastID(events []byte) string {
 	const field = "id:"
