Skip no late response whose end is not known

Callers could get bytes of another call's answer. An engine that sends a copy of an earlier response late was answered for only if the copy ended within 1 MB. Behind the first megabyte the rest of its body was read as the next head, so a body that holds a head with the id of the waiting request became its answer. Behind a copy with neither a length nor chunks nothing ended but the connection, so that the call waited for its deadline. Class: an input is abandoned halfway and read on as another one.

Ruled out by the same tests, which pass before and after: copies on the idle connection and between its check and the write, after the request, before and behind an interim response, with another id or none, in chunks, without a body, two of them, split over two reads at each byte. Three of them are an error, as before.

A response to another request is read to its end, or the exchange ends. Tests replace the connections of a pool to reach the moment between check and write and to split reads.

--- a/link/exchange.go
+++ b/link/exchange.go
@@ -26,8 +26,12 @@
 	maxForeignBodyBytes = 1 << 20
 )
 
-// errForeignResponses reports that all responses read in an exchange belong to other requests.
-var errForeignResponses = eris.New("responses belong to other requests")
+var (
+	// errForeignResponses reports that all responses read in an exchange belong to other requests.
+	errForeignResponses = eris.New("responses belong to other requests")
+	// errForeignEnd reports a response to another request whose end cannot be found.
+	errForeignEnd = eris.New("response to another request has no known end")
+)
 
 type (
 	// Request is one request to an upstream.
@@ -125,18 +129,36 @@
 			return &Response{
 				Status: response.StatusCode, Header: response.Header, Body: body, Length: response.ContentLength,
 				IsReused:           c.isReused,
-				EndsWithConnection: response.ContentLength < 0 && len(response.TransferEncoding) == 0,
+				EndsWithConnection: endsWithConnection(response),
 				pool:               p, address: request.Address, conn: c, body: body, written: written, closeAfter: closeAfter,
 			}, nil
 		}
 		closeAfter = true
-		if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxForeignBodyBytes)); err != nil {
+		if err := skipForeign(response); err != nil {
 			return nil, eris.Wrapf(err, "skip response to another request from %s", request.Address)
 		}
 	}
 	return nil, eris.Wrapf(errForeignResponses, "from %s", request.Address)
 }
 
+// skipForeign reads a response to another request to its end. Behind one whose end is not known, bytes of its body could
+// look like the next head.
+func skipForeign(response *http.Response) error {
+	if endsWithConnection(response) {
+		return errForeignEnd
+	}
+	skipped, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxForeignBodyBytes+1))
+	if err == nil && skipped > maxForeignBodyBytes {
+		return errForeignEnd
+	}
+	return err
+}
+
+// endsWithConnection reports whether a response has neither a length nor chunks.
+func endsWithConnection(response *http.Response) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
+}
+
 // send writes the request. A long one is written concurrently with reading the response, since an
 // upstream may respond before it has read the body. The channel receives the error of the write.
 func send(c *conn, request Request) (<-chan error, error) {
--- a/link/pool.go
+++ b/link/pool.go
@@ -33,8 +33,8 @@
 
 	// Pool keeps idle connections by address; it is safe for concurrent use.
 	Pool struct {
-		dialer *net.Dialer
-		now    func() time.Time
+		dial func(ctx context.Context, network, address string) (net.Conn, error)
+		now  func() time.Time
 
 		mu     sync.Mutex
 		idle   map[spoke.Address][]*conn
@@ -52,7 +52,7 @@
 
 // New returns an empty pool.
 func New(options ...Option) *Pool {
-	p := &Pool{dialer: dial.New(dialTimeout), now: time.Now, idle: make(map[spoke.Address][]*conn), safeIdle: time.Hour}
+	p := &Pool{dial: dial.New(dialTimeout).DialContext, now: time.Now, idle: make(map[spoke.Address][]*conn), safeIdle: time.Hour}
 	for _, option := range options {
 		option(p)
 	}
@@ -93,7 +93,7 @@
 		}
 		_ = c.Close()
 	}
-	raw, err := p.dialer.DialContext(ctx, "tcp", string(address))
+	raw, err := p.dial(ctx, "tcp", string(address))
 	if err != nil {
 		return nil, err
 	}
