Take no head that another one begins in

Callers were told "not run" for calls that had run, or got the status of another answer. A late response that stops inside its head is followed by the one to the request. If it stops in a value or in the text of its status, both make one valid head: the refusal of the first with the id, the stamp and the body of the second. Class: fields of two messages are read as those of one.

Before: TestLateAnswersReachNoOtherCaller shows status 503 after one run for "refusal that stops inside" (4 of 4 kinds of calls), status 500 for "failure that stops inside" (4 of 4), both on this connection again later; TestLateResponseThatStopsInsideIsNoResponse stops at the first such place, "HTTP/1.1 503 HTTP/1.1 200 OK".

The next response begins with its status line, which is whole even where the one before is not. So a head that holds a status line in the text of its status, a value or the names of its trailers is an error. All other places were malformed before: the test cuts at each byte, with an interim response behind the cut as well.

--- a/edge/late_answer_test.go
+++ b/edge/late_answer_test.go
@@ -71,6 +71,10 @@
 	"neither length nor chunks": func(string) string {
 		return "HTTP/1.1 200 OK\r\nMagnoliaspoke-Request-Id: earlier\r\n\r\nid: 1\ndata: earlier\n\n"
 	},
+	"refusal that stops inside": func(string) string {
+		return "HTTP/1.1 503 Service Unavailable\r\nMagnoliaspoke-Not-Executed: 1\r\nDate: Mon"
+	},
+	"failure that stops inside": func(string) string { return "HTTP/1.1 500 Internal" },
 	"copy that stops inside":    func(last string) string { return last[:len(last)-5] },
 }
 
--- a/link/exchange.go
+++ b/link/exchange.go
@@ -7,6 +7,8 @@
 	"io"
 	"net"
 	"net/http"
+	"regexp"
+	"slices"
 	"strconv"
 	"syscall"
 	"time"
@@ -31,6 +33,11 @@
 	errForeignResponses = eris.New("responses belong to other requests")
 	// errForeignEnd reports a response to another request whose end cannot be found.
 	errForeignEnd = eris.New("response to another request has no known end")
+	// errMixedHead reports a head that another one begins in.
+	errMixedHead = eris.New("response head contains a status line")
+
+	// statusLine is the beginning of a response. It stands inside a head if the response before it stopped there.
+	statusLine = regexp.MustCompile(`HTTP/1\.[01] [1-5][0-9][0-9]`)
 )
 
 type (
@@ -200,6 +207,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if isMixed(response) {
+			return nil, errMixedHead
+		}
 		if response.StatusCode >= http.StatusOK {
 			return response, nil
 		}
@@ -207,6 +217,21 @@
 	return nil, ErrHeadTooLong
 }
 
+// isMixed reports whether another head begins inside the head of a response. Its fields may belong to either.
+func isMixed(response *http.Response) bool {
+	for _, values := range response.Header {
+		if slices.ContainsFunc(values, statusLine.MatchString) {
+			return true
+		}
+	}
+	for name := range response.Trailer {
+		if statusLine.MatchString(name) {
+			return true
+		}
+	}
+	return statusLine.MatchString(response.Status)
+}
+
 // Read reads from the body and records its end.
 func (r *eofReader) Read(buffer []byte) (int, error) {
 	n, err := r.ReadCloser.Read(buffer)
