Skip no late response beside a HEAD request

A response to HEAD has no body, whatever length it states. A late copy of another response, read as one to HEAD, left its body to be read as the next head, and a copy of one to HEAD took bytes of the next response as its body.

Before: TestLateResponseBesideHeadRequestIsAnError returns the body "stale", here and on. On a connection that has carried a HEAD request no response to another request is skipped now; the exchange is an error. Connections are kept as before.

--- a/link/conn.go
+++ b/link/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"net"
+	"net/http"
 	"syscall"
 	"time"
 
@@ -22,6 +23,9 @@
 	// idleSince is the end of the previous exchange.
 	idleSince time.Time
 	isReused  bool
+	// hasCarriedHead is set once a request had the method HEAD: the body of its response cannot be told from the
+	// head.
+	hasCarriedHead bool
 }
 
 func newConn(raw net.Conn) *conn {
@@ -29,6 +33,11 @@
 	return &conn{Conn: raw, reader: bufio.NewReaderSize(limited, readBufferBytes), limit: limited}
 }
 
+// record remembers a request that the connection carries.
+func (c *conn) record(request Request) {
+	c.hasCarriedHead = c.hasCarriedHead || request.Method == http.MethodHead
+}
+
 // isOpenAndEmpty reports whether an idle connection is open and has no unread bytes, which would
 // belong to no request.
 func (c *conn) isOpenAndEmpty() bool {
--- a/link/exchange.go
+++ b/link/exchange.go
@@ -114,6 +114,7 @@
 
 func (p *Pool) exchange(c *conn, request Request, matches func(status int, header http.Header) bool) (*Response, error) {
 	sentAt := p.now()
+	c.record(request)
 	written, err := send(c, request)
 	if err != nil {
 		p.recordReset(c, sentAt)
@@ -141,7 +142,7 @@
 			}, nil
 		}
 		closeAfter = true
-		if err := skipForeign(response); err != nil {
+		if err := skipForeign(c, response); err != nil {
 			return nil, eris.Wrapf(err, "skip response to another request from %s", request.Address)
 		}
 	}
@@ -150,8 +151,8 @@
 
 // skipForeign reads a response to another request to its end. Behind one whose end is not known, bytes of its body could
 // look like the next head.
-func skipForeign(response *http.Response) error {
-	if endsWithConnection(response) {
+func skipForeign(c *conn, response *http.Response) error {
+	if c.hasCarriedHead || endsWithConnection(response) {
 		return errForeignEnd
 	}
 	skipped, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxForeignBodyBytes+1))
