Send no call on a connection that has carried its id

Callers got the failure of an earlier call, and streams were broken off by one. The id tells a late answer from the one to the request only if they differ. They are the same where a call is sent to an engine that has answered it: a stream that left its silent engine, got a failure from the next one and a refusal from the first asks both again, and a caller may repeat an id. Class: an identity that is not unique in the scope in which it is compared.

Ruled out: a call that returns to its silent engine, or is refused, finds no connection that has carried it, since both are closed; one behind 421 is discarded.

A call takes the newest idle connection without its id. If all have carried it, a new connection replaces one of them, so that a caller with a constant id does not add to the connections of an engine. Calls with different ids share one connection as before: 20 of them open one, as the test shows, and each repetition of an id opens one.

--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -117,7 +117,7 @@
 func (a *attempt) roundTrip(ctx context.Context) bool {
 	answer, err := a.pool.Do(ctx, link.Request{
 		Address: a.grant.Upstream.Address, Method: a.call.Method, Target: a.call.Target, HostName: a.call.HostName,
-		Header: a.codec.EncodeAttempt(a.spec), Body: a.call.Body,
+		Header: a.codec.EncodeAttempt(a.spec), Body: a.call.Body, Key: string(a.call.Request),
 	}, a.acceptHead)
 	if errors.Is(err, spoke.ErrNotRun) {
 		a.progress.tried = appendUnique(a.progress.tried, a.grant.Upstream.ID)
--- a/link/exchange.go
+++ b/link/exchange.go
@@ -49,6 +49,9 @@
 		HostName string
 		Header   http.Header
 		Body     []byte
+		// Key names the request in its response, empty if nothing does. Requests with the same key share no
+		// connection, since a late copy of the first response would look like the second one.
+		Key string
 	}
 
 	// Response is the response to a request; it is not safe for concurrent use.
@@ -97,7 +100,7 @@
 // a response belongs to this request and not to an earlier one. An error that wraps
 // spoke.ErrNotRun means that no byte was sent. The connection is closed when ctx ends.
 func (p *Pool) Do(ctx context.Context, request Request, matches func(status int, header http.Header) bool) (*Response, error) {
-	c, err := p.get(ctx, request.Address)
+	c, err := p.get(ctx, request.Address, request.Key)
 	if err != nil {
 		return nil, &connectError{address: request.Address, cause: err}
 	}
--- a/link/late_test.go
+++ b/link/late_test.go
@@ -115,7 +115,7 @@
 	ctx, cancel := context.WithTimeout(c.t.Context(), 10*time.Second)
 	defer cancel()
 	response, err := c.pool.Do(ctx, link.Request{
-		Address: c.server.address, Method: method, Target: "/", HostName: "h", Header: http.Header{lateID: {id}},
+		Address: c.server.address, Method: method, Target: "/", HostName: "h", Header: http.Header{lateID: {id}}, Key: id,
 	}, func(_ int, header http.Header) bool { return header.Get(lateID) == id })
 	if err != nil {
 		return "", err
--- a/link/pool.go
+++ b/link/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -80,13 +81,18 @@
 	return nil
 }
 
-// get returns an idle connection that passes the checks for reuse, or a new one.
-func (p *Pool) get(ctx context.Context, address spoke.Address) (*conn, error) {
+// get returns an idle connection that passes the checks for reuse and has not carried the key, or a new one.
+func (p *Pool) get(ctx context.Context, address spoke.Address, key string) (*conn, error) {
 	for {
-		c := p.popIdle(address)
+		c := p.popIdle(address, key)
 		if c == nil {
 			break
 		}
+		if c.hasCarried(key) {
+			// The new connection takes the place of this one, so that repeated keys do not add to their number.
+			_ = c.Close()
+			break
+		}
 		if p.now().Before(c.reusableUntil) && p.isWithinSafeIdle(c) && c.isOpenAndEmpty() {
 			c.isReused = true
 			return c, nil
@@ -159,15 +165,23 @@
 	return count
 }
 
-func (p *Pool) popIdle(address spoke.Address) *conn {
+// popIdle returns the newest idle connection that has not carried the key, the newest one if all have, or nil.
+func (p *Pool) popIdle(address spoke.Address, key string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	idle := p.idle[address]
 	if len(idle) == 0 {
 		return nil
 	}
-	c := idle[len(idle)-1]
-	p.idle[address] = idle[:len(idle)-1]
+	chosen := len(idle) - 1
+	for i, c := range slices.Backward(idle) {
+		if !c.hasCarried(key) {
+			chosen = i
+			break
+		}
+	}
+	c := idle[chosen]
+	p.idle[address] = slices.Delete(idle, chosen, chosen+1)
 	return c
 }
 
