Treat a connection with a skipped response as used

A refusal without an id counts as that to the call only on a connection without other responses, since an engine may send an earlier one again. A new connection on which a response to another request was skipped counted as such a connection, so that a late refusal behind it would have told the caller "not run". Class: a condition is taken at the start of an exchange and used at its end.

Before: TestSkippedResponseShowsThatOthersMayFollow finds IsReused false, here and on. No caller was seen with it. Now the refusal leads to an outcome that is unknown, as on a kept connection.

--- a/link/exchange.go
+++ b/link/exchange.go
@@ -63,7 +63,7 @@
 		Length int64
 		// EndsWithConnection is set if neither a length nor chunks show the end of the body.
 		EndsWithConnection bool
-		// IsReused is set if the connection has carried earlier responses.
+		// IsReused is set if the connection has carried other responses before.
 		IsReused bool
 
 		pool       *Pool
@@ -123,7 +123,7 @@
 		p.recordReset(c, sentAt)
 		return nil, eris.Wrapf(err, "send to %s", request.Address)
 	}
-	closeAfter := false
+	closeAfter, hasSkipped := false, false
 	headBudget := int64(maxHeadBytes)
 	for range maxForeignResponses + 1 {
 		//nolint:bodyclose // The caller closes the response and with it the connection, which ends the body as well.
@@ -139,12 +139,12 @@
 			closeAfter = closeAfter || response.Close || response.ProtoMajor != 1 || response.ProtoMinor != 1
 			return &Response{
 				Status: response.StatusCode, Header: response.Header, Body: body, Length: response.ContentLength,
-				IsReused:           c.isReused,
+				IsReused:           c.isReused || hasSkipped,
 				EndsWithConnection: endsWithConnection(response),
 				pool:               p, address: request.Address, conn: c, body: body, written: written, closeAfter: closeAfter,
 			}, nil
 		}
-		closeAfter = true
+		closeAfter, hasSkipped = true, true
 		if err := skipForeign(c, response); err != nil {
 			return nil, eris.Wrapf(err, "skip response to another request from %s", request.Address)
 		}
