Discard connections behind the check of an end that is misdirected

A caller could be told "not run" for a call that ran, or it ran twice. A refusal with 421 is believed without an id, also on a kept connection, since no call is sent on a connection behind one. The check of an answer with neither a length nor chunks kept its connection behind 421, where another engine has the address. A second copy of it on that connection looked like the answer to the next call to the new engine. Class: a rule of one user of a shared pool that another user does not follow.

It costs one connection for each engine that lost its address while it answered.

--- a/edge/answerend.go
+++ b/edge/answerend.go
@@ -87,6 +87,10 @@
 	}
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxIdentityBytes))
 	identity := a.codec.DecodeIdentity(upstream.ID, answer.Status, answer.Header, body)
+	if identity.IsOther {
+		// A copy of this answer on the connection would look like that to the next call there.
+		answer.Discard()
+	}
 	answer.Close(identity.IdleTimeout)
 	if err != nil {
 		return place.EndNothing
