Use connections to plain services again only if answers name calls

A caller of the own mode got the answer of an earlier call, possibly of another workspace, or "not run" for a call that ran: a service sent an answer once more, late, where that of the next call on the kept connection was due.

Cause: a late answer taken for the next one. net/http notices bytes on an idle connection, but none that arrive after the next request has been written, and the client compared nothing.

Calls that may run only once were not affected, since each has its own connection.

Ruled out: a check before the write alone, since the answer may come after it; an own connection for each call, which costs services that name calls a connection as well.

A connection is used again only if its answer repeats X-Attempt-Id, and from then on each of its answers has to. Another answer on such a connection is incomplete, so the outcome is unknown and the call goes on elsewhere if it may. Services that do not repeat the header get a connection for each call. The stand-in repeats it.

--- a/fake/plain/service.go
+++ b/fake/plain/service.go
@@ -95,6 +95,9 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	if attempt := r.Header.Get("X-Attempt-Id"); attempt != "" {
+		w.Header().Set("X-Attempt-Id", attempt)
+	}
 	if s.consumeFault(func(f *Faults) *int { return &f.Refuse }) {
 		w.Header().Set("X-Not-Run", "true")
 		w.Header().Set("Retry-After", "1")
--- a/plain/client.go
+++ b/plain/client.go
@@ -17,6 +17,10 @@
 )
 
 const (
+	// attemptHeader names the attempt in a request, and in the answers of services that repeat it. Only their connections
+	// are used again, since any other answer may be a late one to an earlier call.
+	attemptHeader = "X-Attempt-Id"
+
 	// defaultDialTimeout bounds the establishment of a connection inside a data centre.
 	defaultDialTimeout = time.Second
 	// defaultAnswerLimit bounds the response body of a service; it equals the limit on
@@ -90,6 +94,12 @@
 		return spoke.PlainAnswer{}, tracker.wrapError(err, at, call)
 	}
 	defer response.Body.Close()
+	if response.Header.Get(attemptHeader) != string(call.Attempt) {
+		defer tracker.close()
+		if tracker.seal() {
+			return spoke.PlainAnswer{}, eris.Wrapf(spoke.ErrIncomplete, "answer of %s on a connection in use again does not name attempt %s", at, call.Attempt)
+		}
+	}
 	body, release, err := c.memory.ReadWhole(response.Body, fetch.UnknownLength, c.answerLimit)
 	defer release()
 	if errors.Is(err, fetch.ErrTooLong) || errors.Is(err, fetch.ErrMemory) {
@@ -118,7 +128,7 @@
 		request.Header = call.Header.Clone()
 	}
 	request.Header.Set("X-Request-Id", string(call.Request))
-	request.Header.Set("X-Attempt-Id", string(call.Attempt))
+	request.Header.Set(attemptHeader, string(call.Attempt))
 	request.Header.Del("Idempotency-Key")
 	if call.Key != "" {
 		request.Header.Set("Idempotency-Key", string(call.Key))
--- a/plain/conn.go
+++ b/plain/conn.go
@@ -29,6 +29,7 @@
 		conn *countingConn
 		// writesBefore is the number of writes before the call.
 		writesBefore int
+		isReused     bool
 	}
 )
 
@@ -69,7 +70,7 @@
 		}
 		t.mu.Lock()
 		defer t.mu.Unlock()
-		t.conns = append(t.conns, trackedConn{conn, conn.count()})
+		t.conns = append(t.conns, trackedConn{conn, conn.count(), info.Reused})
 	}}
 }
 
@@ -87,6 +88,27 @@
 	return wrote
 }
 
+// seal seals the connection of the answer, so that no further call uses it, and reports whether an earlier one has.
+func (t *connTracker) seal() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.conns) == 0 {
+		return false
+	}
+	last := t.conns[len(t.conns)-1]
+	last.conn.seal()
+	return last.isReused
+}
+
+// close closes the connections.
+func (t *connTracker) close() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, tracked := range t.conns {
+		tracked.conn.Close()
+	}
+}
+
 // wrapError adds the attempt to a transport error; the result matches spoke.ErrNotRun if no
 // byte of the call was sent.
 func (t *connTracker) wrapError(err error, at spoke.Address, call spoke.PlainCall) error {
