Number the slots of the retry budget by the monotonic clock

A host whose time of day was set back got no retry out of its reserve until the clock had caught up, so calls were refused or failed that another upstream would have served. When it was set forward, the whole reserve was available again at once, beyond the budget.

Cause: wall clock in place of a monotonic one. The counter of the budget numbered its slots by the time of day.

Evidence: TestRetryBudgetIgnoresTimeOfDay sets the time of day of a reading while its monotonic part goes on. Before this change, and on: 0 retries in place of 7 at 15 s behind a set-back of an hour, 7 in place of 0 at 1 s behind one forward. The unchanged clock passed.

Ruled out: the retry budget of the own mode, which refills by differences of readings that keep their monotonic part.

Slots are numbered by the time since the first one. Its start is that of the slot in which the first time lies, so that slots begin at the same moments as before.

--- a/place/budget.go
+++ b/place/budget.go
@@ -10,7 +10,10 @@
 	counter struct {
 		width time.Duration
 		slots [budgetSlots]int
-		// at is the number of the newest slot since the zero time.
+		// begin is the start of the slot of the first time, from which slots are numbered. Unlike a time of day, the time
+		// since then does not jump when the clock is set.
+		begin time.Time
+		// at is the number of the newest slot.
 		at int64
 	}
 
@@ -48,7 +51,10 @@
 
 // advance clears the slots that have left the window.
 func (c *counter) advance(now time.Time) {
-	current := now.UnixNano() / int64(c.width)
+	if c.begin.IsZero() {
+		c.begin = now.Add(-time.Duration(now.UnixNano() % int64(c.width)))
+	}
+	current := int64(now.Sub(c.begin) / c.width)
 	for step := max(c.at+1, current-budgetSlots+1); step <= current; step++ {
 		c.slots[step%budgetSlots] = 0
 	}
