Compare reports of an engine only by this host's clock

After the clock of an engine was set back, its reports were left out until it had caught up: a host of the own mode did not see for that time that the engine was leaving, or how much work ran and waited there, and queued work for it. By the code, waiting work at an engine whose clock is behind does not lower the limit again until that time has passed since the last decrease, since the two are compared.

Cause: a time of day of another machine, compared over time and with the local clock. A later report then counts as an earlier one.

Ruled out: taking the time of the call alone, as the observer of swaps does, since a report that lags would then count as newer than the last change of the limit.

Times of reports are converted with the smallest difference of the two clocks so far, which keeps the lag of a report. A difference that grows by more than a second shows that a clock was set and counts anew.

--- a/host/poller.go
+++ b/host/poller.go
@@ -42,6 +42,7 @@
 		report   func(context.Context, spoke.LoadReport)
 		events   spoke.EventSink
 		failures int
+		clock    engineClock
 		status   atomic.Pointer[upstreamStatus]
 		cancel   context.CancelFunc
 	}
@@ -84,6 +85,7 @@
 func (p *poller) poll(ctx context.Context) {
 	pollCtx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
+	asked := p.timer.Now()
 	report, err := p.load(pollCtx)
 	if ctx.Err() != nil {
 		return
@@ -93,6 +95,7 @@
 		return
 	}
 	p.failures = 0
+	report.AsOf = p.clock.toLocal(asked, report.AsOf)
 	p.recordSuccess(upstreamStatus{report: report, known: true})
 	if !p.isPlain {
 		p.report(ctx, report)
--- a/host/pollers_test.go
+++ b/host/pollers_test.go
@@ -32,10 +32,16 @@
 
 // withPollers runs a test with the pollers of a host.
 func withPollers(t *testing.T, manifest spoke.ManifestSource, engine spoke.Engine, test func(t *testing.T, f host.PollerTask)) {
+	t.Helper()
+	withAdmission(t, manifest, &policy{}, engine, test)
+}
+
+// withAdmission runs a test with the pollers of a host that has the given admission.
+func withAdmission(t *testing.T, manifest spoke.ManifestSource, admission spoke.Admission, engine spoke.Engine, test func(t *testing.T, f host.PollerTask)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
-		pollers := host.NewPollerTask(manifest, &policy{}, engine)
+		pollers := host.NewPollerTask(manifest, admission, engine)
 		var tasks sync.WaitGroup
 		tasks.Go(func() { pollers.Run(ctx) })
 		defer synctest.Wait()
