Take a refusal of an engine for a run only if it is that run's

A run of the own mode counted as "not run" although the engine ran it: the engine sent an earlier refusal once more, late, where the answer to the next run on the kept connection was due. Callers were told that nothing had run, or the run began at another engine beside the first.

Cause: a late answer taken for the next one. Pieces of streams name their attempt, refusals did not, and net/http notices no bytes that arrive after the next request has been written.

TestExtraBytesBelongToNoStream passed before, 54 cases over real sockets: nine kinds of bytes behind a response or before the next one, three framings. The ids and offsets of pieces and the end mark keep streams apart.

Ruled out: a connection for each run, which costs a handshake where the attempt can be named as well.

Refusals name the attempt, as the stand-in now does. One that names another attempt proves nothing, nor does one without a name on a connection in use again: the outcome is unknown, and the engine is told to cancel the attempt.

--- a/engine/errors.go
+++ b/engine/errors.go
@@ -22,24 +22,40 @@
 // responseError maps an error response to an error. Only the codes listed by the protocol prove
 // that nothing ran; any other response, and one that was cut, leaves the outcome unknown.
 func responseError(addr spoke.Address, response *http.Response) error {
+	_, err := namedResponseError(addr, response)
+	return err
+}
+
+// refusalError is responseError for a run. On a connection in use again, a response that does not name the run may be a
+// late one to an earlier run.
+func refusalError(addr spoke.Address, response *http.Response, attempt spoke.AttemptID, isReused bool) error {
+	named, err := namedResponseError(addr, response)
+	if named == attempt || (named == "" && !isReused) || !errors.Is(err, spoke.ErrNotRun) {
+		return err
+	}
+	return errors.Join(spoke.ErrIncomplete, eris.Errorf("response to attempt %s names attempt %q: %s", attempt, named, err))
+}
+
+// namedResponseError returns the error of a response and the run that it names, empty if it names none.
+func namedResponseError(addr spoke.Address, response *http.Response) (spoke.AttemptID, error) {
 	raw, err := io.ReadAll(io.LimitReader(response.Body, maxErrorBody))
 	if err != nil {
-		return eris.Wrapf(err, "engine %s answered %d with a body that was cut", addr, response.StatusCode)
+		return "", eris.Wrapf(err, "engine %s answered %d with a body that was cut", addr, response.StatusCode)
 	}
 	var body errorBody
 	_ = json.Unmarshal(raw, &body)
 	cause := eris.Errorf("engine %s answered %d %q: %s", addr, response.StatusCode, body.Error.Code, body.Error.Message)
 	switch {
 	case response.StatusCode == http.StatusConflict && body.Error.Code == "wrong-version":
-		return notRun(spoke.ErrWrongVersion, cause)
+		return body.Error.Attempt, notRun(spoke.ErrWrongVersion, cause)
 	case response.StatusCode == http.StatusConflict && body.Error.Code == "draining":
-		return notRun(spoke.ErrDraining, cause)
+		return body.Error.Attempt, notRun(spoke.ErrDraining, cause)
 	case response.StatusCode == http.StatusConflict && body.Error.Code == "busy":
-		return notRun(spoke.ErrBusy, cause)
+		return body.Error.Attempt, notRun(spoke.ErrBusy, cause)
 	case response.StatusCode == http.StatusConflict && body.Error.Code == "stale-fence":
-		return errors.Join(spoke.ErrStaleFence, cause)
+		return body.Error.Attempt, errors.Join(spoke.ErrStaleFence, cause)
 	case response.StatusCode == http.StatusForbidden && body.Error.Code == "not-authorized":
-		return errors.Join(spoke.ErrNotAuthorized, cause)
+		return body.Error.Attempt, errors.Join(spoke.ErrNotAuthorized, cause)
 	}
-	return cause
+	return body.Error.Attempt, cause
 }
--- a/engine/run.go
+++ b/engine/run.go
@@ -35,8 +35,11 @@
 		return nil, notRun(eris.Wrap(err, "encode run"), nil)
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
-	var gotConn atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { gotConn.Store(true) }}
+	var gotConn, isReused atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		gotConn.Store(true)
+		isReused.Store(info.Reused)
+	}}
 	request, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), http.MethodPost,
 		"http://"+string(addr)+"/v1/completions", bytes.NewReader(data))
 	if err != nil {
@@ -55,7 +58,11 @@
 	if response.StatusCode != http.StatusOK {
 		defer cancel(nil)
 		defer response.Body.Close()
-		return nil, responseError(addr, response)
+		err := refusalError(addr, response, spec.Attempt, isReused.Load())
+		if errors.Is(err, spoke.ErrIncomplete) {
+			c.cancelAsync(addr, spec.Attempt)
+		}
+		return nil, err
 	}
 	return newStream(ctx, cancel, c, addr, spec, response), nil
 }
--- a/fake/model/codec.go
+++ b/fake/model/codec.go
@@ -176,6 +176,8 @@
 	errorDetail struct {
 		Code    string `json:"code"`
 		Message string `json:"message"`
+		// Attempt is the run that is refused; other calls have none.
+		Attempt spoke.AttemptID `json:"attempt_id,omitempty"`
 	}
 )
 
--- a/fake/model/run.go
+++ b/fake/model/run.go
@@ -27,7 +27,7 @@
 	defer context.AfterFunc(e.lifetime, func() { cancel(errStopped) })()
 	current := &run{body: body, cancel: cancel, silenced: make(chan struct{})}
 	if err := e.admit(ctx, current); err != nil {
-		writeRunError(w, err)
+		writeRunError(w, body.Attempt, err)
 		return
 	}
 	err := e.serve(ctx, w, current)
@@ -194,15 +194,16 @@
 	return spoke.FinishStop
 }
 
-func writeRunError(w http.ResponseWriter, err error) {
+func writeRunError(w http.ResponseWriter, attempt spoke.AttemptID, err error) {
+	code := codeBusy
 	switch {
 	case errors.Is(err, errWrongVersion):
-		writeError(w, http.StatusConflict, codeWrongVersion, err.Error())
+		code = codeWrongVersion
 	case errors.Is(err, errDraining):
-		writeError(w, http.StatusConflict, codeDraining, err.Error())
+		code = codeDraining
 	case errors.Is(err, errBusy):
-		writeError(w, http.StatusConflict, codeBusy, err.Error())
 	default:
 		panic(http.ErrAbortHandler)
 	}
+	writeJSON(w, http.StatusConflict, errorBody{Error: errorDetail{Code: code, Message: err.Error(), Attempt: attempt}})
 }
