Name the framing and what stood behind the events of an answer

"answered" and "attempt failed" gave neither the framing of broken streams and of buffered answers nor what was dropped with errNotEvents or errEventOrder, so bytes behind an answer looked like any broken stream. Both lines now name the framing, the kind of the bytes ("no-event", "event-order"), their number and that of the events among them, no contents, and the metric "bytes-behind" counts such answers.

No behaviour of streams changes.

--- a/edge/answer.go
+++ b/edge/answer.go
@@ -60,7 +60,7 @@
 		// successes when the log exceeds its limits.
 		level = logrus.WarnLevel
 	}
-	e.log.WithFields(logrus.Fields{"status": head.Status, "took": time.Since(e.arrived).String()}).WithFields(evidenceFields(answer.evidence)).Log(level, "answered")
+	e.log.WithFields(logrus.Fields{"status": head.Status, "framing": answer.framing, "took": time.Since(e.arrived).String()}).WithFields(evidenceFields(answer.evidence)).Log(level, "answered")
 	e.metrics.addAnswer(e.route.Name, "status-"+strconv.Itoa(head.Status), e.arrived)
 }
 
--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -62,6 +62,10 @@
 		endedAt time.Time
 		// evidence is what has shown whether the answer is whole, empty if that needed none.
 		evidence place.EndEvidence
+		// framing names what shows the end of the answer, empty if there is no answer.
+		framing string
+		// behind is what was dropped behind the answer.
+		behind behind
 	}
 )
 
@@ -130,6 +134,7 @@
 		return a.recordFailure(ctx, place.EndBroken, err)
 	}
 	defer func() { answer.Close(a.head.IdleTimeout) }()
+	a.framing = answer.Framing()
 	answer.Body = &heardReader{Reader: answer.Body, heard: a.recordBytes}
 	if !a.head.IsMisdirected {
 		// Otherwise the intended engine is not at the address, or would take the call with other weights.
@@ -223,7 +228,7 @@
 	a.log.WithError(err).WithFields(logrus.Fields{
 		"upstream": a.grant.Upstream.ID, "may-have-run": a.progress.mayHaveRun, "held": time.Since(a.arrived).String(),
 		"ended-by": endedBy(ctx), "silent": time.Since(a.heardAt).String(),
-	}).WithFields(evidenceFields(a.evidence)).WithFields(a.stoppingFields()).Warn("attempt failed")
+	}).WithFields(a.answerFields()).WithFields(evidenceFields(a.evidence)).WithFields(a.stoppingFields()).Warn("attempt failed")
 	return false
 }
 
@@ -245,7 +250,7 @@
 	if a.head.Status >= http.StatusInternalServerError {
 		a.ending = place.EndFailed
 	}
-	whole := &bufferedAnswer{head: a.head, body: body, evidence: a.evidence}
+	whole := &bufferedAnswer{head: a.head, body: body, evidence: a.evidence, framing: a.framing}
 	meansNotRun := slices.Contains(notRunStatuses, a.head.Status)
 	if a.ending == place.EndFailed || meansNotRun {
 		a.progress.lastFault = "status " + http.StatusText(a.head.Status)
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -51,6 +51,8 @@
 		// endChecks counts the calls that ask upstreams whether they still run behind the end of an answer, and
 		// unconfirmedEnds the answers that count as broken off after them.
 		endChecks, unconfirmedEnds atomic.Int64
+		// behind counts the answers behind which bytes were dropped that do not belong to them.
+		behind atomic.Int64
 	}
 )
 
@@ -64,11 +66,11 @@
 // ServeHTTP writes the metrics in the format of package expvar.
 func (m *metrics) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
-	_, _ = fmt.Fprintf(w, "{\n%q: %s,\n%q: %s,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d\n}\n",
+	_, _ = fmt.Fprintf(w, "{\n%q: %s,\n%q: %s,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d\n}\n",
 		"answers", expvar.Func(m.answers), "times", expvar.Func(m.percentiles), "endless", m.endless.Load(), "limited", m.limited.Load(),
 		"recalled", m.recalled.Load(), "crashes", m.crashes.Load(), "part-marks", m.partMarks.Load(), "part-refusals", m.partRefusals.Load(),
 		"feed-bytes", m.feedBytes.Load(), "origin-datagrams", m.originDatagrams.Load(), "origin-requests", m.originRequests.Load(),
-		"end-checks", m.endChecks.Load(), "unconfirmed-ends", m.unconfirmedEnds.Load())
+		"end-checks", m.endChecks.Load(), "unconfirmed-ends", m.unconfirmedEnds.Load(), "bytes-behind", m.behind.Load())
 }
 
 func (m *metrics) addAnswer(route spoke.RouteName, outcome string, arrived time.Time) {
@@ -101,6 +103,8 @@
 
 func (m *metrics) addUnconfirmedEnd() { m.unconfirmedEnds.Add(1) }
 
+func (m *metrics) addBehind() { m.behind.Add(1) }
+
 func (m *metrics) addWait(route spoke.RouteName, took time.Duration) { m.add("wait ", route, took) }
 
 func (m *metrics) addFirst(route spoke.RouteName, took time.Duration) { m.add("first ", route, took) }
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -67,6 +67,8 @@
 		body []byte
 		// evidence is what has shown that the answer is whole, empty if that needed none.
 		evidence place.EndEvidence
+		// framing names what shows the end of the answer.
+		framing string
 	}
 )
 
--- a/edge/stream.go
+++ b/edge/stream.go
@@ -61,6 +61,7 @@
 	for {
 		chunk, err := readEvents(answer.Body, &buffer)
 		if len(chunk) > 0 && !haveEventForm(chunk) {
+			a.dropBehind(behindNoEvent, chunk)
 			return a.recordFailure(ctx, place.EndBroken, errNotEvents)
 		}
 		if len(chunk) > 0 && a.hasOtherSoftware() {
@@ -74,6 +75,7 @@
 				return false
 			}
 			if orderErr != nil {
+				a.dropBehind(behindOrder, chunk[len(events):])
 				return a.recordFailure(ctx, place.EndBroken, orderErr)
 			}
 		}
@@ -89,7 +91,7 @@
 		if err := a.confirmEnd(ctx, answer, state.numbered); err != nil {
 			return a.recordFailure(ctx, place.EndBroken, err)
 		}
-		return a.finishStream(state, answer)
+		return a.finishStream(state)
 	}
 }
 
@@ -176,7 +178,7 @@
 }
 
 // finishStream ends a stream whose last event was complete.
-func (a *attempt) finishStream(state *streamState, answer *link.Response) bool {
+func (a *attempt) finishStream(state *streamState) bool {
 	if !state.hasBegun() {
 		a.writeHead()
 	}
@@ -184,8 +186,8 @@
 	a.isAnswered = true
 	a.log.WithFields(logrus.Fields{
 		"events": state.events, "widest-gap": state.widestGap.String(), "gap-target": a.route.GapTarget.String(), "took": time.Since(a.arrived).String(),
-		"status": a.head.Status, "framing": answer.Framing(), "upstream": a.grant.Upstream.ID,
-	}).WithFields(evidenceFields(a.evidence)).Info("answered")
+		"status": a.head.Status, "upstream": a.grant.Upstream.ID,
+	}).WithFields(a.answerFields()).WithFields(evidenceFields(a.evidence)).Info("answered")
 	a.metrics.addGap(a.route.Name, state.widestGap)
 	a.metrics.addAnswer(a.route.Name, "status-"+strconv.Itoa(a.head.Status), a.arrived)
 	return true
