Keep bytes behind an answer out of streams and events before them in

Callers of streams got 502 with "outcome-unknown", resumable ones too, although all events had arrived: haveEventForm judged all events of one read together, so that sound events in the same read as the head of a second response or other bytes were thrown away. Whether they were depended on how the kernel cut the bytes into reads. Where nothing but the connection shows the end, events beyond the tokens that a caller allowed were joined to its stream, and a buffered answer was delivered with the second response behind it.

Package eventstream splits a stream event by event and judges the bytes behind the last one: open, no event, a response's head, too large. Its result depends on the bytes alone. Events before such bytes go to the caller; the stream breaks off behind them and goes on elsewhere if it may. Without length or chunks, what follows the limit of tokens is dropped. Buffered answers with a second response count as broken off, since their end could only be guessed.

Events whose ids go on below the limit cannot be told from the answer and are still joined.

Cutting a buffered answer at a status line: a body that quotes one would look whole.

--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -236,6 +236,9 @@
 func (a *attempt) relayBuffered(ctx context.Context, answer *link.Response) bool {
 	body, release, err := a.answerMemory.ReadWhole(answer.Body, fetch.UnknownLength, maxAnswerSize)
 	defer release()
+	if err == nil && answer.EndsWithConnection {
+		err = a.refuseSecondAnswer(body)
+	}
 	if err == nil {
 		err = a.confirmEnd(ctx, answer, 0)
 	}
--- a/edge/behind.go
+++ b/edge/behind.go
@@ -1,15 +1,36 @@
 package edge
 
 import (
+	"bufio"
 	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
 
 	"github.com/sirupsen/logrus"
+
+	"magnoliaspoke.example/spoke/eventstream"
+	"magnoliaspoke.example/spoke/link"
+	"magnoliaspoke.example/spoke/place"
 )
 
-const (
-	// behindNoEvent marks bytes that cannot become an event, behindOrder events whose ids go back.
-	behindNoEvent behindKind = "no-event"
-	behindOrder   behindKind = "event-order"
+// headReadSize is the size of the reads in which a body is searched for another response.
+const headReadSize = 512
+
+var (
+	// errSecondAnswer reports the head of another response behind an event, or in an answer that was read whole.
+	errSecondAnswer = errors.New("another response stands behind the answer")
+	// errBehindLimit reports an event behind as many as the caller allows tokens.
+	errBehindLimit = errors.New("more events than the caller allows tokens")
+
+	responseStart = []byte("HTTP/1.")
+
+	// behindKinds names the bytes that do not belong to an answer by the error that reports them.
+	behindKinds = map[error]behindKind{
+		errNotEvents: "no-event", errEventOrder: "event-order", errSecondAnswer: "response", errBehindLimit: "limit",
+		errLargeEvent: "large-event", errTruncatedEvent: "partial-event",
+	}
 )
 
 type (
@@ -22,11 +43,92 @@
 		bytes  int
 		events int
 	}
+
+	// foreignEvents are events that may belong to another run, and the error that reports them.
+	foreignEvents struct {
+		err   error
+		bytes []byte
+	}
+
+	// streamEnd is why no further event follows: io.EOF if the answer ended behind one, otherwise what stands there or the
+	// error of the read. The foreign events come before the tail.
+	streamEnd struct {
+		err           error
+		foreign, tail []byte
+	}
 )
 
+// tailError returns why no further event follows, nil if one may.
+func tailError(tail eventstream.Tail, readErr error, rest []byte) error {
+	switch {
+	case tail == eventstream.NoEvent:
+		return errNotEvents
+	case tail == eventstream.Head:
+		return errSecondAnswer
+	case tail == eventstream.TooLarge:
+		return errLargeEvent
+	case errors.Is(readErr, io.EOF) && len(rest) > 0:
+		return errTruncatedEvent
+	}
+	return readErr
+}
+
+// endStream ends the answer behind its last event. Bytes that do not belong to it break it off, unless nothing but the
+// connection shows its end and it has as many events as its caller allows tokens. Another response shows no end: the
+// upstream is faulty and may have cut the answer.
+func (a *attempt) endStream(ctx context.Context, answer *link.Response, state *streamState, end streamEnd) bool {
+	kind, isForeign := behindKinds[end.err]
+	isWhole := errors.Is(end.err, io.EOF) || isForeign && answer.EndsWithConnection && a.isAtLimit(state)
+	if isForeign && (isWhole || !errors.Is(end.err, errTruncatedEvent)) {
+		a.dropBehind(kind, end.foreign, end.tail)
+	}
+	if !isWhole {
+		return a.recordFailure(ctx, place.EndBroken, end.err)
+	}
+	if answer.EndsWithConnection && !state.hasBegun() && a.spec.LastEventID == "" {
+		return a.recordFailure(ctx, place.EndBroken, errNoEvents)
+	}
+	if err := a.confirmEnd(ctx, answer, state.numbered); err != nil {
+		return a.recordFailure(ctx, place.EndBroken, err)
+	}
+	return a.finishStream(state)
+}
+
+// isAtLimit reports whether the stream has as many events as its caller allows tokens.
+func (a *attempt) isAtLimit(state *streamState) bool {
+	return a.route.IsPrompt && place.IsAtLimit(a.call.Prompt, state.numbered)
+}
+
+// refuseSecondAnswer returns an error if the body of an answer contains the head of an answer to a request. The first one
+// cannot be cut there, since nothing tells where in the body it ends.
+func (a *attempt) refuseSecondAnswer(body []byte) error {
+	source := bufio.NewReaderSize(nil, headReadSize)
+	for rest := body; ; rest = rest[len(responseStart):] {
+		start := bytes.Index(rest, responseStart)
+		if start < 0 {
+			return nil
+		}
+		rest = rest[start:]
+		source.Reset(bytes.NewReader(rest))
+		//nolint:bodyclose // Closing would read the rest of the body, and it holds nothing.
+		second, err := http.ReadResponse(source, nil)
+		if err != nil {
+			continue
+		}
+		if a.codec.DecodeAnswer(a.spec, second.StatusCode, second.Header).NamesRequest {
+			a.dropBehind(behindKinds[errSecondAnswer], rest)
+			return errSecondAnswer
+		}
+	}
+}
+
 // dropBehind records and counts bytes that do not belong to the answer.
-func (a *attempt) dropBehind(kind behindKind, dropped []byte) {
-	a.behind = behind{kind: kind, bytes: len(dropped), events: bytes.Count(dropped, eventDelimiter)}
+func (a *attempt) dropBehind(kind behindKind, dropped ...[]byte) {
+	a.behind.kind = kind
+	for _, part := range dropped {
+		a.behind.bytes += len(part)
+		a.behind.events += bytes.Count(part, eventDelimiter)
+	}
 	a.metrics.addBehind()
 }
 
--- a/edge/behind_log_test.go
+++ b/edge/behind_log_test.go
@@ -20,6 +20,7 @@
 			_, _ = d.send(quoteCall("quote"))
 			awaitTrue(t, "line is not written", func() bool { return d.hasLogged("attempt failed") })
 			assert.Assert(t, d.hasLogged(`"behind":"`+kind+`"`))
+			assert.Assert(t, d.hasLogged(`"behind-events":1`))
 			assert.Assert(t, d.hasLogged(`"framing":"connection"`))
 			assert.Assert(t, strings.Contains(d.metricsPage(), `"bytes-behind": 1`))
 		})
--- a/edge/stream.go
+++ b/edge/stream.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"errors"
-	"io"
 	"math"
 	"net/http"
 	"strconv"
@@ -13,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"magnoliaspoke.example/spoke"
+	"magnoliaspoke.example/spoke/eventstream"
 	"magnoliaspoke.example/spoke/link"
 	"magnoliaspoke.example/spoke/place"
 )
@@ -20,11 +20,10 @@
 const (
 	// maxEventSize bounds one event of a stream, in bytes.
 	maxEventSize = 128 << 10
-	readSize     = 1 << 10
 )
 
 var (
-	eventDelimiter = []byte("\n\n")
+	eventDelimiter = eventstream.Delimiter
 
 	errTruncatedEvent = errors.New("stream ended inside an event")
 	// errNoEvents reports a stream whose connection was closed after the head: each generation has an event,
@@ -57,41 +56,30 @@
 		state = &streamState{}
 		a.progress.stream = state
 	}
-	buffer := make([]byte, 0, readSize)
+	splitter := eventstream.New(maxEventSize)
 	for {
-		chunk, err := readEvents(answer.Body, &buffer)
-		if len(chunk) > 0 && !haveEventForm(chunk) {
-			a.dropBehind(behindNoEvent, chunk)
-			return a.recordFailure(ctx, place.EndBroken, errNotEvents)
-		}
+		n, readErr := answer.Body.Read(splitter.Space())
+		chunk, tail := splitter.Add(n)
 		if len(chunk) > 0 && a.hasOtherSoftware() {
 			return a.recordFailure(ctx, place.EndBroken, errOtherSoftware)
 		}
+		var foreign foreignEvents
 		if len(chunk) > 0 {
 			a.recordFirstEvent()
-			events, orderErr := a.newEvents(state, chunk)
+			var events []byte
+			events, foreign = a.newEvents(state, chunk, answer.EndsWithConnection)
 			if !a.forward(state, events) {
 				a.ending = place.EndCancelled
 				return false
 			}
-			if orderErr != nil {
-				a.dropBehind(behindOrder, chunk[len(events):])
-				return a.recordFailure(ctx, place.EndBroken, orderErr)
-			}
-		}
-		if err == nil {
-			continue
-		}
-		if !errors.Is(err, io.EOF) {
-			return a.recordFailure(ctx, place.EndBroken, err)
 		}
-		if answer.EndsWithConnection && !state.hasBegun() && a.spec.LastEventID == "" {
-			return a.recordFailure(ctx, place.EndBroken, errNoEvents)
+		end := streamEnd{err: foreign.err, foreign: foreign.bytes, tail: splitter.Rest()}
+		if end.err == nil {
+			end.err = tailError(tail, readErr, end.tail)
 		}
-		if err := a.confirmEnd(ctx, answer, state.numbered); err != nil {
-			return a.recordFailure(ctx, place.EndBroken, err)
+		if end.err != nil {
+			return a.endStream(ctx, answer, state, end)
 		}
-		return a.finishStream(state)
 	}
 }
 
@@ -105,44 +93,6 @@
 	a.planner.in <- schedulerMessage{message: place.Began{Call: a.grant.Call, Load: a.head.Load, Weights: a.head.Weights, IsLeaving: a.head.IsLeaving, NamesNoLimit: a.head.NamesNoLimit()}}
 }
 
-// readEvents reads into the buffer and returns the complete events in it; io.EOF means that the
-// stream ended after a complete event.
-func readEvents(body io.Reader, buffer *[]byte) ([]byte, error) {
-	pending := *buffer
-	if cap(pending)-len(pending) < readSize/2 {
-		pending = append(make([]byte, 0, 2*cap(pending)+readSize), pending...)
-	}
-	n, err := body.Read(pending[len(pending):cap(pending)])
-	pending = pending[:len(pending)+n]
-	end := bytes.LastIndex(pending, eventDelimiter)
-	var events []byte
-	if end >= 0 {
-		end += len(eventDelimiter)
-		events = bytes.Clone(pending[:end])
-		pending = pending[:copy(pending, pending[end:])]
-	}
-	*buffer = pending
-	switch {
-	case err == io.EOF && len(pending) > 0:
-		return events, errTruncatedEvent
-	case err == nil && len(pending) > maxEventSize:
-		return events, errLargeEvent
-	}
-	return events, err
-}
-
-// haveEventForm reports whether the parts between delimiters have the form of events. Bytes that are
-// not a valid answer may contain the delimiter as well.
-func haveEventForm(events []byte) bool {
-	for event := range bytes.SplitSeq(bytes.TrimSuffix(events, eventDelimiter), eventDelimiter) {
-		name, _, hasName := bytes.Cut(event, []byte(":"))
-		if !hasName || bytes.ContainsFunc(name, func(r rune) bool { return r < '!' || r > '~' }) {
-			return false
-		}
-	}
-	return true
-}
-
 // forward writes complete events to the caller and reports whether it is still connected.
 func (a *attempt) forward(state *streamState, events []byte) bool {
 	if len(events) == 0 {
@@ -195,27 +145,32 @@
 
 // newEvents returns the events that follow those that the caller has, and counts those with an id. A run that resumes a
 // stream may repeat the events before; otherwise the ids of a run increase, and events behind one that goes back may belong
-// to another run. Ids need not be consecutive, so that a missing event does not show.
-func (a *attempt) newEvents(state *streamState, events []byte) ([]byte, error) {
-	after := a.lastDelivered(state)
+// to another run. Ids need not be consecutive, so that a missing event does not show. Where nothing but the connection shows
+// the end, events behind as many as the caller allows tokens belong to another run, too.
+func (a *attempt) newEvents(state *streamState, events []byte, isOpen bool) ([]byte, foreignEvents) {
+	after, read := a.lastDelivered(state), 0
 	var kept []byte
 	for event := range bytes.SplitAfterSeq(events, eventDelimiter) {
 		text := lastID(event)
 		id, err := strconv.ParseInt(text, 10, 64)
 		switch {
-		case err == nil && id > after:
-			after, a.hasNewEvent = id, true
-		case err == nil && (a.hasNewEvent || a.spec.LastEventID == ""):
-			return kept, errEventOrder
-		case err == nil:
+		case err == nil && id <= after && (a.hasNewEvent || a.spec.LastEventID == ""):
+			return kept, foreignEvents{errEventOrder, events[read:]}
+		case err == nil && id <= after:
+			read += len(event)
 			continue
+		case text != "" && isOpen && a.isAtLimit(state):
+			return kept, foreignEvents{errBehindLimit, events[read:]}
+		case err == nil:
+			after, a.hasNewEvent = id, true
 		}
+		read += len(event)
 		kept = append(kept, event...)
 		if text != "" {
 			state.numbered++
 		}
 	}
-	return kept, nil
+	return kept, foreignEvents{}
 }
 
 // lastDelivered returns the id of the last event that the caller has, also from an earlier call of its own. It is below
