Refuse unknown streams until a started host knows versions

Callers who took a stream up at a host that had just started got events of another software version when that which began the stream had gone: the host took the only version listed for the only one of the last two minutes. The class is absence taken for knowledge. After one host's start this lasted until the first full report of another, after that of all hosts for the two minutes, since nobody had such a report.

A host now keeps since when it knows each listed version. Full reports say for how long the sender knows (22 bytes, none once that is long enough). Until a host is complete it tells and asks as with several versions, so streams begun since the start go on. Hosts announce themselves after their first read, so that it can show an entry of an earlier start only.

Ruled out: taking every listed host for evidence of a restart, as all but the first host of a new installation would tell others for two minutes.

TestOneSoftwareVersionCostsNothing waits until its hosts are complete; it counts the same messages and refusals as before from then on.

--- a/edge/follower.go
+++ b/edge/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -56,6 +57,9 @@
 		newer chan spoke.Revision
 		// offered receives tables that other hosts have in force.
 		offered chan spoke.DirectoryChange
+		// hasRead is closed once the directory has first been read.
+		hasRead  chan struct{}
+		readOnce sync.Once
 		// isDirect is set while this host watches the directory itself.
 		isDirect atomic.Bool
 
@@ -101,6 +105,7 @@
 		change.MaxAge, change.ReceivedAt = f.changeAge.OfSnapshot(now), now
 		f.changeAge.CompleteSnapshot(asked)
 		f.conf.confirm(now.Sub(asked))
+		f.readOnce.Do(func() { close(f.hasRead) })
 		f.observeEra(change.Revision.Era(), len(change.Peers) > 0)
 		f.handleAnswer(change)
 		f.watch(ctx, change.Revision)
--- a/edge/host.go
+++ b/edge/host.go
@@ -120,7 +120,7 @@
 		feed:     newFeed(h.conf, deps.Timer.Now, deps.Log, metrics),
 		client:   newFeedClient(h.conf.staleAfter, deps.Timer.Now),
 		contents: kept, contentClient: newContentClient(kept, deps.Directory, h.conf.staleAfter),
-		offered: make(chan spoke.DirectoryChange, 1),
+		offered: make(chan spoke.DirectoryChange, 1), hasRead: make(chan struct{}),
 	}
 	h.offers = newTableOffers(h.follower.contentClient, h.conf, deps.Log, h.follower.offered)
 	h.stores = newStoreFollowers(settings, deps, h.planner, h.conf)
@@ -218,11 +218,16 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-// announce keeps this host listed in the directory for its peers.
+// announce keeps this host listed in the directory for its peers, once it has read whom that lists without it.
 func (h *Host) announce(ctx context.Context) error {
 	tick := h.deps.Timer.Every(announceInterval)
 	defer tick.Stop()
 	self := spoke.ListedPeer{ID: h.settings.Host, DataCentre: h.settings.DataCentre, Address: h.socket.Address()}
+	select {
+	case <-h.follower.hasRead:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
 	for {
 		if err := h.deps.Directory.Announce(ctx, self); err == nil {
 			if h.follower.isDirect.Load() {
--- a/edge/linked_test.go
+++ b/edge/linked_test.go
@@ -124,13 +124,17 @@
 }
 
 // startLinked starts hosts in the data centres a, b and c in turn, with engines of one software version whose streams
-// are slow enough to be broken off, and spareEngines that are not listed. It waits until each host lists all others.
-func startLinked(t *testing.T, hostCount, engineCount int) []linkedHost {
+// are slow enough to be broken off, and spareEngines that are not listed. It waits until each host lists all others. The
+// directory lists the given hosts before they start, as after their deaths.
+func startLinked(t *testing.T, hostCount, engineCount int, earlier ...spoke.HostID) []linkedHost {
 	t.Helper()
 	network := &linkNetwork{t: t, paths: make(map[string]*peerPath)}
 	first := &deployment{t: t, store: fake.NewStore()}
 	t.Cleanup(first.store.Close)
 	first.store.Put("op/config", table(1, callerKey))
+	for _, id := range earlier {
+		first.store.Put("spoke/hosts/"+string(id), map[string]any{"data-centre": "a", "address": string(freeAddress(t))})
+	}
 	for i := range engineCount + spareEngines {
 		engine := fake.NewEngine(fmt.Sprintf("i-%d", i), 4)
 		engine.SetEventInterval(20 * time.Millisecond)
--- a/edge/origin_test.go
+++ b/edge/origin_test.go
@@ -258,9 +258,13 @@
 	host.begin(chatCall("e"))
 }
 
-// Guards against messages between hosts, and refusals, while all engines have one software version.
+// Guards against messages between hosts, and refusals, while all engines have one software version and hosts know, a
+// second or two after their start, that they have had no other.
 func TestOneSoftwareVersionCostsNothing(t *testing.T) {
 	hosts := startLinked(t, 3, 3)
+	for _, host := range hosts {
+		awaitTrue(t, "earlier versions are not known", func() bool { return host.hasLogged("software versions of earlier streams are known") })
+	}
 	for i := range takenUp {
 		host := hosts[i%len(hosts)]
 		first := fmt.Sprint("r-", i)
--- a/edge/origins.go
+++ b/edge/origins.go
@@ -27,8 +27,12 @@
 	mu       sync.Mutex
 	streams  *origin.Streams
 	versions *origin.Versions
-	self     spoke.ListedPeer
-	peers    []spoke.ListedPeer
+	// knowledge is for how long this host has known of each version.
+	knowledge origin.Knowledge
+	// isComplete is set once it knows of all that count.
+	isComplete bool
+	self       spoke.ListedPeer
+	peers      []spoke.ListedPeer
 	// addresses holds the addresses of peers that can be parsed.
 	addresses map[spoke.HostID]netip.AddrPort
 	// shared holds the services whose streams other hosts are told of.
@@ -51,6 +55,7 @@
 func (o *origins) step() {
 	o.mu.Lock()
 	now := o.timer.Now()
+	o.logComplete(now)
 	for _, service := range o.versions.Services() {
 		isShared := o.isShared(now, service)
 		if isShared && !o.shared[service] {
@@ -68,10 +73,18 @@
 	o.sender.sendQueued()
 }
 
+// logComplete logs once that this host knows of each version that streams may have begun at.
+func (o *origins) logComplete(now time.Time) {
+	if !o.isComplete && o.knowledge.IsComplete(now) {
+		o.isComplete = true
+		o.log.Info("software versions of earlier streams are known")
+	}
+}
+
 // isShared reports whether streams of the service may have begun at several software versions. While this host has no
-// news of the directory, others may know of one that it does not.
+// news of the directory, others may know of one that it does not; after its start, one may have gone before.
 func (o *origins) isShared(now time.Time, service spoke.ServiceName) bool {
-	return len(o.versions.Of(now, service)) > 1 || (len(o.peers) > 0 && o.conf.isStale())
+	return len(o.versions.Of(now, service)) > 1 || !o.knowledge.IsComplete(now) || (len(o.peers) > 0 && o.conf.isStale())
 }
 
 // holders returns the addresses of the hosts that are told of a stream of this host.
@@ -109,6 +122,9 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := o.timer.Now()
+	if change.IsSnapshot {
+		o.knowledge.Read(now, change.Peers, o.self.ID)
+	}
 	for _, restart := range o.versions.Apply(now, change) {
 		doubtful := o.streams.Doubt(now, restart.Upstream, restart.Started)
 		for _, stream := range doubtful {
@@ -120,23 +136,32 @@
 
 // receive applies what another host has reported.
 func (o *origins) receive(report spoke.HostReport) {
-	if len(report.Origins)+len(report.Software) == 0 {
+	if len(report.Origins)+len(report.Software) == 0 && !report.IsSnapshot {
 		return
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := o.timer.Now()
 	o.versions.Observe(now, report.Software)
+	if report.IsSnapshot {
+		o.knowledge.Receive(now, report.SoftwareKnown)
+	}
 	for _, stream := range report.Origins {
 		o.streams.Receive(now, stream)
 	}
 }
 
-// software returns the versions of those services that have recently had several, for the report to other hosts.
-func (o *origins) software() []spoke.ListedSoftware {
+// software returns the versions of those services that have recently had several, for the report to other hosts, and
+// for how long this host has known of each version, zero if long enough.
+func (o *origins) software() ([]spoke.ListedSoftware, time.Duration) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.versions.Several(o.timer.Now())
+	now := o.timer.Now()
+	known := o.knowledge.Reported(now)
+	if o.conf.isStale() {
+		known = time.Millisecond
+	}
+	return o.versions.Several(now), known
 }
 
 // began records the software version of a stream that begins or goes on at an upstream, and tells other hosts of it
--- a/edge/planner.go
+++ b/edge/planner.go
@@ -263,7 +263,7 @@
 	report.Directory = p.conf.view()
 	if report.IsSnapshot {
 		report.Directory = p.conf.fullView()
-		report.Software = p.origins.software()
+		report.Software, report.SoftwareKnown = p.origins.software()
 	}
 	report.Marks = p.quarantine.list(now, maxMarks)
 	return report
--- /dev/null
+++ b/origin/knowledge_test.go
@@ -0,0 +1,76 @@
+package origin_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"magnoliaspoke.example/spoke"
+	"magnoliaspoke.example/spoke/origin"
+)
+
+// knowledgeOf replays the start of a host that reads a directory with hosts.
+func knowledgeOf(hosts ...spoke.HostID) *origin.Knowledge {
+	var listed []spoke.ListedPeer
+	for _, id := range hosts {
+		listed = append(listed, spoke.ListedPeer{ID: id})
+	}
+	var k origin.Knowledge
+	k.Read(begin, listed, "self")
+	return &k
+}
+
+// Guards against a host that takes streams up before it can know of versions that have gone, and against one that
+// refuses them for longer than that.
+func TestStartedHostKnowsWhenItHasEarlierVersions(t *testing.T) {
+	const report = 800 * time.Millisecond
+	steps := []struct {
+		name  string
+		known *origin.Knowledge
+		// reported is what a full report says after report, none if negative.
+		reported time.Duration
+		want     time.Duration
+	}{
+		{"first host", knowledgeOf(), -1, 0},
+		{"joining", knowledgeOf("a"), -1, 1500 * time.Millisecond},
+		{"joining, with a report", knowledgeOf("a"), 0, report},
+		{"restarted", knowledgeOf("a", "self"), 0, report},
+		{"all restarted", knowledgeOf("a", "self"), report, origin.Retention},
+		{"restarted, with one that started before", knowledgeOf("a", "self"), time.Minute, time.Minute + report},
+	}
+	for _, s := range steps {
+		t.Run(s.name, func(t *testing.T) {
+			if s.reported >= 0 {
+				assert.Equal(t, s.known.IsComplete(begin.Add(report)), s.want < report)
+				s.known.Receive(begin.Add(report), s.reported)
+			}
+			assert.Assert(t, s.want == 0 || !s.known.IsComplete(begin.Add(s.want-time.Millisecond)))
+			assert.Assert(t, s.known.IsComplete(begin.Add(s.want)))
+			assert.Equal(t, s.known.Reported(begin.Add(s.want)), time.Duration(0))
+		})
+	}
+}
+
+// Guards against a report that was sent before the directory was read, and against hosts that started together and take
+// each other's reports for those of hosts that served before.
+func TestHostsStartedTogetherKnowNoEarlierVersions(t *testing.T) {
+	hosts := []*origin.Knowledge{knowledgeOf("a", "self"), knowledgeOf("a", "self")}
+	hosts[0].Receive(begin.Add(100*time.Millisecond), 0)
+	for now := begin; now.Sub(begin) < origin.Retention; now = now.Add(time.Second) {
+		for i, host := range hosts {
+			assert.Assert(t, !host.IsComplete(now), now.Sub(begin).String())
+			hosts[1-i].Receive(now, host.Reported(now))
+		}
+	}
+}
+
+// Guards against knowledge before the directory was read, and against later snapshots that count as starts.
+func TestKnowledgeBeginsWithTheFirstSnapshot(t *testing.T) {
+	var k origin.Knowledge
+	k.Receive(begin, 0)
+	assert.Assert(t, !k.IsComplete(begin))
+	k.Read(begin, nil, "self")
+	k.Read(begin.Add(time.Second), []spoke.ListedPeer{{ID: "self"}}, "self")
+	assert.Assert(t, k.IsComplete(begin.Add(time.Second)))
+}
--- a/peers/codec.go
+++ b/peers/codec.go
@@ -34,6 +34,7 @@
 		ServedParts    []servedPartRow       `json:"served-parts,omitempty"`
 		PartMarks      []partMarkRow         `json:"part-marks,omitempty"`
 		Software       []softwareRow         `json:"software,omitempty"`
+		SoftwareMs     int64                 `json:"software-ms,omitempty"`
 		Origins        []originRow           `json:"origins,omitempty"`
 		Revision       uint64                `json:"revision,omitempty"`
 		DirectoryAgeMs int64                 `json:"age-ms,omitempty"`
--- a/peers/origincodec.go
+++ b/peers/origincodec.go
@@ -18,6 +18,7 @@
 )
 
 func encodeOrigins(row *reportRow, report spoke.HostReport) {
+	row.SoftwareMs = report.SoftwareKnown.Milliseconds()
 	for _, listed := range report.Software {
 		row.Software = append(row.Software, softwareRow{string(listed.Service), string(listed.Software), listed.Age.Milliseconds()})
 	}
@@ -27,6 +28,7 @@
 }
 
 func decodeOrigins(row reportRow, report *spoke.HostReport) {
+	report.SoftwareKnown = decodeMilliseconds(row.SoftwareMs)
 	for _, listed := range row.Software {
 		report.Software = append(report.Software, spoke.ListedSoftware{
 			Service: spoke.ServiceName(listed.Service), Software: spoke.SoftwareVersion(listed.Version), Age: decodeMilliseconds(listed.AgeMs),
--- a/placement.go
+++ b/placement.go
@@ -78,6 +78,9 @@
 		Crashes CrashReport
 		// Software lists the software versions of services that have recently had several, in full reports.
 		Software []ListedSoftware
+		// SoftwareKnown is the time for which the host has known of each software version, in full reports; zero if
+		// it is long enough for all streams.
+		SoftwareKnown time.Duration
 		// Origins lists streams of the host; a report with origins holds nothing else.
 		Origins []StreamOrigin
 	}
