Begin no stream at a version that others may not know yet

Callers who took a stream up in a data centre that had just been cut off got events of the version before: the stream had begun elsewhere at a new version, and for up to 0.8 of the time in which a configuration must apply the hosts inside took the only version that they knew for the only one. The class is a fact used before it can be known everywhere.

A version that became known after the first ones of its service begins no resumable stream until each host either has news of the directory that name it or is without news and asks (1.7 s with the usual time of 2 s). It costs no message.

TestStreamAtUnlistedRestartIsNotMixed tries until the engine has begun its two streams in place of 100 times, since that engine has a new version; what it checks is unchanged.

--- a/edge/origin.go
+++ b/edge/origin.go
@@ -46,6 +46,15 @@
 	return e.resumedSoftware
 }
 
+// unsettledSoftware returns the software versions at which the stream of the call must not begin yet. A call that was
+// tried before has no choice of upstreams left to be made smaller.
+func (e *exchange) unsettledSoftware(p *progress) []spoke.SoftwareVersion {
+	if !e.route.IsResumable || len(p.tried) > 0 || e.requiredSoftware(p) != "" {
+		return nil
+	}
+	return e.origins.unsettled(e.service())
+}
+
 // mayGoOn reports whether the stream of the call, if it has begun, may go on at another upstream.
 func (e *exchange) mayGoOn(p *progress) bool {
 	if !p.stream.hasBegun() || !e.route.IsResumable {
--- a/edge/origin_start_test.go
+++ b/edge/origin_start_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"fmt"
+	"net/http"
 	"testing"
+
+	"gotest.tools/v3/assert"
 )
 
 // Guards against mixed streams after hosts that were killed have started together, when the version that began them has
@@ -16,3 +19,29 @@
 		hosts[(i+1)%3].assertGoesOn(first+"-again", first, "v1")
 	}
 }
+
+// Guards against streams that begin at a new version and go on at the one before, at hosts of a data centre that has just
+// been cut off and have not missed the news of the directory yet.
+func TestNewVersionIsNotMixedBeforeACutIsNoticed(t *testing.T) {
+	hosts := startLinked(t, 9, 4)
+	for _, host := range hosts {
+		awaitTrue(t, "earlier versions are not known", func() bool { return host.hasLogged("software versions of earlier streams are known") })
+	}
+	inside, outside := byDataCentre(hosts, "c")
+	for _, host := range inside {
+		host.cutOff()
+	}
+	hosts[0].listSpares("v2")
+	tries, isNewUsed := 0, false
+	awaitTrue(t, "the new version gets no stream", func() bool {
+		tries++
+		first := fmt.Sprint("r-", tries)
+		again := first + "-again"
+		software := outside[tries%len(outside)].begin(chatCall(first))
+		isNewUsed = isNewUsed || software == "v2"
+		got, err := inside[tries%len(inside)].send(resumeCall(again, first))
+		assert.NilError(t, err)
+		assert.Assert(t, got.status != http.StatusOK || hosts[0].softwareOf(again)[software], "%s begun at %s goes on at %v", first, software, hosts[0].softwareOf(again))
+		return isNewUsed && got.status == http.StatusServiceUnavailable
+	})
+}
--- a/edge/origin_test.go
+++ b/edge/origin_test.go
@@ -313,14 +313,16 @@
 	engine.Restart(1)
 	// The directory still lists v2 for an engine that has v1.
 	began := make(map[string]bool)
-	for i := 0; len(began) < 2 && i < 100; i++ {
-		id := fmt.Sprint("r-", i)
+	tries := 0
+	awaitTrue(t, "the engine gets no two streams", func() bool {
+		tries++
+		id := fmt.Sprint("r-", tries)
 		hosts[0].begin(chatCall(id))
 		if ranAt(engine, id) {
 			began[id] = true
 		}
-	}
-	assert.Equal(t, len(began), 2)
+		return len(began) == 2
+	})
 	hosts[0].putEntry(engine, "ready")
 	awaitTrue(t, "restart is not known", func() bool { return hosts[0].hasLogged(`"doubtful-streams":2`) })
 	for id := range began {
--- a/edge/origins.go
+++ b/edge/origins.go
@@ -183,6 +183,14 @@
 	o.sender.send([]spoke.StreamOrigin{reported}, holders)
 }
 
+// unsettled returns the versions of a service at which no stream must begin yet. A host that has had no news of the
+// directory since before the version was listed knows that it has none once they have spread.
+func (o *origins) unsettled(service spoke.ServiceName) []spoke.SoftwareVersion {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.versions.Unsettled(o.timer.Now(), service, o.conf.staleAfter+originInterval)
+}
+
 // isReplaced reports whether the directory lists another software version under the id of an upstream.
 func (o *origins) isReplaced(upstream spoke.ListedUpstream) bool {
 	o.mu.Lock()
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -232,6 +232,7 @@
 		Urgency: e.urgency(), Arrived: e.arrived, Target: e.arrived.Add(e.route.Target), GapTarget: e.route.GapTarget, Deadline: e.deadline,
 		LeavesAt: e.leavesAt(p),
 		Tried:    p.tried, Only: p.only, IsRetry: p.sendCount > 0, Prompt: e.prompt(), Software: e.requiredSoftware(p),
+		NotSoftware: e.unsettledSoftware(p),
 	}
 }
 
--- a/origin/versions.go
+++ b/origin/versions.go
@@ -19,12 +19,16 @@
 		service  spoke.ServiceName
 		software spoke.SoftwareVersion
 		started  time.Time
+		// isLeaving says that the upstream takes no new calls.
+		isLeaving bool
 	}
 
 	// presence is how many upstreams are listed with a version, and when the last one was if there are none.
 	presence struct {
 		count  int
 		lastAt time.Time
+		// knownAt is when the version became known.
+		knownAt time.Time
 	}
 
 	// Restart is a start of an upstream with another software version under the id that it had.
@@ -56,8 +60,8 @@
 		listed[upstream.ID] = true
 		before, isKnown := v.upstreams[upstream.ID]
 		v.remove(now, upstream.ID)
-		v.upstreams[upstream.ID] = listing{upstream.Service, upstream.Software, upstream.Started}
-		v.presence(upstream.Service, upstream.Software).count++
+		v.upstreams[upstream.ID] = listing{upstream.Service, upstream.Software, upstream.Started, upstream.IsLeaving}
+		v.presence(now, upstream.Service, upstream.Software).count++
 		if isKnown && before.service == upstream.Service && before.software != upstream.Software {
 			restarts = append(restarts, Restart{upstream.ID, upstream.Started})
 		}
@@ -82,17 +86,17 @@
 		return
 	}
 	delete(v.upstreams, id)
-	known := v.presence(before.service, before.software)
+	known := v.presence(now, before.service, before.software)
 	known.count--
 	known.lastAt = now
 }
 
-func (v *Versions) presence(service spoke.ServiceName, software spoke.SoftwareVersion) *presence {
+func (v *Versions) presence(now time.Time, service spoke.ServiceName, software spoke.SoftwareVersion) *presence {
 	if v.services[service] == nil {
 		v.services[service] = make(map[spoke.SoftwareVersion]*presence)
 	}
 	if v.services[service][software] == nil {
-		v.services[service][software] = &presence{}
+		v.services[service][software] = &presence{knownAt: now}
 	}
 	return v.services[service][software]
 }
@@ -103,7 +107,7 @@
 		if s.Age < 0 || s.Age > Retention || s.Software == "" {
 			continue
 		}
-		known := v.presence(s.Service, s.Software)
+		known := v.presence(now, s.Service, s.Software)
 		if at := now.Add(-s.Age); at.After(known.lastAt.Add(reportTolerance)) {
 			known.lastAt = at
 		}
@@ -143,6 +147,38 @@
 	return seen
 }
 
+// Unsettled returns the versions of a service that became known after its first ones and less than a time ago, unless
+// most upstreams that take calls have one of them: the others are enough for the calls meanwhile.
+func (v *Versions) Unsettled(now time.Time, service spoke.ServiceName, settling time.Duration) []spoke.SoftwareVersion {
+	first := now
+	for _, known := range v.services[service] {
+		if known.knownAt.Before(first) {
+			first = known.knownAt
+		}
+	}
+	var unsettled []spoke.SoftwareVersion
+	for software, known := range v.services[service] {
+		if known.knownAt.After(first) && now.Sub(known.knownAt) < settling {
+			unsettled = append(unsettled, software)
+		}
+	}
+	if len(unsettled) == 0 || 2*v.countTaking(service, unsettled) > v.countTaking(service, v.Of(now, service)) {
+		return nil
+	}
+	return unsettled
+}
+
+// countTaking counts the upstreams of a service that take new calls and have one of the versions.
+func (v *Versions) countTaking(service spoke.ServiceName, versions []spoke.SoftwareVersion) int {
+	count := 0
+	for _, upstream := range v.upstreams {
+		if upstream.service == service && !upstream.isLeaving && slices.Contains(versions, upstream.software) {
+			count++
+		}
+	}
+	return count
+}
+
 // IsReplaced reports whether the directory now lists another software version under the id of an upstream.
 func (v *Versions) IsReplaced(upstream spoke.ListedUpstream) bool {
 	current, isListed := v.upstreams[upstream.ID]
--- a/place/dispatch.go
+++ b/place/dispatch.go
@@ -23,6 +23,11 @@
 // waitsFor reports whether a waiting call would take each upstream that another call may take, so that none was
 // free for either.
 func (w *waitingCall) waitsFor(m Request) bool {
+	for _, version := range w.request.NotSoftware {
+		if m.takesSoftware(version) {
+			return false
+		}
+	}
 	return w.request.Software == "" || w.request.Software == m.Software
 }
 
--- a/place/node.go
+++ b/place/node.go
@@ -226,10 +226,10 @@
 	return !n.isLeaving() && !n.isAddressReused && n.suits(m)
 }
 
-// suits reports whether the call may be sent to the upstream at all: it is not excluded and has the software version
-// that the call needs.
+// suits reports whether the call may be sent to the upstream at all: it is not excluded and has a software version
+// that the call may get.
 func (n *node) suits(m Request) bool {
-	return !m.excludes(n.listed.ID) && (m.Software == "" || n.listed.Software == m.Software)
+	return !m.excludes(n.listed.ID) && m.takesSoftware(n.listed.Software)
 }
 
 // pauseForLoading keeps calls away while weights are loaded. Zero ends the pause; a shorter time does not
--- a/place/refuse.go
+++ b/place/refuse.go
@@ -49,6 +49,11 @@
 	return slices.Contains(m.Tried, id)
 }
 
+// takesSoftware reports whether the call may be served at a software version.
+func (m Request) takesSoftware(version spoke.SoftwareVersion) bool {
+	return (m.Software == "" || m.Software == version) && !slices.Contains(m.NotSoftware, version)
+}
+
 // absenceReason returns why no upstream may take the call now or later, empty if one may.
 func (s *Scheduler) absenceReason(m Request) Reason {
 	switch {
--- a/place/software_test.go
+++ b/place/software_test.go
@@ -100,6 +100,27 @@
 	assert.Equal(t, granted.Upstream.Software, spoke.SoftwareVersion("v2"))
 }
 
+// Guards against streams that begin at a version that other hosts do not know of yet, and against calls that may get that
+// version but wait behind those that may not.
+func TestExcludedSoftwareVersionsGetNoCall(t *testing.T) {
+	ts := newTestScheduler(t, 0)
+	ts.listSoftware("v1", "v2")
+	excluding := func() place.Request {
+		request := ts.resumption("")
+		request.NotSoftware = []spoke.SoftwareVersion{"v2"}
+		return request
+	}
+	for range 16 {
+		granted := ts.grant(excluding())
+		assert.Equal(t, granted.Upstream.Software, spoke.SoftwareVersion("v1"))
+		ts.advance(20 * time.Millisecond)
+		ts.handle(place.Began{Call: granted.Call})
+	}
+	ts.waits(excluding())
+	assert.Equal(t, ts.grant(ts.resumption("v2")).Upstream.Software, spoke.SoftwareVersion("v2"))
+	assert.Equal(t, ts.grant(ts.request(1, "new", 100, 50)).Upstream.Software, spoke.SoftwareVersion("v2"))
+}
+
 // Guards against state of the software version before in the node of an engine that started again under its id.
 func TestOtherSoftwareUnderSameIDIsANewUpstream(t *testing.T) {
 	ts := newTestScheduler(t, 0)
