Keep the version of streams that run for longer than two minutes

A stream that ran for longer than two minutes and broke was refused at other hosts while its service had several versions, since its holders had forgotten it. If its version had gone for two minutes meanwhile, as when an engine finishes its runs long after its entry was removed, the stream went on at another version, also within its own answer's host: the time counted from the first event, not from the last.

The class is an age counted from the begin of what still goes on. Origins now count from the end of the answer. Those of streams that run are recorded again after one minute, told again if they were told before, and keep their version counted.

Evidence: a replay of twenty minutes (TestStreamThatRunsLongIsKept). Not run with processes, which would need streams of that length.

--- a/edge/handler.go
+++ b/edge/handler.go
@@ -67,7 +67,9 @@
 		owner spoke.KeyOwner
 		// resumedSoftware is the software version at which a stream of an earlier call has to go on, empty for any.
 		resumedSoftware spoke.SoftwareVersion
-		arrived         time.Time
+		// isOriginRecorded is set once the answer brings events of a stream whose origin is kept.
+		isOriginRecorded bool
+		arrived          time.Time
 		// deadline is when the call gets its final answer at the latest.
 		deadline time.Time
 		// endsWithStop is set if the deadline is that of the stop of this host.
--- a/edge/origin.go
+++ b/edge/origin.go
@@ -46,6 +46,13 @@
 	return e.resumedSoftware
 }
 
+// endOrigin records the end of the call's answer if it brought events of a stream.
+func (e *exchange) endOrigin() {
+	if e.isOriginRecorded {
+		e.origins.ended(e.originRequest())
+	}
+}
+
 // unsettledSoftware returns the software versions at which the stream of the call must not begin yet. A call that was
 // tried before has no choice of upstreams left to be made smaller.
 func (e *exchange) unsettledSoftware(p *progress) []spoke.SoftwareVersion {
@@ -75,5 +82,6 @@
 	state.software = a.grant.Upstream.Software
 	if a.route.IsResumable {
 		a.origins.began(a.originRequest(), a.service(), a.grant.Upstream)
+		a.isOriginRecorded = true
 	}
 }
--- a/edge/origins.go
+++ b/edge/origins.go
@@ -56,6 +56,7 @@
 	o.mu.Lock()
 	now := o.timer.Now()
 	o.logComplete(now)
+	o.renew(now)
 	for _, service := range o.versions.Services() {
 		isShared := o.isShared(now, service)
 		if isShared && !o.shared[service] {
@@ -73,6 +74,17 @@
 	o.sender.sendQueued()
 }
 
+// renew keeps the streams that run at this host, and their versions.
+func (o *origins) renew(now time.Time) {
+	running, told := o.streams.Renew(now)
+	for _, stream := range running {
+		o.versions.Observe(now, []spoke.ListedSoftware{{Service: stream.Service, Software: stream.Software}})
+	}
+	for _, stream := range told {
+		o.sender.queue(stream, o.holders(stream.Request))
+	}
+}
+
 // logComplete logs once that this host knows of each version that streams may have begun at.
 func (o *origins) logComplete(now time.Time) {
 	if !o.isComplete && o.knowledge.IsComplete(now) {
@@ -191,6 +203,13 @@
 	return o.versions.Unsettled(o.timer.Now(), service, o.conf.staleAfter+originInterval)
 }
 
+// ended records the end of an answer that brought events of a stream.
+func (o *origins) ended(request spoke.RequestID) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.streams.End(o.timer.Now(), request)
+}
+
 // isReplaced reports whether the directory lists another software version under the id of an upstream.
 func (o *origins) isReplaced(upstream spoke.ListedUpstream) bool {
 	o.mu.Lock()
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -84,6 +84,7 @@
 	if !e.findOrigin(ctx) {
 		return
 	}
+	defer e.endOrigin()
 	p := &progress{}
 	defer e.releaseNext(p)
 	for attempts := 1; !e.tryUpstream(ctx, p, fingerprint); attempts++ {
--- a/origin/streams.go
+++ b/origin/streams.go
@@ -10,6 +10,10 @@
 	// Retention is how long the origin of a stream, and a software version that is no longer listed, are kept. It
 	// exceeds the time for which streams usually run and callers retry.
 	Retention = 2 * time.Minute
+	// renewTime is the time after which a stream that still runs is recorded again, renewInterval that between two
+	// looks for such streams.
+	renewTime     = Retention / 2
+	renewInterval = time.Second
 	// maxStreams bounds the origins that are kept; the oldest ones yield.
 	maxStreams = 1 << 16
 	// clockTolerance bounds the difference between the clocks of an upstream and of this host.
@@ -31,6 +35,8 @@
 		at time.Time
 		// isTold says that other hosts have been told of the stream.
 		isTold bool
+		// runs is the number of answers of this host that bring events of the stream.
+		runs int
 	}
 
 	// touched is a time at which a record was added or renewed.
@@ -44,6 +50,8 @@
 		records map[spoke.RequestID]*record
 		// order lists the times of all additions and renewals, the oldest first.
 		order []touched
+		// renewedAt is when streams that run were last looked through.
+		renewedAt time.Time
 	}
 )
 
@@ -51,7 +59,7 @@
 func NewStreams() *Streams { return &Streams{records: make(map[spoke.RequestID]*record)} }
 
 // Add records the origin of a stream that this host begins to relay or goes on with, and returns it. isTold says
-// that other hosts are told of it at once.
+// that other hosts are told of it at once. The stream runs until End.
 func (s *Streams) Add(now time.Time, stream Stream, isTold bool) spoke.StreamOrigin {
 	return s.add(now, record{Stream: stream, at: now, isTold: isTold})
 }
@@ -78,14 +86,47 @@
 	}
 	if added.Upstream != "" {
 		known.Service, known.Upstream, known.isTold = added.Service, added.Upstream, added.isTold
+		known.runs++
 	}
 	if added.at.After(known.at) || known.at.Equal(added.at) {
-		known.at = added.at
-		s.order = append(s.order, touched{added.Request, added.at})
+		s.touch(known, added.at)
 	}
 	return known.reported(now)
 }
 
+func (s *Streams) touch(known *record, at time.Time) {
+	known.at = at
+	s.order = append(s.order, touched{known.Request, at})
+}
+
+// End records the end of an answer that brought events of a stream.
+func (s *Streams) End(now time.Time, request spoke.RequestID) {
+	if known := s.records[request]; known != nil && known.runs > 0 {
+		known.runs--
+		s.touch(known, now)
+	}
+}
+
+// Renew keeps the streams that run at this host. It returns those that were last recorded renewTime ago, and the origins
+// among them that other hosts were told of, so that they keep them too.
+func (s *Streams) Renew(now time.Time) (running []Stream, told []spoke.StreamOrigin) {
+	if now.Sub(s.renewedAt) < renewInterval {
+		return nil, nil
+	}
+	s.renewedAt = now
+	for _, known := range s.records {
+		if known.runs == 0 || now.Sub(known.at) < renewTime {
+			continue
+		}
+		s.touch(known, now)
+		running = append(running, known.Stream)
+		if known.isTold {
+			told = append(told, known.reported(now))
+		}
+	}
+	return running, told
+}
+
 // Find returns the software version at which a stream began, empty if it is in doubt; it returns false if the stream
 // is not known.
 func (s *Streams) Find(now time.Time, request spoke.RequestID) (spoke.SoftwareVersion, bool) {
--- a/origin/streams_test.go
+++ b/origin/streams_test.go
@@ -94,6 +94,34 @@
 	assert.Equal(t, len(streams.Untold(begin.Add(time.Second), "models")), 0)
 }
 
+// Guards against a stream that runs for longer than origins are kept and is forgotten, here or at the hosts that were
+// told of it, and against one that is kept after its end.
+func TestStreamThatRunsLongIsKept(t *testing.T) {
+	streams, holder := origin.NewStreams(), origin.NewStreams()
+	streams.Add(begin, stream("untold", "i-1"), false)
+	holder.Receive(begin, streams.Add(begin, stream("r", "i-1"), true))
+	sent := 0
+	now := begin
+	for ; now.Sub(begin) < 10*origin.Retention; now = now.Add(100 * time.Millisecond) {
+		running, told := streams.Renew(now)
+		for _, renewed := range told {
+			holder.Receive(now, renewed)
+		}
+		sent += len(told)
+		assert.Equal(t, len(running), 2*len(told))
+		assertSoftware(t, holder, now, "r", "v1")
+	}
+	assert.Assert(t, sent <= 20, "%d", sent)
+	streams.End(now, "r")
+	streams.End(now, "untold")
+	assertSoftware(t, streams, now.Add(origin.Retention), "r", "v1")
+	assertSoftware(t, streams, now.Add(origin.Retention), "untold", "v1")
+	_, isKnown := streams.Find(now.Add(origin.Retention+time.Second), "r")
+	assert.Assert(t, !isKnown)
+	running, _ := streams.Renew(now.Add(time.Hour))
+	assert.Equal(t, len(running), 0)
+}
+
 // Guards against memory that grows with the number of streams.
 func TestStreamsAreBounded(t *testing.T) {
 	const bound = 1 << 16
