End the exclusion of a new version while its call waits

A stream that waited when a version became known was kept from it until its deadline, and refused with "no-upstream" once the engines of all other versions left, though those of the new one were free. The class is a condition that holds for a time, taken once and never looked at again.

TestExclusionOfVersionEndsWhileCallWaits failed without the change: no grant after the time was over, and the refusal when the others left. The request now says until when versions are excluded. The exclusion ends then, or when no other upstream is left, since a stream served late at the new version is better than none.

--- a/edge/origin.go
+++ b/edge/origin.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -53,11 +54,11 @@
 	}
 }
 
-// unsettledSoftware returns the software versions at which the stream of the call must not begin yet. A call that was
-// tried before has no choice of upstreams left to be made smaller.
-func (e *exchange) unsettledSoftware(p *progress) []spoke.SoftwareVersion {
+// unsettledSoftware returns the software versions at which the stream of the call must not begin yet, and until when. A
+// call that was tried before has no choice of upstreams left to be made smaller.
+func (e *exchange) unsettledSoftware(p *progress) ([]spoke.SoftwareVersion, time.Time) {
 	if !e.route.IsResumable || len(p.tried) > 0 || e.requiredSoftware(p) != "" {
-		return nil
+		return nil, time.Time{}
 	}
 	return e.origins.unsettled(e.service())
 }
--- a/origin/versions.go
+++ b/origin/versions.go
@@ -147,10 +147,11 @@
 	return seen
 }
 
-// Unsettled returns the versions of a service that became known after its first ones and less than a time ago, unless
-// most upstreams that take calls have one of them: the others are enough for the calls meanwhile.
-func (v *Versions) Unsettled(now time.Time, service spoke.ServiceName, settling time.Duration) []spoke.SoftwareVersion {
-	first := now
+// Unsettled returns the versions of a service that became known after its first ones and less than a time ago, and when
+// that time is over for all of them. It returns none if most upstreams that take calls have one of them: the others are
+// enough for the calls meanwhile.
+func (v *Versions) Unsettled(now time.Time, service spoke.ServiceName, settling time.Duration) ([]spoke.SoftwareVersion, time.Time) {
+	first, last := now, time.Time{}
 	for _, known := range v.services[service] {
 		if known.knownAt.Before(first) {
 			first = known.knownAt
@@ -160,12 +161,20 @@
 	for software, known := range v.services[service] {
 		if known.knownAt.After(first) && now.Sub(known.knownAt) < settling {
 			unsettled = append(unsettled, software)
+			last = latest(last, known.knownAt)
 		}
 	}
 	if len(unsettled) == 0 || 2*v.countTaking(service, unsettled) > v.countTaking(service, v.Of(now, service)) {
-		return nil
+		return nil, time.Time{}
 	}
-	return unsettled
+	return unsettled, last.Add(settling)
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
 // countTaking counts the upstreams of a service that take new calls and have one of the versions.
--- a/origin/versions_test.go
+++ b/origin/versions_test.go
@@ -81,23 +81,29 @@
 func TestNewVersionBeginsNoStreamAtFirst(t *testing.T) {
 	const settling = time.Second
 	versions := origin.NewVersions()
+	unsettled := func(now time.Time) []spoke.SoftwareVersion {
+		found, _ := versions.Unsettled(now, "models", settling)
+		return found
+	}
 	versions.Apply(begin, snapshot(listed("i-1", "v1"), listed("i-2", "v1"), listed("i-3", "v1")))
-	assert.Equal(t, len(versions.Unsettled(begin, "models", settling)), 0)
+	assert.Equal(t, len(unsettled(begin)), 0)
 	// The only version of a host that has just started is no new one.
 	now := begin.Add(settling / 4)
 	added := spoke.DirectoryChange{Upstreams: []spoke.ListedUpstream{listed("i-4", "v2")}}
 	versions.Apply(now, added)
 	// Another entry of the only upstream of the version does not begin the time anew.
 	versions.Apply(now.Add(settling/2), added)
-	assert.DeepEqual(t, versions.Unsettled(now.Add(settling-1), "models", settling), []spoke.SoftwareVersion{"v2"})
-	assert.Equal(t, len(versions.Unsettled(now.Add(settling), "models", settling)), 0)
+	found, until := versions.Unsettled(now.Add(settling-1), "models", settling)
+	assert.DeepEqual(t, found, []spoke.SoftwareVersion{"v2"})
+	assert.Equal(t, until, now.Add(settling))
+	assert.Equal(t, len(unsettled(now.Add(settling))), 0)
 
 	leaving := []spoke.ListedUpstream{listed("i-1", "v1"), listed("i-2", "v1"), listed("i-3", "v1")}
 	for i := range leaving {
 		leaving[i].IsLeaving = true
 	}
 	versions.Apply(now, spoke.DirectoryChange{Upstreams: leaving})
-	assert.Equal(t, len(versions.Unsettled(now, "models", settling)), 0)
+	assert.Equal(t, len(unsettled(now)), 0)
 }
 
 // Guards against an engine that starts again under its id with another version, which goes unnoticed, and against
--- a/place/dispatch.go
+++ b/place/dispatch.go
@@ -58,6 +58,7 @@
 
 // placeAt grants a call at one upstream, if that may take it now.
 func (s *Scheduler) placeAt(now time.Time, w *waitingCall, n *node) bool {
+	s.admitSoftware(now, w)
 	if !n.suits(w.request) || !n.limit.allows(now) {
 		return false
 	}
@@ -79,6 +80,7 @@
 
 // resolve grants or refuses a call, and reports false if the call has to wait.
 func (s *Scheduler) resolve(now time.Time, w *waitingCall) bool {
+	s.admitSoftware(now, w)
 	if !now.Before(w.request.Deadline) || w.request.hasLeft(now.Add(s.fastestFirstEvent(w.request))) {
 		s.refuse(now, w.request, RefusedDeadline)
 		return true
@@ -105,6 +107,13 @@
 	return true
 }
 
+// admitSoftware ends the exclusion of versions from a call once its time is over, or if no other upstream is left.
+func (s *Scheduler) admitSoftware(now time.Time, w *waitingCall) {
+	if len(w.request.NotSoftware) > 0 && (!now.Before(w.request.NotSoftwareUntil) || !s.hasUpstream(w.request)) {
+		w.request.NotSoftware = nil
+	}
+}
+
 // order sorts a queue by urgency, then calls that can still meet their target before late ones, then by
 // arrival.
 func (s *Scheduler) order(now time.Time, queue []*waitingCall) {
--- a/place/messages.go
+++ b/place/messages.go
@@ -96,8 +96,10 @@
 		// Software is the version that the upstream must have, since it goes on with a stream that another one
 		// began; empty means any.
 		Software spoke.SoftwareVersion
-		// NotSoftware lists versions that the upstream must not have, since other hosts may not know of them yet.
-		NotSoftware []spoke.SoftwareVersion
+		// NotSoftware lists versions that the upstream must not have before NotSoftwareUntil, since other hosts may not know
+		// of them yet.
+		NotSoftware      []spoke.SoftwareVersion
+		NotSoftwareUntil time.Time
 		// IsRetry says that the call was sent to an upstream before, so that it counts against the retry
 		// budget.
 		IsRetry bool
--- a/place/software_test.go
+++ b/place/software_test.go
@@ -105,20 +105,53 @@
 func TestExcludedSoftwareVersionsGetNoCall(t *testing.T) {
 	ts := newTestScheduler(t, 0)
 	ts.listSoftware("v1", "v2")
-	excluding := func() place.Request {
-		request := ts.resumption("")
-		request.NotSoftware = []spoke.SoftwareVersion{"v2"}
-		return request
-	}
+	ts.fillExcluding(time.Minute)
+	ts.waits(ts.excluding(time.Minute))
+	assert.Equal(t, ts.grant(ts.resumption("v2")).Upstream.Software, spoke.SoftwareVersion("v2"))
+	assert.Equal(t, ts.grant(ts.request(1, "new", 100, 50)).Upstream.Software, spoke.SoftwareVersion("v2"))
+}
+
+// excluding returns a request for a new stream that must not begin at v2 for some time.
+func (ts *testScheduler) excluding(period time.Duration) place.Request {
+	request := ts.resumption("")
+	request.NotSoftware, request.NotSoftwareUntil = []spoke.SoftwareVersion{"v2"}, ts.now.Add(period)
+	return request
+}
+
+// fillExcluding gives the only engine of v1 as many new streams as it runs at once.
+func (ts *testScheduler) fillExcluding(period time.Duration) {
+	ts.t.Helper()
 	for range 16 {
-		granted := ts.grant(excluding())
-		assert.Equal(t, granted.Upstream.Software, spoke.SoftwareVersion("v1"))
+		granted := ts.grant(ts.excluding(period))
+		assert.Equal(ts.t, granted.Upstream.Software, spoke.SoftwareVersion("v1"))
 		ts.advance(20 * time.Millisecond)
 		ts.handle(place.Began{Call: granted.Call})
 	}
-	ts.waits(excluding())
-	assert.Equal(t, ts.grant(ts.resumption("v2")).Upstream.Software, spoke.SoftwareVersion("v2"))
-	assert.Equal(t, ts.grant(ts.request(1, "new", 100, 50)).Upstream.Software, spoke.SoftwareVersion("v2"))
+}
+
+// Guards against waiting streams that never begin at a version which has become known meanwhile, or are refused since the
+// engines of all others leave.
+func TestExclusionOfVersionEndsWhileCallWaits(t *testing.T) {
+	for name, end := range map[string]func(*testScheduler) []place.Action{
+		"time over": func(ts *testScheduler) []place.Action { return ts.advance(500 * time.Millisecond) },
+		"others leave": func(ts *testScheduler) []place.Action {
+			leaving := engine(0)
+			leaving.Software, leaving.IsLeaving = "v1", true
+			return ts.handle(place.SetUpstreams{Listed: []spoke.ListedUpstream{leaving}})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ts := newTestScheduler(t, 0)
+			ts.listSoftware("v1", "v2")
+			ts.fillExcluding(time.Minute)
+			ts.waits(ts.excluding(500 * time.Millisecond))
+			actions := end(ts)
+			assert.Equal(t, len(actions), 1, "%v", actions)
+			granted, isGrant := actions[0].(place.Grant)
+			assert.Assert(t, isGrant, "%v", actions)
+			assert.Equal(t, granted.Upstream.Software, spoke.SoftwareVersion("v2"))
+		})
+	}
 }
 
 // Guards against state of the software version before in the node of an engine that started again under its id.
