Make all six forms of broken order possible with real engines

The testbed of TestSoakWithEngineProcesses could show four forms, and made only one of them likely: its engines repeat nothing and send nothing behind an answer, all have one software version, and no caller takes a stream up.

TestStreamsKeepTheirOrderWithEngineProcesses adds, on the same bed: engines of two versions that come and go, repeat events at or before Last-Event-Id, cut answers, refuse, and send behind a complete answer its events again, an event whose id goes on, a second answer, bytes, a late answer or a copy of a refusal; callers that leave or are cut and take streams up at another host, up to three times; hosts killed alone, together, and frozen. Each piece names its stream, run, version, the event its run went on at, and what it stands behind. The test before is as it was.

Where nothing tells what follows from the answer (no length or chunks, an id that goes on, no more events than the request allows tokens; or a body that is no stream), the case counts as "not told apart" only. LOST and BROKEN stay checks of the test before, since engines here cut answers that they need not.

--- a/cmd/trial/soak/ends.go
+++ b/cmd/trial/soak/ends.go
@@ -151,21 +151,7 @@
 	for ctx.Err() == nil {
 		h := b.hosts[random.IntN(len(b.hosts))]
 		sleep(ctx, minStopPause+upTo(random, minStopPause))
-		process, err := b.fleet.Process(h.name)
-		if err != nil {
-			return err
-		}
-		b.logf("stop of %s", h.name)
-		b.mu.Lock()
-		b.stops = append(b.stops, stop{h, time.Now()})
-		b.mu.Unlock()
-		grace, cancel := context.WithTimeout(context.Background(), stopGraceSeconds*time.Second)
-		if _, err := process.Stop(grace); err != nil {
-			b.logf("%s killed after the grace period", h.name)
-			process.Kill()
-		}
-		cancel()
-		if err := b.restartHost(h); err != nil {
+		if err := b.stopHost(h); err != nil {
 			return err
 		}
 		b.awaitReady()
@@ -173,6 +159,26 @@
 	return nil
 }
 
+// stopHost stops a host and starts it again.
+func (b *processBed) stopHost(h *host) error {
+	process, err := b.fleet.Process(h.name)
+	if err != nil {
+		return err
+	}
+	b.logf("stop of %s", h.name)
+	b.mu.Lock()
+	b.stops = append(b.stops, stop{h, time.Now()})
+	b.mu.Unlock()
+	grace, cancel := context.WithTimeout(context.Background(), stopGraceSeconds*time.Second)
+	defer cancel()
+	if _, err := process.Stop(grace); err != nil {
+		b.logf("%s killed after the grace period", h.name)
+		process.Kill()
+		b.addHostFault(h, hostKilled)
+	}
+	return b.restartHost(h)
+}
+
 // restartHost starts a host again. Another program on the machine may hold one of its ports for a while.
 func (b *processBed) restartHost(h *host) error {
 	var err error
--- a/cmd/trial/soak/framed.go
+++ b/cmd/trial/soak/framed.go
@@ -9,13 +9,18 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
 	fake "magnoliaspoke.example/spoke/fake/platform"
 )
 
-const framedCallerCount = 40
+const (
+	framedCallerCount = 40
+	// troubledCallerCount replaces it beside the callers that take streams up.
+	troubledCallerCount = 24
+)
 
 type (
 	// exchange is one call as its caller observed it.
@@ -30,6 +35,15 @@
 		body            string
 		// err is set unless the answer looks complete.
 		err error
+
+		// stream is the id of the request that began the stream, after the last event that the caller had, and try the number
+		// of times that it had taken the stream up, all for testbeds with troubles.
+		stream     string
+		after, try int
+		// maxOutput is the most output tokens, zero for the usual number.
+		maxOutput int
+		// hasLeft is set if the caller left before the end of the answer.
+		hasLeft bool
 	}
 
 	// framedCaller sends calls in turn, each on a connection of its own or on a kept one.
@@ -49,7 +63,11 @@
 	var mu sync.Mutex
 	var all []exchange
 	var group sync.WaitGroup
-	for number := range framedCallerCount {
+	callers := framedCallerCount
+	if b.hasTroubles {
+		callers = troubledCallerCount
+	}
+	for number := range callers {
 		c := &framedCaller{bed: b, random: rand.New(rand.NewPCG(seed, uint64(10+number))), number: number}
 		group.Go(func() {
 			var own []exchange
@@ -73,7 +91,10 @@
 
 // call makes one call; ok is false if no host took the connection or the request.
 func (c *framedCaller) call(id string) (x exchange, ok bool) {
-	x = exchange{id: id, route: []string{chat, quote, chat, quote, book, look}[c.random.IntN(6)], isHTTP10: c.number%4 == 0}
+	x = exchange{id: id, stream: id, route: []string{chat, quote, chat, quote, book, look}[c.random.IntN(6)], isHTTP10: c.number%4 == 0}
+	if c.bed.hasTroubles {
+		x.maxOutput = maxOutputOf(id)
+	}
 	isChunked := !x.isHTTP10 && c.random.IntN(2) == 0
 	if c.conn == nil && !c.connect() {
 		return x, false
@@ -116,7 +137,10 @@
 func (c *framedCaller) request(x exchange, isChunked bool) (*http.Request, []byte) {
 	call := fake.Call{
 		HostAddress: x.host.callerAddress, HostName: hostName, Path: "/" + x.route + "/x", RequestID: x.id, APIKey: permanentKey, Body: bodyOf(x.id),
-		Timeout: processRouteTimeout,
+		Timeout: processRouteTimeout, MaxOutput: x.maxOutput,
+	}
+	if x.after > 0 {
+		call.Resumes, call.LastEventID = x.stream, strconv.Itoa(x.after)
 	}
 	if x.isStream() {
 		call.PrefixHashes = "aa:100,bb:150," + fmt.Sprintf("%x", x.id) + ":50"
--- a/cmd/trial/soak/processes.go
+++ b/cmd/trial/soak/processes.go
@@ -43,9 +43,19 @@
 		at   time.Time
 	}
 
+	// hostFault is a kill or a freeze of a host.
+	hostFault struct {
+		host *host
+		kind string
+		at   time.Time
+	}
+
 	// processBed is a testbed whose engines are processes.
 	processBed struct {
 		*testbed
+		// hasTroubles is set if engines send answers with troubles and have two software versions.
+		hasTroubles bool
+		startedAt   time.Time
 		// idle holds the boots to which no fault applies.
 		idle chan *boot
 		logf func(format string, args ...any)
@@ -53,13 +63,15 @@
 		mu    sync.Mutex
 		boots []*boot
 		stops []stop
+		// hostFaults holds the kills and freezes of hosts.
+		hostFaults []hostFault
 	}
 )
 
 // ServeEngine runs an engine until SIGTERM; text is the value of EngineVariable.
 func ServeEngine(text string) error {
 	var p fake.Process
-	if _, err := fmt.Sscan(text, &p.ID, &p.Address, &p.Started, &p.Weights); err != nil {
+	if _, err := fmt.Sscan(text, &p.ID, &p.Address, &p.Started, &p.Weights, &p.Software, &p.HasTroubles); err != nil {
 		return eris.Wrapf(err, "engine %q", text)
 	}
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM)
@@ -71,10 +83,10 @@
 	return p.Serve(ctx, os.Stderr)
 }
 
-func newProcessBed(program, directory string, logf func(string, ...any)) (*processBed, error) {
+func newProcessBed(program, directory string, hasTroubles bool, logf func(string, ...any)) (*processBed, error) {
 	b := &processBed{
 		testbed: &testbed{directory: directory, fleet: fleet.New(directory), store: fake.NewStore(), weights: 1},
-		idle:    make(chan *boot, processCount), logf: logf,
+		idle:    make(chan *boot, processCount), logf: logf, hasTroubles: hasTroubles, startedAt: time.Now(),
 	}
 	b.store.PutConfig(1, hostName, service, workspace, []string{permanentKey}, []fake.Route{
 		{Name: chat, Kind: "streaming", MaxAttempts: 2, HasPrompt: true, IsResumable: true, Timeout: processRouteTimeout},
@@ -110,8 +122,9 @@
 	}
 	b.testbed.mu.Lock()
 	b.lastEngine++
-	name, weights := fmt.Sprintf("engine-%d", b.lastEngine), b.weights
+	number, weights := b.lastEngine, b.weights
 	b.testbed.mu.Unlock()
+	name := fmt.Sprintf("engine-%d", number)
 	if id == "" {
 		id = "i-" + name
 	}
@@ -119,10 +132,12 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "own program")
 	}
-	e := &boot{Process: fake.Process{ID: id, Address: address, Started: time.Now().UnixMilli(), Weights: weights}}
+	e := &boot{Process: fake.Process{
+		ID: id, Address: address, Started: time.Now().UnixMilli(), Weights: weights, Software: b.softwareOf(id, number), HasTroubles: b.hasTroubles,
+	}}
 	e.process, err = b.fleet.Start(context.Background(), fleet.Command{
 		Name: name, Program: program,
-		Environment: []string{fmt.Sprintf("%s=%s %s %d %d", EngineVariable, id, address, e.Started, weights)},
+		Environment: []string{fmt.Sprintf("%s=%s %s %d %d %s %t", EngineVariable, id, address, e.Started, weights, e.Software, e.HasTroubles)},
 	})
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -130,6 +145,22 @@
 	return e, err
 }
 
+// softwareOf returns the software version of the next start of an engine: that of the start before under the same id, else
+// mostly one that changes every few starts, so that versions come and go.
+func (b *processBed) softwareOf(id string, number int) string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, e := range b.boots {
+		if e.ID == id {
+			return e.Software
+		}
+	}
+	if !b.hasTroubles || number <= processCount/2 || (number > processCount && number/processCount%2 == number%4/3) {
+		return "v1"
+	}
+	return "v2"
+}
+
 // kill kills an engine.
 func (b *processBed) kill(e *boot, kind string) {
 	b.setEnd(e, kind)
--- a/cmd/trial/soak/processes_test.go
+++ b/cmd/trial/soak/processes_test.go
@@ -36,7 +36,16 @@
 
 // Guards against answers that look complete and are not, or whose pieces are out of order, and against answers that are
 // lost around a planned stop, while engines that are processes are killed, leave, fall silent and load weights.
-func TestSoakWithEngineProcesses(t *testing.T) {
+func TestSoakWithEngineProcesses(t *testing.T) { runProcesses(t, soak.RunProcesses) }
+
+// Guards against streams with a piece missing, a piece twice, pieces of two runs or of two software versions or an end that
+// looks complete before the last piece, in one answer and over a caller's tries, and against streams that do not go on.
+// Engines that are processes repeat events, cut answers and send bytes behind them.
+func TestStreamsKeepTheirOrderWithEngineProcesses(t *testing.T) { runProcesses(t, soak.RunTroubles) }
+
+// runProcesses runs all seeds and fails the test if a guarantee is violated.
+func runProcesses(t *testing.T, run func(program, directory string, seed uint64, duration time.Duration) (soak.Report, error)) {
+	t.Helper()
 	program := os.Getenv(programVariable)
 	if program == "" {
 		program = build(t)
@@ -49,7 +58,7 @@
 	}
 	for _, seed := range seeds(t)[:limitSeeds(t)] {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
-			report, err := soak.RunProcesses(program, t.TempDir(), seed, duration)
+			report, err := run(program, t.TempDir(), seed, duration)
 			assert.NilError(t, err)
 			logs := "not kept"
 			if len(report.Violations) > 0 || os.Getenv(timeVariable) != "" {
--- a/cmd/trial/soak/runprocesses.go
+++ b/cmd/trial/soak/runprocesses.go
@@ -17,6 +17,17 @@
 // RunProcesses stops hosts that run program and ends engines that are processes for the duration, at moments of one seed,
 // and checks the answers. It writes logs into a new subdirectory of directory.
 func RunProcesses(program, directory string, seed uint64, duration time.Duration) (Report, error) {
+	return runProcesses(program, directory, seed, duration, false)
+}
+
+// RunTroubles does the same with engines of two software versions that repeat events, cut answers and send bytes behind
+// them, with callers that take streams up at other hosts, and with hosts that are also killed and frozen. It checks the
+// order of pieces, of one answer and over a caller's tries.
+func RunTroubles(program, directory string, seed uint64, duration time.Duration) (Report, error) {
+	return runProcesses(program, directory, seed, duration, true)
+}
+
+func runProcesses(program, directory string, seed uint64, duration time.Duration, hasTroubles bool) (Report, error) {
 	report := Report{Seed: seed, Statuses: make(map[string]int), LogDirectory: filepath.Join(directory, fmt.Sprintf("seed-%d", seed))}
 	if err := os.MkdirAll(report.LogDirectory, 0o700); err != nil {
 		return report, err
@@ -28,7 +39,7 @@
 		defer mu.Unlock()
 		report.FaultLog = append(report.FaultLog, fmt.Sprintf("%.2f s: ", time.Since(started).Seconds())+fmt.Sprintf(format, args...))
 	}
-	b, err := newProcessBed(program, report.LogDirectory, logf)
+	b, err := newProcessBed(program, report.LogDirectory, hasTroubles, logf)
 	defer b.close()
 	if err != nil {
 		return report, err
@@ -40,6 +51,9 @@
 	if err != nil {
 		return report, err
 	}
+	if hasTroubles {
+		return report, b.judgeTroubles(&report, all)
+	}
 	v, err := b.judge(all)
 	if err != nil {
 		return report, err
@@ -58,12 +72,19 @@
 	var all []exchange
 	var callers, faults sync.WaitGroup
 	callers.Go(func() { all = b.runFramed(callCtx, seed) })
+	var tries []exchange
+	disturb := b.stopHosts
+	if b.hasTroubles {
+		callers.Go(func() { tries = b.runTakeUps(callCtx, seed) })
+		disturb = b.disturbHosts
+	}
 	var stopErr, endErr error
-	faults.Go(func() { stopErr = b.stopHosts(ctx, rand.New(rand.NewPCG(seed, 1))) })
+	faults.Go(func() { stopErr = disturb(ctx, rand.New(rand.NewPCG(seed, 1))) })
 	faults.Go(func() { endErr = b.endEngines(ctx, rand.New(rand.NewPCG(seed, 2))) })
 	faults.Wait()
 	stopCalls()
 	callers.Wait()
+	all = append(all, tries...)
 	if stopErr != nil {
 		return all, stopErr
 	}
--- a/fake/platform/caller.go
+++ b/fake/platform/caller.go
@@ -27,6 +27,8 @@
 
 	stampPrefix = "stamp-"
 
+	defaultMaxOutput = 20
+
 	// ModelName is the only model that the stand-in's engines serve.
 	ModelName = "model-a"
 )
@@ -42,6 +44,8 @@
 		APIKey      string
 		Body        string
 		Timeout     time.Duration
+		// MaxOutput is the most output tokens of a call to a model, 20 if it is zero.
+		MaxOutput int
 		// PrefixHashes describes the prompt parts of a call to a model; it is empty for other calls.
 		PrefixHashes string
 		// LastEventID and Resumes are set in a call that takes a stream up: its last event, and the request that
@@ -86,7 +90,7 @@
 	}
 	if c.PrefixHashes != "" {
 		request.Header.Set(headerModel, ModelName)
-		request.Header.Set(headerTokenUsage, "300,20")
+		request.Header.Set(headerTokenUsage, fmt.Sprintf("300,%d", cmp.Or(c.MaxOutput, defaultMaxOutput)))
 		request.Header.Set(headerPrefixHash, c.PrefixHashes)
 	}
 	return request, nil
--- a/fake/platform/engine.go
+++ b/fake/platform/engine.go
@@ -100,6 +100,8 @@
 		// resumed is the response to resumed streams.
 		resumed  string
 		crashing Crashing
+		// troubles gives the answers if the behaviour is Troubled.
+		troubles *troubles
 		crashes  []time.Time
 		// isDown is set from a crash to the next start.
 		isDown   bool
@@ -358,6 +360,8 @@
 		e.writeUnframed(w, r)
 	case Framed:
 		e.writeFramed(w, r)
+	case Troubled:
+		e.troubles.serve(w, r)
 	default:
 		if r.Header.Get(headerModel) == "" {
 			e.writeDelayed(w, r)
--- a/fake/platform/process.go
+++ b/fake/platform/process.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -28,6 +29,10 @@
 	Started int64
 	// Weights is the version of the weights that it starts with.
 	Weights int
+	// Software is the version of its software, v1 if it is empty.
+	Software string
+	// HasTroubles makes its answers consist of Piece values and come with troubles.
+	HasTroubles bool
 
 	entries int
 }
@@ -35,7 +40,11 @@
 // Serve serves from the moment the address is free until ctx ends, then finishes its runs. It writes a line for the begin
 // and the end of each run.
 func (p Process) Serve(ctx context.Context, log io.Writer) error {
-	e := &Engine{ID: p.ID, address: p.Address, behaviour: Framed, version: p.Weights, software: "v1", restarts: p.Started - firstStartMs, startedAt: time.Now()}
+	e := p.engine()
+	e.behaviour, e.startedAt = Framed, time.Now()
+	if p.HasTroubles {
+		e.behaviour, e.troubles = Troubled, newTroubles(p.ID, e.software, log)
+	}
 	var runs sync.WaitGroup
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /report", e.serveReport)
@@ -59,6 +68,10 @@
 	}
 	_, _ = fmt.Fprintln(log, time.Now().UnixMilli(), "listens", p.Address, p.ID)
 	server := &http.Server{Handler: mux}
+	if p.HasTroubles {
+		listener = troubledListener{listener}
+		useTroubledConns(server)
+	}
 	stopped := make(chan error, 1)
 	go func() {
 		<-ctx.Done()
@@ -73,13 +86,18 @@
 	return err
 }
 
+func (p Process) engine() *Engine {
+	return &Engine{ID: p.ID, address: p.Address, version: p.Weights, software: cmp.Or(p.Software, "v1"), restarts: p.Started - firstStartMs}
+}
+
 // PutProcess writes the store entry of an engine that is a process.
 func (s *Store) PutProcess(p *Process, service string, isLeaving bool) {
 	state := "ready"
 	if isLeaving {
 		state = "draining"
 	}
-	e := &Engine{ID: p.ID, address: p.Address, version: p.Weights, software: "v1", restarts: p.Started - firstStartMs, entries: p.entries}
+	e := p.engine()
+	e.entries = p.entries
 	s.Put("servers/"+p.ID, e.Entry(service, "a", state))
 	p.entries = e.entries
 }
