Doubt no stream that began long before its engine's restart

Streams that callers took up were refused with 503, though the version at which they began was known and listed: an engine was killed and started again under its id with another version, and all streams that had run there until the kill counted as begun at the new start.

The check against a start that the directory did not list yet took the same time for the one at which the stream began. The class is one time used for two questions.

Evidence: TestStreamsThatRanUntilARestartAreNotDoubtful failed before: "ended" and "kept" are doubtful beside "moved", which alone began after the start. Not run with processes.

Origins now keep the time at which the stream began or went on at its upstream as well, which the check uses.

--- a/origin/streams.go
+++ b/origin/streams.go
@@ -33,6 +33,8 @@
 	record struct {
 		Stream
 		at time.Time
+		// beganAt is when the stream began or went on at its upstream.
+		beganAt time.Time
 		// isTold says that other hosts have been told of the stream.
 		isTold bool
 		// runs is the number of answers of this host that bring events of the stream.
@@ -86,6 +88,7 @@
 	}
 	if added.Upstream != "" {
 		known.Service, known.Upstream, known.isTold = added.Service, added.Upstream, added.isTold
+		known.beganAt = added.at
 		known.runs++
 	}
 	if added.at.After(known.at) || known.at.Equal(added.at) {
@@ -158,7 +161,7 @@
 	s.prune(now)
 	var doubtful []spoke.StreamOrigin
 	for _, known := range s.records {
-		if known.Upstream == upstream && known.Software != "" && known.at.After(started.Add(-clockTolerance)) {
+		if known.Upstream == upstream && known.Software != "" && known.beganAt.After(started.Add(-clockTolerance)) {
 			known.Software = ""
 			doubtful = append(doubtful, known.reported(now))
 		}
--- a/origin/streams_test.go
+++ b/origin/streams_test.go
@@ -122,6 +122,25 @@
 	assert.Equal(t, len(running), 0)
 }
 
+// Guards against streams that began long before their engine started again with another version and are put in doubt, since
+// they ran until that engine was killed or are kept while they run.
+func TestStreamsThatRanUntilARestartAreNotDoubtful(t *testing.T) {
+	streams := origin.NewStreams()
+	streams.Add(begin, stream("ended", "i-1"), true)
+	streams.Add(begin, stream("kept", "i-1"), true)
+	killed := begin.Add(origin.Retention/2 + time.Second)
+	running, _ := streams.Renew(killed)
+	assert.Equal(t, len(running), 2)
+	streams.End(killed, "ended")
+	started := killed.Add(500 * time.Millisecond)
+	streams.Add(started, stream("moved", "i-1"), true)
+	now := started.Add(time.Second)
+	doubtful := streams.Doubt(now, "i-1", started)
+	assert.DeepEqual(t, doubtful, []spoke.StreamOrigin{{Request: "moved", Age: time.Second}})
+	assertSoftware(t, streams, now, "ended", "v1")
+	assertSoftware(t, streams, now, "kept", "v1")
+}
+
 // Guards against memory that grows with the number of streams.
 func TestStreamsAreBounded(t *testing.T) {
 	const bound = 1 << 16
