Let a request be written to its end behind an early answer

Callers of the own mode got an error with an unknown outcome where the service had answered, calls that may run only once among them: the service answered before it had read a long body and does not repeat X-Attempt-Id.

Cause: since the connection of such an answer was sealed as soon as its head had arrived, so that no other call uses it. That also failed the writes of the rest of this request, for which the transport closes the connection and with it the answer. The class is a guard against the next user of a resource that also stops the present one.

Ruled out: to seal once the request is reported as written, since that report comes before the last flush.

The connection is now only marked, and sealed where the next call begins to use it, before that writes.

--- a/plain/client.go
+++ b/plain/client.go
@@ -96,7 +96,7 @@
 	defer response.Body.Close()
 	if response.Header.Get(attemptHeader) != string(call.Attempt) {
 		defer tracker.close()
-		if tracker.seal() {
+		if tracker.spend() {
 			return spoke.PlainAnswer{}, eris.Wrapf(spoke.ErrIncomplete, "answer of %s on a connection in use again does not name attempt %s", at, call.Attempt)
 		}
 	}
--- a/plain/conn.go
+++ b/plain/conn.go
@@ -17,6 +17,8 @@
 		mu     sync.Mutex
 		writes int
 		sealed bool
+		// isSpent is set once no further call may use the connection.
+		isSpent bool
 	}
 
 	// connTracker records the connections that the transport used for one call.
@@ -45,12 +47,21 @@
 	return c.Conn.Write(raw)
 }
 
-func (c *countingConn) count() int {
+// use begins a call and returns the number of writes before it. On a spent connection nothing can be written; earlier, the
+// call before might still have to.
+func (c *countingConn) use() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.sealed = c.sealed || c.isSpent
 	return c.writes
 }
 
+func (c *countingConn) spend() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.isSpent = true
+}
+
 // seal makes further writes fail and returns the number of writes so far. After a
 // cancelled call the transport may still be about to write, so that a count without
 // the seal could miss a write.
@@ -70,7 +81,7 @@
 		}
 		t.mu.Lock()
 		defer t.mu.Unlock()
-		t.conns = append(t.conns, trackedConn{conn, conn.count(), info.Reused})
+		t.conns = append(t.conns, trackedConn{conn, conn.use(), info.Reused})
 	}}
 }
 
@@ -88,15 +99,15 @@
 	return wrote
 }
 
-// seal seals the connection of the answer, so that no further call uses it, and reports whether an earlier one has.
-func (t *connTracker) seal() bool {
+// spend keeps further calls from the connection of the answer, and reports whether an earlier one has used it.
+func (t *connTracker) spend() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if len(t.conns) == 0 {
 		return false
 	}
 	last := t.conns[len(t.conns)-1]
-	last.conn.seal()
+	last.conn.spend()
 	return last.isReused
 }
 
--- a/plain/late_answer_test.go
+++ b/plain/late_answer_test.go
@@ -127,3 +127,39 @@
 		}
 	}
 }
+
+// Guards against answers that are lost since their service answers before it has read a long body and does not name calls.
+func TestAnswerBeforeEndOfRequestIsWhole(t *testing.T) {
+	for _, isFresh := range []bool{false, true} {
+		t.Run(fmt.Sprintf("own connection %t", isFresh), func(t *testing.T) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			defer listener.Close()
+			body := make([]byte, 8<<20)
+			received := make(chan int64, 1)
+			go func() {
+				conn, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				defer conn.Close()
+				request, err := http.ReadRequest(bufio.NewReader(conn))
+				if err != nil {
+					return
+				}
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwh")
+				count, _ := io.Copy(io.Discard, request.Body)
+				received <- count
+				_, _ = io.WriteString(conn, "ole")
+			}()
+			client := plain.NewClient()
+			defer client.Close()
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			defer cancel()
+			answer, err := client.Call(ctx, spoke.Address(listener.Addr().String()), spoke.PlainCall{Attempt: "r-1", Method: "POST", Path: "/", Body: body, FreshConnection: isFresh})
+			assert.NilError(t, err)
+			assert.Equal(t, string(answer.Body), "whole")
+			assert.Equal(t, <-received, int64(len(body)))
+		})
+	}
+}
