Search an answer for another one in linear time

Callers of buffered answers with neither a length nor chunks got 504 and a core of the host was busy far beyond their deadline, if the body held many lines like the status line of a response.

Cause: refuseSecondAnswer tried to read a head at each "HTTP/1.", each time to its end or that of the body: quadratic in the body, which may have 16 MB, and not bound by the deadline. The class is work on bytes of others without a bound.

A head that begins inside the lines that were read for another one ends where that one does, unless it begins in the last of them, so the search goes on there: each line is read at most twice.

--- a/edge/behind.go
+++ b/edge/behind.go
@@ -7,6 +7,9 @@
 	"errors"
 	"io"
 	"net/http"
+	"net/textproto"
+	"regexp"
+	"strconv"
 
 	"github.com/sirupsen/logrus"
 
@@ -24,7 +27,8 @@
 	// errBehindLimit reports an event behind as many as the caller allows tokens.
 	errBehindLimit = errors.New("more events than the caller allows tokens")
 
-	responseStart = []byte("HTTP/1.")
+	// responseStart is the beginning of a response. It captures the status.
+	responseStart = regexp.MustCompile(`HTTP/1\.[0-9] +([0-9]{3})[ \r\n]`)
 
 	// behindKinds names the bytes that do not belong to an answer by the error that reports them.
 	behindKinds = map[error]behindKind{
@@ -103,22 +107,24 @@
 // cannot be cut there, since nothing tells where in the body it ends.
 func (a *attempt) refuseSecondAnswer(body []byte) error {
 	source := bufio.NewReaderSize(nil, headReadSize)
-	for rest := body; ; rest = rest[len(responseStart):] {
-		start := bytes.Index(rest, responseStart)
-		if start < 0 {
+	for rest := body; ; {
+		start := responseStart.FindSubmatchIndex(rest)
+		if start == nil {
 			return nil
 		}
-		rest = rest[start:]
-		source.Reset(bytes.NewReader(rest))
-		//nolint:bodyclose // Closing would read the rest of the body, and it holds nothing.
-		second, err := http.ReadResponse(source, nil)
-		if err != nil {
-			continue
-		}
-		if a.codec.DecodeAnswer(a.spec, second.StatusCode, second.Header).NamesRequest {
-			a.dropBehind(behindKinds[errSecondAnswer], rest)
+		found := rest[start[0]:]
+		_, fields, _ := bytes.Cut(found, []byte("\n"))
+		unread := bytes.NewReader(fields)
+		source.Reset(unread)
+		header, err := textproto.NewReader(source).ReadMIMEHeader()
+		status, _ := strconv.Atoi(string(rest[start[2]:start[3]]))
+		if err == nil && a.codec.DecodeAnswer(a.spec, status, http.Header(header)).NamesRequest {
+			a.dropBehind(behindKinds[errSecondAnswer], found)
 			return errSecondAnswer
 		}
+		read := fields[:len(fields)-unread.Len()-source.Buffered()]
+		// A head that begins in the lines read ends where this one does, unless it begins in the last one.
+		rest = fields[bytes.LastIndexByte(bytes.TrimSuffix(read, []byte("\n")), '\n')+1:]
 	}
 }
 
