Let a host that joins vouch for no earlier versions

Callers who took a stream up at a host that had ended without notice could get events of another software version, as before: such a host takes the full report of a host that knows the versions of the last two minutes for evidence. If it started together with them, as one that was being replaced or stopped when the others were killed, nobody knew. The class is an assumption that is passed on as knowledge.

Not run with processes. The tests of edge on software versions pass.

A host now reports for how long it has seen or heard of each version itself; whether it asks and tells is unchanged.

--- a/origin/knowledge.go
+++ b/origin/knowledge.go
@@ -59,10 +59,15 @@
 	return now.Sub(k.since) >= Retention || (!k.isRestarted && now.Sub(k.readAt) >= joinTime)
 }
 
-// Reported returns what a full report says of this host: zero if it knows of each version of the last Retention.
+// Reported returns what a full report says of this host: zero if it knows of each version of the last Retention. A host
+// that only assumes so, since it has joined others, vouches for no more than it has seen or heard.
 func (k *Knowledge) Reported(now time.Time) time.Duration {
-	if k.IsComplete(now) {
+	known := now.Sub(k.since)
+	switch {
+	case k.readAt.IsZero():
+		return time.Millisecond
+	case known >= Retention:
 		return 0
 	}
-	return max(now.Sub(k.since), time.Millisecond)
+	return max(known, time.Millisecond)
 }
