Keep software versions with announcements for hosts that start

Callers whose streams were cut when all hosts were killed at once, or lost power, got 503 "software-version-unknown" for two minutes, though all engines had one version: no host was left that could tell others so. The class is knowledge that lives only in processes which end together.

Hosts that watch the directory for others, and know of each version of the last two minutes, write the versions into their own entry when these change.

Ruled out: counting hosts as knowing when all engines are old, since an engine of the other version may have gone without a successor; a key of its own, which needs an owner and outlives what it says; records by all hosts, 420 writes for each change.

--- a/directory.go
+++ b/directory.go
@@ -75,6 +75,8 @@
 		RemovedUpstreams []UpstreamID
 		Peers            []ListedPeer
 		RemovedPeers     []HostID
+		// RecordedSoftware lists the versions that hosts have recorded with their announcements, empty if none has.
+		RecordedSoftware []ListedSoftware
 		// OrdersHolder is the host that may send orders to engines, empty if its lease has ended.
 		// It is nil if it did not change and, in a snapshot, if no host holds the lease.
 		OrdersHolder   *HostID
@@ -127,6 +129,9 @@
 		// Announce adds this host to the directory until the announcement expires; calling it
 		// again extends the announcement.
 		Announce(ctx context.Context, peer ListedPeer) error
+		// RecordSoftware keeps the software versions of services with this host's announcement, for hosts that start while
+		// it lasts; it writes nothing if they are the ones that are kept, or if there is no announcement.
+		RecordSoftware(ctx context.Context, versions []ListedSoftware) error
 		// Withdraw removes this host's announcement.
 		Withdraw(ctx context.Context) error
 	}
--- a/edge/host.go
+++ b/edge/host.go
@@ -228,12 +228,18 @@
 	case <-ctx.Done():
 		return ctx.Err()
 	}
+	// A record is kept up to date once it has been written, whoever watches the directory then.
+	isRecorded := false
 	for {
-		if err := h.deps.Directory.Announce(ctx, self); err == nil {
-			if h.follower.isDirect.Load() {
-				h.conf.confirm(h.conf.recentPause())
-			}
-		} else if ctx.Err() == nil {
+		err := h.deps.Directory.Announce(ctx, self)
+		if err == nil && h.follower.isDirect.Load() {
+			h.conf.confirm(h.conf.recentPause())
+			isRecorded = true
+		}
+		if err == nil && isRecorded {
+			err = h.recordSoftware(ctx)
+		}
+		if err != nil && ctx.Err() == nil {
 			h.deps.Log.WithError(err).Info("announcement of this host in the directory failed")
 		}
 		select {
@@ -244,6 +250,16 @@
 	}
 }
 
+// recordSoftware keeps the software versions of all services with the announcement, for hosts that start after all have
+// ended without notice.
+func (h *Host) recordSoftware(ctx context.Context) error {
+	versions := h.relayer.origins.recordable()
+	if len(versions) == 0 {
+		return nil
+	}
+	return h.deps.Directory.RecordSoftware(ctx, versions)
+}
+
 // sweep closes idle upstream connections that will not be used again.
 func (h *Host) sweep(ctx context.Context) error {
 	return runTask(ctx, h.deps.Timer, sweepInterval, nil, nil, func(context.Context) { h.relayer.pool.Sweep() })
--- a/edge/linked_test.go
+++ b/edge/linked_test.go
@@ -127,13 +127,20 @@
 // are slow enough to be broken off, and spareEngines that are not listed. It waits until each host lists all others. The
 // directory lists the given hosts before they start, as after their deaths.
 func startLinked(t *testing.T, hostCount, engineCount int, earlier ...spoke.HostID) []linkedHost {
+	t.Helper()
+	return startLinkedAfter(t, hostCount, engineCount, map[string]any{"data-centre": "a"}, earlier...)
+}
+
+// startLinkedAfter does the same with entries of the earlier hosts that have the given fields.
+func startLinkedAfter(t *testing.T, hostCount, engineCount int, entry map[string]any, earlier ...spoke.HostID) []linkedHost {
 	t.Helper()
 	network := &linkNetwork{t: t, paths: make(map[string]*peerPath)}
 	first := &deployment{t: t, store: fake.NewStore()}
 	t.Cleanup(first.store.Close)
 	first.store.Put("op/config", table(1, callerKey))
 	for _, id := range earlier {
-		first.store.Put("spoke/hosts/"+string(id), map[string]any{"data-centre": "a", "address": string(freeAddress(t))})
+		entry["address"] = string(freeAddress(t))
+		first.store.Put("spoke/hosts/"+string(id), entry)
 	}
 	for i := range engineCount + spareEngines {
 		engine := fake.NewEngine(fmt.Sprintf("i-%d", i), 4)
--- a/edge/origins.go
+++ b/edge/origins.go
@@ -135,7 +135,8 @@
 	defer o.mu.Unlock()
 	now := o.timer.Now()
 	if change.IsSnapshot {
-		o.knowledge.Read(now, change.Peers, o.self.ID)
+		o.knowledge.Read(now, change.Peers, o.self.ID, change.RecordedSoftware)
+		o.versions.Observe(now, change.RecordedSoftware)
 	}
 	for _, restart := range o.versions.Apply(now, change) {
 		doubtful := o.streams.Doubt(now, restart.Upstream, restart.Started)
@@ -176,6 +177,17 @@
 	return o.versions.Several(now), known
 }
 
+// recordable returns the versions of all services for hosts that start, none while this host may lack one.
+func (o *origins) recordable() []spoke.ListedSoftware {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := o.timer.Now()
+	if o.knowledge.Reported(now) != 0 || o.conf.isStale() {
+		return nil
+	}
+	return o.versions.All(now)
+}
+
 // began records the software version of a stream that begins or goes on at an upstream, and tells other hosts of it
 // if the service has several.
 func (o *origins) began(request spoke.RequestID, service spoke.ServiceName, upstream spoke.ListedUpstream) {
--- a/origin/knowledge.go
+++ b/origin/knowledge.go
@@ -25,14 +25,14 @@
 }
 
 // Read records a snapshot of the directory with the hosts that it lists. If it lists this host, which has not announced
-// itself yet, others may have started again with it, and nobody knows of versions that have gone. If it lists none, no
-// host has served before.
-func (k *Knowledge) Read(now time.Time, hosts []spoke.ListedPeer, self spoke.HostID) {
+// itself yet, others may have started again with it, and no host knows of versions that have gone, unless one of those
+// listed has recorded them. If it lists none, no host has served before.
+func (k *Knowledge) Read(now time.Time, hosts []spoke.ListedPeer, self spoke.HostID, recorded []spoke.ListedSoftware) {
 	if !k.readAt.IsZero() {
 		return
 	}
 	k.readAt, k.since = now, now
-	if len(hosts) == 0 {
+	if len(hosts) == 0 || len(recorded) > 0 {
 		k.since = now.Add(-Retention)
 	}
 	k.isRestarted = slices.ContainsFunc(hosts, func(host spoke.ListedPeer) bool { return host.ID == self })
--- a/origin/knowledge_test.go
+++ b/origin/knowledge_test.go
@@ -17,7 +17,14 @@
 		listed = append(listed, spoke.ListedPeer{ID: id})
 	}
 	var k origin.Knowledge
-	k.Read(begin, listed, "self")
+	k.Read(begin, listed, "self", nil)
+	return &k
+}
+
+// recordedBefore replays the start of a host beside all others, of which one has recorded the versions.
+func recordedBefore() *origin.Knowledge {
+	var k origin.Knowledge
+	k.Read(begin, []spoke.ListedPeer{{ID: "a"}, {ID: "self"}}, "self", []spoke.ListedSoftware{{Service: "models", Software: "v1"}})
 	return &k
 }
 
@@ -39,6 +46,7 @@
 		{"joining, with a report", knowledgeOf("a"), 0, report, 0},
 		{"restarted", knowledgeOf("a", "self"), 0, report, 0},
 		{"all restarted", knowledgeOf("a", "self"), report, origin.Retention, 0},
+		{"all restarted, versions recorded", recordedBefore(), -1, 0, 0},
 		{"restarted, with one that started before", knowledgeOf("a", "self"), time.Minute, time.Minute + report, 0},
 	}
 	for _, s := range steps {
@@ -83,7 +91,7 @@
 	k.Receive(begin, 0)
 	assert.Assert(t, !k.IsComplete(begin))
 	assert.Equal(t, k.Reported(begin), time.Millisecond)
-	k.Read(begin, nil, "self")
-	k.Read(begin.Add(time.Second), []spoke.ListedPeer{{ID: "self"}}, "self")
+	k.Read(begin, nil, "self", nil)
+	k.Read(begin.Add(time.Second), []spoke.ListedPeer{{ID: "self"}}, "self", nil)
 	assert.Assert(t, k.IsComplete(begin.Add(time.Second)))
 }
--- a/origin/versions.go
+++ b/origin/versions.go
@@ -129,6 +129,17 @@
 // Services returns the services that have had a version within Retention.
 func (v *Versions) Services() []spoke.ServiceName { return slices.Sorted(maps.Keys(v.services)) }
 
+// All returns the versions that each service has had within Retention.
+func (v *Versions) All(now time.Time) []spoke.ListedSoftware {
+	var all []spoke.ListedSoftware
+	for _, service := range v.Services() {
+		for _, software := range v.Of(now, service) {
+			all = append(all, spoke.ListedSoftware{Service: service, Software: software})
+		}
+	}
+	return all
+}
+
 // Several returns the versions of those services that have had several within Retention, for other hosts.
 func (v *Versions) Several(now time.Time) []spoke.ListedSoftware {
 	v.prune(now)
