Name the package of event splitting within the house rule

Package names have four to six letters; eventstream is now split. The variables of the troubles of engine processes stand in one group. No change of behaviour.

--- a/edge/behind.go
+++ b/edge/behind.go
@@ -13,9 +13,9 @@
 
 	"github.com/sirupsen/logrus"
 
-	"magnoliaspoke.example/spoke/eventstream"
 	"magnoliaspoke.example/spoke/link"
 	"magnoliaspoke.example/spoke/place"
+	"magnoliaspoke.example/spoke/split"
 )
 
 // headReadSize is the size of the reads in which a body is searched for another response.
@@ -63,13 +63,13 @@
 )
 
 // tailError returns why no further event follows, nil if one may.
-func tailError(tail eventstream.Tail, readErr error, rest []byte) error {
+func tailError(tail split.Tail, readErr error, rest []byte) error {
 	switch {
-	case tail == eventstream.NoEvent:
+	case tail == split.NoEvent:
 		return errNotEvents
-	case tail == eventstream.Head:
+	case tail == split.Head:
 		return errSecondAnswer
-	case tail == eventstream.TooLarge:
+	case tail == split.TooLarge:
 		return errLargeEvent
 	case errors.Is(readErr, io.EOF) && len(rest) > 0:
 		return errTruncatedEvent
--- a/edge/stream.go
+++ b/edge/stream.go
@@ -12,9 +12,9 @@
 	"github.com/sirupsen/logrus"
 
 	"magnoliaspoke.example/spoke"
-	"magnoliaspoke.example/spoke/eventstream"
 	"magnoliaspoke.example/spoke/link"
 	"magnoliaspoke.example/spoke/place"
+	"magnoliaspoke.example/spoke/split"
 )
 
 const (
@@ -23,7 +23,7 @@
 )
 
 var (
-	eventDelimiter = eventstream.Delimiter
+	eventDelimiter = split.Delimiter
 
 	errTruncatedEvent = errors.New("stream ended inside an event")
 	// errNoEvents reports a stream whose connection was closed after the head: each generation has an event,
@@ -56,7 +56,7 @@
 		state = &streamState{}
 		a.progress.stream = state
 	}
-	splitter := eventstream.New(maxEventSize)
+	splitter := split.New(maxEventSize)
 	for {
 		n, readErr := answer.Body.Read(splitter.Space())
 		chunk, tail := splitter.Add(n)
--- a/eventstream/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package eventstream splits the bytes of a stream into events and judges the bytes behind them.
-package eventstream
--- a/fake/platform/trouble.go
+++ b/fake/platform/trouble.go
@@ -41,19 +41,21 @@
 	mostDelay = 40 * time.Millisecond
 )
 
-// Troubles are all troubles.
-var Troubles = []Trouble{
-	TroubleRepeat, TroubleAgain, TroubleGoesOn, TroubleSecond, TroubleBytes, TroubleLate, TroubleRefusal, TroubleRefusalCopy, TroubleCutInside, TroubleCutBetween,
-}
+var (
+	// Troubles are all troubles.
+	Troubles = []Trouble{
+		TroubleRepeat, TroubleAgain, TroubleGoesOn, TroubleSecond, TroubleBytes, TroubleLate, TroubleRefusal, TroubleRefusalCopy, TroubleCutInside, TroubleCutBetween,
+	}
 
-// troubleShares are the shares in 100 of the requests, without those that repeat events; the others have no trouble.
-var troubleShares = []struct {
-	trouble Trouble
-	share   uint32
-}{
-	{TroubleRefusal, 4}, {TroubleCutInside, 5}, {TroubleCutBetween, 6}, {TroubleAgain, 8}, {TroubleGoesOn, 8}, {TroubleSecond, 8},
-	{TroubleBytes, 5}, {TroubleLate, 10}, {TroubleRefusalCopy, 8},
-}
+	// troubleShares are the shares in 100 of the requests, without those that repeat events; the others have no trouble.
+	troubleShares = []struct {
+		trouble Trouble
+		share   uint32
+	}{
+		{TroubleRefusal, 4}, {TroubleCutInside, 5}, {TroubleCutBetween, 6}, {TroubleAgain, 8}, {TroubleGoesOn, 8}, {TroubleSecond, 8},
+		{TroubleBytes, 5}, {TroubleLate, 10}, {TroubleRefusalCopy, 8},
+	}
+)
 
 type (
 	// Trouble is what an engine with troubles does wrong in one answer.
--- a/eventstream/splitter.go
+++ b/split/splitter.go
@@ -1,4 +1,4 @@
-package eventstream
+package split
 
 import "bytes"
 
