--- a/edge/origin_start_test.go
+++ b/edge/origin_start_test.go
@@ -53,8 +53,8 @@
 		return err == nil && slices.Contains(listed.RecordedSoftware, spoke.ListedSoftware{Service: "models", Software: version})
 	}
 	awaitTrue(t, "the only version is not recorded", func() bool { return isRecorded("v1") })
-	hosts[0].listSpares("v2")
-	awaitTrue(t, "the second version is not recorded", func() bool { return isRecorded("v2") && isRecorded("v1") })
+	hosts[0].listSpares("v3")
+	awaitTrue(t, "the second version is not recorded", func() bool { return isRecorded("v3") && isRecorded("v1") })
 }
 
 // Guards against streams that begin at a new version and go on at the one before, at hosts of a data centre that has just
