--- a/engine/late_answer_test.go
+++ b/engine/late_answer_test.go
@@ -57,7 +57,8 @@
 	defer conn.Close()
 	defer func() {
 		// A stopped engine aborts its handlers in the way of net/http.
-		if reason := recover(); reason != nil && reason != http.ErrAbortHandler {
+		reason := recover()
+		if err, _ := reason.(error); reason != nil && !errors.Is(err, http.ErrAbortHandler) {
 			panic(reason)
 		}
 	}()
