Ask in one place whether a stream is at its token limit

confirmEnd had the condition that isAtLimit states, spelled out. It calls isAtLimit now, which takes the number of events. One comment is wrapped. No change of behaviour; the tests of ends, foreign bytes and the order of events passed.

--- a/edge/answerend.go
+++ b/edge/answerend.go
@@ -30,7 +30,7 @@
 	// The answer is over, so that its upstream is not silent while its end is checked.
 	a.endWatch()
 	a.evidence = place.EndAtLimit
-	if !a.route.IsPrompt || !place.IsAtLimit(a.call.Prompt, events) {
+	if !a.isAtLimit(events) {
 		a.evidence = a.checkEnd(ctx)
 	}
 	if a.evidence.IsWhole() {
--- a/edge/behind.go
+++ b/edge/behind.go
@@ -82,7 +82,7 @@
 // upstream is faulty and may have cut the answer.
 func (a *attempt) endStream(ctx context.Context, answer *link.Response, state *streamState, end streamEnd) bool {
 	kind, isForeign := behindKinds[end.err]
-	isWhole := errors.Is(end.err, io.EOF) || isForeign && answer.EndsWithConnection && a.isAtLimit(state)
+	isWhole := errors.Is(end.err, io.EOF) || isForeign && answer.EndsWithConnection && a.isAtLimit(state.numbered)
 	if isForeign && (isWhole || !errors.Is(end.err, errTruncatedEvent)) {
 		a.dropBehind(kind, end.foreign, end.tail)
 	}
@@ -98,9 +98,9 @@
 	return a.finishStream(state)
 }
 
-// isAtLimit reports whether the stream has as many events as its caller allows tokens.
-func (a *attempt) isAtLimit(state *streamState) bool {
-	return a.route.IsPrompt && place.IsAtLimit(a.call.Prompt, state.numbered)
+// isAtLimit reports whether a stream with so many events has as many as its caller allows tokens.
+func (a *attempt) isAtLimit(events int) bool {
+	return a.route.IsPrompt && place.IsAtLimit(a.call.Prompt, events)
 }
 
 // refuseSecondAnswer returns an error if the body of an answer contains the head of an answer to a request. The first one
--- a/edge/origins.go
+++ b/edge/origins.go
@@ -207,8 +207,8 @@
 	o.sender.send([]spoke.StreamOrigin{reported}, holders)
 }
 
-// unsettled returns the versions of a service at which no stream must begin yet, and until when. A host that has had no news of the
-// directory since before the version was listed knows that it has none once they have spread.
+// unsettled returns the versions of a service at which no stream must begin yet, and until when. A host that has had no
+// news of the directory since before the version was listed knows that it has none once they have spread.
 func (o *origins) unsettled(service spoke.ServiceName) ([]spoke.SoftwareVersion, time.Time) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/edge/stream.go
+++ b/edge/stream.go
@@ -159,7 +159,7 @@
 		case err == nil && id <= after:
 			read += len(event)
 			continue
-		case text != "" && isOpen && a.isAtLimit(state):
+		case text != "" && isOpen && a.isAtLimit(state.numbered):
 			return kept, foreignEvents{errBehindLimit, events[read:]}
 		case err == nil:
 			after, a.hasNewEvent = id, true
