Classify responses of engines apart from the run that they name

namedResponseError named the run in each of six branches. The branches are a function of status and code now.

--- a/engine/errors.go
+++ b/engine/errors.go
@@ -45,17 +45,22 @@
 	var body errorBody
 	_ = json.Unmarshal(raw, &body)
 	cause := eris.Errorf("engine %s answered %d %q: %s", addr, response.StatusCode, body.Error.Code, body.Error.Message)
+	return body.Error.Attempt, classify(response.StatusCode, body.Error.Code, cause)
+}
+
+// classify adds to the cause what a status and a code of the protocol state.
+func classify(status int, code string, cause error) error {
 	switch {
-	case response.StatusCode == http.StatusConflict && body.Error.Code == "wrong-version":
-		return body.Error.Attempt, notRun(spoke.ErrWrongVersion, cause)
-	case response.StatusCode == http.StatusConflict && body.Error.Code == "draining":
-		return body.Error.Attempt, notRun(spoke.ErrDraining, cause)
-	case response.StatusCode == http.StatusConflict && body.Error.Code == "busy":
-		return body.Error.Attempt, notRun(spoke.ErrBusy, cause)
-	case response.StatusCode == http.StatusConflict && body.Error.Code == "stale-fence":
-		return body.Error.Attempt, errors.Join(spoke.ErrStaleFence, cause)
-	case response.StatusCode == http.StatusForbidden && body.Error.Code == "not-authorized":
-		return body.Error.Attempt, errors.Join(spoke.ErrNotAuthorized, cause)
+	case status == http.StatusConflict && code == "wrong-version":
+		return notRun(spoke.ErrWrongVersion, cause)
+	case status == http.StatusConflict && code == "draining":
+		return notRun(spoke.ErrDraining, cause)
+	case status == http.StatusConflict && code == "busy":
+		return notRun(spoke.ErrBusy, cause)
+	case status == http.StatusConflict && code == "stale-fence":
+		return errors.Join(spoke.ErrStaleFence, cause)
+	case status == http.StatusForbidden && code == "not-authorized":
+		return errors.Join(spoke.ErrNotAuthorized, cause)
 	}
-	return body.Error.Attempt, cause
+	return cause
 }
