Let soak calls and host logs do without objects made for them

Take-ups made a caller for its request, and the verdict on troubles made another verdict for its log lines; neither used what it made. A request belongs to its call and log lines to the testbed now. No change of behaviour; both tests with engine processes passed.

--- a/cmd/trial/soak/framed.go
+++ b/cmd/trial/soak/framed.go
@@ -100,7 +100,7 @@
 		return x, false
 	}
 	x.host = c.host
-	request, raw := c.request(x, isChunked)
+	request, raw := x.request(isChunked)
 	_ = c.conn.SetDeadline(time.Now().Add(answerTimeout))
 	if _, err := c.conn.Write(raw); err != nil {
 		c.close()
@@ -133,8 +133,8 @@
 	c.conn = nil
 }
 
-// request returns a request and its bytes.
-func (c *framedCaller) request(x exchange, isChunked bool) (*http.Request, []byte) {
+// request returns the request of a call and its bytes.
+func (x exchange) request(isChunked bool) (*http.Request, []byte) {
 	call := fake.Call{
 		HostAddress: x.host.callerAddress, HostName: hostName, Path: "/" + x.route + "/x", RequestID: x.id, APIKey: permanentKey, Body: bodyOf(x.id),
 		Timeout: processRouteTimeout, MaxOutput: x.maxOutput,
--- a/cmd/trial/soak/takeups.go
+++ b/cmd/trial/soak/takeups.go
@@ -100,8 +100,7 @@
 		return false
 	}
 	defer conn.Close()
-	framed := &framedCaller{bed: c.bed}
-	request, raw := framed.request(*x, c.random.IntN(2) == 0)
+	request, raw := x.request(c.random.IntN(2) == 0)
 	_ = conn.SetDeadline(time.Now().Add(answerTimeout))
 	if _, err := conn.Write(raw); err != nil {
 		return false
--- a/cmd/trial/soak/troubleverdict.go
+++ b/cmd/trial/soak/troubleverdict.go
@@ -177,9 +177,8 @@
 		"%s: %s, %s, %s, after %d, at most %d tokens, HTTP/1.0 %t, left %t, error %v\n%s", x.id, what, fake.TroubledFraming(x.id), x.route, x.after,
 		x.maxOutput, x.isHTTP10, x.hasLeft, x.err, x.body,
 	)
-	logs := &verdict{bed: v.bed}
 	for _, h := range v.bed.hosts {
-		text += logs.logLines(h, x.id)
+		text += v.bed.logLines(h, x.id)
 	}
 	v.found = append(v.found, finding{x.endedAt, text})
 }
--- a/cmd/trial/soak/verdict.go
+++ b/cmd/trial/soak/verdict.go
@@ -188,14 +188,14 @@
 	v.cases[rule+", "+kind]++
 	text := fmt.Sprintf("%s: %s, %s, HTTP/1.0 %t, %d bytes, error %v", x.id, what, kind, x.isHTTP10, len(x.body), x.err)
 	for _, h := range v.bed.hosts {
-		text += v.logLines(h, x.id)
+		text += v.bed.logLines(h, x.id)
 	}
 	v.found = append(v.found, text)
 }
 
 // logLines returns the lines of a host's log that name a request.
-func (v *verdict) logLines(h *host, id string) string {
-	process, err := v.bed.fleet.Process(h.name)
+func (b *processBed) logLines(h *host, id string) string {
+	process, err := b.fleet.Process(h.name)
 	if err != nil {
 		return "\n    " + err.Error()
 	}
