Let a reset drop the bytes that a cut relay holds up

A relay that was cut kept the bytes of a connection whose client reset it meanwhile, and delivered them behind the cut. On the users' network, as on Linux, bytes that a partition holds up are lost if their sender resets the connection, so tests with the relay could not tell a reset from an orderly close. A connection that was made and reset during the cut was also passed on with its bytes.

Bytes of a direction that is reset during a cut are now dropped; the reset itself is passed on behind the cut, as before. Bytes that are only delayed still arrive before a reset, as in a network.

--- a/relay/connection.go
+++ b/relay/connection.go
@@ -19,12 +19,14 @@
 var buffers = sync.Pool{New: func() any { return new([chunkSize]byte) }}
 
 type (
-	// connection is one connection through the relay; the relay's mutex guards silent and closed.
+	// connection is one connection through the relay; the relay's mutex guards silent, closed and dropped.
 	connection struct {
 		relay  *Relay
 		ends   [directions]net.Conn
 		silent bool
 		closed bool
+		// dropped marks directions whose held-up bytes are lost, since their sender reset the connection during a cut.
+		dropped [directions]bool
 	}
 
 	// chunk is a part of a byte stream; a chunk without bytes marks the stream's end.
@@ -79,12 +81,23 @@
 			return
 		}
 		if err != nil {
-			c.enqueue(direction, chunk{failed: !errors.Is(err, io.EOF)}, chunks, done)
+			hasFailed := !errors.Is(err, io.EOF)
+			if hasFailed {
+				c.dropHeldUp(direction)
+			}
+			c.enqueue(direction, chunk{failed: hasFailed}, chunks, done)
 			return
 		}
 	}
 }
 
+// dropHeldUp drops the bytes that a cut holds up.
+func (c *connection) dropHeldUp(direction Direction) {
+	c.relay.mu.Lock()
+	defer c.relay.mu.Unlock()
+	c.dropped[direction] = c.relay.cut
+}
+
 func (c *connection) enqueue(direction Direction, next chunk, chunks chan<- chunk, done <-chan struct{}) bool {
 	next.due = c.relay.earliestDelivery(direction)
 	select {
@@ -95,8 +108,8 @@
 	}
 }
 
-// write delivers chunks subject to the relay's simulated conditions; a silent connection
-// discards them.
+// write delivers chunks subject to the relay's simulated conditions; a silent connection and one that
+// was reset during a cut discard them.
 func (c *connection) write(direction Direction, sink net.Conn, chunks <-chan chunk) {
 	for next := range chunks {
 		delivering := c.relay.waitForDelivery(c, direction, next)
@@ -106,7 +119,7 @@
 			}
 			return
 		}
-		if delivering {
+		if delivering && !c.hasDropped(direction) {
 			if _, err := sink.Write(next.bytes); err != nil {
 				c.fail()
 				return
@@ -116,6 +129,12 @@
 	}
 }
 
+func (c *connection) hasDropped(direction Direction) bool {
+	c.relay.mu.Lock()
+	defer c.relay.mu.Unlock()
+	return c.dropped[direction]
+}
+
 // end forwards the end of a stream: a close as a close, an error as a reset.
 func (c *connection) end(sink net.Conn, failed bool) {
 	if failed {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -105,7 +105,7 @@
 }
 
 // Cut stops delivery in both directions, as a network partition does: connections stay
-// open, new ones are accepted, and data is buffered.
+// open, new ones are accepted, and data is buffered until its sender resets the connection.
 func (r *Relay) Cut() { r.update(func() { r.cut = true }) }
 
 // Restore ends a cut; buffered data is delivered, as it would be by retransmission.
@@ -206,7 +206,7 @@
 		return
 	}
 	defer r.unregister(conn)
-	if !r.waitWhileCut(conn) {
+	if !r.waitWhileCut(conn) || isReset(client) {
 		return
 	}
 	r.mu.Lock()
