Log each call that is recalled from its upstream

Only a count showed recalls, so a call that began late could not be told from one that was not recalled at all, nor a silent engine from one that was cut off. The line "call recalled" names request, upstream, weights, the time since the call was sent and the time since the upstream was last heard by this host or reported as making progress.

--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -220,6 +220,7 @@
 	}
 	if errors.Is(context.Cause(ctx), errOutdatedWeights) {
 		err = errors.Join(errOutdatedWeights, err)
+		a.logRecalled(ctx)
 	}
 	if isEndless(err) {
 		a.metrics.addEndless()
--- a/edge/planner.go
+++ b/edge/planner.go
@@ -192,7 +192,7 @@
 func (p *planner) recall(call spoke.CallNumber) {
 	if cancel := p.recalls[call]; cancel != nil {
 		p.metrics.addRecalled()
-		cancel(errOutdatedWeights)
+		cancel(&recallError{silence: p.scheduler.SilenceOf(p.timer.Now(), call)})
 	}
 }
 
--- a/place/recall.go
+++ b/place/recall.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"magnoliaspoke.example/spoke"
 )
 
 // NeedsTick reports whether decisions may become due that only a Tick triggers.
@@ -40,3 +42,16 @@
 	replaced, isReplaced := s.wanted[run.request.Prompt.Model].replacedAt(run.weights)
 	return isReplaced && now.Sub(replaced) >= s.settings.WeightsApply-recallMargin
 }
+
+// SilenceOf returns the time since the upstream of a call last answered or made progress, or since the call was sent if
+// it has not; zero if the call is not under way.
+func (s *Scheduler) SilenceOf(now time.Time, call spoke.CallNumber) time.Duration {
+	run, ok := s.running[call]
+	if !ok {
+		return 0
+	}
+	if run.node.progressAt.IsZero() {
+		return now.Sub(run.sent)
+	}
+	return now.Sub(run.node.progressAt)
+}
