Look for resets when a cut of the relay ends

The relay noticed a reset when its reader did, so a cut that ended at once still delivered the bytes of a connection that was reset before. On a network a reset drops them when it is sent. The relay now asks the kernel for the state of each connection when the cut ends.

--- a/relay/connection.go
+++ b/relay/connection.go
@@ -59,6 +59,15 @@
 	}
 }
 
+// dropHeldUp drops the bytes of directions whose sender has reset the connection; the relay's mutex must be held.
+func (c *connection) dropHeldUp() {
+	for direction, end := range c.ends {
+		if end != nil && isReset(end) {
+			c.dropped[direction] = true
+		}
+	}
+}
+
 func (c *connection) transfer(direction Direction) {
 	source, sink := c.ends[direction], c.ends[1-direction]
 	chunks := make(chan chunk, chunksInFlight)
@@ -81,23 +90,12 @@
 			return
 		}
 		if err != nil {
-			hasFailed := !errors.Is(err, io.EOF)
-			if hasFailed {
-				c.dropHeldUp(direction)
-			}
-			c.enqueue(direction, chunk{failed: hasFailed}, chunks, done)
+			c.enqueue(direction, chunk{failed: !errors.Is(err, io.EOF)}, chunks, done)
 			return
 		}
 	}
 }
 
-// dropHeldUp drops the bytes that a cut holds up.
-func (c *connection) dropHeldUp(direction Direction) {
-	c.relay.mu.Lock()
-	defer c.relay.mu.Unlock()
-	c.dropped[direction] = c.relay.cut
-}
-
 func (c *connection) enqueue(direction Direction, next chunk, chunks chan<- chunk, done <-chan struct{}) bool {
 	next.due = c.relay.earliestDelivery(direction)
 	select {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -109,7 +109,14 @@
 func (r *Relay) Cut() { r.update(func() { r.cut = true }) }
 
 // Restore ends a cut; buffered data is delivered, as it would be by retransmission.
-func (r *Relay) Restore() { r.update(func() { r.cut = false }) }
+func (r *Relay) Restore() {
+	r.update(func() {
+		for conn := range r.connections {
+			conn.dropHeldUp()
+		}
+		r.cut = false
+	})
+}
 
 // Silence stops delivery on all open connections permanently, while new ones work; when one
 // side ends a silent connection, the other side does not detect it.
--- a/relay/reset.go
+++ b/relay/reset.go
@@ -7,7 +7,7 @@
 	"golang.org/x/sys/unix"
 )
 
-// isReset reports whether the peer has reset a connection that was not read yet. Reading would first return the bytes
+// isReset reports whether the peer has reset a connection that was not closed here. Reading would first return the bytes
 // that arrived before.
 func isReset(conn net.Conn) bool {
 	raw, ok := conn.(syscall.Conn)
@@ -18,9 +18,10 @@
 	if err != nil {
 		return true
 	}
-	failure := 0
+	isClosed := false
 	err = control.Control(func(fd uintptr) {
-		failure, _ = unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_ERROR)
+		info, infoErr := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		isClosed = infoErr != nil || info.State == unix.BPF_TCP_CLOSE
 	})
-	return err != nil || failure != 0
+	return err != nil || isClosed
 }
