Show calls that begin late at an engine that was silent for a second

A call in the queue of an engine that stands still from 950 ms before the end of its weights' time to 50 ms after it is recalled while the engine stands still. A stand-in that goes on with its queue before it notices closed connections begins the call on replaced weights:

Whether the users' engines begin their queue first is not known.

--- a/fake/platform/engine.go
+++ b/fake/platform/engine.go
@@ -96,7 +96,10 @@
 		unframed            UnframedAnswer
 		reports             reportTrouble
 		held                *hold
-		stall               Stall
+		queue               *Queue
+		// queued is the number of requests that have entered a queue.
+		queued int
+		stall  Stall
 		// resumed is the response to resumed streams.
 		resumed  string
 		crashing Crashing
@@ -281,6 +284,9 @@
 
 func (e *Engine) serveRun(w http.ResponseWriter, r *http.Request) {
 	body, _ := io.ReadAll(r.Body)
+	if !e.awaitBegin(r) {
+		return
+	}
 	e.mu.Lock()
 	e.arrivals = append(e.arrivals, Arrival{ID: r.Header.Get(headerRequestID), At: time.Now(), PrefixHashes: r.Header.Get(headerPrefixHash)})
 	w.Header()["Server-Limit"] = e.limits
