Reset connections whose exchange has not ended

A call that was recalled, given up by its caller or ended by its deadline while the way to its engine was cut ran behind the cut: link closed the connection in order, so that the bytes of the request were sent again until the cut ended. On the users' network, as on Linux, bytes that a partition holds up are lost if their sender resets the connection.

An exchange that ends before its response was read to its end, or by its context, now sets the linger time to zero, so that closing resets. One whose response was read to its end is closed in order or kept, as before (TestCompleteExchangeIsClosedInOrder). So an early response whose request is still being written is not reset either.

Ruled out: that engines ran the calls because of an early answer or a second attempt; the run has the id of the call that was ended.

What remains: a reset that is sent during a cut is not repeated, unlike an orderly end, so an engine that has the request already may notice it only when it answers.

--- a/link/exchange.go
+++ b/link/exchange.go
@@ -98,17 +98,17 @@
 
 // Do sends a request and returns its response when the head has been read; matches reports whether
 // a response belongs to this request and not to an earlier one. An error that wraps
-// spoke.ErrNotRun means that no byte was sent. The connection is closed when ctx ends.
+// spoke.ErrNotRun means that no byte was sent. The connection is reset when ctx ends.
 func (p *Pool) Do(ctx context.Context, request Request, matches func(status int, header http.Header) bool) (*Response, error) {
 	c, err := p.get(ctx, request.Address, request.Key)
 	if err != nil {
 		return nil, &connectError{address: request.Address, cause: err}
 	}
-	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	stop := context.AfterFunc(ctx, c.abort)
 	response, err := p.exchange(c, request, matches)
 	if err != nil {
 		stop()
-		_ = c.Close()
+		c.abort()
 		return nil, errors.Join(err, ctx.Err())
 	}
 	response.stopCancel = stop
@@ -262,13 +262,18 @@
 func (r *Response) Discard() { r.closeAfter = true }
 
 // Close ends the exchange. The connection returns to the pool if the response was read to its end
-// and nothing prevents its reuse; idleTimeout is that of the upstream, zero if unknown.
+// and nothing prevents its reuse, and is reset if it was not read to its end; idleTimeout is that of the upstream, zero if
+// unknown.
 func (r *Response) Close(idleTimeout time.Duration) {
 	isOpen := r.stopCancel()
 	if isOpen && r.body.atEOF && !r.closeAfter && r.isRequestWritten() && r.conn.reader.Buffered() == 0 {
 		r.pool.putIdle(r.address, r.conn, idleTimeout)
 		return
 	}
+	if !r.body.atEOF {
+		r.conn.abort()
+		return
+	}
 	_ = r.conn.Close()
 }
 
