Show calls that begin late after a suspension of their host's machine

On the users' pages a machine may be suspended for seconds; the steady clock does not count that time, CLOCK_BOOTTIME does. Ages of wanted weights are counted on the steady clock, and so is the time without answers of the directory:

A host that was suspended for 4 s uses replaced weights 4 s too long, and one that watches the directory for others names them an age that is too low, as a known one.

--- a/edge/setup_test.go
+++ b/edge/setup_test.go
@@ -54,6 +54,8 @@
 	applied int
 	// timer replaces the host's timer, if it is set.
 	timer spoke.Timer
+	// boot replaces the clock that counts suspensions of the machine, if it is set.
+	boot spoke.Timer
 }
 
 // start runs a host with a number of engines, each of which answers streams with four events.
@@ -120,7 +122,10 @@
 	if d.hook != nil {
 		log.(*logrus.Entry).Logger.AddHook(d.hook)
 	}
-	boot := timer.NewBoot()
+	var boot spoke.Timer = timer.NewBoot()
+	if d.boot != nil {
+		boot = d.boot
+	}
 	client := platform.NewStore(d.settings.Store, boot.Now)
 	var directory spoke.Directory = client
 	if d.directory != nil {
