Count suspensions of the machine in the ages of changes

A call began on replaced weights after their time, at a host whose machine had been suspended. The steady clock leaves a suspension out, so the time since weights were named was too short by it until another host reported a better one. A host that watches the directory for others and was suspended as weights were named also told these that the change was new, as a known age, which replaces their estimates.

Ages of changes, and how long ago the directory was reached, are now counted on the clock that also advances while the machine is suspended. So a suspension looks like a freeze: the pause is noticed, and changes that may have been made in it are estimates. The scheduler goes on with the steady clock, by which calls are timed, and is told of suspensions, before it takes over ages that were read behind them.

Ruled out: other times that count from the change. Those in which parts of prompt stores are freed are longer for a suspension, not shorter; the orders lease used the right clock before.

--- a/directory.go
+++ b/directory.go
@@ -61,7 +61,8 @@
 	DirectoryChange struct {
 		// IsSnapshot reports whether the change lists all entries, so that others do not exist.
 		IsSnapshot bool
-		// MaxAge bounds the time between the change and its receipt at ReceivedAt.
+		// MaxAge bounds the time between the change and its receipt at ReceivedAt, on the clock that also advances
+		// while the machine is suspended.
 		MaxAge     time.Duration
 		ReceivedAt time.Time
 		// KeepsUnlisted reports whether unlisted upstreams and hosts are kept even in a snapshot,
--- a/edge/apply.go
+++ b/edge/apply.go
@@ -101,7 +101,8 @@
 // weightsMessage returns the scheduler's message for wanted weights. A started host cannot know when the
 // weights were named, and uses no older ones until its peers report the age.
 func (h *Host) weightsMessage(change spoke.DirectoryChange, wanted spoke.WantedWeights) place.SetWantedWeights {
-	return place.SetWantedWeights{Wanted: wanted, Age: change.MaxAge, At: change.ReceivedAt, IsEstimate: change.MaxAge > maxKnownAge}
+	receivedAt := h.deps.Timer.Now().Add(change.ReceivedAt.Sub(h.deps.LeaseTimer.Now()))
+	return place.SetWantedWeights{Wanted: wanted, Age: change.MaxAge, At: receivedAt, IsEstimate: change.MaxAge > maxKnownAge}
 }
 
 // post sends a message to the scheduler.
--- a/edge/follower.go
+++ b/edge/follower.go
@@ -42,8 +42,10 @@
 	follower struct {
 		directory spoke.Directory
 		timer     spoke.Timer
-		conf      *configState
-		log       logrus.FieldLogger
+		// boot is the clock of ages of changes; it also advances while the machine is suspended.
+		boot spoke.Timer
+		conf *configState
+		log  logrus.FieldLogger
 		// batchDelay is the pause between two watches, so that changes are batched.
 		batchDelay time.Duration
 		apply      func(spoke.DirectoryChange)
@@ -95,13 +97,13 @@
 // run follows the directory until ctx ends.
 func (f *follower) run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		asked := f.timer.Now()
+		asked := f.boot.Now()
 		change, err := f.directory.Read(ctx)
 		if err != nil {
 			f.handleFailure(ctx, err)
 			continue
 		}
-		now := f.timer.Now()
+		now := f.boot.Now()
 		change.MaxAge, change.ReceivedAt = f.changeAge.OfSnapshot(now), now
 		f.changeAge.CompleteSnapshot(asked)
 		f.conf.confirm(now.Sub(asked))
@@ -139,7 +141,7 @@
 			revision = f.pollPeers(ctx, revision)
 			continue
 		}
-		asked := f.timer.Now()
+		asked := f.boot.Now()
 		change, isCut, err := f.watchOnce(ctx, revision)
 		f.isBehind = isCut
 		switch {
@@ -157,7 +159,7 @@
 			f.handleFailure(ctx, err)
 			continue
 		}
-		change.ReceivedAt = f.timer.Now()
+		change.ReceivedAt = f.boot.Now()
 		change.MaxAge = f.recordAnswer(asked, change.ReceivedAt)
 		f.endCheck(asked, change.ReceivedAt)
 		f.handleAnswer(change)
@@ -198,7 +200,7 @@
 // pollPeers waits for changes at hosts that watch the directory and returns the revision up to which
 // this host is up to date.
 func (f *follower) pollPeers(ctx context.Context, revision spoke.Revision) spoke.Revision {
-	asked := f.timer.Now()
+	asked := f.boot.Now()
 	answer, err := f.client.poll(ctx, revision)
 	if err != nil {
 		// That others cannot reach the directory does not show that this host cannot.
@@ -296,7 +298,7 @@
 // endCheck ends a check with its answer. A late one has outlasted an outage.
 func (f *follower) endCheck(asked, now time.Time) {
 	if f.isChecking && f.lostSince.IsZero() && now.Sub(asked) > maxCheckTime {
-		f.lostSince = asked
+		f.lostSince = f.timer.Now().Add(asked.Sub(now))
 		f.log.WithField("took", now.Sub(asked).String()).Warn("directory lost")
 	}
 	f.isChecking = false
--- a/edge/host.go
+++ b/edge/host.go
@@ -88,7 +88,7 @@
 	}
 	h := &Host{
 		settings: settings, deps: deps, socket: socket,
-		conf:  newConfigState(settings.ConfigApply, deps.Timer.Now),
+		conf:  newConfigState(settings.ConfigApply, deps.LeaseTimer.Now),
 		peers: make(map[spoke.HostID]spoke.ListedPeer),
 	}
 	quarantine, metrics := newQuarantine(), newMetrics()
@@ -97,7 +97,7 @@
 		Host: settings.Host, DataCentre: settings.DataCentre,
 		RetryShare: float64(settings.RetryShare), RetryReserve: float64(settings.RetryReserve),
 		RetryWindow: settings.RetryWindow, WeightsApply: settings.WeightsApply,
-	}), deps.Timer, deps.Log, quarantine, parts, h.conf, metrics, socket.Send)
+	}), deps.Timer, deps.LeaseTimer, deps.Log, quarantine, parts, h.conf, metrics, socket.Send)
 	h.planner.origins = newOrigins(h.self(), h.conf, deps.Timer, deps.Log, metrics, socket.Send)
 	h.relayer = &relayer{
 		conf: h.conf, codec: deps.Codec, planner: h.planner, pool: link.New(), quarantine: quarantine, parts: parts, origins: h.planner.origins,
@@ -115,10 +115,10 @@
 	kept := newContents()
 	h.contentServer = newContentServer(kept, deps.Log, metrics)
 	h.follower = &follower{
-		directory: deps.Directory, timer: deps.Timer, conf: h.conf, log: deps.Log,
+		directory: deps.Directory, timer: deps.Timer, boot: deps.LeaseTimer, conf: h.conf, log: deps.Log,
 		batchDelay: directoryBatchDelay, apply: h.applyChange, newer: make(chan spoke.Revision, 1),
-		feed:     newFeed(h.conf, deps.Timer.Now, deps.Log, metrics),
-		client:   newFeedClient(h.conf.staleAfter, deps.Timer.Now),
+		feed:     newFeed(h.conf, deps.LeaseTimer.Now, deps.Log, metrics),
+		client:   newFeedClient(h.conf.staleAfter, deps.LeaseTimer.Now),
 		contents: kept, contentClient: newContentClient(kept, deps.Directory, h.conf.staleAfter),
 		offered: make(chan spoke.DirectoryChange, 1), hasRead: make(chan struct{}),
 	}
--- a/edge/planner.go
+++ b/edge/planner.go
@@ -67,6 +67,7 @@
 		origins        *origins
 		conf           *configState
 		metrics        *metrics
+		suspensions    *suspensionMeter
 		peerAddresses  peerAddresses
 		reportedAt     time.Time
 		fullReportAt   time.Time
@@ -77,15 +78,16 @@
 	}
 )
 
-func newPlanner(scheduler *place.Scheduler, timer spoke.Timer, log logrus.FieldLogger, quarantine *quarantine, parts *partQuarantine, conf *configState, metrics *metrics, send func(spoke.HostReport, []netip.AddrPort)) *planner {
+func newPlanner(scheduler *place.Scheduler, timer, boot spoke.Timer, log logrus.FieldLogger, quarantine *quarantine, parts *partQuarantine, conf *configState, metrics *metrics, send func(spoke.HostReport, []netip.AddrPort)) *planner {
 	pollInterval, reportInterval := place.IntervalsFor(1)
 	return &planner{
 		pollInterval: pollInterval, reportInterval: reportInterval,
 		scheduler: scheduler, timer: timer, log: log, send: send, quarantine: quarantine, parts: parts, conf: conf, metrics: metrics,
-		in:      make(chan schedulerMessage, queueLength),
-		peers:   make(chan peerAddresses, 1),
-		waiting: make(map[spoke.CallNumber]waitingCall),
-		recalls: make(map[spoke.CallNumber]context.CancelCauseFunc),
+		in:          make(chan schedulerMessage, queueLength),
+		peers:       make(chan peerAddresses, 1),
+		suspensions: newSuspensionMeter(timer, boot),
+		waiting:     make(map[spoke.CallNumber]waitingCall),
+		recalls:     make(map[spoke.CallNumber]context.CancelCauseFunc),
 	}
 }
 
@@ -113,6 +115,7 @@
 			p.quarantine.registry.SetHosts(p.parts.self, p.peerAddresses.cell.Hosts)
 		case <-tick.C():
 			p.conf.recordStep()
+			p.countSuspension()
 			if p.scheduler.NeedsTick(p.timer.Now()) {
 				p.handle(schedulerMessage{message: place.Tick{}})
 			}
@@ -130,6 +133,12 @@
 
 func (p *planner) handle(m schedulerMessage) {
 	switch message := m.message.(type) {
+	case place.SetWantedWeights:
+		p.countSuspension()
+	case place.ReceiveReport:
+		if len(message.Report.WantedAges) > 0 {
+			p.countSuspension()
+		}
 	case place.Request:
 		p.waiting[message.Call], p.recalls[message.Call] = waitingCall{m.reply, m.parts}, m.recall
 	case place.Ended:
@@ -142,6 +151,17 @@
 	p.step(m.message)
 }
 
+// countSuspension makes the scheduler count the time for which the machine was suspended. Ages that arrive behind a
+// suspension include it, so that it must be counted before them.
+func (p *planner) countSuspension() {
+	suspended := p.suspensions.measure()
+	if suspended == 0 {
+		return
+	}
+	p.log.WithField("for", suspended.String()).Warn("machine was suspended")
+	p.step(place.Suspended{For: suspended})
+}
+
 func (p *planner) forget(call spoke.CallNumber) {
 	delete(p.waiting, call)
 	delete(p.recalls, call)
--- a/place/messages.go
+++ b/place/messages.go
@@ -266,11 +266,15 @@
 		Host spoke.HostID
 	}
 
+	// Suspended reports that the machine was suspended for a time that the scheduler's clock leaves out.
+	Suspended struct{ For time.Duration }
+
 	// Recall cancels the attempt of a call that has not begun, since its weights must not be used any more.
 	Recall struct{ Call spoke.CallNumber }
 )
 
 func (Request) isMessage()          {}
+func (Suspended) isMessage()        {}
 func (Withdraw) isMessage()         {}
 func (Began) isMessage()            {}
 func (LimitNamed) isMessage()       {}
--- a/place/recall.go
+++ b/place/recall.go
@@ -23,6 +23,16 @@
 	return false
 }
 
+// addSuspension makes the ages of wanted weights count a time that the clock has left out.
+func (s *Scheduler) addSuspension(now time.Time, length time.Duration) {
+	for _, versions := range s.wanted {
+		for i := range versions {
+			versions[i].since = versions[i].since.Add(-length)
+		}
+	}
+	s.recallOutdated(now)
+}
+
 // recallOutdated cancels attempts that wait inside engines on outdated weights.
 func (s *Scheduler) recallOutdated(now time.Time) {
 	for _, call := range slices.Sorted(maps.Keys(s.running)) {
--- a/place/scheduler.go
+++ b/place/scheduler.go
@@ -125,6 +125,8 @@
 		s.setUpstreams(now, m)
 	case SetWantedWeights:
 		s.setWantedWeights(now, m)
+	case Suspended:
+		s.addSuspension(now, m.For)
 	case Pause:
 		s.pause(now, m)
 	case SetCell:
