Let a cut relay leave connects unanswered

A relay that is cut accepts connections and holds their bytes, so that a dialer sees an established connection. Across a partition of a network, a connect gets no answer. A relay with WithDroppedConnects closes its listener during a cut and listens on a socket whose queue of the smallest backlog is full; Linux drops connects to such a socket and the dialer repeats them, so that they are established behind the cut.

go test -count=5 -race ./relay -run 'Cut|Refused' passes.

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -48,7 +48,11 @@
 		listenErr   error
 		connections map[*connection]struct{}
 		cut         bool
-		shapers     [directions]shaper
+		// dropsConnects makes a cut leave new connections unanswered.
+		dropsConnects bool
+		// deaf is not nil while connects are left unanswered.
+		deaf    *deafSocket
+		shapers [directions]shaper
 		// changed is closed and replaced on each change of conditions, to wake waiting goroutines.
 		changed chan struct{}
 	}
@@ -67,6 +71,12 @@
 	return func(r *Relay) { r.timer = service }
 }
 
+// WithDroppedConnects leaves connects unanswered during a cut, as a partition does; by default a connection is accepted
+// and stays silent.
+func WithDroppedConnects() Option {
+	return func(r *Relay) { r.dropsConnects = true }
+}
+
 // New binds the listen address, whose port may be 0, and forwards connections to the target.
 // While the target is empty, connections are refused.
 func New(listen, target spoke.Address, options ...Option) (*Relay, error) {
@@ -178,20 +188,41 @@
 // updateListener listens if there is a target, and also during a cut, because a partition
 // does not refuse connections; the mutex must be held.
 func (r *Relay) updateListener() {
-	shouldListen := (r.target != "" || r.cut) && r.ctx.Err() == nil
+	isOpen := r.ctx.Err() == nil
+	shouldDrop := isOpen && r.cut && r.dropsConnects
+	shouldListen := isOpen && !shouldDrop && (r.target != "" || r.cut)
+	if shouldDrop && r.deaf == nil {
+		deaf, err := r.port.listenDeaf()
+		r.listenErr = errors.Join(r.listenErr, err)
+		r.deaf = deaf
+	}
 	switch {
 	case shouldListen && r.listener == nil:
-		listener, err := r.port.listen()
-		if err != nil {
-			r.listenErr = errors.Join(r.listenErr, err)
-			return
-		}
-		r.listener = listener
-		r.tasks.Go(func() { r.accept(listener) })
+		r.openListener()
 	case !shouldListen && r.listener != nil:
 		r.listenErr = errors.Join(r.listenErr, r.listener.Close())
 		r.listener = nil
 	}
+	if r.deaf == nil {
+		return
+	}
+	if shouldDrop {
+		r.deaf.fill(r.port.address)
+		return
+	}
+	r.listenErr = errors.Join(r.listenErr, r.deaf.close())
+	r.deaf = nil
+}
+
+// openListener opens the listener; the mutex must be held.
+func (r *Relay) openListener() {
+	listener, err := r.port.listen()
+	if err != nil {
+		r.listenErr = errors.Join(r.listenErr, err)
+		return
+	}
+	r.listener = listener
+	r.tasks.Go(func() { r.accept(listener) })
 }
 
 func (r *Relay) accept(listener net.Listener) {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -121,6 +121,34 @@
 	expect(t, duringCut, "a")
 }
 
+// Guards against connects that are answered or refused across a partition, and against ones that stay lost behind it.
+func TestCutDropsConnects(t *testing.T) {
+	r := openRelay(t, relay.WithDroppedConnects())
+	before := dial(t, r)
+	expect(t, before, "a")
+	r.Cut()
+	r.Cut()
+	for range 3 {
+		_, err := net.DialTimeout("tcp", string(r.Address()), idlePeriod)
+		var failure net.Error
+		assert.Assert(t, errors.As(err, &failure) && failure.Timeout(), "%v", err)
+	}
+	send(t, before, "held")
+	dialed := make(chan net.Conn)
+	go func() {
+		conn, err := net.DialTimeout("tcp", string(r.Address()), testTimeout)
+		assert.Check(t, err)
+		dialed <- conn
+	}()
+	expectNothing(t, before)
+	r.Restore()
+	expect(t, before, "held")
+	late := <-dialed
+	t.Cleanup(func() { late.Close() })
+	expect(t, late, "a")
+	expect(t, dial(t, r), "a")
+}
+
 // Guards against silence that closes connections, affects new ones or ends with Restore.
 func TestSilenceAffectsOpenConnectionsOnly(t *testing.T) {
 	r := openRelay(t)
