Let the scheduler forget what lost ways seemed to say

A host that is cut off from all upstreams keeps calls from them for up to 3 s after each failed connection, and takes its calls that hang for stalls and for work of the engines, also in its load reports. Once it has found its own ways lost, none of that says anything of the upstreams, and a way through another host could be used at once.

--- a/place/calls.go
+++ b/place/calls.go
@@ -52,7 +52,7 @@
 	if run == nil || run.hasBegun {
 		return
 	}
-	run.hasBegun = true
+	run.hasBegun, run.isLost = true, false
 	s.recordLoad(now, run.node, m.Load)
 	run.node.recordProgress(now)
 	run.node.backoff = 0
--- a/place/messages.go
+++ b/place/messages.go
@@ -193,6 +193,10 @@
 	// RemovePeer drops the state of a host that has left.
 	RemovePeer struct{ Host spoke.HostID }
 
+	// WaysLost reports that this host has found its own ways to nearly all upstreams lost, so that its failed
+	// connections say nothing of the upstreams, and what it has sent did not reach them.
+	WaysLost struct{}
+
 	// SetCell sets the cell of this host and the number of cells.
 	SetCell struct {
 		Cell, Count int
@@ -287,6 +291,7 @@
 func (Pause) isMessage()            {}
 func (ReceiveReport) isMessage()    {}
 func (RemovePeer) isMessage()       {}
+func (WaysLost) isMessage()         {}
 func (SetCell) isMessage()          {}
 func (Tick) isMessage()             {}
 
--- a/place/node.go
+++ b/place/node.go
@@ -53,6 +53,8 @@
 		hasNamedLimit bool
 		// isRecalled marks a call that was recalled since its weights are outdated.
 		isRecalled bool
+		// isLost marks a call that had not begun when this host found its ways to the upstreams lost.
+		isLost bool
 	}
 
 	// node is the state of one upstream.
@@ -142,8 +144,12 @@
 
 // ownLoad sums up the work of this host.
 func (n *node) ownLoad() spoke.HostUpstreamLoad {
-	load := spoke.HostUpstreamLoad{Upstream: n.listed.ID, Runs: len(n.runs)}
+	load := spoke.HostUpstreamLoad{Upstream: n.listed.ID}
 	for _, run := range n.runs {
+		if run.isLost {
+			continue
+		}
+		load.Runs++
 		load.Memory += run.memory
 		if !run.hasBegun {
 			load.Prefill += run.prefillTokens
@@ -245,7 +251,7 @@
 // upstream, as when its machine has failed and its connections stay open.
 func (n *node) isStalled(now time.Time) bool {
 	for _, run := range n.runs {
-		if !run.hasBegun && n.progressAt.Before(run.sent) && now.Sub(run.sent) > stallTimeout+2*run.predicted {
+		if !run.hasBegun && !run.isLost && n.progressAt.Before(run.sent) && now.Sub(run.sent) > stallTimeout+2*run.predicted {
 			return true
 		}
 	}
--- a/place/scheduler.go
+++ b/place/scheduler.go
@@ -129,6 +129,8 @@
 		s.addSuspension(now, m.For)
 	case Pause:
 		s.pause(now, m)
+	case WaysLost:
+		s.loseWays(now)
 	case SetCell:
 		s.cell = m
 		s.reindex()
