Show that cut-off hosts take upstreams from sound ones

The test plays seven hosts and nine engines, or two plain upstreams, with 3 s of calls at all of them, then 8 s in which one or four hosts reach no upstream: each attempt is refused at once, or never ends. Capacity suffices, so the other hosts have to serve at least 0.9 of what they serve without a cut.

The refused form fails with a single host: its pauses after failed connections are adopted by all others. The hanging form shows a second cause, since no pause is reported in it: work that a cut-off host reports counts as load.

--- a/place/fleet_test.go
+++ b/place/fleet_test.go
@@ -35,6 +35,8 @@
 		// callsPerSecond is the rate of calls at each host.
 		callsPerSecond float64
 		service        spoke.ServiceName
+		// callerTimeout is when callers disconnect, zero for that of the test scheduler.
+		callerTimeout time.Duration
 		// brokenShare, shedShare and resumedShare are the fractions of attempts that break before an answer,
 		// that the engine states not to have run, and that break after the first event; all are sent again.
 		brokenShare, shedShare, resumedShare float64
@@ -59,6 +61,10 @@
 		fullAt                  time.Time
 		told                    map[spoke.UpstreamID]time.Time
 		retries                 map[spoke.CallNumber]bool
+		// lostWays is what happens to the attempts of a host that reaches no upstream.
+		lostWays lostWays
+		// served holds the times of the first events of calls.
+		served []time.Time
 	}
 
 	fleetEngine struct {
@@ -220,10 +226,16 @@
 }
 
 func (f *fleet) call(h *fleetHost) place.Request {
+	var request place.Request
 	if f.service == desk {
-		return h.plainRequest()
+		request = h.plainRequest()
+	} else {
+		request = h.request(spoke.Priority(f.random.IntN(3)), fmt.Sprint("session-", f.random.IntN(50)), 200, 300)
 	}
-	return h.request(spoke.Priority(f.random.IntN(3)), fmt.Sprint("session-", f.random.IntN(50)), 200, 300)
+	if f.callerTimeout > 0 {
+		request.Deadline = f.now.Add(f.callerTimeout)
+	}
+	return request
 }
 
 func (f *fleet) publish(h *fleetHost) {
@@ -272,6 +284,10 @@
 
 // arrive handles a call that reaches an upstream.
 func (f *fleet) arrive(h *fleetHost, start int, g place.Grant) {
+	if h.lostWays != waysWork {
+		f.lose(h, start, g)
+		return
+	}
 	e := f.engines[g.Upstream.ID]
 	e.arrivals = append(e.arrivals, fleetArrival{f.now, h, start})
 	f.check(e)
@@ -307,6 +323,7 @@
 		f.again(h, start, g)
 		return
 	}
+	f.after(fleetFirstEvent, func() { h.served = append(h.served, f.now) })
 	if f.service == models {
 		tell(fleetFirstEvent, place.Began{Call: g.Call, NamesNoLimit: limit < 0})
 	}
