Take failed connections of other hosts for hearsay

Callers of hosts that reach all engines were refused with overloaded and ended by deadline while engines were idle, once other hosts were cut off.

Cause: a host reported its backoff after a failed connection as a pause, and each other host applied it like one in which the engine loads weights. A host that reaches no engine so took all engines from all hosts for up to 3 s, again with each attempt.

Failed connections are reported as doubts now, apart from pauses. A host keeps the doubts of each other host apart. Progress that it has seen since, or that a third host reported, ends a doubt. A host that doubts more than half of the upstreams of a service, and at least two, is not believed until 3 s after it last did, since its doubts end one by one while it tries again. While all usable upstreams are doubted, doubts are ignored, and upstreams that are doubted stay in the capacity by which calls are refused. The crash of one or of a third of the engines is passed on as before. The log says when a host is not believed. Hosts that do not know the new field ignore it.

--- a/edge/planner.go
+++ b/edge/planner.go
@@ -191,6 +191,10 @@
 	case place.WantedAgeChanged:
 		p.logWantedAge(a)
 		return
+	case place.DoubtsIgnored:
+		p.log.WithFields(logrus.Fields{"host": a.Host, "service": a.Service, "doubted": a.Doubted, "upstreams": a.Upstreams}).
+			Info("doubts of a host that reaches few upstreams are ignored")
+		return
 	case place.StoreConflict:
 		p.reportConflict(a.Store)
 		return
--- a/peers/codec.go
+++ b/peers/codec.go
@@ -22,6 +22,7 @@
 		Waiting        []waitingRow          `json:"waiting,omitempty"`
 		Placed         []placedRow           `json:"placed,omitempty"`
 		Paused         map[string]int64      `json:"paused-ms,omitempty"`
+		Doubts         map[string]int64      `json:"doubted-ms,omitempty"`
 		Weights        map[string]weightsRow `json:"weights,omitempty"`
 		Marks          []markRow             `json:"marks,omitempty"`
 		Wanted         []wantedRow           `json:"wanted,omitempty"`
@@ -141,6 +142,9 @@
 	for id, pause := range report.Paused {
 		row.Paused = put(row.Paused, string(id), pause.Milliseconds())
 	}
+	for id, pause := range report.Doubts {
+		row.Doubts = put(row.Doubts, string(id), pause.Milliseconds())
+	}
 	for id, served := range report.Weights {
 		row.Weights = put(row.Weights, string(id), encodeWeights(served))
 	}
@@ -209,6 +213,9 @@
 	for id, ms := range row.Paused {
 		report.Paused = put(report.Paused, spoke.UpstreamID(id), time.Duration(ms)*time.Millisecond)
 	}
+	for id, ms := range row.Doubts {
+		report.Doubts = put(report.Doubts, spoke.UpstreamID(id), time.Duration(ms)*time.Millisecond)
+	}
 	for id, served := range row.Weights {
 		report.Weights = put(report.Weights, spoke.UpstreamID(id), decodeWeights(served))
 	}
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -21,6 +21,7 @@
 		Waiting:       []spoke.WaitingWork{{Service: "s", Urgency: 2, Tokens: 9}},
 		Placed:        []spoke.PlacedPrompt{{Upstream: "e", Prefixes: []spoke.PromptPrefix{{Key: 1 << 63, Part: 2, Total: 3}}}},
 		Paused:        map[spoke.UpstreamID]time.Duration{"e": time.Second},
+		Doubts:        map[spoke.UpstreamID]time.Duration{"e": time.Second, "f": 0},
 		Weights:       map[spoke.UpstreamID]spoke.ServedWeights{"e": {Model: "m", Version: 3}},
 		Marks:         []spoke.QuarantineMark{{Fingerprint: "f", Deaths: 2, Upstreams: [spoke.MarkUpstreams]spoke.UpstreamID{"i-1"}, Expires: now.Add(time.Second)}},
 		Stores:        []spoke.StoreState{{Store: "st", Epoch: 1 << 60, Used: 4, Stored: []spoke.StoredKey{1 << 63}, Freed: []spoke.StoredKey{2}, Clock: 5, Oldest: []spoke.ServedWeights{{Model: "m", Version: 2}}}},
--- a/place/choose.go
+++ b/place/choose.go
@@ -49,9 +49,10 @@
 	}
 	var best candidate
 	found := false
+	mayAvoidDoubted := isAnySound(now, nodes, w.request)
 	affinity := s.affinityNode(w)
 	for _, n := range nodes {
-		if !n.isUsable(now) || !n.suits(w.request) {
+		if !n.isUsable(now) || !n.suits(w.request) || (mayAvoidDoubted && n.isDoubted(now)) {
 			continue
 		}
 		c, ok := s.evaluate(now, w, n)
--- a/place/messages.go
+++ b/place/messages.go
@@ -248,6 +248,15 @@
 	// StoreConflict reports that another host also publishes the state of a store that this host follows.
 	StoreConflict struct{ Store spoke.ServiceName }
 
+	// DoubtsIgnored reports that another host could not connect to so many upstreams of a service that it has more
+	// likely lost its own ways, so that its doubts do not count.
+	DoubtsIgnored struct {
+		Host    spoke.HostID
+		Service spoke.ServiceName
+		// Doubted of Upstreams are doubted.
+		Doubted, Upstreams int
+	}
+
 	// LimitChanged reports that an upstream has named another limit, or none any more.
 	LimitChanged struct {
 		Upstream spoke.UpstreamID
@@ -300,5 +309,6 @@
 func (Recall) isAction() {}
 
 func (LimitChanged) isAction()     {}
+func (DoubtsIgnored) isAction()    {}
 func (StoreConflict) isAction()    {}
 func (WantedAgeChanged) isAction() {}
--- a/place/node.go
+++ b/place/node.go
@@ -96,6 +96,8 @@
 		// requestedPauseUntil is the end of the pause that the upstream requested from this host.
 		requestedPauseUntil time.Time
 		limit               *limit
+		// doubts holds the doubts of other hosts.
+		doubts map[spoke.HostID]doubt
 		// loadingUntil is the end of the pause in which the engine loads weights.
 		loadingUntil time.Time
 	}
@@ -104,7 +106,7 @@
 func newNode(listed spoke.ListedUpstream, capacity spoke.TokenCount, prefill *prefillModel) *node {
 	n := &node{
 		runs:  make(map[spoke.CallNumber]*runningCall),
-		peers: make(map[spoke.HostID]spoke.HostUpstreamLoad),
+		peers: make(map[spoke.HostID]spoke.HostUpstreamLoad), doubts: make(map[spoke.HostID]doubt),
 		cache: newPrefixCache(capacity), weights: make(map[spoke.ModelName]spoke.WeightVersion),
 		prefill: prefill, pace: 1, serviceTime: defaultPlainService,
 	}
--- a/place/report.go
+++ b/place/report.go
@@ -17,6 +17,7 @@
 	changes  map[spoke.UpstreamID]*node
 	prompts  []spoke.PlacedPrompt
 	pauses   map[spoke.UpstreamID]time.Duration
+	doubts   map[spoke.UpstreamID]time.Duration
 	weights  map[spoke.UpstreamID]spoke.ServedWeights
 	// reportedWeights holds the weights of the last report that were new in it.
 	reportedWeights map[spoke.UpstreamID]spoke.ServedWeights
@@ -37,6 +38,7 @@
 		host:    host,
 		changes: make(map[spoke.UpstreamID]*node),
 		pauses:  make(map[spoke.UpstreamID]time.Duration),
+		doubts:  make(map[spoke.UpstreamID]time.Duration),
 		weights: make(map[spoke.UpstreamID]spoke.ServedWeights),
 		copies:  make(map[spoke.Address]bool),
 		limits:  make(map[*limit]bool), limitChanges: make(map[*limit]bool),
@@ -56,11 +58,13 @@
 
 func (r *reportBuilder) paused(id spoke.UpstreamID, pause time.Duration) { r.pauses[id] = pause }
 
+func (r *reportBuilder) doubted(id spoke.UpstreamID, pause time.Duration) { r.doubts[id] = pause }
+
 func (r *reportBuilder) served(id spoke.UpstreamID, seen spoke.ServedWeights) { r.weights[id] = seen }
 
 // HasChanges reports whether there are changes that other hosts should receive.
 func (s *Scheduler) HasChanges() bool {
-	return len(s.report.changes)+len(s.report.pauses)+len(s.report.weights)+len(s.report.leaving)+len(s.report.limits)+len(s.report.stores[ownCellGroup]) > 0
+	return len(s.report.changes)+len(s.report.pauses)+len(s.report.doubts)+len(s.report.weights)+len(s.report.leaving)+len(s.report.limits)+len(s.report.stores[ownCellGroup]) > 0
 }
 
 // LoadReport returns the changes since the last report, or all work of this host if isFull is set.
@@ -69,7 +73,7 @@
 	report := spoke.HostReport{
 		Host: s.report.host, Sequence: s.report.sequence, IsSnapshot: isFull,
 		Waiting: s.waitingWork(), Placed: s.report.prompts,
-		Paused: maps.Clone(s.report.pauses), Weights: maps.Clone(s.report.weights),
+		Paused: maps.Clone(s.report.pauses), Doubts: maps.Clone(s.report.doubts), Weights: maps.Clone(s.report.weights),
 		Stores: s.storeUpdates(ownCellGroup), Leaving: s.report.leaving, Limits: s.limitReports(now),
 	}
 	s.report.reportedWeights = maps.Clone(s.report.weights)
@@ -88,6 +92,7 @@
 	report.Slowness, report.Copies = s.report.takeSlowness(now), s.copyReports(isFull)
 	clear(s.report.changes)
 	clear(s.report.pauses)
+	clear(s.report.doubts)
 	clear(s.report.weights)
 	s.report.prompts, s.report.leaving = nil, nil
 	return report
@@ -99,7 +104,7 @@
 	report.IsSnapshot, report.Weights = false, s.report.reportedWeights
 	report.Upstreams, report.Waiting, report.Placed, report.Stores, report.WantedAges = nil, nil, nil, nil, nil
 	report.Slowness, report.Copies, report.Limits = nil, nil, s.changedLimits(now)
-	return report, len(report.Paused)+len(report.Weights)+len(report.Leaving)+len(report.Limits) > 0
+	return report, len(report.Paused)+len(report.Doubts)+len(report.Weights)+len(report.Leaving)+len(report.Limits) > 0
 }
 
 // OtherCellReport returns the report for a group of hosts of other cells, and whether it has any content.
@@ -229,6 +234,7 @@
 			n.pauseForLoading(now, pause)
 		}
 	}
+	s.applyDoubts(now, report)
 	for _, state := range report.Stores {
 		if st := s.storeOf(state.Store); st != nil {
 			st.apply(now, state)
@@ -271,6 +277,7 @@
 func (s *Scheduler) removePeer(now time.Time, host spoke.HostID) {
 	delete(s.peers, host)
 	s.removePeerLoads(host)
+	s.removeDoubts(host)
 	s.removeCopies(now, host)
 }
 
@@ -288,5 +295,6 @@
 			s.removePeer(now, host)
 		}
 	}
+	maps.DeleteFunc(s.distrusted, func(_ doubter, until time.Time) bool { return !now.Before(until) })
 	s.dropLimits(now)
 }
--- a/place/scheduler.go
+++ b/place/scheduler.go
@@ -46,7 +46,9 @@
 		queueDepths   map[spoke.ServiceName]queueDepth
 		prefillModels map[spoke.ServiceName]*prefillModel
 		peers         map[spoke.HostID]*peer
-		stores        []*store
+		// distrusted holds the times until which the doubts of hosts do not count.
+		distrusted map[doubter]time.Time
+		stores     []*store
 		// limits are kept after their nodes are removed.
 		limits map[spoke.UpstreamStart]*limit
 		// departures are kept after their nodes are removed.
@@ -78,6 +80,7 @@
 		queueDepths:   make(map[spoke.ServiceName]queueDepth),
 		prefillModels: make(map[spoke.ServiceName]*prefillModel),
 		peers:         make(map[spoke.HostID]*peer),
+		distrusted:    make(map[doubter]time.Time),
 		limits:        make(map[spoke.UpstreamStart]*limit),
 		departures:    make(departures),
 		storeIndex:    make(map[spoke.StoredKey][]*store),
--- a/place/ways_lost.go
+++ b/place/ways_lost.go
@@ -6,6 +6,9 @@
 // that it has sent and that have not begun.
 func (s *Scheduler) loseWays(now time.Time) {
 	for _, n := range s.nodes {
+		if n.pausedUntil.After(now) {
+			s.report.doubted(n.listed.ID, 0)
+		}
 		n.pausedUntil, n.backoff, n.failures = time.Time{}, 0, 0
 		for _, run := range n.runs {
 			if !run.hasBegun && !run.isLost {
--- a/placement.go
+++ b/placement.go
@@ -58,7 +58,10 @@
 		Placed     []PlacedPrompt
 		// Paused holds engines that load weights, each with the time for which it should get no
 		// new work.
-		Paused  map[UpstreamID]time.Duration
+		Paused map[UpstreamID]time.Duration
+		// Doubts holds upstreams that the host could not connect to, each with the time for which it sends nothing
+		// there, zero if it no longer doubts it. The cause may be the host's own ways.
+		Doubts  map[UpstreamID]time.Duration
 		Weights map[UpstreamID]ServedWeights
 		Marks   []QuarantineMark
 		Stores  []StoreState
