Take no calls that other hosts give up for progress

An engine that makes no progress gets calls again at hosts that have found it stalled, whenever another host gives up a call there: its caller left, or the connection broke or was never made. A cut-off host so clears what others have seen of an engine, doubts of third hosts included.

Cause: fewer tokens to prefill in the report of a host count as progress of the engine, whatever became of the calls. Reports now say at which upstreams calls without a first event ended or no longer count; less work there only bounds the pending work. Hosts that do not know the field go on as before.

TestCallsGivenUpElsewhereShowNoProgress failed in its three forms before: the call that waits was sent to the stalled engine.

--- a/peers/codec.go
+++ b/peers/codec.go
@@ -56,6 +56,7 @@
 		Runs    int    `json:"runs,omitempty"`
 		// CopyTimeMs is in milliseconds, although its JSON name has no unit.
 		CopyTimeMs int64 `json:"copying,omitempty"`
+		HasGivenUp bool  `json:"given-up,omitempty"`
 	}
 
 	copyRow struct {
@@ -131,7 +132,7 @@
 		row.Table = &tableRow{uint64(table.Version), table.Content.Key, string(table.Content.ID)}
 	}
 	for _, u := range report.Upstreams {
-		row.Upstreams = append(row.Upstreams, upstreamRow{string(u.Upstream), int64(u.Prefill), int64(u.Memory), u.Runs, u.CopyTime.Milliseconds()})
+		row.Upstreams = append(row.Upstreams, upstreamRow{string(u.Upstream), int64(u.Prefill), int64(u.Memory), u.Runs, u.CopyTime.Milliseconds(), u.HasGivenUp})
 	}
 	for _, w := range report.Waiting {
 		row.Waiting = append(row.Waiting, waitingRow{string(w.Service), int(w.Urgency), int64(w.Tokens)})
@@ -199,7 +200,7 @@
 	for _, u := range row.Upstreams {
 		report.Upstreams = append(report.Upstreams, spoke.HostUpstreamLoad{
 			Upstream: spoke.UpstreamID(u.ID), Prefill: spoke.TokenCount(u.Prefill), Memory: spoke.TokenCount(u.Memory), Runs: u.Runs,
-			CopyTime: time.Duration(u.CopyTimeMs) * time.Millisecond,
+			CopyTime: time.Duration(u.CopyTimeMs) * time.Millisecond, HasGivenUp: u.HasGivenUp,
 		})
 	}
 	for _, w := range row.Waiting {
--- a/place/calls.go
+++ b/place/calls.go
@@ -83,15 +83,17 @@
 		s.endCopies(now, run, false)
 	}
 	switch m.Ending {
-	case EndUnreachable, EndBroken:
-		if run.node.pausedUntil.After(now) {
-			s.report.doubted(run.node.listed.ID, run.node.pausedUntil.Sub(now))
+	case EndUnreachable, EndBroken, EndCancelled:
+		// These endings do not show progress of the upstream.
+		if !run.hasBegun {
+			s.report.gaveUp(run.node)
 		}
-	case EndCancelled:
-		// It does not show progress of the upstream.
 	default:
 		run.node.recordProgress(now)
 	}
+	if (m.Ending == EndUnreachable || m.Ending == EndBroken) && run.node.pausedUntil.After(now) {
+		s.report.doubted(run.node.listed.ID, run.node.pausedUntil.Sub(now))
+	}
 	s.recordLoad(now, run.node, m.Load)
 	run.node.requestPause(now, m.Pause)
 	if m.NamesNoLimit && !run.hasBegun {
--- a/place/report.go
+++ b/place/report.go
@@ -15,10 +15,12 @@
 	host     spoke.HostID
 	sequence uint64
 	changes  map[spoke.UpstreamID]*node
-	prompts  []spoke.PlacedPrompt
-	pauses   map[spoke.UpstreamID]time.Duration
-	doubts   map[spoke.UpstreamID]time.Duration
-	weights  map[spoke.UpstreamID]spoke.ServedWeights
+	// givenUp holds the upstreams at which calls without a first event ended since the last report.
+	givenUp map[spoke.UpstreamID]bool
+	prompts []spoke.PlacedPrompt
+	pauses  map[spoke.UpstreamID]time.Duration
+	doubts  map[spoke.UpstreamID]time.Duration
+	weights map[spoke.UpstreamID]spoke.ServedWeights
 	// reportedWeights holds the weights of the last report that were new in it.
 	reportedWeights map[spoke.UpstreamID]spoke.ServedWeights
 	leaving         []spoke.UpstreamStart
@@ -37,6 +39,7 @@
 	return reportBuilder{
 		host:    host,
 		changes: make(map[spoke.UpstreamID]*node),
+		givenUp: make(map[spoke.UpstreamID]bool),
 		pauses:  make(map[spoke.UpstreamID]time.Duration),
 		doubts:  make(map[spoke.UpstreamID]time.Duration),
 		weights: make(map[spoke.UpstreamID]spoke.ServedWeights),
@@ -48,6 +51,8 @@
 
 func (r *reportBuilder) changed(n *node) { r.changes[n.listed.ID] = n }
 
+func (r *reportBuilder) gaveUp(n *node) { r.givenUp[n.listed.ID] = true }
+
 func (r *reportBuilder) placed(n *node, prefixes []spoke.PromptPrefix) {
 	if len(r.prompts) < maxPlaced && len(prefixes) > 0 {
 		r.prompts = append(r.prompts, spoke.PlacedPrompt{Upstream: n.listed.ID, Prefixes: prefixes})
@@ -85,12 +90,15 @@
 		maps.Copy(report.Weights, s.unlistedWeights())
 	}
 	for _, n := range nodes {
-		if own := n.ownLoad(); own.Runs > 0 || !isFull {
+		own := n.ownLoad()
+		own.HasGivenUp = s.report.givenUp[own.Upstream]
+		if own.Runs > 0 || !isFull {
 			report.Upstreams = append(report.Upstreams, own)
 		}
 	}
 	report.Slowness, report.Copies = s.report.takeSlowness(now), s.copyReports(isFull)
 	clear(s.report.changes)
+	clear(s.report.givenUp)
 	clear(s.report.pauses)
 	clear(s.report.doubts)
 	clear(s.report.weights)
@@ -261,7 +269,7 @@
 }
 
 // updatePeerLoad updates another host's work at the upstream; fewer tokens to prefill than before show
-// progress.
+// progress, unless the host has given up calls.
 func (n *node) updatePeerLoad(now time.Time, host spoke.HostID, load spoke.HostUpstreamLoad) {
 	added := load.Prefill - n.peers[host].Prefill
 	copyTime := load.CopyTime - n.peers[host].CopyTime
@@ -269,7 +277,10 @@
 		n.addWork(now, added, copyTime)
 	}
 	n.peers[host] = load
-	if added < 0 {
+	switch {
+	case load.HasGivenUp:
+		n.forgetLostWork(now)
+	case added < 0:
 		n.recordProgress(now)
 	}
 }
--- a/place/ways_lost.go
+++ b/place/ways_lost.go
@@ -15,6 +15,7 @@
 				run.isLost = true
 				s.endCopies(now, run, false)
 				s.report.changed(n)
+				s.report.gaveUp(n)
 			}
 		}
 		n.forgetLostWork(now)
--- a/placement.go
+++ b/placement.go
@@ -35,6 +35,9 @@
 		Runs   int
 		// CopyTime is the predicted time to copy cached prompt parts to the engine for these calls.
 		CopyTime time.Duration
+		// HasGivenUp says that calls without a first event have ended or no longer count since the last report, so
+		// that fewer tokens to prefill show no progress of the upstream.
+		HasGivenUp bool
 	}
 
 	// WaitingWork is the work of one service and urgency that waits at a host.
