Keep work that nothing answers out of load reports

While calls of four of seven hosts hang, callers of the other three are refused or end by deadline beside idle engines, although no host has reported a pause.

Cause: a cut-off host reports its calls that hang as runs, prefill, memory and copies of the engines, and its waiting calls as work that precedes that of others in the estimate of the backlog and in the draw for a free engine. Sound hosts take engines for full and wait for calls that nobody can place.

Rule: once the first event of a call is overdue by the bound of a stall, and no upstream of the service has answered this host since it was sent, the host reports neither waiting work of the service nor its calls without a first event, until one answers. The reporting host decides, since it alone sees that nothing answers; a rule on recently placed calls at the others would take an idle host, or one whose queue is merely long, for a cut-off one. A host whose calls are answered is not affected however long its queue is, and what it believes of the upstreams itself stays as it was.

--- a/place/calls.go
+++ b/place/calls.go
@@ -54,7 +54,7 @@
 	}
 	run.hasBegun, run.isLost = true, false
 	s.recordLoad(now, run.node, m.Load)
-	run.node.recordProgress(now)
+	s.answered(now, run.node)
 	run.node.backoff = 0
 	if run.request.Prompt != nil {
 		run.node.observeFirstEvent(now, run)
@@ -89,7 +89,7 @@
 			s.report.gaveUp(run.node)
 		}
 	default:
-		run.node.recordProgress(now)
+		s.answered(now, run.node)
 	}
 	if (m.Ending == EndUnreachable || m.Ending == EndBroken) && run.node.pausedUntil.After(now) {
 		s.report.doubted(run.node.listed.ID, run.node.pausedUntil.Sub(now))
--- a/place/copy_sources.go
+++ b/place/copy_sources.go
@@ -213,10 +213,10 @@
 }
 
 // copyReports returns the pending copies of this host by source: all of them, or those that changed.
-func (s *Scheduler) copyReports(isFull bool) []spoke.CopyReport {
+func (s *Scheduler) copyReports(now time.Time, isFull bool) []spoke.CopyReport {
 	var reports []spoke.CopyReport
 	for from, source := range s.sources {
-		if own := source.ownPending(); s.report.copies[from] || (isFull && own > 0) {
+		if own := s.reportedPending(now, source); s.report.copies[from] || (isFull && own > 0) {
 			reports = append(reports, spoke.CopyReport{Source: from, PendingTime: own, Completed: source.arrived, MeanDelay: source.arrivedLateness / time.Duration(max(source.arrived, 1))})
 			source.arrived, source.arrivedLateness = 0, 0
 		}
--- a/place/dispatch.go
+++ b/place/dispatch.go
@@ -160,6 +160,7 @@
 		s.report.copied(copied.from)
 	}
 	s.running[m.Call] = run
+	s.unanswered.sent(now, run)
 	s.takeLimit(now, c.node)
 	if m.Prompt != nil {
 		c.node.cache.add(w.prefixes[c.weights], c.node.totals().Memory)
--- a/place/report.go
+++ b/place/report.go
@@ -77,7 +77,7 @@
 	s.report.sequence++
 	report := spoke.HostReport{
 		Host: s.report.host, Sequence: s.report.sequence, IsSnapshot: isFull,
-		Waiting: s.waitingWork(), Placed: s.report.prompts,
+		Waiting: s.waitingWork(now), Placed: s.report.prompts,
 		Paused: maps.Clone(s.report.pauses), Doubts: maps.Clone(s.report.doubts), Weights: maps.Clone(s.report.weights),
 		Stores: s.storeUpdates(ownCellGroup), Leaving: s.report.leaving, Limits: s.limitReports(now),
 	}
@@ -90,13 +90,11 @@
 		maps.Copy(report.Weights, s.unlistedWeights())
 	}
 	for _, n := range nodes {
-		own := n.ownLoad()
-		own.HasGivenUp = s.report.givenUp[own.Upstream]
-		if own.Runs > 0 || !isFull {
+		if own := s.reportedLoad(now, n); own.Runs > 0 || !isFull {
 			report.Upstreams = append(report.Upstreams, own)
 		}
 	}
-	report.Slowness, report.Copies = s.report.takeSlowness(now), s.copyReports(isFull)
+	report.Slowness, report.Copies = s.report.takeSlowness(now), s.copyReports(now, isFull)
 	clear(s.report.changes)
 	clear(s.report.givenUp)
 	clear(s.report.pauses)
@@ -175,10 +173,14 @@
 	return ages
 }
 
-// waitingWork sums up the waiting calls of this host by service and urgency.
-func (s *Scheduler) waitingWork() []spoke.WaitingWork {
+// waitingWork sums up the waiting calls of this host by service and urgency, without those of services at which
+// nothing is answered.
+func (s *Scheduler) waitingWork(now time.Time) []spoke.WaitingWork {
 	var work []spoke.WaitingWork
 	for service, queue := range s.queues {
+		if s.unanswered.is(now, service) {
+			continue
+		}
 		for _, w := range queue {
 			work = addWaiting(work, service, w.request)
 		}
--- a/place/scheduler.go
+++ b/place/scheduler.go
@@ -45,6 +45,7 @@
 		sources       copySources
 		queueDepths   map[spoke.ServiceName]queueDepth
 		prefillModels map[spoke.ServiceName]*prefillModel
+		unanswered    unanswered
 		peers         map[spoke.HostID]*peer
 		// distrusted holds the times until which the doubts of hosts do not count.
 		distrusted map[doubter]time.Time
@@ -79,6 +80,7 @@
 		sources:       make(copySources),
 		queueDepths:   make(map[spoke.ServiceName]queueDepth),
 		prefillModels: make(map[spoke.ServiceName]*prefillModel),
+		unanswered:    newUnanswered(),
 		peers:         make(map[spoke.HostID]*peer),
 		distrusted:    make(map[doubter]time.Time),
 		limits:        make(map[spoke.UpstreamStart]*limit),
@@ -140,6 +142,9 @@
 		s.repeatLimits()
 	case Tick:
 		s.dropStale(now)
+		for service := range s.unanswered.calls {
+			s.announceUnanswered(now, service)
+		}
 		if s.IsRollingOut(now) {
 			s.recallOutdated(now)
 		}
--- a/place/ways_lost.go
+++ b/place/ways_lost.go
@@ -20,6 +20,8 @@
 		}
 		n.forgetLostWork(now)
 	}
+	clear(s.unanswered.calls)
+	clear(s.unanswered.announced)
 }
 
 // forgetLostWork bounds the pending work of an engine by that of the calls that still count.
