Leave the orders lease to a host that reaches the engines

Engines stay on replaced weights for as long as the holder of the orders lease is cut off from them: it reaches the store, so it renews the lease, and no other host gives orders.

Orders are never passed on through another host, since an engine takes orders from two machines for those of two holders.

--- a/edge/orders.go
+++ b/edge/orders.go
@@ -87,6 +87,7 @@
 		reportAskedAt  map[spoke.UpstreamID]time.Time
 		reportInFlight map[spoke.UpstreamID]bool
 		pending        map[spoke.UpstreamID]pendingOrder
+		paths          enginePaths
 		held           bool
 		fence          spoke.FencingToken
 	}
@@ -107,6 +108,7 @@
 		reportAskedAt:  make(map[spoke.UpstreamID]time.Time),
 		reportInFlight: make(map[spoke.UpstreamID]bool),
 		pending:        make(map[spoke.UpstreamID]pendingOrder),
+		paths:          newEnginePaths(),
 	}
 }
 
@@ -150,6 +152,7 @@
 }
 
 func (o *orders) handleReport(m reportResult) {
+	o.paths.observe(m.upstream, o.reportAskedAt[m.upstream], m.err == nil)
 	if m.err != nil {
 		o.log.WithError(m.err).WithField("upstream", m.upstream).Info("engine report could not be read")
 		return
@@ -176,6 +179,9 @@
 
 func (o *orders) handleOrderResult(m orderResult) {
 	log := o.log.WithField("upstream", m.upstream)
+	if m.err == nil || errors.Is(m.err, spoke.ErrStaleFence) || errors.Is(m.err, spoke.ErrBusy) || errors.Is(m.err, spoke.ErrNotRun) {
+		o.paths.observe(m.upstream, o.timer.Now(), true)
+	}
 	switch {
 	case m.err == nil:
 		log.Info("order accepted")
@@ -200,8 +206,15 @@
 		return
 	}
 	models, outdated := o.models()
+	if isNew || len(outdated) == 0 {
+		o.paths = newEnginePaths()
+	}
+	if o.paths.areLost(o.timer.Now()) {
+		o.yieldLease()
+		return
+	}
 	if len(outdated) > 0 {
-		o.requestReports(ctx, outdated)
+		o.requestReports(ctx, append(outdated, o.paths.witnesses(o.listed(), outdated)...))
 	}
 	// A new lease is observed at once, since the pause before its first order starts then.
 	if len(outdated) == 0 && len(o.pending) == 0 && !isNew {
@@ -225,6 +238,14 @@
 	return swap.LeaseState{Held: true, Fence: held.Fence, Remaining: held.Expires.Sub(now), TTL: o.pause - 2*orderTimeout}
 }
 
+// yieldLease leaves the orders to a host that reaches the engines. They are never passed on through another host, since
+// an engine takes orders from two machines for those of two holders.
+func (o *orders) yieldLease() {
+	o.log.WithField("engines", len(o.paths.unanswered)).Warn("orders lease is left to others: no engine answers")
+	o.paths = newEnginePaths()
+	o.keeper.Yield(o.leaseTimer.Now().Add(leaseYield))
+}
+
 func (o *orders) send(ctx context.Context, message any) { sendTo(ctx, o.in, message) }
 
 func (o *orders) execute(ctx context.Context, actions []swap.Action) {
--- a/edge/setup_test.go
+++ b/edge/setup_test.go
@@ -48,6 +48,8 @@
 	hook logrus.Hook
 	// directory wraps the host's directory, if it is set.
 	directory func(spoke.Directory) spoke.Directory
+	// control wraps the host's control of engines, if it is set.
+	control func(spoke.EngineControl) spoke.EngineControl
 	// codec replaces the platform's codec, if it is set.
 	codec spoke.RelayCodec
 	// applied counts the tables of awaitApplied.
@@ -139,10 +141,14 @@
 	if d.timer != nil {
 		clock = d.timer
 	}
-	control := platform.NewControl()
+	stores := platform.NewControl()
+	var control spoke.EngineControl = stores
+	if d.control != nil {
+		control = d.control(stores)
+	}
 	host, err := edge.New(d.settings, edge.Dependencies{
 		Directory: directory, Leases: platform.NewLeases(client), OrdersLease: platform.OrdersLease,
-		Control: control, Stores: control, Codec: codec,
+		Control: control, Stores: stores, Codec: codec,
 		Timer: clock, LeaseTimer: boot, Log: log,
 	})
 	assert.NilError(d.t, err)
--- a/lease/keeper.go
+++ b/lease/keeper.go
@@ -32,6 +32,8 @@
 		random *rand.Rand
 
 		held atomic.Pointer[spoke.Lease]
+		// yieldedUntil is the time until which the lease is left to others, nil if it never was.
+		yieldedUntil atomic.Pointer[time.Time]
 		// fence is the highest token granted; only the goroutine of Run uses it.
 		fence spoke.FencingToken
 	}
@@ -67,12 +69,21 @@
 // before each order with the current time, since the process may have been paused.
 func (k *Keeper) Held(now time.Time, margin time.Duration) (spoke.Lease, bool) {
 	lease := k.held.Load()
-	if lease == nil || !isValidUntil(*lease, now.Add(margin)) {
+	if lease == nil || k.hasYielded(now) || !isValidUntil(*lease, now.Add(margin)) {
 		return spoke.Lease{}, false
 	}
 	return *lease, true
 }
 
+// Yield leaves the lease to other holders until the given time. It is released only when it would have expired without
+// a renewal, so that orders which are on their way do not meet those of the next holder.
+func (k *Keeper) Yield(until time.Time) { k.yieldedUntil.Store(&until) }
+
+func (k *Keeper) hasYielded(now time.Time) bool {
+	until := k.yieldedUntil.Load()
+	return until != nil && now.Before(*until)
+}
+
 // Run acquires and renews the lease until ctx ends, then releases it.
 func (k *Keeper) Run(ctx context.Context) error {
 	defer k.release()
@@ -84,6 +95,12 @@
 
 // step makes one call and returns the delay until the next one.
 func (k *Keeper) step(ctx context.Context) time.Duration {
+	if k.hasYielded(k.timer.Now()) {
+		if lease := k.held.Load(); lease != nil && !isValidUntil(*lease, k.timer.Now()) {
+			k.release()
+		}
+		return k.ttl / retriesPerTTL
+	}
 	callCtx, cancel := context.WithTimeout(ctx, k.ttl/renewalsPerTTL)
 	defer cancel()
 	if lease, ok := k.Held(k.timer.Now(), 0); ok {
--- a/lease/keeper_test.go
+++ b/lease/keeper_test.go
@@ -163,3 +163,39 @@
 		assert.NilError(t, err)
 	})
 }
+
+// Guards against a holder that cannot use the lease and keeps others from it, and against one that orders on while it
+// leaves the lease to them.
+func TestYieldedLeaseIsAcquiredByAnother(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		var group sync.WaitGroup
+		defer group.Wait()
+		defer cancel()
+		service := kvsvc.New()
+		var keepers []*lease.Keeper
+		for i := range 2 {
+			keeper := lease.New(coord.New("platform", coord.WithTransport(kvsvc.NewTransport(service))), "l", spoke.HostID(fmt.Sprint(i)), ttl)
+			keepers = append(keepers, keeper)
+			group.Go(func() { _ = keeper.Run(ctx) })
+			synctest.Wait()
+		}
+		isHeld := func(number int) bool {
+			_, ok := keepers[number].Held(time.Now(), 0)
+			return ok
+		}
+		assert.Assert(t, isHeld(0) && !isHeld(1))
+
+		keepers[0].Yield(time.Now().Add(4 * ttl))
+		assert.Assert(t, !isHeld(0))
+		<-time.After(2 * ttl)
+		synctest.Wait()
+		assert.Assert(t, isHeld(1) && !isHeld(0))
+
+		<-time.After(3 * ttl)
+		keepers[1].Yield(time.Now().Add(4 * ttl))
+		<-time.After(2 * ttl)
+		synctest.Wait()
+		assert.Assert(t, isHeld(0) && !isHeld(1), "it competes again")
+	})
+}
