Offer no waiting calls to upstreams that are doubted

A waiting call is sent to an engine that another host could not connect to, if a caller leaves there: the engine is offered the first waiting calls then, and only the choice among all engines looked at doubts. Pauses covered both before failed connections became doubts.

TestWaitingCallsAvoidDoubtedEngines failed: one call went to the engine.

--- a/place/dispatch.go
+++ b/place/dispatch.go
@@ -59,7 +59,7 @@
 // placeAt grants a call at one upstream, if that may take it now.
 func (s *Scheduler) placeAt(now time.Time, w *waitingCall, n *node) bool {
 	s.admitSoftware(now, w)
-	if !n.suits(w.request) || !n.limit.allows(now) {
+	if !n.suits(w.request) || !n.limit.allows(now) || s.avoids(now, n, w.request) {
 		return false
 	}
 	c, ok := s.evaluate(now, w, n)
--- a/place/doubts.go
+++ b/place/doubts.go
@@ -80,6 +80,11 @@
 	return false
 }
 
+// avoids reports whether a call should not go to an upstream since another host doubts it.
+func (s *Scheduler) avoids(now time.Time, n *node, m Request) bool {
+	return n.isDoubted(now) && isAnySound(now, s.cellNodes[m.Service], m)
+}
+
 // isAnySound reports whether an upstream that no host doubts is usable. While there is none, doubts are ignored, so
 // that they never are the only reason against a call.
 func isAnySound(now time.Time, nodes []*node, m Request) bool {
--- a/place/doubts_test.go
+++ b/place/doubts_test.go
@@ -137,3 +137,19 @@
 	other.handle(place.ReceiveReport{Report: doubting.scheduler.LoadReport(doubting.now, false)})
 	assert.Equal(t, len(other.used(20)), 3)
 }
+
+// Guards against waiting calls that go to an engine which has crashed when a caller there leaves.
+func TestWaitingCallsAvoidDoubtedEngines(t *testing.T) {
+	ts := newTestScheduler(t, 2)
+	var running []place.Grant
+	for range 32 {
+		running = append(running, ts.grant(ts.request(0, "session", 20, 20)))
+	}
+	ts.waits(ts.request(0, "session", 20, 20))
+	ts.doubt("host-2", 1, 0)
+	for _, granted := range running {
+		if granted.Upstream.ID == engine(0).ID {
+			ts.waits(place.Ended{Call: granted.Call, Ending: place.EndCancelled})
+		}
+	}
+}
