Take back crashes of engines that go on answering

Parts of prompts are refused with quarantined at all hosts after one host has lost its ways: each of its connections is reset and the probe behind it refused, so it takes engine after engine for crashed, and all hosts believe it.

A crash is a fact about one start of an engine, and an answer of the same start to a request that was sent after it refutes it. Each host keeps when the requests were sent that a start answered, takes back crashes that these refute, and reports that to the others, the host that saw them included. A guard that counts how many engines a host sees crash was ruled out: a deadly part crashes as many while only its host has calls at them.

--- a/crash/part_blame.go
+++ b/crash/part_blame.go
@@ -125,7 +125,7 @@
 }
 
 func isSettled(now time.Time, event *crashEvent) bool {
-	return !event.isExplained && now.Sub(event.at) >= settledAge
+	return !event.isExplained && !event.isRefuted && now.Sub(event.at) >= settledAge
 }
 
 // convict returns the part that explains the most crashes, if the evidence suffices.
--- a/crash/part_bounds_test.go
+++ b/crash/part_bounds_test.go
@@ -45,6 +45,7 @@
 		hash := spoke.PartHash(i)
 		report.Marks = append(report.Marks, spoke.PartMark{Part: hash, Revision: 1, Term: day, Remaining: day, With: make([]spoke.PartHash, 100)})
 		report.Served = append(report.Served, spoke.ServedPart{Part: hash, Age: -day})
+		report.Refuted = append(report.Refuted, spoke.RefutedCrash{Upstream: spoke.UpstreamStart{ID: spoke.UpstreamID(fmt.Sprint(i))}, Age: time.Duration(i-5) * time.Millisecond})
 		report.Crashes = append(report.Crashes, spoke.UpstreamCrash{Upstream: spoke.UpstreamStart{ID: spoke.UpstreamID(fmt.Sprint(i))}, Age: time.Duration(i-5) * time.Millisecond, Parts: make([]spoke.PartHash, 5000)})
 	}
 	for range 3 {
--- a/crash/part_events.go
+++ b/crash/part_events.go
@@ -39,6 +39,9 @@
 		hits int
 		// isExplained reports whether a marked part caused the crash.
 		isExplained bool
+		// isRefuted reports whether the same start answered a request that was sent after the crash, and
+		// isRefutationOwn whether it was one of this host.
+		isRefuted, isRefutationOwn bool
 	}
 
 	// servedReport is a part that this host has cleared.
@@ -108,7 +111,7 @@
 		if i > 0 {
 			distance = event.at.Sub(r.events[i-1].at)
 		}
-		if event.isExplained {
+		if event.isExplained || event.isRefuted {
 			distance = -1
 		}
 		if drop < 0 || distance < shortest {
@@ -182,7 +185,7 @@
 
 // isEvidence reports whether the part is suspected of the crash and not cleared.
 func (r *PartRegistry) isEvidence(event *crashEvent, part spoke.PartHash) bool {
-	if _, isSuspect := event.parts[part]; !isSuspect {
+	if _, isSuspect := event.parts[part]; !isSuspect || event.isRefuted {
 		return false
 	}
 	return event.at.After(r.clearedAt[part])
@@ -197,7 +200,7 @@
 	}
 	clear(r.suspects)
 	for _, event := range r.events {
-		if event.isExplained {
+		if event.isExplained || event.isRefuted {
 			continue
 		}
 		for part := range event.parts {
--- a/crash/part_reports.go
+++ b/crash/part_reports.go
@@ -45,8 +45,9 @@
 		Crashes: r.reportCrashes(now, scope),
 		Served:  r.reportServed(now, scope),
 		Marks:   r.reportMarks(now, scope),
+		Refuted: r.reportRefuted(now, scope),
 	}
-	return report, len(report.Crashes)+len(report.Served)+len(report.Marks) > 0
+	return report, len(report.Crashes)+len(report.Served)+len(report.Marks)+len(report.Refuted) > 0
 }
 
 // reportScope states what belongs into a report.
@@ -78,7 +79,7 @@
 
 func (r *PartRegistry) isReported(now time.Time, event *crashEvent, scope reportScope) bool {
 	switch {
-	case now.Sub(event.at) >= reportableAge || event.isExplained && !event.isChanged:
+	case event.isRefuted || now.Sub(event.at) >= reportableAge || event.isExplained && !event.isChanged:
 		return false
 	case event.isChanged:
 		return true
@@ -155,6 +156,9 @@
 	for _, crash := range report.Crashes[:min(len(report.Crashes), maxReportCrashes)] {
 		r.receiveCrash(now, crash)
 	}
+	for _, refuted := range report.Refuted[:min(len(report.Refuted), maxReportCrashes)] {
+		r.receiveRefuted(now, refuted)
+	}
 	for _, served := range report.Served[:min(len(report.Served), maxReportServed)] {
 		r.receiveServed(now, served)
 	}
@@ -184,4 +188,5 @@
 		r.addSuspect(now, event, part, false)
 	}
 	r.explainByMarks(event)
+	r.refute(now, event)
 }
--- a/crash/part_runs.go
+++ b/crash/part_runs.go
@@ -102,6 +102,7 @@
 		return
 	}
 	run.isServed = true
+	r.recordAnswered(now, run)
 	began := run.answerBegan()
 	r.noteService(now, began)
 	r.seen.answers++
--- a/crash/parts.go
+++ b/crash/parts.go
@@ -50,6 +50,7 @@
 		// clearedAt is the begin of the latest answer to a request with a suspect.
 		clearedAt map[spoke.PartHash]time.Time
 		seen      seenParts
+		answered  answeredStarts
 		served    map[spoke.PartHash]*servedReport
 		marks     map[spoke.PartHash]*partMark
 		decisions []PartDecision
@@ -110,6 +111,7 @@
 		hits:      make(map[spoke.Fingerprint]hit),
 		suspects:  make(map[spoke.PartHash]struct{}),
 		clearedAt: make(map[spoke.PartHash]time.Time),
+		answered:  make(answeredStarts),
 		served:    make(map[spoke.PartHash]*servedReport),
 		marks:     make(map[spoke.PartHash]*partMark),
 	}
@@ -183,6 +185,7 @@
 	defer r.mu.Unlock()
 	if run := r.runs[attempt]; run != nil && run.begunAt.IsZero() {
 		run.begunAt = now
+		r.recordAnswered(now, run)
 		r.begun = append(r.begun, run)
 	}
 }
--- a/crashes.go
+++ b/crashes.go
@@ -41,13 +41,20 @@
 		IsEnded   bool
 	}
 
+	// RefutedCrash is a crash that one host reported of a start of an upstream which has answered another host since.
+	RefutedCrash struct {
+		Upstream UpstreamStart
+		Age      time.Duration
+	}
+
 	// CrashReport is what a host reports about prompt parts that crash upstreams. It is empty as long as no
 	// upstream crashes. A crash takes the upstream's id and 8 bytes for each suspected part before encoding,
 	// in one report when it is observed and in the full reports of the next 5 s. Package crash bounds a
-	// report to 32 crashes with together 384 parts, 128 served parts and 64 marks.
+	// report to 32 crashes with together 384 parts, 128 served parts, 64 marks and 32 refuted crashes.
 	CrashReport struct {
 		Crashes []UpstreamCrash
 		Served  []ServedPart
 		Marks   []PartMark
+		Refuted []RefutedCrash
 	}
 )
--- a/edge/partquarantine.go
+++ b/edge/partquarantine.go
@@ -51,7 +51,7 @@
 		q.registry.ResendAll()
 	}
 	q.sequences[report.Host] = report.Sequence
-	if reported := report.Crashes; len(reported.Crashes)+len(reported.Served)+len(reported.Marks) > 0 {
+	if reported := report.Crashes; len(reported.Crashes)+len(reported.Served)+len(reported.Marks)+len(reported.Refuted) > 0 {
 		q.registry.Receive(now, report.Host, reported)
 	}
 	q.logDecisions()
--- a/peers/codec.go
+++ b/peers/codec.go
@@ -32,6 +32,7 @@
 		Copies         []copyRow             `json:"copies,omitempty"`
 		Slowness       []slownessRow         `json:"slowness,omitempty"`
 		Crashes        []crashRow            `json:"crashes,omitempty"`
+		Refuted        []refutedRow          `json:"refuted,omitempty"`
 		ServedParts    []servedPartRow       `json:"served-parts,omitempty"`
 		PartMarks      []partMarkRow         `json:"part-marks,omitempty"`
 		Software       []softwareRow         `json:"software,omitempty"`
--- a/peers/crashcodec.go
+++ b/peers/crashcodec.go
@@ -18,6 +18,11 @@
 		Repeated []uint64 `json:"repeated,omitempty"`
 	}
 
+	refutedRow struct {
+		startRow
+		AgeMs int64 `json:"age-ms,omitempty"`
+	}
+
 	servedPartRow struct {
 		Part  uint64 `json:"part"`
 		AgeMs int64  `json:"age-ms,omitempty"`
@@ -39,6 +44,9 @@
 			encodeStart(crash.Upstream), crash.Age.Milliseconds(), convert[uint64](crash.Parts), convert[uint64](crash.Repeated),
 		})
 	}
+	for _, refuted := range report.Refuted {
+		row.Refuted = append(row.Refuted, refutedRow{encodeStart(refuted.Upstream), refuted.Age.Milliseconds()})
+	}
 	for _, served := range report.Served {
 		row.ServedParts = append(row.ServedParts, servedPartRow{uint64(served.Part), served.Age.Milliseconds()})
 	}
@@ -61,6 +69,11 @@
 			Parts: convert[spoke.PartHash](crash.Parts), Repeated: convert[spoke.PartHash](crash.Repeated),
 		})
 	}
+	for _, refuted := range row.Refuted {
+		if refuted.ID != "" {
+			report.Refuted = append(report.Refuted, spoke.RefutedCrash{Upstream: decodeStart(refuted.startRow), Age: decodeMilliseconds(refuted.AgeMs)})
+		}
+	}
 	for _, served := range row.ServedParts {
 		report.Served = append(report.Served, spoke.ServedPart{Part: spoke.PartHash(served.Part), Age: decodeMilliseconds(served.AgeMs)})
 	}
--- a/peers/crashcodec_test.go
+++ b/peers/crashcodec_test.go
@@ -23,7 +23,8 @@
 			{Upstream: spoke.UpstreamStart{ID: "e", Started: time.UnixMilli(7).UTC()}, Age: 3 * time.Second, Parts: []spoke.PartHash{1 << 63, 5}, Repeated: []spoke.PartHash{6}},
 			{Upstream: spoke.UpstreamStart{ID: "f"}, Parts: []spoke.PartHash{math.MaxUint64}, Repeated: []spoke.PartHash{}},
 		},
-		Served: []spoke.ServedPart{{Part: 1<<63 + 1, Age: 20 * time.Millisecond}},
+		Refuted: []spoke.RefutedCrash{{Upstream: spoke.UpstreamStart{ID: "g", Started: time.UnixMilli(8).UTC()}, Age: time.Second}},
+		Served:  []spoke.ServedPart{{Part: 1<<63 + 1, Age: 20 * time.Millisecond}},
 		Marks: []spoke.PartMark{
 			{Part: 1<<63 + 2, With: []spoke.PartHash{9, 1 << 62}, Revision: 4, Term: 30 * time.Second, Remaining: 29 * time.Second},
 			{Part: 8, With: []spoke.PartHash{}, Revision: 5, Term: 30 * time.Second, IsEnded: true},
