Show that no host takes over a prompt store out of reach

A prompt store counts as down at all hosts for as long as the one host that follows it has lost its ways to it, although the others reach it: prompts that are kept there are computed again.

The follower is found by hashing over the list of hosts, so it only changes with the list. A host that reports the store as down cannot simply be passed over: the same report follows a restart of the store, behind which none may follow it for 3 s, and a report that is lost would leave the store without a follower.

--- a/edge/setup_test.go
+++ b/edge/setup_test.go
@@ -50,6 +50,8 @@
 	directory func(spoke.Directory) spoke.Directory
 	// control wraps the host's control of engines, if it is set.
 	control func(spoke.EngineControl) spoke.EngineControl
+	// promptStores replaces the host's control of prompt stores, if it is set.
+	promptStores spoke.StoreControl
 	// codec replaces the platform's codec, if it is set.
 	codec spoke.RelayCodec
 	// applied counts the tables of awaitApplied.
@@ -141,10 +143,13 @@
 	if d.timer != nil {
 		clock = d.timer
 	}
-	stores := platform.NewControl()
-	var control spoke.EngineControl = stores
+	var stores spoke.StoreControl = platform.NewControl()
+	var control spoke.EngineControl = platform.NewControl()
 	if d.control != nil {
-		control = d.control(stores)
+		control = d.control(control)
+	}
+	if d.promptStores != nil {
+		stores = d.promptStores
 	}
 	host, err := edge.New(d.settings, edge.Dependencies{
 		Directory: directory, Leases: platform.NewLeases(client), OrdersLease: platform.OrdersLease,
