--- a/dial/dialer.go
+++ b/dial/dialer.go
@@ -18,15 +18,15 @@
 	userTimeout = 2 * time.Second
 )
 
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount}
+
 // New returns a dialer whose connections fail when the peer stops responding, even if no reset
 // arrives; timeout bounds the time to connect.
 func New(timeout time.Duration) *net.Dialer {
 	return &net.Dialer{
-		Timeout: timeout,
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
-		},
-		Control: setUserTimeout,
+		Timeout:         timeout,
+		KeepAliveConfig: keepAlive,
+		Control:         setUserTimeout,
 	}
 }
 
