Relay connections to upstreams through other hosts

A host that is cut off from upstreams has no other way to them, so its callers get failures while other hosts reach the upstreams. A Dialer opens a tunnel through another host by an HTTP upgrade, and a Handler there connects to the listed upstream and relays the bytes in frames. The end and the reset of the upstream's connection are frames of their own, so a relaying host that ends or is cut off never looks like the end of an answer; a tunnel that ends without the caller's last frame resets the upstream.

The errors of the relaying host's connection are kept as text only: a relaying host that refuses must not look like an upstream that has ended. eris finds wrapped errors by their text as well, so TestEndsAreToldApart failed with eris.Wrap(ErrBroken, "EOF"), which counted as io.EOF.

--- a/detour/errors.go
+++ b/detour/errors.go
@@ -58,19 +58,28 @@
 	dialError struct {
 		via      spoke.Address
 		upstream spoke.UpstreamID
-		detail   string
-		causes   []error
+		// detail is part of the text only.
+		detail error
+		causes []error
+	}
+
+	// brokenError is the error of a tunnel that broke off. A wrapped cause would be found by errors.Is, and one that eris
+	// wraps even by its text.
+	brokenError struct {
+		cause string
 	}
 )
 
 // Error returns the way and the cause.
 func (e *dialError) Error() string {
-	text := "detour to " + string(e.upstream) + " through " + string(e.via) + ": " + e.causes[0].Error()
-	if e.detail != "" {
-		text += ": " + e.detail
-	}
-	return text
+	return "detour to " + string(e.upstream) + " through " + string(e.via) + ": " + e.causes[0].Error() + ": " + e.detail.Error()
 }
 
 // Unwrap returns the causes.
 func (e *dialError) Unwrap() []error { return e.causes }
+
+// Error returns what happened to the tunnel.
+func (e *brokenError) Error() string { return ErrBroken.Error() + ": " + e.cause }
+
+// Unwrap returns ErrBroken.
+func (*brokenError) Unwrap() error { return ErrBroken }
--- a/detour/handler.go
+++ b/detour/handler.go
@@ -2,19 +2,32 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net"
 	"net/http"
+	"sync"
+	"syscall"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"magnoliaspoke.example/spoke"
+	"magnoliaspoke.example/spoke/dial"
 )
 
 const (
 	// Path is the path of the requests for detours.
 	Path = "/detour"
+
 	// protocol is the name of the tunnel's protocol in the upgrade.
 	protocol = "spoke-detour"
+	// upstreamParameter is the query parameter that names the upstream.
+	upstreamParameter = "upstream"
+	// upstreamTimeout bounds the time to connect to an upstream.
+	upstreamTimeout = 700 * time.Millisecond
+	// defaultLimit is the number of tunnels that may be open at a time if nothing else is set.
+	defaultLimit = 1024
 )
 
 type (
@@ -30,6 +43,20 @@
 		dial   func(ctx context.Context, network, address string) (net.Conn, error)
 		log    logrus.FieldLogger
 		limit  int
+
+		// ctx ends when the handler is closed.
+		ctx    context.Context
+		cancel context.CancelFunc
+
+		mu      sync.Mutex
+		tunnels map[*tunnel]struct{}
+		// open includes the connections that are being made.
+		open  int
+		total int
+		// isEnding is set when no further tunnels are opened.
+		isEnding bool
+		// ended is closed when no tunnel is open and none will be.
+		ended chan struct{}
 	}
 )
 
@@ -46,7 +73,13 @@
 
 // NewHandler returns a handler that connects to the upstreams that lookup finds.
 func NewHandler(lookup Lookup, options ...Option) *Handler {
-	h := &Handler{lookup: lookup}
+	discard := logrus.New()
+	discard.SetOutput(io.Discard)
+	h := &Handler{
+		lookup: lookup, dial: dial.New(upstreamTimeout).DialContext, log: discard, limit: defaultLimit,
+		tunnels: make(map[*tunnel]struct{}), ended: make(chan struct{}),
+	}
+	h.ctx, h.cancel = context.WithCancel(context.Background())
 	for _, option := range options {
 		option(h)
 	}
@@ -54,16 +87,149 @@
 }
 
 // ServeHTTP connects to the upstream that the request names and turns the request's connection into a tunnel.
-func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {}
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Header.Get("Upgrade") != protocol {
+		http.Error(w, "not an upgrade to "+protocol, http.StatusUpgradeRequired)
+		return
+	}
+	id := spoke.UpstreamID(r.URL.Query().Get(upstreamParameter))
+	if !h.acquire() {
+		h.refuse(w, id, codeBusy, nil)
+		return
+	}
+	upstream, code, err := h.connect(r.Context(), id)
+	if err != nil || code != "" {
+		h.release(nil)
+		h.refuse(w, id, code, err)
+		return
+	}
+	if err := h.start(w, upstream); err != nil {
+		reset(upstream)
+		h.release(nil)
+		h.log.WithError(err).WithField("upstream", id).Warn("detour not opened")
+	}
+}
 
 // Open returns the number of open tunnels, including those whose connection is being made.
-func (h *Handler) Open() int { return 0 }
+func (h *Handler) Open() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.open
+}
 
 // Total returns the number of tunnels opened so far.
-func (h *Handler) Total() int { return 0 }
+func (h *Handler) Total() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.total
+}
 
-// Drain waits until no tunnel is open or ctx ends, and then closes the handler.
-func (h *Handler) Drain(ctx context.Context) error { return nil }
+// Drain refuses further tunnels, waits until none is open or ctx ends, and then closes the handler; it returns the error of
+// ctx if tunnels were still open.
+func (h *Handler) Drain(ctx context.Context) error {
+	h.end()
+	var err error
+	select {
+	case <-h.ended:
+	case <-ctx.Done():
+		err = ctx.Err()
+	}
+	return errors.Join(err, h.Close())
+}
 
 // Close resets all open tunnels, refuses further ones and returns when none is left.
-func (h *Handler) Close() error { return nil }
+func (h *Handler) Close() error {
+	h.end()
+	h.cancel()
+	h.mu.Lock()
+	for t := range h.tunnels {
+		t.abort()
+	}
+	h.mu.Unlock()
+	<-h.ended
+	return nil
+}
+
+func (h *Handler) acquire() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.isEnding || h.open >= h.limit {
+		return false
+	}
+	h.open++
+	return true
+}
+
+// release ends what acquire began; the tunnel is nil if none was opened.
+func (h *Handler) release(t *tunnel) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.tunnels, t)
+	h.open--
+	if h.isEnding && h.open == 0 {
+		close(h.ended)
+	}
+}
+
+func (h *Handler) end() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.isEnding && h.open == 0 {
+		close(h.ended)
+	}
+	h.isEnding = true
+}
+
+// connect connects to an upstream; without a connection it returns the code of the answer.
+func (h *Handler) connect(ctx context.Context, id spoke.UpstreamID) (net.Conn, errorCode, error) {
+	address, ok := h.lookup(id)
+	if !ok {
+		return nil, codeUnlisted, nil
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(h.ctx, cancel)()
+	conn, err := h.dial(ctx, "tcp", string(address))
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return nil, codeRefused, err
+	case err != nil:
+		return nil, codeUnreachable, err
+	}
+	return conn, "", nil
+}
+
+// start takes over the connection of a request and relays until either side ends.
+func (h *Handler) start(w http.ResponseWriter, upstream net.Conn) error {
+	raw, buffered, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		http.Error(w, "connection cannot be taken over", http.StatusInternalServerError)
+		return err
+	}
+	_ = raw.SetDeadline(time.Time{})
+	if err := dial.Accepted(raw); err != nil {
+		_ = raw.Close()
+		return err
+	}
+	t := &tunnel{host: raw, upstream: upstream, frames: frameReader{reader: buffered.Reader}}
+	t.ended = func() { h.release(t) }
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.tunnels[t] = struct{}{}
+	h.total++
+	if h.ctx.Err() != nil {
+		t.abort()
+	}
+	t.start()
+	return nil
+}
+
+func (h *Handler) refuse(w http.ResponseWriter, id spoke.UpstreamID, code errorCode, err error) {
+	fields := logrus.Fields{"upstream": id, "code": string(code)}
+	if err != nil {
+		fields[logrus.ErrorKey] = err
+	}
+	h.log.WithFields(fields).Info("detour refused")
+	w.Header().Set(errorHeader, string(code))
+	w.WriteHeader(refusals[code].status)
+}
