--- a/detour/detour_test.go
+++ b/detour/detour_test.go
@@ -190,7 +190,7 @@
 			assert.NilError(t, err)
 		},
 		"on the way to it": func(t *testing.T, conn *detour.Conn) {
-			for conn.Unsent() == 0 {
+			for conn.Unsent() < 1<<20 {
 				_, err := conn.Write(make([]byte, 128<<10))
 				assert.NilError(t, err)
 			}
@@ -215,10 +215,10 @@
 			s := newSetup(t, detour.WithDial(dialSmall))
 			conn, upstream := s.open(t)
 			fill(t, conn)
-			assert.NilError(t, conn.Close())
 			// The user timeout of the tunnel's own connection would end it after two seconds.
 			ctx, cancel := context.WithTimeout(t.Context(), 1500*time.Millisecond)
 			defer cancel()
+			assert.NilError(t, conn.Close())
 			assert.NilError(t, s.handler.Drain(ctx))
 			assert.Assert(t, !dial.IsEstablished(upstream))
 		})
--- a/detour/handler.go
+++ b/detour/handler.go
@@ -94,13 +94,13 @@
 	}
 	id := spoke.UpstreamID(r.URL.Query().Get(upstreamParameter))
 	if !h.acquire() {
-		h.refuse(w, id, codeBusy, nil)
+		h.refuse(w, r, id, codeBusy, nil)
 		return
 	}
 	upstream, code, err := h.connect(r.Context(), id)
 	if err != nil || code != "" {
 		h.release(nil)
-		h.refuse(w, id, code, err)
+		h.refuse(w, r, id, code, err)
 		return
 	}
 	if err := h.start(w, upstream); err != nil {
@@ -224,8 +224,8 @@
 	return nil
 }
 
-func (h *Handler) refuse(w http.ResponseWriter, id spoke.UpstreamID, code errorCode, err error) {
-	fields := logrus.Fields{"upstream": id, "code": string(code)}
+func (h *Handler) refuse(w http.ResponseWriter, r *http.Request, id spoke.UpstreamID, code errorCode, err error) {
+	fields := logrus.Fields{"upstream": id, "from": r.RemoteAddr, "code": string(code)}
 	if err != nil {
 		fields[logrus.ErrorKey] = err
 	}
