--- a/detour/export_test.go
+++ b/detour/export_test.go
@@ -34,3 +34,18 @@
 	_ = control.Control(func(fd uintptr) { unsent, _ = unix.IoctlGetInt(int(fd), unix.SIOCOUTQNSD) })
 	return unsent
 }
+
+// Transferred returns the number of bytes that the tunnel's connection has carried in both directions, for tests.
+func (c *Conn) Transferred() int {
+	control, err := c.tcp.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	transferred := 0
+	_ = control.Control(func(fd uintptr) {
+		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			transferred = int(info.Bytes_acked + info.Bytes_received)
+		}
+	})
+	return transferred
+}
