--- a/detour/conn.go
+++ b/detour/conn.go
@@ -39,9 +39,11 @@
 	}
 	n, err := c.frames.read(p)
 	switch {
-	case err == errEnd:
+	case err == nil:
+		return n, nil
+	case errors.Is(err, errEnd):
 		return n, io.EOF
-	case err == errReset:
+	case errors.Is(err, errReset):
 		return n, err
 	default:
 		return n, tunnelError(err)
--- a/detour/detour_test.go
+++ b/detour/detour_test.go
@@ -112,7 +112,7 @@
 			for range 2 {
 				err := readError(t, conn)
 				for _, kind := range []error{io.EOF, syscall.ECONNRESET, detour.ErrBroken} {
-					assert.Equal(t, errors.Is(err, kind), kind == test.want, "%v is %v", err, kind)
+					assert.Equal(t, errors.Is(err, kind), errors.Is(test.want, kind), "%v is %v", err, kind)
 				}
 			}
 		})
--- a/detour/dialer_test.go
+++ b/detour/dialer_test.go
@@ -75,7 +75,7 @@
 			}
 			_, err := s.dialer.Dial(t.Context(), s.via, test.upstream)
 			for _, kind := range []error{detour.ErrRefused, detour.ErrUnreachable, detour.ErrUnlisted, detour.ErrBusy, detour.ErrRelay} {
-				assert.Equal(t, errors.Is(err, kind), kind == test.want, "%v is %v", err, kind)
+				assert.Equal(t, errors.Is(err, kind), errors.Is(test.want, kind), "%v is %v", err, kind)
 			}
 			assert.Equal(t, errors.Is(err, syscall.ECONNREFUSED), test.isRefused, "%v", err)
 		})
--- a/detour/frame_test.go
+++ b/detour/frame_test.go
@@ -75,7 +75,7 @@
 	source := bytes.NewReader(raw)
 	reader := detour.NewFrameReader(source)
 	assert.Equal(t, testing.AllocsPerRun(100, func() {
-		if n, err := reader.Read(buffer); n != 4 && err != io.EOF {
+		if n, err := reader.Read(buffer); n != 4 && !errors.Is(err, io.EOF) {
 			t.Errorf("%d bytes, %v", n, err)
 		}
 	}), 0.0)
