--- /dev/null
+++ b/reach/ways.go
@@ -0,0 +1,257 @@
+package reach
+
+import (
+	"slices"
+	"time"
+
+	"magnoliaspoke.example/spoke"
+)
+
+const (
+	// hostSilence is the time without a byte from any upstream after which a host with unanswered requests probes
+	// some of its ways.
+	hostSilence = 400 * time.Millisecond
+	// upstreamSilence is the same for one upstream while others send bytes.
+	upstreamSilence = 800 * time.Millisecond
+	// probePause is the least time between two probes of one way, and between two samples.
+	probePause = time.Second
+	// sampleSize is the number of ways that have to fail together for a host to count as cut off.
+	sampleSize = 5
+	// maxSilentSampled bounds the silent upstreams in a sample: these may have failed themselves.
+	maxSilentSampled = 2
+	// cutOffCheckInterval is the time between two checks of a host that is cut off, checksAtOnce the ways checked.
+	cutOffCheckInterval = 300 * time.Millisecond
+	checksAtOnce        = 2
+	// waysToReturn is the number of ways that have to work for a host to count as no longer cut off.
+	waysToReturn = 2
+	// minCheckPause and maxCheckPause bound the time between two checks of one lost way.
+	minCheckPause = 500 * time.Millisecond
+	maxCheckPause = 4 * time.Second
+	// maxObservationGap is the time between two observations beyond which this host was suspended.
+	maxObservationGap = time.Second
+)
+
+type (
+	// Activity is what happened on the direct connections to an upstream.
+	Activity struct {
+		Upstream spoke.UpstreamID
+		// UnansweredSince is when the first request was sent since the last byte was received, zero if none was.
+		UnansweredSince time.Time
+		// HeardAt is when the last byte was received.
+		HeardAt time.Time
+	}
+
+	// way is the direct way to one upstream.
+	way struct {
+		isLost     bool
+		checkAt    time.Time
+		checkPause time.Duration
+		probedAt   time.Time
+	}
+
+	// sample is a set of ways that are probed together.
+	sample struct{ pending map[spoke.UpstreamID]bool }
+
+	// Ways is the state of the direct ways from one host to its upstreams.
+	Ways struct {
+		ways map[spoke.UpstreamID]*way
+		// order holds the upstreams by id, next is the position from which probes are taken.
+		order      []spoke.UpstreamID
+		next       int
+		isCutOff   bool
+		sample     *sample
+		sampledAt  time.Time
+		checkedAt  time.Time
+		observedAt time.Time
+		// awakeSince is when this host was first observed after its start or its last suspension.
+		awakeSince time.Time
+		// reached holds the ways that have worked since the host counts as cut off.
+		reached map[spoke.UpstreamID]bool
+	}
+)
+
+// NewWays returns the state of a host that lists no upstreams.
+func NewWays() *Ways { return &Ways{ways: make(map[spoke.UpstreamID]*way)} }
+
+// SetUpstreams sets the listed upstreams and forgets all others.
+func (w *Ways) SetUpstreams(ids []spoke.UpstreamID) {
+	known := w.ways
+	w.ways, w.order = make(map[spoke.UpstreamID]*way, len(ids)), slices.Sorted(slices.Values(ids))
+	for _, id := range ids {
+		if w.ways[id] = known[id]; known[id] == nil {
+			w.ways[id] = &way{}
+		}
+	}
+}
+
+// IsCutOff reports whether this host reaches no upstream directly, as far as it knows.
+func (w *Ways) IsCutOff() bool { return w.isCutOff }
+
+// IsLost reports whether connections to an upstream have to be made through another host.
+func (w *Ways) IsLost(id spoke.UpstreamID) bool {
+	return w.isCutOff || (w.ways[id] != nil && w.ways[id].isLost)
+}
+
+// Connected records that a direct connection to an upstream was made.
+func (w *Ways) Connected(id spoke.UpstreamID) {
+	w.sample = nil
+	if known := w.ways[id]; known != nil {
+		known.isLost, known.checkPause = false, 0
+	}
+	if !w.isCutOff {
+		return
+	}
+	w.reached[id] = true
+	if len(w.reached) < min(waysToReturn, len(w.order)) {
+		return
+	}
+	w.isCutOff = false
+	for _, known := range w.ways {
+		known.isLost, known.checkPause = false, 0
+	}
+}
+
+// Bypassed records that another host has reached an upstream to which no direct connection could be made, so that it is
+// the way that failed. It returns the upstreams to probe.
+func (w *Ways) Bypassed(now time.Time, id spoke.UpstreamID) []spoke.UpstreamID {
+	known := w.ways[id]
+	if known == nil {
+		return nil
+	}
+	known.lose(now)
+	if w.failInSample(id) || w.isCutOff {
+		return nil
+	}
+	return w.beginSample(now, nil)
+}
+
+// ProbeFailed records that a probe has failed. The upstream itself may have, which the next connection through another
+// host shows.
+func (w *Ways) ProbeFailed(now time.Time, id spoke.UpstreamID) {
+	if known := w.ways[id]; known != nil {
+		known.lose(now)
+		w.failInSample(id)
+	}
+}
+
+// lose records that the way does not work; its next check comes later each time.
+func (y *way) lose(now time.Time) {
+	y.isLost = true
+	y.checkPause = min(max(2*y.checkPause, minCheckPause), maxCheckPause)
+	y.checkAt = now.Add(y.checkPause)
+}
+
+// failInSample records the failure of a probe and reports whether it belongs to a sample. A host for which all ways of a
+// sample have failed counts as cut off.
+func (w *Ways) failInSample(id spoke.UpstreamID) bool {
+	if w.sample == nil || !w.sample.pending[id] {
+		return false
+	}
+	delete(w.sample.pending, id)
+	if len(w.sample.pending) == 0 {
+		w.isCutOff, w.sample = true, nil
+		w.reached = make(map[spoke.UpstreamID]bool)
+	}
+	return true
+}
+
+// Observe returns the upstreams to probe now, from what happened on all direct connections.
+func (w *Ways) Observe(now time.Time, activities []Activity) []spoke.UpstreamID {
+	if now.Sub(w.observedAt) > maxObservationGap {
+		w.awakeSince, w.sample = now, nil
+	}
+	w.observedAt = now
+	if w.isCutOff {
+		return w.checksWhileCutOff(now)
+	}
+	probes := w.lostToCheck(now)
+	silent, isAnyHeard := w.silent(now, activities)
+	if !isAnyHeard && len(silent) > 0 {
+		return append(probes, w.beginSample(now, silent)...)
+	}
+	for _, activity := range activities {
+		known := w.ways[activity.Upstream]
+		if known == nil || known.isLost || !w.isSilent(now, activity, upstreamSilence) || now.Sub(known.probedAt) < probePause {
+			continue
+		}
+		known.probedAt = now
+		probes = append(probes, activity.Upstream)
+	}
+	return probes
+}
+
+// silent returns the upstreams that have not answered for hostSilence, and whether any has sent a byte within it.
+func (w *Ways) silent(now time.Time, activities []Activity) (silent []spoke.UpstreamID, isAnyHeard bool) {
+	for _, activity := range activities {
+		if now.Sub(activity.HeardAt) < hostSilence {
+			return nil, true
+		}
+		if w.ways[activity.Upstream] != nil && w.isSilent(now, activity, hostSilence) {
+			silent = append(silent, activity.Upstream)
+		}
+	}
+	return silent, false
+}
+
+// isSilent reports whether a request has been unanswered for a time in which this host was running.
+func (w *Ways) isSilent(now time.Time, activity Activity, wait time.Duration) bool {
+	since := activity.UnansweredSince
+	return !since.IsZero() && now.Sub(since) >= wait && now.Sub(w.awakeSince) >= wait
+}
+
+// beginSample returns the ways to probe together: some of the silent ones, and others. It returns none while another
+// sample is recent.
+func (w *Ways) beginSample(now time.Time, silent []spoke.UpstreamID) []spoke.UpstreamID {
+	if now.Sub(w.sampledAt) < probePause || len(w.order) == 0 {
+		return nil
+	}
+	w.sampledAt = now
+	w.sample = &sample{pending: make(map[spoke.UpstreamID]bool)}
+	for _, id := range silent[:min(len(silent), maxSilentSampled)] {
+		w.sample.pending[id] = true
+	}
+	for range w.order {
+		if len(w.sample.pending) >= sampleSize {
+			break
+		}
+		w.sample.pending[w.takeNext()] = true
+	}
+	probes := make([]spoke.UpstreamID, 0, len(w.sample.pending))
+	for id := range w.sample.pending {
+		w.ways[id].probedAt = now
+		probes = append(probes, id)
+	}
+	return probes
+}
+
+// checksWhileCutOff returns the next ways to check of a host that is cut off.
+func (w *Ways) checksWhileCutOff(now time.Time) []spoke.UpstreamID {
+	if now.Sub(w.checkedAt) < cutOffCheckInterval || len(w.order) == 0 {
+		return nil
+	}
+	w.checkedAt = now
+	checks := make([]spoke.UpstreamID, 0, checksAtOnce)
+	for range min(checksAtOnce, len(w.order)) {
+		checks = append(checks, w.takeNext())
+	}
+	return checks
+}
+
+// lostToCheck returns the lost ways whose next check is due.
+func (w *Ways) lostToCheck(now time.Time) []spoke.UpstreamID {
+	var due []spoke.UpstreamID
+	for _, id := range w.order {
+		known := w.ways[id]
+		if known.isLost && !now.Before(known.checkAt) && len(due) < checksAtOnce {
+			known.checkAt = now.Add(max(known.checkPause, minCheckPause))
+			due = append(due, id)
+		}
+	}
+	return due
+}
+
+// takeNext returns the upstreams in turn.
+func (w *Ways) takeNext() spoke.UpstreamID {
+	w.next = (w.next + 1) % len(w.order)
+	return w.order[w.next]
+}
