Let a pool take its connections and their reuse from outside

Connections to upstreams will be made through other hosts where the own way is lost, and idle ones on another way than new ones take must not be used again. The pool gets the function that connects and the one that decides on reuse as options. A connection that knows itself whether it is open and has no unread bytes is asked in place of its socket.

go test ./link passes; without the options nothing changes.

--- a/link/conn.go
+++ b/link/conn.go
@@ -78,6 +78,9 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
+	if checked, ok := c.Conn.(interface{ IsOpenAndEmpty() bool }); ok {
+		return checked.IsOpenAndEmpty()
+	}
 	raw, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return true
--- a/link/pool.go
+++ b/link/pool.go
@@ -36,6 +36,8 @@
 	Pool struct {
 		dial func(ctx context.Context, network, address string) (net.Conn, error)
 		now  func() time.Time
+		// mayReuse reports whether an idle connection to an address is still on the way that new ones take.
+		mayReuse func(address spoke.Address, conn net.Conn) bool
 
 		mu     sync.Mutex
 		idle   map[spoke.Address][]*conn
@@ -51,9 +53,22 @@
 	return func(p *Pool) { p.now = now }
 }
 
+// WithDial sets the function that makes connections.
+func WithDial(dial func(ctx context.Context, network, address string) (net.Conn, error)) Option {
+	return func(p *Pool) { p.dial = dial }
+}
+
+// WithReuse sets the function that reports whether an idle connection to an address may be used again.
+func WithReuse(mayReuse func(address spoke.Address, conn net.Conn) bool) Option {
+	return func(p *Pool) { p.mayReuse = mayReuse }
+}
+
 // New returns an empty pool.
 func New(options ...Option) *Pool {
-	p := &Pool{dial: dial.New(dialTimeout).DialContext, now: time.Now, idle: make(map[spoke.Address][]*conn), safeIdle: time.Hour}
+	p := &Pool{
+		dial: dial.New(dialTimeout).DialContext, now: time.Now, mayReuse: func(spoke.Address, net.Conn) bool { return true },
+		idle: make(map[spoke.Address][]*conn), safeIdle: time.Hour,
+	}
 	for _, option := range options {
 		option(p)
 	}
@@ -93,7 +108,7 @@
 			_ = c.Close()
 			break
 		}
-		if p.now().Before(c.reusableUntil) && p.isWithinSafeIdle(c) && c.isOpenAndEmpty() {
+		if p.now().Before(c.reusableUntil) && p.isWithinSafeIdle(c) && p.mayReuse(address, c.Conn) && c.isOpenAndEmpty() {
 			c.isReused = true
 			return c, nil
 		}
@@ -137,7 +152,7 @@
 	for address, idle := range p.idle {
 		var kept []*conn
 		for _, c := range idle {
-			if now.Before(c.reusableUntil) && c.isOpenAndEmpty() {
+			if now.Before(c.reusableUntil) && p.mayReuse(address, c.Conn) && c.isOpenAndEmpty() {
 				kept = append(kept, c)
 				continue
 			}
