Connect to upstreams through other hosts where own ways are lost

Callers of hosts that were partitioned from all engines were refused or timed out, while other hosts reached idle engines: each call goes straight from the host that holds its caller, and nothing connected it in another way.

Relaying hosts take it for listed upstreams that they reach themselves, in one hop; one that stops waits for what it relays.

TestStoppingHostsEndDetoursInOrder fails if the stop does not wait.

--- a/edge/apply.go
+++ b/edge/apply.go
@@ -111,6 +111,7 @@
 func (h *Host) applyUpstreams(change spoke.DirectoryChange) {
 	h.relayer.origins.applyUpstreams(change)
 	h.relayer.listed.apply(change)
+	h.ways.apply(change)
 	for _, listed := range change.Upstreams {
 		if listed.IsLeaving {
 			h.deps.Log.WithField("upstream", listed.ID).Info("upstream is leaving")
@@ -146,6 +147,7 @@
 	}
 	delete(h.peers, h.settings.Host)
 	h.planner.peers <- h.groupPeers()
+	h.ways.setPeers(slices.Collect(maps.Values(h.peers)))
 	h.stores.setPeers(slices.Collect(maps.Keys(h.peers)))
 }
 
--- a/edge/handler.go
+++ b/edge/handler.go
@@ -39,6 +39,7 @@
 		codec      spoke.RelayCodec
 		planner    *planner
 		pool       *link.Pool
+		ways       *ways
 		quarantine *quarantine
 		parts      *partQuarantine
 		origins    *origins
--- a/edge/host.go
+++ b/edge/host.go
@@ -17,6 +17,7 @@
 	"magnoliaspoke.example/spoke"
 	"magnoliaspoke.example/spoke/caller"
 	"magnoliaspoke.example/spoke/config"
+	"magnoliaspoke.example/spoke/detour"
 	"magnoliaspoke.example/spoke/drain"
 	"magnoliaspoke.example/spoke/fetch"
 	"magnoliaspoke.example/spoke/lease"
@@ -37,6 +38,8 @@
 	sweepInterval = 4 * time.Second
 	// directoryBatchDelay is the pause between two directory watches, so that changes are batched.
 	directoryBatchDelay = 200 * time.Millisecond
+	// maxDetours bounds the connections of other hosts that this one relays.
+	maxDetours = 512
 )
 
 type (
@@ -69,6 +72,8 @@
 		stores        *storeFollowers
 		follower      *follower
 		contentServer *contentServer
+		ways          *ways
+		detours       *detour.Handler
 		offers        *tableOffers
 		// ordersRank is the position of this host among all hosts that may acquire the orders lease.
 		ordersRank   atomic.Int64
@@ -93,14 +98,17 @@
 	}
 	quarantine, metrics := newQuarantine(), newMetrics()
 	parts := newPartQuarantine(settings.Host, deps.Log, metrics)
+	h.ways = newWays(settings.Host, deps.Log, metrics, func() { h.post(place.WaysLost{}) })
 	h.planner = newPlanner(place.NewScheduler(place.Settings{
 		Host: settings.Host, DataCentre: settings.DataCentre,
 		RetryShare: float64(settings.RetryShare), RetryReserve: float64(settings.RetryReserve),
 		RetryWindow: settings.RetryWindow, WeightsApply: settings.WeightsApply,
 	}), deps.Timer, deps.LeaseTimer, deps.Log, quarantine, parts, h.conf, metrics, socket.Send)
+	h.planner.takesNoDetours = func() bool { return h.isLeaving.Load() || h.ways.isCutOff() }
 	h.planner.origins = newOrigins(h.self(), h.conf, deps.Timer, deps.Log, metrics, socket.Send)
+	h.detours = detour.NewHandler(h.ways.relayed, detour.WithLog(deps.Log), detour.WithLimit(maxDetours))
 	h.relayer = &relayer{
-		conf: h.conf, codec: deps.Codec, planner: h.planner, pool: link.New(), quarantine: quarantine, parts: parts, origins: h.planner.origins,
+		conf: h.conf, codec: deps.Codec, planner: h.planner, pool: link.New(link.WithDial(h.ways.Dial), link.WithReuse(h.ways.mayReuse)), ways: h.ways, quarantine: quarantine, parts: parts, origins: h.planner.origins,
 		answerMemory: fetch.NewMemory(settings.Memory / answerMemoryDivisor),
 		bodyMemory:   fetch.NewMemory(settings.Memory / bodyMemoryDivisor),
 		listed:       newListedUpstreams(),
@@ -147,6 +155,7 @@
 	task(h.follower.run)
 	task(h.offers.run)
 	task(h.relayer.origins.run)
+	task(func(ctx context.Context) error { return h.ways.run(ctx, h.deps.Timer) })
 	callers, err := newCallerServer(h.relayer, h.settings.Caller)
 	if err != nil {
 		return err
@@ -160,6 +169,7 @@
 	peerMux.Handle("GET "+feedPath, h.follower.feed)
 	peerMux.Handle("GET "+contentPath, h.contentServer)
 	peerMux.Handle("GET "+originPath, h.relayer.origins)
+	peerMux.Handle("GET "+detour.Path, h.detours)
 	if err := h.listen(&group, &http.Server{Handler: peerMux, ReadHeaderTimeout: callerHeaderTimeout}, h.socket.Address()); err != nil {
 		return err
 	}
@@ -271,6 +281,9 @@
 	if len(report.Origins) > 0 {
 		return
 	}
+	if h.ways.receive(report) {
+		h.relayer.pool.Sweep()
+	}
 	if len(report.Marks) > 0 {
 		h.relayer.quarantine.registry.Merge(time.Now(), report.Marks)
 	}
--- a/edge/idlewatch.go
+++ b/edge/idlewatch.go
@@ -180,7 +180,7 @@
 // grant ended.
 func (w *idleWatcher) take(ctx context.Context, next *grantedAttempt) (place.Ending, bool) {
 	upstream := next.grant.Upstream
-	err := probe(ctx, upstream.Address)
+	err := w.ways.probe(ctx, upstream.Address)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if ctx.Err() != nil || !w.state.Granted() {
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -51,6 +51,9 @@
 		// endChecks counts the calls that ask upstreams whether they still run behind the end of an answer, and
 		// unconfirmedEnds the answers that count as broken off after them.
 		endChecks, unconfirmedEnds atomic.Int64
+		// detours counts the connections that were made through other hosts, wayProbes those made to find out which own ways
+		// work, and cutOffs how often this host found that none does.
+		detours, wayProbes, cutOffs atomic.Int64
 		// behind counts the answers behind which bytes were dropped that do not belong to them.
 		behind atomic.Int64
 	}
@@ -66,11 +69,12 @@
 // ServeHTTP writes the metrics in the format of package expvar.
 func (m *metrics) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
-	_, _ = fmt.Fprintf(w, "{\n%q: %s,\n%q: %s,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d\n}\n",
+	_, _ = fmt.Fprintf(w, "{\n%q: %s,\n%q: %s,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d\n}\n",
 		"answers", expvar.Func(m.answers), "times", expvar.Func(m.percentiles), "endless", m.endless.Load(), "limited", m.limited.Load(),
 		"recalled", m.recalled.Load(), "crashes", m.crashes.Load(), "part-marks", m.partMarks.Load(), "part-refusals", m.partRefusals.Load(),
 		"feed-bytes", m.feedBytes.Load(), "origin-datagrams", m.originDatagrams.Load(), "origin-requests", m.originRequests.Load(),
-		"end-checks", m.endChecks.Load(), "unconfirmed-ends", m.unconfirmedEnds.Load(), "bytes-behind", m.behind.Load())
+		"end-checks", m.endChecks.Load(), "unconfirmed-ends", m.unconfirmedEnds.Load(), "bytes-behind", m.behind.Load(),
+		"detours", m.detours.Load(), "way-probes", m.wayProbes.Load(), "cut-offs", m.cutOffs.Load())
 }
 
 func (m *metrics) addAnswer(route spoke.RouteName, outcome string, arrived time.Time) {
@@ -105,6 +109,12 @@
 
 func (m *metrics) addBehind() { m.behind.Add(1) }
 
+func (m *metrics) addDetour() { m.detours.Add(1) }
+
+func (m *metrics) addWayProbe() { m.wayProbes.Add(1) }
+
+func (m *metrics) addCutOff() { m.cutOffs.Add(1) }
+
 func (m *metrics) addWait(route spoke.RouteName, took time.Duration) { m.add("wait ", route, took) }
 
 func (m *metrics) addFirst(route spoke.RouteName, took time.Duration) { m.add("first ", route, took) }
--- a/edge/planner.go
+++ b/edge/planner.go
@@ -68,6 +68,8 @@
 		conf           *configState
 		metrics        *metrics
 		suspensions    *suspensionMeter
+		// takesNoDetours reports whether this host relays no connections of others, true while it is cut off or stops.
+		takesNoDetours func() bool
 		peerAddresses  peerAddresses
 		reportedAt     time.Time
 		fullReportAt   time.Time
@@ -285,6 +287,7 @@
 // addHostState adds the directory view and the quarantine marks of this host to a load report.
 func (p *planner) addHostState(now time.Time, report spoke.HostReport) spoke.HostReport {
 	report.Directory = p.conf.view()
+	report.TakesNoDetours = p.takesNoDetours()
 	if report.IsSnapshot {
 		report.Directory = p.conf.fullView()
 		report.Software, report.SoftwareKnown = p.origins.software()
--- a/edge/stop.go
+++ b/edge/stop.go
@@ -73,10 +73,12 @@
 	h.relayer.stop.Store(&times)
 	end := time.AfterFunc(time.Until(times.endsAt), h.relayer.requests.End)
 	defer end.Stop()
+	detoursEnded := h.drainDetours(ctx, deadline)
 	timer.Wait(ctx, h.deps.Timer, min(unreadyDelay, time.Until(deadline)))
 	if err := callers.stop(ctx, deadline); err != nil {
 		h.deps.Log.WithError(err).Warn("calls under way are cut off")
 	}
+	<-detoursEnded
 	cutOff := h.relayer.underWay.list()
 	h.logCutOff(cutOff)
 	h.deps.Log.WithFields(logrus.Fields{"cut-off": len(cutOff), "took": time.Since(begun).String()}).Info("stopped")
@@ -84,6 +86,21 @@
 	return errStopped
 }
 
+// drainDetours refuses further connections of other hosts to upstreams, and waits until those that it relays have ended.
+func (h *Host) drainDetours(ctx context.Context, deadline time.Time) <-chan struct{} {
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		ctx, cancel := context.WithDeadline(ctx, deadline)
+		defer cancel()
+		open := h.detours.Open()
+		if err := h.detours.Drain(ctx); err != nil {
+			h.deps.Log.WithError(err).WithField("open", open).Warn("connections of other hosts are cut off")
+		}
+	}()
+	return ended
+}
+
 // logCutOff logs the calls that get no final answer because the process ends.
 func (h *Host) logCutOff(calls []callState) {
 	for _, call := range calls {
--- a/edge/upstreamcrash.go
+++ b/edge/upstreamcrash.go
@@ -2,12 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
-	"magnoliaspoke.example/spoke"
-	"magnoliaspoke.example/spoke/dial"
 	"magnoliaspoke.example/spoke/place"
 )
 
@@ -32,19 +31,10 @@
 	return a.head.IsLeaving || !a.listed.isStaying(a.grant.Upstream.ID)
 }
 
-// isDead reports whether the upstream no longer accepts connections.
+// isDead reports whether the upstream no longer accepts connections. That this host does not reach it does not show that.
 func (a *attempt) isDead() bool {
-	return probe(context.Background(), a.grant.Upstream.Address) != nil
-}
-
-// probe returns why an upstream does not accept connections, nil if it does.
-func probe(ctx context.Context, address spoke.Address) error {
-	conn, err := dial.New(probeTimeout).DialContext(ctx, "tcp", string(address))
-	if err != nil {
-		return err
-	}
-	_ = conn.Close()
-	return nil
+	err := a.ways.probe(context.Background(), a.grant.Upstream.Address)
+	return err != nil && !errors.Is(err, errWayLost)
 }
 
 // endFingerprint records the end of the attempt for the quarantine of its request.
--- /dev/null
+++ b/edge/wayconn.go
@@ -0,0 +1,91 @@
+package edge
+
+import (
+	"net"
+	"sync/atomic"
+	"time"
+
+	"magnoliaspoke.example/spoke"
+	"magnoliaspoke.example/spoke/detour"
+	"magnoliaspoke.example/spoke/reach"
+)
+
+// activityEpoch is the time from which wayActivity counts.
+var activityEpoch = time.Now()
+
+type (
+	// wayActivity is what happened on the direct connections to an upstream, for concurrent use. Times are in nanoseconds
+	// since activityEpoch, zero for none.
+	wayActivity struct{ unansweredSince, heardAt atomic.Int64 }
+
+	// directConn is a direct connection to an upstream.
+	directConn struct {
+		*net.TCPConn
+		activity *wayActivity
+	}
+
+	// relayedConn is a connection to an upstream through another host.
+	relayedConn struct {
+		*detour.Conn
+		via    spoke.HostID
+		resets atomic.Bool
+	}
+)
+
+func (a *wayActivity) recordSent() {
+	a.unansweredSince.CompareAndSwap(0, int64(time.Since(activityEpoch)))
+}
+
+func (a *wayActivity) recordHeard() {
+	a.unansweredSince.Store(0)
+	a.heardAt.Store(int64(time.Since(activityEpoch)))
+}
+
+// of returns what happened at an upstream.
+func (a *wayActivity) of(id spoke.UpstreamID) reach.Activity {
+	return reach.Activity{Upstream: id, UnansweredSince: timeOf(a.unansweredSince.Load()), HeardAt: timeOf(a.heardAt.Load())}
+}
+
+func timeOf(sinceEpoch int64) time.Time {
+	if sinceEpoch == 0 {
+		return time.Time{}
+	}
+	return activityEpoch.Add(time.Duration(sinceEpoch))
+}
+
+// Read reads from the connection. An error of the network also shows that the way does not hang.
+func (c *directConn) Read(buffer []byte) (int, error) {
+	n, err := c.TCPConn.Read(buffer)
+	if n > 0 || err != nil {
+		c.activity.recordHeard()
+	}
+	return n, err
+}
+
+// Write writes to the connection.
+func (c *directConn) Write(buffer []byte) (int, error) {
+	c.activity.recordSent()
+	return c.TCPConn.Write(buffer)
+}
+
+// SetLinger sets whether Close resets the upstream's connection, which zero seconds do.
+func (c *relayedConn) SetLinger(seconds int) error {
+	c.resets.Store(seconds == 0)
+	return nil
+}
+
+// Close ends the connection.
+func (c *relayedConn) Close() error {
+	if c.resets.Load() {
+		return c.Reset()
+	}
+	return c.Conn.Close()
+}
+
+func newRelayedConn(conn net.Conn, via spoke.HostID) net.Conn {
+	tunnel, isTunnel := conn.(*detour.Conn)
+	if !isTunnel {
+		return conn
+	}
+	return &relayedConn{Conn: tunnel, via: via}
+}
--- /dev/null
+++ b/edge/waydial.go
@@ -0,0 +1,198 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"net"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"magnoliaspoke.example/spoke"
+	"magnoliaspoke.example/spoke/detour"
+)
+
+var (
+	// errNoRelay reports that no other host is listed.
+	errNoRelay = eris.New("no other host is listed")
+	// errAllRefuse reports that all other hosts say that they take no detours.
+	errAllRefuse = eris.New("no other host takes detours")
+)
+
+type (
+	// dialResult is the result of one try to connect.
+	dialResult struct {
+		conn      net.Conn
+		err       error
+		isRelayed bool
+	}
+
+	// wayDial makes one connection to a listed upstream.
+	wayDial struct {
+		*ways
+		listed  *listedWay
+		address string
+	}
+)
+
+// Dial connects to an upstream: directly, and through another host if the own way is lost or does not answer soon. An
+// error that matches errWayLost does not say whether the upstream runs.
+func (w *ways) Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	w.mu.Lock()
+	listed := w.byAddress[spoke.Address(address)]
+	isLost := listed != nil && w.state.IsLost(listed.id)
+	w.mu.Unlock()
+	if listed == nil {
+		return w.direct(ctx, network, address)
+	}
+	ctx, cancel := context.WithTimeout(ctx, wayTimeout)
+	defer cancel()
+	d := &wayDial{ways: w, listed: listed, address: address}
+	if isLost {
+		return d.dialLost(ctx)
+	}
+	return d.dialHedged(ctx)
+}
+
+// dialLost connects through another host; if none says anything of the upstream, the own way is tried.
+func (d *wayDial) dialLost(ctx context.Context) (net.Conn, error) {
+	conn, relayed := d.dialRelayed(ctx)
+	if relayed == nil || errors.Is(relayed, detour.ErrRefused) {
+		return conn, relayed
+	}
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	conn, direct := d.dialDirect(ctx)
+	if direct != nil {
+		return nil, d.failure(direct, relayed)
+	}
+	return conn, nil
+}
+
+// dialHedged connects directly, and asks another host as well if that fails or takes long. The first connection is used.
+func (d *wayDial) dialHedged(ctx context.Context) (net.Conn, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	results := make(chan dialResult, 2)
+	start := func(isRelayed bool, dial func(context.Context) (net.Conn, error)) {
+		go func() {
+			conn, err := dial(ctx)
+			results <- dialResult{conn: conn, err: err, isRelayed: isRelayed}
+		}()
+	}
+	start(false, d.dialDirect)
+	hedge := time.NewTimer(hedgeDelay)
+	defer hedge.Stop()
+	var direct, relayed error
+	pending, isHedged := 1, false
+	for pending > 0 {
+		isDue := false
+		select {
+		case <-hedge.C:
+			isDue = true
+		case result := <-results:
+			pending--
+			if result.err == nil {
+				go closeLate(results, pending)
+				return d.take(result), nil
+			}
+			if result.isRelayed {
+				relayed = result.err
+			} else {
+				direct, isDue = result.err, true
+			}
+		}
+		if isDue && !isHedged {
+			isHedged = true
+			pending++
+			start(true, d.dialRelayed)
+		}
+	}
+	return nil, d.failure(direct, relayed)
+}
+
+// closeLate closes the connections of tries that are no longer needed.
+func closeLate(results <-chan dialResult, pending int) {
+	for range pending {
+		if late := <-results; late.err == nil {
+			_ = late.conn.Close()
+		}
+	}
+}
+
+// take returns the connection that was made first. One through another host shows that the own way failed.
+func (d *wayDial) take(result dialResult) net.Conn {
+	if result.isRelayed {
+		d.change(func() { d.probeAll(context.Background(), d.state.Bypassed(d.now(), d.listed.id)) })
+	}
+	return result.conn
+}
+
+// failure returns the error of a connection that could neither be made directly nor through another host. A refusal of the
+// direct one may come from the network while the way is lost, so it is not wrapped then.
+func (d *wayDial) failure(direct, relayed error) error {
+	d.mu.Lock()
+	isLost := d.state.IsLost(d.listed.id)
+	d.mu.Unlock()
+	switch {
+	case errors.Is(relayed, detour.ErrRefused):
+		return relayed
+	case !isLost || errors.Is(relayed, errNoRelay):
+		return direct
+	}
+	return eris.Wrapf(errWayLost, "directly: %v; through other hosts: %v", direct, relayed)
+}
+
+// dialDirect connects on the own way.
+func (d *wayDial) dialDirect(ctx context.Context) (net.Conn, error) {
+	conn, err := d.direct(ctx, "tcp", d.address)
+	if err != nil {
+		return nil, err
+	}
+	d.change(func() { d.state.Connected(d.listed.id) })
+	tcp, isTCP := conn.(*net.TCPConn)
+	if !isTCP {
+		return conn, nil
+	}
+	return &directConn{TCPConn: tcp, activity: d.listed.activity}, nil
+}
+
+// dialRelayed connects through another host. A relaying host that is refused may be cut off itself, so the next one is
+// asked as well.
+func (d *wayDial) dialRelayed(ctx context.Context) (net.Conn, error) {
+	d.mu.Lock()
+	relays, count := d.relays.Choose(d.now(), d.listed.id, maxDetourTries), d.relays.Count()
+	d.mu.Unlock()
+	if count == 0 {
+		return nil, errNoRelay
+	}
+	var failures error
+	for _, relay := range relays {
+		conn, err := d.dialThrough(ctx, relay)
+		if err == nil {
+			return conn, nil
+		}
+		if errors.Is(err, detour.ErrRelay) && ctx.Err() == nil {
+			d.mu.Lock()
+			d.relays.Failed(d.now(), relay.ID)
+			d.mu.Unlock()
+		}
+		failures = errors.Join(failures, err)
+	}
+	if failures == nil {
+		return nil, errAllRefuse
+	}
+	return nil, failures
+}
+
+// dialThrough connects through one other host.
+func (d *wayDial) dialThrough(ctx context.Context, relay spoke.ListedPeer) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, detourTimeout)
+	defer cancel()
+	conn, err := d.detours.Dial(ctx, relay.Address, d.listed.id)
+	if err != nil {
+		return nil, err
+	}
+	d.metrics.addDetour()
+	return newRelayedConn(conn, relay.ID), nil
+}
--- a/peers/codec.go
+++ b/peers/codec.go
@@ -38,6 +38,7 @@
 		Software       []softwareRow         `json:"software,omitempty"`
 		SoftwareMs     int64                 `json:"software-ms,omitempty"`
 		Origins        []originRow           `json:"origins,omitempty"`
+		TakesNoDetours bool                  `json:"no-detours,omitempty"`
 		Revision       uint64                `json:"revision,omitempty"`
 		DirectoryAgeMs int64                 `json:"age-ms,omitempty"`
 		Table          *tableRow             `json:"table,omitempty"`
@@ -127,7 +128,7 @@
 
 // Encode encodes a load report as JSON; the expiry of marks is written relative to now.
 func Encode(report spoke.HostReport, now time.Time) ([]byte, error) {
-	row := reportRow{Host: string(report.Host), Sequence: report.Sequence, IsSnapshot: report.IsSnapshot}
+	row := reportRow{Host: string(report.Host), Sequence: report.Sequence, IsSnapshot: report.IsSnapshot, TakesNoDetours: report.TakesNoDetours}
 	row.Revision, row.DirectoryAgeMs = uint64(report.Directory.Revision), report.Directory.Age.Milliseconds()
 	if table := report.Directory.Table; table.Version != 0 {
 		row.Table = &tableRow{uint64(table.Version), table.Content.Key, string(table.Content.ID)}
@@ -189,7 +190,7 @@
 	if row.Host == "" {
 		return spoke.HostReport{}, eris.New("load report without host")
 	}
-	report := spoke.HostReport{Host: spoke.HostID(row.Host), Sequence: row.Sequence, IsSnapshot: row.IsSnapshot}
+	report := spoke.HostReport{Host: spoke.HostID(row.Host), Sequence: row.Sequence, IsSnapshot: row.IsSnapshot, TakesNoDetours: row.TakesNoDetours}
 	report.Directory = spoke.DirectoryView{
 		Revision: spoke.Revision(row.Revision), Age: time.Duration(row.DirectoryAgeMs) * time.Millisecond,
 	}
--- a/placement.go
+++ b/placement.go
@@ -87,6 +87,9 @@
 		// SoftwareKnown is the time for which the host has known of each software version, in full reports; zero if
 		// it is long enough for all streams.
 		SoftwareKnown time.Duration
+		// TakesNoDetours says that other hosts cannot connect to upstreams through this one, since it is cut off from them or
+		// stops.
+		TakesNoDetours bool
 		// Origins lists streams of the host; a report with origins holds nothing else.
 		Origins []StreamOrigin
 	}
