Count no crash while a host reaches no upstream at all

When the connections of a host were reset by a partition, each attempt found its engine dead: it refuses connections, and a relaying host that is cut off itself says the same.

The check runs once for all attempts that end together.

--- a/edge/cutoff_ways_test.go
+++ b/edge/cutoff_ways_test.go
@@ -87,13 +87,17 @@
 		switch form {
 		case cutHangs:
 			way.Cut()
-		case cutResets:
-			way.SetTarget("")
-			way.Reset()
-		case cutRefuses:
+		case cutResets, cutRefuses:
 			way.SetTarget("")
 		}
 	}
+	if form != cutResets {
+		return
+	}
+	// Behind the first reset, no way connects any more.
+	for _, way := range w.ways {
+		way.Reset()
+	}
 }
 
 // startCutOff starts hosts in the data centres a, b and c in turn, each with its own ways to all engines, and waits
--- a/edge/upstreamcrash.go
+++ b/edge/upstreamcrash.go
@@ -15,15 +15,18 @@
 
 // isCrash reports whether the upstream crashed during the attempt. An attempt that was cancelled shows
 // nothing of its upstream. Behind the end of an answer that needed evidence, that counts: an upstream which has
-// started again accepts connections, one that leaves ends as planned, and a machine that is out of reach may run.
+// started again accepts connections, one that leaves ends as planned, and a machine that is out of reach may run. Nor does
+// a failure show a crash while this host reaches no upstream at all.
 func (a *attempt) isCrash(ctx context.Context) bool {
 	if a.ending != place.EndBroken || ctx.Err() != nil {
 		return false
 	}
+	failedAt := time.Now()
+	isDead := a.isDead
 	if a.evidence != "" {
-		return a.evidence.IsDeath() && !a.isLeaving()
+		isDead = func() bool { return a.evidence.IsDeath() && !a.isLeaving() }
 	}
-	return a.isDead()
+	return isDead() && a.ways.verify(context.Background(), failedAt)
 }
 
 // isLeaving reports whether the upstream has announced that it leaves, or is no longer listed.
--- a/edge/waydial.go
+++ b/edge/waydial.go
@@ -145,11 +145,12 @@
 
 // dialDirect connects on the own way.
 func (d *wayDial) dialDirect(ctx context.Context) (net.Conn, error) {
+	begun := d.now()
 	conn, err := d.direct(ctx, "tcp", d.address)
 	if err != nil {
 		return nil, err
 	}
-	d.change(func() { d.state.Connected(d.listed.id) })
+	d.connected(d.listed.id, begun)
 	tcp, isTCP := conn.(*net.TCPConn)
 	if !isTCP {
 		return conn, nil
--- a/edge/ways.go
+++ b/edge/ways.go
@@ -45,11 +45,16 @@
 		log      logrus.FieldLogger
 		metrics  *metrics
 
+		// verifying is held while own ways are verified.
+		verifying sync.Mutex
+
 		mu        sync.Mutex
 		state     *reach.Ways
 		relays    *reach.Relays
 		byID      map[spoke.UpstreamID]spoke.Address
 		byAddress map[spoke.Address]*listedWay
+		// connectedAt is when the latest direct connection that was made was begun.
+		connectedAt time.Time
 	}
 
 	// listedWay is the way to a listed upstream.
@@ -168,25 +173,64 @@
 }
 
 // probeDirect finds out whether the own way to an upstream works.
-func (w *ways) probeDirect(ctx context.Context, id spoke.UpstreamID) {
+func (w *ways) probeDirect(ctx context.Context, id spoke.UpstreamID) bool {
 	w.mu.Lock()
 	address, isListed := w.byID[id]
 	w.mu.Unlock()
 	if !isListed {
-		return
+		return false
 	}
 	probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	w.metrics.addWayProbe()
+	begun := w.now()
 	conn, err := w.direct(probeCtx, "tcp", string(address))
 	if err == nil {
 		_ = conn.Close()
-		w.change(func() { w.state.Connected(id) })
-		return
+		w.connected(id, begun)
+		return true
 	}
 	if ctx.Err() == nil {
 		w.change(func() { w.state.ProbeFailed(w.now(), id) })
 	}
+	return false
+}
+
+// connected records a direct connection that was begun at the given time.
+func (w *ways) connected(id spoke.UpstreamID, begun time.Time) {
+	w.change(func() {
+		w.state.Connected(id)
+		if begun.After(w.connectedAt) {
+			w.connectedAt = begun
+		}
+	})
+}
+
+// verify reports whether this host has reached an upstream directly since a failure, so that the failure was not that of
+// its own ways. It reports true if there are too few upstreams to compare.
+func (w *ways) verify(ctx context.Context, since time.Time) bool {
+	w.verifying.Lock()
+	defer w.verifying.Unlock()
+	w.mu.Lock()
+	isVerified := w.connectedAt.After(since)
+	var ids []spoke.UpstreamID
+	if !isVerified {
+		ids = w.state.Verify(w.now())
+	}
+	w.mu.Unlock()
+	if isVerified || len(ids) == 0 {
+		return true
+	}
+	results := make(chan bool, len(ids))
+	for _, id := range ids {
+		go func() { results <- w.probeDirect(ctx, id) }()
+	}
+	for range ids {
+		if <-results {
+			return true
+		}
+	}
+	return false
 }
 
 // change changes the state of the ways, and logs and passes on whether this host is cut off.
--- a/reach/ways.go
+++ b/reach/ways.go
@@ -15,8 +15,10 @@
 	upstreamSilence = 800 * time.Millisecond
 	// probePause is the least time between two probes of one way, and between two samples.
 	probePause = time.Second
-	// sampleSize is the number of ways that have to fail together for a host to count as cut off.
-	sampleSize = 5
+	// sampleSize is the number of ways that have to fail together for a host to count as cut off, verifiedSize the number
+	// that are tried before the failure of one way counts as that of its upstream.
+	sampleSize   = 5
+	verifiedSize = 16
 	// maxSilentSampled bounds the silent upstreams in a sample: these may have failed themselves.
 	maxSilentSampled = 2
 	// cutOffCheckInterval is the time between two checks of a host that is cut off, checksAtOnce the ways checked.
@@ -122,7 +124,16 @@
 	if w.failInSample(id) || w.isCutOff {
 		return nil
 	}
-	return w.beginSample(now, nil)
+	return w.sampleNow(now, nil)
+}
+
+// Verify returns the upstreams to probe before the failure of one of them counts as its own and not as that of this host.
+// It returns none if there are too few to compare.
+func (w *Ways) Verify(now time.Time) []spoke.UpstreamID {
+	if len(w.order) <= waysToReturn {
+		return nil
+	}
+	return w.beginSample(now, nil, verifiedSize)
 }
 
 // ProbeFailed records that a probe has failed. The upstream itself may have, which the next connection through another
@@ -167,7 +178,7 @@
 	probes := w.lostToCheck(now)
 	silent, isAnyHeard := w.silent(now, activities)
 	if !isAnyHeard && len(silent) > 0 {
-		return append(probes, w.beginSample(now, silent)...)
+		return append(probes, w.sampleNow(now, silent)...)
 	}
 	for _, activity := range activities {
 		known := w.ways[activity.Upstream]
@@ -199,19 +210,23 @@
 	return !since.IsZero() && now.Sub(since) >= wait && now.Sub(w.awakeSince) >= wait
 }
 
-// beginSample returns the ways to probe together: some of the silent ones, and others. It returns none while another
-// sample is recent.
-func (w *Ways) beginSample(now time.Time, silent []spoke.UpstreamID) []spoke.UpstreamID {
-	if now.Sub(w.sampledAt) < probePause || len(w.order) == 0 {
+// sampleNow returns the ways to probe together, none while another sample is recent.
+func (w *Ways) sampleNow(now time.Time, silent []spoke.UpstreamID) []spoke.UpstreamID {
+	if now.Sub(w.sampledAt) < probePause {
 		return nil
 	}
+	return w.beginSample(now, silent, sampleSize)
+}
+
+// beginSample returns the ways to probe together: some of the silent ones, and others.
+func (w *Ways) beginSample(now time.Time, silent []spoke.UpstreamID, size int) []spoke.UpstreamID {
 	w.sampledAt = now
 	w.sample = &sample{pending: make(map[spoke.UpstreamID]bool)}
 	for _, id := range silent[:min(len(silent), maxSilentSampled)] {
 		w.sample.pending[id] = true
 	}
 	for range w.order {
-		if len(w.sample.pending) >= sampleSize {
+		if len(w.sample.pending) >= size {
 			break
 		}
 		w.sample.pending[w.takeNext()] = true
