Cut hosts' own ways to engines in the soak

The soak could not cut a host from engines alone: hosts shared one relay to each engine. With WithEngineWays, five hosts in three data centres have their own ways, at the ports of the engines and an IP number of loopback for each host. The hosts are processes of the test program, whose directory shows these addresses, since a host also gets addresses that another host has read.

First tries at hosts that reach no engine have to be served two thirds as often as at the others, and those at the others two thirds as often as before the cuts, unless no more than 10 and one in 50 fail. The host with process faults is excused.

--- a/cmd/trial/soak/callers.go
+++ b/cmd/trial/soak/callers.go
@@ -35,6 +35,7 @@
 		host   *host
 		route  string
 		status int
+		sentAt time.Time
 		// isCut is set if the connection failed before the end of the answer.
 		isCut bool
 	}
@@ -94,7 +95,7 @@
 
 // callPrompt makes one call whose prompt has the given parts, or that has no prompt, and checks its answer.
 func (c *callers) callPrompt(client *http.Client, h *host, route, id string, parts []string) outcome {
-	result := outcome{id: id, host: h, route: route}
+	result := outcome{id: id, host: h, route: route, sentAt: time.Now()}
 	call := fake.Call{
 		HostAddress: h.callerAddress, HostName: hostName, Path: "/" + route + "/x", RequestID: id, APIKey: permanentKey, Body: bodyOf(id), Timeout: callerTimeout,
 		PrefixHashes: strings.Join(parts, ","),
--- a/cmd/trial/soak/processes_test.go
+++ b/cmd/trial/soak/processes_test.go
@@ -22,14 +22,16 @@
 	programVariable = "SOAK_EDGE"
 )
 
-// TestMain makes the test program an engine if it is started as one.
+// TestMain makes the test program an engine or a host if it is started as one.
 func TestMain(m *testing.M) {
-	if text := os.Getenv(soak.EngineVariable); text != "" {
-		if err := soak.ServeEngine(text); err != nil {
-			fmt.Fprintln(os.Stderr, err)
-			os.Exit(1)
+	for variable, serve := range map[string]func(string) error{soak.EngineVariable: soak.ServeEngine, soak.HostVariable: soak.ServeHost} {
+		if text := os.Getenv(variable); text != "" {
+			if err := serve(text); err != nil {
+				fmt.Fprintln(os.Stderr, err)
+				os.Exit(1)
+			}
+			return
 		}
-		return
 	}
 	os.Exit(m.Run())
 }
--- a/cmd/trial/soak/run.go
+++ b/cmd/trial/soak/run.go
@@ -45,6 +45,7 @@
 	hasReturns bool
 	// hasVersions is set if engines have two software versions.
 	hasVersions bool
+	hasWays     bool
 }
 
 // WithLimit makes every second engine name a limit in its answers, which hosts must keep together.
@@ -60,6 +61,10 @@
 // off and take them up at other hosts.
 func WithSoftwareVersions() Option { return func(o *options) { o.hasVersions = true } }
 
+// WithEngineWays gives each host its own ways to engines, which are cut beside the other faults. Hosts run the own program,
+// which has to call ServeHost.
+func WithEngineWays() Option { return func(o *options) { o.hasWays = true } }
+
 // Run injects the faults of one seed for the duration into hosts that run program, and checks the
 // guarantees. It writes logs into a new subdirectory of directory.
 func Run(program, directory string, seed uint64, duration time.Duration, changes ...Option) (Report, error) {
@@ -81,7 +86,7 @@
 	}
 	c := &callers{testbed: b}
 	var faulty *host
-	report.FaultLog, faulty = runFaults(b, c, seed, duration, set.hasReturns)
+	report.FaultLog, faulty = runFaults(b, c, seed, duration, set)
 	c.checkRecovery()
 	c.checkRuns()
 	c.checkLimits(faulty)
@@ -91,6 +96,8 @@
 	if set.hasVersions {
 		c.checkSoftware()
 	}
+	c.checkWays(faulty)
+	report.FaultLog = append(report.FaultLog, b.wayResults...)
 	report.Violations = c.violations
 	for _, result := range c.outcomes {
 		report.Statuses[fmt.Sprintf("%s %d", result.route, result.status)]++
@@ -100,7 +107,7 @@
 
 // runFaults sends calls and injects faults for the duration, and returns the log of the faults and the host
 // that process faults applied to.
-func runFaults(b *testbed, c *callers, seed uint64, duration time.Duration, hasReturns bool) ([]string, *host) {
+func runFaults(b *testbed, c *callers, seed uint64, duration time.Duration, set options) ([]string, *host) {
 	var mu sync.Mutex
 	var faultLog []string
 	started := time.Now()
@@ -118,7 +125,11 @@
 	var group sync.WaitGroup
 	group.Go(func() { c.run(callCtx, seed) })
 	var returns sync.WaitGroup
-	if hasReturns {
+	if set.hasWays {
+		group.Go(func() { c.runSteady(callCtx) })
+		returns.Go(func() { inj.cutWays(ctx, rand.New(rand.NewPCG(seed, 2)), faulty) })
+	}
+	if set.hasReturns {
 		returns.Go(func() { inj.returnStore(ctx, rand.New(rand.NewPCG(seed, 1))) })
 	}
 	inj.run(ctx, random)
--- a/cmd/trial/soak/soak_test.go
+++ b/cmd/trial/soak/soak_test.go
@@ -19,6 +19,8 @@
 	faultTime = 6 * time.Second
 	// crashFaultTime replaces it if engines crash on a prompt part, since that takes some seconds to find.
 	crashFaultTime = 10 * time.Second
+	// wayFaultTime replaces it if hosts have their own ways to engines, which are cut three times.
+	wayFaultTime = 34 * time.Second
 	// engineLimit is the limit that engines name, in requests a second.
 	engineLimit = 3
 	// seedsVariable is the environment variable for the seeds that replace the default ones, such as
@@ -87,6 +89,16 @@
 	}
 }
 
+// Guards against hosts without a way to engines that serve first tries far worse than others or take the others down with them,
+// over real processes and while other faults overlap.
+func TestSoakWithCutWays(t *testing.T) {
+	for _, seed := range seeds(t)[:limitSeeds(t)] {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			run(t, "", seed, wayFaultTime, soak.WithEngineWays())
+		})
+	}
+}
+
 // limitSeeds returns the number of seeds with limits, crashes, returns or software versions: the first one, or all that are given by hand.
 func limitSeeds(t *testing.T) int {
 	t.Helper()
--- a/cmd/trial/soak/testbed.go
+++ b/cmd/trial/soak/testbed.go
@@ -31,6 +31,9 @@
 	weightsApplyTime = 6 * time.Second
 )
 
+// dataCentres are those of hosts with their own ways to engines, in turn.
+var dataCentres = []string{"a", "b", "c"}
+
 type (
 	// engine is an engine stand-in that hosts reach through a relay.
 	engine struct {
@@ -47,7 +50,10 @@
 		storeRelay    *relay.Relay
 		callerAddress string
 		readyAddress  string
+		dataCentre    string
 		command       fleet.Command
+		// ways is nil if hosts share their ways to engines.
+		ways *hostWays
 	}
 
 	// testbed is the set of processes and stand-ins of one run.
@@ -63,6 +69,10 @@
 		hasCrashes bool
 		// hasVersions is set if engines have two software versions.
 		hasVersions bool
+		// ways holds the ways of each host to engines if hosts do not share them.
+		ways       []*hostWays
+		wayCuts    []wayCut
+		wayResults []string
 
 		mu            sync.Mutex
 		engines       []*engine
@@ -78,13 +88,20 @@
 		directory: directory, fleet: fleet.New(directory), store: fake.NewStore(), weights: 1,
 		limit: set.limit, hasCrashes: set.hasCrashes, hasVersions: set.hasVersions,
 	}
+	count := hostCount
+	if set.hasWays {
+		count = wayHostCount
+		for number := range count {
+			b.ways = append(b.ways, newHostWays(number))
+		}
+	}
 	b.putConfig()
 	for range engineCount {
 		if err := b.addEngine(); err != nil {
 			return b, err
 		}
 	}
-	for number := range hostCount {
+	for number := range count {
 		if err := b.addHost(program, number); err != nil {
 			return b, err
 		}
@@ -97,6 +114,9 @@
 	for _, h := range b.hosts {
 		_ = h.storeRelay.Close()
 	}
+	for _, ways := range b.ways {
+		ways.close()
+	}
 	for _, e := range append(b.engines, b.retired...) {
 		_ = e.relay.Close()
 		e.Close()
@@ -144,6 +164,11 @@
 	if e.relay, err = relay.New("127.0.0.1:0", spoke.Address(e.Address())); err != nil {
 		return eris.Wrapf(err, "relay of engine %s", id)
 	}
+	for _, ways := range b.ways {
+		if err := ways.add(e.relay.Address()); err != nil {
+			return err
+		}
+	}
 	if b.hasCrashes {
 		b.setCrashing(e)
 	}
@@ -182,7 +207,10 @@
 }
 
 func (b *testbed) addHost(program string, number int) error {
-	h := &host{name: fmt.Sprintf("host-%d", number)}
+	h := &host{name: fmt.Sprintf("host-%d", number), dataCentre: dataCentres[0]}
+	if b.ways != nil {
+		h.ways, h.dataCentre = b.ways[number], dataCentres[number%len(dataCentres)]
+	}
 	var err error
 	if h.storeRelay, err = relay.New("127.0.0.1:0", spoke.Address(b.store.Address())); err != nil {
 		return eris.Wrap(err, "relay of the store")
@@ -193,7 +221,7 @@
 	}
 	h.callerAddress, h.readyAddress = fmt.Sprintf("127.0.0.1:%d", free[0]), fmt.Sprintf("127.0.0.1:%d", free[1])
 	settings := fmt.Sprintf(`host-id = %q
-data-centre = "a"
+data-centre = %q
 caller-address = %q
 readiness-address = %q
 store-address = %q
@@ -209,12 +237,18 @@
 retry-share = 0.2
 retry-reserve = 60
 retry-window-s = 10
-`, h.name, h.callerAddress, h.readyAddress, h.storeRelay.Address(), free[2], free[3], weightsApplyTime.Milliseconds(), stopGraceSeconds)
+`, h.name, h.dataCentre, h.callerAddress, h.readyAddress, h.storeRelay.Address(), free[2], free[3], weightsApplyTime.Milliseconds(), stopGraceSeconds)
 	path := filepath.Join(b.directory, h.name+".toml")
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		return eris.Wrap(err, "write settings")
 	}
 	h.command = fleet.Command{Name: h.name, Program: program, Arguments: []string{"--settings", path}}
+	if h.ways != nil {
+		if h.command.Program, err = os.Executable(); err != nil {
+			return eris.Wrap(err, "own program")
+		}
+		h.command.Environment = []string{h.ways.variable(path)}
+	}
 	b.hosts = append(b.hosts, h)
 	_, err = b.fleet.Start(context.Background(), h.command)
 	return err
