Show that brittle engines fall over

Engines of a service may say in all their answers that they are brittle: one that rejects more than the named number of requests within a second for want of room falls over. Nothing reads the header.

A stand-in of an engine names it, rejects calls beyond its slots and falls over. Prompts have no part in common in the test, since the crash of an engine quarantines the parts of the prompts that it runs.

--- a/edge/feed_test.go
+++ b/edge/feed_test.go
@@ -29,7 +29,13 @@
 // startHosts starts hosts and waits until each of them lists all others.
 func startHosts(t *testing.T, count int) []*deployment {
 	t.Helper()
-	hosts := []*deployment{start(t, 1)}
+	return startHostsWith(t, count, 1)
+}
+
+// startHostsWith is startHosts with a number of engines.
+func startHostsWith(t *testing.T, count, engines int) []*deployment {
+	t.Helper()
+	hosts := []*deployment{start(t, engines)}
 	for i := 1; i < count; i++ {
 		hosts = append(hosts, hosts[0].addHost(spoke.HostID(fmt.Sprint("host-", i+1))))
 	}
--- a/fake/platform/engine.go
+++ b/fake/platform/engine.go
@@ -16,6 +16,8 @@
 const (
 	// firstStartMs is the time of an engine's first start, in milliseconds since 1970.
 	firstStartMs int64 = 1700000000000
+	// defaultSlots is the number of slots of an engine.
+	defaultSlots = 8
 	// trickleInterval is the time between two bytes of a stalled stream.
 	trickleInterval = 100 * time.Millisecond
 
@@ -106,6 +108,9 @@
 		// troubles gives the answers if the behaviour is Troubled.
 		troubles *troubles
 		crashes  []time.Time
+		// slots is the number of slots in the engine's entries.
+		slots     int
+		occupancy occupancy
 		// isDown is set from a crash to the next start.
 		isDown   bool
 		isClosed bool
@@ -123,7 +128,7 @@
 
 // NewEngineAt starts an engine that accepts connections from the listener.
 func NewEngineAt(listener net.Listener, id string, events int) *Engine {
-	e := &Engine{ID: id, behaviour: Serve, version: 1, software: "v1", events: events, address: listener.Addr().String(), startedAt: time.Now()}
+	e := &Engine{ID: id, behaviour: Serve, version: 1, software: "v1", slots: defaultSlots, events: events, address: listener.Addr().String(), startedAt: time.Now()}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /report", e.serveReport)
 	mux.HandleFunc("POST /order", e.serveOrder)
@@ -254,7 +259,7 @@
 	defer e.mu.Unlock()
 	e.entries++
 	return map[string]any{
-		"service": service, "address": e.Address(), "zone": zone, "version": e.software, "slots": 8, "state": state,
+		"service": service, "address": e.Address(), "zone": zone, "version": e.software, "slots": e.slots, "state": state,
 		"cold-left-ms": 0, "sequence": e.entries, "born": firstStartMs + e.restarts,
 		"models": []map[string]any{{"name": ModelName, "version": e.version, "adapters": []string{}}},
 	}
@@ -289,6 +294,13 @@
 	}
 	e.mu.Lock()
 	e.arrivals = append(e.arrivals, Arrival{ID: r.Header.Get(headerRequestID), At: time.Now(), PrefixHashes: r.Header.Get(headerPrefixHash)})
+	e.mu.Unlock()
+	leave, isIn := e.enter(w, r)
+	if !isIn {
+		return
+	}
+	defer leave()
+	e.mu.Lock()
 	w.Header()["Server-Limit"] = e.limits
 	behaviour, version := e.behaviour, e.version
 	expected := r.Header.Get(headerExpectVersion)
