Keep rejections of brittle upstreams within what they stand

Engines that said to be brittle fell over, since hosts sent them calls beyond their slots, and several hosts took the same free slot before they received each other's reports.

While an upstream says that it is brittle, each of its slots belongs to one host, found from the list of hosts. A host sends calls beyond its own slots only where a slot seems free, and only as many at a time as its part of the rejections that the upstream stands, less those that all hosts have seen in the last second. The hosts learn from load reports that an upstream is brittle, that it no longer is, and of rejections.

--- a/calls.go
+++ b/calls.go
@@ -121,6 +121,11 @@
 		Limit *RequestRate
 		// InvalidLimit is the text of a limit that cannot be parsed.
 		InvalidLimit string
+		// Brittle is the number of rejections for want of room within a second from which one more makes the upstream
+		// fall over, nil if the answer does not say that the upstream is brittle.
+		Brittle *RejectionCount
+		// InvalidBrittle is the text of such a number that cannot be parsed.
+		InvalidBrittle string
 		// IdleTimeout is how long the upstream keeps the connection open; zero means unknown.
 		IdleTimeout time.Duration
 	}
--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -93,7 +93,7 @@
 	a.endParts(endedAt, isCrash)
 	a.planner.in <- schedulerMessage{message: place.Ended{
 		Call: a.grant.Call, Ending: a.ending, Load: a.head.Load, Weights: a.head.Weights, IsLeaving: a.head.IsLeaving, Pause: a.head.Pause,
-		NamesNoLimit: a.head.NamesNoLimit(),
+		NamesNoLimit: a.head.NamesNoLimit(), NamesNoBrittleness: a.head.NamesNoBrittleness(), IsRejectedForRoom: a.head.IsRejectedForRoom(),
 	}}
 	return result
 }
@@ -185,6 +185,7 @@
 		a.log.WithFields(logrus.Fields{"upstream": a.grant.Upstream.ID, "value": head.InvalidPause}).Warn("ignored the pause that the upstream asked for: not a valid time in seconds")
 	}
 	a.recordLimit()
+	a.recordBrittle()
 	if head.IsLeaving {
 		a.log.WithField("upstream", a.grant.Upstream.ID).Info("upstream announced in an answer that it is leaving")
 	}
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -36,6 +36,9 @@
 		endless atomic.Int64
 		// limited counts the answers in which upstreams named a limit.
 		limited atomic.Int64
+		// brittle counts the answers in which upstreams said that they are brittle, brittleRejections those of them that
+		// rejected the call for want of room.
+		brittle, brittleRejections atomic.Int64
 		// recalled counts the calls that were recalled from upstreams because of outdated weights.
 		recalled atomic.Int64
 		// crashes counts the attempts during which this host saw their upstream crash.
@@ -69,12 +72,13 @@
 // ServeHTTP writes the metrics in the format of package expvar.
 func (m *metrics) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
-	_, _ = fmt.Fprintf(w, "{\n%q: %s,\n%q: %s,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d\n}\n",
+	_, _ = fmt.Fprintf(w, "{\n%q: %s,\n%q: %s,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d,\n%q: %d\n}\n",
 		"answers", expvar.Func(m.answers), "times", expvar.Func(m.percentiles), "endless", m.endless.Load(), "limited", m.limited.Load(),
 		"recalled", m.recalled.Load(), "crashes", m.crashes.Load(), "part-marks", m.partMarks.Load(), "part-refusals", m.partRefusals.Load(),
 		"feed-bytes", m.feedBytes.Load(), "origin-datagrams", m.originDatagrams.Load(), "origin-requests", m.originRequests.Load(),
 		"end-checks", m.endChecks.Load(), "unconfirmed-ends", m.unconfirmedEnds.Load(), "bytes-behind", m.behind.Load(),
-		"detours", m.detours.Load(), "way-probes", m.wayProbes.Load(), "cut-offs", m.cutOffs.Load())
+		"detours", m.detours.Load(), "way-probes", m.wayProbes.Load(), "cut-offs", m.cutOffs.Load(),
+		"brittle", m.brittle.Load(), "brittle-rejections", m.brittleRejections.Load())
 }
 
 func (m *metrics) addAnswer(route spoke.RouteName, outcome string, arrived time.Time) {
@@ -89,6 +93,10 @@
 
 func (m *metrics) addLimited() { m.limited.Add(1) }
 
+func (m *metrics) addBrittle() { m.brittle.Add(1) }
+
+func (m *metrics) addBrittleRejection() { m.brittleRejections.Add(1) }
+
 func (m *metrics) addRecalled() { m.recalled.Add(1) }
 
 func (m *metrics) addCrash() { m.crashes.Add(1) }
--- a/edge/planner.go
+++ b/edge/planner.go
@@ -190,6 +190,9 @@
 	case place.LimitChanged:
 		p.logLimit(a)
 		return
+	case place.BrittleChanged:
+		p.logBrittle(a)
+		return
 	case place.WantedAgeChanged:
 		p.logWantedAge(a)
 		return
--- a/peers/codec.go
+++ b/peers/codec.go
@@ -29,6 +29,7 @@
 		Stores         []storeRow            `json:"stores,omitempty"`
 		Leaving        []startRow            `json:"leaving,omitempty"`
 		Limits         []limitRow            `json:"limits,omitempty"`
+		Brittle        []brittleRow          `json:"brittle,omitempty"`
 		Copies         []copyRow             `json:"copies,omitempty"`
 		Slowness       []slownessRow         `json:"slowness,omitempty"`
 		Crashes        []crashRow            `json:"crashes,omitempty"`
@@ -166,6 +167,9 @@
 	for _, limit := range report.Limits {
 		row.Limits = append(row.Limits, encodeLimit(limit))
 	}
+	for _, brittle := range report.Brittle {
+		row.Brittle = append(row.Brittle, encodeBrittle(brittle))
+	}
 	for _, source := range report.Copies {
 		row.Copies = append(row.Copies, copyRow{string(source.Source), source.PendingTime.Milliseconds(), source.Completed, source.MeanDelay.Milliseconds()})
 	}
@@ -241,6 +245,9 @@
 	for _, limit := range row.Limits {
 		report.Limits = append(report.Limits, decodeLimit(limit))
 	}
+	for _, brittle := range row.Brittle {
+		report.Brittle = append(report.Brittle, decodeBrittle(brittle))
+	}
 	for _, source := range row.Copies {
 		report.Copies = append(report.Copies, spoke.CopyReport{
 			Source: spoke.Address(source.Source), PendingTime: time.Duration(source.PendingMs) * time.Millisecond,
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -26,6 +26,7 @@
 		Marks:         []spoke.QuarantineMark{{Fingerprint: "f", Deaths: 2, Upstreams: [spoke.MarkUpstreams]spoke.UpstreamID{"i-1"}, Expires: now.Add(time.Second)}},
 		Stores:        []spoke.StoreState{{Store: "st", Epoch: 1 << 60, Used: 4, Stored: []spoke.StoredKey{1 << 63}, Freed: []spoke.StoredKey{2}, Clock: 5, Oldest: []spoke.ServedWeights{{Model: "m", Version: 2}}}},
 		Leaving:       []spoke.UpstreamStart{{ID: "e"}, {ID: "f", Started: time.UnixMilli(7).UTC()}},
+		Brittle:       []spoke.UpstreamBrittleness{{Upstream: spoke.UpstreamStart{ID: "e", Started: time.UnixMilli(7).UTC()}, Most: 5, IsEnded: true, Age: 50 * time.Millisecond, Rejected: 3}},
 		Limits:        []spoke.UpstreamLimit{{Upstream: spoke.UpstreamStart{ID: "e", Started: time.UnixMilli(7).UTC()}, Rate: 2.6, IsEnded: true, Age: 50 * time.Millisecond, Sent: 4}},
 		Copies:        []spoke.CopyReport{{Source: "10.0.0.1:1", PendingTime: 30 * time.Millisecond, Completed: 2, MeanDelay: 900 * time.Millisecond}},
 		Slowness:      []spoke.UpstreamSlowness{{Upstream: "e", Slowness: 2.5, Age: 40 * time.Millisecond}},
--- /dev/null
+++ b/place/brittle_shares.go
@@ -0,0 +1,51 @@
+package place
+
+import (
+	"slices"
+
+	"magnoliaspoke.example/spoke"
+)
+
+// brittleShare is this host's part of a brittle upstream. Hosts know from the list of hosts alone which slots and
+// rejections each of them may use.
+type brittleShare struct {
+	// rank is the position of this host among the hosts that use the upstream, negative if it is not one of them.
+	rank, hosts int
+	// slots is the number of slots of the upstream, own the number of those that only this host takes without risk.
+	slots, own int
+}
+
+// of returns this host's part of a number of rejections. The hosts with the fewest slots get the most of them.
+func (b brittleShare) of(rejections spoke.RejectionCount) spoke.RejectionCount {
+	if b.rank < 0 || rejections <= 0 {
+		return 0
+	}
+	return spoke.RejectionCount(partOf(int(rejections), b.hosts-1-b.rank, b.hosts))
+}
+
+// partOf returns the part of a number for the host with a rank; all parts add up to it.
+func partOf(number, rank, hosts int) int {
+	part := number / hosts
+	if rank < number%hosts {
+		part++
+	}
+	return part
+}
+
+// updateBrittleShares updates all shares after a change of the hosts or upstreams.
+func (s *Scheduler) updateBrittleShares() {
+	for _, b := range s.brittle {
+		s.updateBrittleShare(b)
+	}
+}
+
+func (s *Scheduler) updateBrittleShare(b *brittleness) {
+	group := s.hostsOf(b.start.ID)
+	b.share = brittleShare{rank: -1, hosts: len(group)}
+	if !slices.Contains(group, s.settings.Host) {
+		return
+	}
+	b.share.rank = rankFor(group, s.settings.Host, b.start.ID)
+	b.share.slots = max(s.nodes[b.start.ID].listed.Slots, 1)
+	b.share.own = partOf(b.share.slots, b.share.rank, b.share.hosts)
+}
--- a/place/calls.go
+++ b/place/calls.go
@@ -66,6 +66,9 @@
 	if m.NamesNoLimit {
 		s.noLimitNamed(now, run)
 	}
+	if m.NamesNoBrittleness {
+		s.noBrittleNamed(now, run)
+	}
 	s.report.changed(run.node)
 	s.observeServedWeights(run, m.Weights)
 	s.offer(now, run.node)
@@ -99,6 +102,10 @@
 	if m.NamesNoLimit && !run.hasBegun {
 		s.noLimitNamed(now, run)
 	}
+	if m.NamesNoBrittleness && !run.hasBegun {
+		s.noBrittleNamed(now, run)
+	}
+	s.endBrittleRun(now, run, m)
 	if m.IsLeaving {
 		s.recordLeaving(now, run.node)
 	}
--- a/place/choose.go
+++ b/place/choose.go
@@ -76,6 +76,9 @@
 // evaluate returns one upstream as a candidate with its cost, and false if it may not take the call now.
 func (s *Scheduler) evaluate(now time.Time, w *waitingCall, n *node) (candidate, bool) {
 	c := candidate{node: n}
+	if !s.hasBrittleRoom(now, n) {
+		return c, false
+	}
 	if n.listed.DataCentre != s.settings.DataCentre {
 		c.cost += remoteCost
 	}
--- a/place/dispatch.go
+++ b/place/dispatch.go
@@ -154,6 +154,7 @@
 		run.tokensToFirst = c.tokensToFirst
 		c.node.addWork(now, run.prefillTokens, run.copyTime)
 	}
+	s.takeBrittle(now, c.node)
 	c.node.runs[m.Call] = run
 	for _, copied := range bySource {
 		s.source(copied.from).begin(now, m.Call, pendingCopy{linkTime: copied.linkTime, sent: now, due: now.Add(c.undelayed), node: c.node})
--- a/place/messages.go
+++ b/place/messages.go
@@ -117,6 +117,8 @@
 		IsLeaving bool
 		// NamesNoLimit says that the answer is the upstream's own and names no limit.
 		NamesNoLimit bool
+		// NamesNoBrittleness says that the answer is the upstream's own and does not say that it is brittle.
+		NamesNoBrittleness bool
 	}
 
 	// LimitNamed reports, as soon as the head of an answer has been read, that it names a limit.
@@ -135,6 +137,10 @@
 		IsLeaving bool
 		// NamesNoLimit says that the answer is the upstream's own and names no limit.
 		NamesNoLimit bool
+		// NamesNoBrittleness says that the answer is the upstream's own and does not say that it is brittle.
+		NamesNoBrittleness bool
+		// IsRejectedForRoom says that the upstream did not run the call since it has no room for it.
+		IsRejectedForRoom bool
 		// Pause is how long the upstream wants no calls from this host.
 		Pause time.Duration
 	}
--- a/place/node.go
+++ b/place/node.go
@@ -51,6 +51,8 @@
 		hasBegun       bool
 		// hasNamedLimit says that the answer named a limit.
 		hasNamedLimit bool
+		// isNamedBrittle says that the answer said that the upstream is brittle.
+		isNamedBrittle bool
 		// isRecalled marks a call that was recalled since its weights are outdated.
 		isRecalled bool
 		// isLost marks a call that had not begun when this host found its ways to the upstreams lost.
--- a/place/report.go
+++ b/place/report.go
@@ -27,6 +27,9 @@
 	// limits holds the limits that have changed or been used since the last report, limitChanges those that
 	// have changed since the last report to other cells.
 	limits, limitChanges map[*limit]bool
+	// brittle holds the brittle upstreams that have changed or rejected calls since the last report, brittleChanges
+	// those that have changed since the last report to other cells.
+	brittle, brittleChanges map[*brittleness]bool
 	// copies holds the sources whose pending copies have changed since the last report.
 	copies map[spoke.Address]bool
 	// slowness holds the upstreams that have reported their slowness since the last report.
@@ -45,6 +48,7 @@
 		weights: make(map[spoke.UpstreamID]spoke.ServedWeights),
 		copies:  make(map[spoke.Address]bool),
 		limits:  make(map[*limit]bool), limitChanges: make(map[*limit]bool),
+		brittle: make(map[*brittleness]bool), brittleChanges: make(map[*brittleness]bool),
 		slowness: make(map[spoke.UpstreamID]*node),
 	}
 }
@@ -69,7 +73,7 @@
 
 // HasChanges reports whether there are changes that other hosts should receive.
 func (s *Scheduler) HasChanges() bool {
-	return len(s.report.changes)+len(s.report.pauses)+len(s.report.doubts)+len(s.report.weights)+len(s.report.leaving)+len(s.report.limits)+len(s.report.stores[ownCellGroup]) > 0
+	return len(s.report.changes)+len(s.report.pauses)+len(s.report.doubts)+len(s.report.weights)+len(s.report.leaving)+len(s.report.limits)+len(s.report.brittle)+len(s.report.stores[ownCellGroup]) > 0
 }
 
 // LoadReport returns the changes since the last report, or all work of this host if isFull is set.
@@ -79,13 +83,14 @@
 		Host: s.report.host, Sequence: s.report.sequence, IsSnapshot: isFull,
 		Waiting: s.waitingWork(now), Placed: s.report.prompts,
 		Paused: maps.Clone(s.report.pauses), Doubts: maps.Clone(s.report.doubts), Weights: maps.Clone(s.report.weights),
-		Stores: s.storeUpdates(ownCellGroup), Leaving: s.report.leaving, Limits: s.limitReports(now),
+		Stores: s.storeUpdates(ownCellGroup), Leaving: s.report.leaving, Limits: s.limitReports(now), Brittle: takeBrittleReports(now, s.report.brittle),
 	}
 	s.report.reportedWeights = maps.Clone(s.report.weights)
 	nodes := s.report.changes
 	if isFull {
 		nodes = s.nodes
 		report.WantedAges, report.Leaving, report.Limits = s.wantedAges(now), s.departing(), s.allLimits(now)
+		report.Brittle = s.allBrittle(now)
 		report.Stores = append(report.Stores, s.repeatedStoreStates(now, ownCellGroup)...)
 		maps.Copy(report.Weights, s.unlistedWeights())
 	}
@@ -110,7 +115,8 @@
 	report.IsSnapshot, report.Weights = false, s.report.reportedWeights
 	report.Upstreams, report.Waiting, report.Placed, report.Stores, report.WantedAges = nil, nil, nil, nil, nil
 	report.Slowness, report.Copies, report.Limits = nil, nil, s.changedLimits(now)
-	return report, len(report.Paused)+len(report.Doubts)+len(report.Weights)+len(report.Leaving)+len(report.Limits) > 0
+	report.Brittle = takeBrittleReports(now, s.report.brittleChanges)
+	return report, len(report.Paused)+len(report.Doubts)+len(report.Weights)+len(report.Leaving)+len(report.Limits)+len(report.Brittle) > 0
 }
 
 // OtherCellReport returns the report for a group of hosts of other cells, and whether it has any content.
@@ -123,12 +129,12 @@
 		Stores: append(s.storeUpdates(group), s.repeatedStoreStates(now, group)...),
 	}
 	if !s.cell.HasDelegates {
-		report.Leaving, report.Limits = s.departing(), s.allLimits(now)
+		report.Leaving, report.Limits, report.Brittle = s.departing(), s.allLimits(now), s.allBrittle(now)
 	}
 	if !s.cell.HasDelegates && s.IsRollingOut(now) {
 		report.WantedAges = s.wantedAges(now)
 	}
-	return report, len(report.Leaving)+len(report.Limits)+len(report.Stores)+len(report.WantedAges) > 0
+	return report, len(report.Leaving)+len(report.Limits)+len(report.Brittle)+len(report.Stores)+len(report.WantedAges) > 0
 }
 
 // unlistedWeights returns the weights that engines serve and their directory entries do not list yet, for
@@ -258,6 +264,7 @@
 	}
 	s.applyDepartures(now, report.Leaving)
 	s.applyLimits(now, report)
+	s.applyBrittle(now, report)
 	for _, reported := range report.Slowness {
 		if n := s.nodes[reported.Upstream]; n != nil {
 			n.slowness.observe(reported.Slowness, now.Add(-max(reported.Age, 0)))
@@ -310,4 +317,5 @@
 	}
 	maps.DeleteFunc(s.distrusted, func(_ doubter, until time.Time) bool { return !now.Before(until) })
 	s.dropLimits(now)
+	s.dropBrittle(now)
 }
--- a/place/scheduler.go
+++ b/place/scheduler.go
@@ -52,6 +52,8 @@
 		stores     []*store
 		// limits are kept after their nodes are removed.
 		limits map[spoke.UpstreamStart]*limit
+		// brittle is kept after the nodes are removed.
+		brittle map[spoke.UpstreamStart]*brittleness
 		// departures are kept after their nodes are removed.
 		departures departures
 		// storeIndex maps each stored part to the stores that may hold it.
@@ -84,6 +86,7 @@
 		peers:         make(map[spoke.HostID]*peer),
 		distrusted:    make(map[doubter]time.Time),
 		limits:        make(map[spoke.UpstreamStart]*limit),
+		brittle:       make(map[spoke.UpstreamStart]*brittleness),
 		departures:    make(departures),
 		storeIndex:    make(map[spoke.StoredKey][]*store),
 		report:        newReportBuilder(settings.Host),
@@ -102,6 +105,8 @@
 		s.began(now, m)
 	case LimitNamed:
 		s.limitNamed(now, m)
+	case BrittleNamed:
+		s.brittleNamed(now, m)
 	case Ended:
 		s.ended(now, m)
 	case UpdateStore:
@@ -140,6 +145,7 @@
 		s.cell = m
 		s.reindex()
 		s.repeatLimits()
+		s.repeatBrittle()
 	case Tick:
 		s.dropStale(now)
 		for service := range s.unanswered.calls {
@@ -205,6 +211,7 @@
 		}
 	}
 	s.updateShares()
+	s.updateBrittleShares()
 }
 
 func (s *Scheduler) setServices(services map[spoke.ServiceName]spoke.ServedService) {
--- a/placement.go
+++ b/placement.go
@@ -72,6 +72,8 @@
 		Leaving []UpstreamStart
 		// Limits lists upstreams that have named limits in answers.
 		Limits []UpstreamLimit
+		// Brittle lists upstreams that have said in answers that they are brittle.
+		Brittle []UpstreamBrittleness
 		// Copies lists the sources of copies for which calls of this host wait.
 		Copies []CopyReport
 		// Slowness lists the slowness that upstreams have reported.
