Estimate waits for brittle upstreams by the own slots

Calls that wait at other hosts do not take this host's slots, so they no longer count where all upstreams of a service are brittle, and only the own slots count as capacity while calls wait elsewhere.

--- a/place/brittle_shares.go
+++ b/place/brittle_shares.go
@@ -6,6 +6,9 @@
 	"magnoliaspoke.example/spoke"
 )
 
+// leastOwnSlots is the number of slots of a host without any, since its calls wait for a slot that another host leaves free.
+const leastOwnSlots = 0.1
+
 // brittleShare is this host's part of a brittle upstream. Hosts know from the list of hosts alone which slots and
 // rejections each of them may use.
 type brittleShare struct {
@@ -32,6 +35,32 @@
 	return part
 }
 
+// isDivided reports whether the slots of all upstreams of a call are divided between the hosts, so that calls which wait
+// at other hosts do not precede it.
+func (s *Scheduler) isDivided(m Request) bool {
+	nodes := s.cellNodes[m.Service]
+	return len(nodes) > 0 && !slices.ContainsFunc(nodes, func(n *node) bool { return !n.isLeaving() && !s.isBrittle(n) })
+}
+
+func (s *Scheduler) isBrittle(n *node) bool {
+	b := s.brittlenessOf(n)
+	return b != nil && b.isActive
+}
+
+// ownPart returns the fraction of an upstream's slots that calls like one of this host may use, 1 if they are not divided.
+// Hosts leave slots to others while they have no calls waiting.
+func (s *Scheduler) ownPart(n *node, m Request) float64 {
+	if !s.isBrittle(n) {
+		return 1
+	}
+	b := s.brittlenessOf(n)
+	slots := b.share.own
+	if s.waitingElsewhere(m) == 0 {
+		slots += int(b.share.of(b.most))
+	}
+	return min(max(float64(slots), leastOwnSlots)/float64(max(b.share.slots, 1)), 1)
+}
+
 // updateBrittleShares updates all shares after a change of the hosts or upstreams.
 func (s *Scheduler) updateBrittleShares() {
 	for _, b := range s.brittle {
--- a/place/fleet_test.go
+++ b/place/fleet_test.go
@@ -74,6 +74,7 @@
 		namedAt  time.Time
 		arrivals []fleetArrival
 		service  time.Duration
+		brittle  *fleetBrittle
 	}
 
 	fleetLimit struct {
@@ -289,18 +290,15 @@
 		return
 	}
 	e := f.engines[g.Upstream.ID]
+	if e.brittle != nil {
+		f.arriveBrittle(e, h, start, g)
+		return
+	}
 	e.arrivals = append(e.arrivals, fleetArrival{f.now, h, start})
 	f.check(e)
 	named := e.limitAt(f.now)
 	limit := named.rate
-	tell := func(delay time.Duration, message place.Message) {
-		f.after(delay, func() {
-			if h.starts == start && !h.isDown {
-				h.now = f.now
-				f.apply(h, h.handle(message))
-			}
-		})
-	}
+	tell := func(delay time.Duration, message place.Message) { f.tell(h, start, delay, message) }
 	chance := f.random.Float64()
 	if chance < f.brokenShare {
 		tell(fleetFirstEvent, place.Ended{Call: g.Call, Ending: place.EndBroken})
@@ -335,6 +333,16 @@
 	tell(e.service, place.Ended{Call: g.Call, Ending: place.EndServed, NamesNoLimit: limit < 0})
 }
 
+// tell gives a host a message after a delay, unless it has ended.
+func (f *fleet) tell(h *fleetHost, start int, delay time.Duration, message place.Message) {
+	f.after(delay, func() {
+		if h.starts == start && !h.isDown {
+			h.now = f.now
+			f.apply(h, h.handle(message))
+		}
+	})
+}
+
 // again sends a call once more, to another upstream.
 func (f *fleet) again(h *fleetHost, start int, g place.Grant) {
 	f.after(2*fleetFirstEvent+fleetStep, func() {
--- a/place/refuse.go
+++ b/place/refuse.go
@@ -103,7 +103,10 @@
 			ahead += w.request.Prompt.Input
 		}
 	}
-	ahead += s.waitingElsewhere(m)
+	isDivided := s.isDivided(m)
+	if !isDivided {
+		ahead += s.waitingElsewhere(m)
+	}
 	rate := 0.0
 	isAny := isAnyUsable(now, s.cellNodes[m.Service], m)
 	for _, n := range s.cellNodes[m.Service] {
@@ -111,8 +114,9 @@
 		if n.isLeaving() || (isAny && !n.isUsable(now)) {
 			continue
 		}
-		rate += n.prefillRate()
-		ahead += n.backlog(now)
+		part := s.ownPart(n, m)
+		rate += part * n.prefillRate()
+		ahead += spoke.TokenCount(part * float64(n.backlog(now)))
 	}
 	if rate == 0 {
 		return 0
@@ -135,11 +139,14 @@
 
 // plainBacklog is backlog for plain services, whose calls count as one each.
 func (s *Scheduler) plainBacklog(now time.Time, m Request) time.Duration {
-	waiting := spoke.TokenCount(len(s.queues[m.Service])) + s.waitingElsewhere(m)
+	waiting := spoke.TokenCount(len(s.queues[m.Service]))
+	if !s.isDivided(m) {
+		waiting += s.waitingElsewhere(m)
+	}
 	rate := 0.0
 	for _, n := range s.cellNodes[m.Service] {
 		if !n.isLeaving() && n.limit.allows(now) {
-			rate += float64(n.listed.Slots) / float64(n.serviceTime)
+			rate += s.ownPart(n, m) * float64(n.listed.Slots) / float64(n.serviceTime)
 		}
 	}
 	if rate == 0 {
