Divide brittle upstreams also with hosts that are not listed

A host that the directory has dropped goes on with its slots by a list that contains it, while the others divide all slots again, so that two hosts hold the same slot. In TestBrittleUpstreamsAreSparedWhileHostsChange fence/1 (five hosts dropped one after the other, an upstream that stands one rejection) the upstreams fell over seven times, where 2 are allowed.

Hosts that still report their load count, listed or not. Once hosts have seen as many rejections as the upstream stands, they also leave a slot free. The test passes; leaving the slot free alone did not mend it (nine falls), counting the hosts alone was not tried.

--- a/place/brittle.go
+++ b/place/brittle.go
@@ -143,15 +143,17 @@
 		return false
 	}
 	rejected := spoke.RejectionCount(countSince(&b.rejected, now, rejectionWindow))
+	rest := b.most - rejected - b.rejectedElsewhere(now)
 	if len(n.runs)+held < b.share.own {
-		// A slot of this host was taken by another one; one more call finds that out.
-		return rejected < max(b.share.of(b.most), 1)
+		// Rejections show that hosts divide the slots by different lists of hosts.
+		isClear := rest > 0 || rest == b.most || total < b.share.slots-1
+		return isClear && rejected < max(b.share.of(b.most), 1)
 	}
 	if total >= b.share.slots-b.margin() {
 		return false
 	}
 	// Of its own rejections a host always knows; those of others may be more than it has received.
-	left := min(b.share.of(b.most)-rejected, b.share.of(b.most-rejected-b.rejectedElsewhere(now)))
+	left := min(b.share.of(b.most)-rejected, b.share.of(rest))
 	return spoke.RejectionCount(countSince(&b.risks, now, riskTime)) < left
 }
 
--- a/place/brittle_shares.go
+++ b/place/brittle_shares.go
@@ -68,8 +68,23 @@
 	}
 }
 
+// withUnlisted adds the hosts that the directory has dropped and that still report their load. They use the upstreams by a
+// list that contains them.
+func (s *Scheduler) withUnlisted(group []spoke.HostID) []spoke.HostID {
+	if s.cell.Count > 1 {
+		return group
+	}
+	all := slices.Clone(group)
+	for host := range s.peers {
+		if !slices.Contains(group, host) {
+			all = append(all, host)
+		}
+	}
+	return all
+}
+
 func (s *Scheduler) updateBrittleShare(b *brittleness) {
-	group := s.hostsOf(b.start.ID)
+	group := s.withUnlisted(s.hostsOf(b.start.ID))
 	b.share = brittleShare{rank: -1, hosts: len(group)}
 	if !slices.Contains(group, s.settings.Host) {
 		return
--- a/place/report.go
+++ b/place/report.go
@@ -216,6 +216,7 @@
 	if known == nil {
 		known = &peer{}
 		s.peers[report.Host] = known
+		s.updateBrittleShares()
 	}
 	if report.Sequence <= known.sequence && now.Sub(known.receivedAt) < peerTimeout {
 		return
@@ -298,6 +299,7 @@
 	delete(s.peers, host)
 	s.removePeerLoads(host)
 	s.removeDoubts(host)
+	s.updateBrittleShares()
 	s.removeCopies(now, host)
 }
 
