Let own slots of brittle upstreams grow late

A host that loses the directory is dropped from the list of hosts while it goes on sending.

More own slots than before count only 1.2 s after a change; hosts report all their load each second.

--- a/place/brittle.go
+++ b/place/brittle.go
@@ -144,7 +144,7 @@
 	}
 	rejected := spoke.RejectionCount(countSince(&b.rejected, now, rejectionWindow))
 	rest := b.most - rejected - b.rejectedElsewhere(now)
-	if len(n.runs)+held < b.share.own {
+	if len(n.runs)+held < b.share.ownSlots(now) {
 		// Rejections show that hosts divide the slots by different lists of hosts.
 		isClear := rest > 0 || rest == b.most || total < b.share.slots-1
 		return isClear && rejected < max(b.share.of(b.most), 1)
@@ -179,7 +179,7 @@
 
 // takeBrittle records a call that is sent to an upstream. It must be called before the call is added to runs.
 func (s *Scheduler) takeBrittle(now time.Time, n *node) {
-	if b := s.brittlenessOf(n); b != nil && len(n.runs)+countSince(&b.held, now, heldTime) >= b.share.own {
+	if b := s.brittlenessOf(n); b != nil && len(n.runs)+countSince(&b.held, now, heldTime) >= b.share.ownSlots(now) {
 		b.risks = append(b.risks, now)
 	}
 }
--- a/place/brittle_shares.go
+++ b/place/brittle_shares.go
@@ -2,12 +2,19 @@
 
 import (
 	"slices"
+	"time"
 
 	"magnoliaspoke.example/spoke"
 )
 
-// leastOwnSlots is the number of slots of a host without any, since its calls wait for a slot that another host leaves free.
-const leastOwnSlots = 0.1
+const (
+	// leastOwnSlots is the number of slots of a host without any, since its calls wait for a slot that another host leaves
+	// free.
+	leastOwnSlots = 0.1
+	// ownSlotsDelay is the time after which a host uses more own slots than before. A host that the directory has dropped
+	// has reported its load by then, if it still sends calls.
+	ownSlotsDelay = 1200 * time.Millisecond
+)
 
 // brittleShare is this host's part of a brittle upstream. Hosts know from the list of hosts alone which slots and
 // rejections each of them may use.
@@ -16,6 +23,20 @@
 	rank, hosts int
 	// slots is the number of slots of the upstream, own the number of those that only this host takes without risk.
 	slots, own int
+	// usable is the part of own that this host may use until growsAt; that is zero until the first call after a change.
+	usable  int
+	growsAt time.Time
+}
+
+// ownSlots returns the number of slots that only this host takes.
+func (b *brittleShare) ownSlots(now time.Time) int {
+	if b.usable < b.own && b.growsAt.IsZero() {
+		b.growsAt = now.Add(ownSlotsDelay)
+	}
+	if b.usable < b.own && !now.Before(b.growsAt) {
+		b.usable = b.own
+	}
+	return b.usable
 }
 
 // of returns this host's part of a number of rejections. The hosts with the fewest slots get the most of them.
@@ -85,6 +106,7 @@
 
 func (s *Scheduler) updateBrittleShare(b *brittleness) {
 	group := s.withUnlisted(s.hostsOf(b.start.ID))
+	before := b.share
 	b.share = brittleShare{rank: -1, hosts: len(group)}
 	if !slices.Contains(group, s.settings.Host) {
 		return
@@ -92,4 +114,11 @@
 	b.share.rank = rankFor(group, s.settings.Host, b.start.ID)
 	b.share.slots = max(s.nodes[b.start.ID].listed.Slots, 1)
 	b.share.own = partOf(b.share.slots, b.share.rank, b.share.hosts)
+	b.share.usable = b.share.own
+	if before.hosts > 0 {
+		b.share.usable = min(before.usable, b.share.own)
+	}
+	if before.own == b.share.own {
+		b.share.growsAt = before.growsAt
+	}
 }
