--- a/place/fleet_test.go
+++ b/place/fleet_test.go
@@ -58,6 +58,7 @@
 		isDown, isCut, isFenced bool
 		starts                  int
 		startedAt               time.Time
+		disturbedAt             time.Time
 		fullAt                  time.Time
 		told                    map[spoke.UpstreamID]time.Time
 		retries                 map[spoke.CallNumber]bool
