Pass nothing on behind the reset of a tunnel, and let readers pause

Found by a review. A request that was given up while its relaying host stood still ran when that host went on: the reset was a frame behind the request. Reset now resets the tunnel's connection, and the relaying host looks whether the connection was reset before it passes bytes on; the kernel still delivers what arrived before. TestBytesOfResetTunnelAreNotPassedOn reads "firstsecond" without that look.

A stream through another host broke off when its caller read nothing for two seconds: the user timeout also ends connections whose peer has closed its window. Accepted connections have 10 s now; TestPausedReaderKeepsItsTunnel failed with 2 s, and the test of accepted connections checks both times.

--- a/detour/conn.go
+++ b/detour/conn.go
@@ -79,18 +79,20 @@
 
 // Close ends the tunnel in order and does not block. Where the end would have to wait for the relaying host or behind a
 // write, the tunnel is reset instead.
-func (c *Conn) Close() error { return c.close(kindEnd) }
-
-// Reset ends the tunnel so that the upstream's connection is reset; it does not block.
-func (c *Conn) Reset() error { return c.close(kindReset) }
-
-func (c *Conn) close(last frameKind) error {
-	if !c.sendLast(last) {
-		_ = c.tcp.SetLinger(0)
+func (c *Conn) Close() error {
+	if !c.sendLast(kindEnd) {
+		return c.Reset()
 	}
 	return c.tcp.Close()
 }
 
+// Reset ends the tunnel so that the upstream's connection is reset; it does not block. Bytes that the relaying host has not
+// read are dropped, so that it passes none of them on if it stood still meanwhile.
+func (c *Conn) Reset() error {
+	_ = c.tcp.SetLinger(0)
+	return c.tcp.Close()
+}
+
 // IsOpenAndEmpty reports whether the idle connection is open and has no unread bytes; there must be no reader meanwhile.
 func (c *Conn) IsOpenAndEmpty() bool {
 	if !c.frames.isEmpty() {
--- a/detour/tunnel.go
+++ b/detour/tunnel.go
@@ -85,6 +85,10 @@
 		if err != nil {
 			return err
 		}
+		if dial.IsReset(t.host) {
+			// This host may have stood still since the bytes arrived.
+			return errReset
+		}
 		t.hasLostUpstream = t.hasLostUpstream || t.writeToUpstream(buffer[:n]) != nil
 	}
 	return nil
--- a/dial/dialer.go
+++ b/dial/dialer.go
@@ -14,8 +14,10 @@
 	keepAliveIdle     = time.Second
 	keepAliveInterval = 500 * time.Millisecond
 	keepAliveCount    = 3
-	// userTimeout is the time for which sent bytes may stay unacknowledged.
-	userTimeout = 2 * time.Second
+	// userTimeout is the time for which sent bytes may stay unacknowledged, acceptedUserTimeout the same for accepted
+	// connections, whose peers may pass on a stream to a slow reader.
+	userTimeout         = 2 * time.Second
+	acceptedUserTimeout = 10 * time.Second
 )
 
 var keepAlive = net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount}
@@ -26,14 +28,14 @@
 	return &net.Dialer{
 		Timeout:         timeout,
 		KeepAliveConfig: keepAlive,
-		Control:         setUserTimeout,
+		Control:         func(_, _ string, raw syscall.RawConn) error { return setUserTimeout(raw, userTimeout) },
 	}
 }
 
-func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+func setUserTimeout(raw syscall.RawConn, timeout time.Duration) error {
 	var optionErr error
 	err := raw.Control(func(fd uintptr) {
-		optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+		optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
 	})
 	if err != nil {
 		return err
--- a/dial/state.go
+++ b/dial/state.go
@@ -10,14 +10,15 @@
 // States of a TCP connection in the kernel's numbering.
 const (
 	stateEstablished tcpState = 1
+	stateClosed      tcpState = 7
 	stateCloseWait   tcpState = 8
 )
 
 // tcpState is the state of a TCP connection.
 type tcpState uint8
 
-// Accepted gives an accepted connection the properties of the connections of New; one that is not a TCP connection stays as
-// it is.
+// Accepted gives an accepted connection the keep-alive probes of the connections of New; one that is not a TCP connection
+// stays as it is. Its user timeout is longer, since that also ends connections whose peer reads nothing for a while.
 func Accepted(conn net.Conn) error {
 	tcp, ok := conn.(*net.TCPConn)
 	if !ok {
@@ -30,7 +31,7 @@
 	if err != nil {
 		return err
 	}
-	return setUserTimeout("", "", raw)
+	return setUserTimeout(raw, acceptedUserTimeout)
 }
 
 // IsEstablished reports whether neither side has closed or reset a connection. It also holds for a connection that is not a
@@ -41,6 +42,12 @@
 // given to one call only, and reads behind it return io.EOF. It also holds for a connection that is not a TCP connection.
 func IsEndedInOrder(conn net.Conn) bool { return hasState(conn, stateCloseWait) }
 
+// IsReset reports whether a TCP connection was reset or has failed, so that what it still holds was given up.
+func IsReset(conn net.Conn) bool {
+	_, isSystem := conn.(syscall.Conn)
+	return isSystem && hasState(conn, stateClosed)
+}
+
 func hasState(conn net.Conn, state tcpState) bool {
 	tcp, ok := conn.(syscall.Conn)
 	if !ok {
