Probe slow upstreams rarely, and count no own close as heard

Found by a review. An upstream that reads a long prompt sends no byte for long; each host probed it once a second, priced as a connection each time. A probe that works now doubles the pause until the next byte. The simulation of the test hid it: it took a probe for an answer.

The close of a connection by this host counted as a byte from the upstream, so that calls which are given up kept a host from finding that its ways hang. Only bytes, the end and a reset count now, and a request that is given up waits no longer. Samples prefer ways that are not known as lost, which may all be those to one data centre. A host that failed as a relay is not used again through open connections for a second.

go test ./reach passes, with the honest simulation.

--- a/edge/wayconn.go
+++ b/edge/wayconn.go
@@ -1,8 +1,11 @@
 package edge
 
 import (
+	"errors"
+	"io"
 	"net"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"magnoliaspoke.example/spoke"
@@ -22,6 +25,8 @@
 	directConn struct {
 		*net.TCPConn
 		activity *wayActivity
+		// sentAt is when the first request was sent since the last byte was received, as in activity.
+		sentAt atomic.Int64
 	}
 
 	// relayedConn is a connection to an upstream through another host.
@@ -32,9 +37,10 @@
 	}
 )
 
-func (a *wayActivity) recordSent() {
-	a.unansweredSince.CompareAndSwap(0, int64(time.Since(activityEpoch)))
-}
+func (a *wayActivity) recordSent(at int64) { a.unansweredSince.CompareAndSwap(0, at) }
+
+// withdraw ends the wait for an answer on a connection that this host closes.
+func (a *wayActivity) withdraw(sentAt int64) { a.unansweredSince.CompareAndSwap(sentAt, 0) }
 
 func (a *wayActivity) recordHeard() {
 	a.unansweredSince.Store(0)
@@ -53,10 +59,11 @@
 	return activityEpoch.Add(time.Duration(sinceEpoch))
 }
 
-// Read reads from the connection. An error of the network also shows that the way does not hang.
+// Read reads from the connection. Its end and a reset also show that the way does not hang.
 func (c *directConn) Read(buffer []byte) (int, error) {
 	n, err := c.TCPConn.Read(buffer)
-	if n > 0 || err != nil {
+	if n > 0 || err == io.EOF || errors.Is(err, syscall.ECONNRESET) {
+		c.sentAt.Store(0)
 		c.activity.recordHeard()
 	}
 	return n, err
@@ -64,10 +71,20 @@
 
 // Write writes to the connection.
 func (c *directConn) Write(buffer []byte) (int, error) {
-	c.activity.recordSent()
+	now := int64(time.Since(activityEpoch))
+	c.sentAt.CompareAndSwap(0, now)
+	c.activity.recordSent(now)
 	return c.TCPConn.Write(buffer)
 }
 
+// Close closes the connection. A request that this host gives up waits no longer.
+func (c *directConn) Close() error {
+	if sentAt := c.sentAt.Swap(0); sentAt != 0 {
+		c.activity.withdraw(sentAt)
+	}
+	return c.TCPConn.Close()
+}
+
 // SetLinger sets whether Close resets the upstream's connection, which zero seconds do.
 func (c *relayedConn) SetLinger(seconds int) error {
 	c.resets.Store(seconds == 0)
--- a/reach/relays.go
+++ b/reach/relays.go
@@ -91,10 +91,10 @@
 // Count returns the number of other hosts.
 func (r *Relays) Count() int { return len(r.relays) }
 
-// Takes reports whether another host is listed and has not said that it takes no detours.
-func (r *Relays) Takes(host spoke.HostID) bool {
+// Takes reports whether another host is listed, has not said that it takes no detours and has not just failed as a relay.
+func (r *Relays) Takes(now time.Time, host spoke.HostID) bool {
 	other := r.relays[host]
-	return other != nil && !other.refuses
+	return other != nil && !other.refuses && !other.hasFailed(now)
 }
 
 func (r *Relays) weight(other *relay, upstream spoke.UpstreamID) uint64 {
--- a/reach/ways.go
+++ b/reach/ways.go
@@ -13,8 +13,9 @@
 	hostSilence = 400 * time.Millisecond
 	// upstreamSilence is the same for one upstream while others send bytes.
 	upstreamSilence = 800 * time.Millisecond
-	// probePause is the least time between two probes of one way, and between two samples.
-	probePause = time.Second
+	// minProbePause is the least time between two probes of one way, samplePause that between two samples.
+	minProbePause = time.Second
+	samplePause   = time.Second
 	// sampleSize is the number of ways that have to fail together for a host to count as cut off, verifiedSize the number
 	// that are tried before the failure of one way counts as that of its upstream.
 	sampleSize   = 5
@@ -49,6 +50,8 @@
 		checkAt    time.Time
 		checkPause time.Duration
 		probedAt   time.Time
+		// probePause doubles with each probe that works while the upstream sends nothing, since it is only slow then.
+		probePause time.Duration
 	}
 
 	// sample is a set of ways that are probed together.
@@ -136,6 +139,14 @@
 	return w.beginSample(now, nil, verifiedSize)
 }
 
+// Suspect returns the upstreams to probe after a failure that may be that of this host.
+func (w *Ways) Suspect(now time.Time) []spoke.UpstreamID {
+	if w.isCutOff {
+		return nil
+	}
+	return w.sampleNow(now, nil)
+}
+
 // ProbeFailed records that a probe has failed. The upstream itself may have, which the next connection through another
 // host shows.
 func (w *Ways) ProbeFailed(now time.Time, id spoke.UpstreamID) {
@@ -181,16 +192,25 @@
 		return append(probes, w.sampleNow(now, silent)...)
 	}
 	for _, activity := range activities {
-		known := w.ways[activity.Upstream]
-		if known == nil || known.isLost || !w.isSilent(now, activity, upstreamSilence) || now.Sub(known.probedAt) < probePause {
-			continue
+		if known := w.ways[activity.Upstream]; known != nil && w.isProbeDue(now, known, activity) {
+			probes = append(probes, activity.Upstream)
 		}
-		known.probedAt = now
-		probes = append(probes, activity.Upstream)
 	}
 	return probes
 }
 
+// isProbeDue reports whether one silent upstream is to be probed now, and records that it is.
+func (w *Ways) isProbeDue(now time.Time, known *way, activity Activity) bool {
+	if activity.HeardAt.After(known.probedAt) {
+		known.probePause = 0
+	}
+	if known.isLost || !w.isSilent(now, activity, upstreamSilence) || now.Sub(known.probedAt) < max(known.probePause, minProbePause) {
+		return false
+	}
+	known.probedAt, known.probePause = now, max(2*known.probePause, 2*minProbePause)
+	return true
+}
+
 // silent returns the upstreams that have not answered for hostSilence, and whether any has sent a byte within it.
 func (w *Ways) silent(now time.Time, activities []Activity) (silent []spoke.UpstreamID, isAnyHeard bool) {
 	for _, activity := range activities {
@@ -212,7 +232,7 @@
 
 // sampleNow returns the ways to probe together, none while another sample is recent.
 func (w *Ways) sampleNow(now time.Time, silent []spoke.UpstreamID) []spoke.UpstreamID {
-	if now.Sub(w.sampledAt) < probePause {
+	if now.Sub(w.sampledAt) < samplePause {
 		return nil
 	}
 	return w.beginSample(now, silent, sampleSize)
@@ -225,11 +245,16 @@
 	for _, id := range silent[:min(len(silent), maxSilentSampled)] {
 		w.sample.pending[id] = true
 	}
-	for range w.order {
-		if len(w.sample.pending) >= size {
-			break
+	// Ways that are known as lost come last: all of them may be those to one data centre.
+	for _, mayBeLost := range []bool{false, true} {
+		for range w.order {
+			if len(w.sample.pending) >= size {
+				break
+			}
+			if id := w.takeNext(); mayBeLost || !w.ways[id].isLost {
+				w.sample.pending[id] = true
+			}
 		}
-		w.sample.pending[w.takeNext()] = true
 	}
 	probes := make([]spoke.UpstreamID, 0, len(w.sample.pending))
 	for id := range w.sample.pending {
--- a/reach/ways_test.go
+++ b/reach/ways_test.go
@@ -16,12 +16,14 @@
 
 // simulation drives the state of a host whose engines answer each request at once, unless their way is cut or they are dead.
 type simulation struct {
-	ways   *reach.Ways
-	now    time.Time
-	ids    []spoke.UpstreamID
-	cut    map[spoke.UpstreamID]bool
-	dead   map[spoke.UpstreamID]bool
-	idle   map[spoke.UpstreamID]bool
+	ways *reach.Ways
+	now  time.Time
+	ids  []spoke.UpstreamID
+	cut  map[spoke.UpstreamID]bool
+	dead map[spoke.UpstreamID]bool
+	idle map[spoke.UpstreamID]bool
+	// slow lists the upstreams that accept connections and answer no requests.
+	slow   map[spoke.UpstreamID]bool
 	heard  map[spoke.UpstreamID]time.Time
 	since  map[spoke.UpstreamID]time.Time
 	probes int
@@ -30,7 +32,7 @@
 func newSimulation(count int) *simulation {
 	s := &simulation{
 		ways: reach.NewWays(), now: time.Unix(1000, 0), cut: make(map[spoke.UpstreamID]bool), dead: make(map[spoke.UpstreamID]bool),
-		idle: make(map[spoke.UpstreamID]bool), heard: make(map[spoke.UpstreamID]time.Time), since: make(map[spoke.UpstreamID]time.Time),
+		idle: make(map[spoke.UpstreamID]bool), slow: make(map[spoke.UpstreamID]bool), heard: make(map[spoke.UpstreamID]time.Time), since: make(map[spoke.UpstreamID]time.Time),
 	}
 	for i := range count {
 		s.ids = append(s.ids, spoke.UpstreamID(fmt.Sprint("i-", i)))
@@ -54,7 +56,7 @@
 	for _, id := range s.ids {
 		switch {
 		case s.idle[id]:
-		case s.answers(id):
+		case s.answers(id) && !s.slow[id]:
 			s.heard[id], s.since[id] = s.now, time.Time{}
 		case s.since[id].IsZero():
 			s.since[id] = s.now
@@ -68,7 +70,6 @@
 	for _, id := range ids {
 		s.probes++
 		if s.answers(id) {
-			s.since[id] = time.Time{}
 			s.ways.Connected(id)
 			continue
 		}
@@ -173,6 +174,16 @@
 	s.dead[s.ids[7]] = true
 	s.run(12 * time.Second)
 	assert.Assert(t, s.probes <= 6, "%d probes", s.probes)
+
+	// Engines that read a long prompt send no byte for long, but their ways work.
+	s = newSimulation(20)
+	s.run(time.Second)
+	for _, id := range s.ids[1:] {
+		s.slow[id] = true
+	}
+	s.run(12 * time.Second)
+	assert.Assert(t, s.probes <= 19*3, "%d probes", s.probes)
+	assert.Assert(t, !s.ways.IsLost(s.ids[5]))
 }
 
 // Guards against detours that all go through one host, or through hosts that cannot take them.
@@ -207,6 +218,7 @@
 	chosen := relays.Choose(now, "i-1", 2)
 	assert.Equal(t, len(chosen), 1)
 	assert.Equal(t, chosen[0].ID, spoke.HostID("h-1"))
-	assert.Assert(t, !relays.Takes("h-0"))
-	assert.Assert(t, slices.ContainsFunc(peers, func(p spoke.ListedPeer) bool { return relays.Takes(p.ID) }))
+	assert.Assert(t, !relays.Takes(now, "h-0"))
+	assert.Assert(t, !relays.Takes(now, "h-1"))
+	assert.Assert(t, slices.ContainsFunc(peers, func(p spoke.ListedPeer) bool { return relays.Takes(now.Add(time.Second), p.ID) }))
 }
