Believe a refusal through another host only if that host reaches others

Found by a review. Its own connections for others now show it that its ways are lost; it says "refused" only if it has heard an upstream within 200 ms or reaches another one, and a refusal counts only if no host that was asked got another answer. A host suspects its own ways when neither it nor another host connects.

--- a/edge/cutoff_test.go
+++ b/edge/cutoff_test.go
@@ -20,6 +20,8 @@
 	leastShare = 2.0 / 3
 	// leastOthers is the least share that are served at the other hosts, in parts of that before the cut.
 	leastOthers = 0.9
+	// leastBefore is the least share that are served before the cut.
+	leastBefore = 0.95
 )
 
 // cutGroups lists the hosts that lose their ways to all engines: one, those of a data centre, all but one.
@@ -71,6 +73,7 @@
 	t.Logf("before the cut, hosts that keep their ways: %s", before)
 	t.Logf("from %s on, hosts that are cut off: %s", afterCut, atCutOff)
 	t.Logf("from %s on, the others: %s", afterCut, atOthers)
+	assert.Check(t, before.share() >= leastBefore, "the load is not served before the cut, so that the test shows nothing")
 	assert.Check(t, atOthers.share() >= leastOthers*before.share(), "the others serve less than before the cut")
 	assert.Check(t, atCutOff.share() >= leastShare*atOthers.share(), "hosts that are cut off serve less than the others")
 	repeats := hosts[0].onceOnlyRepeats()
--- a/edge/host.go
+++ b/edge/host.go
@@ -106,7 +106,7 @@
 	}), deps.Timer, deps.LeaseTimer, deps.Log, quarantine, parts, h.conf, metrics, socket.Send)
 	h.planner.takesNoDetours = func() bool { return h.isLeaving.Load() || h.ways.isCutOff() }
 	h.planner.origins = newOrigins(h.self(), h.conf, deps.Timer, deps.Log, metrics, socket.Send)
-	h.detours = detour.NewHandler(h.ways.relayed, detour.WithLog(deps.Log), detour.WithLimit(maxDetours))
+	h.detours = detour.NewHandler(h.ways.relayed, detour.WithLog(deps.Log), detour.WithLimit(maxDetours), detour.WithDial(h.ways.dialForOthers))
 	h.relayer = &relayer{
 		conf: h.conf, codec: deps.Codec, planner: h.planner, pool: link.New(link.WithDial(h.ways.Dial), link.WithReuse(h.ways.mayReuse)), ways: h.ways, quarantine: quarantine, parts: parts, origins: h.planner.origins,
 		answerMemory: fetch.NewMemory(settings.Memory / answerMemoryDivisor),
--- a/edge/waydial.go
+++ b/edge/waydial.go
@@ -17,6 +17,10 @@
 	errNoRelay = eris.New("no other host is listed")
 	// errAllRefuse reports that all other hosts say that they take no detours.
 	errAllRefuse = eris.New("no other host takes detours")
+	// errNoWitness reports that no other host that was asked has tried to connect.
+	errNoWitness = eris.New("no other host has tried to connect to the upstream")
+	// errNotRelayed reports that no other host that was asked has connected.
+	errNotRelayed = eris.New("no other host connects to the upstream")
 )
 
 type (
@@ -27,6 +31,16 @@
 		isRelayed bool
 	}
 
+	// relayAnswers are the answers of other hosts that did not connect to an upstream.
+	relayAnswers struct {
+		failures error
+		// denied lists the hosts that answered without a connection, refused is the error of one that was refused.
+		denied  []spoke.HostID
+		refused error
+		// isContradicted is set once a host got no connection for another reason than a refusal.
+		isContradicted bool
+	}
+
 	// wayDial makes one connection to a listed upstream.
 	wayDial struct {
 		*ways
@@ -129,15 +143,16 @@
 }
 
 // failure returns the error of a connection that could neither be made directly nor through another host. A refusal of the
-// direct one may come from the network while the way is lost, so it is not wrapped then.
+// direct one may come from the network if another host was not refused, so it is not wrapped then.
 func (d *wayDial) failure(direct, relayed error) error {
-	d.mu.Lock()
-	isLost := d.state.IsLost(d.listed.id)
-	d.mu.Unlock()
-	switch {
-	case errors.Is(relayed, detour.ErrRefused):
+	if errors.Is(relayed, detour.ErrRefused) {
 		return relayed
-	case !isLost || errors.Is(relayed, errNoRelay):
+	}
+	if errors.Is(relayed, errNoRelay) {
+		return direct
+	}
+	d.change(func() { d.probeAll(context.Background(), d.state.Suspect(d.now())) })
+	if errors.Is(relayed, errNoWitness) && !d.isCutOff() {
 		return direct
 	}
 	return eris.Wrapf(errWayLost, "directly: %v; through other hosts: %v", direct, relayed)
@@ -167,23 +182,28 @@
 	if count == 0 {
 		return nil, errNoRelay
 	}
-	var failures error
+	answers := relayAnswers{}
 	for _, relay := range relays {
 		conn, err := d.dialThrough(ctx, relay)
 		if err == nil {
+			d.relaysFailed(answers.denied)
 			return conn, nil
 		}
+		answers.add(relay.ID, err)
 		if errors.Is(err, detour.ErrRelay) && ctx.Err() == nil {
-			d.mu.Lock()
-			d.relays.Failed(d.now(), relay.ID)
-			d.mu.Unlock()
+			d.relaysFailed([]spoke.HostID{relay.ID})
 		}
-		failures = errors.Join(failures, err)
 	}
-	if failures == nil {
-		return nil, errAllRefuse
+	return nil, answers.err()
+}
+
+// relaysFailed records that hosts could not be used as relays.
+func (d *wayDial) relaysFailed(hosts []spoke.HostID) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, host := range hosts {
+		d.relays.Failed(d.now(), host)
 	}
-	return nil, failures
 }
 
 // dialThrough connects through one other host.
@@ -197,3 +217,29 @@
 	d.metrics.addDetour()
 	return newRelayedConn(conn, relay.ID), nil
 }
+
+func (a *relayAnswers) add(host spoke.HostID, err error) {
+	a.failures = errors.Join(a.failures, err)
+	switch {
+	case errors.Is(err, detour.ErrRefused):
+		a.refused = err
+	case errors.Is(err, detour.ErrUnreachable):
+		a.isContradicted = true
+	case errors.Is(err, detour.ErrRelay):
+		return
+	}
+	a.denied = append(a.denied, host)
+}
+
+// err returns the error of all answers; it matches detour.ErrRefused only if each host that tried was refused.
+func (a *relayAnswers) err() error {
+	switch {
+	case a.failures == nil:
+		return errAllRefuse
+	case a.isContradicted:
+		return eris.Wrap(errNotRelayed, a.failures.Error())
+	case a.refused != nil:
+		return a.refused
+	}
+	return eris.Wrap(errNoWitness, a.failures.Error())
+}
--- a/edge/ways.go
+++ b/edge/ways.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -27,6 +28,8 @@
 	hedgeDelay = 150 * time.Millisecond
 	// maxDetourTries bounds the hosts that are asked for one connection.
 	maxDetourTries = 2
+	// recentlyHeard is the time for which a byte from an upstream shows that the ways of this host work.
+	recentlyHeard = 200 * time.Millisecond
 )
 
 // errWayLost reports that this host does not reach an upstream and that no other host has said whether it does.
@@ -55,6 +58,8 @@
 		byAddress map[spoke.Address]*listedWay
 		// connectedAt is when the latest direct connection that was made was begun.
 		connectedAt time.Time
+		// failedAt is when the latest verification began that reached no upstream.
+		failedAt time.Time
 	}
 
 	// listedWay is the way to a listed upstream.
@@ -136,7 +141,7 @@
 	}
 	relayed, isRelayed := conn.(*relayedConn)
 	if isRelayed {
-		return w.state.IsLost(listed.id) && w.relays.Takes(relayed.via)
+		return w.state.IsLost(listed.id) && w.relays.Takes(w.now(), relayed.via)
 	}
 	return !w.state.IsLost(listed.id)
 }
@@ -207,19 +212,15 @@
 }
 
 // verify reports whether this host has reached an upstream directly since a failure, so that the failure was not that of
-// its own ways. It reports true if there are too few upstreams to compare.
+// its own ways. It reports true if there are too few upstreams to compare. Failures at the same time share one round of
+// probes.
 func (w *ways) verify(ctx context.Context, since time.Time) bool {
 	w.verifying.Lock()
 	defer w.verifying.Unlock()
-	w.mu.Lock()
-	isVerified := w.connectedAt.After(since)
-	var ids []spoke.UpstreamID
-	if !isVerified {
-		ids = w.state.Verify(w.now())
-	}
-	w.mu.Unlock()
-	if isVerified || len(ids) == 0 {
-		return true
+	begun := w.now()
+	ids, isVerified := w.toVerify(since)
+	if len(ids) == 0 {
+		return isVerified
 	}
 	results := make(chan bool, len(ids))
 	for _, id := range ids {
@@ -230,6 +231,56 @@
 			return true
 		}
 	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.failedAt = begun
+	return false
+}
+
+// toVerify returns the upstreams to probe, or without any, what is known.
+func (w *ways) toVerify(since time.Time) (ids []spoke.UpstreamID, isVerified bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.connectedAt.After(since) {
+		return nil, true
+	}
+	if w.state.IsCutOff() || w.failedAt.After(since) {
+		return nil, false
+	}
+	return w.state.Verify(w.now()), true
+}
+
+// dialForOthers connects to an upstream for another host. A refusal only counts as that of the upstream while this host
+// reaches others, since its own way may be lost.
+func (w *ways) dialForOthers(ctx context.Context, network, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	begun := w.now()
+	conn, err := w.direct(ctx, network, address)
+	if err == nil {
+		w.mu.Lock()
+		listed := w.byAddress[spoke.Address(address)]
+		w.mu.Unlock()
+		if listed != nil {
+			w.connected(listed.id, begun)
+		}
+		return conn, nil
+	}
+	if errors.Is(err, syscall.ECONNREFUSED) && !w.hasHeardSince(begun.Add(-recentlyHeard)) && !w.verify(ctx, begun) {
+		return nil, eris.Wrap(errWayLost, err.Error())
+	}
+	return nil, err
+}
+
+// hasHeardSince reports whether an upstream has sent a byte on a direct connection since a time.
+func (w *ways) hasHeardSince(since time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, listed := range w.byAddress {
+		if listed.activity.of(listed.id).HeardAt.After(since) {
+			return true
+		}
+	}
 	return false
 }
 
