--- a/edge/recall_test.go
+++ b/edge/recall_test.go
@@ -11,7 +11,7 @@
 func TestRecallIsLogged(t *testing.T) {
 	const limit = time.Second
 	d := startWithSettings(t, 1, func(settings *config.Relay) { settings.WeightsApply, settings.OrdersPause = limit, time.Minute })
-	answered := d.holdCall("stuck")
+	answered := d.holdCall("recalled")
 	assertRecalled(t, answered, d.nameWeights(), limit)
 	for _, text := range []string{`"call recalled"`, `"sent-for":`, `"upstream-silent":`, `"weights":1`} {
 		awaitTrue(t, text+" not logged", func() bool { return d.hasLogged(text) })
--- a/edge/suspended_test.go
+++ b/edge/suspended_test.go
@@ -43,7 +43,7 @@
 		suspended = 4 * time.Second
 	)
 	d, clock := startSuspendable(t, limit)
-	answered := d.holdCall("stuck")
+	answered := d.holdCall("waiting")
 	named := d.nameWeights()
 	awaitTrue(t, "weights not known", func() bool { return d.hasLogged("weights wanted") })
 	clock.suspend(suspended)
@@ -55,7 +55,7 @@
 func TestCallIsRecalledIfWeightsMayHaveBeenNamedDuringSuspension(t *testing.T) {
 	const limit = 6 * time.Second
 	d, clock := startSuspendable(t, limit)
-	answered := d.holdCall("stuck")
+	answered := d.holdCall("waiting")
 	clock.suspend(limit)
 	assertRecalled(t, answered, d.nameWeights(), time.Second)
 }
