--- a/place/heldback_test.go
+++ b/place/heldback_test.go
@@ -10,7 +10,7 @@
 	"magnoliaspoke.example/spoke/place"
 )
 
-// Both hosts learned late that weights are wanted, and a link holds a report of one of them back for a second. Guards
+// Both hosts learned late that weights are wanted, and a link holds a report of one of them back for two seconds. Guards
 // against an age that stays too low although later reports arrive in time.
 func TestAgeOfHeldBackReportIsCorrectedByLaterOnes(t *testing.T) {
 	host, other := newTestScheduler(t, 1), newTestSchedulerFor(t, "host-2", 1)
@@ -19,11 +19,11 @@
 	}
 	heldBack := other.scheduler.LoadReport(other.now, true)
 	for _, ts := range []*testScheduler{host, other} {
-		ts.now = ts.now.Add(time.Second)
+		ts.now = ts.now.Add(2 * time.Second)
 	}
 	host.handle(place.ReceiveReport{Report: heldBack})
 	other.handle(place.ReceiveReport{Report: host.scheduler.LoadReport(host.now, true)})
 	host.handle(place.ReceiveReport{Report: other.scheduler.LoadReport(other.now, true)})
-	host.now = host.now.Add(1500 * time.Millisecond)
+	host.now = host.now.Add(time.Second)
 	assert.Equal(t, host.refusal(host.request(0, "s", 500, 200)).Reason, place.RefusedWeights)
 }
