Stop using replaced weights early enough for a silent engine

A call waited in the queue of an engine that stood still from 950 ms before the end of its weights' time to 50 ms after it, and began on replaced weights although it had been recalled: the recall came 250 ms before the end, while the engine stood still.

Calls are now sent and recalled a second earlier: recalls 1.25 s before the end, no more calls whose first event is expected within 1.6 s of it. Where engines still have replaced weights that late, calls wait for others or are refused for a second longer.

TestCallThatHasNotBegunIsRecalledAtTheLimit required that nothing is recalled up to 5.5 s of the limit of 6 s, a figure of the former margin. It now requires that up to 4.5 s, and as before one recall within the 300 ms behind.

--- a/place/choose.go
+++ b/place/choose.go
@@ -112,7 +112,7 @@
 	}
 	age := now.Sub(replaced)
 	switch {
-	case age+c.firstEvent > s.settings.WeightsApply-weightsMargin:
+	case age+c.firstEvent > s.weightsLimit()-weightsMargin:
 		return 0, false
 	case age > newWeightsGrace:
 		return oldWeightsCost, true
--- a/place/options.go
+++ b/place/options.go
@@ -75,11 +75,16 @@
 	// runningRetryShare is the fraction of the retry budget for calls that are still at a silent upstream. When a
 	// whole rack falls silent for a moment, the rest remains for calls whose upstream has failed.
 	runningRetryShare = 0.5
-	// weightsMargin is the time before the end of Settings.WeightsApply from which older weights get no
-	// more calls.
+	// engineSilence is the time for which a sound engine may stand still. It may then begin calls before it notices their
+	// recall.
+	engineSilence = time.Second
+	// silenceDivisor determines the longest silence that is allowed for within a short Settings.WeightsApply.
+	silenceDivisor = 6
+	// weightsMargin is the time before the end of Settings.WeightsApply, less an engine's silence, from which older
+	// weights get no more calls.
 	weightsMargin = 600 * time.Millisecond
-	// recallMargin is the time before the end of Settings.WeightsApply from which calls that have not begun
-	// on older weights are recalled from their engine.
+	// recallMargin is the time before the end of Settings.WeightsApply, less an engine's silence, from which calls that
+	// have not begun on older weights are recalled from their engine.
 	recallMargin = 250 * time.Millisecond
 )
 
--- a/place/recall.go
+++ b/place/recall.go
@@ -50,7 +50,7 @@
 		return false
 	}
 	replaced, isReplaced := s.wanted[run.request.Prompt.Model].replacedAt(run.weights)
-	return isReplaced && now.Sub(replaced) >= s.settings.WeightsApply-recallMargin
+	return isReplaced && now.Sub(replaced) >= s.weightsLimit()-recallMargin
 }
 
 // SilenceOf returns the time since the upstream of a call last answered or made progress, or since the call was sent if
@@ -65,3 +65,10 @@
 	}
 	return now.Sub(run.node.progressAt)
 }
+
+// weightsLimit returns the time for which replaced weights are used: an engine that then falls silent still begins its
+// calls within Settings.WeightsApply.
+func (s *Scheduler) weightsLimit() time.Duration {
+	limit := s.settings.WeightsApply
+	return limit - min(engineSilence, limit/silenceDivisor)
+}
--- a/place/weights_test.go
+++ b/place/weights_test.go
@@ -79,7 +79,7 @@
 	ts.handle(place.Began{Call: begun.Call})
 	stuck := ts.grant(ts.request(0, "s", 100, 100))
 	ts.setWanted(2)
-	for ts.now.Before(time.Unix(1005, 500000000)) {
+	for ts.now.Before(time.Unix(1004, 500000000)) {
 		assert.Equal(t, len(ts.advance(100*time.Millisecond)), 0)
 		assert.Assert(t, ts.scheduler.NeedsTick(ts.now))
 	}
