Test what calls keep on their way through another host

Connections to upstreams that go through other hosts must keep what the call has: the end when the caller leaves, the deadline, the recall when weights are outdated, one arrival. The relaying host counts nothing and takes no second hop.

--- a/edge/cutoff_ways_test.go
+++ b/edge/cutoff_ways_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"magnoliaspoke.example/spoke"
+	"magnoliaspoke.example/spoke/config"
 	fake "magnoliaspoke.example/spoke/fake/platform"
 	"magnoliaspoke.example/spoke/relay"
 )
@@ -102,7 +103,7 @@
 
 // startCutOff starts hosts in the data centres a, b and c in turn, each with its own ways to all engines, and waits
 // until each lists all others.
-func startCutOff(t *testing.T) []cutOffHost {
+func startCutOff(t *testing.T, changes ...func(*config.Relay)) []cutOffHost {
 	t.Helper()
 	centres := []spoke.DataCentreID{"a", "b", "c"}
 	first := &deployment{t: t, store: fake.NewStore()}
@@ -116,6 +117,9 @@
 		first.store.Put("servers/"+engine.ID, engine.Entry("models", string(centres[i%3]), "ready"))
 	}
 	first.settings = usualSettings(t, first.store)
+	for _, change := range changes {
+		change(&first.settings)
+	}
 	network := &linkNetwork{t: t, paths: make(map[string]*peerPath)}
 	var hosts []cutOffHost
 	for i := range cutOffHosts {
