--- a/cmd/trial/soak/wayverdict.go
+++ b/cmd/trial/soak/wayverdict.go
@@ -71,6 +71,7 @@
 
 func (t *wayTally) share() float64 { return float64(t.served) / float64(max(t.sent, 1)) }
 
+// String returns how many calls were served, and all by status.
 func (t *wayTally) String() string {
 	return fmt.Sprintf("served %d of %d %v", t.served, t.sent, t.statuses)
 }
--- a/detour/conn.go
+++ b/detour/conn.go
@@ -9,6 +9,8 @@
 	"sync"
 
 	"golang.org/x/sys/unix"
+
+	"magnoliaspoke.example/spoke/dial"
 )
 
 // Conn is a connection to an upstream through another host. One reader, one writer and any number of closers may use it at
@@ -95,21 +97,7 @@
 
 // IsOpenAndEmpty reports whether the idle connection is open and has no unread bytes; there must be no reader meanwhile.
 func (c *Conn) IsOpenAndEmpty() bool {
-	if !c.frames.isEmpty() {
-		return false
-	}
-	control, err := c.tcp.SyscallConn()
-	if err != nil {
-		return false
-	}
-	wouldBlock := false
-	err = control.Read(func(fd uintptr) bool {
-		var probe [1]byte
-		_, _, errno := unix.Recvfrom(int(fd), probe[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		wouldBlock = errno == unix.EAGAIN
-		return true
-	})
-	return err == nil && wouldBlock
+	return c.frames.isEmpty() && dial.IsOpenAndEmpty(c.tcp)
 }
 
 // sendLast sends a last frame without blocking and reports whether nothing keeps it from arriving.
--- a/dial/state.go
+++ b/dial/state.go
@@ -42,6 +42,22 @@
 // given to one call only, and reads behind it return io.EOF. It also holds for a connection that is not a TCP connection.
 func IsEndedInOrder(conn net.Conn) bool { return hasState(conn, stateCloseWait) }
 
+// IsOpenAndEmpty reports whether a connection without a reader is open and has no unread bytes.
+func IsOpenAndEmpty(conn syscall.Conn) bool {
+	control, err := conn.SyscallConn()
+	if err != nil {
+		return false
+	}
+	wouldBlock := false
+	err = control.Read(func(fd uintptr) bool {
+		var probe [1]byte
+		_, _, errno := unix.Recvfrom(int(fd), probe[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		wouldBlock = errno == unix.EAGAIN
+		return true
+	})
+	return err == nil && wouldBlock
+}
+
 // IsReset reports whether a TCP connection was reset or has failed, so that what it still holds was given up.
 func IsReset(conn net.Conn) bool {
 	_, isSystem := conn.(syscall.Conn)
--- a/edge/host.go
+++ b/edge/host.go
@@ -108,7 +108,8 @@
 	h.planner.origins = newOrigins(h.self(), h.conf, deps.Timer, deps.Log, metrics, socket.Send)
 	h.detours = detour.NewHandler(h.ways.relayed, detour.WithLog(deps.Log), detour.WithLimit(maxDetours), detour.WithDial(h.ways.dialForOthers))
 	h.relayer = &relayer{
-		conf: h.conf, codec: deps.Codec, planner: h.planner, pool: link.New(link.WithDial(h.ways.Dial), link.WithReuse(h.ways.mayReuse)), ways: h.ways, quarantine: quarantine, parts: parts, origins: h.planner.origins,
+		conf: h.conf, codec: deps.Codec, planner: h.planner, quarantine: quarantine, parts: parts, origins: h.planner.origins,
+		pool: link.New(link.WithDial(h.ways.Dial), link.WithReuse(h.ways.mayReuse)), ways: h.ways,
 		answerMemory: fetch.NewMemory(settings.Memory / answerMemoryDivisor),
 		bodyMemory:   fetch.NewMemory(settings.Memory / bodyMemoryDivisor),
 		listed:       newListedUpstreams(),
--- a/edge/wayconn.go
+++ b/edge/wayconn.go
@@ -62,7 +62,7 @@
 // Read reads from the connection. Its end and a reset also show that the way does not hang.
 func (c *directConn) Read(buffer []byte) (int, error) {
 	n, err := c.TCPConn.Read(buffer)
-	if n > 0 || err == io.EOF || errors.Is(err, syscall.ECONNRESET) {
+	if n > 0 || errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) {
 		c.sentAt.Store(0)
 		c.activity.recordHeard()
 	}
--- a/fake/platform/engine.go
+++ b/fake/platform/engine.go
@@ -253,18 +253,6 @@
 	return e.version, e.orders
 }
 
-// Entry returns the engine's entry in the store.
-func (e *Engine) Entry(service, zone, state string) map[string]any {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.entries++
-	return map[string]any{
-		"service": service, "address": e.Address(), "zone": zone, "version": e.software, "slots": e.slots, "state": state,
-		"cold-left-ms": 0, "sequence": e.entries, "born": firstStartMs + e.restarts,
-		"models": []map[string]any{{"name": ModelName, "version": e.version, "adapters": []string{}}},
-	}
-}
-
 func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
 	var order orderBody
 	if err := json.NewDecoder(r.Body).Decode(&order); err != nil || order.Fence == 0 {
--- a/link/conn.go
+++ b/link/conn.go
@@ -9,7 +9,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"golang.org/x/sys/unix"
+
+	"magnoliaspoke.example/spoke/dial"
 )
 
 const (
@@ -85,16 +86,5 @@
 	if !ok {
 		return true
 	}
-	control, err := raw.SyscallConn()
-	if err != nil {
-		return false
-	}
-	wouldBlock := false
-	err = control.Read(func(fd uintptr) bool {
-		var probe [1]byte
-		_, _, errno := unix.Recvfrom(int(fd), probe[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		wouldBlock = errno == unix.EAGAIN
-		return true
-	})
-	return err == nil && wouldBlock
+	return dial.IsOpenAndEmpty(raw)
 }
