--- a/cmd/trial/soak/testbed.go
+++ b/cmd/trial/soak/testbed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -29,6 +30,7 @@
 	service          = "models"
 	stopGraceSeconds = 8
 	weightsApplyTime = 6 * time.Second
+	maxPortTries     = 10
 )
 
 // dataCentres are those of hosts with their own ways to engines, in turn.
@@ -161,14 +163,9 @@
 		e.isLimited = true
 	}
 	var err error
-	if e.relay, err = relay.New("127.0.0.1:0", spoke.Address(e.Address())); err != nil {
+	if e.relay, err = b.openRelay(spoke.Address(e.Address())); err != nil {
 		return eris.Wrapf(err, "relay of engine %s", id)
 	}
-	for _, ways := range b.ways {
-		if err := ways.add(e.relay.Address()); err != nil {
-			return err
-		}
-	}
 	if b.hasCrashes {
 		b.setCrashing(e)
 	}
@@ -179,6 +176,36 @@
 	return nil
 }
 
+// openRelay opens the relay of an engine and the ways of hosts to it, which have its port. Another program may hold that port
+// at one of their IP numbers.
+func (b *testbed) openRelay(engine spoke.Address) (*relay.Relay, error) {
+	var failures error
+	for range maxPortTries {
+		opened, err := relay.New("127.0.0.1:0", engine)
+		if err != nil {
+			return nil, err
+		}
+		if err = b.addWays(opened.Address()); err == nil {
+			return opened, nil
+		}
+		failures = errors.Join(failures, err, opened.Close())
+	}
+	return nil, failures
+}
+
+// addWays adds the way of each host to an engine, or none.
+func (b *testbed) addWays(engine spoke.Address) error {
+	for i, ways := range b.ways {
+		if err := ways.add(engine); err != nil {
+			for _, added := range b.ways[:i] {
+				added.remove(engine)
+			}
+			return err
+		}
+	}
+	return nil
+}
+
 // addressOf returns the address at which hosts reach an engine.
 func (b *testbed) addressOf(e *engine) string {
 	if b.hasCrashes {
--- a/cmd/trial/soak/ways.go
+++ b/cmd/trial/soak/ways.go
@@ -59,6 +59,14 @@
 	return nil
 }
 
+// remove removes the way to an engine.
+func (w *hostWays) remove(engine spoke.Address) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	_ = w.relays[engine].Close()
+	delete(w.relays, engine)
+}
+
 // set gives all ways a form.
 func (w *hostWays) set(form wayForm) {
 	w.mu.Lock()
