--- a/fake/platform/process.go
+++ b/fake/platform/process.go
@@ -87,7 +87,7 @@
 }
 
 func (p Process) engine() *Engine {
-	return &Engine{ID: p.ID, address: p.Address, version: p.Weights, software: cmp.Or(p.Software, "v1"), restarts: p.Started - firstStartMs}
+	return &Engine{ID: p.ID, address: p.Address, version: p.Weights, software: cmp.Or(p.Software, "v1"), slots: defaultSlots, restarts: p.Started - firstStartMs}
 }
 
 // PutProcess writes the store entry of an engine that is a process.
