Take no crash back on the word of an engine that has returned

An answer within a second after a crash took it back as that of a host with lost ways, but an engine that is back after half a second answers under the start that its entry still names.

TestReturnedEngineRefutesNoCrash fails with a second; TestLostWaysOfOneHostMarkNoPart still passes.

--- a/crash/part_refuted.go
+++ b/crash/part_refuted.go
@@ -9,10 +9,9 @@
 
 const (
 	// refutableTime is the time from a crash within which an answer of the same start to a request sent after it shows
-	// that only the ways of the host that reported it were lost. It is below settledAge, so that a crash is refuted
-	// before it counts, and below the time in which an upstream returns that its entry does not distinguish from the
-	// last start.
-	refutableTime = time.Second
+	// that only the ways of the host that reported it were lost. An upstream that has crashed returns later, so that no
+	// answer of its next start is taken for one of the start that its entry still names.
+	refutableTime = 400 * time.Millisecond
 	// answerDistance is the least time between the answers of a start that are kept, and maxAnswerTimes their number,
 	// so that reports of crashes may be some seconds late.
 	answerDistance = 200 * time.Millisecond
--- a/crash/part_refuted_test.go
+++ b/crash/part_refuted_test.go
@@ -53,10 +53,15 @@
 func (f *cutFleet) pass(duration time.Duration) {
 	for end := f.now.Add(duration); f.now.Before(end); f.now = f.now.Add(cutStep) {
 		f.attempt(f.sound, f.engine(), "system", crash.PartEndServed)
-		for _, way := range [][2]*crash.PartRegistry{{f.sound, f.cut}, {f.cut, f.sound}} {
-			if report, hasContent := way[0].Report(f.now, f.now.Sub(start)%time.Second == 0); hasContent {
-				way[1].Receive(f.now, "other", report)
-			}
+		f.exchange()
+	}
+}
+
+// exchange passes the reports of each host to the other one.
+func (f *cutFleet) exchange() {
+	for _, way := range [][2]*crash.PartRegistry{{f.sound, f.cut}, {f.cut, f.sound}} {
+		if report, hasContent := way[0].Report(f.now, f.now.Sub(start)%time.Second == 0); hasContent {
+			way[1].Receive(f.now, "other", report)
 		}
 	}
 }
@@ -95,3 +100,28 @@
 	assert.Assert(t, f.sound.Admit(f.now, promptOf("part")).IsBlocked, "at the sound host")
 	assert.Assert(t, f.cut.Admit(f.now, promptOf("part")).IsBlocked, "at the host that saw the crashes")
 }
+
+// Guards against a crash that is taken back by an engine which is back after half a second, while its entry still names
+// the start before.
+func TestReturnedEngineRefutesNoCrash(t *testing.T) {
+	const downTime = 500 * time.Millisecond
+	f := newCutFleet()
+	f.pass(2 * time.Second)
+	for range 6 {
+		engine := f.engine()
+		f.attempt(f.cut, engine, "part", crash.PartEndCrashed)
+		back := f.now.Add(downTime)
+		for f.now.Before(back) {
+			f.now = f.now.Add(cutStep)
+			f.exchange()
+		}
+		f.attempt(f.sound, engine, "system", crash.PartEndServed)
+		f.next++
+	}
+	for range 30 {
+		f.now = f.now.Add(cutStep)
+		f.exchange()
+	}
+	assert.Assert(t, f.sound.Admit(f.now, promptOf("part")).IsBlocked, "at the host that saw no crash")
+	assert.Assert(t, f.cut.Admit(f.now, promptOf("part")).IsBlocked, "at the host that saw the crashes")
+}
