Reset connections in one place

The pool, tunnels and the dialer of control calls each set zero seconds of linger and closed; connections through other hosts kept a flag so that the pool's way of doing it reached their own reset. dial.Reset does it for all and asks a connection that knows how to reset itself. The set of ways that are probed together is a plain set, as it held nothing else.

No behaviour is meant to change and no test was touched. go test ./dial ./link ./detour ./reach passes, and in edge the tests of held-up calls, detours, stops and lost ways.

--- a/detour/conn.go
+++ b/detour/conn.go
@@ -90,10 +90,7 @@
 
 // Reset ends the tunnel so that the upstream's connection is reset; it does not block. Bytes that the relaying host has not
 // read are dropped, so that it passes none of them on if it stood still meanwhile.
-func (c *Conn) Reset() error {
-	_ = c.tcp.SetLinger(0)
-	return c.tcp.Close()
-}
+func (c *Conn) Reset() error { return dial.Reset(c.tcp) }
 
 // IsOpenAndEmpty reports whether the idle connection is open and has no unread bytes; there must be no reader meanwhile.
 func (c *Conn) IsOpenAndEmpty() bool {
--- a/detour/handler.go
+++ b/detour/handler.go
@@ -104,7 +104,7 @@
 		return
 	}
 	if err := h.start(w, upstream); err != nil {
-		reset(upstream)
+		_ = dial.Reset(upstream)
 		h.release(nil)
 		h.log.WithError(err).WithField("upstream", id).Warn("detour not opened")
 	}
--- a/detour/tunnel.go
+++ b/detour/tunnel.go
@@ -158,14 +158,6 @@
 
 // abort resets both connections.
 func (t *tunnel) abort() {
-	reset(t.upstream)
-	reset(t.host)
-}
-
-// reset closes a connection with a reset.
-func reset(conn net.Conn) {
-	if tcp, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
-		_ = tcp.SetLinger(0)
-	}
-	_ = conn.Close()
+	_ = dial.Reset(t.upstream)
+	_ = dial.Reset(t.host)
 }
--- a/dial/reset.go
+++ b/dial/reset.go
@@ -5,9 +5,28 @@
 	"net"
 )
 
-// lingerer is a connection that Close resets if zero seconds are set.
-type lingerer interface {
-	SetLinger(seconds int) error
+type (
+	// lingerer is a connection that Close resets if zero seconds are set.
+	lingerer interface {
+		SetLinger(seconds int) error
+	}
+
+	// resetter is a connection that knows how to reset itself.
+	resetter interface {
+		Reset() error
+	}
+)
+
+// Reset closes a connection with a reset, which drops the bytes that a partition holds up; one that cannot be reset is
+// closed in order.
+func Reset(conn net.Conn) error {
+	if own, ok := conn.(resetter); ok {
+		return own.Reset()
+	}
+	if tcp, ok := conn.(lingerer); ok {
+		_ = tcp.SetLinger(0)
+	}
+	return conn.Close()
 }
 
 // ResetOnClose returns a function that dials connections which Close resets. A reset drops the bytes that a partition
--- a/edge/wayconn.go
+++ b/edge/wayconn.go
@@ -32,8 +32,7 @@
 	// relayedConn is a connection to an upstream through another host.
 	relayedConn struct {
 		*detour.Conn
-		via    spoke.HostID
-		resets atomic.Bool
+		via spoke.HostID
 	}
 )
 
@@ -85,20 +84,6 @@
 	return c.TCPConn.Close()
 }
 
-// SetLinger sets whether Close resets the upstream's connection, which zero seconds do.
-func (c *relayedConn) SetLinger(seconds int) error {
-	c.resets.Store(seconds == 0)
-	return nil
-}
-
-// Close ends the connection.
-func (c *relayedConn) Close() error {
-	if c.resets.Load() {
-		return c.Reset()
-	}
-	return c.Conn.Close()
-}
-
 func newRelayedConn(conn net.Conn, via spoke.HostID) net.Conn {
 	tunnel, isTunnel := conn.(*detour.Conn)
 	if !isTunnel {
--- a/link/conn.go
+++ b/link/conn.go
@@ -20,11 +20,6 @@
 	rememberedKeys = 16
 )
 
-// lingerer is a connection that Close resets if zero seconds are set.
-type lingerer interface {
-	SetLinger(seconds int) error
-}
-
 // conn is a connection to an upstream.
 type conn struct {
 	net.Conn
@@ -50,12 +45,7 @@
 
 // abort closes the connection of an exchange that has not ended. A reset drops the bytes that a partition holds up, which
 // would otherwise arrive and run behind it.
-func (c *conn) abort() {
-	if resettable, ok := c.Conn.(lingerer); ok {
-		_ = resettable.SetLinger(0)
-	}
-	_ = c.Close()
-}
+func (c *conn) abort() { _ = dial.Reset(c.Conn) }
 
 // record remembers a request that the connection carries.
 func (c *conn) record(request Request) {
--- a/reach/ways.go
+++ b/reach/ways.go
@@ -54,17 +54,15 @@
 		probePause time.Duration
 	}
 
-	// sample is a set of ways that are probed together.
-	sample struct{ pending map[spoke.UpstreamID]bool }
-
 	// Ways is the state of the direct ways from one host to its upstreams.
 	Ways struct {
 		ways map[spoke.UpstreamID]*way
 		// order holds the upstreams by id, next is the position from which probes are taken.
-		order      []spoke.UpstreamID
-		next       int
-		isCutOff   bool
-		sample     *sample
+		order    []spoke.UpstreamID
+		next     int
+		isCutOff bool
+		// sample holds the ways that are probed together and have not failed yet, nil if none are.
+		sample     map[spoke.UpstreamID]bool
 		sampledAt  time.Time
 		checkedAt  time.Time
 		observedAt time.Time
@@ -166,11 +164,11 @@
 // failInSample records the failure of a probe and reports whether it belongs to a sample. A host for which all ways of a
 // sample have failed counts as cut off.
 func (w *Ways) failInSample(id spoke.UpstreamID) bool {
-	if w.sample == nil || !w.sample.pending[id] {
+	if !w.sample[id] {
 		return false
 	}
-	delete(w.sample.pending, id)
-	if len(w.sample.pending) == 0 {
+	delete(w.sample, id)
+	if len(w.sample) == 0 {
 		w.isCutOff, w.sample = true, nil
 		w.reached = make(map[spoke.UpstreamID]bool)
 	}
@@ -241,23 +239,23 @@
 // beginSample returns the ways to probe together: some of the silent ones, and others.
 func (w *Ways) beginSample(now time.Time, silent []spoke.UpstreamID, size int) []spoke.UpstreamID {
 	w.sampledAt = now
-	w.sample = &sample{pending: make(map[spoke.UpstreamID]bool)}
+	w.sample = make(map[spoke.UpstreamID]bool)
 	for _, id := range silent[:min(len(silent), maxSilentSampled)] {
-		w.sample.pending[id] = true
+		w.sample[id] = true
 	}
 	// Ways that are known as lost come last: all of them may be those to one data centre.
 	for _, mayBeLost := range []bool{false, true} {
 		for range w.order {
-			if len(w.sample.pending) >= size {
+			if len(w.sample) >= size {
 				break
 			}
 			if id := w.takeNext(); mayBeLost || !w.ways[id].isLost {
-				w.sample.pending[id] = true
+				w.sample[id] = true
 			}
 		}
 	}
-	probes := make([]spoke.UpstreamID, 0, len(w.sample.pending))
-	for id := range w.sample.pending {
+	probes := make([]spoke.UpstreamID, 0, len(w.sample))
+	for id := range w.sample {
 		w.ways[id].probedAt = now
 		probes = append(probes, id)
 	}
