Reset an ended exchange before its end is returned

When the context ends, another goroutine resets the connection; the one that sent the request met the closed connection and returned before that reset was sent, so that a cut which healed just then still delivered the bytes. The exchange now waits for the reset.

--- a/link/exchange.go
+++ b/link/exchange.go
@@ -104,10 +104,17 @@
 	if err != nil {
 		return nil, &connectError{address: request.Address, cause: err}
 	}
-	stop := context.AfterFunc(ctx, c.abort)
+	aborted := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(aborted)
+		c.abort()
+	})
 	response, err := p.exchange(c, request, matches)
 	if err != nil {
-		stop()
+		if !stop() {
+			// Nothing may follow the request before its connection is reset.
+			<-aborted
+		}
 		c.abort()
 		return nil, errors.Join(err, ctx.Err())
 	}
