Count a thawed process that has ended as thawed

A process that ends on the signal is no longer stopped, so the wait is over; a freeze of it still fails with "has ended". The read of the file may also fail with ESRCH if the end comes between open and read.

Before: 1 of 300 and 1 of 1000 runs of TestFreezeAndThaw failed beside load 6 to 8, after: 0 of 1000 beside the same load. The new test fails before: "open /proc/25042/stat: no such file or directory".

--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -85,6 +85,16 @@
 	assert.Assert(t, !process.Running())
 }
 
+// Guards against a thaw that fails because the thawed process ended before its state was read.
+func TestProcessThatEndsOnThawIsThawed(t *testing.T) {
+	f := newFleet(t)
+	process, err := f.Start(boundedContext(t), command("a"))
+	assert.NilError(t, err)
+	process.Kill()
+	assert.NilError(t, process.WaitFrozen(false))
+	assert.ErrorContains(t, process.WaitFrozen(true), `process "a" has ended`)
+}
+
 // Guards against a start that blocks or that omits the cause of a program's failure.
 func TestFailedStartShowsLog(t *testing.T) {
 	f := newFleet(t)
--- a/fleet/frozen.go
+++ b/fleet/frozen.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"os"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -21,19 +23,31 @@
 	defer timeout.Stop()
 	for {
 		frozen, err := p.frozen()
+		if errors.Is(err, os.ErrNotExist) || errors.Is(err, syscall.ESRCH) {
+			return p.endedInWait(want)
+		}
 		if err != nil || frozen == want {
 			return err
 		}
 		select {
 		case <-ticker.C:
 		case <-p.exited:
-			return eris.Errorf("process %q has ended", p.command.Name)
+			return p.endedInWait(want)
 		case <-timeout.C:
 			return eris.Errorf("process %q: frozen is still %t after %v", p.command.Name, frozen, signalTimeout)
 		}
 	}
 }
 
+// endedInWait returns the result of a wait in which the process ended: an ended process is not
+// stopped.
+func (p *Process) endedInWait(wantFrozen bool) error {
+	if wantFrozen {
+		return eris.Errorf("process %q has ended", p.command.Name)
+	}
+	return nil
+}
+
 // frozen reports whether the process is stopped. It reads the state letter, which follows
 // the program name in parentheses.
 func (p *Process) frozen() (bool, error) {
