Choose relays without sorting all hosts

Each new detour sorted all hosts to take the first two, under the mutex that all dials of ways share.

--- a/reach/relays.go
+++ b/reach/relays.go
@@ -74,16 +74,20 @@
 // Choose returns the hosts to ask for a way to an upstream, the first one first. Each host and upstream has an order of its
 // own, so that the detours of many are spread over all hosts that take them. Hosts that have just failed come last.
 func (r *Relays) Choose(now time.Time, upstream spoke.UpstreamID, count int) []spoke.ListedPeer {
-	usable := make([]candidate, 0, len(r.relays))
+	best := make([]candidate, 0, count+1)
 	for _, other := range r.relays {
-		if !other.refuses {
-			usable = append(usable, candidate{other.listed, other.hasFailed(now), r.weight(other, upstream)})
+		if other.refuses {
+			continue
+		}
+		next := candidate{other.listed, other.hasFailed(now), r.weight(other, upstream)}
+		if at, _ := slices.BinarySearchFunc(best, next, candidate.compare); at < count {
+			best = slices.Insert(best, at, next)
+			best = best[:min(count, len(best))]
 		}
 	}
-	slices.SortFunc(usable, candidate.compare)
-	chosen := make([]spoke.ListedPeer, 0, count)
-	for _, best := range usable[:min(count, len(usable))] {
-		chosen = append(chosen, best.listed)
+	chosen := make([]spoke.ListedPeer, 0, len(best))
+	for _, candidate := range best {
+		chosen = append(chosen, candidate.listed)
 	}
 	return chosen
 }
