Hold the run in the test of a drain until it may end

TestDrainFinishesRunsOfPeers failed once beside other load: the run that the drain waits for lasts half a second, and the host had rightly ended before the test saw its listener closed. The test now slows the engine down until it has seen that the host is not ready, owns nothing and has closed its listener, and lets the run end after that. Nothing that it checks has changed, and the run now always outlasts the checks.

--- a/host/pair_test.go
+++ b/host/pair_test.go
@@ -31,6 +31,8 @@
 	answerTokens = 100
 	decodeRate   = 200
 	services     = 6
+	// heldFactor slows an engine down so far that its runs outlast whatever a test does meanwhile.
+	heldFactor = 50
 )
 
 type (
@@ -101,6 +103,15 @@
 	return spoke.Address(testServer.Listener.Addr().String())
 }
 
+// slowDown multiplies the time between two tokens of the engine of a service.
+func (p *hostPair) slowDown(service int, factor float64) {
+	p.t.Helper()
+	response := httptest.NewRecorder()
+	body := strings.NewReader(fmt.Sprintf(`{"slow-factor":%g}`, factor))
+	p.engines[service].ServeHTTP(response, httptest.NewRequest(http.MethodPost, "/faults", body))
+	assert.Equal(p.t, response.Code, http.StatusOK)
+}
+
 func hostSettings(id spoke.HostID, platform spoke.Address) config.Entry {
 	settings := config.Defaults()
 	settings.Host, settings.DataCentre = id, "dc1"
@@ -296,7 +307,9 @@
 	p := startPair(t)
 	leaving := p.servers[1]
 	prompt := "order history of a wholesaler"
-	a := p.servers[0].startCompletion(t, p.ownedBy(leaving), prompt)
+	service := p.ownedBy(leaving)
+	p.slowDown(service, heldFactor)
+	a := p.servers[0].startCompletion(t, service, prompt)
 	assert.Assert(t, a.next(t))
 	assert.Assert(t, leaving.IsReady())
 	assert.NilError(t, leaving.Administration().Drain(context.Background()))
@@ -310,6 +323,7 @@
 		return err != nil
 	})
 	assert.Equal(t, len(leaving.ended), 0, "host ended while a peer reads a run")
+	p.slowDown(service, 1)
 	a.readAll(t, prompt)
 	assert.Assert(t, a.hasEndMark)
 	err := <-leaving.ended
