--- a/edge/setup_test.go
+++ b/edge/setup_test.go
@@ -32,6 +32,8 @@
 const (
 	callerKey = "key-1"
 	hostName  = "calls.example"
+	// shownLogBytes is the size of the end of a host's log that a failed test shows.
+	shownLogBytes = 20_000
 )
 
 // deployment is a host that runs against a fake platform.
@@ -118,6 +120,7 @@
 	d.logs = d.t.TempDir()
 	file, err := os.Create(filepath.Join(d.logs, "host-1.log"))
 	assert.NilError(d.t, err)
+	d.t.Cleanup(d.showLogIfFailed)
 	writer := logs.NewWriter(file)
 	writing, stop := context.WithCancel(context.Background())
 	go func() { _ = writer.Run(writing) }()
@@ -181,6 +184,15 @@
 	return response.StatusCode, nil
 }
 
+// showLogIfFailed shows the end of the host's log in the output of a test that has failed.
+func (d *deployment) showLogIfFailed() {
+	if !d.t.Failed() {
+		return
+	}
+	raw, err := os.ReadFile(filepath.Join(d.logs, "host-1.log"))
+	d.t.Logf("end of the log of %s (%v):\n%s", d.settings.Host, err, raw[max(0, len(raw)-shownLogBytes):])
+}
+
 // hasLogged reports whether the host's log contains a text.
 func (d *deployment) hasLogged(text string) bool {
 	raw, err := os.ReadFile(filepath.Join(d.logs, "host-1.log"))
