Show the delay of load reports that are held back

Calls could begin on replaced weights up to the delay of a load report too late.

Full reports now say when they were written, on a clock of the sending process that counts suspensions. The receiver keeps the least difference between receipt and sending for each such clock. An age is raised by what its report was slower; above 50 ms it is an estimate then. A faster report corrects what was taken over from slower ones of that clock. The echo ends as hosts pass on only ages that they have from the directory themselves.

Ruled out: origins in reports alone, which end the echo but leave the wrong age itself; the sender's time of the change alone, which needs the comparison of clocks as well; round trips, one more message for each pair of hosts.

--- a/edge/planner.go
+++ b/edge/planner.go
@@ -138,7 +138,7 @@
 	case place.SetWantedWeights:
 		p.countSuspension()
 	case place.ReceiveReport:
-		if len(message.Report.WantedAges) > 0 {
+		if len(message.Report.WantedAges) > 0 || message.Report.Sent.Clock != 0 {
 			p.countSuspension()
 		}
 	case place.Request:
--- a/ids.go
+++ b/ids.go
@@ -62,6 +62,8 @@
 	Incarnation uint64
 	// Generation orders the committed contents of a block on a store host.
 	Generation uint64
+	// ClockID tells the clocks of a host's process starts apart; zero means that there is none.
+	ClockID uint64
 	// Sequence numbers the cache events of one upstream.
 	Sequence uint64
 
--- a/peers/codec.go
+++ b/peers/codec.go
@@ -18,6 +18,8 @@
 		Host           string                `json:"host"`
 		Sequence       uint64                `json:"number"`
 		IsSnapshot     bool                  `json:"whole,omitempty"`
+		Clock          uint64                `json:"clock,omitempty"`
+		SentMs         int64                 `json:"sent-ms,omitempty"`
 		Upstreams      []upstreamRow         `json:"upstreams,omitempty"`
 		Waiting        []waitingRow          `json:"waiting,omitempty"`
 		Placed         []placedRow           `json:"placed,omitempty"`
@@ -130,6 +132,7 @@
 // Encode encodes a load report as JSON; the expiry of marks is written relative to now.
 func Encode(report spoke.HostReport, now time.Time) ([]byte, error) {
 	row := reportRow{Host: string(report.Host), Sequence: report.Sequence, IsSnapshot: report.IsSnapshot, TakesNoDetours: report.TakesNoDetours}
+	row.Clock, row.SentMs = uint64(report.Sent.Clock), report.Sent.Reading.Milliseconds()
 	row.Revision, row.DirectoryAgeMs = uint64(report.Directory.Revision), report.Directory.Age.Milliseconds()
 	if table := report.Directory.Table; table.Version != 0 {
 		row.Table = &tableRow{uint64(table.Version), table.Content.Key, string(table.Content.ID)}
@@ -195,6 +198,7 @@
 		return spoke.HostReport{}, eris.New("load report without host")
 	}
 	report := spoke.HostReport{Host: spoke.HostID(row.Host), Sequence: row.Sequence, IsSnapshot: row.IsSnapshot, TakesNoDetours: row.TakesNoDetours}
+	report.Sent = spoke.SentTime{Clock: spoke.ClockID(row.Clock), Reading: time.Duration(row.SentMs) * time.Millisecond}
 	report.Directory = spoke.DirectoryView{
 		Revision: spoke.Revision(row.Revision), Age: time.Duration(row.DirectoryAgeMs) * time.Millisecond,
 	}
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -17,6 +17,7 @@
 func sampleReport(now time.Time) spoke.HostReport {
 	return spoke.HostReport{
 		Host: "host-1", Sequence: 7, IsSnapshot: true, TakesNoDetours: true,
+		Sent:          spoke.SentTime{Clock: 1 << 60, Reading: 11 * time.Millisecond},
 		Upstreams:     []spoke.HostUpstreamLoad{{Upstream: "e", Prefill: 5, Memory: 6, Runs: 7, CopyTime: 8 * time.Millisecond, HasGivenUp: true}},
 		Waiting:       []spoke.WaitingWork{{Service: "s", Urgency: 2, Tokens: 9}},
 		Placed:        []spoke.PlacedPrompt{{Upstream: "e", Prefixes: []spoke.PromptPrefix{{Key: 1 << 63, Part: 2, Total: 3}}}},
--- a/place/calls.go
+++ b/place/calls.go
@@ -150,7 +150,13 @@
 	if !m.At.IsZero() {
 		since = m.At.Add(-m.Age)
 	}
-	update := wantedVersion{version: m.Wanted.Version, since: since, isEstimate: m.IsEstimate, isListed: m.Host == ""}
+	update := wantedVersion{version: m.Wanted.Version, wantedTime: wantedTime{since: since, isEstimate: m.IsEstimate}}
+	if m.Host == "" {
+		update.isListed, update.own = true, update.wantedTime
+	} else {
+		update.source = senderClock{m.Host, m.Clock}
+		update.fastest = s.senders[update.source].fastest
+	}
 	before, isKnown := s.wanted[m.Wanted.Model].find(update.version)
 	if before.isListed && update.isListed {
 		return
@@ -158,7 +164,7 @@
 	known := s.wanted[m.Wanted.Model].add(update)
 	s.wanted[m.Wanted.Model] = known.prune(now.Add(-s.settings.WeightsApply))
 	after, _ := known.find(update.version)
-	if isKnown && !after.differsFrom(before) {
+	if isKnown && !after.differsFrom(before.wantedTime) {
 		return
 	}
 	if isKnown {
--- a/place/messages.go
+++ b/place/messages.go
@@ -173,6 +173,8 @@
 		IsEstimate bool
 		// Host is the host that reported the age, empty if the directory shows the version.
 		Host spoke.HostID
+		// Clock is the clock by which the host's reports tell when they were sent, zero if they do not.
+		Clock spoke.ClockID
 	}
 
 	// ObserveWeights reports the weights that an engine was observed to serve.
--- a/place/outdated.go
+++ b/place/outdated.go
@@ -54,7 +54,7 @@
 
 // SetWanted records weights that engines should serve.
 func (o *OutdatedWeights) SetWanted(now time.Time, wanted spoke.WantedWeights) {
-	known := o.wanted[wanted.Model].add(wantedVersion{version: wanted.Version, since: now})
+	known := o.wanted[wanted.Model].add(wantedVersion{version: wanted.Version, wantedTime: wantedTime{since: now}})
 	o.wanted[wanted.Model] = known.prune(now.Add(-o.limit))
 }
 
@@ -116,7 +116,7 @@
 	}
 	r.lastReported = now
 	for _, usable := range oldest {
-		known := r.reported[usable.Model].add(wantedVersion{version: usable.Version, since: now})
+		known := r.reported[usable.Model].add(wantedVersion{version: usable.Version, wantedTime: wantedTime{since: now}})
 		r.reported[usable.Model] = known.prune(now.Add(-freeAfter))
 	}
 }
--- a/place/recall.go
+++ b/place/recall.go
@@ -23,11 +23,12 @@
 	return false
 }
 
-// addSuspension makes the ages of wanted weights count a time that the clock has left out.
+// addSuspension makes the ages of wanted weights and the times of reports count a time that the clock has left out.
 func (s *Scheduler) addSuspension(now time.Time, length time.Duration) {
+	s.clock.suspended += length
 	for _, versions := range s.wanted {
 		for i := range versions {
-			versions[i].since = versions[i].since.Add(-length)
+			versions[i].addSuspension(length)
 		}
 	}
 	s.recallOutdated(now)
--- a/place/report.go
+++ b/place/report.go
@@ -88,7 +88,7 @@
 	s.report.reportedWeights = maps.Clone(s.report.weights)
 	nodes := s.report.changes
 	if isFull {
-		nodes = s.nodes
+		nodes, report.Sent = s.nodes, s.clock.sent(now)
 		report.WantedAges, report.Leaving, report.Limits = s.wantedAges(now), s.departing(), s.allLimits(now)
 		report.Brittle = s.allBrittle(now)
 		report.Stores = append(report.Stores, s.repeatedStoreStates(now, ownCellGroup)...)
@@ -112,7 +112,7 @@
 // ForOtherCells returns the part of a report that hosts of other cells need at once, and whether there is
 // any.
 func (s *Scheduler) ForOtherCells(now time.Time, report spoke.HostReport) (spoke.HostReport, bool) {
-	report.IsSnapshot, report.Weights = false, s.report.reportedWeights
+	report.IsSnapshot, report.Sent, report.Weights = false, spoke.SentTime{}, s.report.reportedWeights
 	report.Upstreams, report.Waiting, report.Placed, report.Stores, report.WantedAges = nil, nil, nil, nil, nil
 	report.Slowness, report.Copies, report.Limits = nil, nil, s.changedLimits(now)
 	report.Brittle = takeBrittleReports(now, s.report.brittleChanges)
@@ -125,7 +125,7 @@
 func (s *Scheduler) OtherCellReport(now time.Time, group int) (spoke.HostReport, bool) {
 	s.report.sequence++
 	report := spoke.HostReport{
-		Host: s.report.host, Sequence: s.report.sequence, IsSnapshot: true,
+		Host: s.report.host, Sequence: s.report.sequence, IsSnapshot: true, Sent: s.clock.sent(now),
 		Stores: append(s.storeUpdates(group), s.repeatedStoreStates(now, group)...),
 	}
 	if !s.cell.HasDelegates {
@@ -162,17 +162,19 @@
 	return starts
 }
 
-// wantedAges returns how long ago versions became wanted, unless nothing is known of that.
+// wantedAges returns how long ago versions became wanted according to the directory, unless nothing is known of that.
+// Ages that other hosts have reported are left out, so that each host corrects those that it took over from reports
+// which were delayed, and none gets its own back.
 func (s *Scheduler) wantedAges(now time.Time) []spoke.WantedAge {
 	ages := make([]spoke.WantedAge, 0, len(s.wanted))
 	for model, versions := range s.wanted {
 		for _, known := range versions {
-			age := now.Sub(known.since)
-			if known.isEstimate && age >= UnknownAge {
+			age := now.Sub(known.own.since)
+			if !known.isListed || known.own.isEstimate && age >= UnknownAge {
 				continue
 			}
 			ages = append(ages, spoke.WantedAge{
-				Wanted: spoke.WantedWeights{Model: model, Version: known.version}, Age: age, IsEstimate: known.isEstimate,
+				Wanted: spoke.WantedWeights{Model: model, Version: known.version}, Age: age, IsEstimate: known.own.isEstimate,
 			})
 		}
 	}
@@ -237,11 +239,7 @@
 		}
 	}
 	s.applyState(now, report)
-	for _, known := range report.WantedAges {
-		s.setWantedWeights(now, SetWantedWeights{
-			Wanted: known.Wanted, Age: known.Age + m.MaxDelay, At: m.At, IsEstimate: known.IsEstimate || m.MaxDelay > 0, Host: report.Host,
-		})
-	}
+	s.applyWantedAges(now, m)
 }
 
 // applyState applies the parts of a report other than the work of the host.
@@ -312,6 +310,7 @@
 // dropStale drops idle sources of copies, hosts without recent reports and limits of removed upstreams.
 func (s *Scheduler) dropStale(now time.Time) {
 	maps.DeleteFunc(s.sources, func(_ spoke.Address, source *copySource) bool { return source.isIdle(now) })
+	s.senders.dropIdle(s.clock.reading(now))
 	for host, known := range s.peers {
 		if now.Sub(known.receivedAt) > peerTimeout {
 			s.removePeer(now, host)
--- a/place/scheduler.go
+++ b/place/scheduler.go
@@ -49,6 +49,8 @@
 		peers         map[spoke.HostID]*peer
 		// distrusted holds the times until which the doubts of hosts do not count.
 		distrusted map[doubter]time.Time
+		clock      reportClock
+		senders    reportSenders
 		stores     []*store
 		// limits are kept after their nodes are removed.
 		limits map[spoke.UpstreamStart]*limit
@@ -85,6 +87,7 @@
 		unanswered:    newUnanswered(),
 		peers:         make(map[spoke.HostID]*peer),
 		distrusted:    make(map[doubter]time.Time),
+		senders:       make(reportSenders),
 		limits:        make(map[spoke.UpstreamStart]*limit),
 		brittle:       make(map[spoke.UpstreamStart]*brittleness),
 		departures:    make(departures),
--- a/place/version_history.go
+++ b/place/version_history.go
@@ -16,14 +16,24 @@
 	// versionHistory holds the wanted versions of a model's weights in ascending order.
 	versionHistory []wantedVersion
 
-	// wantedVersion is a weight version and the time since which it has been wanted.
+	// wantedVersion is a weight version and the best time since which it has been wanted.
 	wantedVersion struct {
 		version spoke.WeightVersion
-		since   time.Time
+		wantedTime
+		// isListed says that the directory has shown the version to this host, own is the time according to it.
+		isListed bool
+		own      wantedTime
+	}
+
+	// wantedTime is a time since which a version has been wanted.
+	wantedTime struct {
+		since time.Time
 		// isEstimate says that the time is a bound and may be too early; a known time replaces it.
 		isEstimate bool
-		// isListed says that the directory has shown the version to this host.
-		isListed bool
+		// source is the clock of the process that reported the time, zero if the directory shows it; fastest is the
+		// transit time of its fastest report by then. The time is too late if a later report is faster.
+		source  senderClock
+		fastest time.Duration
 	}
 )
 
@@ -42,8 +52,8 @@
 	})
 }
 
-// differsFrom reports whether two entries differ in more than the precision of reports.
-func (w wantedVersion) differsFrom(other wantedVersion) bool {
+// differsFrom reports whether two times differ in more than the precision of reports.
+func (w wantedTime) differsFrom(other wantedTime) bool {
 	return w.isEstimate != other.isEstimate || w.since.Sub(other.since).Abs() >= minReportedShift
 }
 
@@ -55,16 +65,36 @@
 	if !isKnown {
 		return slices.Insert(h, position, update)
 	}
-	known := h[position]
-	update.isListed = update.isListed || known.isListed
-	h[position].isListed = update.isListed
-	if update.isBetterThan(known) {
-		h[position] = update
+	known := &h[position]
+	if update.isListed {
+		known.isListed, known.own = true, update.own
+	}
+	if update.isBetterThan(known.wantedTime) {
+		known.wantedTime = update.wantedTime
 	}
 	return h
 }
 
-func (w wantedVersion) isBetterThan(known wantedVersion) bool {
+// correct moves a time that a process has reported if a faster report shows that the ones before were delayed. It is a
+// bound then, since the faster report may have been delayed as well.
+func (w *wantedVersion) correct(source senderClock, fastest time.Duration) {
+	delay := w.fastest - fastest
+	if w.source != source || delay <= 0 {
+		return
+	}
+	w.since, w.fastest = w.since.Add(-delay), fastest
+	w.isEstimate = w.isEstimate || delay > directoryDelay
+	if w.isListed && w.own.isBetterThan(w.wantedTime) {
+		w.wantedTime = w.own
+	}
+}
+
+// addSuspension counts a time that the clock has left out.
+func (w *wantedVersion) addSuspension(length time.Duration) {
+	w.since, w.own.since = w.since.Add(-length), w.own.since.Add(-length)
+}
+
+func (w wantedTime) isBetterThan(known wantedTime) bool {
 	switch {
 	case w.isEstimate && known.isEstimate:
 		return w.since.After(known.since)
--- a/placement.go
+++ b/placement.go
@@ -53,6 +53,8 @@
 		Host HostID
 		// Sequence orders the reports of one process.
 		Sequence uint64
+		// Sent is when the report was written, in snapshots.
+		Sent SentTime
 		// IsSnapshot reports whether the report is complete, so that this host has no work at
 		// unlisted upstreams.
 		IsSnapshot bool
@@ -146,7 +148,15 @@
 		Started time.Time
 	}
 
-	// WantedAge is the time since a weight version became the wanted one.
+	// SentTime is a reading of a clock of the sending process, comparable only with others of that clock.
+	SentTime struct {
+		// Clock is zero if the time is not known.
+		Clock ClockID
+		// Reading includes suspensions of the machine.
+		Reading time.Duration
+	}
+
+	// WantedAge is the time since a weight version became the wanted one, as the host learned it from the directory.
 	WantedAge struct {
 		Wanted WantedWeights
 		Age    time.Duration
