Keep addresses of tests until their hosts have ended

Cause: a host stops for 2.5 s, and tests do not wait for that. Their ways between hosts, stores and engines were closed at their end, so that the next test could get such an address while the hosts before still sent to it. The test before this one has engines of v1 and v2 of the same service.

Ruled out by the code: a directory without news (1.6 s, the test lasted less), earlier versions that are not known (each host has logged that it knows them, which it does not lose), and a host without engines (the same host had begun r-2). No other part of the product takes a version from anywhere else.

The store, the engines and the links of the common set-ups are now closed once all hosts of their test have ended, in the background. TestOneSoftwareVersionCostsNothing is unchanged.

Hosts still accept reports of any sender. Two installations that use each other's ports within seconds would mix their reports as these tests did.

--- a/edge/cutoff_ways_test.go
+++ b/edge/cutoff_ways_test.go
@@ -35,7 +35,7 @@
 	// engineWays shows a host its own ways to engines in place of their addresses.
 	engineWays struct {
 		spoke.Directory
-		t    *testing.T
+		host *deployment
 		mu   sync.Mutex
 		ways map[spoke.Address]*relay.Relay
 	}
@@ -71,8 +71,8 @@
 	for i, upstream := range change.Upstreams {
 		if w.ways[upstream.Address] == nil {
 			way, err := relay.New("127.0.0.1:0", upstream.Address, relay.WithDroppedConnects())
-			assert.Check(w.t, err)
-			w.t.Cleanup(func() { _ = way.Close() })
+			assert.Check(w.host.t, err)
+			w.host.closeAfterHosts(func() { _ = way.Close() })
 			w.ways[upstream.Address] = way
 		}
 		change.Upstreams[i].Address = w.ways[upstream.Address].Address()
@@ -106,13 +106,12 @@
 func startCutOff(t *testing.T, changes ...func(*config.Relay)) []cutOffHost {
 	t.Helper()
 	centres := []spoke.DataCentreID{"a", "b", "c"}
-	first := &deployment{t: t, store: fake.NewStore()}
-	t.Cleanup(first.store.Close)
+	first := newDeployment(t)
 	first.store.Put("op/config", table(1, callerKey))
 	for i := range cutOffEngines {
 		engine := fake.NewEngine(fmt.Sprintf("i-%d", i), 4)
 		engine.SetEventInterval(20 * time.Millisecond)
-		t.Cleanup(engine.Close)
+		first.closeAfterHosts(engine.Close)
 		first.engines = append(first.engines, engine)
 		first.store.Put("servers/"+engine.ID, engine.Entry("models", string(centres[i%3]), "ready"))
 	}
@@ -120,10 +119,11 @@
 	for _, change := range changes {
 		change(&first.settings)
 	}
-	network := &linkNetwork{t: t, paths: make(map[string]*peerPath)}
+	network := &linkNetwork{deployment: first, paths: make(map[string]*peerPath)}
 	var hosts []cutOffHost
 	for i := range cutOffHosts {
-		host := cutOffHost{first.beside(spoke.HostID(fmt.Sprint("host-", i+1))), &engineWays{t: t, ways: make(map[spoke.Address]*relay.Relay)}}
+		host := cutOffHost{deployment: first.beside(spoke.HostID(fmt.Sprint("host-", i+1)))}
+		host.ways = &engineWays{host: host.deployment, ways: make(map[spoke.Address]*relay.Relay)}
 		host.settings.DataCentre = centres[i%3]
 		host.directory = func(d spoke.Directory) spoke.Directory {
 			host.ways.Directory = &linkedPeers{d, network, host.settings.DataCentre}
--- a/edge/linked_test.go
+++ b/edge/linked_test.go
@@ -31,7 +31,7 @@
 
 	// linkNetwork holds the ways between the hosts of a test.
 	linkNetwork struct {
-		t     *testing.T
+		*deployment
 		mu    sync.Mutex
 		paths map[string]*peerPath
 	}
@@ -85,8 +85,8 @@
 		connections, err := relay.New("127.0.0.1:0", to.Address)
 		assert.Check(n.t, err)
 		path := &peerPath{Relay: connections, from: from, to: to}
-		n.t.Cleanup(func() { _ = path.Close() })
-		path.forwardDatagrams(n.t)
+		n.closeAfterHosts(func() { _ = path.Close() })
+		path.forwardDatagrams(n)
 		n.paths[name] = path
 	}
 	return n.paths[name]
@@ -104,10 +104,10 @@
 	}
 }
 
-func (p *peerPath) forwardDatagrams(t *testing.T) {
+func (p *peerPath) forwardDatagrams(network *linkNetwork) {
 	socket, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.MustParseAddrPort(string(p.Address()))))
-	assert.Check(t, err)
-	t.Cleanup(func() { _ = socket.Close() })
+	assert.Check(network.t, err)
+	network.closeAfterHosts(func() { _ = socket.Close() })
 	target := netip.MustParseAddrPort(string(p.to.Address))
 	go func() {
 		buffer := make([]byte, maxDatagram)
@@ -134,9 +134,8 @@
 // startLinkedAfter does the same with entries of the earlier hosts that have the given fields.
 func startLinkedAfter(t *testing.T, hostCount, engineCount int, entry map[string]any, earlier ...spoke.HostID) []linkedHost {
 	t.Helper()
-	network := &linkNetwork{t: t, paths: make(map[string]*peerPath)}
-	first := &deployment{t: t, store: fake.NewStore()}
-	t.Cleanup(first.store.Close)
+	first := newDeployment(t)
+	network := &linkNetwork{deployment: first, paths: make(map[string]*peerPath)}
 	first.store.Put("op/config", table(1, callerKey))
 	for _, id := range earlier {
 		entry["address"] = string(freeAddress(t))
@@ -145,7 +144,7 @@
 	for i := range engineCount + spareEngines {
 		engine := fake.NewEngine(fmt.Sprintf("i-%d", i), 4)
 		engine.SetEventInterval(20 * time.Millisecond)
-		t.Cleanup(engine.Close)
+		first.closeAfterHosts(engine.Close)
 		first.engines = append(first.engines, engine)
 		if i < engineCount {
 			first.putEntry(engine, "ready")
@@ -158,7 +157,7 @@
 		host.settings.DataCentre = []spoke.DataCentreID{"a", "b", "c"}[i%3]
 		storeLink, err := relay.New("127.0.0.1:0", host.settings.Store)
 		assert.NilError(t, err)
-		t.Cleanup(func() { _ = storeLink.Close() })
+		first.closeAfterHosts(func() { _ = storeLink.Close() })
 		host.storeLink, host.settings.Store = storeLink, storeLink.Address()
 		host.directory = func(d spoke.Directory) spoke.Directory { return &linkedPeers{d, network, host.settings.DataCentre} }
 		host.runHost()
--- a/edge/narrow_test.go
+++ b/edge/narrow_test.go
@@ -99,10 +99,10 @@
 	for i := range count {
 		host := narrowHost{deployment: first.beside(spoke.HostID(fmt.Sprint("narrow-", i+1))), tables: newTableTimes()}
 		host.hook = host.tables
-		host.settings.Store = limitedRelay(t, host.settings.Store).Address()
+		host.settings.Store = host.limitedRelay(host.settings.Store).Address()
 		address := netip.AddrPortFrom(host.settings.Address, uint16(host.settings.PeerPort))
-		host.link = limitedRelay(t, spoke.Address(address.String()))
-		forwardDatagrams(t, host.link.Address(), address)
+		host.link = host.limitedRelay(spoke.Address(address.String()))
+		host.forwardDatagrams(host.link.Address(), address)
 		host.directory = func(d spoke.Directory) spoke.Directory { return &linkedDirectory{d, host.link.Address()} }
 		host.runHost()
 		hosts = append(hosts, host)
@@ -114,21 +114,21 @@
 }
 
 // limitedRelay returns a relay to a target that sends at most narrowLink.
-func limitedRelay(t *testing.T, target spoke.Address) *relay.Relay {
-	t.Helper()
+func (d *deployment) limitedRelay(target spoke.Address) *relay.Relay {
+	d.t.Helper()
 	r, err := relay.New("127.0.0.1:0", target)
-	assert.NilError(t, err)
+	assert.NilError(d.t, err)
 	r.Limit(relay.Backward, narrowLink)
-	t.Cleanup(func() { _ = r.Close() })
+	d.closeAfterHosts(func() { _ = r.Close() })
 	return r
 }
 
 // forwardDatagrams passes the datagrams that arrive at an address on to a host.
-func forwardDatagrams(t *testing.T, at spoke.Address, target netip.AddrPort) {
-	t.Helper()
+func (d *deployment) forwardDatagrams(at spoke.Address, target netip.AddrPort) {
+	d.t.Helper()
 	socket, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.MustParseAddrPort(string(at))))
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = socket.Close() })
+	assert.NilError(d.t, err)
+	d.closeAfterHosts(func() { _ = socket.Close() })
 	go func() {
 		buffer := make([]byte, maxDatagram)
 		for {
@@ -211,7 +211,7 @@
 	first := start(t, 1)
 	host := first.beside("narrow-1")
 	host.hook = recorded
-	host.settings.Store = limitedRelay(t, host.settings.Store).Address()
+	host.settings.Store = host.limitedRelay(host.settings.Store).Address()
 	host.runHost()
 	first.signals <- syscall.SIGTERM
 	sendReports(t, host, spoke.HostReport{Host: "host-9", Directory: spoke.DirectoryView{Revision: spoke.NewRevision(9, 1)}})
--- a/edge/setup_test.go
+++ b/edge/setup_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -44,6 +45,8 @@
 	settings config.Relay
 	signals  chan os.Signal
 	ended    chan error
+	// running counts the hosts that run with the store and the engines.
+	running *sync.WaitGroup
 	// logs is the directory of the host's log file.
 	logs string
 	// hook receives the host's log lines, if it is set.
@@ -79,12 +82,11 @@
 // startWithSettings runs a host with changed settings.
 func startWithSettings(t testing.TB, engines int, change func(*config.Relay)) *deployment {
 	t.Helper()
-	d := &deployment{t: t, store: fake.NewStore(), signals: make(chan os.Signal, 2), ended: make(chan error, 1)}
-	t.Cleanup(d.store.Close)
+	d := newDeployment(t)
 	d.store.Put("op/config", table(1, callerKey))
 	for i := range engines {
 		engine := fake.NewEngine(fmt.Sprintf("i-%d", i), 4)
-		t.Cleanup(engine.Close)
+		d.closeAfterHosts(engine.Close)
 		d.engines = append(d.engines, engine)
 		d.putEntry(engine, "ready")
 	}
@@ -94,6 +96,24 @@
 	return d
 }
 
+// newDeployment returns a deployment whose store lists nothing.
+func newDeployment(t testing.TB) *deployment {
+	d := &deployment{t: t, store: fake.NewStore(), signals: make(chan os.Signal, 2), ended: make(chan error, 1), running: &sync.WaitGroup{}}
+	d.closeAfterHosts(d.store.Close)
+	return d
+}
+
+// closeAfterHosts frees addresses of the test after its end, once its hosts have ended too: a host stops for seconds, and
+// what it sends meanwhile must not reach another test that has got such an address.
+func (d *deployment) closeAfterHosts(closeAll func()) {
+	d.t.Cleanup(func() {
+		go func() {
+			d.running.Wait()
+			closeAll()
+		}()
+	})
+}
+
 func usualSettings(t testing.TB, store *fake.Store) config.Relay {
 	t.Helper()
 	return config.Relay{
@@ -109,7 +129,7 @@
 // beside returns another host with the same store and engines, which does not run yet.
 func (d *deployment) beside(host spoke.HostID) *deployment {
 	d.t.Helper()
-	beside := &deployment{t: d.t, store: d.store, engines: d.engines, settings: d.settings, signals: make(chan os.Signal, 2), ended: make(chan error, 1)}
+	beside := &deployment{t: d.t, store: d.store, engines: d.engines, settings: d.settings, signals: make(chan os.Signal, 2), ended: make(chan error, 1), running: d.running}
 	beside.settings.Host = host
 	beside.settings.Caller, beside.settings.Readiness = freeAddress(d.t), freeAddress(d.t)
 	beside.settings.PeerPort, beside.settings.MetricsPort = freePort(d.t), freePort(d.t)
@@ -160,7 +180,7 @@
 		Timer: clock, LeaseTimer: boot, Log: log,
 	})
 	assert.NilError(d.t, err)
-	go func() { d.ended <- host.Run(d.signals) }()
+	d.running.Go(func() { d.ended <- host.Run(d.signals) })
 	d.t.Cleanup(func() {
 		select {
 		case d.signals <- syscall.SIGTERM:
