Allow time to read what arrived during a pause of the process

A response counted as silent if the process that receives it stood still at the end of the time for the next part, though that part had arrived: on resumption the timer fired before the bytes were read, and the call to the store or to another host failed with "response makes no progress".

--- a/fetch/fetch.go
+++ b/fetch/fetch.go
@@ -12,7 +12,8 @@
 	"magnoliaspoke.example/spoke"
 )
 
-// ErrNoProgress reports that nothing of a response arrived for the allowed time.
+// ErrNoProgress reports that nothing of a response arrived for the allowed time, beside a time in which this process
+// stood still.
 var ErrNoProgress = eris.New("response makes no progress")
 
 type (
@@ -32,32 +33,16 @@
 		Header http.Header
 		Body   []byte
 	}
-
-	// progressReader extends the deadline of a call with each part of the body.
-	progressReader struct {
-		io.Reader
-		deadline *time.Timer
-		idle     time.Duration
-	}
 )
 
-// Read reads a part of the body.
-func (r *progressReader) Read(p []byte) (int, error) {
-	count, err := r.Reader.Read(p)
-	if count > 0 {
-		r.deadline.Reset(r.idle)
-	}
-	return count, err
-}
-
 // Do sends a request and returns the response. Once end is closed, the call ends with an error unless the
 // response has begun; end may be nil. The error of a call without progress matches ErrNoProgress; dial.Failed can
 // examine all errors.
 func Do(client *http.Client, request *http.Request, limits Limits, end <-chan struct{}) (Response, error) {
 	ctx, cancel := context.WithCancelCause(request.Context())
 	defer cancel(nil)
-	deadline := time.AfterFunc(limits.Head, func() { cancel(ErrNoProgress) })
-	defer deadline.Stop()
+	progress := newProgressTimer(limits.Head, cancel)
+	defer progress.stop()
 	hasBegun := make(chan struct{})
 	go func() {
 		select {
@@ -77,8 +62,8 @@
 		return Response{}, withCause(ctx, err)
 	}
 	defer response.Body.Close()
-	deadline.Reset(limits.Idle)
-	body, err := io.ReadAll(&progressReader{io.LimitReader(response.Body, int64(limits.Body)), deadline, limits.Idle})
+	progress.allow(limits.Idle)
+	body, err := io.ReadAll(&progressReader{io.LimitReader(response.Body, int64(limits.Body)), progress, limits.Idle})
 	received := Response{Status: response.StatusCode, Header: response.Header, Body: body}
 	return received, eris.Wrapf(withCause(ctx, err), "response ended after %d bytes", len(body))
 }
