Wait for the last calls of hosts whose reports of a limit are lost

Callers saw nothing; an upstream got more calls than its limit allows while one host was cut off from the others.

While a host of the own cell reports nothing, a host now counts what itself had sent before it learned, for the others as well, and does so half a second longer. Where all report, nothing changes.

--- a/place/limit_shares.go
+++ b/place/limit_shares.go
@@ -21,6 +21,8 @@
 		rank int
 		// hosts is the number of hosts that use the upstream, senders the number of those with a share.
 		hosts, senders int
+		// reporting is the number of hosts that use the upstream and report all that they send to it to this host.
+		reporting int
 		// rate is the part of the limit that this host may use, zero if it is not one of the senders.
 		rate spoke.RequestRate
 	}
@@ -47,7 +49,7 @@
 // updateShare computes this host's share of a limit.
 func (s *Scheduler) updateShare(l *limit) {
 	group := s.hostsOf(l.start.ID)
-	l.share = limitShare{rank: -1, hosts: len(group)}
+	l.share = limitShare{rank: -1, hosts: len(group), reporting: min(len(group), len(s.cell.Members))}
 	if !slices.Contains(group, s.settings.Host) {
 		return
 	}
--- a/place/limits.go
+++ b/place/limits.go
@@ -23,6 +23,9 @@
 	// limitProbeInterval is the time after which an upstream whose limit no answer has confirmed gets a call,
 	// since only an answer shows that a limit has ended.
 	limitProbeInterval = 5 * time.Second
+	// limitNotice is how much later than this host others may learn of a limit whose reports are lost, since
+	// they learn of it by answers of their own.
+	limitNotice = 500 * time.Millisecond
 	// limitRetention is how long the limit of an upstream is kept that is not listed.
 	limitRetention = time.Minute
 	// unknownWait is the wait for an upstream that will not take calls of this host.
@@ -48,8 +51,10 @@
 		tokensAt time.Time
 		probedAt time.Time
 		sent     counter
-		peers    map[spoke.HostID]peerCalls
-		usedAt   time.Time
+		// sentBefore is the sum of sent at the time at which this host learned of the limit.
+		sentBefore int
+		peers      map[spoke.HostID]peerCalls
+		usedAt     time.Time
 	}
 
 	// peerCalls is the number of calls that another host reported to have sent within limitCountWindow.
@@ -102,6 +107,7 @@
 	s.updateShare(l)
 	if !wasActive {
 		l.changedAt, l.tokensAt, l.tokens = now, now, l.share.firstTokens()
+		l.sentBefore = l.sent.sum(now)
 	}
 	s.reportLimitChange(l, by)
 }
@@ -159,20 +165,24 @@
 	return max(time.Duration(excess/count*float64(limitWindow)), time.Millisecond)
 }
 
-// recentCalls is the number of calls that all hosts have recently sent. Until limitWindow after the limit was
-// named, hosts that report nothing are assumed to have sent as many as the others.
+// recentCalls is the number of calls that all hosts have recently sent. While the limit is new, hosts that
+// report nothing are assumed to have sent as many as the others.
 func (l *limit) recentCalls(now time.Time) float64 {
-	count, known := l.sent.sum(now), 1
+	own, reported, known := l.sent.sum(now), 0, 1
 	for _, calls := range l.peers {
 		if now.Sub(calls.receivedAt) <= limitCountWindow {
-			count += calls.count
+			reported += calls.count
 			known++
 		}
 	}
-	if now.Sub(l.changedAt) > limitWindow || known >= l.share.hosts {
-		return float64(count)
+	age, isSilent := now.Sub(l.changedAt), known < l.share.reporting
+	switch {
+	case isSilent && age <= limitWindow+limitNotice:
+		own = max(own, l.sentBefore)
+	case age > limitWindow || known >= l.share.hosts:
+		return float64(own + reported)
 	}
-	return float64(count) * float64(l.share.hosts) / float64(known)
+	return float64(own+reported) * float64(l.share.hosts) / float64(known)
 }
 
 // tokensNow returns the number of calls that this host's share has accumulated.
