Renew leases of the test store for their own time

When all hosts of a trial were killed behind new weights, prompts got 503 "weights" for 2 to 5 s. Part of that was the store of the tests: it renewed each lease for 5 s, also the orders lease, which is granted for 1 s. The hosts that started could not get the lease of the dead holder before that time was over, and gave no orders. The platform's leases run from the arrival of each call for their own time.

Ruled out: entries of engines that list older weights than they serve. A trial whose testbed rewrote them refused as much, since no engine had been ordered to load the weights before the hosts were killed.

--- a/fake/platform/store.go
+++ b/fake/platform/store.go
@@ -25,7 +25,7 @@
 		compactedRevision uint64
 		items             map[string]item
 		history           []item
-		leases            map[uint64]time.Time
+		leases            map[uint64]lease
 		nextID            uint64
 		refuse            bool
 		compactOnPut      bool
@@ -38,12 +38,18 @@
 		era atomic.Uint64
 	}
 
+	// lease is the time for which a lease is granted and renewed, and its end.
+	lease struct {
+		ttl   time.Duration
+		until time.Time
+	}
+
 	// StoreCopy is a state of the store to which it can return.
 	StoreCopy struct {
 		revision, compactedRevision, nextID uint64
 		items                               map[string]item
 		history                             []item
-		leases                              map[uint64]time.Time
+		leases                              map[uint64]lease
 	}
 
 	// eraWriter adds the store's era to each response.
@@ -61,7 +67,7 @@
 
 // NewStore starts an empty store on loopback.
 func NewStore() *Store {
-	s := &Store{changed: make(chan struct{}), revision: 1, items: make(map[string]item), leases: make(map[uint64]time.Time)}
+	s := &Store{changed: make(chan struct{}), revision: 1, items: make(map[string]item), leases: make(map[uint64]lease)}
 	s.era.Store(1)
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /kv-range", s.serveRange)
@@ -239,7 +245,7 @@
 // expire removes the items of leases that have ended.
 func (s *Store) expire() {
 	for key, stored := range s.items {
-		if until, ok := s.leases[stored.Lease]; stored.Lease != 0 && (!ok || time.Now().After(until)) {
+		if granted, ok := s.leases[stored.Lease]; stored.Lease != 0 && (!ok || time.Now().After(granted.until)) {
 			s.remove(key)
 		}
 	}
@@ -356,7 +362,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.nextID++
-	s.leases[s.nextID] = time.Now().Add(time.Duration(call.TTLMs) * time.Millisecond)
+	ttl := time.Duration(call.TTLMs) * time.Millisecond
+	s.leases[s.nextID] = lease{ttl: ttl, until: time.Now().Add(ttl)}
 	writeJSON(w, http.StatusOK, map[string]any{"lease": s.nextID, "ttl-ms": call.TTLMs})
 }
 
@@ -364,13 +371,14 @@
 	id, _ := strconv.ParseUint(r.PathValue("id"), 10, 64)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	until, ok := s.leases[id]
-	if !ok || time.Now().After(until) {
+	granted, ok := s.leases[id]
+	if !ok || time.Now().After(granted.until) {
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	s.leases[id] = time.Now().Add(5 * time.Second)
-	writeJSON(w, http.StatusOK, map[string]any{"ttl-ms": 5000})
+	granted.until = time.Now().Add(granted.ttl)
+	s.leases[id] = granted
+	writeJSON(w, http.StatusOK, map[string]any{"ttl-ms": granted.ttl.Milliseconds()})
 }
 
 func (s *Store) serveRevoke(w http.ResponseWriter, r *http.Request) {
