Drop queued states of a prompt store that is lost

The host that follows a prompt store tells each of ten groups of other cells at most 240 parts a second; the rest waits in a queue. When the store was lost or had started again, the word of that came behind all queued states: behind 1000 parts, in the fifth report, four seconds later. Hosts of other cells use what they were told for 2.5 s more, and the next start of the store is used after a pause of 3 s, so that they could copy parts that others were saving anew.

Nothing of the queue is true any more then, and receivers drop all parts at the word that the store is down, so the queue is dropped.

TestQueuedStatesOfALostStoreAreDropped failed before (the first report behind the loss names 240 parts of epoch 7) and passes now.

--- a/place/store_reports.go
+++ b/place/store_reports.go
@@ -64,6 +64,13 @@
 	}
 }
 
+// dropStoreStates drops the queued states of a store, which are no longer true.
+func (r *reportBuilder) dropStoreStates(name spoke.ServiceName) {
+	for group := range r.stores {
+		r.stores[group] = slices.DeleteFunc(r.stores[group], func(state spoke.StoreState) bool { return state.Store == name })
+	}
+}
+
 // takeStoreStates removes and returns the oldest queued states for a group, up to the size of one report.
 func (r *reportBuilder) takeStoreStates(group int) []spoke.StoreState {
 	pending := r.stores[group]
--- a/place/store_reports_test.go
+++ b/place/store_reports_test.go
@@ -91,6 +91,26 @@
 	assert.Assert(t, !received[keys[0]])
 }
 
+// Guards against states of a store that were queued for a group before the store was lost: hosts of other cells would
+// use them for seconds more, although the store may have started again.
+func TestQueuedStatesOfALostStoreAreDropped(t *testing.T) {
+	ts := newTestScheduler(t, 1)
+	ts.handle(place.SetCell{Cell: 1, Count: 3})
+	ts.handle(place.UpdateStore{State: spoke.StoreState{Store: "store", Epoch: 7, Stored: storedKeys(1000)}})
+	lost := spoke.StoreState{Store: "store", IsDown: true}
+	ts.handle(place.UpdateStore{State: lost})
+	for group := range place.OtherCellGroups {
+		report, _ := ts.scheduler.OtherCellReport(ts.now, group)
+		assert.DeepEqual(t, report.Stores[0], lost)
+		for range 5 {
+			report, _ = ts.scheduler.OtherCellReport(ts.now, group)
+			for _, state := range report.Stores {
+				assert.Assert(t, state.IsDown, "group %d", group)
+			}
+		}
+	}
+}
+
 // With 295 hosts, each received 286 empty reports a second. Guards against reports to other cells without
 // changes, and against changes of wanted weights that they do not receive.
 func TestOtherCellsReceiveOnlyChanges(t *testing.T) {
--- a/place/stores.go
+++ b/place/stores.go
@@ -104,6 +104,9 @@
 	s.engineClock.observe(now, state.Clock)
 	s.indexStored(st, state.Stored)
 	st.isFollowed = !state.IsDown
+	if state.IsDown {
+		s.report.dropStoreStates(state.Store)
+	}
 	s.report.addStoreState(state, s.cell.Count > 1)
 }
 
