Hand a prompt store over to a host that reaches it

A host that lost its ways to a prompt store that it followed reported the store as down to all hosts and went on trying each 3 s. No host that reached the store took over, so that shared parts of prompts were computed again everywhere for as long as the ways were lost.

place.StoreFollowing decides now, without sockets: a host whose call fails says so and stops, the next one of the list tries; whoever follows keeps the store; 5 s without a report of the follower, or a second follower, are resolved by the order of the list. A host that finds another start of the store than the last published one, or does not know that one, says so and pauses 3 s, and anew with each start. A loss that another host reports is ignored while the follower reports the store as up.

Ruled out: that the loss alone is enough to begin the pause.

No test is changed.

--- a/edge/configstate.go
+++ b/edge/configstate.go
@@ -111,7 +111,12 @@
 
 // isIsolated reports whether neither the directory was reached nor another host reported within limit.
 func (c *configState) isIsolated(limit time.Duration) bool {
-	return c.age() > limit && time.Duration(c.elapsed()-c.peerReportAt.Load()) > limit
+	return c.age() > limit && !c.hearsOthers(limit)
+}
+
+// hearsOthers reports whether another host reported within limit.
+func (c *configState) hearsOthers(limit time.Duration) bool {
+	return time.Duration(c.elapsed()-c.peerReportAt.Load()) <= limit
 }
 
 func (c *configState) view() spoke.DirectoryView {
--- a/edge/host.go
+++ b/edge/host.go
@@ -294,6 +294,7 @@
 	report.Directory.Age += delay
 	h.follower.receiveView(report.Directory)
 	h.offers.offer(report.Host, report.Directory.Table)
+	h.stores.receive(report)
 	h.planner.in <- schedulerMessage{message: place.ReceiveReport{Report: report, At: h.deps.Timer.Now(), MaxDelay: delay}}
 }
 
--- a/edge/stores.go
+++ b/edge/stores.go
@@ -20,10 +20,6 @@
 	storeEventsWait = time.Second
 	// storeInterval is the interval at which stores are called, so that changes are batched.
 	storeInterval = 150 * time.Millisecond
-	// storeRetryDelay is the pause after a store did not answer or was started again. It is longer than
-	// the time for which hosts without updates use the last state of a store, so that none of them
-	// copies a part that is being saved again.
-	storeRetryDelay = 3 * time.Second
 	// maxFreedParts bounds the parts that one call frees.
 	maxFreedParts = 400
 )
@@ -33,7 +29,12 @@
 	peersUpdate      struct{ hosts []spoke.HostID }
 	weightsUpdate    struct{ change spoke.DirectoryChange }
 	conflictingStore struct{ store spoke.ServiceName }
-	storeResult      struct {
+	storeClaims      struct {
+		host     spoke.HostID
+		sequence uint64
+		states   []spoke.StoreState
+	}
+	storeResult struct {
 		store      spoke.ServiceName
 		events     spoke.StoreEvents
 		isSnapshot bool
@@ -47,18 +48,20 @@
 	// followedStore is a prompt store that this host may follow.
 	followedStore struct {
 		spoke.PromptStore
-		epoch  spoke.StoreEpoch
-		next   int64
-		isDown bool
+		epoch spoke.StoreEpoch
+		next  int64
+		// isPublished is set while this host publishes the state of the store, isDown after the store did not answer it.
+		isPublished, isDown bool
 		// isBusy is set while a call to the store is in flight.
 		isBusy      bool
 		pausedUntil time.Time
 		used        spoke.TokenCount
 		parts       map[spoke.StoredPart]spoke.TokenCount
 		reclaimer   *place.Reclaimer
+		following   *place.StoreFollowing
 	}
 
-	// storeFollowers is the task that follows the prompt stores that this host owns and publishes their
+	// storeFollowers is the task that follows prompt stores in its turn among the listed hosts and publishes their
 	// content, so that each store is polled by one host only.
 	storeFollowers struct {
 		host    spoke.HostID
@@ -69,6 +72,7 @@
 		log     logrus.FieldLogger
 		in      chan any
 
+		// hosts holds the listed hosts and this one, nothing before the list is known.
 		hosts    []spoke.HostID
 		stores   map[spoke.ServiceName]*followedStore
 		outdated *place.OutdatedWeights
@@ -78,7 +82,7 @@
 func newStoreFollowers(settings config.Relay, deps Dependencies, p *planner, conf *configState) *storeFollowers {
 	return &storeFollowers{
 		host: settings.Host, control: deps.Stores, timer: deps.Timer, planner: p, log: deps.Log, conf: conf,
-		in: make(chan any, queueLength), hosts: []spoke.HostID{settings.Host}, stores: make(map[spoke.ServiceName]*followedStore),
+		in: make(chan any, queueLength), stores: make(map[spoke.ServiceName]*followedStore),
 		outdated: place.NewOutdatedWeights(settings.WeightsApply),
 	}
 }
@@ -87,7 +91,6 @@
 func (f *storeFollowers) setPeers(hosts []spoke.HostID)              { f.in <- peersUpdate{hosts} }
 func (f *storeFollowers) updateWeights(change spoke.DirectoryChange) { f.in <- weightsUpdate{change} }
 func (f *storeFollowers) send(ctx context.Context, m any)            { sendTo(ctx, f.in, m) }
-func (f *storeFollowers) isOwner(store spoke.ServiceName) bool       { return f.ownerOf(store) == f.host }
 
 // recordConflict records that another host reports a store as well. It does not block, since the task of f
 // may itself be waiting to send to the calling task; the next load report repeats a dropped record.
@@ -98,8 +101,19 @@
 	}
 }
 
-func (f *storeFollowers) ownerOf(store spoke.ServiceName) spoke.HostID {
-	return route.Owner(spoke.UpstreamID(store), f.hosts)
+// receive passes on what the report of another host says of stores. Like recordConflict, it does not block.
+func (f *storeFollowers) receive(report spoke.HostReport) {
+	if len(report.Stores) == 0 {
+		return
+	}
+	select {
+	case f.in <- storeClaims{report.Host, report.Sequence, report.Stores}:
+	default:
+	}
+}
+
+func (f *storeFollowers) orderOf(store spoke.ServiceName) []spoke.HostID {
+	return route.Order(spoke.UpstreamID(store), f.hosts)
 }
 
 // run follows stores until ctx ends.
@@ -113,7 +127,11 @@
 		f.applyStores(m.stores)
 	case peersUpdate:
 		f.hosts = append(slices.Clone(m.hosts), f.host)
-		slices.Sort(f.hosts)
+		for name, st := range f.stores {
+			st.following.SetHosts(f.timer.Now(), f.orderOf(name))
+		}
+	case storeClaims:
+		f.applyClaims(m)
 	case weightsUpdate:
 		f.applyWeights(m.change)
 	case conflictingStore:
@@ -134,6 +152,19 @@
 	}
 }
 
+// applyClaims applies what another host reports of stores; the last of several states of one store counts.
+func (f *storeFollowers) applyClaims(m storeClaims) {
+	last := make(map[spoke.ServiceName]spoke.StoreState, len(m.states))
+	for _, state := range m.states {
+		last[state.Store] = state
+	}
+	for name, state := range last {
+		if st := f.stores[name]; st != nil {
+			st.following.Receive(f.timer.Now(), place.StoreClaim{Host: m.host, Sequence: m.sequence, Epoch: state.Epoch, IsDown: state.IsDown})
+		}
+	}
+}
+
 func (f *storeFollowers) applyWeights(change spoke.DirectoryChange) {
 	now := f.timer.Now()
 	for _, wanted := range change.Weights {
@@ -149,24 +180,31 @@
 	for _, settings := range stores {
 		st := previous[settings.Name]
 		if st == nil || st.Address != settings.Address {
-			st = &followedStore{parts: make(map[spoke.StoredPart]spoke.TokenCount), reclaimer: place.NewReclaimer()}
+			st = &followedStore{
+				parts: make(map[spoke.StoredPart]spoke.TokenCount), reclaimer: place.NewReclaimer(), following: place.NewStoreFollowing(f.host),
+			}
+			if len(f.hosts) > 0 {
+				st.following.SetHosts(f.timer.Now(), f.orderOf(settings.Name))
+			}
 		}
 		st.PromptStore = settings
 		f.stores[settings.Name] = st
 	}
 }
 
-// step makes the next call to each store that this host owns.
+// step makes the next call to each store that this host follows.
 func (f *storeFollowers) step(ctx context.Context) {
 	now := f.timer.Now()
 	isIsolated := len(f.hosts) > 1 && f.conf.isIsolated(place.IsolatedAfter)
+	hearsOthers := f.conf.hearsOthers(place.IsolatedAfter)
 	for _, name := range slices.Sorted(maps.Keys(f.stores)) {
 		st := f.stores[name]
+		if isIsolated {
+			st.following.Stop()
+		}
 		switch {
-		case isIsolated || !f.isOwner(name):
-			// The state of the store will be out of date when this host takes over again.
-			st.epoch = 0
-			st.reclaimer.Reset()
+		case isIsolated || !st.following.Follows(now, hearsOthers):
+			f.leave(st)
 		case st.isBusy || now.Before(st.pausedUntil):
 		default:
 			f.callStore(ctx, now, st)
@@ -174,6 +212,19 @@
 	}
 }
 
+// leave ends what this host knows of a store that it does not follow, since that will be out of date when it takes over
+// again.
+func (f *storeFollowers) leave(st *followedStore) {
+	st.epoch = 0
+	st.reclaimer.Reset()
+	if !st.isPublished {
+		return
+	}
+	st.isPublished = false
+	f.log.WithField("store", st.Name).Info("store is left to another host")
+	f.planner.in <- schedulerMessage{message: place.StopFollowing{Store: st.Name}}
+}
+
 // callStore frees parts that no call can use any more, or waits for changes of the store.
 func (f *storeFollowers) callStore(ctx context.Context, now time.Time, st *followedStore) {
 	if st.epoch != 0 {
@@ -205,6 +256,9 @@
 		return
 	}
 	st.isBusy = false
+	if !st.following.IsFollowing() || (!m.isSnapshot && st.epoch == 0) {
+		return
+	}
 	if m.err != nil {
 		f.handleLoss(st, m.err)
 		return
@@ -215,15 +269,16 @@
 			st.epoch = 0
 			return
 		}
-		st.epoch = 0
-		st.pausedUntil = f.timer.Now().Add(storeRetryDelay)
-		f.publish(spoke.StoreState{Store: m.store, IsDown: true})
+	}
+	if from, mayPublish := st.following.Publish(f.timer.Now(), m.events.Epoch); !mayPublish {
+		st.epoch, st.pausedUntil, st.isPublished = 0, from, false
+		f.publish(spoke.StoreState{Store: m.store, Epoch: m.events.Epoch, IsDown: true})
 		return
 	}
-	if st.isDown {
-		f.log.WithField("store", m.store).Info("store regained")
+	if !st.isPublished {
+		f.log.WithFields(logrus.Fields{"store": m.store, "epoch": m.events.Epoch, "was-lost": st.isDown}).Info("store is followed")
 	}
-	st.isDown = false
+	st.isPublished, st.isDown = true, false
 	if m.isSnapshot {
 		st.parts, st.used = make(map[spoke.StoredPart]spoke.TokenCount), 0
 	}
@@ -258,8 +313,8 @@
 	if !st.isDown {
 		f.log.WithError(err).WithField("store", st.Name).Warn("store lost")
 	}
-	st.isDown, st.epoch = true, 0
-	st.pausedUntil = f.timer.Now().Add(storeRetryDelay)
+	st.isDown, st.isPublished, st.epoch = true, false, 0
+	st.following.Lose(f.timer.Now())
 	f.publish(spoke.StoreState{Store: st.Name, IsDown: true})
 }
 
--- a/place/messages.go
+++ b/place/messages.go
@@ -155,6 +155,9 @@
 	// state to the other hosts.
 	UpdateStore struct{ State spoke.StoreState }
 
+	// StopFollowing ends the reports of a store that this host has followed; another host may follow it.
+	StopFollowing struct{ Store spoke.ServiceName }
+
 	// SetUpstreams applies changes of the list of upstreams. With IsSnapshot, upstreams that are not listed
 	// are removed.
 	SetUpstreams struct {
@@ -305,6 +308,7 @@
 func (SetWantedWeights) isMessage() {}
 func (ObserveWeights) isMessage()   {}
 func (UpdateStore) isMessage()      {}
+func (StopFollowing) isMessage()    {}
 func (Pause) isMessage()            {}
 func (ReceiveReport) isMessage()    {}
 func (RemovePeer) isMessage()       {}
--- a/place/report.go
+++ b/place/report.go
@@ -252,13 +252,7 @@
 	s.applyDoubts(now, report)
 	for _, state := range report.Stores {
 		if st := s.storeOf(state.Store); st != nil {
-			st.apply(now, state)
-			s.engineClock.observe(now, state.Clock)
-			s.indexStored(st, state.Stored)
-			if st.isFollowed {
-				s.actions = append(s.actions, StoreConflict{Store: st.Name})
-			}
-			st.isFollowed = false
+			s.applyReported(now, report.Host, st, state)
 		}
 	}
 	s.applyDepartures(now, report.Leaving)
--- a/place/scheduler.go
+++ b/place/scheduler.go
@@ -114,6 +114,8 @@
 		s.ended(now, m)
 	case UpdateStore:
 		s.updateStore(now, m.State)
+	case StopFollowing:
+		s.stopFollowing(m.Store)
 	case ObserveWeights:
 		s.observeWeights(m.Upstream, m.Weights)
 	case ReceiveReport:
--- a/place/store_reports.go
+++ b/place/store_reports.go
@@ -113,10 +113,14 @@
 	return updates
 }
 
-// repeatedStoreStates returns the states of the stores that this host follows, with some of their parts.
+// repeatedStoreStates returns the states of the stores that this host follows, with some of their parts, and of those
+// that it has lost.
 func (s *Scheduler) repeatedStoreStates(now time.Time, group int) []spoke.StoreState {
 	var states []spoke.StoreState
 	for _, st := range s.stores {
+		if st.loss != nil && now.Sub(st.lostAt) <= lossNoticeTime {
+			states = append(states, *st.loss)
+		}
 		if st.isFollowed {
 			states = append(states, spoke.StoreState{
 				Store: st.Name, Epoch: st.epoch, Used: st.used, Stored: st.repeats.take(group, st.parts),
--- a/place/store_reports_test.go
+++ b/place/store_reports_test.go
@@ -160,3 +160,78 @@
 	assert.Assert(t, hasChanges)
 	assert.Equal(t, report.Stores[0].Store, spoke.ServiceName("store"))
 }
+
+// hasCopies reports whether a call with a stored part would copy it.
+func (ts *testScheduler) hasCopies() bool {
+	granted := ts.grant(ts.request(2, "session", 8000, 1000))
+	ts.finish(granted)
+	return granted.FetchSources[0] != ""
+}
+
+// A host that lost its ways to a store reported it as down, and all hosts forgot its parts although another host
+// reached it. Guards against that, against ignoring the loss of the host that follows the store, and against use of a
+// store that another host has seen start again.
+func TestStoreThatItsFollowerReachesIsNotDown(t *testing.T) {
+	key := place.StoredKeyOf(spoke.StoredPart{Group: groupAt(1), Part: "session"})
+	state := spoke.StoreState{Store: "store", Epoch: 7, Used: 8000, Clock: 50000, Stored: []spoke.StoredKey{key}}
+	for _, test := range []struct {
+		name string
+		host spoke.HostID
+		lost spoke.StoreState
+		used bool
+	}{
+		{"loss of another host", "host-3", spoke.StoreState{Store: "store", IsDown: true}, true},
+		{"pause of another host after this start", "host-3", spoke.StoreState{Store: "store", Epoch: 7, IsDown: true}, true},
+		{"start seen by another host", "host-3", spoke.StoreState{Store: "store", Epoch: 8, IsDown: true}, false},
+		{"loss of the follower", "host-2", spoke.StoreState{Store: "store", IsDown: true}, false},
+	} {
+		for _, isOwn := range []bool{false, true} {
+			ts := newTestScheduler(t, 1)
+			if isOwn && test.host == "host-3" {
+				ts.handle(place.UpdateStore{State: state})
+			} else {
+				ts.handle(place.ReceiveReport{Report: spoke.HostReport{Host: "host-2", Sequence: 1, Stores: []spoke.StoreState{state}}})
+			}
+			assert.Assert(t, ts.hasCopies())
+			ts.handle(place.ReceiveReport{Report: spoke.HostReport{Host: test.host, Sequence: 2, Stores: []spoke.StoreState{test.lost}}})
+			assert.Equal(t, ts.hasCopies(), test.used, "%s, followed by this host: %t", test.name, isOwn)
+		}
+	}
+}
+
+// Guards against a store that nobody takes over since the only report of its loss was lost, and against a host that
+// goes on to report it as lost for long or after another host follows it.
+func TestLossOfAStoreIsRepeatedForAWhile(t *testing.T) {
+	lost := spoke.StoreState{Store: "store", IsDown: true}
+	isReported := func(ts *testScheduler) bool {
+		own := ts.scheduler.LoadReport(ts.now, true).Stores
+		other, _ := ts.scheduler.OtherCellReport(ts.now, 3)
+		assert.Equal(t, len(own), len(other.Stores))
+		return len(own) > 0 && own[0].IsDown
+	}
+	for _, isTaken := range []bool{false, true} {
+		ts := newTestScheduler(t, 1)
+		ts.handle(place.SetCell{Cell: 1, Count: 3})
+		ts.handle(place.UpdateStore{State: lost})
+		assert.Assert(t, isReported(ts))
+		ts.now = ts.now.Add(time.Second)
+		if isTaken {
+			up := spoke.StoreState{Store: "store", Epoch: 7}
+			ts.handle(place.ReceiveReport{Report: spoke.HostReport{Host: "host-2", Sequence: 1, Stores: []spoke.StoreState{up}}})
+		}
+		assert.Equal(t, isReported(ts), !isTaken)
+		ts.now = ts.now.Add(place.StoreRetryDelay - time.Second)
+		assert.Assert(t, !isReported(ts))
+	}
+}
+
+// Guards against a host that goes on to report the state of a store that it does not follow any more.
+func TestStoreThatIsLeftIsNotReported(t *testing.T) {
+	ts := newTestScheduler(t, 1)
+	ts.handle(place.SetCell{Cell: 1, Count: 3})
+	ts.handle(place.UpdateStore{State: spoke.StoreState{Store: "store", Epoch: 7, Stored: storedKeys(1000)}})
+	ts.handle(place.StopFollowing{Store: "store"})
+	assert.Equal(t, len(ts.scheduler.LoadReport(ts.now, true).Stores), 0)
+	report, _ := ts.scheduler.OtherCellReport(ts.now, 3)
+	assert.Equal(t, len(report.Stores), 0)
+}
--- a/place/stores.go
+++ b/place/stores.go
@@ -35,6 +35,12 @@
 		isDown bool
 		// isFollowed says that this host observes the store and reports its state to the other hosts.
 		isFollowed bool
+		// follower is the host that last reported that the store is up.
+		follower spoke.HostID
+		// loss is the state that this host repeats after the store was lost or started again, since lostAt; nil if there
+		// is none.
+		loss   *spoke.StoreState
+		lostAt time.Time
 		// reportedAt is when the host that follows the store last reported its state.
 		reportedAt time.Time
 		used       spoke.TokenCount
@@ -105,11 +111,46 @@
 	s.indexStored(st, state.Stored)
 	st.isFollowed = !state.IsDown
 	if state.IsDown {
+		st.loss, st.lostAt = &state, now
 		s.report.dropStoreStates(state.Store)
+	} else {
+		st.loss, st.follower = nil, s.report.host
 	}
 	s.report.addStoreState(state, s.cell.Count > 1)
 }
 
+// stopFollowing ends the reports of a store by this host.
+func (s *Scheduler) stopFollowing(name spoke.ServiceName) {
+	if st := s.storeOf(name); st != nil {
+		st.isFollowed, st.loss = false, nil
+		s.report.dropStoreStates(name)
+	}
+}
+
+// applyReported applies the state of a store that another host reports.
+func (s *Scheduler) applyReported(now time.Time, host spoke.HostID, st *store, state spoke.StoreState) {
+	if st.isContradicted(now, host, state) {
+		return
+	}
+	st.apply(now, state)
+	s.engineClock.observe(now, state.Clock)
+	s.indexStored(st, state.Stored)
+	if !state.IsDown {
+		st.follower, st.loss = host, nil
+	}
+	if st.isFollowed {
+		s.actions = append(s.actions, StoreConflict{Store: st.Name})
+	}
+	st.isFollowed = false
+}
+
+// isContradicted reports whether another host than the one that reports the store as down follows it and reaches it, so
+// that only the ways of the reporting host are lost.
+func (st *store) isContradicted(now time.Time, host spoke.HostID, state spoke.StoreState) bool {
+	hasStarted := state.Epoch != 0 && state.Epoch != st.epoch
+	return state.IsDown && !hasStarted && st.isCurrent(now) && st.follower != host
+}
+
 // apply applies a reported state. If the epoch has changed or the store is down, all earlier parts are
 // dropped.
 func (st *store) apply(now time.Time, state spoke.StoreState) {
--- a/route/hash.go
+++ b/route/hash.go
@@ -34,6 +34,26 @@
 	return owner
 }
 
+// Order returns the hosts in the order in which they take a task over from each other, the one that Owner returns first.
+func Order(task spoke.UpstreamID, hosts []spoke.HostID) []spoke.HostID {
+	type scored struct {
+		host  spoke.HostID
+		score uint64
+	}
+	list := make([]scored, len(hosts))
+	for i, host := range hosts {
+		list[i] = scored{host, score([]byte(task), string(host))}
+	}
+	slices.SortFunc(list, func(a, b scored) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.host, b.host))
+	})
+	order := make([]spoke.HostID, len(list))
+	for i, host := range list {
+		order[i] = host.host
+	}
+	return order
+}
+
 // byHash sorts views by rendezvous weight for a key, the highest first.
 func byHash(key spoke.BlockKey, views []*spoke.UpstreamView) []*spoke.UpstreamView {
 	type scored struct {
--- a/route/router_test.go
+++ b/route/router_test.go
@@ -150,3 +150,17 @@
 	}
 	assert.Equal(t, route.Owner("u1", nil), spoke.HostID(""))
 }
+
+// Guards against an order in which another host takes a task over than the one that owns it once the first is removed.
+func TestOrderIsThatOfTheNextOwners(t *testing.T) {
+	var hosts []spoke.HostID
+	for i := range 20 {
+		hosts = append(hosts, spoke.HostID(fmt.Sprint("h", i)))
+	}
+	order := route.Order("u1", hosts)
+	assert.Equal(t, len(order), len(hosts))
+	for _, next := range order {
+		assert.Equal(t, route.Owner("u1", hosts), next)
+		hosts = slices.DeleteFunc(hosts, func(host spoke.HostID) bool { return host == next })
+	}
+}
