Move no stream whose first event came after its caller's time

A first event was sent 74 ms after the time in which its caller waited for it. The engine then fell silent, and 2.3 s later the stream was placed at a fourth engine, before the reset of the caller arrived over a full link.

Cause: a host knows when the caller of a stream leaves, and sends nothing to engines that cannot begin by then. Once the first event has been sent, however late, the stream counts as begun and is no longer bound by that.

Now the host keeps in mind that the first event was late. It still passes on that event and all that its engine sends, since the caller may wait. It asks for no other engine while that one is silent, and resumes the stream nowhere if it breaks. A caller that still waits resumes it by itself. Long gaps later in a stream change nothing: the caller's time then counts from the arrival of the last event, which the host does not know.

Before, both late streams, a broken and a silent one, ran at two engines; after, at one, the silent one was received whole, and those that began in time ran at two as before.

--- a/edge/origin.go
+++ b/edge/origin.go
@@ -63,8 +63,11 @@
 	return e.origins.unsettled(e.service())
 }
 
-// mayGoOn reports whether the stream of the call, if it has begun, may go on at another upstream.
+// mayGoOn reports whether the stream of the call, if it has begun, may go on in another attempt.
 func (e *exchange) mayGoOn(p *progress) bool {
+	if p.stream.isLate() {
+		return false
+	}
 	if !p.stream.hasBegun() || !e.route.IsResumable {
 		return true
 	}
--- a/edge/patience.go
+++ b/edge/patience.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"magnoliaspoke.example/spoke"
 	"magnoliaspoke.example/spoke/place"
 )
@@ -69,3 +71,15 @@
 func (e *exchange) awaitsEvent(p *progress) bool {
 	return p.stream.hasBegun() && time.Since(p.stream.lastEventAt) < e.route.CallerTimeout
 }
+
+// recordLateness records whether the caller's time for the first event has passed. The stream goes on at its upstream for
+// a caller that still waits, but at no other one: where the caller has left, its reset may be under way for seconds.
+func (a *attempt) recordLateness(now time.Time, state *streamState) {
+	leavesAt := a.leavesAt(a.progress)
+	if leavesAt.IsZero() || now.Before(leavesAt) {
+		return
+	}
+	state.hasBegunLate = true
+	a.endWatch()
+	a.log.WithFields(logrus.Fields{"upstream": a.grant.Upstream.ID, "late": now.Sub(leavesAt).String()}).Warn("stream began after its caller's time for the first event")
+}
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -291,7 +291,7 @@
 // mayReturn reports whether the call may be sent once more to the upstream that it left because of its silence, after
 // the next one has brought nothing. It does not count as a further upstream.
 func (e *exchange) mayReturn(ctx context.Context, p *progress) bool {
-	if ctx.Err() != nil || p.stalled == "" {
+	if ctx.Err() != nil || p.stalled == "" || p.stream.isLate() {
 		return false
 	}
 	p.only, p.stalled, p.hasReturned = []spoke.UpstreamID{p.stalled}, "", true
--- a/edge/stream.go
+++ b/edge/stream.go
@@ -45,10 +45,15 @@
 	// software is the version at which the stream began, as listed when its upstream was granted. It is a copy,
 	// since the entry of the upstream may change or go.
 	software spoke.SoftwareVersion
+	// hasBegunLate is set if the caller's time for the first event had passed when that was sent. The caller has then
+	// probably left.
+	hasBegunLate bool
 }
 
 func (s *streamState) hasBegun() bool { return s != nil && s.events > 0 }
 
+func (s *streamState) isLate() bool { return s != nil && s.hasBegunLate }
+
 // relayStream relays complete events as they arrive.
 func (a *attempt) relayStream(ctx context.Context, answer *link.Response) bool {
 	state := a.progress.stream
@@ -101,6 +106,7 @@
 	now := time.Now()
 	if state.events == 0 {
 		a.recordOrigin(state)
+		a.recordLateness(now, state)
 		a.writeHead()
 	} else {
 		state.widestGap = max(state.widestGap, now.Sub(state.lastEventAt))
