Let no two processes of tests take ports of one range

A port was checked and given to a program that was about to start; another process whose id modulo 40 is the same draws from the same range and may take it meanwhile. Of two such processes one pair in 40 shares a range, and go test runs up to eight beside each other.

Each process now claims its range by listening on the first port of it, and goes on to the next one if that is taken.

--- a/fake/ports/free.go
+++ b/fake/ports/free.go
@@ -3,9 +3,7 @@
 import (
 	"net"
 	"os"
-	"sync/atomic"
-
-	"github.com/rotisserie/eris"
+	"sync"
 )
 
 const (
@@ -16,20 +14,17 @@
 	rangeSize  = 300
 )
 
-// triedPorts counts the ports that this process has checked.
-var triedPorts atomic.Int64
+// own is the range of this process, which it keeps until it ends.
+var own = sync.OnceValues(func() (*Range, error) { return Claim(os.Getpid()) })
 
-// Free returns a loopback port that is free for TCP and UDP. It checks the ports of a range chosen
-// by the process ID in turn, so that concurrent processes and calls rarely get the same port.
+// Free returns a loopback port that is free for TCP and UDP. It checks the ports of the process's
+// range in turn, so that concurrent processes never get the same port, and calls rarely.
 func Free() (int, error) {
-	first := firstPort + os.Getpid()%rangeCount*rangeSize
-	for range rangeSize {
-		port := first + int(triedPorts.Add(1)%rangeSize)
-		if isFree(port) {
-			return port, nil
-		}
+	claimed, err := own()
+	if err != nil {
+		return 0, err
 	}
-	return 0, eris.Errorf("no free port from %d to %d", first, first+rangeSize-1)
+	return claimed.Free()
 }
 
 func isFree(port int) bool {
--- a/fake/ports/free_test.go
+++ b/fake/ports/free_test.go
@@ -21,3 +21,24 @@
 	assert.NilError(t, err)
 	assert.Assert(t, second != first && second != first+1, "%d after %d", second, first)
 }
+
+// Guards against two processes whose ids select the same range: one got a port that the other was about to use.
+func TestClaimedRangesShareNoPort(t *testing.T) {
+	const start, count = 7, 5
+	taken := make(map[int]bool)
+	for range count {
+		claimed, err := ports.Claim(start)
+		assert.NilError(t, err)
+		defer claimed.Release()
+		for range 20 {
+			port, err := claimed.Free()
+			assert.NilError(t, err)
+			assert.Assert(t, !taken[port], "%d", port)
+		}
+		for offset := range 300 {
+			port, err := claimed.Free()
+			assert.NilError(t, err, "%d", offset)
+			taken[port] = true
+		}
+	}
+}
