--- a/edge/brittle_test.go
+++ b/edge/brittle_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -80,8 +81,7 @@
 	})
 }
 
-// brittlePrompt returns a call with a prompt. Prompts share no part, since the crash of an engine that rejects too much
-// quarantines the parts of the prompts that it runs.
+// brittlePrompt returns a call with a prompt that shares no part with others.
 func brittlePrompt(id string) call {
 	c := chatCall(id)
 	c.header = http.Header{"Magnoliaspoke-Prefix-Hash": {fmt.Sprintf("a%[1]s:100,b%[1]s:150,c%[1]s:50", id)}}
@@ -116,3 +116,47 @@
 	}
 	return counts
 }
+
+// Guards against a host that refuses a request, or prompts that share their parts, after engines that ran it have fallen
+// over since they had no room for others.
+func TestFallsOfBrittleEnginesQuarantineNothing(t *testing.T) {
+	t.Parallel()
+	const (
+		engines, wantedFalls = 2, 2
+		// Engines are listed with more slots than they have.
+		listedSlots, slots = 40, 2
+		burst              = 40
+		awaitFalls         = 20 * time.Second
+	)
+	d := start(t, engines)
+	for _, engine := range d.engines {
+		engine.SetAnswerDelay(brittleAnswerDelay)
+		engine.SetBrittle(&fake.Brittleness{Slots: listedSlots, Rejections: brittleRejections, Down: time.Second})
+		d.putEntry(engine, "ready")
+		engine.SetBrittle(&fake.Brittleness{Slots: slots, Rejections: brittleRejections, Down: time.Second})
+	}
+	falls := func() int { return len(d.crashes()) }
+	sharedPrompt := func(id string) call {
+		c := chatCall(id)
+		c.header = http.Header{"Magnoliaspoke-Prefix-Hash": {"a1:100,b1:150,c" + id + ":50"}}
+		return c
+	}
+	for begin, sent := time.Now(), 0; falls() < wantedFalls; sent++ {
+		assert.Assert(t, time.Since(begin) < awaitFalls, "%d falls", falls())
+		sendTogether(d, burst, func(i int) call { return sharedPrompt(fmt.Sprintf("%d%04d", sent, i)) })
+	}
+	awaitTrue(t, "no prompt is served after the falls", func() bool {
+		got, err := d.send(sharedPrompt(fmt.Sprint("f", time.Now().UnixNano())))
+		assert.Assert(t, !strings.Contains(got.body, "quarantined"), got.body)
+		return err == nil && got.status == http.StatusOK
+	})
+}
+
+// sendTogether sends calls at the same time and waits for their answers.
+func sendTogether(d *deployment, count int, kind func(i int) call) {
+	var sending sync.WaitGroup
+	for i := range count {
+		sending.Go(func() { _, _ = d.send(kind(i)) })
+	}
+	sending.Wait()
+}
