Let the delay of a load report show behind a silence

The review of the delays of reports found: the least transit time of a sender rose by a hundredth of the whole time without a report, so that a report that a link held back behind a silence showed no delay and its age counted as known. Replaced weights were then used 0.6 s longer behind a minute of silence, and longer than their limit behind four minutes (2.4 s).

It rises by a thousandth now, more than adjusted clocks differ, and by at least a hundredth of the first second, which forgets wrong transit times as before.

--- a/place/report_delay.go
+++ b/place/report_delay.go
@@ -9,10 +9,13 @@
 )
 
 const (
-	// transitDriftDivisor determines the fraction of the time since a sender's last report by which the transit time of
-	// its fastest one is raised. Clocks that are adjusted differ by a tenth of that at most; the rest makes a transit time
-	// that was measured too short count no longer after some minutes.
-	transitDriftDivisor = 100
+	// clockDriftDivisor determines the fraction of the time since a sender's last report by which the transit time of its
+	// fastest one is raised. Clocks that are adjusted differ by less.
+	clockDriftDivisor = 1000
+	// transitRiseDivisor determines the fraction of up to transitRiseSpan of that time by which it is raised at least, so
+	// that a transit time that was measured too short counts no longer after some minutes of reports.
+	transitRiseDivisor = 100
+	transitRiseSpan    = time.Second
 	// senderTimeout is the time without a report after which a sender's clock is dropped. It is longer than peerTimeout,
 	// since a link may hold the next report back for longer.
 	senderTimeout = 5 * time.Minute
@@ -60,12 +63,18 @@
 	transit := received - sent
 	fastest := transit
 	if known, isKnown := r[sender]; isKnown {
-		fastest = min(transit, known.fastest+max(received-known.receivedAt, 0)/transitDriftDivisor)
+		fastest = min(transit, known.fastest+transitRise(received-known.receivedAt))
 	}
 	r[sender] = reportTransit{fastest: fastest, receivedAt: received}
 	return transit - fastest
 }
 
+// transitRise returns by how much the transit time of a sender's fastest report is raised after a time without one.
+func transitRise(silent time.Duration) time.Duration {
+	silent = max(silent, 0)
+	return max(silent/clockDriftDivisor, min(silent, transitRiseSpan)/transitRiseDivisor)
+}
+
 func (r reportSenders) dropIdle(now time.Duration) {
 	maps.DeleteFunc(r, func(_ senderClock, known reportTransit) bool { return now-known.receivedAt > senderTimeout })
 }
--- a/place/report_delay_test.go
+++ b/place/report_delay_test.go
@@ -74,6 +74,22 @@
 	}
 }
 
+// A sender, such as one of another cell, is silent before its report is held back. Guards against a delay that does not
+// show because it is taken for a difference of the clocks.
+func TestDelayBehindSilenceShows(t *testing.T) {
+	for _, silent := range []time.Duration{10 * time.Second, 30 * time.Second, time.Minute} {
+		host, other := newTestPair(t)
+		host.handle(other.fullReport())
+		pass(silent, host, other)
+		other.setWanted(2)
+		report, held := other.fullReport(), silent/100
+		pass(held, host, other)
+		host.learn(place.UnknownAge)
+		host.handle(report)
+		host.assertAge(held)
+	}
+}
+
 // The first report of a host is held back. Guards against an age that stays too low although a later report arrives in
 // time, whether it is known or estimated, and whether or not the later one names it.
 func TestAgeInHeldBackFirstReportIsCorrected(t *testing.T) {
