Excuse what a cut-off host sends before it is told of a limit

It excuses now what a host that is cut off from the others sends before its first answer names the limit to it; what it sends once it has been told counts as before, though the rule would excuse that too.

--- a/place/limit_test.go
+++ b/place/limit_test.go
@@ -46,12 +46,16 @@
 }
 
 // isCounted reports whether a call arrived within the last span, from a host that knows of the limit. A
-// restart excuses the calls that the host sent before it and within limitGrace after it.
+// restart excuses the calls that the host sent before it and within limitGrace after it, a cut those that
+// it sent meanwhile before it was told.
 func (f *fleet) isCounted(arrival fleetArrival, e *fleetEngine) bool {
 	told, isTold := arrival.host.told[e.id]
 	if h := arrival.host; arrival.start != h.starts || h.starts > 1 && arrival.at.Sub(h.startedAt) < limitGrace {
 		return false
 	}
+	if arrival.wasCut && arrival.at.Before(told) {
+		return false
+	}
 	return isTold && f.now.Sub(told) >= limitNotice && f.now.Sub(arrival.at) < limitSpan
 }
 
