Keep the best hosts of a list in one place

Package reach had written again what package origin does to choose the first hosts by rendezvous hashing: insert each candidate in order and cut the list. Both call least.Insert now, which also leaves out a candidate that comes behind a full list without moving anything. The choices are the same; the tests of both packages pass unchanged.

--- a/origin/hosts.go
+++ b/origin/hosts.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"magnoliaspoke.example/spoke"
+	"magnoliaspoke.example/spoke/least"
 )
 
 const (
@@ -62,11 +63,9 @@
 			continue
 		}
 		added := weighted{peer.ID, xxhash.Sum64String(string(request) + "/" + string(peer.ID))}
-		at, _ := slices.BinarySearchFunc(best, added, func(a, b weighted) int {
+		best = least.Insert(best, added, count, func(a, b weighted) int {
 			return cmp.Or(cmp.Compare(a.weight, b.weight), cmp.Compare(a.id, b.id))
 		})
-		best = slices.Insert(best, at, added)
-		best = best[:min(count, len(best))]
 	}
 	ids := make([]spoke.HostID, len(best))
 	for i, host := range best {
--- a/reach/relays.go
+++ b/reach/relays.go
@@ -2,12 +2,12 @@
 
 import (
 	"cmp"
-	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"magnoliaspoke.example/spoke"
+	"magnoliaspoke.example/spoke/least"
 )
 
 // relayPause is the time for which a host is not asked again after it could not be used as a relay.
@@ -80,10 +80,7 @@
 			continue
 		}
 		next := candidate{other.listed, other.hasFailed(now), r.weight(other, upstream)}
-		if at, _ := slices.BinarySearchFunc(best, next, candidate.compare); at < count {
-			best = slices.Insert(best, at, next)
-			best = best[:min(count, len(best))]
-		}
+		best = least.Insert(best, next, count, candidate.compare)
 	}
 	chosen := make([]spoke.ListedPeer, 0, len(best))
 	for _, candidate := range best {
