Sort hosts and upstreams by score in one function

route.Order was a copy of byHash for another type. Both call byScore now; the order is the same, the tests of route pass unchanged, and BenchmarkChoose takes 1.76 and 17.9 us at 9 and 86 upstreams, 1.77 and 18.2 us before.

--- a/route/hash.go
+++ b/route/hash.go
@@ -36,40 +36,30 @@
 
 // Order returns the hosts in the order in which they take a task over from each other, the one that Owner returns first.
 func Order(task spoke.UpstreamID, hosts []spoke.HostID) []spoke.HostID {
-	type scored struct {
-		host  spoke.HostID
-		score uint64
-	}
-	list := make([]scored, len(hosts))
-	for i, host := range hosts {
-		list[i] = scored{host, score([]byte(task), string(host))}
-	}
-	slices.SortFunc(list, func(a, b scored) int {
-		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.host, b.host))
-	})
-	order := make([]spoke.HostID, len(list))
-	for i, host := range list {
-		order[i] = host.host
-	}
-	return order
+	return byScore([]byte(task), hosts, func(host spoke.HostID) string { return string(host) })
 }
 
 // byHash sorts views by rendezvous weight for a key, the highest first.
 func byHash(key spoke.BlockKey, views []*spoke.UpstreamView) []*spoke.UpstreamView {
+	return byScore(key[:], views, func(view *spoke.UpstreamView) string { return string(view.Upstream.ID) })
+}
+
+// byScore returns nodes in the order of their scores for a key, the highest first; the lower name breaks ties.
+func byScore[T any](key []byte, nodes []T, name func(T) string) []T {
 	type scored struct {
-		view  *spoke.UpstreamView
+		node  T
 		score uint64
 	}
-	list := make([]scored, len(views))
-	for i, view := range views {
-		list[i] = scored{view, score(key[:], string(view.Upstream.ID))}
+	list := make([]scored, len(nodes))
+	for i, node := range nodes {
+		list[i] = scored{node, score(key, name(node))}
 	}
 	slices.SortFunc(list, func(a, b scored) int {
-		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.view.Upstream.ID, b.view.Upstream.ID))
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(name(a.node), name(b.node)))
 	})
-	sorted := make([]*spoke.UpstreamView, len(list))
+	sorted := make([]T, len(list))
 	for i, s := range list {
-		sorted[i] = s.view
+		sorted[i] = s.node
 	}
 	return sorted
 }
