Set both stalls of a stream before its call is sent

Host and engine did what they should; the log shows that the engine never fell silent (four events, widest gap 101 ms).

Cause: the test waited for the line "stream began", which it looks for every 100 ms, and only then told the engine to fall silent before the second event, which follows the first after 100 ms. In "late and silent" the same delay let the test pass without a silence, so that it checked nothing.

The stand-in of engines takes a list of stalls now, and the test sets both before it sends its call.

--- a/edge/late_first_event_test.go
+++ b/edge/late_first_event_test.go
@@ -43,15 +43,10 @@
 			d.putImpatientTable()
 			for _, engine := range d.engines {
 				engine.SetBehaviour(c.behaviour)
-				engine.SetStall(fake.Stall{For: c.firstEvent})
+				engine.SetStall(fake.Stall{For: c.firstEvent}, fake.Stall{After: 1, For: c.silence})
 				engine.SetEventInterval(100 * time.Millisecond)
 			}
-			results := d.sendPatiently(longCall(chatCall("late")))
-			awaitTrue(t, "stream has not begun", func() bool { return d.hasLogged("stream began") })
-			for _, engine := range runsOf(chatCall("late"), d.engines) {
-				engine.SetStall(fake.Stall{After: 1, For: c.silence})
-			}
-			got := <-results
+			got := d.sendPatiently(longCall(chatCall("late")))
 			assert.Equal(t, got.err != nil, c.wantsBreak, "%v", got.err)
 			assert.Equal(t, got.answer.body, c.wantedEvents)
 			assert.Equal(t, len(runsOf(chatCall("late"), d.engines)), c.wantedRuns)
@@ -70,20 +65,15 @@
 	awaitTrue(d.t, "new table not known", func() bool { return d.bookingStatus("probe", "key-2") == http.StatusOK })
 }
 
-// sendPatiently makes a call whose caller waits for longer than it has to, and returns a channel for its answer.
-func (d *deployment) sendPatiently(c call) <-chan result {
+// sendPatiently makes a call whose caller waits for longer than it has to.
+func (d *deployment) sendPatiently(c call) result {
 	request := d.request(c)
 	request.Header.Set("Magnoliaspoke-Deadline-Ms", "20000")
-	results := make(chan result, 1)
-	go func() {
-		response, err := http.DefaultTransport.RoundTrip(request)
-		if err != nil {
-			results <- result{err: err}
-			return
-		}
-		body, err := io.ReadAll(response.Body)
-		_ = response.Body.Close()
-		results <- result{answer{status: response.StatusCode, body: string(body)}, err}
-	}()
-	return results
+	response, err := http.DefaultTransport.RoundTrip(request)
+	if err != nil {
+		return result{err: err}
+	}
+	body, err := io.ReadAll(response.Body)
+	_ = response.Body.Close()
+	return result{answer{status: response.StatusCode, body: string(body)}, err}
 }
--- a/fake/platform/engine.go
+++ b/fake/platform/engine.go
@@ -101,7 +101,8 @@
 		queue               *Queue
 		// queued is the number of requests that have entered a queue.
 		queued int
-		stall  Stall
+		// stalls are the next stalls, in their order.
+		stalls []Stall
 		// resumed is the response to resumed streams.
 		resumed  string
 		crashing Crashing
--- a/fake/platform/stall.go
+++ b/fake/platform/stall.go
@@ -14,23 +14,28 @@
 	For   time.Duration
 }
 
-// SetStall makes the engine fall silent in the next response that has such a place.
-func (e *Engine) SetStall(stall Stall) {
+// SetStall makes the engine fall silent at each of these places in turn, in the next response that has the place.
+func (e *Engine) SetStall(stalls ...Stall) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.stall = stall
+	e.stalls = stalls
 }
 
 // stallAfter waits if the engine stalls after the given part, and reports whether the caller stayed connected.
 func (e *Engine) stallAfter(r *http.Request, part int) bool {
+	stall, isDue := e.takeStall(part)
+	return !isDue || e.wait(r, stall.For)
+}
+
+func (e *Engine) takeStall(part int) (Stall, bool) {
 	e.mu.Lock()
-	stall := e.stall
-	isDue := stall.For > 0 && stall.After == part
-	if isDue {
-		e.stall = Stall{}
+	defer e.mu.Unlock()
+	if len(e.stalls) == 0 || e.stalls[0].For <= 0 || e.stalls[0].After != part {
+		return Stall{}, false
 	}
-	e.mu.Unlock()
-	return !isDue || e.wait(r, stall.For)
+	due := e.stalls[0]
+	e.stalls = e.stalls[1:]
+	return due, true
 }
 
 // writeAnswer writes the correct response to a request without a prompt in two halves.
