Leave the orders lease while other hosts reach more engines

The holder of the orders lease reached one of nine engines.

Cause: a holder left the lease only if no engine answered it. One that answers is enough to keep it, but orders need half of a service's engines to be known as serving, and engines that are out of reach get none.

Now reach counts the upstreams to which other hosts have connected in place of this one, and a host leaves the lease, and does not compete for it, while for 1.5 s these are more than half of the engines, or all that still have older weights. Failures alone don't count, since engines that have failed are reached by no other holder either. An engine that gives no report has its way checked, so that this also works without calls.

--- a/edge/cut_holder_test.go
+++ b/edge/cut_holder_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"os"
 	"path/filepath"
 	"slices"
@@ -122,3 +123,23 @@
 	awaitTrue(t, "engines are on older weights", func() bool { return areOnVersion2(holder.engines[1:]) })
 	assert.Assert(t, !holder.hasLogged("orders lease is left to others"))
 }
+
+// Guards against a host that holds the orders lease, reaches a few engines only, and leaves the others on older weights
+// although other hosts reach them.
+func TestHolderThatReachesFewEnginesLeavesOrdersToAnother(t *testing.T) {
+	for _, c := range []struct {
+		form    cutForm
+		reached int
+	}{{cutHangs, 1}, {cutResets, 1}, {cutRefuses, 1}, {cutResets, cutOffEngines - 2}} {
+		t.Run(fmt.Sprintf("%s, %d of %d reached", c.form, c.reached, cutOffEngines), func(t *testing.T) {
+			t.Parallel()
+			hosts := startCutOff(t)
+			holder := slices.IndexFunc(hosts, func(host cutOffHost) bool { return host.hasLogged(`"held":true`) })
+			assert.Assert(t, holder >= 0, "no host holds the lease")
+			hosts[holder].ways.cut(c.form, hosts[holder].engines[:c.reached]...)
+			hosts[holder].nameWeights()
+			// After one and a half times weightsLimit no more than one engine may have older weights; this waits less.
+			awaitTrue(t, "engines are on older weights", func() bool { return areOnVersion2(hosts[holder].engines) })
+		})
+	}
+}
--- a/edge/cutoff_ways_test.go
+++ b/edge/cutoff_ways_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"slices"
 	"sync"
 	"testing"
@@ -80,11 +81,15 @@
 	return change
 }
 
-// cut cuts all ways of the host to engines.
-func (w *engineWays) cut(form cutForm) {
+// cut cuts the ways of the host to all engines but some.
+func (w *engineWays) cut(form cutForm, spared ...*fake.Engine) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	for _, way := range w.ways {
+	lost := maps.Clone(w.ways)
+	for _, engine := range spared {
+		delete(lost, spoke.Address(engine.Address()))
+	}
+	for _, way := range lost {
 		switch form {
 		case cutHangs:
 			way.Cut()
@@ -96,7 +101,7 @@
 		return
 	}
 	// Behind the first reset, no way connects any more.
-	for _, way := range w.ways {
+	for _, way := range lost {
 		way.Reset()
 	}
 }
--- a/edge/host.go
+++ b/edge/host.go
@@ -120,7 +120,7 @@
 	// as the holder of a lease that the new one acquired.
 	holder := spoke.HostID(fmt.Sprintf("%s-%d", settings.Host, time.Now().UnixNano()))
 	h.keeper = lease.New(&throttledLeases{Leases: deps.Leases, host: h, log: deps.Log}, deps.OrdersLease, holder, ordersTTL, lease.WithTimer(deps.LeaseTimer))
-	h.orders = newOrders(holder, settings.OrdersPause, deps, h.keeper, h.planner)
+	h.orders = newOrders(holder, settings.OrdersPause, deps, h.keeper, h.planner, h.ways)
 	kept := newContents()
 	h.contentServer = newContentServer(kept, deps.Log, metrics)
 	h.follower = &follower{
--- a/edge/orders.go
+++ b/edge/orders.go
@@ -11,6 +11,7 @@
 	"magnoliaspoke.example/spoke"
 	"magnoliaspoke.example/spoke/lease"
 	"magnoliaspoke.example/spoke/place"
+	"magnoliaspoke.example/spoke/reach"
 	"magnoliaspoke.example/spoke/swap"
 )
 
@@ -77,6 +78,7 @@
 		leaseTimer spoke.Timer
 		timer      spoke.Timer
 		planner    *planner
+		ways       *ways
 		log        logrus.FieldLogger
 		reconciler *swap.Reconciler
 		in         chan any
@@ -88,15 +90,20 @@
 		reportInFlight map[spoke.UpstreamID]bool
 		pending        map[spoke.UpstreamID]pendingOrder
 		paths          enginePaths
-		held           bool
-		fence          spoke.FencingToken
+		bypass         reach.Bypass
+		// wayCheckedAt holds the time at which the way to an engine that gave no report was last checked, wayChecks the
+		// checks that run.
+		wayCheckedAt map[spoke.UpstreamID]time.Time
+		wayChecks    chan struct{}
+		held         bool
+		fence        spoke.FencingToken
 	}
 )
 
-func newOrders(host spoke.HostID, pause time.Duration, deps Dependencies, keeper *lease.Keeper, p *planner) *orders {
+func newOrders(host spoke.HostID, pause time.Duration, deps Dependencies, keeper *lease.Keeper, p *planner, w *ways) *orders {
 	return &orders{
 		host: host, pause: pause, control: deps.Control, keeper: keeper, leaseTimer: deps.LeaseTimer, timer: deps.Timer,
-		planner: p, log: deps.Log,
+		planner: p, ways: w, log: deps.Log,
 		reconciler: swap.NewReconciler(
 			swap.WithMaxConcurrent(minConcurrentLoads), swap.WithOrderDeadline(orderTimeout), swap.WithDrain(drainNotice, drainNotice),
 			swap.WithLoadTimeout(loadTimeout), swap.WithAttempts(orderAttempts, orderRetryPause), swap.WithVersionOrder(compareVersions),
@@ -109,6 +116,8 @@
 		reportInFlight: make(map[spoke.UpstreamID]bool),
 		pending:        make(map[spoke.UpstreamID]pendingOrder),
 		paths:          newEnginePaths(),
+		wayCheckedAt:   make(map[spoke.UpstreamID]time.Time),
+		wayChecks:      make(chan struct{}, maxWayChecks),
 	}
 }
 
@@ -148,6 +157,7 @@
 		delete(o.upstreams, id)
 		delete(o.reports, id)
 		delete(o.pending, id)
+		delete(o.wayCheckedAt, id)
 	}
 }
 
@@ -155,6 +165,7 @@
 	o.paths.observe(m.upstream, o.reportAskedAt[m.upstream], m.err == nil)
 	if m.err != nil {
 		o.log.WithError(m.err).WithField("upstream", m.upstream).Info("engine report could not be read")
+		o.checkWay(m.upstream)
 		return
 	}
 	if _, ok := o.upstreams[m.upstream]; !ok {
@@ -202,6 +213,10 @@
 		o.held, o.fence = state.Held, state.Fence
 		o.log.WithFields(logrus.Fields{"held": state.Held, "fence": state.Fence}).Info("orders lease changed")
 	}
+	if o.isBypassed() {
+		o.leaveBypassed(state.Held)
+		return
+	}
 	if !state.Held {
 		return
 	}
--- a/edge/waydial.go
+++ b/edge/waydial.go
@@ -187,6 +187,7 @@
 		conn, err := d.dialThrough(ctx, relay)
 		if err == nil {
 			d.relaysFailed(answers.denied)
+			d.setRelayed(true)
 			return conn, nil
 		}
 		answers.add(relay.ID, err)
@@ -194,7 +195,18 @@
 			d.relaysFailed([]spoke.HostID{relay.ID})
 		}
 	}
-	return nil, answers.err()
+	err := answers.err()
+	if errors.Is(err, detour.ErrRefused) {
+		d.setRelayed(false)
+	}
+	return nil, err
+}
+
+// setRelayed records whether another host has connected to the upstream.
+func (d *wayDial) setRelayed(isConnected bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.state.Relayed(d.listed.id, isConnected)
 }
 
 // relaysFailed records that hosts could not be used as relays.
--- a/edge/ways.go
+++ b/edge/ways.go
@@ -121,6 +121,13 @@
 	return w.state.IsCutOff()
 }
 
+// countBypassed returns how many of some upstreams other hosts reach and this one does not.
+func (w *ways) countBypassed(ids []spoke.UpstreamID) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.state.CountBypassed(ids)
+}
+
 // relayed returns the address of an upstream to which this host may connect for others: a listed one that it reaches.
 func (w *ways) relayed(id spoke.UpstreamID) (spoke.Address, bool) {
 	w.mu.Lock()
--- a/reach/ways.go
+++ b/reach/ways.go
@@ -46,7 +46,9 @@
 
 	// way is the direct way to one upstream.
 	way struct {
-		isLost     bool
+		isLost bool
+		// isBypassed is set while this host does not connect directly and another one was the last to be tried and did.
+		isBypassed bool
 		checkAt    time.Time
 		checkPause time.Duration
 		probedAt   time.Time
@@ -99,7 +101,7 @@
 func (w *Ways) Connected(id spoke.UpstreamID) {
 	w.sample = nil
 	if known := w.ways[id]; known != nil {
-		known.isLost, known.checkPause = false, 0
+		known.isLost, known.isBypassed, known.checkPause = false, false, 0
 	}
 	if !w.isCutOff {
 		return
