Log how long ago the bytes of a caller that left ended

The end of a caller's bytes alone does not say that it has left, so a host sends an interim response and waits for a reset, which takes a way there and back over its link.

Now the line "caller left" has bytes-ended-for, the time from the end of the caller's bytes to the evidence. It is left out where a reset ended them.

--- a/caller/conn.go
+++ b/caller/conn.go
@@ -9,6 +9,7 @@
 	"sync"
 	"sync/atomic"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -28,6 +29,8 @@
 	net.Conn
 	readErr  atomic.Pointer[error]
 	writeErr atomic.Pointer[error]
+	// endedAt is when the caller's bytes ended, nil before that.
+	endedAt atomic.Pointer[time.Time]
 
 	// writing keeps interim responses out of the answer and guards the fields behind it.
 	writing sync.Mutex
@@ -40,6 +43,10 @@
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	record(&c.readErr, err)
+	if errors.Is(err, io.EOF) {
+		now := time.Now()
+		c.endedAt.CompareAndSwap(nil, &now)
+	}
 	return n, err
 }
 
@@ -137,3 +144,13 @@
 		return err.Error()
 	}
 }
+
+// EndedAt returns when the bytes of the caller of a request ended, the zero time if they have not.
+func EndedAt(ctx context.Context) time.Time {
+	if c := connOf(ctx); c != nil {
+		if at := c.endedAt.Load(); at != nil {
+			return *at
+		}
+	}
+	return time.Time{}
+}
--- a/edge/callerleft.go
+++ b/edge/callerleft.go
@@ -23,7 +23,7 @@
 // endLeft ends a call whose caller counts as gone. The caller gets its final answer all the same, since the
 // evidence may be wrong.
 func (e *exchange) endLeft(ctx context.Context, p *progress, fields logrus.Fields) {
-	e.log.WithFields(fields).WithFields(e.stoppingFields()).WithFields(logrus.Fields{
+	e.log.WithFields(fields).WithFields(e.stoppingFields()).WithFields(endFields(ctx)).WithFields(logrus.Fields{
 		"held": time.Since(e.arrived).String(), "evidence": caller.Evidence(ctx), "sent": p.sendCount > 0,
 	}).Info("caller left")
 	e.metrics.addAnswer(e.route.Name, "caller-left", e.arrived)
@@ -38,3 +38,13 @@
 		writeError(e.writer, http.StatusServiceUnavailable, "not-taken", e.capRetryAfter(shortRetryAfter))
 	}
 }
+
+// endFields returns how long ago the caller's bytes ended, nothing if a reset ended them. The time is that in which this
+// host told a caller that has left from one that has only closed its sending side.
+func endFields(ctx context.Context) logrus.Fields {
+	endedAt := caller.EndedAt(ctx)
+	if endedAt.IsZero() {
+		return nil
+	}
+	return logrus.Fields{"bytes-ended-for": time.Since(endedAt).String()}
+}
--- a/edge/callerleft_test.go
+++ b/edge/callerleft_test.go
@@ -40,6 +40,16 @@
 	assertContains(t, d.explainRequest("left", "caller left"), "evidence=", "connection reset", "sent=true")
 }
 
+// Guards against a log that does not show how long a host took to find out that a caller has left.
+func TestLogShowsTimeSinceCallersBytesEnded(t *testing.T) {
+	d := start(t, 1)
+	d.setBehaviour(fake.Hang)
+	conn := d.openCall(lookCall("left"))
+	awaitTrue(t, "call not sent", func() bool { return d.runs() == 1 })
+	conn.Close()
+	assertContains(t, d.explainRequest("left", "caller left"), "bytes-ended-for=", "sent=true")
+}
+
 // openOld sends a request in version 1.0, whose callers count as gone at the end of their bytes, and returns the
 // connection.
 func (d *deployment) openOld(request *http.Request) *net.TCPConn {
