Take callers for gone whose bytes end when their time is over

Cause: the end of a caller's bytes may mean that it only closed its sending side, so a host sends an interim response and waits for the reset that a closed connection answers with. Where the link of the host has a queue, the response waits in it, and the reset to the engine waits in it once more.

Ruled out: a process that reads the close late (4 to 9 ms), and processor time (0.06 of 0.19 cores).

Now the end of the bytes alone counts as leaving if the caller's time is over then: its time for the first event or for the whole answer, less the second that it allows for the connection, or the time for the next event. A caller that closes its sending side earlier keeps its answer, late events included. One that does so at the end of its time gets its final answer at once; the protocol says that it has abandoned the call. A stream whose engine is silent in the middle is covered too: no interim response fits into an answer that has begun, so that the host learned of nothing before the next event.

--- a/caller/conn.go
+++ b/caller/conn.go
@@ -136,6 +136,8 @@
 	}
 	err := load(&c.readErr)
 	switch {
+	case errors.Is(context.Cause(ctx), errTimeOver):
+		return errTimeOver.Error()
 	case err == nil:
 		return ""
 	case errors.Is(err, io.EOF):
--- a/caller/watch.go
+++ b/caller/watch.go
@@ -23,12 +23,13 @@
 	probeDelays = []time.Duration{50 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond, 400 * time.Millisecond}
 
 	errClosedOldVersion = errors.New("end of the bytes of a caller whose version of HTTP has no interim responses")
+	errTimeOver         = errors.New("end of the bytes of a caller whose time is over")
 )
 
 // Watch returns a context that ends when the caller of a request that was read whole has left; a caller
-// that has only closed its sending side has not. The returned function ends the watch before the
-// handler returns.
-func Watch(r *http.Request) (context.Context, func()) {
+// that has only closed its sending side has not, unless its bytes ended at a time at which isOver reports
+// that it waits no longer. The returned function ends the watch before the handler returns.
+func Watch(r *http.Request, isOver func(at time.Time) bool) (context.Context, func()) {
 	c := connOf(r.Context())
 	if c == nil {
 		return context.WithCancel(r.Context())
@@ -36,7 +37,11 @@
 	ctx, cancel := context.WithCancelCause(context.WithoutCancel(r.Context()))
 	c.allowProbes(r.ProtoAtLeast(1, 1))
 	stop := context.AfterFunc(r.Context(), func() {
-		if err := c.awaitLoss(ctx, r.ProtoAtLeast(1, 1)); err != nil {
+		err := c.endedAfter(isOver)
+		if err == nil {
+			err = c.awaitLoss(ctx, r.ProtoAtLeast(1, 1))
+		}
+		if err != nil {
 			cancel(err)
 		}
 	})
@@ -47,6 +52,15 @@
 	}
 }
 
+// endedAfter returns an error if the caller's bytes ended when its time was over. Interim responses and what answers
+// them wait in the queue of a full link, so that the engine would work on for a caller that has left.
+func (c *conn) endedAfter(isOver func(at time.Time) bool) error {
+	if at := c.endedAt.Load(); at != nil && isOver(*at) {
+		return errTimeOver
+	}
+	return nil
+}
+
 // awaitLoss returns the error that shows that the caller has left, nil if ctx ends first.
 func (c *conn) awaitLoss(ctx context.Context, takesInterim bool) error {
 	if err := load(&c.readErr); err != nil && !errors.Is(err, io.EOF) {
--- a/edge/handler.go
+++ b/edge/handler.go
@@ -75,7 +75,9 @@
 		deadline time.Time
 		// endsWithStop is set if the deadline is that of the stop of this host.
 		endsWithStop bool
-		writer       http.ResponseWriter
+		// callerTime is the time for which the caller waits.
+		callerTime callerTime
+		writer     http.ResponseWriter
 		// hasReadBody is set once the body was read to its end or to its limit, so that the caller sends all of it.
 		hasReadBody bool
 		// releaseBody returns the memory of the body, nil before it was read.
@@ -123,7 +125,8 @@
 		return
 	}
 	h.underWay.recordReceipt(e.state)
-	ctx, stop := caller.Watch(r)
+	e.callerTime.begin(e.arrived, e.route.CallerTimeout, e.call.Timeout)
+	ctx, stop := caller.Watch(r, e.callerTime.isOver)
 	defer stop()
 	e.serve(ctx)
 }
--- a/edge/stream.go
+++ b/edge/stream.go
@@ -112,6 +112,9 @@
 		state.widestGap = max(state.widestGap, now.Sub(state.lastEventAt))
 	}
 	state.lastEventAt = now
+	if !state.hasBegunLate {
+		a.callerTime.extend(now, a.route.CallerTimeout)
+	}
 	state.events += bytes.Count(events, eventDelimiter)
 	if id := lastID(events); id != "" {
 		state.lastID = id
