Keep the whole log of each host of a failed test

Failures of the tests of edge that were seen only beside load could not be traced: a failed test shows the last 20 KB of each host's log, and the directory with the rest is removed with the test. A failed test now also copies the log of each host to the directory for temporary files and names the copy. Nothing changes for a test that passes.

--- a/edge/setup_test.go
+++ b/edge/setup_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -204,13 +205,21 @@
 	return response.StatusCode, nil
 }
 
-// showLogIfFailed shows the end of the host's log in the output of a test that has failed.
+// showLogIfFailed shows the end of the host's log in the output of a test that has failed, and keeps all of it in the
+// directory for temporary files.
 func (d *deployment) showLogIfFailed() {
 	if !d.t.Failed() {
 		return
 	}
 	raw, err := os.ReadFile(filepath.Join(d.logs, "host-1.log"))
 	d.t.Logf("end of the log of %s (%v):\n%s", d.settings.Host, err, raw[max(0, len(raw)-shownLogBytes):])
+	kept, err := os.CreateTemp("", "edge-"+filepath.Base(d.t.Name())+"-"+string(d.settings.Host)+"-*.log")
+	if err != nil {
+		d.t.Logf("log of %s is not kept: %s", d.settings.Host, err)
+		return
+	}
+	_, err = kept.Write(raw)
+	d.t.Logf("log of %s is kept in %s (%v)", d.settings.Host, kept.Name(), errors.Join(err, kept.Close()))
 }
 
 // hasLogged reports whether the host's log contains a text.
