Report all suspects of a crash to other hosts

What callers saw: a request that crashes its engine was refused late if the engines ran many others. Each host found it only by two crashes of its own.

Cause: a load report holds 16 marks. A crash makes all requests that the engine ran suspects, and among suspects of equal weight the list always began with the same ones. A host that knows 40 suspects told others of the first of them only, so that crashes at different hosts did not add up.

Ruled out: a larger report. Marks go with each report, some dozens a second, and no fixed number suffices for engines with more slots.

Fix: suspects of equal weight follow each other in steps of the golden section of their hashes, those first that the host has observed itself. All of 40 are reported within a few calls. Marks come first, as before.

--- a/crash/registry.go
+++ b/crash/registry.go
@@ -35,6 +35,8 @@
 		running map[spoke.AttemptID]run
 		self    spoke.HostID
 		hosts   []spoke.HostID
+		// lists is the number of lists of marks with terms.
+		lists uint64
 	}
 
 	// Option changes a Registry.
@@ -53,6 +55,8 @@
 		// term and until are the length and the end of the current term of a mark, with WithTerms.
 		term  time.Duration
 		until time.Time
+		// isOwn reports whether attempts of this host are among those that died.
+		isOwn bool
 		// clearedUntil is until when reports of others do not mark the fingerprint, since it was served.
 		clearedUntil time.Time
 	}
@@ -169,18 +173,17 @@
 }
 
 // Marks returns up to limit entries for the digest: marks before suspects, and
-// those that expire last first.
+// those that expire last first, or with terms other ones of equal weight with each call.
 func (r *Registry) Marks(now time.Time, limit int) []spoke.QuarantineMark {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.hasTerms() {
+		return r.rotate(now, limit)
+	}
 	var marks []spoke.QuarantineMark
 	for fingerprint := range r.entries {
-		known := r.live(now, fingerprint)
-		if known == nil {
-			continue
-		}
-		if mark, ok := r.reported(now, fingerprint, known); ok {
-			marks = append(marks, mark)
+		if known := r.live(now, fingerprint); known != nil && r.isReported(now, known) {
+			marks = append(marks, r.reported(fingerprint, known))
 		}
 	}
 	slices.SortFunc(marks, func(a, b spoke.QuarantineMark) int { return compareImportance(b, a) })
@@ -199,12 +202,12 @@
 	if last, seen := suspect.diedAt[ended.upstream]; seen && !ended.began.After(last) {
 		return spoke.QuarantineMark{}, false
 	}
+	suspect.isOwn = true
 	suspect.diedAt[ended.upstream] = now
 	suspect.deaths = min(suspect.deaths+1, deathsToMark)
 	r.extend(now, ended.began, suspect)
 	r.evict(now, ended.fingerprint)
-	mark, _ := r.reported(now, ended.fingerprint, suspect)
-	return mark, true
+	return r.reported(ended.fingerprint, suspect), true
 }
 
 // live returns the entry of the fingerprint unless it has expired.
--- a/crash/terms.go
+++ b/crash/terms.go
@@ -105,14 +105,24 @@
 	}
 }
 
-// reported returns the mark to report to other hosts, and false if there is nothing to report at present.
-func (r *Registry) reported(now time.Time, fingerprint spoke.Fingerprint, known *entry) (spoke.QuarantineMark, bool) {
-	mark := spoke.QuarantineMark{Fingerprint: fingerprint, Deaths: known.deaths, Expires: known.expires}
+// isReported reports whether other hosts should know of the entry at present.
+func (r *Registry) isReported(now time.Time, known *entry) bool {
+	return known.deaths > 0 && r.reportedUntil(known).After(now)
+}
+
+// reportedUntil returns when the term of a mark ends, or when a suspect expires.
+func (r *Registry) reportedUntil(known *entry) time.Time {
+	if r.hasTerms() && known.deaths >= deathsToMark {
+		return known.until
+	}
+	return known.expires
+}
+
+// reported returns the mark to report to other hosts.
+func (r *Registry) reported(fingerprint spoke.Fingerprint, known *entry) spoke.QuarantineMark {
+	mark := spoke.QuarantineMark{Fingerprint: fingerprint, Deaths: known.deaths, Expires: r.reportedUntil(known)}
 	if r.hasTerms() {
 		copy(mark.Upstreams[:], slices.Sorted(maps.Keys(known.diedAt)))
 	}
-	if r.hasTerms() && known.deaths >= deathsToMark {
-		mark.Expires = known.until
-	}
-	return mark, known.deaths > 0 && mark.Expires.After(now)
+	return mark
 }
