Count crashes that rejections explain half in the quarantine

Cause: a fall ends all that the engine runs, and counted as a crash against each request. Two crashes mark a request.

Ruled out: not to count such crashes, as was tried.

Fix: a crash behind rejections of at least half of what the engine stands, by the host's own count and load reports, also those that arrive 0.5 s later, is a fall and weighs half. Marks name falls with their ages, so that hosts tell two falls of one engine from one that two of them saw, and the last answer, which takes earlier falls back at all hosts, since a deadly request gets none. Marks of other hosts are adopted as before.

Earlier versions ignore the new fields; they see a request with falls alone as none, and a mark as one (TestVersionBeforeFallsReadsMarks).

--- a/crash/doc.go
+++ b/crash/doc.go
@@ -7,6 +7,9 @@
 // Copies of one request that already run on several upstreams at the first
 // death are not stopped; each of them may crash one more upstream.
 //
+// Brittle upstreams fall over if they reject too many requests. A death that
+// rejections may explain counts half, and an answer at any host takes it back.
+//
 // PartRegistry finds parts of prompts that crash upstreams in requests of which no two are alike. All hosts
 // exchange the crashes that they observe, each with the parts of the requests that the upstream had not begun
 // to answer. An answer that begins after a crash clears the parts of its prompt. A part that is in several
--- a/crash/marklist.go
+++ b/crash/marklist.go
@@ -36,14 +36,15 @@
 	slices.SortFunc(listed, compareListed)
 	var marks []spoke.QuarantineMark
 	for _, next := range listed[:min(len(listed), max(limit, 0))] {
-		marks = append(marks, r.reported(next.fingerprint, next.known))
+		marks = append(marks, r.reported(now, next.fingerprint, next.known))
 	}
 	return marks
 }
 
 func compareListed(a, b listedMark) int {
 	return cmp.Or(
-		cmp.Compare(b.known.deaths, a.known.deaths),
+		// An answer takes falls back, so that reports of it are worth as much as those of a fall.
+		cmp.Compare(max(b.known.weight(), 1), max(a.known.weight(), 1)),
 		compareOwn(a.known, b.known),
 		cmp.Compare(a.order, b.order),
 	)
--- a/crash/registry.go
+++ b/crash/registry.go
@@ -12,6 +12,9 @@
 const (
 	// deathsToMark is the number of upstream deaths after which a fingerprint is marked.
 	deathsToMark = 2
+	// fallsPerDeath is the number of deaths explained by rejections that count as one without an explanation. The fall
+	// of a brittle upstream ends all that it runs, so that sound requests are hit by some.
+	fallsPerDeath = 2
 	// defaultExpiry is the time for which suspects and marks are kept after the last death.
 	defaultExpiry = 10 * time.Minute
 	// defaultMaxEntries bounds the fingerprints kept; at about 300 bytes each they
@@ -33,6 +36,7 @@
 		mu      sync.Mutex
 		entries map[spoke.Fingerprint]*entry
 		running map[spoke.AttemptID]run
+		brittle map[spoke.UpstreamID]*brittleUpstream
 		self    spoke.HostID
 		hosts   []spoke.HostID
 		// lists is the number of lists of marks with terms.
@@ -48,6 +52,8 @@
 		// diedAt is the time of the last death of each upstream: failures of attempts
 		// that began before it are caused by the same death.
 		diedAt map[spoke.UpstreamID]time.Time
+		// falls are deaths that rejections explain, the latest last; they are not among deaths.
+		falls []spoke.QuarantineFall
 		// soloRequest is the only request with the fingerprint that may run now, empty
 		// if none has been admitted.
 		soloRequest spoke.RequestID
@@ -57,8 +63,15 @@
 		until time.Time
 		// isOwn reports whether attempts of this host are among those that died.
 		isOwn bool
+		// isAdopted reports whether another host has marked the fingerprint.
+		isAdopted bool
+		// hasFailedProbe reports whether a probe of this host has crashed its upstream.
+		hasFailedProbe bool
 		// clearedUntil is until when reports of others do not mark the fingerprint, since it was served.
 		clearedUntil time.Time
+		// clearedAt is the time of the last answer; falls before it do not count. hadFalls reports whether there were any.
+		clearedAt time.Time
+		hadFalls  bool
 	}
 
 	run struct {
@@ -76,6 +89,7 @@
 		announce:   func(spoke.QuarantineMark) {},
 		entries:    make(map[spoke.Fingerprint]*entry),
 		running:    make(map[spoke.AttemptID]run),
+		brittle:    make(map[spoke.UpstreamID]*brittleUpstream),
 	}
 	for _, opt := range opts {
 		opt(r)
@@ -107,9 +121,9 @@
 	defer r.mu.Unlock()
 	suspect := r.live(now, fingerprint)
 	switch {
-	case suspect == nil || suspect.deaths == 0:
+	case suspect == nil || suspect.weight() == 0:
 		return spoke.Verdict{}
-	case suspect.deaths >= deathsToMark:
+	case suspect.isMarked():
 		return r.admitMarked(now, request, fingerprint, suspect)
 	case suspect.soloRequest != "" && suspect.soloRequest != request:
 		return spoke.Verdict{MustWait: true}
@@ -151,21 +165,28 @@
 		if latest := now.Add(max(r.expiry, r.longestTerm)); expires.After(latest) {
 			expires = latest
 		}
-		if mark.Deaths < 1 || !expires.After(now) {
+		known := r.live(now, mark.Fingerprint)
+		if known != nil && !mark.Served.IsZero() {
+			r.clearFalls(mark.Served, known)
+		}
+		if mark.Deaths < 1 && mark.Falls[0].Upstream == "" || !expires.After(now) {
 			continue
 		}
-		known := r.getOrCreate(now, mark.Fingerprint)
+		known = r.getOrCreate(now, mark.Fingerprint)
 		if now.Before(known.clearedUntil) {
 			continue
 		}
 		if r.hasTerms() {
-			known.addDeaths(now, mark.Upstreams)
+			r.addDeaths(now, known, mark)
+		}
+		if !r.hasTerms() || mark.Deaths >= deathsToMark || mark.Upstreams[0] == "" {
+			known.deaths = max(known.deaths, min(mark.Deaths, deathsToMark))
+			known.isAdopted = known.isAdopted || known.deaths >= deathsToMark
 		}
-		known.deaths = max(known.deaths, min(mark.Deaths, deathsToMark))
 		if expires.After(known.expires) {
 			known.expires = expires
 		}
-		if r.hasTerms() && known.deaths >= deathsToMark {
+		if r.hasTerms() && known.isMarked() {
 			r.adoptTerm(now, expires, known)
 		}
 		r.evict(now, mark.Fingerprint)
@@ -183,7 +204,7 @@
 	var marks []spoke.QuarantineMark
 	for fingerprint := range r.entries {
 		if known := r.live(now, fingerprint); known != nil && r.isReported(now, known) {
-			marks = append(marks, r.reported(fingerprint, known))
+			marks = append(marks, r.reported(now, fingerprint, known))
 		}
 	}
 	slices.SortFunc(marks, func(a, b spoke.QuarantineMark) int { return compareImportance(b, a) })
@@ -199,15 +220,14 @@
 		return spoke.QuarantineMark{}, false
 	}
 	suspect := r.getOrCreate(now, ended.fingerprint)
-	if last, seen := suspect.diedAt[ended.upstream]; seen && !ended.began.After(last) {
+	if suspect.isKnownDeath(ended) {
 		return spoke.QuarantineMark{}, false
 	}
 	suspect.isOwn = true
-	suspect.diedAt[ended.upstream] = now
-	suspect.deaths = min(suspect.deaths+1, deathsToMark)
+	r.addDeath(now, suspect, ended.upstream)
 	r.extend(now, ended.began, suspect)
 	r.evict(now, ended.fingerprint)
-	return r.reported(ended.fingerprint, suspect), true
+	return r.reported(now, ended.fingerprint, suspect), true
 }
 
 // live returns the entry of the fingerprint unless it has expired.
@@ -242,7 +262,7 @@
 	var others []spoke.QuarantineMark
 	for fingerprint := range r.entries {
 		if known := r.live(now, fingerprint); known != nil && fingerprint != keep {
-			others = append(others, spoke.QuarantineMark{Fingerprint: fingerprint, Deaths: known.deaths, Expires: known.expires})
+			others = append(others, known.summary(fingerprint))
 		}
 	}
 	excess := len(r.entries) - r.maxEntries
@@ -255,10 +275,11 @@
 	}
 }
 
-// compareImportance orders entries by ascending importance: by deaths, then by expiry.
+// compareImportance orders entries by ascending importance: by deaths, then by falls, then by expiry.
 func compareImportance(a, b spoke.QuarantineMark) int {
 	return cmp.Or(
 		cmp.Compare(a.Deaths, b.Deaths),
+		cmp.Compare(countFalls(a), countFalls(b)),
 		a.Expires.Compare(b.Expires),
 		cmp.Compare(a.Fingerprint, b.Fingerprint),
 	)
--- a/crash/terms.go
+++ b/crash/terms.go
@@ -35,11 +35,18 @@
 	ended, ok := r.running[attempt]
 	delete(r.running, attempt)
 	known := r.entries[ended.fingerprint]
-	if !ok || known == nil || !r.hasTerms() || !ended.began.After(known.lastDeath) {
+	if !ok || known == nil || !r.hasTerms() {
+		return
+	}
+	if !ended.began.After(known.lastDeath) {
+		r.clearFalls(now, known)
 		return
 	}
 	cleared := now.Add(clearedHold)
-	r.entries[ended.fingerprint] = &entry{diedAt: make(map[spoke.UpstreamID]time.Time), expires: cleared, clearedUntil: cleared}
+	hadFalls := known.hadFalls || len(known.falls) > 0
+	r.entries[ended.fingerprint] = &entry{
+		diedAt: make(map[spoke.UpstreamID]time.Time), expires: now.Add(max(clearedHold, r.expiry)), clearedUntil: cleared, clearedAt: now, hadFalls: hadFalls,
+	}
 }
 
 // admitMarked returns whether a marked request may run as a probe, or as a further attempt of one.
@@ -69,11 +76,12 @@
 // extend sets until when a fingerprint is refused or suspected after a death; began is when the attempt did.
 func (r *Registry) extend(now, began time.Time, died *entry) {
 	died.expires = now.Add(r.expiry)
-	if r.hasTerms() && died.deaths >= deathsToMark {
+	if r.hasTerms() && died.isMarked() {
 		switch {
 		case died.term == 0:
-			died.term = r.firstTerm
+			died.term = r.newTerm(died)
 		case began.After(died.lastDeath):
+			died.hasFailedProbe = true
 			died.term = min(died.term*termFactor, r.longestTerm)
 		}
 		died.until = now.Add(died.term)
@@ -85,6 +93,9 @@
 
 // adoptTerm adopts the mark of another host, which ends at a time.
 func (r *Registry) adoptTerm(now, until time.Time, known *entry) {
+	if first := r.newTerm(known); known.term == 0 && first > r.firstTerm {
+		until = now.Add(max(until.Sub(now), first))
+	}
 	known.term = max(known.term, r.firstTerm, min(until.Sub(now), r.longestTerm))
 	if until.After(known.until) {
 		known.until = until
@@ -96,33 +107,42 @@
 }
 
 // addDeaths counts upstreams that the fingerprint crashed while other hosts ran it: each host alone may know of one.
-func (e *entry) addDeaths(now time.Time, upstreams [spoke.MarkUpstreams]spoke.UpstreamID) {
-	for _, id := range upstreams {
-		if _, isKnown := e.diedAt[id]; id != "" && !isKnown {
-			e.diedAt[id] = now
-			e.deaths = min(e.deaths+1, deathsToMark)
+func (r *Registry) addDeaths(now time.Time, known *entry, mark spoke.QuarantineMark) {
+	for _, fall := range mark.Falls {
+		if fall.Upstream != "" {
+			known.addFall(fall)
+		}
+	}
+	for _, id := range mark.Upstreams {
+		if _, isKnown := known.diedAt[id]; id != "" && !isKnown && !known.hasFallOf(id) {
+			r.addDeath(now, known, id)
 		}
 	}
 }
 
 // isReported reports whether other hosts should know of the entry at present.
 func (r *Registry) isReported(now time.Time, known *entry) bool {
-	return known.deaths > 0 && r.reportedUntil(known).After(now)
+	return (known.weight() > 0 || known.isServedReported(now)) && r.reportedUntil(known).After(now)
 }
 
 // reportedUntil returns when the term of a mark ends, or when a suspect expires.
 func (r *Registry) reportedUntil(known *entry) time.Time {
-	if r.hasTerms() && known.deaths >= deathsToMark {
+	if r.hasTerms() && known.isMarked() {
 		return known.until
 	}
 	return known.expires
 }
 
 // reported returns the mark to report to other hosts.
-func (r *Registry) reported(fingerprint spoke.Fingerprint, known *entry) spoke.QuarantineMark {
-	mark := spoke.QuarantineMark{Fingerprint: fingerprint, Deaths: known.deaths, Expires: r.reportedUntil(known)}
-	if r.hasTerms() {
-		copy(mark.Upstreams[:], slices.Sorted(maps.Keys(known.diedAt)))
+func (r *Registry) reported(now time.Time, fingerprint spoke.Fingerprint, known *entry) spoke.QuarantineMark {
+	mark := known.summary(fingerprint)
+	mark.Expires = r.reportedUntil(known)
+	if !r.hasTerms() {
+		return mark
+	}
+	copy(mark.Upstreams[:], slices.Sorted(maps.Keys(known.diedAt)))
+	if r.isInDoubt(now, known) {
+		mark.Deaths = min(mark.Deaths, deathsToMark-1)
 	}
 	return mark
 }
--- a/edge/brittle.go
+++ b/edge/brittle.go
@@ -1,6 +1,8 @@
 package edge
 
 import (
+	"time"
+
 	"github.com/sirupsen/logrus"
 
 	"magnoliaspoke.example/spoke/place"
@@ -15,6 +17,7 @@
 		return
 	}
 	a.metrics.addBrittle()
+	a.quarantine.registry.NoteBrittle(time.Now(), a.grant.Upstream.ID, *a.head.Brittle, a.head.IsRejectedForRoom())
 	if a.head.IsRejectedForRoom() {
 		a.metrics.addBrittleRejection()
 	}
--- a/edge/host.go
+++ b/edge/host.go
@@ -285,6 +285,9 @@
 	if h.ways.receive(report) {
 		h.relayer.pool.Sweep()
 	}
+	if len(report.Brittle) > 0 {
+		h.relayer.quarantine.registry.ReceiveBrittle(time.Now(), report.Host, report.Brittle)
+	}
 	if len(report.Marks) > 0 {
 		h.relayer.quarantine.registry.Merge(time.Now(), report.Marks)
 	}
--- a/members.go
+++ b/members.go
@@ -14,6 +14,8 @@
 
 	// MarkUpstreams is the number of upstreams that a QuarantineMark can name.
 	MarkUpstreams = 2
+	// MarkFalls is the number of falls that a QuarantineMark can name.
+	MarkFalls = 4
 )
 
 type (
@@ -27,6 +29,16 @@
 		Expires     time.Time
 		// Upstreams holds some of those that it crashed; entries that are not known are empty.
 		Upstreams [MarkUpstreams]UpstreamID
+		// Falls holds crashes of brittle upstreams that rejections explain; they are not among Deaths.
+		Falls [MarkFalls]QuarantineFall
+		// Served is the time of the last answer, the zero time if none is known. Falls before it do not count.
+		Served time.Time
+	}
+
+	// QuarantineFall is a crash of a brittle upstream that may be due to rejections rather than to the request.
+	QuarantineFall struct {
+		Upstream UpstreamID
+		At       time.Time
 	}
 
 	// Digest is the state that a host publishes in its heartbeats.
--- a/peers/codec.go
+++ b/peers/codec.go
@@ -120,6 +120,10 @@
 		// ForMs is the time until the mark expires, relative because clocks differ between hosts.
 		ForMs     int64    `json:"for-ms"`
 		Upstreams []string `json:"upstreams,omitempty"`
+		// Falls is not known to earlier versions, which take such crashes for none.
+		Falls []fallRow `json:"falls,omitempty"`
+		// ServedMs is the age of the last answer in milliseconds, at least one, zero if there is none.
+		ServedMs int64 `json:"served-ms,omitempty"`
 	}
 )
 
@@ -150,10 +154,7 @@
 		row.Weights = put(row.Weights, string(id), encodeWeights(served))
 	}
 	for _, mark := range report.Marks {
-		row.Marks = append(row.Marks, markRow{
-			Fingerprint: string(mark.Fingerprint), Deaths: mark.Deaths, ForMs: mark.Expires.Sub(now).Milliseconds(),
-			Upstreams: encodeUpstreams(mark.Upstreams),
-		})
+		row.Marks = append(row.Marks, encodeMark(mark, now))
 	}
 	for _, w := range report.WantedAges {
 		row.Wanted = append(row.Wanted, wantedRow{string(w.Wanted.Model), int64(w.Wanted.Version), w.Age.Milliseconds(), w.IsEstimate})
@@ -223,11 +224,7 @@
 		report.Weights = put(report.Weights, spoke.UpstreamID(id), decodeWeights(served))
 	}
 	for _, mark := range row.Marks {
-		report.Marks = append(report.Marks, spoke.QuarantineMark{
-			Fingerprint: spoke.Fingerprint(mark.Fingerprint), Deaths: mark.Deaths,
-			Expires:   now.Add(time.Duration(mark.ForMs) * time.Millisecond),
-			Upstreams: decodeUpstreams(mark.Upstreams),
-		})
+		report.Marks = append(report.Marks, decodeMark(mark, now))
 	}
 	for _, w := range row.Wanted {
 		report.WantedAges = append(report.WantedAges, spoke.WantedAge{
@@ -343,22 +340,3 @@
 	target[key] = value
 	return target
 }
-
-// encodeUpstreams returns the upstreams of a mark without empty entries.
-func encodeUpstreams(upstreams [spoke.MarkUpstreams]spoke.UpstreamID) []string {
-	var texts []string
-	for _, id := range upstreams {
-		if id != "" {
-			texts = append(texts, string(id))
-		}
-	}
-	return texts
-}
-
-// decodeUpstreams returns the first upstreams of a mark.
-func decodeUpstreams(texts []string) (upstreams [spoke.MarkUpstreams]spoke.UpstreamID) {
-	for i, text := range texts[:min(len(texts), len(upstreams))] {
-		upstreams[i] = spoke.UpstreamID(text)
-	}
-	return upstreams
-}
