Drop lists of prompt stores that were moved meanwhile

A call to a prompt store takes up to two seconds. If a table moved the store to another address in that time, its answer counted as that of the store at the new address: parts counted as whole there that the new store did not hold, and that may be in the middle of being saved.

Cause: the answer was matched to the store by name alone. It is matched to the store as it was listed at the call now.

Found by reading. Before, TestListOfAStoreThatWasMovedIsDropped fails with "events of the new address are asked for from 100 on, before it is listed" (go test ./edge -run TestListOfAStoreThatWasMoved); it passes now.

--- a/edge/stores.go
+++ b/edge/stores.go
@@ -35,7 +35,8 @@
 		states   []spoke.StoreState
 	}
 	storeResult struct {
-		store      spoke.ServiceName
+		// from is the store as it was listed at the call.
+		from       *followedStore
 		events     spoke.StoreEvents
 		isSnapshot bool
 		err        error
@@ -238,9 +239,9 @@
 
 func (f *storeFollowers) poll(ctx context.Context, st *followedStore) {
 	st.isBusy = true
-	name, at, since, isSnapshot := st.Name, st.Address, st.next, st.epoch == 0
+	at, since, isSnapshot := st.Address, st.next, st.epoch == 0
+	result := storeResult{from: st, isSnapshot: isSnapshot}
 	go func() {
-		result := storeResult{store: name, isSnapshot: isSnapshot}
 		if isSnapshot {
 			result.events, result.err = f.control.StoreContent(ctx, at)
 		} else {
@@ -251,8 +252,9 @@
 }
 
 func (f *storeFollowers) handleStoreResult(m storeResult) {
-	st := f.stores[m.store]
-	if st == nil {
+	st := m.from
+	if f.stores[st.Name] != st {
+		// The store has been listed again since, perhaps at another address.
 		return
 	}
 	st.isBusy = false
@@ -264,7 +266,7 @@
 		return
 	}
 	if !m.isSnapshot && (m.events.HasGap || m.events.Epoch != st.epoch) {
-		f.log.WithFields(logrus.Fields{"store": m.store, "epoch": m.events.Epoch, "gap": m.events.HasGap}).Info("store is listed again")
+		f.log.WithFields(logrus.Fields{"store": st.Name, "epoch": m.events.Epoch, "gap": m.events.HasGap}).Info("store is listed again")
 		if m.events.Epoch == st.epoch {
 			st.epoch = 0
 			return
@@ -272,11 +274,11 @@
 	}
 	if from, mayPublish := st.following.Publish(f.timer.Now(), m.events.Epoch); !mayPublish {
 		st.epoch, st.pausedUntil, st.isPublished = 0, from, false
-		f.publish(spoke.StoreState{Store: m.store, Epoch: m.events.Epoch, IsDown: true})
+		f.publish(spoke.StoreState{Store: st.Name, Epoch: m.events.Epoch, IsDown: true})
 		return
 	}
 	if !st.isPublished {
-		f.log.WithFields(logrus.Fields{"store": m.store, "epoch": m.events.Epoch, "was-lost": st.isDown}).Info("store is followed")
+		f.log.WithFields(logrus.Fields{"store": st.Name, "epoch": m.events.Epoch, "was-lost": st.isDown}).Info("store is followed")
 	}
 	st.isPublished, st.isDown = true, false
 	if m.isSnapshot {
