Report only states that a prompt store has confirmed

A follower of a prompt store whose call hung, or whose process was suspended, went on to report the start of the store that it knew, up to 2 s or until its next call failed.

A state is reported now, also from the queue, only within 0.75 s after the follower began the last call that the store answered, and its own lease counts from there. Calls wait 250 ms for changes, so that two of them fit. An answer to a call that began 4 s ago is dropped. The pause after a start is 4 s: 0.75 s, 3 s for copies, the rest for the way of a report. So whatever is heard of an earlier start ends within the pause, since no call that began after the start can confirm it.

TestPartsOfOutdatedWeightsAreNotCopied let a second pass without an answer of the store before a report; the store confirms the state first now.

--- a/edge/stores.go
+++ b/edge/stores.go
@@ -15,9 +15,9 @@
 )
 
 const (
-	// storeEventsWait is how long a call waits for changes of a store, long enough to make the cost of
-	// such calls negligible.
-	storeEventsWait = time.Second
+	// storeEventsWait is how long a call waits for changes of a store. Two such calls and the steps between them have to
+	// fit into place.StoreConfirmation; calls that wait less than 200 ms are priced.
+	storeEventsWait = 250 * time.Millisecond
 	// storeInterval is the interval at which stores are called, so that changes are batched.
 	storeInterval = 150 * time.Millisecond
 	// maxFreedParts bounds the parts that one call frees.
@@ -35,8 +35,9 @@
 		states   []spoke.StoreState
 	}
 	storeResult struct {
-		// from is the store as it was listed at the call.
+		// from is the store as it was listed at the call, which began at began.
 		from       *followedStore
+		began      time.Time
 		events     spoke.StoreEvents
 		isSnapshot bool
 		err        error
@@ -240,7 +241,7 @@
 func (f *storeFollowers) poll(ctx context.Context, st *followedStore) {
 	st.isBusy = true
 	at, since, isSnapshot := st.Address, st.next, st.epoch == 0
-	result := storeResult{from: st, isSnapshot: isSnapshot}
+	result := storeResult{from: st, began: f.timer.Now(), isSnapshot: isSnapshot}
 	go func() {
 		if isSnapshot {
 			result.events, result.err = f.control.StoreContent(ctx, at)
@@ -261,6 +262,10 @@
 	if !st.following.IsFollowing() || (!m.isSnapshot && st.epoch == 0) {
 		return
 	}
+	if m.err == nil && f.timer.Now().Sub(m.began) >= place.StoreRetryDelay {
+		// The process was suspended: another host may have published a later start of the store meanwhile.
+		return
+	}
 	if m.err != nil {
 		f.handleLoss(st, m.err)
 		return
@@ -274,7 +279,7 @@
 	}
 	if from, mayPublish := st.following.Publish(f.timer.Now(), m.events.Epoch); !mayPublish {
 		st.epoch, st.pausedUntil, st.isPublished = 0, from, false
-		f.publish(spoke.StoreState{Store: st.Name, Epoch: m.events.Epoch, IsDown: true})
+		f.publish(m.began, spoke.StoreState{Store: st.Name, Epoch: m.events.Epoch, IsDown: true})
 		return
 	}
 	if !st.isPublished {
@@ -289,7 +294,7 @@
 	now := f.timer.Now()
 	state.Clock, state.Oldest = m.events.Clock, f.outdated.OldestUsable(now)
 	st.reclaimer.Publish(now, state.Oldest)
-	f.publish(state)
+	f.publish(m.began, state)
 }
 
 // applyEvents applies changes of the store and returns the state to publish to the other hosts.
@@ -317,11 +322,12 @@
 	}
 	st.isDown, st.isPublished, st.epoch = true, false, 0
 	st.following.Lose(f.timer.Now())
-	f.publish(spoke.StoreState{Store: st.Name, IsDown: true})
+	f.publish(f.timer.Now(), spoke.StoreState{Store: st.Name, IsDown: true})
 }
 
-func (f *storeFollowers) publish(state spoke.StoreState) {
-	f.planner.in <- schedulerMessage{message: place.UpdateStore{State: state}}
+// publish passes on the state of a store that answered a call which began at the given time, or that did not answer.
+func (f *storeFollowers) publish(began time.Time, state spoke.StoreState) {
+	f.planner.in <- schedulerMessage{message: place.UpdateStore{State: state, At: began}}
 }
 
 // outdatedParts returns parts of the store that no host can copy any more, up to maxFreedParts.
--- a/place/follow_fleet_test.go
+++ b/place/follow_fleet_test.go
@@ -22,6 +22,8 @@
 	lossNotices = 2500 * time.Millisecond
 	// hangTime is how long a call to a store takes that nothing answers.
 	hangTime = 2 * time.Second
+	// changesWait is how long a call waits for changes of the store.
+	changesWait = 300 * time.Millisecond
 )
 
 type (
@@ -46,6 +48,7 @@
 		isAway bool
 
 		sequence           uint64
+		callBegan          time.Time
 		callEnds           time.Time
 		isCalling          bool
 		pausedUntil        time.Time
@@ -57,6 +60,7 @@
 		hasNews            bool
 		heardAt            time.Time
 		view               spoke.StoreEpoch
+		confirmedAt        time.Time
 		viewAt             time.Time
 		publishedSnapshots int
 	}
@@ -124,6 +128,10 @@
 }
 
 func (f *followFleet) follow(host *followHost) {
+	if host.isCalling && host.isCut && f.hangs {
+		// The answer of a call that was made before the cut is lost as well.
+		host.callEnds = host.callBegan.Add(hangTime)
+	}
 	if host.isCalling && !f.now.Before(host.callEnds) {
 		host.isCalling = false
 		f.endCall(host)
@@ -137,9 +145,9 @@
 		return
 	}
 	f.calls++
-	host.isCalling, host.callEnds = true, f.now.Add(followStep)
-	if host.isCut && f.hangs {
-		host.callEnds = f.now.Add(hangTime)
+	host.isCalling, host.callBegan, host.callEnds = true, f.now, f.now.Add(followStep)
+	if host.isPublished {
+		host.callEnds = f.now.Add(changesWait)
 	}
 }
 
@@ -163,7 +171,7 @@
 		host.hasNews = true
 	}
 	host.isPublished, host.known, host.notice = true, f.epoch, nil
-	host.view, host.viewAt = f.epoch, f.now
+	host.view, host.viewAt, host.confirmedAt = f.epoch, host.callBegan, host.callBegan
 }
 
 func (f *followFleet) notify(host *followHost, notice place.StoreClaim) {
@@ -182,7 +190,7 @@
 func (f *followFleet) claimOf(host *followHost) *place.StoreClaim {
 	claim := place.StoreClaim{Host: host.id, Sequence: host.sequence}
 	switch {
-	case host.isPublished:
+	case host.isPublished && f.now.Sub(host.confirmedAt) <= place.StoreConfirmation:
 		claim.Epoch = host.known
 	case host.notice != nil && f.now.Sub(host.noticeAt) <= lossNotices:
 		claim.Epoch, claim.IsDown = host.notice.Epoch, true
--- a/place/messages.go
+++ b/place/messages.go
@@ -153,7 +153,11 @@
 
 	// UpdateStore updates the state of a store that this host follows: it observes the store and reports its
 	// state to the other hosts.
-	UpdateStore struct{ State spoke.StoreState }
+	UpdateStore struct {
+		State spoke.StoreState
+		// At is when the call began that the store answered with the state, zero for now.
+		At time.Time
+	}
 
 	// StopFollowing ends the reports of a store that this host has followed; another host may follow it.
 	StopFollowing struct{ Store spoke.ServiceName }
--- a/place/outdated_test.go
+++ b/place/outdated_test.go
@@ -111,6 +111,8 @@
 	}
 	follower.handle(place.UpdateStore{State: spoke.StoreState{Store: "store", Epoch: 7, Used: 8000, Oldest: oldest(2)}})
 	follower.now = follower.now.Add(time.Second)
+	// A state is reported only shortly after the store has confirmed it.
+	follower.handle(place.UpdateStore{State: spoke.StoreState{Store: "store", Epoch: 7, Used: 8000}})
 	receiving.handle(place.ReceiveReport{Report: follower.scheduler.LoadReport(follower.now, true)})
 	receiving.handle(place.ReceiveReport{Report: spoke.HostReport{Host: "host-3", Sequence: 1, Stores: []spoke.StoreState{state}}})
 	for _, ts := range []*testScheduler{receiving, cutOff} {
--- a/place/report.go
+++ b/place/report.go
@@ -83,7 +83,7 @@
 		Host: s.report.host, Sequence: s.report.sequence, IsSnapshot: isFull,
 		Waiting: s.waitingWork(now), Placed: s.report.prompts,
 		Paused: maps.Clone(s.report.pauses), Doubts: maps.Clone(s.report.doubts), Weights: maps.Clone(s.report.weights),
-		Stores: s.storeUpdates(ownCellGroup), Leaving: s.report.leaving, Limits: s.limitReports(now), Brittle: takeBrittleReports(now, s.report.brittle),
+		Stores: s.storeUpdates(now, ownCellGroup), Leaving: s.report.leaving, Limits: s.limitReports(now), Brittle: takeBrittleReports(now, s.report.brittle),
 	}
 	s.report.reportedWeights = maps.Clone(s.report.weights)
 	nodes := s.report.changes
@@ -126,7 +126,7 @@
 	s.report.sequence++
 	report := spoke.HostReport{
 		Host: s.report.host, Sequence: s.report.sequence, IsSnapshot: true, Sent: s.clock.sent(now),
-		Stores: append(s.storeUpdates(group), s.repeatedStoreStates(now, group)...),
+		Stores: append(s.storeUpdates(now, group), s.repeatedStoreStates(now, group)...),
 	}
 	if !s.cell.HasDelegates {
 		report.Leaving, report.Limits, report.Brittle = s.departing(), s.allLimits(now), s.allBrittle(now)
--- a/place/scheduler.go
+++ b/place/scheduler.go
@@ -113,7 +113,7 @@
 	case Ended:
 		s.ended(now, m)
 	case UpdateStore:
-		s.updateStore(now, m.State)
+		s.updateStore(now, m)
 	case StopFollowing:
 		s.stopFollowing(m.Store)
 	case ObserveWeights:
--- a/place/store_following.go
+++ b/place/store_following.go
@@ -8,10 +8,14 @@
 )
 
 const (
-	// StoreRetryDelay is the pause after a store did not answer or was started again. It is longer than storeLease,
-	// for which hosts without updates use the last state of a store, so that none of them copies a part that is being
-	// saved again.
-	StoreRetryDelay = 3 * time.Second
+	// StoreRetryDelay is the pause after a store did not answer or was started again. It is longer than the sum of
+	// StoreConfirmation, for which a follower reports a state after the store has confirmed it, and storeCopyTime, for
+	// which hosts copy parts after a report, so that none of them copies a part that is being saved again. The rest is
+	// for the way of the report.
+	StoreRetryDelay = 4 * time.Second
+	// StoreConfirmation is how long a follower reports the state of a store after it began the last call that the store
+	// has answered. Two calls that wait for changes, with the pause between them, take 0.65 s.
+	StoreConfirmation = 750 * time.Millisecond
 	// followerLease is how long a host counts as the follower of a store after its last report of the store. Full
 	// reports repeat it each second, so that a few of them may be lost.
 	followerLease = 5 * time.Second
--- a/place/store_following_test.go
+++ b/place/store_following_test.go
@@ -161,6 +161,25 @@
 	}
 }
 
+// Two hosts that do not hear each other followed a store that started again while a call of one of them hung, which went
+// on to report the earlier start until the call failed. Guards against a pause of the other that is too short for that.
+func TestCallThatHangsDoesNotKeepAnEarlierStart(t *testing.T) {
+	for start := range 40 {
+		f := newFollowFleet(3)
+		f.hangs = true
+		f.awaitFollower(t, 3*time.Second)
+		f.hosts[0].isDeafTo["host-001"], f.hosts[1].isDeafTo["host-000"] = true, true
+		for len(f.followers()) < 2 {
+			assert.Equal(t, f.step(), "")
+		}
+		assert.Equal(t, f.run(time.Duration(start%10)*followStep), "")
+		f.hosts[0].isCut = true
+		assert.Equal(t, f.run(time.Duration(start/10)*followStep), "")
+		f.epoch++
+		assert.Equal(t, f.run(20*time.Second), "", "start after %d steps", start)
+	}
+}
+
 // Guards against an older report that arrives late and hides the loss of a store.
 func TestLateReportDoesNotHideALoss(t *testing.T) {
 	now := time.Unix(1000, 0)
@@ -206,6 +225,7 @@
 				host, from := pick(rt), pick(rt)
 				host.isDeafTo[from.id] = !host.isDeafTo[from.id]
 			},
+			"hang ways":   func(*rapid.T) { f.hangs = !f.hangs },
 			"start store": func(*rapid.T) { f.epoch++ },
 			"stop store":  func(*rapid.T) { f.isDown = !f.isDown },
 		})
--- a/place/store_reports.go
+++ b/place/store_reports.go
@@ -71,22 +71,33 @@
 	}
 }
 
-// takeStoreStates removes and returns the oldest queued states for a group, up to the size of one report.
-func (r *reportBuilder) takeStoreStates(group int) []spoke.StoreState {
-	pending := r.stores[group]
-	var taken []spoke.StoreState
+// dropEarlierStates drops the queued states of a store that are of another start than epoch.
+func (r *reportBuilder) dropEarlierStates(name spoke.ServiceName, epoch spoke.StoreEpoch) {
+	for group := range r.stores {
+		r.stores[group] = slices.DeleteFunc(r.stores[group], func(state spoke.StoreState) bool {
+			return state.Store == name && !state.IsDown && state.Epoch != epoch
+		})
+	}
+}
+
+// takeStoreStates removes and returns the oldest queued states for a group, up to the size of one report. States that
+// mayReport excludes stay in the queue.
+func (r *reportBuilder) takeStoreStates(group int, mayReport func(spoke.StoreState) bool) []spoke.StoreState {
+	var taken, left []spoke.StoreState
 	limit := maxReportedParts
-	for len(pending) > 0 && limit > 0 {
-		part, rest, isComplete := splitState(pending[0], limit)
+	for _, state := range r.stores[group] {
+		if limit <= 0 || !mayReport(state) {
+			left = append(left, state)
+			continue
+		}
+		part, rest, isComplete := splitState(state, limit)
 		taken = append(taken, part)
 		limit -= len(part.Stored) + len(part.Freed)
-		if isComplete {
-			pending = pending[1:]
-			continue
+		if !isComplete {
+			left = append(left, rest)
 		}
-		pending = append([]spoke.StoreState{rest}, pending[1:]...)
 	}
-	r.stores[group] = pending
+	r.stores[group] = left
 	return taken
 }
 
@@ -103,8 +114,11 @@
 
 // storeUpdates removes and returns the oldest queued states for a group. Their oldest usable versions are
 // replaced by the present ones, since the states may have been queued for some time.
-func (s *Scheduler) storeUpdates(group int) []spoke.StoreState {
-	updates := s.report.takeStoreStates(group)
+func (s *Scheduler) storeUpdates(now time.Time, group int) []spoke.StoreState {
+	updates := s.report.takeStoreStates(group, func(state spoke.StoreState) bool {
+		st := s.storeOf(state.Store)
+		return state.IsDown || st == nil || st.isConfirmed(now)
+	})
 	for i := range updates {
 		if st := s.storeOf(updates[i].Store); st != nil {
 			updates[i].Oldest = st.oldestUsable()
@@ -121,7 +135,7 @@
 		if st.loss != nil && now.Sub(st.lostAt) <= lossNoticeTime {
 			states = append(states, *st.loss)
 		}
-		if st.isFollowed {
+		if st.isFollowed && st.isConfirmed(now) {
 			states = append(states, spoke.StoreState{
 				Store: st.Name, Epoch: st.epoch, Used: st.used, Stored: st.repeats.take(group, st.parts),
 				Clock: s.engineClock.now(now), Oldest: st.oldestUsable(),
--- a/place/store_reports_test.go
+++ b/place/store_reports_test.go
@@ -235,3 +235,21 @@
 	report, _ := ts.scheduler.OtherCellReport(ts.now, 3)
 	assert.Equal(t, len(report.Stores), 0)
 }
+
+// A call of a follower hung for 2 s, or its process was suspended, while the store started again: it went on to report
+// the earlier start, also from its queue. Guards against that, and against a state that is not reported again once the
+// store answers.
+func TestStateThatTheStoreDoesNotConfirmIsNotReported(t *testing.T) {
+	ts := newTestScheduler(t, 1)
+	ts.handle(place.SetCell{Cell: 1, Count: 3})
+	reports := func() int {
+		other, _ := ts.scheduler.OtherCellReport(ts.now, 3)
+		return len(ts.scheduler.LoadReport(ts.now, true).Stores) + len(other.Stores)
+	}
+	ts.handle(place.UpdateStore{State: spoke.StoreState{Store: "store", Epoch: 7, Stored: storedKeys(1000)}})
+	assert.Equal(t, reports(), 4)
+	ts.now = ts.now.Add(time.Second)
+	assert.Equal(t, reports(), 0)
+	ts.handle(place.UpdateStore{State: spoke.StoreState{Store: "store", Epoch: 7}})
+	assert.Assert(t, reports() > 0)
+}
--- a/place/stores.go
+++ b/place/stores.go
@@ -41,7 +41,8 @@
 		// is none.
 		loss   *spoke.StoreState
 		lostAt time.Time
-		// reportedAt is when the host that follows the store last reported its state.
+		// reportedAt is when the host that follows the store last reported its state, or when the store last confirmed it
+		// to this host.
 		reportedAt time.Time
 		used       spoke.TokenCount
 		parts      map[spoke.StoredKey]bool
@@ -101,12 +102,16 @@
 }
 
 // updateStore applies the state of a store that this host follows and queues it for the other hosts.
-func (s *Scheduler) updateStore(now time.Time, state spoke.StoreState) {
+func (s *Scheduler) updateStore(now time.Time, m UpdateStore) {
+	state, at := m.State, m.At
 	st := s.storeOf(state.Store)
 	if st == nil {
 		return
 	}
-	st.apply(now, state)
+	if at.IsZero() {
+		at = now
+	}
+	st.apply(at, state)
 	s.engineClock.observe(now, state.Clock)
 	s.indexStored(st, state.Stored)
 	st.isFollowed = !state.IsDown
@@ -132,6 +137,9 @@
 	if st.isContradicted(now, host, state) {
 		return
 	}
+	if state.Epoch != st.epoch {
+		s.report.dropEarlierStates(st.Name, state.Epoch)
+	}
 	st.apply(now, state)
 	s.engineClock.observe(now, state.Clock)
 	s.indexStored(st, state.Stored)
@@ -153,13 +161,14 @@
 
 // apply applies a reported state. If the epoch has changed or the store is down, all earlier parts are
 // dropped.
-func (st *store) apply(now time.Time, state spoke.StoreState) {
-	st.reportedAt = now
+func (st *store) apply(at time.Time, state spoke.StoreState) {
 	if state.IsDown || state.Epoch != st.epoch {
+		st.reportedAt = at
 		clear(st.parts)
 		clear(st.saving)
 		st.repeats = repeatQueue{}
 	}
+	st.reportedAt = later(st.reportedAt, at)
 	st.epoch, st.isDown, st.used = state.Epoch, state.IsDown, state.Used
 	for _, usable := range state.Oldest {
 		st.oldest[usable.Model] = max(st.oldest[usable.Model], usable.Version)
@@ -181,6 +190,9 @@
 	return !st.isDown && st.epoch != 0 && now.Sub(st.reportedAt) <= storeLease
 }
 
+// isConfirmed reports whether the store has answered this host, which follows it, lately enough to report its state.
+func (st *store) isConfirmed(now time.Time) bool { return now.Sub(st.reportedAt) <= StoreConfirmation }
+
 // isOutdated reports whether a part may be freed, so that it must not be copied.
 func (st *store) isOutdated(key storedKey) bool { return key.version < st.oldest[key.model] }
 
