Count the delay of a report against the state of a store

A buffer that is full keeps the oldest reports, so that no later one corrects them for up to a second.

Cause: a state counted from when it was read. It counts from when it was sent now, as far as the delay shows: by the pause of this process and by the sender's clock, as for the ages of weights. A late state of another start than the known one is ignored.

Found by reading. Before, TestLateReportDoesNotRenewAStore fails with "ts.hasCopies() is true"; it passes now (go test ./place -run TestLateReport).

--- a/place/report.go
+++ b/place/report.go
@@ -239,12 +239,13 @@
 			n.cache.add(placed.Prefixes, n.totals().Memory)
 		}
 	}
-	s.applyState(now, report)
-	s.applyWantedAges(now, m)
+	delay := s.delayOf(now, m)
+	s.applyState(now, delay, report)
+	s.applyWantedAges(now, delay, m)
 }
 
 // applyState applies the parts of a report other than the work of the host.
-func (s *Scheduler) applyState(now time.Time, report spoke.HostReport) {
+func (s *Scheduler) applyState(now time.Time, delay time.Duration, report spoke.HostReport) {
 	for id, pause := range report.Paused {
 		if n := s.nodes[id]; n != nil {
 			n.pauseForLoading(now, pause)
@@ -253,7 +254,7 @@
 	s.applyDoubts(now, report)
 	for _, state := range report.Stores {
 		if st := s.storeOf(state.Store); st != nil {
-			s.applyReported(now, report.Host, st, state)
+			s.applyReported(now, now.Add(-delay), report.Host, st, state)
 		}
 	}
 	s.applyDepartures(now, report.Leaving)
--- a/place/report_delay.go
+++ b/place/report_delay.go
@@ -79,9 +79,13 @@
 	maps.DeleteFunc(r, func(_ senderClock, known reportTransit) bool { return now-known.receivedAt > senderTimeout })
 }
 
+// delayOf returns the longest time for which a report may have been on its way or unread, as far as it shows.
+func (s *Scheduler) delayOf(now time.Time, m ReceiveReport) time.Duration {
+	return max(s.observeDelay(now, m), m.MaxDelay)
+}
+
 // applyWantedAges takes over the ages of wanted weights in a report, raised by its delay.
-func (s *Scheduler) applyWantedAges(now time.Time, m ReceiveReport) {
-	delay := max(s.observeDelay(now, m), m.MaxDelay)
+func (s *Scheduler) applyWantedAges(now time.Time, delay time.Duration, m ReceiveReport) {
 	for _, known := range m.Report.WantedAges {
 		s.setWantedWeights(now, SetWantedWeights{
 			Wanted: known.Wanted, Age: known.Age + delay, At: m.At, Host: m.Report.Host, Clock: m.Report.Sent.Clock,
--- a/place/store_reports_test.go
+++ b/place/store_reports_test.go
@@ -253,3 +253,25 @@
 	ts.handle(place.UpdateStore{State: spoke.StoreState{Store: "store", Epoch: 7}})
 	assert.Assert(t, reports() > 0)
 }
+
+// A suspended host read reports that had waited meanwhile and used the start of a store that they named as if it had
+// just been confirmed. Guards against that, and against a late report that replaces the state of a later start.
+func TestLateReportDoesNotRenewAStore(t *testing.T) {
+	key := place.StoredKeyOf(spoke.StoredPart{Group: groupAt(1), Part: "session"})
+	state := spoke.StoreState{Store: "store", Epoch: 7, Used: 8000, Clock: 50000, Stored: []spoke.StoredKey{key}}
+	ts := newTestScheduler(t, 1)
+	late := spoke.HostReport{Host: "host-2", Sequence: 1, Stores: []spoke.StoreState{state}}
+	ts.handle(place.ReceiveReport{Report: late, MaxDelay: 5 * time.Second})
+	assert.Assert(t, !ts.hasCopies())
+	late.Sequence++
+	ts.handle(place.ReceiveReport{Report: late, MaxDelay: 2 * time.Second})
+	assert.Assert(t, ts.hasCopies())
+	ts.now = ts.now.Add(time.Second)
+	assert.Assert(t, !ts.hasCopies())
+
+	state.Epoch = 8
+	ts.handle(place.ReceiveReport{Report: spoke.HostReport{Host: "host-3", Sequence: 1, Stores: []spoke.StoreState{state}}})
+	late.Sequence++
+	ts.handle(place.ReceiveReport{Report: late, MaxDelay: 5 * time.Second})
+	assert.Assert(t, ts.hasCopies())
+}
--- a/place/stores.go
+++ b/place/stores.go
@@ -132,15 +132,17 @@
 	}
 }
 
-// applyReported applies the state of a store that another host reports.
-func (s *Scheduler) applyReported(now time.Time, host spoke.HostID, st *store, state spoke.StoreState) {
-	if st.isContradicted(now, host, state) {
+// applyReported applies the state of a store that another host reported at sentAt.
+func (s *Scheduler) applyReported(now, sentAt time.Time, host spoke.HostID, st *store, state spoke.StoreState) {
+	// The store may have started again since a late report, which tells nothing unless a later one names the same start.
+	isLate := !state.IsDown && state.Epoch != st.epoch && now.Sub(sentAt) > storeLease
+	if isLate || st.isContradicted(now, host, state) {
 		return
 	}
 	if state.Epoch != st.epoch {
 		s.report.dropEarlierStates(st.Name, state.Epoch)
 	}
-	st.apply(now, state)
+	st.apply(sentAt, state)
 	s.engineClock.observe(now, state.Clock)
 	s.indexStored(st, state.Stored)
 	if !state.IsDown {
