End copies from a store before it may be used again

A host that receives no more reports of a prompt store uses it for 2.5 s, and engines may copy parts for the calls that it places until 3 s later. Where the store started again right after the last report, the others saved its parts anew 3 s after that, so that a copy could read a part that was being written (MIXED).

Cause: the pause after a start counted until the last placement and not until the end of its copies, which the freeing of parts does count.

The time to copy of a call ends 3 s after the last report of each store that it names, too.

Found by reading. Before, TestCopiesEndBeforeAStoreIsUsedAgain fails with a deadline of 55000 in place of 53000; it passes now (go test ./place -run TestCopiesEndBefore).

--- a/place/clock.go
+++ b/place/clock.go
@@ -27,11 +27,11 @@
 	return c.last + spoke.EngineTime(now.Sub(c.at).Milliseconds())
 }
 
-// fetchDeadline returns when engines discard unfinished copies of a call placed now, zero if it is not
-// known.
-func (c *engineClock) fetchDeadline(now time.Time) spoke.EngineTime {
+// fetchDeadline returns when engines discard unfinished copies of a call placed now that may take a time, zero if it is
+// not known.
+func (c *engineClock) fetchDeadline(now time.Time, copyTime time.Duration) spoke.EngineTime {
 	if c.last == 0 {
 		return 0
 	}
-	return c.now(now) + spoke.EngineTime(maxCopyTime.Milliseconds())
+	return c.now(now) + spoke.EngineTime(copyTime.Milliseconds())
 }
--- a/place/dispatch.go
+++ b/place/dispatch.go
@@ -177,7 +177,7 @@
 		Predicted: c.firstEvent, Waited: now.Sub(m.Arrived), Urgency: m.Urgency,
 	}
 	if slices.ContainsFunc(fetch, func(from spoke.Address) bool { return from != "" }) {
-		granted.FetchDeadline = s.engineClock.fetchDeadline(now)
+		granted.FetchDeadline = s.engineClock.fetchDeadline(now, s.timeToCopy(now, fetch))
 	}
 	s.actions = append(s.actions, granted)
 }
--- a/place/store_reports_test.go
+++ b/place/store_reports_test.go
@@ -275,3 +275,16 @@
 	ts.handle(place.ReceiveReport{Report: late, MaxDelay: 5 * time.Second})
 	assert.Assert(t, ts.hasCopies())
 }
+
+// A host that received no more reports of a store copied parts from it until 5.5 s after the last one, while the others
+// could save them anew after a pause that is shorter. Guards against that.
+func TestCopiesEndBeforeAStoreIsUsedAgain(t *testing.T) {
+	key := place.StoredKeyOf(spoke.StoredPart{Group: groupAt(1), Part: "session"})
+	state := spoke.StoreState{Store: "store", Epoch: 7, Used: 8000, Clock: 50000, Stored: []spoke.StoredKey{key}}
+	ts := newTestScheduler(t, 1)
+	ts.handle(place.ReceiveReport{Report: spoke.HostReport{Host: "host-2", Sequence: 1, Stores: []spoke.StoreState{state}}})
+	ts.now = ts.now.Add(2 * time.Second)
+	granted := ts.grant(ts.request(2, "session", 8000, 1000))
+	assert.Assert(t, granted.FetchSources[0] != "")
+	assert.Equal(t, granted.FetchDeadline, spoke.EngineTime(53000))
+}
--- a/place/stores.go
+++ b/place/stores.go
@@ -23,6 +23,9 @@
 	// storeLease is how long the state of a store is used without a report from the host that follows it,
 	// since a store that has restarted meanwhile may hold the same parts incompletely.
 	storeLease = 2500 * time.Millisecond
+	// storeCopyTime is the time after a report of a store in which copies from the store have to end. Calls are placed
+	// until storeLease has passed.
+	storeCopyTime = 3 * time.Second
 	// maxIndexed is the size above which the index of parts is rebuilt from the stores.
 	maxIndexed = 60000
 )
@@ -192,6 +195,18 @@
 	return !st.isDown && st.epoch != 0 && now.Sub(st.reportedAt) <= storeLease
 }
 
+// timeToCopy returns the time in which copies from the given sources have to end: before any of them that is a store may
+// hold parts that are being saved again, if it has started again since it was last reported.
+func (s *Scheduler) timeToCopy(now time.Time, fetch []spoke.Address) time.Duration {
+	left := maxCopyTime
+	for _, st := range s.stores {
+		if slices.Contains(fetch, st.Address) {
+			left = min(left, st.reportedAt.Add(storeCopyTime).Sub(now))
+		}
+	}
+	return left
+}
+
 // isConfirmed reports whether the store has answered this host, which follows it, lately enough to report its state.
 func (st *store) isConfirmed(now time.Time) bool { return now.Sub(st.reportedAt) <= StoreConfirmation }
 
