Send the first order of a new lease at the end of its pause

Cause: the pause between two holders was counted as the time in which the one before may still order. Reports of engines from within that time don't count, and arrive up to 0.2 s old every 0.25 s; then an engine is out of service for 60 ms before its order. All that began behind the pause.

No order is sent sooner than before.

Evidence: TestFirstOrderIsSentAtTheEndOfThePause fails with 11.75 s in place of 10.25 s if the pause counts as before (trial).

--- a/edge/orders.go
+++ b/edge/orders.go
@@ -250,7 +250,7 @@
 	// The orders of two successive holders must be separated by the pause. The last order of the
 	// previous holder was in transit for at most orderTimeout, and was sent at least that long before
 	// its lease expired.
-	return swap.LeaseState{Held: true, Fence: held.Fence, Remaining: held.Expires.Sub(now), TTL: o.pause - 2*orderTimeout}
+	return swap.LeaseState{Held: true, Fence: held.Fence, Remaining: held.Expires.Sub(now), Pause: o.pause - 2*orderTimeout}
 }
 
 // yieldLease leaves the orders to a host that reaches the engines. They are never passed on through another host, since
--- a/swap/messages.go
+++ b/swap/messages.go
@@ -17,8 +17,10 @@
 		Fence spoke.FencingToken
 		// Remaining is measured on the monotonic clock.
 		Remaining time.Duration
-		// TTL is the full time to live of the lease.
+		// TTL is the full time to live of the lease, for which the previous holder may still send orders.
 		TTL time.Duration
+		// Pause is the time to wait beyond that, in which engines are prepared but not ordered.
+		Pause time.Duration
 	}
 
 	// Observation carries the wanted and the observed state; the maps and slices are only read.
--- a/swap/plan.go
+++ b/swap/plan.go
@@ -36,21 +36,22 @@
 		return false
 	}
 	_, isOutdated := v.outdatedModel(upstream)
-	return isOutdated && r.mayOrder(now, lease, v, upstream) && r.mayTakeOut(now, v, upstream)
+	return isOutdated && r.mayOrder(now.Add(r.settings.propagationDelay), lease, v, upstream) && r.mayTakeOut(now, v, upstream)
 }
 
-// mayOrder reports whether an order to the upstream is safe now.
-func (r *Reconciler) mayOrder(now time.Time, lease LeaseState, v view, upstream spoke.Upstream) bool {
+// mayOrder reports whether an order to the upstream at a time is safe, as far as is known now.
+func (r *Reconciler) mayOrder(at time.Time, lease LeaseState, v view, upstream spoke.Upstream) bool {
 	if !lease.Held || lease.Remaining <= r.settings.orderDeadline || r.fenceStale {
 		return false
 	}
-	safeFrom := r.fenceSince
+	settled := r.fenceSince
 	if !upstream.ChecksFencing {
 		// Without a fencing check, an order of the previous holder may still start until that
 		// holder's lease has expired and the order's deadline has passed.
-		safeFrom = safeFrom.Add(lease.TTL + r.settings.orderDeadline)
+		settled = settled.Add(lease.TTL + r.settings.orderDeadline)
 	}
-	return !now.Before(safeFrom) && v.isFresh(upstream.ID) && !v.reports[upstream.ID].AsOf.Before(safeFrom)
+	isReported := v.isFresh(upstream.ID) && !v.reports[upstream.ID].AsOf.Before(settled)
+	return isReported && !at.Before(settled.Add(lease.Pause))
 }
 
 // mayTakeOut reports whether at least half of the service's upstreams serve without this one.
--- a/swap/reconciler_test.go
+++ b/swap/reconciler_test.go
@@ -17,6 +17,7 @@
 	ttl           = 5 * time.Second
 	orderDeadline = 2 * time.Second
 	swapTime      = 300 * time.Millisecond
+	stepTime      = 250 * time.Millisecond
 )
 
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -42,6 +43,8 @@
 	urgentWaiting int
 	ignoresOrders bool
 	orderCount    int
+	// reportLag is the age of the reports when they arrive.
+	reportLag time.Duration
 }
 
 func newFleet(n int, checks func(i int) bool, options ...swap.Option) *fleet {
@@ -64,16 +67,16 @@
 	f.leaseSince = f.now
 }
 
-// step advances the clock by 250 ms and returns a description of the first violated rule, if any.
+// step advances the clock by stepTime and returns a description of the first violated rule, if any.
 func (f *fleet) step() string {
-	f.now = f.now.Add(250 * time.Millisecond)
+	f.now = f.now.Add(stepTime)
 	reports := map[spoke.UpstreamID]spoke.LoadReport{}
 	for _, u := range f.upstreams {
 		if order, ok := f.pending[u.ID]; ok && !f.now.Before(order.ready) {
 			f.versions[u.ID] = order.version
 			delete(f.pending, u.ID)
 		}
-		asOf := f.now
+		asOf := f.now.Add(-f.reportLag)
 		if f.unreachable[u.ID] {
 			asOf = epoch.Add(-time.Hour)
 		}
@@ -112,7 +115,7 @@
 		return fmt.Sprintf("order with lease %+v", f.lease)
 	case a.Order.Fence != f.lease.Fence || a.Order.Deadline.After(f.now.Add(f.lease.Remaining)):
 		return fmt.Sprintf("order %+v with lease %+v at %s", a.Order, f.lease, f.now)
-	case !f.upstreams[i].ChecksFencing && f.now.Sub(f.leaseSince) < ttl+orderDeadline:
+	case !f.upstreams[i].ChecksFencing && f.now.Sub(f.leaseSince) < ttl+orderDeadline+f.lease.Pause:
 		return fmt.Sprintf("order to %s, which checks no fencing token, only %s after the lease began", a.Upstream, f.now.Sub(f.leaseSince))
 	case f.outOfService[a.Upstream].IsZero():
 		return fmt.Sprintf("order to %s, which is in service", a.Upstream)
@@ -246,3 +249,16 @@
 	assert.Equal(t, f.step(), "")
 	assert.Equal(t, len(f.outOfService), 0)
 }
+
+// Guards against engines that stay on older weights longer than the pause between two holders requires, since the next one
+// reads their reports and takes them out of service only once it is over.
+func TestFirstOrderIsSentAtTheEndOfThePause(t *testing.T) {
+	const pause = 3 * time.Second
+	f := newFleet(3, func(int) bool { return false }, swap.WithDrain(500*time.Millisecond, 500*time.Millisecond))
+	f.lease.Pause, f.reportLag = pause, time.Second
+	for f.orderCount == 0 {
+		assert.Equal(t, f.step(), "")
+	}
+	// The reconciler observes the lease in its first step.
+	assert.Equal(t, f.now.Sub(f.leaseSince), stepTime+ttl+orderDeadline+pause)
+}
