Forget reports of rejections that no longer count

What other hosts reported of the rejections of a brittle upstream was kept for as long as the upstream, though it counts for 1.1 s only; it is dropped then.

--- a/crash/falls.go
+++ b/crash/falls.go
@@ -1,6 +1,7 @@
 package crash
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -85,14 +86,13 @@
 // over. Some reports are lost, and the last rejection may get no answer.
 func (b *brittleUpstream) isNear(now time.Time) bool {
 	b.rejected = slices.DeleteFunc(b.rejected, func(at time.Time) bool { return now.Sub(at) >= rejectionTime })
+	maps.DeleteFunc(b.elsewhere, func(_ spoke.HostID, other rejectionReport) bool { return now.Sub(other.at) >= rejectionTime })
 	if b.most == 0 {
 		return now.Sub(b.statedAt) < statedTime
 	}
 	count := spoke.RejectionCount(len(b.rejected))
 	for _, other := range b.elsewhere {
-		if now.Sub(other.at) < rejectionTime {
-			count += other.count
-		}
+		count += other.count
 	}
 	return 2*count >= b.most
 }
