Leave the orders lease where too few reached engines may be ordered

A holder that had lost its ways to three of six engines, while other hosts reached them, kept the lease and gave no order at all, so that all six stayed on older weights until the cut healed.

Cause: the limit was "more than half of all engines". Orders need half of a service's engines to be known as serving beside the one that loads, so a host is already blocked with half of six, or four of nine, out of reach. The count also mixed services: a host left the lease because of a large service out of reach although it reached all of a small one, and one with most of a small service out of reach kept it. With two such hosts nobody ordered the small one. The second condition (all outdated engines are bypassed) was skipped while an order was pending, which an engine that was cut off under its order stays for over 4 s.

Now the package that plans swaps says whether an engine with older weights, or any engine if there is none, may still be ordered, with the limit of its own plan, and engines that leave don't count. Engines that are out of reach but have the wanted weights count as serving, as in the plan. A pending order no longer matters: one that may still take effect is covered by the pause of the next holder.

The part on pending orders has no test of its own.

CountBypassed became IsBypassed, since the plan needs to know which; its test counts with it and expects the same figures.

--- a/edge/cut_holder_test.go
+++ b/edge/cut_holder_test.go
@@ -130,7 +130,7 @@
 	for _, c := range []struct {
 		form    cutForm
 		reached int
-	}{{cutHangs, 1}, {cutResets, 1}, {cutRefuses, 1}, {cutResets, cutOffEngines - 2}} {
+	}{{cutHangs, 1}, {cutResets, 1}, {cutRefuses, 1}, {cutResets, cutOffEngines - 2}, {cutResets, cutOffEngines / 2}} {
 		t.Run(fmt.Sprintf("%s, %d of %d reached", c.form, c.reached, cutOffEngines), func(t *testing.T) {
 			t.Parallel()
 			hosts := startCutOff(t)
--- a/edge/ordersbypass.go
+++ b/edge/ordersbypass.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 
 	"magnoliaspoke.example/spoke"
+	"magnoliaspoke.example/spoke/swap"
 )
 
 const (
@@ -18,35 +19,36 @@
 	maxWayChecks     = 16
 )
 
-// isBypassed reports whether other hosts have been reaching engines for some time that this one cannot order: more than
-// half of all, so that too few are known to serve while one loads, or all that still have older weights.
+// isBypassed reports whether for some time this host has been unable to order any engine because it does not reach enough
+// of them, while other hosts do.
 func (o *orders) isBypassed() bool {
-	engines := o.engines()
-	lost := o.ways.countBypassed(engines)
-	isLost := 2*lost > len(engines)
-	if lost > 0 && !isLost && len(o.pending) == 0 {
-		_, outdated := o.models()
-		isLost = len(outdated) > 0 && o.ways.countBypassed(outdated) == len(outdated)
-	}
-	return o.bypass.Observe(o.timer.Now(), isLost)
+	upstreams := o.listed()
+	bypassed := o.ways.bypassed(upstreams)
+	isBlocked := len(bypassed) > 0 && swap.AreAllBlocked(upstreams, o.toOrder(upstreams), bypassed)
+	return o.bypass.Observe(o.timer.Now(), isBlocked)
 }
 
-// engines returns the listed engines.
-func (o *orders) engines() []spoke.UpstreamID {
-	engines := make([]spoke.UpstreamID, 0, len(o.upstreams))
-	for id, listed := range o.upstreams {
-		if len(listed.Weights) > 0 {
-			engines = append(engines, id)
-		}
+// toOrder returns the engines with older weights; while there are none, all engines, which the next weights concern.
+func (o *orders) toOrder(upstreams []spoke.Upstream) map[spoke.UpstreamID]bool {
+	toOrder := make(map[spoke.UpstreamID]bool)
+	_, outdated := o.models()
+	for _, id := range outdated {
+		toOrder[id] = true
+	}
+	if len(outdated) > 0 {
+		return toOrder
+	}
+	for _, upstream := range upstreams {
+		toOrder[upstream.ID] = true
 	}
-	return engines
+	return toOrder
 }
 
 // leaveBypassed leaves the orders to a host that reaches more engines.
 func (o *orders) leaveBypassed(isHeld bool) {
 	if isHeld {
-		engines := o.engines()
-		o.log.WithFields(logrus.Fields{"engines": len(engines), "bypassed": o.ways.countBypassed(engines)}).
+		engines := o.listed()
+		o.log.WithFields(logrus.Fields{"engines": len(engines), "bypassed": len(o.ways.bypassed(engines))}).
 			Warn("orders lease is left to others: they reach engines that this host does not")
 		o.paths = newEnginePaths()
 	}
--- a/edge/ways.go
+++ b/edge/ways.go
@@ -121,11 +121,17 @@
 	return w.state.IsCutOff()
 }
 
-// countBypassed returns how many of some upstreams other hosts reach and this one does not.
-func (w *ways) countBypassed(ids []spoke.UpstreamID) int {
+// bypassed returns those of some upstreams that other hosts reach and this one does not.
+func (w *ways) bypassed(upstreams []spoke.Upstream) map[spoke.UpstreamID]bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.state.CountBypassed(ids)
+	bypassed := make(map[spoke.UpstreamID]bool)
+	for _, upstream := range upstreams {
+		if w.state.IsBypassed(upstream.ID) {
+			bypassed[upstream.ID] = true
+		}
+	}
+	return bypassed
 }
 
 // relayed returns the address of an upstream to which this host may connect for others: a listed one that it reaches.
--- a/reach/bypassed.go
+++ b/reach/bypassed.go
@@ -9,8 +9,8 @@
 // bypassTime is the time for which upstreams are bypassed until that counts as lasting, so that a slow moment does not.
 const bypassTime = 1500 * time.Millisecond
 
-// Bypass tells whether a host has to connect to most of some upstreams through other hosts for some time. The zero value
-// is that of a host which does not.
+// Bypass tells whether a host has been bypassed for some time: it reaches too few upstreams for its work while other hosts
+// reach more. The zero value is that of a host which is not.
 type Bypass struct {
 	// since is when that was first observed, zero if it is not the case.
 	since time.Time
@@ -23,18 +23,13 @@
 	}
 }
 
-// CountBypassed returns how many of some upstreams are reached by other hosts and not by this one.
-func (w *Ways) CountBypassed(ids []spoke.UpstreamID) int {
-	count := 0
-	for _, id := range ids {
-		if known := w.ways[id]; known != nil && known.isBypassed && w.IsLost(id) {
-			count++
-		}
-	}
-	return count
+// IsBypassed reports whether other hosts reach an upstream and this one does not.
+func (w *Ways) IsBypassed(id spoke.UpstreamID) bool {
+	known := w.ways[id]
+	return known != nil && known.isBypassed && w.IsLost(id)
 }
 
-// Observe records whether the upstreams are bypassed now, and reports whether that lasts.
+// Observe records whether the host is bypassed now, and reports whether that lasts.
 func (b *Bypass) Observe(now time.Time, isBypassed bool) bool {
 	switch {
 	case !isBypassed:
--- a/reach/bypassed_test.go
+++ b/reach/bypassed_test.go
@@ -6,29 +6,40 @@
 
 	"gotest.tools/v3/assert"
 
+	"magnoliaspoke.example/spoke"
 	"magnoliaspoke.example/spoke/reach"
 )
 
+func countBypassed(ways *reach.Ways, ids []spoke.UpstreamID) int {
+	count := 0
+	for _, id := range ids {
+		if ways.IsBypassed(id) {
+			count++
+		}
+	}
+	return count
+}
+
 // Guards against engines that have failed being taken for engines that only this host does not reach.
 func TestOnlyUpstreamsThatOthersReachAreBypassed(t *testing.T) {
 	s := newSimulation(6)
 	s.cut[s.ids[0]], s.cut[s.ids[1]], s.dead[s.ids[2]] = true, true, true
 	s.run(10 * time.Second)
-	assert.Equal(t, s.ways.CountBypassed(s.ids), 0)
+	assert.Equal(t, countBypassed(s.ways, s.ids), 0)
 
 	for _, id := range s.ids[:3] {
 		s.ways.Relayed(id, !s.dead[id])
 	}
-	assert.Equal(t, s.ways.CountBypassed(s.ids), 2)
-	assert.Equal(t, s.ways.CountBypassed(s.ids[2:]), 0)
+	assert.Equal(t, countBypassed(s.ways, s.ids), 2)
+	assert.Equal(t, countBypassed(s.ways, s.ids[2:]), 0)
 
 	s.dead[s.ids[0]] = true
 	s.ways.Relayed(s.ids[0], false)
-	assert.Equal(t, s.ways.CountBypassed(s.ids), 1)
+	assert.Equal(t, countBypassed(s.ways, s.ids), 1)
 
 	s.cut[s.ids[1]] = false
 	s.run(10 * time.Second)
-	assert.Equal(t, s.ways.CountBypassed(s.ids), 0)
+	assert.Equal(t, countBypassed(s.ways, s.ids), 0)
 }
 
 // Guards against a moment in which connections are slow being taken for lost ways, and against ways that stay lost.
--- a/swap/plan.go
+++ b/swap/plan.go
@@ -1,6 +1,7 @@
 package swap
 
 import (
+	"slices"
 	"time"
 
 	"magnoliaspoke.example/spoke"
@@ -70,7 +71,29 @@
 			serving++
 		}
 	}
-	return total == 1 || 2*serving >= total
+	return areEnough(serving, total)
+}
+
+// areEnough reports whether a service may be left with the given number of its upstreams for the time of a swap.
+func areEnough(serving, total int) bool { return total == 1 || 2*serving >= total }
+
+// AreAllBlocked reports whether no upstream that is to be swapped may be, because of those that are out of reach: they get
+// no orders, and those of them that are to be swapped are not known to serve.
+func AreAllBlocked(upstreams []spoke.Upstream, isToSwap, isOutOfReach map[spoke.UpstreamID]bool) bool {
+	total, known := make(map[spoke.ServiceName]int), make(map[spoke.ServiceName]int)
+	for _, upstream := range upstreams {
+		if upstream.State == spoke.UpstreamLeaving {
+			continue
+		}
+		total[upstream.Service]++
+		if !isToSwap[upstream.ID] || !isOutOfReach[upstream.ID] {
+			known[upstream.Service]++
+		}
+	}
+	return !slices.ContainsFunc(upstreams, func(upstream spoke.Upstream) bool {
+		return upstream.State != spoke.UpstreamLeaving && isToSwap[upstream.ID] && !isOutOfReach[upstream.ID] &&
+			areEnough(known[upstream.Service]-1, total[upstream.Service])
+	})
 }
 
 // isDelayedByUrgent reports whether urgent work delays the next swap; the first delay starts the
