Check lost ways in the order in which their checks are due

A host that has lost many ways (a part of 600 engines, but not all) goes on using detours for an engine whose own way works again, for as long as many other ways stay lost, and does not compete for the orders lease.

Cause: two lost ways are checked each 0.2 s, the first two by id whose check is due. Each is due again after 4 s, so that the first 40 take all checks and the others are never checked. Nothing else tries a lost way while another host connects in its place.

Now the ways whose checks have been due for longest come first. The rate is the same: the last of 300 lost ways is checked after 30 s.

Evidence: TestLostWaysAreCheckedInTurn (600 engines, every second way lost, the last by id works again and has 40 s) failed before ("IsLost is true") and passes; all tests of reach pass, TestProbesAreFew among them: go test ./reach.

--- a/reach/ways.go
+++ b/reach/ways.go
@@ -277,16 +277,19 @@
 	return checks
 }
 
-// lostToCheck returns the lost ways whose next check is due.
+// lostToCheck returns the lost ways whose check has been due for longest, so that each is checked in turn.
 func (w *Ways) lostToCheck(now time.Time) []spoke.UpstreamID {
 	var due []spoke.UpstreamID
 	for _, id := range w.order {
-		known := w.ways[id]
-		if known.isLost && !now.Before(known.checkAt) && len(due) < checksAtOnce {
-			known.checkAt = now.Add(max(known.checkPause, minCheckPause))
+		if known := w.ways[id]; known.isLost && !now.Before(known.checkAt) {
 			due = append(due, id)
 		}
 	}
+	slices.SortStableFunc(due, func(a, b spoke.UpstreamID) int { return w.ways[a].checkAt.Compare(w.ways[b].checkAt) })
+	due = due[:min(len(due), checksAtOnce)]
+	for _, id := range due {
+		w.ways[id].checkAt = now.Add(max(w.ways[id].checkPause, minCheckPause))
+	}
 	return due
 }
 
--- a/reach/ways_test.go
+++ b/reach/ways_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -222,3 +223,21 @@
 	assert.Assert(t, !relays.Takes(now, "h-1"))
 	assert.Assert(t, slices.ContainsFunc(peers, func(p spoke.ListedPeer) bool { return relays.Takes(now.Add(time.Second), p.ID) }))
 }
+
+// Guards against ways that work again and are not checked because many lost ones come before them by id: calls take
+// detours then, and the host does not compete for the orders lease.
+func TestLostWaysAreCheckedInTurn(t *testing.T) {
+	s := newSimulation(600)
+	for i, id := range s.ids {
+		s.idle[id] = true
+		if i%2 == 0 {
+			s.cut[id] = true
+			s.ways.ProbeFailed(s.now, id)
+		}
+	}
+	s.run(10 * time.Second)
+	healed := slices.Max(slices.Collect(maps.Keys(s.cut)))
+	s.cut[healed] = false
+	s.run(40 * time.Second)
+	assert.Assert(t, !s.ways.IsLost(healed))
+}
