Let keepers yield in the test of a single lease holder

TestOnlyOneHolderUnderPausesAndFaults now draws yields of 1 ms to twice the time to live as well, in a row and beside pauses, lost answers and outages; its assertions are the same.

No fault was found: a lease that is still valid when a yield ends has been granted to nobody else, and one that is not is acquired again with a higher token.

--- a/lease/keeper_test.go
+++ b/lease/keeper_test.go
@@ -71,6 +71,17 @@
 		rapid.SampledFrom(pauses).Draw(t, "before"), rapid.SampledFrom(pauses).Draw(t, "after"))
 }
 
+// yield leaves the lease to others for a time that may be shorter than a call or than what is left of the lease.
+func (r *contenders) yield(t *rapid.T) {
+	for range rapid.IntRange(1, 10).Draw(t, "times") {
+		lengths := []time.Duration{time.Millisecond, ttl / 10, ttl, 2 * ttl}
+		rapid.SampledFrom(r.keepers).Draw(t, "keeper").Yield(time.Now().Add(rapid.SampledFrom(lengths).Draw(t, "yield")))
+		<-time.After(ttl / 30)
+		synctest.Wait()
+		r.checkSingleHolder(t)
+	}
+}
+
 func (r *contenders) advance(t *rapid.T) {
 	for range rapid.IntRange(1, 20).Draw(t, "steps") {
 		<-time.After(time.Duration(rapid.IntRange(1, 700).Draw(t, "ms")) * time.Millisecond)
@@ -94,7 +105,7 @@
 }
 
 // Guards against two holders that may send orders at the same time and against a holder with an
-// older token than its predecessor, under pauses, lost responses, delays and outages; and against
+// older token than its predecessor, under pauses, lost responses, delays, outages and yields; and against
 // keepers that do not acquire the lease again afterwards.
 func TestOnlyOneHolderUnderPausesAndFaults(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -118,7 +129,7 @@
 				group.Wait()
 				<-time.After(time.Minute)
 			})
-			t.Repeat(map[string]func(*rapid.T){"faults": r.setFaults, "pause": r.setPause, "advance": r.advance})
+			t.Repeat(map[string]func(*rapid.T){"faults": r.setFaults, "pause": r.setPause, "yield": r.yield, "advance": r.advance})
 			r.checkRecovery(t)
 		})
 	})
