Begin the silence of a test at the end of the answer

TestTroubleBehindWholeAnswersDoesNotBreakThem/silent_chat failed once beside much load: unexpected EOF. The engine of the test answered nothing for 1.2 s from the first request for its report, while the host checks the end of an answer for 1.5 s from that end.

The silence now begins when the engine has sent its answer and lasts until the same time behind it, 1.21 s, as it did when the first request came at once, 10 ms after the end.

go test ./edge -run TestTroubleBehindWholeAnswersDoesNotBreakThem

--- a/edge/answer_end_test.go
+++ b/edge/answer_end_test.go
@@ -11,19 +11,24 @@
 	fake "magnoliaspoke.example/spoke/fake/platform"
 )
 
+// endSilence is the time from the end of an answer in which its engine reports nothing: 1.2 s from the first request for
+// its report, which is made 10 ms after the end.
+const endSilence = 1210 * time.Millisecond
+
 // Guards against whole answers with neither a length nor chunks that are resumed, made again or refused because their
 // engine is silent or resets connections for a moment behind their end.
 func TestTroubleBehindWholeAnswersDoesNotBreakThem(t *testing.T) {
 	for name, trouble := range map[string]func(*fake.Engine){
-		"silent": func(e *fake.Engine) { e.SilenceReports(1200 * time.Millisecond) },
+		"silent": func(e *fake.Engine) { e.SilenceReports(endSilence) },
 		"resets": func(e *fake.Engine) { e.ResetReports(5) },
 	} {
 		for _, c := range []call{chatCall("chat"), quoteCall("quote"), bookCall("book")} {
 			t.Run(name+" "+c.id, func(t *testing.T) {
 				d := start(t, 1)
 				engine := d.engines[0]
-				engine.SetUnframedAnswer(fake.UnframedAnswer{Head: []string{"HTTP/1.1 200 OK"}, Body: wholeStream})
-				trouble(engine)
+				engine.SetUnframedAnswer(fake.UnframedAnswer{
+					Head: []string{"HTTP/1.1 200 OK"}, Body: wholeStream, OnSent: func() { trouble(engine) },
+				})
 				got, err := d.send(c)
 				assert.NilError(t, err)
 				assert.Equal(t, got.status, http.StatusOK)
@@ -39,8 +44,9 @@
 func TestCheckOfEndAsksForNoOtherUpstream(t *testing.T) {
 	d := start(t, 2)
 	for _, engine := range d.engines {
-		engine.SetUnframedAnswer(fake.UnframedAnswer{Head: []string{"HTTP/1.1 200 OK"}, Body: "whole"})
-		engine.SilenceReports(1200 * time.Millisecond)
+		engine.SetUnframedAnswer(fake.UnframedAnswer{
+			Head: []string{"HTTP/1.1 200 OK"}, Body: "whole", OnSent: func() { engine.SilenceReports(endSilence) },
+		})
 	}
 	got, err := d.send(lookCall("look"))
 	assert.NilError(t, err)
--- a/fake/platform/report.go
+++ b/fake/platform/report.go
@@ -12,8 +12,7 @@
 	count int
 	// resets is the number of further requests whose connection is reset.
 	resets int
-	// silentFor is the time from the next request in which none is answered, silentUntil its end.
-	silentFor   time.Duration
+	// silentUntil is the end of the time in which no request is answered.
 	silentUntil time.Time
 }
 
@@ -24,11 +23,11 @@
 	e.reports.resets = count
 }
 
-// SilenceReports makes the engine answer no request for its report within a time that begins with the next one.
+// SilenceReports makes the engine answer no request for its report within a time that begins now.
 func (e *Engine) SilenceReports(silence time.Duration) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.reports.silentFor = silence
+	e.reports.silentUntil = time.Now().Add(silence)
 }
 
 // Reports returns the number of requests for the engine's report.
@@ -61,9 +60,6 @@
 	e.mu.Lock()
 	trouble := &e.reports
 	trouble.count++
-	if trouble.silentFor > 0 {
-		trouble.silentUntil, trouble.silentFor = time.Now().Add(trouble.silentFor), 0
-	}
 	isReset, silence := trouble.resets > 0, time.Until(trouble.silentUntil)
 	if isReset {
 		trouble.resets--
