Excuse only calls that were sent during a cut

The check of TestLimitIsKeptInRandomSequences excuses what a cut-off host sends before it is told of a limit, but read the cut when a call arrived, 10 ms after it was sent: a call sent just before a cut was excused, one sent at its end was counted. It reads the cut at the sending now, as the rule says. Found by reading; no draw is known in which the two differ.

--- a/place/fleet_test.go
+++ b/place/fleet_test.go
@@ -278,8 +278,8 @@
 			if h.retries[a.Call] {
 				f.retries = append(f.retries, f.now)
 			}
-			start := h.starts
-			f.after(fleetLatency, func() { f.arrive(h, start, a) })
+			start, wasCut := h.starts, h.isCut
+			f.after(fleetLatency, func() { f.arrive(h, start, wasCut, a) })
 		case place.Refuse:
 			f.refusals[a.Reason] = append(f.refusals[a.Reason], a.RetryAfter)
 		}
@@ -287,7 +287,7 @@
 }
 
 // arrive handles a call that reaches an upstream.
-func (f *fleet) arrive(h *fleetHost, start int, g place.Grant) {
+func (f *fleet) arrive(h *fleetHost, start int, wasCut bool, g place.Grant) {
 	if h.lostWays != waysWork {
 		f.lose(h, start, g)
 		return
@@ -297,7 +297,7 @@
 		f.arriveBrittle(e, h, start, g)
 		return
 	}
-	e.arrivals = append(e.arrivals, fleetArrival{f.now, h, start, h.isCut})
+	e.arrivals = append(e.arrivals, fleetArrival{f.now, h, start, wasCut})
 	f.check(e)
 	named := e.limitAt(f.now)
 	limit := named.rate
