Pause before a host that hears nobody uses a store

A started host that is the first of the list, and receives no reports of other hosts, published what a prompt store lists at once. Where the store had just started again and the others heard its follower, they used the earlier start for up to 3.3 s more, while calls of the started host saved parts anew (MIXED).

Cause: that this host has heard of no follower was taken for that there is none. A host that receives no reports although others are listed pauses now. Hosts that start together hear each other within 1.5 s and use the store as soon as before.

--- a/place/store_following.go
+++ b/place/store_following.go
@@ -129,7 +129,9 @@
 	if before > 0 && (!hearsOthers || f.quietFor(now) < time.Duration(before)*followerLease) {
 		return false
 	}
-	f.mayHaveMissed = f.mayHaveMissed || before > 0
+	// Another host may follow the store unheard if this one receives no reports, or did not receive those of the hosts
+	// before it.
+	f.mayHaveMissed = f.mayHaveMissed || before > 0 || (!hearsOthers && len(f.order) > 1)
 	f.isFollowing, f.hasReached, f.follower, f.rivalAt, f.awaited = true, false, "", time.Time{}, 0
 	return true
 }
--- a/place/store_following_test.go
+++ b/place/store_following_test.go
@@ -161,6 +161,25 @@
 	}
 }
 
+// Guards against a started host that is the first of the list, receives no reports and publishes a later start of the
+// store than hosts that hear the follower use.
+func TestStartedHostThatHearsNobodyKeepsThePause(t *testing.T) {
+	for start := range 20 {
+		f := newFollowFleet(3)
+		f.hosts[0].isAway = true
+		f.list()
+		f.awaitFollower(t, 3*time.Second)
+		f.hosts[0].isAway, f.hosts[0].following = false, place.NewStoreFollowing("host-000")
+		f.hosts[0].isDeafTo["host-001"], f.hosts[0].isDeafTo["host-002"] = true, true
+		f.hosts[0].heardAt = time.Time{}
+		f.list()
+		assert.Equal(t, f.run(time.Duration(start)*followStep), "")
+		f.hosts[1].isCut, f.hangs = true, true
+		f.epoch++
+		assert.Equal(t, f.run(20*time.Second), "", "start after %d steps", start)
+	}
+}
+
 // Two hosts that do not hear each other followed a store that started again while a call of one of them hung, which went
 // on to report the earlier start until the call failed. Guards against a pause of the other that is too short for that.
 func TestCallThatHangsDoesNotKeepAnEarlierStart(t *testing.T) {
