Repeat marks of requests once a second only

Cause: a trial with sent bytes by kind shows what fills links of 1,250 KB/s while engines crash: load reports, 1,172 KB/s a host at 14 to 16 s, 667 of them sent at once to other cells, against 95 KB/s of requests to engines and 38 KB/s of answers. Each report, two to six a second to all 61 hosts besides the regular ones, repeated up to 16 marks of requests that had run beside a crash, of some 90 bytes each, for 30 s.

Ruled out: detours (0 to 6 KB/s), and answers and requests themselves.

Now a report has the marks that are new or have changed since the last one; full reports, one a second, and the rotation to other cells have all, which makes up for lost datagrams as for all other state. A mark arrives as early as before; its bounds are seconds.

--- a/edge/planner.go
+++ b/edge/planner.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"magnoliaspoke.example/spoke"
+	"magnoliaspoke.example/spoke/crash"
 	"magnoliaspoke.example/spoke/place"
 )
 
@@ -63,11 +64,13 @@
 		// reportConflict is called with each store that this host follows and that another host reports too.
 		reportConflict func(spoke.ServiceName)
 		quarantine     *quarantine
-		parts          *partQuarantine
-		origins        *origins
-		conf           *configState
-		metrics        *metrics
-		suspensions    *suspensionMeter
+		// sentMarks selects the marks of the next report to the cell. Others get all in their rotation.
+		sentMarks   crash.MarkChanges
+		parts       *partQuarantine
+		origins     *origins
+		conf        *configState
+		metrics     *metrics
+		suspensions *suspensionMeter
 		// takesNoDetours reports whether this host relays no connections of others, true while it is cut off or stops.
 		takesNoDetours func() bool
 		peerAddresses  peerAddresses
@@ -256,6 +259,7 @@
 		p.step(place.Tick{})
 	}
 	report := p.addHostState(now, p.scheduler.LoadReport(now, isFull))
+	report.Marks = p.sentMarks.Select(now, report.Marks, isFull)
 	crashes, hasCrashes := p.parts.report(now, isFull)
 	report.Crashes = crashes
 	p.send(report, p.peerAddresses.sameCell)
