Count what is sent to other hosts before it is sent

TestBusiestHostSendsNoMoreToMoreHosts failed once beside load: 54,315 bytes at ten hosts, as always, but 35,487 in place of some 53,200 at five, that is two of the three transfers of a table.

Cause: a host added the bytes of an answer to its metric feed-bytes only after it had written them. The host that reads them can have the table in force, and the test read the metric, before that.

The bytes are now counted before they are written, and what could not be written is taken off again. The test is unchanged.

go test ./edge -run 'Busiest|TestLargeTable|Feed|Follow'

--- a/edge/feed.go
+++ b/edge/feed.go
@@ -184,10 +184,12 @@
 	sendToPeer(w, raw, f.log, f.metrics)
 }
 
-// sendToPeer sends a part of the directory to another host, which may have disconnected, and counts the bytes.
+// sendToPeer sends a part of the directory to another host, which may have disconnected, and counts the bytes. They are
+// counted before they are sent, so that no host has applied what is not counted yet.
 func sendToPeer(w http.ResponseWriter, raw []byte, log logrus.FieldLogger, metrics *metrics) {
+	metrics.addFeedBytes(len(raw))
 	sent, err := w.Write(raw)
-	metrics.addFeedBytes(sent)
+	metrics.addFeedBytes(sent - len(raw))
 	if err != nil {
 		log.WithError(err).Debug("changes of the directory not sent to a peer")
 	}
