Pause before a started host uses a prompt store

A host that followed a prompt store, was killed and started again under its id published what the store lists 1.5 s after it was listed, without a pause. If the store started again as well at that time, hosts that had its last reports used the start before for up to 2.5 s after them, while parts were being saved anew (MIXED). No report needs to be lost for that.

Cause: that a host has heard of no follower was taken for that there was none lately. A host that knows no start of a store pauses now, unless it is the only one of the list.

Ruled out: waiting 4 s for reports in place of 1.5 s and the pause.

--- a/place/follow_fleet_test.go
+++ b/place/follow_fleet_test.go
@@ -99,6 +99,14 @@
 	}
 }
 
+// restart starts a host anew, which knows nothing of before and counts its reports from the start.
+func (f *followFleet) restart(host *followHost) {
+	started := newFollowHost(host.id)
+	started.isCut, started.isDeafTo = host.isCut, host.isDeafTo
+	*host = *started
+	f.list()
+}
+
 // run plays a time and returns a violated rule, empty if there is none.
 func (f *followFleet) run(during time.Duration) string {
 	for end := f.now.Add(during); f.now.Before(end); {
--- a/place/store_following.go
+++ b/place/store_following.go
@@ -264,7 +264,8 @@
 // isAnotherStart reports whether other hosts may use the state of an earlier start of the store.
 func (f *StoreFollowing) isAnotherStart(epoch spoke.StoreEpoch) bool {
 	if f.epoch == 0 {
-		return f.mayHaveMissed
+		// The last follower may have been this host, before it was started again.
+		return f.mayHaveMissed || len(f.order) > 1
 	}
 	return f.epoch != epoch
 }
