Send marks again whose falls or answers have changed

Two changes met: marks are only sent again once a second unless they have changed, and marks name falls of brittle engines and the last answer.

The marks that were sent are kept whole and compared with all they hold, times with a tolerance of a second as before.

TestMarksAreSentAgainOnlyOnceTheyChange, with falls and answers among its steps, failed before (no mark sent after a fall) and passes now; go test ./crash -run 'Mark|Fall|Brittle' passes.

--- a/crash/mark_changes.go
+++ b/crash/mark_changes.go
@@ -6,47 +6,46 @@
 	"magnoliaspoke.example/spoke"
 )
 
-// expiryTolerance is the difference of two expiries that is no change. Marks that hosts send to each other expire some
+// timeTolerance is the difference of two times that is no change. Those of marks that hosts send to each other are some
 // milliseconds later at each receiver.
-const expiryTolerance = time.Second
+const timeTolerance = time.Second
 
-type (
-	// MarkChanges selects the marks that hosts have not been sent yet. The zero value has sent none; it is not safe for
-	// concurrent use.
-	MarkChanges struct {
-		sent map[spoke.Fingerprint]sentMark
-	}
-
-	// sentMark is what was last sent of a mark.
-	sentMark struct {
-		deaths    int
-		upstreams [spoke.MarkUpstreams]spoke.UpstreamID
-		expires   time.Time
-	}
-)
+// MarkChanges selects the marks that hosts have not been sent yet. The zero value has sent none; it is not safe for
+// concurrent use.
+type MarkChanges struct {
+	// sent holds each mark as it was last sent.
+	sent map[spoke.Fingerprint]spoke.QuarantineMark
+}
 
 // Select returns the marks that are new or have changed since they were last selected, and all if isFull.
 func (c *MarkChanges) Select(now time.Time, marks []spoke.QuarantineMark, isFull bool) []spoke.QuarantineMark {
 	for fingerprint, known := range c.sent {
-		if !known.expires.After(now) {
+		if !known.Expires.After(now) {
 			delete(c.sent, fingerprint)
 		}
 	}
 	if c.sent == nil {
-		c.sent = make(map[spoke.Fingerprint]sentMark)
+		c.sent = make(map[spoke.Fingerprint]spoke.QuarantineMark)
 	}
 	var selected []spoke.QuarantineMark
 	for _, mark := range marks {
 		known, isKnown := c.sent[mark.Fingerprint]
-		if !isFull && isKnown && !known.differs(mark) {
+		if !isFull && isKnown && isSameMark(known, mark) {
 			continue
 		}
-		c.sent[mark.Fingerprint] = sentMark{mark.Deaths, mark.Upstreams, mark.Expires}
+		c.sent[mark.Fingerprint] = mark
 		selected = append(selected, mark)
 	}
 	return selected
 }
 
-func (s sentMark) differs(mark spoke.QuarantineMark) bool {
-	return mark.Deaths != s.deaths || mark.Upstreams != s.upstreams || mark.Expires.Sub(s.expires).Abs() > expiryTolerance
+func isSameMark(a, b spoke.QuarantineMark) bool {
+	for i, fall := range a.Falls {
+		if fall.Upstream != b.Falls[i].Upstream || !isSameTime(fall.At, b.Falls[i].At) {
+			return false
+		}
+	}
+	return a.Deaths == b.Deaths && a.Upstreams == b.Upstreams && isSameTime(a.Expires, b.Expires) && isSameTime(a.Served, b.Served)
 }
+
+func isSameTime(a, b time.Time) bool { return a.Sub(b).Abs() <= timeTolerance }
--- a/crash/mark_changes_test.go
+++ b/crash/mark_changes_test.go
@@ -37,6 +37,15 @@
 	marks = append(marks, mark(3))
 	assert.DeepEqual(t, at(1400*time.Millisecond, false), marks[2:])
 	assert.Equal(t, len(at(1500*time.Millisecond, false)), 0)
+
+	marks[2].Falls[0] = spoke.QuarantineFall{Upstream: "i-3", At: begin}
+	assert.DeepEqual(t, at(1600*time.Millisecond, false), marks[2:])
+	marks[2].Falls[0].At = begin.Add(5 * time.Millisecond)
+	assert.Equal(t, len(at(1700*time.Millisecond, false)), 0)
+	marks[2].Falls[0].At = begin.Add(4 * time.Second)
+	assert.DeepEqual(t, at(1800*time.Millisecond, false), marks[2:])
+	marks[2].Served = begin.Add(5 * time.Second)
+	assert.DeepEqual(t, at(1900*time.Millisecond, false), marks[2:])
 }
 
 // Guards against a mark that is not sent although its receivers have dropped the one that expired.
