Look for blocked orders only while ways are bypassed

Each host listed all engines with their state ten times a second to find out whether it may order any, though this depends on bypassed ways, of which there are none in calm.

No change of behaviour; go test ./reach and ./edge -run TestHolder pass.

--- a/edge/ordersbypass.go
+++ b/edge/ordersbypass.go
@@ -22,10 +22,14 @@
 // isBypassed reports whether for some time this host has been unable to order any engine because it does not reach enough
 // of them, while other hosts do.
 func (o *orders) isBypassed() bool {
+	return o.bypass.Observe(o.timer.Now(), o.ways.hasBypassed() && o.isBlocked())
+}
+
+// isBlocked reports whether this host may order no engine because of those that it does not reach.
+func (o *orders) isBlocked() bool {
 	upstreams := o.listed()
 	bypassed := o.ways.bypassed(upstreams)
-	isBlocked := len(bypassed) > 0 && swap.AreAllBlocked(upstreams, o.toOrder(upstreams), bypassed)
-	return o.bypass.Observe(o.timer.Now(), isBlocked)
+	return len(bypassed) > 0 && swap.AreAllBlocked(upstreams, o.toOrder(upstreams), bypassed)
 }
 
 // toOrder returns the engines with older weights; while there are none, all engines, which the next weights concern.
--- a/edge/ways.go
+++ b/edge/ways.go
@@ -121,6 +121,13 @@
 	return w.state.IsCutOff()
 }
 
+// hasBypassed reports whether other hosts reach any upstream that this one does not.
+func (w *ways) hasBypassed() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.state.HasBypassed()
+}
+
 // bypassed returns those of some upstreams that other hosts reach and this one does not.
 func (w *ways) bypassed(upstreams []spoke.Upstream) map[spoke.UpstreamID]bool {
 	w.mu.Lock()
--- a/reach/bypassed.go
+++ b/reach/bypassed.go
@@ -29,6 +29,16 @@
 	return known != nil && known.isBypassed && w.IsLost(id)
 }
 
+// HasBypassed reports whether other hosts reach any upstream that this one does not.
+func (w *Ways) HasBypassed() bool {
+	for _, known := range w.ways {
+		if known.isBypassed && (w.isCutOff || known.isLost) {
+			return true
+		}
+	}
+	return false
+}
+
 // Observe records whether the host is bypassed now, and reports whether that lasts.
 func (b *Bypass) Observe(now time.Time, isBypassed bool) bool {
 	switch {
--- a/reach/bypassed_test.go
+++ b/reach/bypassed_test.go
@@ -26,11 +26,13 @@
 	s.cut[s.ids[0]], s.cut[s.ids[1]], s.dead[s.ids[2]] = true, true, true
 	s.run(10 * time.Second)
 	assert.Equal(t, countBypassed(s.ways, s.ids), 0)
+	assert.Assert(t, !s.ways.HasBypassed())
 
 	for _, id := range s.ids[:3] {
 		s.ways.Relayed(id, !s.dead[id])
 	}
 	assert.Equal(t, countBypassed(s.ways, s.ids), 2)
+	assert.Assert(t, s.ways.HasBypassed())
 	assert.Equal(t, countBypassed(s.ways, s.ids[2:]), 0)
 
 	s.dead[s.ids[0]] = true
@@ -40,6 +42,7 @@
 	s.cut[s.ids[1]] = false
 	s.run(10 * time.Second)
 	assert.Equal(t, countBypassed(s.ways, s.ids), 0)
+	assert.Assert(t, !s.ways.HasBypassed())
 }
 
 // Guards against a moment in which connections are slow being taken for lost ways, and against ways that stay lost.
