Allow for the way of the last order of the holder before

The pause is 0.2 s longer, the time for which an accepted order is assumed to have been under way. A test would have to know that time; the reconciler keeps the pause that it is given (TestFirstOrderIsSentAtTheEndOfThePause).

--- a/edge/orders.go
+++ b/edge/orders.go
@@ -20,6 +20,8 @@
 	ordersTTL = time.Second
 	// orderTimeout is the time within which an order must be accepted.
 	orderTimeout = 400 * time.Millisecond
+	// maxOrderTransit is the longest time that an accepted order is assumed to have been under way.
+	maxOrderTransit = 200 * time.Millisecond
 	// minConcurrentLoads and concurrentLoadsDivisor determine how many engines load weights at the
 	// same time: a fifth of the engines, but at least two. More of them slow each other down.
 	minConcurrentLoads     = 2
@@ -247,10 +249,9 @@
 	if !ok {
 		return swap.LeaseState{}
 	}
-	// The orders of two successive holders must be separated by the pause. The last order of the
-	// previous holder was in transit for at most orderTimeout, and was sent at least that long before
-	// its lease expired.
-	return swap.LeaseState{Held: true, Fence: held.Fence, Remaining: held.Expires.Sub(now), Pause: o.pause - 2*orderTimeout}
+	// The orders of two successive holders must be separated by the pause. The previous holder sent its last order at
+	// least orderTimeout before its lease expired, which is also the time for which the reconciler waits before the pause.
+	return swap.LeaseState{Held: true, Fence: held.Fence, Remaining: held.Expires.Sub(now), Pause: o.pause - 2*orderTimeout + maxOrderTransit}
 }
 
 // yieldLease leaves the orders to a host that reaches the engines. They are never passed on through another host, since
