Choose the checks of lost ways and bypassed ways in one place each

Found on reading the change: whether a way is bypassed was written twice, in IsBypassed and HasBypassed, and the lost ways to check were all sorted to take two of them, though package least keeps the first of a sequence. Both now call one function. Upstreams whose checks are due at the same time keep their order, which is that of their ids.

No change of behaviour; go test ./reach passes, no test changed.

--- a/reach/bypassed.go
+++ b/reach/bypassed.go
@@ -26,13 +26,17 @@
 // IsBypassed reports whether other hosts reach an upstream and this one does not.
 func (w *Ways) IsBypassed(id spoke.UpstreamID) bool {
 	known := w.ways[id]
-	return known != nil && known.isBypassed && w.IsLost(id)
+	return known != nil && w.isWayBypassed(known)
+}
+
+func (w *Ways) isWayBypassed(known *way) bool {
+	return known.isBypassed && (w.isCutOff || known.isLost)
 }
 
 // HasBypassed reports whether other hosts reach any upstream that this one does not.
 func (w *Ways) HasBypassed() bool {
 	for _, known := range w.ways {
-		if known.isBypassed && (w.isCutOff || known.isLost) {
+		if w.isWayBypassed(known) {
 			return true
 		}
 	}
--- a/reach/ways.go
+++ b/reach/ways.go
@@ -1,10 +1,12 @@
 package reach
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
 	"magnoliaspoke.example/spoke"
+	"magnoliaspoke.example/spoke/least"
 )
 
 const (
@@ -282,17 +284,20 @@
 	var due []spoke.UpstreamID
 	for _, id := range w.order {
 		if known := w.ways[id]; known.isLost && !now.Before(known.checkAt) {
-			due = append(due, id)
+			due = least.Insert(due, id, checksAtOnce, w.compareChecks)
 		}
 	}
-	slices.SortStableFunc(due, func(a, b spoke.UpstreamID) int { return w.ways[a].checkAt.Compare(w.ways[b].checkAt) })
-	due = due[:min(len(due), checksAtOnce)]
 	for _, id := range due {
 		w.ways[id].checkAt = now.Add(max(w.ways[id].checkPause, minCheckPause))
 	}
 	return due
 }
 
+// compareChecks orders upstreams by the time of their next check, then by id.
+func (w *Ways) compareChecks(a, b spoke.UpstreamID) int {
+	return cmp.Or(w.ways[a].checkAt.Compare(w.ways[b].checkAt), cmp.Compare(a, b))
+}
+
 // takeNext returns the upstreams in turn.
 func (w *Ways) takeNext() spoke.UpstreamID {
 	w.next = (w.next + 1) % len(w.order)
