Sum up the waiting work of other hosts in one function

Found on reading the change: the calls that wait at other hosts were counted by a copy of the loop that sums up their tokens. One function returns both.

--- a/place/brittle_shares.go
+++ b/place/brittle_shares.go
@@ -76,7 +76,7 @@
 	}
 	b := s.brittlenessOf(n)
 	slots := b.share.own
-	if s.waitingElsewhere(m) == 0 {
+	if s.waitingElsewhere(m).Tokens == 0 {
 		slots += int(b.share.of(b.most))
 	}
 	return min(max(float64(slots), leastOwnSlots)/float64(max(b.share.slots, 1)), 1)
--- a/place/refuse.go
+++ b/place/refuse.go
@@ -105,7 +105,7 @@
 	}
 	isDivided := s.isDivided(m)
 	if !isDivided {
-		ahead += s.waitingElsewhere(m)
+		ahead += s.waitingElsewhere(m).Tokens
 	}
 	rate := 0.0
 	isAny := isAnyUsable(now, s.cellNodes[m.Service], m)
@@ -125,36 +125,24 @@
 }
 
 // waitingElsewhere sums up the waiting work of other hosts that precedes the call.
-func (s *Scheduler) waitingElsewhere(m Request) spoke.TokenCount {
-	var ahead spoke.TokenCount
+func (s *Scheduler) waitingElsewhere(m Request) spoke.WaitingWork {
+	ahead := spoke.WaitingWork{Service: m.Service, Urgency: m.Urgency}
 	for _, other := range s.peers {
 		for _, work := range other.waiting {
 			if work.Service == m.Service && work.Urgency <= m.Urgency {
-				ahead += work.Tokens
+				ahead.Calls += work.Calls
+				ahead.Tokens += work.Tokens
 			}
 		}
 	}
 	return ahead
 }
 
-// callsElsewhere counts the waiting calls of other hosts that precede the call.
-func (s *Scheduler) callsElsewhere(m Request) int {
-	calls := 0
-	for _, other := range s.peers {
-		for _, work := range other.waiting {
-			if work.Service == m.Service && work.Urgency <= m.Urgency {
-				calls += work.Calls
-			}
-		}
-	}
-	return calls
-}
-
 // plainBacklog is backlog for calls without a prompt, before which each call counts as one, whatever its prompt.
 func (s *Scheduler) plainBacklog(now time.Time, m Request) time.Duration {
 	waiting := len(s.queues[m.Service])
 	if !s.isDivided(m) {
-		waiting += s.callsElsewhere(m)
+		waiting += s.waitingElsewhere(m).Calls
 	}
 	rate := 0.0
 	for _, n := range s.cellNodes[m.Service] {
