Drop queued states of stores in one loop

Found on reading the change: two functions that drop queued states of a prompt store, all of them or those of an earlier start, had the same loop.

--- a/place/store_reports.go
+++ b/place/store_reports.go
@@ -66,17 +66,17 @@
 
 // dropStoreStates drops the queued states of a store, which are no longer true.
 func (r *reportBuilder) dropStoreStates(name spoke.ServiceName) {
-	for group := range r.stores {
-		r.stores[group] = slices.DeleteFunc(r.stores[group], func(state spoke.StoreState) bool { return state.Store == name })
-	}
+	r.dropStates(func(state spoke.StoreState) bool { return state.Store == name })
 }
 
 // dropEarlierStates drops the queued states of a store that are of another start than epoch.
 func (r *reportBuilder) dropEarlierStates(name spoke.ServiceName, epoch spoke.StoreEpoch) {
+	r.dropStates(func(state spoke.StoreState) bool { return state.Store == name && !state.IsDown && state.Epoch != epoch })
+}
+
+func (r *reportBuilder) dropStates(isOver func(spoke.StoreState) bool) {
 	for group := range r.stores {
-		r.stores[group] = slices.DeleteFunc(r.stores[group], func(state spoke.StoreState) bool {
-			return state.Store == name && !state.IsDown && state.Epoch != epoch
-		})
+		r.stores[group] = slices.DeleteFunc(r.stores[group], isOver)
 	}
 }
 
