--- a/review/standin-2/engine.go
+++ b/review/standin-2/engine.go
@@ -7,10 +7,12 @@
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
 	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -28,11 +30,14 @@
 	version  int64
 	busy     bool
 	orders   string
-	beats    int
+
+	beatMu sync.Mutex
+	beats  int
+	state  string
 }
 
 func runEngine(args []string) {
-	e := &engine{}
+	e := &engine{state: "ready"}
 	f := flag.NewFlagSet("engine", flag.ExitOnError)
 	f.StringVar(&e.id, "id", "", "")
 	f.StringVar(&e.service, "service", "", "")
@@ -48,7 +53,14 @@
 	e.born = time.Now().UnixMilli()
 	l, err := net.FileListener(os.NewFile(3, "listener"))
 	check(err)
-	go e.beat(l.Addr().String())
+	addr := l.Addr().String()
+	e.beat(addr)
+	go func() {
+		for range time.Tick(1200 * time.Millisecond) {
+			e.beat(addr)
+		}
+	}()
+	go e.awaitLeave(addr)
 	say("start", "engine", e.id, "born", e.born, "pid", os.Getpid())
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", e.serveHealth)
@@ -66,25 +78,42 @@
 	return []any{map[string]any{"name": "m0", "version": e.version, "adapters": []any{}}}
 }
 
-// beat writes the entry of the engine at once and then every 1.2 s.
+// beat writes the entry of the engine.
 func (e *engine) beat(addr string) {
-	for {
-		e.beats++
-		entry := map[string]any{
-			"service": e.service, "address": addr, "zone": e.zone, "version": "v1", "slots": e.slots, "state": "ready",
-			"cold-left-ms": 0, "sequence": e.beats, "born": e.born,
-		}
-		if e.isModel {
-			entry["stage"], entry["models"] = "both", e.models()
-		}
-		raw, _ := json.Marshal(entry)
-		r, err := http.NewRequest(http.MethodPut, "http://"+e.store+"/outside/servers/"+e.id, strings.NewReader(string(raw)))
-		check(err)
-		if resp, err := http.DefaultClient.Do(r); err == nil {
-			_ = resp.Body.Close()
-		}
-		time.Sleep(1200 * time.Millisecond)
+	models := e.models()
+	e.beatMu.Lock()
+	defer e.beatMu.Unlock()
+	e.beats++
+	entry := map[string]any{
+		"service": e.service, "address": addr, "zone": e.zone, "version": "v1", "slots": e.slots, "state": e.state,
+		"cold-left-ms": 0, "sequence": e.beats, "born": e.born,
+	}
+	if e.isModel {
+		entry["stage"], entry["models"] = "both", models
+	}
+	raw, _ := json.Marshal(entry)
+	r, err := http.NewRequest(http.MethodPut, "http://"+e.store+"/outside/servers/"+e.id, strings.NewReader(string(raw)))
+	check(err)
+	if resp, err := http.DefaultClient.Do(r); err == nil {
+		_ = resp.Body.Close()
+	}
+}
+
+// awaitLeave reports at a SIGTERM that the engine leaves, and exits when drain-ms has passed and its last run has ended.
+func (e *engine) awaitLeave(addr string) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM)
+	<-signals
+	e.beatMu.Lock()
+	e.state = "draining"
+	e.beatMu.Unlock()
+	e.beat(addr)
+	time.Sleep(2200 * time.Millisecond)
+	for e.running.Load() > 0 {
+		time.Sleep(time.Millisecond)
 	}
+	say("exit", "engine", e.id)
+	os.Exit(0)
 }
 
 func (e *engine) load() string { return fmt.Sprintf("%d,0,%d", e.running.Load(), e.slots) }
@@ -197,8 +226,10 @@
 	w.Header().Set("Content-Type", "text/plain")
 	x := workOf(r)
 	switch x.framing {
-	case "close":
-		e.writeUnframed(w, id, x)
+	case "close", "events":
+		if !e.writeUnframed(w, id, x) {
+			return
+		}
 	case "length":
 		body := wholeBody(id, x.pieces)
 		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
@@ -214,9 +245,25 @@
 	say("end", "request", id, "engine", e.id, "born", e.born)
 }
 
-// writeUnframed sends an answer with neither a length nor chunks, which ends with its connection.
-func (e *engine) writeUnframed(w http.ResponseWriter, id string, x work) {
+// wholeEvents is the body of a stream with so many events.
+func wholeEvents(events int) string {
+	var b strings.Builder
+	for i := 1; i <= events; i++ {
+		b.WriteString(oneEvent(i))
+	}
+	return b.String()
+}
+
+func oneEvent(i int) string { return fmt.Sprintf("id: %d\ndata: token %d\n\n", i, i) }
+
+// writeUnframed sends an answer with neither a length nor chunks, which ends with its connection. It reports whether all
+// has been written.
+func (e *engine) writeUnframed(w http.ResponseWriter, id string, x work) bool {
 	header := w.Header()
+	if x.framing == "events" {
+		header.Set("Content-Type", "text/event-stream")
+		header.Set("Magnoliaspoke-Weight-Versions", "1")
+	}
 	conn, _, err := w.(http.Hijacker).Hijack()
 	check(err)
 	defer conn.Close()
@@ -225,8 +272,13 @@
 	_, _ = fmt.Fprint(conn, "\r\n")
 	for i := 1; i <= x.pieces; i++ {
 		time.Sleep(x.gap)
-		if _, err := fmt.Fprint(conn, piece(id, i, x.pieces)); err != nil {
-			return
+		text := piece(id, i, x.pieces)
+		if x.framing == "events" {
+			text = oneEvent(i)
+		}
+		if _, err := fmt.Fprint(conn, text); err != nil {
+			return false
 		}
 	}
+	return true
 }
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -87,6 +87,7 @@
 // supervised is an engine whose supervisor keeps its listening socket and starts it again after a crash.
 type supervised struct {
 	bed   *bed
+	id    string
 	args  []string
 	addr  string
 	file  *os.File
@@ -124,10 +125,18 @@
 	_ = os.RemoveAll(b.dir)
 }
 
-// freePort returns a port below those that the system gives to outgoing connections, free for TCP and UDP.
+// givenPorts are the ports that freePort has returned.
+var givenPorts = map[int]bool{}
+
+// freePort returns a port below those that the system gives to outgoing connections, free for TCP and UDP, each once.
 func freePort() int {
 	for {
-		at := fmt.Sprintf("127.0.0.1:%d", 20000+rand.IntN(12000))
+		port := 20000 + rand.IntN(12000)
+		if givenPorts[port] {
+			continue
+		}
+		givenPorts[port] = true
+		at := fmt.Sprintf("127.0.0.1:%d", port)
 		l, err := net.Listen("tcp", at)
 		if err != nil {
 			continue
@@ -138,7 +147,7 @@
 			continue
 		}
 		_ = p.Close()
-		return l.Addr().(*net.TCPAddr).Port
+		return port
 	}
 }
 
@@ -198,7 +207,7 @@
 	check(err)
 	file, err := l.(*net.TCPListener).File()
 	check(err)
-	s := &supervised{bed: b, addr: l.Addr().String(), file: file}
+	s := &supervised{bed: b, id: id, addr: l.Addr().String(), file: file}
 	s.args = append([]string{"engine", "--id", id, "--service", service, "--zone", zone, "--store", b.store.addr}, more...)
 	_ = l.Close()
 	b.engines = append(b.engines, s)
@@ -232,6 +241,7 @@
 			s.bed.record(line)
 		}
 		_ = cmd.Wait()
+		s.bed.store.dropIf(s)
 		s.spawn()
 	}()
 }
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -110,6 +110,16 @@
 	s.remove(key)
 }
 
+// dropIf removes the entry of an engine that has left.
+func (s *store) dropIf(e *supervised) {
+	e.mu.Lock()
+	hasLeft := e.stops
+	e.mu.Unlock()
+	if hasLeft {
+		s.drop("servers/" + e.id)
+	}
+}
+
 func (s *store) get(key string) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
