--- a/review/standin-2/leaving.go
+++ b/review/standin-2/leaving.go
@@ -54,10 +54,10 @@
 			time.Sleep(80 * time.Millisecond)
 		}
 		if trouble {
+			add(2 + round)
 			engines[0].leave()
 			say("leave", "engine", engines[0].id)
 			engines = engines[1:]
-			add(2 + round)
 			time.Sleep(300 * time.Millisecond)
 			_ = h.cmd.Process.Signal(syscall.SIGTERM)
 			say("stop", "host", h.name)
--- a/review/standin-2/unframed.go
+++ b/review/standin-2/unframed.go
@@ -8,15 +8,16 @@
 
 func init() { cases["unframed"] = caseUnframed }
 
-// caseUnframed kills a plain server in the middle of an answer that ends with its channel. The server's supervisor starts
+// caseUnframed kills one of seven plain servers in the middle of an answer that ends with its channel. The server's supervisor starts
 // it again at once, under the same id.
 func caseUnframed(b *bed, trouble bool) int {
 	b.store.put("op/config", manifest(1, []any{
 		route("book", "/book/", "unsafe", "desk", 1, nil), route("look", "/look/", "safe", "desk", 2, nil),
 	}, []any{plainService("desk")}))
 	first := b.addEngine("i-desk-1", "desk", "z-a", "--start-ms", "150")
-	b.addEngine("i-desk-2", "desk", "z-b", "--start-ms", "150")
-	b.addEngine("i-desk-3", "desk", "z-c", "--start-ms", "150")
+	for n := 2; n <= 7; n++ {
+		b.addEngine(fmt.Sprintf("i-desk-%d", n), "desk", fmt.Sprintf("z-%c", 'a'+n%3), "--start-ms", "150")
+	}
 	b.addHost("host-1", "z-a", nil)
 	b.addHost("host-2", "z-b", nil)
 	b.addHost("host-3", "z-c", nil)
@@ -24,7 +25,7 @@
 	time.Sleep(time.Second)
 	const pieces = 10
 	work := map[string]string{"X-Work": fmt.Sprintf("%d,50,close", pieces)}
-	answers := make(chan got, 100)
+	answers := make(chan got, 400)
 	sent := 0
 	stop := time.Now().Add(12 * time.Second)
 	next := time.Now().Add(2 * time.Second)
@@ -35,7 +36,7 @@
 		go func() {
 			answers <- send(context.Background(), at, "POST", "/book/x", id, 6*time.Second, work)
 		}()
-		time.Sleep(100 * time.Millisecond)
+		time.Sleep(40 * time.Millisecond)
 		if trouble && time.Now().After(next) {
 			next = time.Now().Add(3 * time.Second)
 			first.kill()
