edge: take the last answer of a leaving engine for whole when five signs agree

Cause: behind an answer with neither a length nor chunks, the host asks the engine's address for evidence. An engine that leaves and exits behind its last answer refuses the connection as a killed one does, and nothing else was used.

Ruled out: the stop of the host itself. Its grace ends 4 s later, and streams that end while their engine runs are whole.

Change: a refused connection counts as an exit behind the answer if the notice is as old as drain-ms, the end follows the last bytes within 5 ms, no other call was at the engine here or, by the last reports, elsewhere, and the directory removes the entry within 700 ms. The signs are logged.

Kills late in the notice do not look whole in four cases, as before.

--- a/edge/answerend.go
+++ b/edge/answerend.go
@@ -42,8 +42,52 @@
 	return errUnconfirmedEnd
 }
 
-// checkEnd asks who runs at the address of the upstream until that is known or the time for it is over.
+// checkEnd asks who runs at the address of the upstream until that is known or the time for it is over. If the address
+// refuses connections, the upstream may have exited behind its last answer.
 func (a *attempt) checkEnd(ctx context.Context) place.EndEvidence {
+	removed, endWatch := a.listed.watchRemoval(a.grant.Upstream.ID)
+	defer endWatch()
+	mayExit := a.mayExit(ctx)
+	evidence := a.askUntilKnown(ctx)
+	if evidence == place.EndUpstreamRefused && mayExit && a.isRemoved(ctx, removed) {
+		return place.EndUpstreamLeft
+	}
+	return evidence
+}
+
+// mayExit reports whether what is known at the end of the answer allows that its upstream exits behind it.
+func (a *attempt) mayExit(ctx context.Context) bool {
+	signs := place.ExitSigns{
+		LeavingFor: a.listed.leavingFor(a.grant.Upstream.ID, a.endedAt), Notice: a.leaveNotice,
+		LastBytesAt: a.heardAt, EndedAt: a.endedAt,
+	}
+	if signs.LeavingFor == 0 {
+		return false
+	}
+	var isKnown bool
+	signs.Beside, isKnown = a.planner.runsBeside(ctx, a.grant.Call)
+	mayExit := isKnown && signs.MayExit()
+	a.log.WithFields(logrus.Fields{
+		"upstream": a.grant.Upstream.ID, "leaving-for": signs.LeavingFor.String(), "pause": signs.EndedAt.Sub(signs.LastBytesAt).String(),
+		"own-runs": signs.Beside.Own, "other-runs": signs.Beside.Elsewhere, "may-exit": mayExit,
+	}).Info("answer of a leaving upstream ended with its connection")
+	return mayExit
+}
+
+// isRemoved waits for the removal of the upstream's entry, which one that exits removes and a killed one does not.
+func (a *attempt) isRemoved(ctx context.Context, removed <-chan struct{}) bool {
+	ctx, cancel := context.WithDeadline(ctx, place.RemovalUntil(a.endedAt, a.deadline))
+	defer cancel()
+	select {
+	case <-removed:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// askUntilKnown asks who runs at the address of the upstream.
+func (a *attempt) askUntilKnown(ctx context.Context) place.EndEvidence {
 	check := place.NewEndCheck(a.endedAt, a.deadline)
 	askAt, evidence := check.FirstAt(), place.EndNothing
 	for waitUntil(ctx, askAt) {
--- a/edge/handler.go
+++ b/edge/handler.go
@@ -46,6 +46,8 @@
 		parts      *partQuarantine
 		origins    *origins
 		listed     *listedUpstreams
+		// leaveNotice is how long an upstream that leaves goes on serving.
+		leaveNotice time.Duration
 		// evacuations holds the data centres to which nothing is sent.
 		evacuations *evacuations
 		// answerMemory bounds the memory of large answers that are buffered until they are complete.
--- a/edge/host.go
+++ b/edge/host.go
@@ -121,7 +121,7 @@
 		conf: h.conf, codec: deps.Codec, planner: h.planner, quarantine: quarantine, parts: parts, origins: h.planner.origins,
 		pool: link.New(link.WithDial(h.ways.Dial), link.WithReuse(h.ways.mayReuse)), ways: h.ways,
 		answerMemory: fetch.NewMemory(settings.Memory / answerMemoryDivisor),
-		listed:       newListedUpstreams(), evacuations: evacuations,
+		listed:       newListedUpstreams(), leaveNotice: settings.LeaveNotice, evacuations: evacuations,
 		underWay: newCallsUnderWay(), times: newCallTimes(), requests: drain.NewRequests(),
 		log: deps.Log, metrics: metrics,
 	}
--- a/edge/killed_engine_test.go
+++ b/edge/killed_engine_test.go
@@ -22,7 +22,13 @@
 const (
 	// engineProcess is the variable that makes the test program an engine process; its value is the body of its answers.
 	engineProcess = "SPOKE_TEST_ENGINE"
-	killedID      = "i-killed"
+	// engineRest is the variable with what follows the body once the engine process is told to go on. Behind it, the
+	// process ends its answer and exits a moment later, or keeps both if engineStays is set.
+	engineRest  = "SPOKE_TEST_ENGINE_REST"
+	engineStays = "SPOKE_TEST_ENGINE_STAYS"
+	// exitDelay is the time between the end of the last answer of an engine process and its exit.
+	exitDelay = time.Millisecond
+	killedID  = "i-killed"
 	// listenerFile is the descriptor of the listener that an engine process inherits.
 	listenerFile = 3
 )
@@ -40,7 +46,8 @@
 }
 
 // runEngineProcess runs an engine whose answers have neither a length nor chunks and stay open after the body, until the
-// end of standard input. It writes its entry and then a line for each answer.
+// end of standard input. It writes its entry and then a line for each answer. A line of standard input makes it send the
+// rest of its answers.
 func runEngineProcess(body string) {
 	listener, err := net.FileListener(os.NewFile(listenerFile, "listener"))
 	if err != nil {
@@ -48,27 +55,45 @@
 	}
 	engine := fake.NewEngineAt(listener, killedID, 4)
 	head := []string{"HTTP/1.1 200 OK", "Connection: close"}
-	engine.SetUnframedAnswer(fake.UnframedAnswer{Head: head, Body: body, StaysOpen: true, OnSent: func() { fmt.Println("sent") }})
+	proceed := make(chan struct{})
+	sent := func() { fmt.Println("sent") }
+	answer := fake.UnframedAnswer{Head: head, Body: body, StaysOpen: true, OnSent: sent}
+	if rest, hasRest := os.LookupEnv(engineRest); hasRest {
+		answer.Rest, answer.Continue, answer.AfterRest = rest, proceed, sent
+		if os.Getenv(engineStays) == "" {
+			answer.StaysOpen, answer.AfterRest = false, exitAfterDelay
+		}
+	}
+	engine.SetUnframedAnswer(answer)
 	entry, err := json.Marshal(engine.Entry("models", "a", "ready"))
 	if err != nil {
 		panic(err)
 	}
 	fmt.Println(string(entry))
+	if bufio.NewScanner(os.Stdin).Scan() {
+		close(proceed)
+	}
 	_, _ = io.Copy(io.Discard, os.Stdin)
 }
 
+func exitAfterDelay() {
+	time.Sleep(exitDelay)
+	os.Exit(0)
+}
+
 // killedEngine is an engine process that is killed while it sends an answer.
 type killedEngine struct {
 	d        *deployment
 	entry    map[string]any
 	listener net.Listener
-	process  *os.Process
+	process  *exec.Cmd
+	input    io.Writer
 	output   *bufio.Reader
 }
 
 // startEngineProcess starts an engine as a process and lists it. Its listener also belongs to the test, so that the
 // address accepts connections after the end of the process until the test closes it.
-func (d *deployment) startEngineProcess(body string) *killedEngine {
+func (d *deployment) startEngineProcess(body string, environment ...string) *killedEngine {
 	d.t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(d.t, err)
@@ -77,7 +102,8 @@
 	assert.NilError(d.t, err)
 	defer inherited.Close()
 	process := exec.Command(os.Args[0])
-	process.Env, process.ExtraFiles = append(os.Environ(), engineProcess+"="+body), []*os.File{inherited}
+	process.Env = append(append(os.Environ(), engineProcess+"="+body), environment...)
+	process.ExtraFiles = []*os.File{inherited}
 	input, err := process.StdinPipe()
 	assert.NilError(d.t, err)
 	output, err := process.StdoutPipe()
@@ -87,7 +113,7 @@
 		_ = input.Close()
 		_ = process.Wait()
 	})
-	k := &killedEngine{d: d, listener: listener, process: process.Process, output: bufio.NewReader(output)}
+	k := &killedEngine{d: d, listener: listener, process: process, input: input, output: bufio.NewReader(output)}
 	line, err := k.output.ReadBytes('\n')
 	assert.NilError(d.t, err)
 	assert.NilError(d.t, json.Unmarshal(line, &k.entry))
@@ -102,7 +128,21 @@
 	assert.NilError(k.d.t, err)
 }
 
-func (k *killedEngine) kill() { assert.NilError(k.d.t, k.process.Kill()) }
+func (k *killedEngine) kill() { assert.NilError(k.d.t, k.process.Process.Kill()) }
+
+// goOn makes the process send the rest of its answers.
+func (k *killedEngine) goOn() {
+	k.d.t.Helper()
+	_, err := io.WriteString(k.input, "\n")
+	assert.NilError(k.d.t, err)
+}
+
+// leave announces that the engine leaves.
+func (k *killedEngine) leave() {
+	k.entry["state"], k.entry["sequence"] = "draining", 2
+	k.d.store.Put("servers/"+killedID, k.entry)
+	k.d.awaitApplied()
+}
 
 // deaths are the ways in which an engine process ends, by name.
 var deaths = map[string]func(k *killedEngine){
@@ -112,9 +152,7 @@
 	},
 	"leaving": func(k *killedEngine) {
 		_ = k.listener.Close()
-		k.entry["state"], k.entry["sequence"] = "draining", 2
-		k.d.store.Put("servers/"+killedID, k.entry)
-		k.d.awaitApplied()
+		k.leave()
 		k.kill()
 	},
 	"unlisted": func(k *killedEngine) {
--- a/edge/planner.go
+++ b/edge/planner.go
@@ -28,9 +28,16 @@
 var errOutdatedWeights = errors.New("weights are outdated")
 
 type (
-	// schedulerMessage is a message for the scheduler, with the channel for the answer to a call.
+	// runsQuery asks for the other calls at the upstream of a call.
+	runsQuery struct {
+		call  spoke.CallNumber
+		reply chan place.RunsBeside
+	}
+
+	// schedulerMessage is a message for the scheduler, with the channel for the answer to a call, or a query.
 	schedulerMessage struct {
 		message place.Message
+		query   *runsQuery
 		reply   chan place.Action
 		// parts are all parts of the prompt of a call.
 		parts []spoke.PromptPart
@@ -141,6 +148,10 @@
 }
 
 func (p *planner) handle(m schedulerMessage) {
+	if m.query != nil {
+		m.query.reply <- p.scheduler.RunsBeside(m.query.call)
+		return
+	}
 	switch message := m.message.(type) {
 	case place.SetWantedWeights:
 		p.countSuspension()
@@ -160,6 +171,18 @@
 	p.step(m.message)
 }
 
+// runsBeside returns the other calls at the upstream of a call, after all messages before the query; false if ctx has ended.
+func (p *planner) runsBeside(ctx context.Context, call spoke.CallNumber) (place.RunsBeside, bool) {
+	query := &runsQuery{call: call, reply: make(chan place.RunsBeside, 1)}
+	p.in <- schedulerMessage{query: query}
+	select {
+	case beside := <-query.reply:
+		return beside, true
+	case <-ctx.Done():
+		return place.RunsBeside{}, false
+	}
+}
+
 // countSuspension makes the scheduler count the time for which the machine was suspended. Ages that arrive behind a
 // suspension include it, so that it must be counted before them.
 func (p *planner) countSuspension() {
--- a/fake/platform/unframed.go
+++ b/fake/platform/unframed.go
@@ -24,6 +24,11 @@
 	IgnoresLastEvent bool
 	// OnSent, if set, is called after the body was sent to a request that begins a run.
 	OnSent func()
+	// Continue, if set, is awaited before the rest is sent and the connection ends.
+	Continue <-chan struct{}
+	// Rest follows the body, then AfterRest is called once the connection has ended, or stays open.
+	Rest      string
+	AfterRest func()
 }
 
 // SetUnframedAnswer sets the response to the following requests.
@@ -48,6 +53,7 @@
 	e.mu.Unlock()
 	if after, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil && !answer.IgnoresLastEvent {
 		answer.Body, answer.IsReset, answer.StaysOpen, answer.OnSent = WholeStream(after, e.events), false, false, nil
+		answer.Continue = nil
 	}
 	conn, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
@@ -58,6 +64,11 @@
 	if answer.OnSent != nil {
 		answer.OnSent()
 	}
+	if answer.Continue != nil {
+		<-answer.Continue
+		_, _ = io.WriteString(conn, answer.Rest)
+		defer answer.AfterRest()
+	}
 	if answer.StaysOpen {
 		return
 	}
--- a/place/answer_end.go
+++ b/place/answer_end.go
@@ -18,6 +18,8 @@
 	// EndStartUnclear states that another start of the upstream has the address than the one that was granted, which may
 	// have been outdated.
 	EndStartUnclear EndEvidence = "upstream-start-unclear"
+	// EndUpstreamLeft states that the upstream has exited behind its last answer, after a notice.
+	EndUpstreamLeft EndEvidence = "upstream-left"
 	// EndNothing states that nothing was learned.
 	EndNothing EndEvidence = "nothing"
 
@@ -65,7 +67,9 @@
 )
 
 // IsWhole reports whether the answer is whole.
-func (e EndEvidence) IsWhole() bool { return e == EndAtLimit || e == EndUpstreamRuns }
+func (e EndEvidence) IsWhole() bool {
+	return e == EndAtLimit || e == EndUpstreamRuns || e == EndUpstreamLeft
+}
 
 // IsDeath reports whether the upstream that gave the answer no longer ran behind its end.
 func (e EndEvidence) IsDeath() bool { return e == EndUpstreamRefused || e == EndUpstreamReplaced }
--- a/place/calls.go
+++ b/place/calls.go
@@ -88,6 +88,9 @@
 		s.observeSpeed(now, run, m.IsDetour, m.Ending)
 	}
 	run.node.observe(now, run, m.Ending)
+	if m.Ending == EndBroken {
+		run.node.brokenAt = now
+	}
 	s.recordFinish(now, run, m)
 	if !run.hasBegun {
 		s.endCopies(now, run, false)
--- a/place/node.go
+++ b/place/node.go
@@ -101,6 +101,8 @@
 		serviceTime time.Duration
 		failures    float64
 		failedAt    time.Time
+		// brokenAt is when a call of this host was last broken off, the zero time if none was.
+		brokenAt    time.Time
 		backoff     time.Duration
 		pausedUntil time.Time
 		// isAddressReused says that another upstream has the address; only a new directory entry resets it.
