edge: await the ends of other calls at a leaving engine

Cause: whether other hosts had calls at the engine was asked at the moment of the end. By their reports two had, whose ends were known a moment later. Which calls these were is not in the logs that were kept.

Change: the ends of other calls are awaited as long as the removal of the entry, also once the engine is no longer listed, and one that was broken off rules the exit out. Hosts report for a second that a call was broken off (broken-ms, optional; earlier hosts do not send it, and their calls count as ended).

TestCallsBesideAreCounted covers reports behind the removal; tests of killed engines pass.

--- a/edge/answerend.go
+++ b/edge/answerend.go
@@ -14,8 +14,12 @@
 	"magnoliaspoke.example/spoke/place"
 )
 
-// maxIdentityBytes bounds the body of an answer about the upstream at an address.
-const maxIdentityBytes = 64 << 10
+const (
+	// maxIdentityBytes bounds the body of an answer about the upstream at an address.
+	maxIdentityBytes = 64 << 10
+	// besideInterval is the time between two looks at the other calls at an upstream.
+	besideInterval = 20 * time.Millisecond
+)
 
 // errUnconfirmedEnd reports an answer that ended with its connection and that nothing shows to be whole.
 var errUnconfirmedEnd = errors.New("nothing confirms that an answer with neither a length nor chunks is whole")
@@ -47,45 +51,61 @@
 func (a *attempt) checkEnd(ctx context.Context) place.EndEvidence {
 	removed, endWatch := a.listed.watchRemoval(a.grant.Upstream.ID)
 	defer endWatch()
-	mayExit := a.mayExit(ctx)
+	a.leavingFor = a.listed.leavingFor(a.grant.Upstream.ID, a.endedAt)
 	evidence := a.askUntilKnown(ctx)
-	if evidence == place.EndUpstreamRefused && mayExit && a.isRemoved(ctx, removed) {
+	if evidence != place.EndUpstreamRefused || !a.mayExit() {
+		return evidence
+	}
+	ctx, cancel := context.WithDeadline(ctx, place.RemovalUntil(a.endedAt, a.deadline))
+	defer cancel()
+	if isClosedInTime(ctx, removed) && a.isLastRun(ctx) {
 		return place.EndUpstreamLeft
 	}
 	return evidence
 }
 
-// mayExit reports whether what is known at the end of the answer allows that its upstream exits behind it.
-func (a *attempt) mayExit(ctx context.Context) bool {
+// mayExit reports whether what is known of the upstream and the end of the answer allows that it exits behind it.
+func (a *attempt) mayExit() bool {
 	signs := place.ExitSigns{
-		LeavingFor: a.listed.leavingFor(a.grant.Upstream.ID, a.endedAt), Notice: a.leaveNotice,
-		LastBytesAt: a.heardAt, EndedAt: a.endedAt,
+		LeavingFor: a.leavingFor, Notice: a.leaveNotice, LastBytesAt: a.heardAt, EndedAt: a.endedAt,
 	}
-	if signs.LeavingFor == 0 {
-		return false
+	mayExit := signs.MayExit()
+	if signs.LeavingFor > 0 {
+		a.log.WithFields(logrus.Fields{
+			"upstream": a.grant.Upstream.ID, "leaving-for": signs.LeavingFor.String(),
+			"pause": signs.EndedAt.Sub(signs.LastBytesAt).String(), "may-exit": mayExit,
+		}).Info("leaving upstream refuses connections behind an answer")
 	}
-	var isKnown bool
-	signs.Beside, isKnown = a.planner.runsBeside(ctx, a.grant.Call)
-	mayExit := isKnown && signs.MayExit()
-	a.log.WithFields(logrus.Fields{
-		"upstream": a.grant.Upstream.ID, "leaving-for": signs.LeavingFor.String(), "pause": signs.EndedAt.Sub(signs.LastBytesAt).String(),
-		"own-runs": signs.Beside.Own, "other-runs": signs.Beside.Elsewhere, "may-exit": mayExit,
-	}).Info("answer of a leaving upstream ended with its connection")
 	return mayExit
 }
 
-// isRemoved waits for the removal of the upstream's entry, which one that exits removes and a killed one does not.
-func (a *attempt) isRemoved(ctx context.Context, removed <-chan struct{}) bool {
-	ctx, cancel := context.WithDeadline(ctx, place.RemovalUntil(a.endedAt, a.deadline))
-	defer cancel()
+// isClosedInTime reports whether a channel is closed before ctx ends.
+func isClosedInTime(ctx context.Context, done <-chan struct{}) bool {
 	select {
-	case <-removed:
+	case <-done:
 		return true
 	case <-ctx.Done():
 		return false
 	}
 }
 
+// isLastRun reports whether all other calls at the upstream have ended whole before ctx ends. The ends of those at other
+// hosts, and of those whose own ends are checked, are known a little later.
+func (a *attempt) isLastRun(ctx context.Context) bool {
+	for {
+		beside, isKnown := a.planner.runsBeside(ctx, a.grant.Call)
+		step := beside.Step(a.endedAt)
+		if !isKnown || step != place.BesideUnderWay {
+			return isKnown && step == place.BesideNone
+		}
+		if !waitUntil(ctx, time.Now().Add(besideInterval)) {
+			a.log.WithFields(logrus.Fields{"upstream": a.grant.Upstream.ID, "own-runs": beside.Own, "other-runs": beside.Elsewhere}).
+				Info("other calls at a leaving upstream have not ended")
+			return false
+		}
+	}
+}
+
 // askUntilKnown asks who runs at the address of the upstream.
 func (a *attempt) askUntilKnown(ctx context.Context) place.EndEvidence {
 	check := place.NewEndCheck(a.endedAt, a.deadline)
--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -62,6 +62,8 @@
 		sentAt time.Time
 		// endedAt is when an answer that needed evidence ended, the zero time if there was none.
 		endedAt time.Time
+		// leavingFor is for how long the upstream had been known to leave then, zero if it was not.
+		leavingFor time.Duration
 		// evidence is what has shown whether the answer is whole, empty if that needed none.
 		evidence place.EndEvidence
 		// framing names what shows the end of the answer, empty if there is no answer.
--- a/peers/codec.go
+++ b/peers/codec.go
@@ -68,6 +68,7 @@
 		// Earlier versions send and read neither.
 		SlackMs      int64 `json:"slack-ms,omitempty"`
 		SlackStreams int   `json:"slack-streams,omitempty"`
+		BrokenMs     int64 `json:"broken-ms,omitempty"`
 	}
 
 	copyRow struct {
@@ -142,7 +143,7 @@
 		row.Table = &tableRow{uint64(table.Version), table.Content.Key, string(table.Content.ID)}
 	}
 	for _, u := range report.Upstreams {
-		row.Upstreams = append(row.Upstreams, upstreamRow{string(u.Upstream), int64(u.Prefill), int64(u.Memory), u.Runs, u.CopyTime.Milliseconds(), u.HasGivenUp, u.Slack.Milliseconds(), u.SlackStreams})
+		row.Upstreams = append(row.Upstreams, upstreamRow{string(u.Upstream), int64(u.Prefill), int64(u.Memory), u.Runs, u.CopyTime.Milliseconds(), u.HasGivenUp, u.Slack.Milliseconds(), u.SlackStreams, u.BrokenAge.Milliseconds()})
 	}
 	for _, w := range report.Waiting {
 		row.Waiting = append(row.Waiting, encodeWaiting(w))
@@ -218,7 +219,7 @@
 	for _, u := range row.Upstreams {
 		report.Upstreams = append(report.Upstreams, spoke.HostUpstreamLoad{
 			Upstream: spoke.UpstreamID(u.ID), Prefill: spoke.TokenCount(u.Prefill), Memory: spoke.TokenCount(u.Memory), Runs: u.Runs,
-			CopyTime: time.Duration(u.CopyTimeMs) * time.Millisecond, HasGivenUp: u.HasGivenUp,
+			CopyTime: time.Duration(u.CopyTimeMs) * time.Millisecond, HasGivenUp: u.HasGivenUp, BrokenAge: decodeMilliseconds(u.BrokenMs),
 			Slack: time.Duration(u.SlackMs) * time.Millisecond, SlackStreams: min(max(u.SlackStreams, 0), max(u.Runs, 0)),
 		})
 	}
--- a/place/calls.go
+++ b/place/calls.go
@@ -91,6 +91,9 @@
 	if m.Ending == EndBroken {
 		run.node.brokenAt = now
 	}
+	if len(run.node.runs) == 0 && s.nodes[run.node.listed.ID] != run.node {
+		delete(s.unlisted, run.node.listed.ID)
+	}
 	s.recordFinish(now, run, m)
 	if !run.hasBegun {
 		s.endCopies(now, run, false)
--- a/place/exit_signs.go
+++ b/place/exit_signs.go
@@ -15,6 +15,17 @@
 	removalTime = 700 * time.Millisecond
 	// sameEndTime is the time within which the connections of a process that ends are seen to end.
 	sameEndTime = 100 * time.Millisecond
+	// brokenRetention is the time for which hosts report that a call was broken off.
+	brokenRetention = time.Second
+)
+
+const (
+	// BesideNone says that all other calls have ended whole.
+	BesideNone BesideStep = iota
+	// BesideUnderWay says that some are under way, or that their ends are not known yet.
+	BesideUnderWay
+	// BesideBroken says that one was broken off at the same time.
+	BesideBroken
 )
 
 type (
@@ -22,10 +33,13 @@
 	RunsBeside struct {
 		// Own and Elsewhere count those of this host and, by their last reports, of other hosts.
 		Own, Elsewhere int
-		// BrokenAt is when one of this host was last broken off, the zero time if none was.
+		// BrokenAt is when one of them was last broken off, the zero time if none was.
 		BrokenAt time.Time
 	}
 
+	// BesideStep is what the other calls at an upstream show of its exit.
+	BesideStep int
+
 	// ExitSigns is what a host knows, at the end of an answer with neither a length nor chunks, that tells an upstream which
 	// exits behind its last answer from one that is killed while it leaves. All signs must agree.
 	ExitSigns struct {
@@ -35,21 +49,25 @@
 		Notice time.Duration
 		// LastBytesAt and EndedAt are when the last bytes of the answer and its end were read.
 		LastBytesAt, EndedAt time.Time
-		Beside               RunsBeside
 	}
 )
 
-// MayExit reports whether an upstream that leaves may have exited behind the answer: it has served as long as it must, the
-// end followed the last bytes at once, and no other call was there, whose answer its exit would have cut.
+// MayExit reports whether an upstream that leaves may have exited behind the answer: it has served as long as it must, and
+// the end followed the last bytes at once.
 func (s ExitSigns) MayExit() bool {
 	hasServed := s.LeavingFor > 0 && s.LeavingFor >= s.Notice
-	isAtOnce := s.EndedAt.Sub(s.LastBytesAt) <= maxExitPause
-	return hasServed && isAtOnce && s.Beside.isNone(s.EndedAt)
+	return hasServed && s.EndedAt.Sub(s.LastBytesAt) <= maxExitPause
 }
 
-// isNone reports whether no other call was at the upstream at the end of an answer, or was broken off just before.
-func (b RunsBeside) isNone(endedAt time.Time) bool {
-	return b.Own == 0 && b.Elsewhere == 0 && endedAt.Sub(b.BrokenAt) > sameEndTime
+// Step returns what the other calls show of the exit of an upstream behind an answer that ended at a time: an exit cuts none.
+func (b RunsBeside) Step(endedAt time.Time) BesideStep {
+	switch {
+	case endedAt.Sub(b.BrokenAt) <= sameEndTime:
+		return BesideBroken
+	case b.Own > 0 || b.Elsewhere > 0:
+		return BesideUnderWay
+	}
+	return BesideNone
 }
 
 // RunsBeside returns the other calls at the upstream of a call that runs.
@@ -59,6 +77,9 @@
 		return RunsBeside{}
 	}
 	beside := RunsBeside{Own: len(run.node.runs) - 1, BrokenAt: run.node.brokenAt}
+	if run.node.brokenElsewhereAt.After(beside.BrokenAt) {
+		beside.BrokenAt = run.node.brokenElsewhereAt
+	}
 	for _, load := range run.node.peers {
 		beside.Elsewhere += load.Runs
 	}
@@ -74,3 +95,19 @@
 	}
 	return until
 }
+
+// removeUpstream removes an upstream. While this host has calls there, it still counts those of other hosts.
+func (s *Scheduler) removeUpstream(id spoke.UpstreamID) {
+	if n := s.nodes[id]; n != nil && len(n.runs) > 0 {
+		s.unlisted[id] = n
+	}
+	delete(s.nodes, id)
+}
+
+// brokenAge returns the time since a call of this host was broken off at the upstream, zero if none was lately.
+func (n *node) brokenAge(now time.Time) time.Duration {
+	if age := now.Sub(n.brokenAt); age < brokenRetention {
+		return max(age, time.Millisecond)
+	}
+	return 0
+}
--- a/place/exit_signs_test.go
+++ b/place/exit_signs_test.go
@@ -22,17 +22,25 @@
 		"no notice":                     func(s *place.ExitSigns) { s.LeavingFor, s.Notice = 0, 0 },
 		"killed before its notice ends": func(s *place.ExitSigns) { s.LeavingFor -= time.Millisecond },
 		"killed between two events":     func(s *place.ExitSigns) { s.LastBytesAt = ended.Add(-6 * time.Millisecond) },
-		"another answer here":           func(s *place.ExitSigns) { s.Beside.Own = 1 },
-		"another answer elsewhere":      func(s *place.ExitSigns) { s.Beside.Elsewhere = 1 },
-		"another answer broken off":     func(s *place.ExitSigns) { s.Beside.BrokenAt = ended.Add(-100 * time.Millisecond) },
 	} {
 		signs := whole
 		change(&signs)
 		assert.Check(t, !signs.MayExit(), name)
 	}
-	// A call that broke off long before, as one that was refused for its size, shows nothing.
-	whole.Beside.BrokenAt = ended.Add(-101 * time.Millisecond)
-	assert.Assert(t, whole.MayExit())
+	for _, c := range []struct {
+		beside place.RunsBeside
+		want   place.BesideStep
+	}{
+		{place.RunsBeside{}, place.BesideNone},
+		{place.RunsBeside{Own: 1}, place.BesideUnderWay},
+		{place.RunsBeside{Elsewhere: 1}, place.BesideUnderWay},
+		{place.RunsBeside{BrokenAt: ended.Add(-100 * time.Millisecond)}, place.BesideBroken},
+		{place.RunsBeside{Own: 1, BrokenAt: ended.Add(time.Second)}, place.BesideBroken},
+		// A call that broke off long before shows nothing.
+		{place.RunsBeside{BrokenAt: ended.Add(-101 * time.Millisecond)}, place.BesideNone},
+	} {
+		assert.Check(t, c.beside.Step(ended) == c.want, "%v", c.beside)
+	}
 }
 
 // Guards against a wait for the removal of an entry that outlasts the call, or the time for which a killed engine surely
@@ -43,16 +51,29 @@
 	assert.Equal(t, place.RemovalUntil(ended, ended.Add(time.Millisecond)).Sub(ended), time.Millisecond)
 }
 
-// Guards against calls at an engine that is killed, at this host and at others, that are not known at the end of another
-// answer of it.
+// Guards against calls at an engine that is killed, at this host and at others, that are not known when another answer of it
+// is judged, also once the engine is no longer listed.
 func TestCallsBesideAreCounted(t *testing.T) {
-	ts := newTestScheduler(t, 1)
-	first := ts.grant(ts.request(0, "a", 500, 200))
-	assert.Equal(t, ts.scheduler.RunsBeside(first.Call), place.RunsBeside{})
-	second := ts.grant(ts.request(0, "b", 500, 200))
-	report := spoke.HostReport{Host: "host-2", Sequence: 1, Upstreams: []spoke.HostUpstreamLoad{{Upstream: "engine-0", Runs: 2}}}
-	ts.handle(place.ReceiveReport{Report: report})
-	assert.Equal(t, ts.scheduler.RunsBeside(first.Call), place.RunsBeside{Own: 1, Elsewhere: 2})
+	ts, other := newTestScheduler(t, 1), newTestSchedulerFor(t, "host-2", 1)
+	first, second := ts.grant(ts.request(0, "a", 500, 200)), ts.grant(ts.request(0, "b", 500, 200))
+	elsewhere := other.grant(other.request(0, "c", 500, 200))
+	report := func(isFull bool) {
+		t.Helper()
+		ts.handle(place.ReceiveReport{Report: other.scheduler.LoadReport(other.now, isFull)})
+	}
+	report(false)
+	assert.Equal(t, ts.scheduler.RunsBeside(first.Call), place.RunsBeside{Own: 1, Elsewhere: 1})
+	for _, host := range []*testScheduler{ts, other} {
+		host.handle(place.SetUpstreams{Removed: []spoke.UpstreamID{"engine-0"}})
+	}
 	ts.handle(place.Ended{Call: second.Call, Ending: place.EndBroken})
-	assert.Equal(t, ts.scheduler.RunsBeside(first.Call), place.RunsBeside{Elsewhere: 2, BrokenAt: ts.now})
+	report(true)
+	assert.Equal(t, ts.scheduler.RunsBeside(first.Call), place.RunsBeside{Elsewhere: 1, BrokenAt: ts.now})
+	ts.advance(time.Second)
+	other.advance(time.Second)
+	other.handle(place.Ended{Call: elsewhere.Call, Ending: place.EndBroken})
+	report(false)
+	got := ts.scheduler.RunsBeside(first.Call)
+	assert.Equal(t, got.Elsewhere, 0)
+	assert.Equal(t, got.Step(ts.now), place.BesideBroken)
 }
--- a/place/node.go
+++ b/place/node.go
@@ -101,10 +101,11 @@
 		serviceTime time.Duration
 		failures    float64
 		failedAt    time.Time
-		// brokenAt is when a call of this host was last broken off, the zero time if none was.
-		brokenAt    time.Time
-		backoff     time.Duration
-		pausedUntil time.Time
+		// brokenAt and brokenElsewhereAt are when a call of this host or of another one was last broken off, the zero time
+		// if none was.
+		brokenAt, brokenElsewhereAt time.Time
+		backoff                     time.Duration
+		pausedUntil                 time.Time
 		// isAddressReused says that another upstream has the address; only a new directory entry resets it.
 		isAddressReused bool
 		// region is that of the upstream's data centre, empty if it is unknown.
--- a/place/report.go
+++ b/place/report.go
@@ -112,10 +112,15 @@
 		maps.Copy(report.Weights, s.unlistedWeights())
 	}
 	for _, n := range nodes {
-		if own := s.reportedLoad(now, n); own.Runs > 0 || !isFull {
+		if own := s.reportedLoad(now, n); own.Runs > 0 || own.BrokenAge > 0 || !isFull {
 			report.Upstreams = append(report.Upstreams, own)
 		}
 	}
+	for id, n := range s.unlisted {
+		if isFull && s.nodes[id] == nil {
+			report.Upstreams = append(report.Upstreams, s.reportedLoad(now, n))
+		}
+	}
 	report.Slowness, report.Copies = s.report.takeSlowness(now), s.copyReports(now, isFull)
 	report.Speeds = s.speedReports(now)
 	clear(s.report.changes)
@@ -250,6 +255,9 @@
 		if n := s.nodes[upstream.Upstream]; n != nil {
 			n.updatePeerLoad(now, report.Host, upstream)
 		}
+		if n := s.unlisted[upstream.Upstream]; n != nil {
+			n.updatePeerLoad(now, report.Host, upstream)
+		}
 	}
 	s.applyCopies(now, report)
 	for _, placed := range report.Placed {
@@ -302,6 +310,9 @@
 		n.addWork(now, added, copyTime)
 	}
 	n.peers[host] = load
+	if load.BrokenAge > 0 {
+		n.brokenElsewhereAt = now.Add(-load.BrokenAge)
+	}
 	switch {
 	case load.HasGivenUp:
 		n.forgetLostWork(now)
@@ -322,6 +333,9 @@
 	for _, n := range s.nodes {
 		delete(n.peers, host)
 	}
+	for _, n := range s.unlisted {
+		delete(n.peers, host)
+	}
 }
 
 // dropStale drops idle sources of copies, hosts without recent reports and limits of removed upstreams.
--- a/place/scheduler.go
+++ b/place/scheduler.go
@@ -69,6 +69,8 @@
 		hasUpstreams bool
 		// usableAt is when this host may send calls to cold upstreams, rampsUpdatedAt when it last found who shares them.
 		usableAt, rampsUpdatedAt time.Time
+		// unlisted holds the upstreams that are no longer listed and at which this host has calls.
+		unlisted map[spoke.UpstreamID]*node
 		// directorySeenAt is when the directory was last reached, zero if nothing reports that.
 		directorySeenAt time.Time
 		// brittle is kept after the nodes are removed.
@@ -91,6 +93,7 @@
 		services:      make(map[spoke.ServiceName]spoke.ServedService),
 		removed:       make(map[spoke.ServiceName]spoke.ServedService),
 		nodes:         make(map[spoke.UpstreamID]*node),
+		unlisted:      make(map[spoke.UpstreamID]*node),
 		byService:     make(map[spoke.ServiceName][]*node),
 		cellNodes:     make(map[spoke.ServiceName][]*node),
 		cell:          SetCell{Count: 1},
@@ -220,10 +223,14 @@
 	}
 	s.hasUpstreams = s.hasUpstreams || m.IsSnapshot
 	for _, id := range m.Removed {
-		delete(s.nodes, id)
+		s.removeUpstream(id)
 	}
 	if m.IsSnapshot {
-		maps.DeleteFunc(s.nodes, func(id spoke.UpstreamID, _ *node) bool { return !listedIDs[id] })
+		for id := range s.nodes {
+			if !listedIDs[id] {
+				s.removeUpstream(id)
+			}
+		}
 	}
 	s.reindex(now)
 }
--- a/place/unanswered.go
+++ b/place/unanswered.go
@@ -74,6 +74,7 @@
 // reportedLoad is the own load of an upstream as other hosts should count it.
 func (s *Scheduler) reportedLoad(now time.Time, n *node) spoke.HostUpstreamLoad {
 	load := n.ownLoad()
+	load.BrokenAge = n.brokenAge(now)
 	load.HasGivenUp = s.report.givenUp[load.Upstream]
 	slack := s.slackOf(now, n)
 	load.Slack, load.SlackStreams = slack.Least, slack.Streams
--- a/placement.go
+++ b/placement.go
@@ -42,6 +42,8 @@
 		// streams near it, zero if no stream is at risk.
 		Slack        time.Duration
 		SlackStreams int
+		// BrokenAge is the time since a call of the host was broken off there, zero if none was in the last second.
+		BrokenAge time.Duration
 	}
 
 	// WaitingWork is the work of one service and urgency that waits at a host.
