edge: let ages of the directory rest on proofs only

Cause: the renewal of a host's announcement counted as a sign that its table is current, although the response of its watch was lost; and ages passed between hosts in load reports without the time under way, so that they grew too slowly or not at all. By reading, a third: a watch's response counted from its receipt, not from its request.

Announcements and load reports prove nothing. Polls between hosts state proven-ms and held-ms, and ask with max-age-ms, at which a watcher answers at once. Watches behind a change wait less, so that the age stays under 1.1 s in calm. Earlier builds' ages are unknown.

--- a/edge/apply.go
+++ b/edge/apply.go
@@ -84,7 +84,7 @@
 	if change.Table != nil && h.conf.isNewer(change.Table) {
 		h.post(place.SetTable{Services: change.Table.Services, Stores: change.Table.Stores})
 		h.conf.install(change.Table, change.TableContent)
-		h.deps.Log.WithFields(logrus.Fields{"table": change.Table.Version, "routes": len(change.Table.Routes)}).Info("routing table in force")
+		h.deps.Log.WithFields(logrus.Fields{"table": change.Table.Version, "routes": len(change.Table.Routes), "knowledge-age": h.conf.age().String(), "is-direct": h.follower.isDirect.Load()}).Info("routing table in force")
 		h.stores.setStores(change.Table.Stores)
 	}
 	if change.IsSnapshot || len(change.Weights)+len(change.Upstreams)+len(change.RemovedUpstreams) > 0 {
--- a/edge/catchup.go
+++ b/edge/catchup.go
@@ -14,15 +14,15 @@
 
 // watchOnce waits for changes; the wait is cut short when a peer reports a later revision. The call after that has its
 // full time, since a slow directory would answer none otherwise.
-func (f *follower) watchOnce(ctx context.Context, revision spoke.Revision) (change spoke.DirectoryChange, isCut bool, err error) {
+func (f *follower) watchOnce(ctx context.Context, revision spoke.Revision, wait time.Duration) (change spoke.DirectoryChange, isCut bool, err error) {
 	if f.isBehind {
-		change, err = f.directory.Watch(ctx, revision, f.watchTimeout(), nil)
+		change, err = f.directory.Watch(ctx, revision, wait, nil)
 		return change, false, err
 	}
 	done, end := make(chan struct{}), make(chan struct{})
 	cut := make(chan bool, 1)
 	go func() { cut <- f.awaitNewer(revision, done, end) }()
-	change, err = f.directory.Watch(ctx, revision, f.watchTimeout(), end)
+	change, err = f.directory.Watch(ctx, revision, wait, end)
 	close(done)
 	return change, <-cut && err != nil && !errors.Is(err, spoke.ErrHistoryGone), err
 }
@@ -43,9 +43,9 @@
 }
 
 // receiveView handles the directory view of a peer. If this host is still behind it after
-// catchUpTime, it watches the directory itself at once.
+// catchUpTime, it watches the directory itself at once. A view in a load report proves nothing: how long the report was
+// under way is not known, and the view may rest on one of this host.
 func (f *follower) receiveView(view spoke.DirectoryView) {
-	f.conf.confirmFromPeer(view)
 	if uint64(view.Revision) <= f.conf.revision.Load() || !f.isCatchingUp.CompareAndSwap(false, true) {
 		return
 	}
--- a/edge/configstate.go
+++ b/edge/configstate.go
@@ -35,8 +35,9 @@
 	cacheGroups atomic.Pointer[place.CacheGroups]
 	// tableReference identifies the table for other hosts.
 	tableReference atomic.Pointer[spoke.TableReference]
-	confirmedAt    atomic.Int64
-	revision       atomic.Uint64
+	// provenAt is the time up to which this host knows all changes of the directory.
+	provenAt atomic.Int64
+	revision atomic.Uint64
 	// peerReportAt is when the last load report of another host was received.
 	peerReportAt atomic.Int64
 	// steppedAt is when the process last made a step; lastPause and lastPauseEnd describe the last
@@ -62,15 +63,14 @@
 // elapsed returns the time since origin in nanoseconds.
 func (c *configState) elapsed() int64 { return int64(c.now().Sub(c.origin)) }
 
-// confirm records that the directory answered with its state of the given age.
-func (c *configState) confirm(age time.Duration) { c.confirmedAt.Store(c.elapsed() - int64(age)) }
-
-// confirmFromPeer records that a peer reached the directory, if this host has the peer's revision.
-func (c *configState) confirmFromPeer(view spoke.DirectoryView) {
-	reached := c.elapsed() - int64(view.Age)
-	previous := c.confirmedAt.Load()
-	if uint64(view.Revision) <= c.revision.Load() && reached > previous {
-		c.confirmedAt.CompareAndSwap(previous, reached)
+// prove records that this host knows all changes of the directory up to a time.
+func (c *configState) prove(at time.Time) {
+	proven := int64(at.Sub(c.origin))
+	for {
+		previous := c.provenAt.Load()
+		if proven <= previous || c.provenAt.CompareAndSwap(previous, proven) {
+			return
+		}
 	}
 }
 
@@ -123,10 +123,9 @@
 	return spoke.DirectoryView{Revision: spoke.Revision(c.revision.Load()), Age: c.age()}
 }
 
-// age returns the time since the directory was last reached, by this host or by a peer with no later
-// revision.
+// age returns the time for which the directory may have changed without this host's knowledge.
 func (c *configState) age() time.Duration {
-	return time.Duration(c.elapsed() - c.confirmedAt.Load())
+	return time.Duration(c.elapsed() - c.provenAt.Load())
 }
 
 // isStale reports whether a newer table could be in force elsewhere, so that a key or route missing in
--- a/edge/feed.go
+++ b/edge/feed.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
+	"net/url"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -10,12 +12,16 @@
 	"github.com/sirupsen/logrus"
 
 	"magnoliaspoke.example/spoke"
+	"magnoliaspoke.example/spoke/place"
 )
 
 const (
 	feedPath  = "/changes"
 	feedAfter = "after"
 	feedWait  = "wait-ms"
+	// feedMaxAge is the age from which the knowledge of a host is of no use to the one that polls; absent in requests of
+	// earlier hosts.
+	feedMaxAge = "max-age-ms"
 	// maxFeedEntries and maxFeedBytes bound the changes that a host keeps for others; a host that lags
 	// further behind reads the directory itself.
 	maxFeedEntries = 32
@@ -130,51 +136,76 @@
 	return nil, true
 }
 
-// await returns the first state that is lost or has a later revision, or the current state at the end of
-// the wait.
-func (f *feed) await(ctx context.Context, after spoke.Revision, wait time.Duration) *feedState {
-	ctx, cancel := context.WithTimeout(ctx, wait)
+// feedPoll is what another host asks for.
+type feedPoll struct {
+	after spoke.Revision
+	wait  time.Duration
+	// maxAge is the age from which this host's knowledge is of no use to the other one.
+	maxAge time.Duration
+}
+
+func parseFeedPoll(query url.Values) (feedPoll, error) {
+	after, err := strconv.ParseUint(query.Get(feedAfter), 10, 64)
+	waitMs, waitErr := strconv.ParseUint(query.Get(feedWait), 10, 31)
+	poll := feedPoll{after: spoke.Revision(after), wait: min(time.Duration(waitMs)*time.Millisecond, maxFeedWait), maxAge: place.UnknownAge}
+	if !query.Has(feedMaxAge) {
+		return poll, errors.Join(err, waitErr)
+	}
+	ageMs, ageErr := strconv.ParseUint(query.Get(feedMaxAge), 10, 31)
+	poll.maxAge = time.Duration(ageMs) * time.Millisecond
+	return poll, errors.Join(err, waitErr, ageErr)
+}
+
+// await returns the first state that is lost or has a later revision, or the current state at the end of the wait or once
+// it is too old.
+func (f *feed) await(ctx context.Context, poll feedPoll) *feedState {
+	ctx, cancel := context.WithTimeout(ctx, poll.wait)
 	defer cancel()
 	for {
-		state := f.state.Load()
-		if state.isLost || state.revision > after {
+		state, left := f.state.Load(), poll.maxAge-f.conf.age()
+		if state.isLost || state.revision > poll.after || left <= 0 {
 			return state
 		}
+		tooOld := time.NewTimer(left)
 		select {
 		case <-state.replaced:
+		case <-tooOld.C:
 		case <-ctx.Done():
+			tooOld.Stop()
 			return f.state.Load()
 		}
+		tooOld.Stop()
 	}
 }
 
 // ServeHTTP answers another host that polls for changes.
 func (f *feed) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	query := r.URL.Query()
-	after, err := strconv.ParseUint(query.Get(feedAfter), 10, 64)
-	waitMs, waitErr := strconv.ParseInt(query.Get(feedWait), 10, 32)
-	if err != nil || waitErr != nil || waitMs < 0 {
+	received := f.now()
+	poll, err := parseFeedPoll(r.URL.Query())
+	if err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	wait := min(time.Duration(waitMs)*time.Millisecond, maxFeedWait)
 	if f.state.Load().completeFrom == 0 {
 		// This host has not read the directory yet.
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	state := f.await(r.Context(), spoke.Revision(after), wait)
+	state := f.await(r.Context(), poll)
 	if state.isLost {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	found, isComplete := state.since(spoke.Revision(after))
+	found, isComplete := state.since(poll.after)
 	if !isComplete {
 		w.WriteHeader(http.StatusGone)
 		return
 	}
 	now := f.now()
-	answer := feedAnswer{view: spoke.DirectoryView{Revision: state.revision, Age: f.conf.age()}, completeAge: now.Sub(state.completeAt), entries: found}
+	answer := feedAnswer{
+		view:        spoke.DirectoryView{Revision: state.revision, Age: f.conf.age()},
+		completeAge: now.Sub(state.completeAt), entries: found, held: now.Sub(received),
+	}
 	raw, err := encodeFeed(now, answer)
 	if err != nil {
 		f.log.WithError(err).Warn("changes of the directory not sent to a peer")
--- a/edge/feed_test.go
+++ b/edge/feed_test.go
@@ -147,7 +147,12 @@
 // frozen, stale or broken, or send bytes without end.
 func TestFaultyWatchersDoNotBlockChanges(t *testing.T) {
 	for name, handle := range map[string]http.HandlerFunc{
-		"stale":   func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, `{"revision":1,"age-ms":5000}`) },
+		"stale": func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, `{"revision":1,"age-ms":5000}`) },
+		// Ages of an earlier build rest on reports between hosts.
+		"earlier build": func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = fmt.Fprintf(w, `{"revision":%d,"age-ms":0}`, spoke.NewRevision(1, 1))
+			time.Sleep(10 * time.Millisecond)
+		},
 		"frozen":  func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() },
 		"garbage": func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "]garbage[") },
 		"backward": func(w http.ResponseWriter, _ *http.Request) {
--- a/edge/feedclient.go
+++ b/edge/feedclient.go
@@ -12,6 +12,7 @@
 
 	"magnoliaspoke.example/spoke"
 	"magnoliaspoke.example/spoke/fetch"
+	"magnoliaspoke.example/spoke/place"
 )
 
 const (
@@ -19,9 +20,10 @@
 	feedTimeoutMargin = 250 * time.Millisecond
 	// maxFeedAnswer bounds an answer.
 	maxFeedAnswer spoke.ByteSize = 4 << 20
-	// maxPeerAgeFraction is the maximum age of the directory view of a peer, as a fraction of the age at
-	// which a configuration is stale.
-	maxPeerAgeFraction = 0.6
+	// maxPeerAgeFraction is the maximum age of the directory view of a peer, as a fraction of the age at which a
+	// configuration is stale. In calm, that of a host that watches the directory reaches maxWatchWait and
+	// directoryBatchDelay.
+	maxPeerAgeFraction = 0.75
 	// feedWaitFraction is the wait of a request as a fraction of the same age, so that the configuration
 	// of this host does not become stale.
 	feedWaitFraction = 0.25
@@ -85,7 +87,9 @@
 
 func (c *feedClient) pollSource(ctx context.Context, source netip.AddrPort, after spoke.Revision) (feedAnswer, int, error) {
 	wait := time.Duration(feedWaitFraction * float64(c.staleAfter))
-	target := fmt.Sprintf("http://%s%s?%s=%d&%s=%d", source, feedPath, feedAfter, after, feedWait, wait.Milliseconds())
+	maxAge, asked := time.Duration(maxPeerAgeFraction*float64(c.staleAfter)), c.now()
+	target := fmt.Sprintf("http://%s%s?%s=%d&%s=%d&%s=%d",
+		source, feedPath, feedAfter, after, feedWait, wait.Milliseconds(), feedMaxAge, maxAge.Milliseconds())
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
 	if err != nil {
 		return feedAnswer{}, 0, err
@@ -99,8 +103,9 @@
 		return feedAnswer{}, response.Status, eris.Errorf("directory feed of host %s: status %d", source, response.Status)
 	}
 	answer, err := decodeFeed(c.now(), response.Body)
-	if err == nil && answer.view.Age > time.Duration(maxPeerAgeFraction*float64(c.staleAfter)) {
-		err = eris.Wrapf(errFeedStale, "host %s: %s", source, answer.view.Age)
+	answer.provenAt = place.ProvenByPeer(answer.receivedAt, answer.view.Age, place.UnderWay(asked, answer.receivedAt, answer.held))
+	if age := answer.receivedAt.Sub(answer.provenAt); err == nil && age > maxAge {
+		err = eris.Wrapf(errFeedStale, "host %s: %s", source, age)
 	}
 	if err == nil && answer.view.Revision.Era() < after.Era() {
 		err = eris.Wrapf(errFeedStale, "host %s: era %d", source, answer.view.Revision.Era())
--- a/edge/feedcodec.go
+++ b/edge/feedcodec.go
@@ -14,7 +14,13 @@
 type (
 	feedRow struct {
 		Revision uint64 `json:"revision"`
-		AgeMs    int64  `json:"age-ms"`
+		// AgeMs is ProvenMs under the name that earlier hosts read; theirs rests on less.
+		AgeMs int64 `json:"age-ms"`
+		// ProvenMs is for how long the directory may have changed without the host's knowledge, in milliseconds. Earlier
+		// hosts do not state it.
+		ProvenMs *int64 `json:"proven-ms,omitempty"`
+		// HeldMs is how long the host held the request, in milliseconds.
+		HeldMs int64 `json:"held-ms,omitempty"`
 		// CompleteMs is how long ago the host had received all changes, in milliseconds; absent if unknown.
 		CompleteMs *int64         `json:"complete-ms,omitempty"`
 		Entries    []feedEntryRow `json:"news,omitempty"`
@@ -35,12 +41,20 @@
 		completeAge time.Duration
 		entries     []feedEntry
 		receivedAt  time.Time
+		// held is how long the host held the request.
+		held time.Duration
+		// provenAt is the time up to which the host knew all changes.
+		provenAt time.Time
 	}
 )
 
 func encodeFeed(now time.Time, answer feedAnswer) ([]byte, error) {
 	complete := answer.completeAge.Milliseconds()
-	row := feedRow{Revision: uint64(answer.view.Revision), AgeMs: answer.view.Age.Milliseconds(), CompleteMs: &complete}
+	// Milliseconds are rounded so that no age seems lower.
+	proven := answer.view.Age.Milliseconds() + 1
+	row := feedRow{
+		Revision: uint64(answer.view.Revision), AgeMs: proven, ProvenMs: &proven, HeldMs: answer.held.Milliseconds(), CompleteMs: &complete,
+	}
 	for _, entry := range answer.entries {
 		row.Entries = append(row.Entries, feedEntryRow{
 			After: uint64(entry.after), Revision: uint64(entry.revision), MissedMs: entry.maxAge(now).Milliseconds(), Raw: entry.raw,
@@ -56,8 +70,11 @@
 		return feedAnswer{}, eris.Wrap(err, "decode changes of the directory")
 	}
 	answer := feedAnswer{
-		view:        spoke.DirectoryView{Revision: spoke.Revision(row.Revision), Age: max(time.Duration(row.AgeMs), 0) * time.Millisecond},
-		completeAge: place.UnknownAge, receivedAt: now,
+		view:        spoke.DirectoryView{Revision: spoke.Revision(row.Revision), Age: place.UnknownAge},
+		completeAge: place.UnknownAge, receivedAt: now, held: max(time.Duration(row.HeldMs), 0) * time.Millisecond,
+	}
+	if row.ProvenMs != nil {
+		answer.view.Age = max(time.Duration(*row.ProvenMs), 0) * time.Millisecond
 	}
 	if row.CompleteMs != nil {
 		answer.completeAge = max(time.Duration(*row.CompleteMs), 0) * time.Millisecond
--- a/edge/follower.go
+++ b/edge/follower.go
@@ -106,7 +106,7 @@
 		now := f.boot.Now()
 		change.MaxAge, change.ReceivedAt = f.changeAge.OfSnapshot(now), now
 		f.changeAge.CompleteSnapshot(asked)
-		f.conf.confirm(now.Sub(asked))
+		f.conf.prove(place.ProvenByRead(asked))
 		f.readOnce.Do(func() { close(f.hasRead) })
 		f.observeEra(change.Revision.Era(), len(change.Peers) > 0)
 		f.handleAnswer(change)
@@ -141,8 +141,8 @@
 			revision = f.pollPeers(ctx, revision)
 			continue
 		}
-		asked := f.boot.Now()
-		change, isCut, err := f.watchOnce(ctx, revision)
+		asked, wait := f.boot.Now(), f.watchTimeout()
+		change, isCut, err := f.watchOnce(ctx, revision, wait)
 		f.isBehind = isCut
 		switch {
 		case isCut:
@@ -161,6 +161,7 @@
 		}
 		change.ReceivedAt = f.boot.Now()
 		change.MaxAge = f.recordAnswer(asked, change.ReceivedAt)
+		f.conf.prove(place.ProvenByWatch(asked, change.ReceivedAt, wait, change.Revision > revision))
 		f.endCheck(asked, change.ReceivedAt)
 		f.handleAnswer(change)
 		f.publish(revision, change)
@@ -243,8 +244,9 @@
 	}
 	f.conf.revision.Store(uint64(last))
 	f.changeAge.CompleteReport(asked, answer.receivedAt, answer.completeAge, paused)
-	answer.view.Age += paused
-	f.conf.confirmFromPeer(answer.view)
+	if answer.view.Revision <= last {
+		f.conf.prove(answer.provenAt)
+	}
 	return last
 }
 
@@ -275,7 +277,6 @@
 // received.
 func (f *follower) recordAnswer(asked, now time.Time) time.Duration {
 	paused := f.conf.recentPause()
-	f.conf.confirm(paused)
 	defer f.changeAge.CompleteAnswer(asked, now, paused)
 	return f.changeAge.OfAnswer(asked, now, paused)
 }
@@ -292,7 +293,8 @@
 	if f.conf.isProvisional() {
 		return provisionalWatchWait
 	}
-	return maxWatchWait
+	// A watch that ends with a change proves less than its wait, so that the next one has to end sooner.
+	return min(maxWatchWait, max(maxWatchWait+f.batchDelay-f.conf.age(), checkWait))
 }
 
 // endCheck ends a check with its answer. A late one has outlasted an outage.
--- a/edge/host.go
+++ b/edge/host.go
@@ -263,7 +263,6 @@
 	for {
 		err := h.deps.Directory.Announce(ctx, self)
 		if err == nil && h.follower.isDirect.Load() {
-			h.conf.confirm(h.conf.recentPause())
 			isRecorded = true
 		}
 		if err == nil && isRecorded {
@@ -314,7 +313,6 @@
 	delay := h.conf.recentPause()
 	h.relayer.parts.receive(time.Now(), report)
 	h.conf.recordPeerReport(delay)
-	report.Directory.Age += delay
 	h.follower.receiveView(report.Directory)
 	h.offers.offer(report.Host, report.Directory.Table)
 	h.stores.receive(report)
--- a/edge/weightage_test.go
+++ b/edge/weightage_test.go
@@ -101,7 +101,7 @@
 			Current uint64 `json:"current-rev"`
 		}
 		_ = json.Unmarshal(raw, &watched)
-		answer := map[string]any{"revision": watched.Current, "age-ms": 0}
+		answer := map[string]any{"revision": watched.Current, "age-ms": 0, "proven-ms": 0}
 		if len(watched.Events) > 0 {
 			<-time.After(lag)
 			answer["news"] = []any{map[string]any{
