host: take answers of killed plain services that leave for incomplete

A cut answer with neither a length nor chunks reached the caller as whole (MIXED) if its plain service was killed while it was leaving.

Cause: a refused connection behind the end was taken for the exit of a service that leaves.

The case leaving of TestAnswerOfKilledServiceDoesNotLookWhole was wrong: it demanded status 200 with a part of the answer. It asks for 502 with an unknown outcome now, which is what callers of any other killed service get. It failed before with the new demand. Nothing in a manifest tells the exit from a kill, so a whole last answer of this form gets 502, too.

--- a/host/dispatcher.go
+++ b/host/dispatcher.go
@@ -69,11 +69,12 @@
 }
 
 // hasEnded reports whether the process of an upstream has ended. The kernel ends the answers of a killed process in the
-// regular way. An upstream that leaves may end behind its last answer, which is whole.
+// regular way. One that leaves and ends behind its last answer looks like one that is killed while it leaves, and nothing
+// here tells them apart, so that its answer counts as incomplete.
 func (d *dispatcher) hasEnded(ctx context.Context, asked spoke.Upstream) bool {
 	if !dial.HasEnded(ctx, string(asked.Address)) {
 		return false
 	}
 	upstream, ok := d.manifest.Current().Upstream(asked.ID)
-	return ok && upstream.Address == asked.Address && upstream.State != spoke.UpstreamLeaving
+	return ok && upstream.Address == asked.Address
 }
--- a/host/killed_service_test.go
+++ b/host/killed_service_test.go
@@ -87,7 +87,7 @@
 }
 
 // Guards against answers of a killed plain service that look whole, or are recorded for a key, although they have neither
-// a length nor chunks and stop midway. A service that leaves may end behind its last answer, which is whole.
+// a length nor chunks and stop midway, also if the service leaves.
 func TestAnswerOfKilledServiceDoesNotLookWhole(t *testing.T) {
 	p := startPair(t)
 	other := p.serve(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, wholeAnswer) }))
@@ -102,7 +102,7 @@
 		{name: "once", method: http.MethodPost, status: http.StatusBadGateway, want: `"outcome":"outcome-unknown"`},
 		{name: "key", method: http.MethodPost, key: "a", status: http.StatusBadGateway, want: `"outcome":"outcome-unknown"`},
 		{name: "repeatable", method: http.MethodGet, hasOther: true, status: http.StatusOK, want: wholeAnswer},
-		{name: "leaving", method: http.MethodPost, isLeaving: true, status: http.StatusOK, want: partOfAnswer},
+		{name: "leaving", method: http.MethodPost, isLeaving: true, status: http.StatusBadGateway, want: `"outcome":"outcome-unknown"`},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			address, lines, kill := startProcess(t, serviceProcess, "1")
