link: tell the reset of an early answer from its end

Callers got a part of an answer as whole (MIXED): the engine answers a long upload at once with neither a length nor chunks, and resets the connection while the upload is still being written.

Cause: the kernel gives the error of a reset to one call. Where the writer of the request gets it, the reader sees the regular end of the connection.

Ruled out: detours, which look at the state of the connection already; identity calls, checks and reports, whose requests are written first.

Change: at such an end, the connection must have been closed in order and the request written; the reader waits for the writer. In plain, a reset connection never reads as ended.

Early answers whose engine reads on pass.

--- a/link/exchange.go
+++ b/link/exchange.go
@@ -16,6 +16,7 @@
 	"github.com/rotisserie/eris"
 
 	"magnoliaspoke.example/spoke"
+	"magnoliaspoke.example/spoke/dial"
 )
 
 const (
@@ -29,6 +30,8 @@
 )
 
 var (
+	// errResetBody reports a body with neither a length nor chunks whose connection was reset.
+	errResetBody = eris.New("connection was reset before the end of the body")
 	// errForeignResponses reports that all responses read in an exchange belong to other requests.
 	errForeignResponses = eris.New("responses belong to other requests")
 	// errForeignEnd reports a response to another request whose end cannot be found.
@@ -74,7 +77,7 @@
 		address    spoke.Address
 		conn       *conn
 		body       *eofReader
-		written    <-chan error
+		written    *writeResult
 		closeAfter bool
 		stopCancel func() bool
 	}
@@ -89,6 +92,16 @@
 	eofReader struct {
 		io.ReadCloser
 		atEOF bool
+		// confirmEnd returns an error if the end of the connection is not that of the body; nil if the body has an end of its
+		// own.
+		confirmEnd func() error
+	}
+
+	// writeResult is the result of writing a request.
+	writeResult struct {
+		done chan struct{}
+		// err is set before done is closed.
+		err error
 	}
 )
 
@@ -160,6 +173,9 @@
 		}
 		if matches(response.StatusCode, response.Header) {
 			body := &eofReader{ReadCloser: response.Body}
+			if endsWithConnection(response) && response.Body != http.NoBody {
+				body.confirmEnd = func() error { return confirmEnd(c, written) }
+			}
 			closeAfter = closeAfter || response.Close || response.ProtoMajor != 1 || response.ProtoMinor != 1
 			return &Response{
 				Status: response.StatusCode, Header: response.Header, Body: body, Length: response.ContentLength,
@@ -194,21 +210,33 @@
 	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
 }
 
+// confirmEnd returns an error unless the upstream has ended the connection in order and read the request. The error of a
+// reset is given to one call only: if the writer of the request gets it, the reader sees the regular end of a body that was
+// cut.
+func confirmEnd(c *conn, written *writeResult) error {
+	if !dial.IsEndedInOrder(c.Conn) {
+		return errResetBody
+	}
+	// An upstream may end its response and go on reading the request.
+	<-written.done
+	return eris.Wrap(written.err, "response ended, but its request was not read")
+}
+
 // send writes the request. A long one is written concurrently with reading the response, since an
-// upstream may respond before it has read the body. The channel receives the error of the write.
-func send(c *conn, request Request) (<-chan error, error) {
+// upstream may respond before it has read the body.
+func send(c *conn, request Request) (*writeResult, error) {
 	head := encodeHead(request)
-	written := make(chan error, 1)
+	written := &writeResult{done: make(chan struct{})}
 	if len(head)+len(request.Body) <= maxInlineBytes {
-		_, err := c.Write(append(head, request.Body...))
-		written <- err
-		return written, err
+		defer close(written.done)
+		_, written.err = c.Write(append(head, request.Body...))
+		return written, written.err
 	}
 	go func() {
+		defer close(written.done)
 		// The body is not copied, since long ones take much of a host's memory.
 		message := net.Buffers{head, request.Body}
-		_, err := message.WriteTo(c)
-		written <- err
+		_, written.err = message.WriteTo(c)
 	}()
 	return written, nil
 }
@@ -265,10 +293,16 @@
 // Read reads from the body and records its end.
 func (r *eofReader) Read(buffer []byte) (int, error) {
 	n, err := r.ReadCloser.Read(buffer)
-	if err == io.EOF {
-		r.atEOF = true
+	if err != io.EOF {
+		return n, err
+	}
+	if r.confirmEnd != nil && !r.atEOF {
+		if err := r.confirmEnd(); err != nil {
+			return n, err
+		}
 	}
-	return n, err
+	r.atEOF = true
+	return n, io.EOF
 }
 
 // Framing names what shows the end of the body: a length, chunks, or the end of the connection.
@@ -303,8 +337,8 @@
 
 func (r *Response) isRequestWritten() bool {
 	select {
-	case err := <-r.written:
-		return err == nil
+	case <-r.written.done:
+		return r.written.err == nil
 	default:
 		return false
 	}
--- a/plain/conn.go
+++ b/plain/conn.go
@@ -1,13 +1,16 @@
 package plain
 
 import (
+	"io"
 	"net"
 	"net/http/httptrace"
 	"sync"
+	"syscall"
 
 	"github.com/rotisserie/eris"
 
 	"magnoliaspoke.example/spoke"
+	"magnoliaspoke.example/spoke/dial"
 )
 
 type (
@@ -47,6 +50,16 @@
 	return c.Conn.Write(raw)
 }
 
+// Read returns the error of a reset in place of the end of the connection: the writer of a request may have got that error,
+// behind which a body with neither a length nor chunks seems to end in order.
+func (c *countingConn) Read(raw []byte) (int, error) {
+	n, err := c.Conn.Read(raw)
+	if err == io.EOF && !dial.IsEndedInOrder(c.Conn) {
+		err = syscall.ECONNRESET
+	}
+	return n, err
+}
+
 // use begins a call and returns the number of writes before it. On a spent connection nothing can be written; earlier, the
 // call before might still have to.
 func (c *countingConn) use() int {
