link: refuse statuses outside of HTTP

An engine's status 000, 001 or 099 counted as informational, so that what stood behind it was read as the next head; 600, 777 and 999 reached callers as answers (MIXED).

Cause: every status below 200 was skipped, every other one was final.

Result: TestInvalidStatusIsNoResponse and TestInvalidStatusIsNoAnswer failed for each of the statuses with some framing before, TestAnswerWithInvalidStatusReachesNoCaller for 600, 777 and 999 with both; all pass.

--- a/coord/call.go
+++ b/coord/call.go
@@ -80,9 +80,9 @@
 // results that the caller handles.
 func statusError(call call, status int, content []byte) error {
 	switch {
-	case status < http.StatusBadRequest, status == http.StatusNotFound, status == http.StatusConflict:
+	case status >= http.StatusOK && status < http.StatusBadRequest, status == http.StatusNotFound, status == http.StatusConflict:
 		return nil
-	case status == http.StatusServiceUnavailable, status < http.StatusInternalServerError:
+	case status == http.StatusServiceUnavailable, status >= http.StatusBadRequest && status < http.StatusInternalServerError:
 		return eris.Wrapf(spoke.ErrUnavailable, "%s %s: status %d: %.200s", call.method, call.path, status, content)
 	default:
 		return eris.Wrapf(spoke.ErrAnswerLost, "%s %s: status %d: %.200s", call.method, call.path, status, content)
--- a/engine/control.go
+++ b/engine/control.go
@@ -135,7 +135,7 @@
 		return err
 	}
 	defer response.Body.Close()
-	if response.StatusCode >= http.StatusMultipleChoices {
+	if response.StatusCode < http.StatusOK || response.StatusCode >= http.StatusMultipleChoices {
 		return responseError(addr, response)
 	}
 	return eris.Wrapf(decodeWhole(response.Body, result), "answer of engine %s to %s", addr, path)
--- a/link/exchange.go
+++ b/link/exchange.go
@@ -27,9 +27,13 @@
 	maxForeignResponses = 2
 	// maxForeignBodyBytes bounds the body of a response that is skipped.
 	maxForeignBodyBytes = 1 << 20
+	// maxStatus is the highest status of a response.
+	maxStatus = 599
 )
 
 var (
+	// ErrInvalidStatus reports a head whose status is none of HTTP. What stands behind it belongs to nobody.
+	ErrInvalidStatus = eris.New("invalid status of a response")
 	// errResetBody reports a body with neither a length nor chunks whose connection was reset.
 	errResetBody = eris.New("connection was reset before the end of the body")
 	// errForeignResponses reports that all responses read in an exchange belong to other requests.
@@ -40,7 +44,7 @@
 	errMixedHead = eris.New("response head contains a status line")
 
 	// statusLine is the beginning of a response. It stands inside a head if the response before it stopped there.
-	statusLine = regexp.MustCompile(`HTTP/1\.[01] [1-5][0-9][0-9]`)
+	statusLine = regexp.MustCompile(`HTTP/1\.[01] [0-9]{3}`)
 )
 
 type (
@@ -266,13 +270,27 @@
 		if isMixed(response, request.Key) {
 			return nil, errMixedHead
 		}
-		if response.StatusCode >= http.StatusOK {
-			return response, nil
+		if !isInformational(response.StatusCode) {
+			return response, checkStatus(response.StatusCode)
 		}
 	}
 	return nil, ErrHeadTooLong
 }
 
+// isInformational reports whether a final response follows. No request asks for another protocol, so that a switch to one is
+// no response.
+func isInformational(status int) bool {
+	return status >= http.StatusContinue && status < http.StatusOK && status != http.StatusSwitchingProtocols
+}
+
+// checkStatus returns an error unless a status is that of a final response.
+func checkStatus(status int) error {
+	if status < http.StatusOK || status > maxStatus {
+		return eris.Wrapf(ErrInvalidStatus, "status %03d", status)
+	}
+	return nil
+}
+
 // isMixed reports whether another head begins inside the head of a response. Its fields may belong to either. A key that
 // looks like a status line is no head.
 func isMixed(response *http.Response, key string) bool {
