--- a/plain/conn.go
+++ b/plain/conn.go
@@ -1,6 +1,7 @@
 package plain
 
 import (
+	"errors"
 	"io"
 	"net"
 	"net/http/httptrace"
@@ -54,7 +55,7 @@
 // behind which a body with neither a length nor chunks seems to end in order.
 func (c *countingConn) Read(raw []byte) (int, error) {
 	n, err := c.Conn.Read(raw)
-	if err == io.EOF && !dial.IsEndedInOrder(c.Conn) {
+	if errors.Is(err, io.EOF) && !dial.IsEndedInOrder(c.Conn) {
 		err = syscall.ECONNRESET
 	}
 	return n, err
