Name the calls beside one at an upstream, and split the poll from the feed

Renames and a file of its own for what another host asks for; the set of unlisted upstreams keeps a later start of an id. No change of behaviour otherwise.

--- a/edge/answerend.go
+++ b/edge/answerend.go
@@ -17,8 +17,8 @@
 const (
 	// maxIdentityBytes bounds the body of an answer about the upstream at an address.
 	maxIdentityBytes = 64 << 10
-	// besideInterval is the time between two looks at the other calls at an upstream.
-	besideInterval = 20 * time.Millisecond
+	// otherRunsInterval is the time between two looks at the other calls at an upstream.
+	otherRunsInterval = 20 * time.Millisecond
 )
 
 // errUnconfirmedEnd reports an answer that ended with its connection and that nothing shows to be whole.
@@ -93,13 +93,13 @@
 // hosts, and of those whose own ends are checked, are known a little later.
 func (a *attempt) isLastRun(ctx context.Context) bool {
 	for {
-		beside, isKnown := a.planner.runsBeside(ctx, a.grant.Call)
-		step := beside.Step(a.endedAt)
-		if !isKnown || step != place.BesideUnderWay {
-			return isKnown && step == place.BesideNone
+		others, isKnown := a.planner.otherRuns(ctx, a.grant.Call)
+		state := others.State(a.endedAt)
+		if !isKnown || state != place.OthersUnderWay {
+			return isKnown && state == place.OthersEnded
 		}
-		if !waitUntil(ctx, time.Now().Add(besideInterval)) {
-			a.log.WithFields(logrus.Fields{"upstream": a.grant.Upstream.ID, "own-runs": beside.Own, "other-runs": beside.Elsewhere}).
+		if !waitUntil(ctx, time.Now().Add(otherRunsInterval)) {
+			a.log.WithFields(logrus.Fields{"upstream": a.grant.Upstream.ID, "own-runs": others.Here, "other-runs": others.Elsewhere}).
 				Info("other calls at a leaving upstream have not ended")
 			return false
 		}
--- a/edge/feed.go
+++ b/edge/feed.go
@@ -2,32 +2,21 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
-	"net/url"
-	"strconv"
 	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"magnoliaspoke.example/spoke"
-	"magnoliaspoke.example/spoke/place"
 )
 
 const (
-	feedPath  = "/changes"
-	feedAfter = "after"
-	feedWait  = "wait-ms"
-	// feedMaxAge is the age from which the knowledge of a host is of no use to the one that polls; absent in requests of
-	// earlier hosts.
-	feedMaxAge = "max-age-ms"
+	feedPath = "/changes"
 	// maxFeedEntries and maxFeedBytes bound the changes that a host keeps for others; a host that lags
 	// further behind reads the directory itself.
 	maxFeedEntries = 32
 	maxFeedBytes   = 512 << 10
-	// maxFeedWait bounds how long a request waits for changes.
-	maxFeedWait = 2 * time.Second
 )
 
 type (
@@ -136,26 +125,6 @@
 	return nil, true
 }
 
-// feedPoll is what another host asks for.
-type feedPoll struct {
-	after spoke.Revision
-	wait  time.Duration
-	// maxAge is the age from which this host's knowledge is of no use to the other one.
-	maxAge time.Duration
-}
-
-func parseFeedPoll(query url.Values) (feedPoll, error) {
-	after, err := strconv.ParseUint(query.Get(feedAfter), 10, 64)
-	waitMs, waitErr := strconv.ParseUint(query.Get(feedWait), 10, 31)
-	poll := feedPoll{after: spoke.Revision(after), wait: min(time.Duration(waitMs)*time.Millisecond, maxFeedWait), maxAge: place.UnknownAge}
-	if !query.Has(feedMaxAge) {
-		return poll, errors.Join(err, waitErr)
-	}
-	ageMs, ageErr := strconv.ParseUint(query.Get(feedMaxAge), 10, 31)
-	poll.maxAge = time.Duration(ageMs) * time.Millisecond
-	return poll, errors.Join(err, waitErr, ageErr)
-}
-
 // await returns the first state that is lost or has a later revision, or the current state at the end of the wait or once
 // it is too old.
 func (f *feed) await(ctx context.Context, poll feedPoll) *feedState {
--- a/edge/listed.go
+++ b/edge/listed.go
@@ -7,22 +7,17 @@
 	"magnoliaspoke.example/spoke"
 )
 
-type (
-	// listedUpstreams are the upstreams that the directory lists, for concurrent use.
-	listedUpstreams struct {
-		mu sync.Mutex
-		// leavingSince holds when each of them was first known to leave, the zero time for those that stay.
-		leavingSince map[spoke.UpstreamID]time.Time
-		// removals are closed when the directory removes an entry.
-		removals map[*removal]spoke.UpstreamID
-	}
-
-	// removal tells that the directory has removed the entry of an upstream.
-	removal struct{ done chan struct{} }
-)
+// listedUpstreams are the upstreams that the directory lists, for concurrent use.
+type listedUpstreams struct {
+	mu sync.Mutex
+	// leavingSince holds when each of them was first known to leave, the zero time for those that stay.
+	leavingSince map[spoke.UpstreamID]time.Time
+	// removals holds the channels that are closed when the directory removes the entry of an upstream.
+	removals map[chan struct{}]spoke.UpstreamID
+}
 
 func newListedUpstreams() *listedUpstreams {
-	return &listedUpstreams{leavingSince: make(map[spoke.UpstreamID]time.Time), removals: make(map[*removal]spoke.UpstreamID)}
+	return &listedUpstreams{leavingSince: make(map[spoke.UpstreamID]time.Time), removals: make(map[chan struct{}]spoke.UpstreamID)}
 }
 
 func (l *listedUpstreams) apply(change spoke.DirectoryChange) {
@@ -53,10 +48,10 @@
 }
 
 func (l *listedUpstreams) endRemovals(id spoke.UpstreamID) {
-	for r, awaited := range l.removals {
+	for removed, awaited := range l.removals {
 		if awaited == id {
-			close(r.done)
-			delete(l.removals, r)
+			close(removed)
+			delete(l.removals, removed)
 		}
 	}
 }
@@ -85,11 +80,11 @@
 func (l *listedUpstreams) watchRemoval(id spoke.UpstreamID) (<-chan struct{}, func()) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	r := &removal{done: make(chan struct{})}
-	l.removals[r] = id
-	return r.done, func() {
+	removed := make(chan struct{})
+	l.removals[removed] = id
+	return removed, func() {
 		l.mu.Lock()
 		defer l.mu.Unlock()
-		delete(l.removals, r)
+		delete(l.removals, removed)
 	}
 }
--- a/edge/planner.go
+++ b/edge/planner.go
@@ -31,7 +31,7 @@
 	// runsQuery asks for the other calls at the upstream of a call.
 	runsQuery struct {
 		call  spoke.CallNumber
-		reply chan place.RunsBeside
+		reply chan place.OtherRuns
 	}
 
 	// schedulerMessage is a message for the scheduler, with the channel for the answer to a call, or a query.
@@ -149,7 +149,7 @@
 
 func (p *planner) handle(m schedulerMessage) {
 	if m.query != nil {
-		m.query.reply <- p.scheduler.RunsBeside(m.query.call)
+		m.query.reply <- p.scheduler.OtherRuns(m.query.call)
 		return
 	}
 	switch message := m.message.(type) {
@@ -171,15 +171,15 @@
 	p.step(m.message)
 }
 
-// runsBeside returns the other calls at the upstream of a call, after all messages before the query; false if ctx has ended.
-func (p *planner) runsBeside(ctx context.Context, call spoke.CallNumber) (place.RunsBeside, bool) {
-	query := &runsQuery{call: call, reply: make(chan place.RunsBeside, 1)}
+// otherRuns returns the other calls at the upstream of a call, after all messages before the query; false if ctx has ended.
+func (p *planner) otherRuns(ctx context.Context, call spoke.CallNumber) (place.OtherRuns, bool) {
+	query := &runsQuery{call: call, reply: make(chan place.OtherRuns, 1)}
 	p.in <- schedulerMessage{query: query}
 	select {
-	case beside := <-query.reply:
-		return beside, true
+	case others := <-query.reply:
+		return others, true
 	case <-ctx.Done():
-		return place.RunsBeside{}, false
+		return place.OtherRuns{}, false
 	}
 }
 
--- a/place/calls.go
+++ b/place/calls.go
@@ -91,8 +91,8 @@
 	if m.Ending == EndBroken {
 		run.node.brokenAt = now
 	}
-	if len(run.node.runs) == 0 && s.nodes[run.node.listed.ID] != run.node {
-		delete(s.unlisted, run.node.listed.ID)
+	if id := run.node.listed.ID; len(run.node.runs) == 0 && s.unlisted[id] == run.node {
+		delete(s.unlisted, id)
 	}
 	s.recordFinish(now, run, m)
 	if !run.hasBegun {
--- a/place/exit_signs.go
+++ b/place/exit_signs.go
@@ -20,25 +20,25 @@
 )
 
 const (
-	// BesideNone says that all other calls have ended whole.
-	BesideNone BesideStep = iota
-	// BesideUnderWay says that some are under way, or that their ends are not known yet.
-	BesideUnderWay
-	// BesideBroken says that one was broken off at the same time.
-	BesideBroken
+	// OthersEnded says that all other calls have ended whole.
+	OthersEnded OtherRunsState = iota
+	// OthersUnderWay says that some are under way, or that their ends are not known yet.
+	OthersUnderWay
+	// OthersBroken says that one was broken off at the same time.
+	OthersBroken
 )
 
 type (
-	// RunsBeside are the other calls at the upstream of a call.
-	RunsBeside struct {
-		// Own and Elsewhere count those of this host and, by their last reports, of other hosts.
-		Own, Elsewhere int
+	// OtherRuns are the calls at an upstream beside one of them.
+	OtherRuns struct {
+		// Here and Elsewhere count those of this host and, by their last reports, of other hosts.
+		Here, Elsewhere int
 		// BrokenAt is when one of them was last broken off, the zero time if none was.
 		BrokenAt time.Time
 	}
 
-	// BesideStep is what the other calls at an upstream show of its exit.
-	BesideStep int
+	// OtherRunsState is what other calls at an upstream show of its exit.
+	OtherRunsState int
 
 	// ExitSigns is what a host knows, at the end of an answer with neither a length nor chunks, that tells an upstream which
 	// exits behind its last answer from one that is killed while it leaves. All signs must agree.
@@ -59,31 +59,31 @@
 	return hasServed && s.EndedAt.Sub(s.LastBytesAt) <= maxExitPause
 }
 
-// Step returns what the other calls show of the exit of an upstream behind an answer that ended at a time: an exit cuts none.
-func (b RunsBeside) Step(endedAt time.Time) BesideStep {
+// State returns what the other calls show of the exit of an upstream behind an answer that ended at a time: an exit cuts none.
+func (r OtherRuns) State(endedAt time.Time) OtherRunsState {
 	switch {
-	case endedAt.Sub(b.BrokenAt) <= sameEndTime:
-		return BesideBroken
-	case b.Own > 0 || b.Elsewhere > 0:
-		return BesideUnderWay
+	case endedAt.Sub(r.BrokenAt) <= sameEndTime:
+		return OthersBroken
+	case r.Here > 0 || r.Elsewhere > 0:
+		return OthersUnderWay
 	}
-	return BesideNone
+	return OthersEnded
 }
 
-// RunsBeside returns the other calls at the upstream of a call that runs.
-func (s *Scheduler) RunsBeside(call spoke.CallNumber) RunsBeside {
+// OtherRuns returns the calls beside one that runs.
+func (s *Scheduler) OtherRuns(call spoke.CallNumber) OtherRuns {
 	run := s.running[call]
 	if run == nil {
-		return RunsBeside{}
+		return OtherRuns{}
 	}
-	beside := RunsBeside{Own: len(run.node.runs) - 1, BrokenAt: run.node.brokenAt}
-	if run.node.brokenElsewhereAt.After(beside.BrokenAt) {
-		beside.BrokenAt = run.node.brokenElsewhereAt
+	others := OtherRuns{Here: len(run.node.runs) - 1, BrokenAt: run.node.brokenAt}
+	if run.node.brokenElsewhereAt.After(others.BrokenAt) {
+		others.BrokenAt = run.node.brokenElsewhereAt
 	}
 	for _, load := range run.node.peers {
-		beside.Elsewhere += load.Runs
+		others.Elsewhere += load.Runs
 	}
-	return beside
+	return others
 }
 
 // RemovalUntil returns the time until which a removal of the upstream's entry shows that it has exited, for an answer that
--- a/place/exit_signs_test.go
+++ b/place/exit_signs_test.go
@@ -28,18 +28,18 @@
 		assert.Check(t, !signs.MayExit(), name)
 	}
 	for _, c := range []struct {
-		beside place.RunsBeside
-		want   place.BesideStep
+		others place.OtherRuns
+		want   place.OtherRunsState
 	}{
-		{place.RunsBeside{}, place.BesideNone},
-		{place.RunsBeside{Own: 1}, place.BesideUnderWay},
-		{place.RunsBeside{Elsewhere: 1}, place.BesideUnderWay},
-		{place.RunsBeside{BrokenAt: ended.Add(-100 * time.Millisecond)}, place.BesideBroken},
-		{place.RunsBeside{Own: 1, BrokenAt: ended.Add(time.Second)}, place.BesideBroken},
+		{place.OtherRuns{}, place.OthersEnded},
+		{place.OtherRuns{Here: 1}, place.OthersUnderWay},
+		{place.OtherRuns{Elsewhere: 1}, place.OthersUnderWay},
+		{place.OtherRuns{BrokenAt: ended.Add(-100 * time.Millisecond)}, place.OthersBroken},
+		{place.OtherRuns{Here: 1, BrokenAt: ended.Add(time.Second)}, place.OthersBroken},
 		// A call that broke off long before shows nothing.
-		{place.RunsBeside{BrokenAt: ended.Add(-101 * time.Millisecond)}, place.BesideNone},
+		{place.OtherRuns{BrokenAt: ended.Add(-101 * time.Millisecond)}, place.OthersEnded},
 	} {
-		assert.Check(t, c.beside.Step(ended) == c.want, "%v", c.beside)
+		assert.Check(t, c.others.State(ended) == c.want, "%v", c.others)
 	}
 }
 
@@ -53,7 +53,7 @@
 
 // Guards against calls at an engine that is killed, at this host and at others, that are not known when another answer of it
 // is judged, also once the engine is no longer listed.
-func TestCallsBesideAreCounted(t *testing.T) {
+func TestOtherCallsAreCounted(t *testing.T) {
 	ts, other := newTestScheduler(t, 1), newTestSchedulerFor(t, "host-2", 1)
 	first, second := ts.grant(ts.request(0, "a", 500, 200)), ts.grant(ts.request(0, "b", 500, 200))
 	elsewhere := other.grant(other.request(0, "c", 500, 200))
@@ -62,18 +62,18 @@
 		ts.handle(place.ReceiveReport{Report: other.scheduler.LoadReport(other.now, isFull)})
 	}
 	report(false)
-	assert.Equal(t, ts.scheduler.RunsBeside(first.Call), place.RunsBeside{Own: 1, Elsewhere: 1})
+	assert.Equal(t, ts.scheduler.OtherRuns(first.Call), place.OtherRuns{Here: 1, Elsewhere: 1})
 	for _, host := range []*testScheduler{ts, other} {
 		host.handle(place.SetUpstreams{Removed: []spoke.UpstreamID{"engine-0"}})
 	}
 	ts.handle(place.Ended{Call: second.Call, Ending: place.EndBroken})
 	report(true)
-	assert.Equal(t, ts.scheduler.RunsBeside(first.Call), place.RunsBeside{Elsewhere: 1, BrokenAt: ts.now})
+	assert.Equal(t, ts.scheduler.OtherRuns(first.Call), place.OtherRuns{Elsewhere: 1, BrokenAt: ts.now})
 	ts.advance(time.Second)
 	other.advance(time.Second)
 	other.handle(place.Ended{Call: elsewhere.Call, Ending: place.EndBroken})
 	report(false)
-	got := ts.scheduler.RunsBeside(first.Call)
+	got := ts.scheduler.OtherRuns(first.Call)
 	assert.Equal(t, got.Elsewhere, 0)
-	assert.Equal(t, got.Step(ts.now), place.BesideBroken)
+	assert.Equal(t, got.State(ts.now), place.OthersBroken)
 }
