edge: take bytes on other connections for life of a leaving engine

Its engine closes its listener and then ends its answers one by one. One of them ended 0.9 s before the last; the host took the refused connection for a death, although two other answers of that engine still brought events.

Change: bytes to another call of this host, sent before the end and read more than 100 ms behind it, show that the engine ran. The signs are judged in one pure function, and the calls of engines that stay are decided at once, as before. Bytes to calls that were sent later do not count, since another start may have the address.

--- a/cmd/trial/soak/verdict.go
+++ b/cmd/trial/soak/verdict.go
@@ -144,6 +144,8 @@
 	switch {
 	case last.brokeOff(x):
 		return "cut in a stop, engine broke off"
+	case last.wasKilledBehind(x):
+		return "cut in a stop, engine killed behind its answer"
 	case x.sentAt.Sub(s.at) <= excusedSending && last.isAtWork(s.at.Add(lastSixth)):
 		return "cut in a stop, engine at work to the last"
 	default:
@@ -156,6 +158,12 @@
 	return r.boot.isKilled() && r.ended.IsZero() && r.boot.endedAt.Before(x.endedAt)
 }
 
+// wasKilledBehind reports whether the engine was killed behind the run, but before the call ended: an impairment that is not
+// planned, within the time of the request.
+func (r engineRun) wasKilledBehind(x exchange) bool {
+	return r.boot.isKilled() && !r.ended.IsZero() && r.boot.endedAt.Before(x.endedAt)
+}
+
 // isAtWork reports whether the run goes on at a time.
 func (r engineRun) isAtWork(at time.Time) bool {
 	if r.boot.isKilled() && !r.boot.endedAt.After(at) {
--- a/edge/answerend.go
+++ b/edge/answerend.go
@@ -47,65 +47,59 @@
 }
 
 // checkEnd asks who runs at the address of the upstream until that is known or the time for it is over. If the address
-// refuses connections, the upstream may have exited behind its last answer.
+// refuses connections, the upstream may have exited behind its last answer, or may accept no new connections while it ends
+// the others.
 func (a *attempt) checkEnd(ctx context.Context) place.EndEvidence {
 	removed, endWatch := a.listed.watchRemoval(a.grant.Upstream.ID)
 	defer endWatch()
-	a.leavingFor = a.listed.leavingFor(a.grant.Upstream.ID, a.endedAt)
+	signs := place.ExitSigns{
+		IsStaying:  !a.isLeaving(),
+		LeavingFor: a.listed.leavingFor(a.grant.Upstream.ID, a.endedAt), Notice: a.leaveNotice, LastBytesAt: a.heardAt, EndedAt: a.endedAt,
+	}
 	evidence := a.askUntilKnown(ctx)
-	if evidence != place.EndUpstreamRefused || !a.mayExit() {
+	if evidence != place.EndUpstreamRefused {
 		return evidence
 	}
-	ctx, cancel := context.WithDeadline(ctx, place.RemovalUntil(a.endedAt, a.deadline))
+	ctx, cancel := context.WithDeadline(ctx, place.ExitKnownBy(a.endedAt, a.deadline))
 	defer cancel()
-	if isClosedInTime(ctx, removed) && a.isLastRun(ctx) {
-		return place.EndUpstreamLeft
-	}
-	return evidence
+	return a.awaitExit(ctx, signs, removed)
 }
 
-// mayExit reports whether what is known of the upstream and the end of the answer allows that it exits behind it.
-func (a *attempt) mayExit() bool {
-	signs := place.ExitSigns{
-		LeavingFor: a.leavingFor, Notice: a.leaveNotice, LastBytesAt: a.heardAt, EndedAt: a.endedAt,
-	}
-	mayExit := signs.MayExit()
-	if signs.LeavingFor > 0 {
-		a.log.WithFields(logrus.Fields{
-			"upstream": a.grant.Upstream.ID, "leaving-for": signs.LeavingFor.String(),
-			"pause": signs.EndedAt.Sub(signs.LastBytesAt).String(), "may-exit": mayExit,
-		}).Info("leaving upstream refuses connections behind an answer")
+// awaitExit waits until it is known whether an upstream that refuses connections still ran behind the answer, or ctx ends.
+func (a *attempt) awaitExit(ctx context.Context, signs place.ExitSigns, removed <-chan struct{}) place.EndEvidence {
+	for {
+		signs.IsRemoved = signs.IsRemoved || isClosed(removed)
+		signs.HeardAt = a.heard.lastBeside(a.grant.Upstream.ID, a.heardAnswer, a.endedAt)
+		others, isKnown := a.planner.otherRuns(ctx, a.grant.Call)
+		if !isKnown {
+			return place.EndUpstreamRefused
+		}
+		signs.Others = others
+		evidence, isDecided := signs.Evidence()
+		if isDecided || !waitUntil(ctx, time.Now().Add(otherRunsInterval)) {
+			a.logExit(signs, evidence)
+			return evidence
+		}
 	}
-	return mayExit
 }
 
-// isClosedInTime reports whether a channel is closed before ctx ends.
-func isClosedInTime(ctx context.Context, done <-chan struct{}) bool {
+func (a *attempt) logExit(signs place.ExitSigns, evidence place.EndEvidence) {
+	a.log.WithFields(logrus.Fields{
+		"upstream": a.grant.Upstream.ID, "end-evidence": evidence, "leaving-for": signs.LeavingFor.String(),
+		"pause": signs.EndedAt.Sub(signs.LastBytesAt).String(), "is-removed": signs.IsRemoved, "own-runs": signs.Others.Here,
+		"other-runs": signs.Others.Elsewhere,
+	}).Info("upstream refuses connections behind an answer")
+}
+
+func isClosed(done <-chan struct{}) bool {
 	select {
 	case <-done:
 		return true
-	case <-ctx.Done():
+	default:
 		return false
 	}
 }
 
-// isLastRun reports whether all other calls at the upstream have ended whole before ctx ends. The ends of those at other
-// hosts, and of those whose own ends are checked, are known a little later.
-func (a *attempt) isLastRun(ctx context.Context) bool {
-	for {
-		others, isKnown := a.planner.otherRuns(ctx, a.grant.Call)
-		state := others.State(a.endedAt)
-		if !isKnown || state != place.OthersUnderWay {
-			return isKnown && state == place.OthersEnded
-		}
-		if !waitUntil(ctx, time.Now().Add(otherRunsInterval)) {
-			a.log.WithFields(logrus.Fields{"upstream": a.grant.Upstream.ID, "own-runs": others.Here, "other-runs": others.Elsewhere}).
-				Info("other calls at a leaving upstream have not ended")
-			return false
-		}
-	}
-}
-
 // askUntilKnown asks who runs at the address of the upstream.
 func (a *attempt) askUntilKnown(ctx context.Context) place.EndEvidence {
 	check := place.NewEndCheck(a.endedAt, a.deadline)
--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -58,12 +58,12 @@
 		idle *idleWatcher
 		// heardAt is when the upstream sent the last bytes, or when the attempt began.
 		heardAt time.Time
+		// heardAnswer is heardAt for other attempts at the upstream.
+		heardAnswer *heardAnswer
 		// sentAt is when the attempt began.
 		sentAt time.Time
 		// endedAt is when an answer that needed evidence ended, the zero time if there was none.
 		endedAt time.Time
-		// leavingFor is for how long the upstream had been known to leave then, zero if it was not.
-		leavingFor time.Duration
 		// evidence is what has shown whether the answer is whole, empty if that needed none.
 		evidence place.EndEvidence
 		// framing names what shows the end of the answer, empty if there is no answer.
@@ -86,6 +86,8 @@
 	a.idle = a.watchIdle(callCtx, cancel)
 	now := time.Now()
 	a.heardAt, a.sentAt = now, now
+	a.heardAnswer = a.heard.add(a.grant.Upstream.ID, now)
+	defer a.heardAnswer.isEnded.Store(true)
 	a.quarantine.registry.Begin(now, a.id, a.grant.Upstream.ID, a.fingerprint)
 	result := a.roundTrip(ctx)
 	a.endWatch()
@@ -302,7 +304,9 @@
 // recordBytes records that the upstream has sent bytes of its answer. Bytes of a stream are no progress until an event
 // is complete.
 func (a *attempt) recordBytes() {
-	a.heardAt = time.Now()
+	now := time.Now()
+	a.heardAt = now
+	a.heardAnswer.heardAt.Store(&now)
 	if a.route.Rule != spoke.RuleStream {
 		a.idle.heard(a.idlePeriod(), a.requiredSoftware(a.progress))
 	}
--- a/edge/handler.go
+++ b/edge/handler.go
@@ -46,6 +46,7 @@
 		parts      *partQuarantine
 		origins    *origins
 		listed     *listedUpstreams
+		heard      *heardAnswers
 		// leaveNotice is how long an upstream that leaves goes on serving.
 		leaveNotice time.Duration
 		// evacuations holds the data centres to which nothing is sent.
--- a/edge/host.go
+++ b/edge/host.go
@@ -121,7 +121,7 @@
 		conf: h.conf, codec: deps.Codec, planner: h.planner, quarantine: quarantine, parts: parts, origins: h.planner.origins,
 		pool: link.New(link.WithDial(h.ways.Dial), link.WithReuse(h.ways.mayReuse)), ways: h.ways,
 		answerMemory: fetch.NewMemory(settings.Memory / answerMemoryDivisor),
-		listed:       newListedUpstreams(), leaveNotice: settings.LeaveNotice, evacuations: evacuations,
+		listed:       newListedUpstreams(), heard: newHeardAnswers(), leaveNotice: settings.LeaveNotice, evacuations: evacuations,
 		underWay: newCallsUnderWay(), times: newCallTimes(), requests: drain.NewRequests(),
 		log: deps.Log, metrics: metrics,
 	}
@@ -291,7 +291,10 @@
 
 // sweep closes idle upstream connections that will not be used again.
 func (h *Host) sweep(ctx context.Context) error {
-	return runTask(ctx, h.deps.Timer, sweepInterval, nil, nil, func(context.Context) { h.relayer.pool.Sweep() })
+	return runTask(ctx, h.deps.Timer, sweepInterval, nil, nil, func(context.Context) {
+		h.relayer.pool.Sweep()
+		h.relayer.heard.sweep(time.Now())
+	})
 }
 
 // receiveLoad handles the load report of another host.
--- a/edge/leaving_end_test.go
+++ b/edge/leaving_end_test.go
@@ -107,3 +107,37 @@
 		})
 	}
 }
+
+// Guards against answers that look whole at two hosts, each with one call at an engine that is killed late in its notice
+// right behind an event, although the entry is gone as that of an engine that exits.
+func TestAnswersOfKilledEngineAtTwoHostsDoNotLookWhole(t *testing.T) {
+	hosts := startHostsWith(t, 2, 0)
+	hosts[0].awaitApplied()
+	leaving := hosts[0].startEngineProcess(twoEvents, engineRest+"=id: 3\ndata: piece 3\n\n", engineStays+"=1")
+	received := make(chan result, len(hosts))
+	for _, host := range hosts {
+		go func() {
+			awaitTrue(t, "no call placed", func() bool {
+				got, err := host.send(quoteCall("call-" + string(host.settings.Host)))
+				isPlaced := got.status != http.StatusServiceUnavailable && got.status != 0
+				if isPlaced {
+					received <- result{got, err}
+				}
+				return isPlaced
+			})
+		}()
+		leaving.awaitSent()
+	}
+	assert.NilError(t, leaving.listener.Close())
+	leaving.leave()
+	time.Sleep(servedNotice)
+	leaving.goOn()
+	for range hosts {
+		leaving.awaitSent()
+	}
+	leaving.kill()
+	hosts[0].store.Remove("servers/" + killedID)
+	for range hosts {
+		assert.ErrorIs(t, (<-received).err, io.ErrUnexpectedEOF)
+	}
+}
--- a/place/exit_signs.go
+++ b/place/exit_signs.go
@@ -10,9 +10,9 @@
 	// maxExitPause is the longest time between the last bytes of a whole answer and the end of its connection. A process
 	// that is killed, or exits with runs under way, mostly ends longer after its last bytes.
 	maxExitPause = 5 * time.Millisecond
-	// removalTime is the time from the end of an answer within which the directory tells that its upstream has left. The
+	// exitKnownTime is the time from the end of an answer within which the directory tells that its upstream has left. The
 	// entry of a killed one stays for at least two of its intervals.
-	removalTime = 700 * time.Millisecond
+	exitKnownTime = 700 * time.Millisecond
 	// sameEndTime is the time within which the connections of a process that ends are seen to end.
 	sameEndTime = 100 * time.Millisecond
 	// brokenRetention is the time for which hosts report that a call was broken off.
@@ -20,12 +20,12 @@
 )
 
 const (
-	// OthersEnded says that all other calls have ended whole.
-	OthersEnded OtherRunsState = iota
-	// OthersUnderWay says that some are under way, or that their ends are not known yet.
-	OthersUnderWay
-	// OthersBroken says that one was broken off at the same time.
-	OthersBroken
+	// othersEnded says that all other calls have ended whole.
+	othersEnded otherRunsState = iota
+	// othersUnderWay says that some are under way, or that their ends are not known yet.
+	othersUnderWay
+	// othersBroken says that one was broken off at the same time.
+	othersBroken
 )
 
 type (
@@ -37,37 +37,60 @@
 		BrokenAt time.Time
 	}
 
-	// OtherRunsState is what other calls at an upstream show of its exit.
-	OtherRunsState int
+	// otherRunsState is what other calls at an upstream show of its exit.
+	otherRunsState int
 
-	// ExitSigns is what a host knows, at the end of an answer with neither a length nor chunks, that tells an upstream which
-	// exits behind its last answer from one that is killed while it leaves. All signs must agree.
+	// ExitSigns is what a host knows of an upstream that refuses connections behind an answer with neither a length nor
+	// chunks. It tells one that exits behind its last answer from one that is killed while it leaves.
 	ExitSigns struct {
-		// LeavingFor is the time since the upstream was first known to leave, zero if it is not.
+		// IsStaying is set if the upstream has not said that it leaves and is listed.
+		IsStaying bool
+		// LeavingFor is the time from the notice that the upstream leaves to the end of the answer, zero without one.
 		LeavingFor time.Duration
 		// Notice is the time for which an upstream that leaves goes on serving.
 		Notice time.Duration
 		// LastBytesAt and EndedAt are when the last bytes of the answer and its end were read.
 		LastBytesAt, EndedAt time.Time
+		// IsRemoved is set once the directory has removed the upstream's entry behind the end.
+		IsRemoved bool
+		// HeardAt is when the upstream last sent bytes to another call that was sent before the end.
+		HeardAt time.Time
+		Others  OtherRuns
 	}
 )
 
-// MayExit reports whether an upstream that leaves may have exited behind the answer: it has served as long as it must, and
+// Evidence returns what the signs show and whether later ones cannot show more. Bytes on another connection show that the
+// upstream still ran: one that leaves may close its listener first. It has exited behind the answer if all of the other
+// signs agree.
+func (s ExitSigns) Evidence() (evidence EndEvidence, isDecided bool) {
+	others := s.Others.state(s.EndedAt)
+	switch {
+	case s.HeardAt.Sub(s.EndedAt) > sameEndTime:
+		return EndUpstreamRuns, true
+	case s.IsStaying, others == othersBroken, !s.mayExit() && s.Others.Here == 0:
+		return EndUpstreamRefused, true
+	case s.mayExit() && s.IsRemoved && others == othersEnded:
+		return EndUpstreamLeft, true
+	}
+	return EndUpstreamRefused, false
+}
+
+// mayExit reports whether an upstream that leaves may have exited behind the answer: it has served as long as it must, and
 // the end followed the last bytes at once.
-func (s ExitSigns) MayExit() bool {
+func (s ExitSigns) mayExit() bool {
 	hasServed := s.LeavingFor > 0 && s.LeavingFor >= s.Notice
 	return hasServed && s.EndedAt.Sub(s.LastBytesAt) <= maxExitPause
 }
 
-// State returns what the other calls show of the exit of an upstream behind an answer that ended at a time: an exit cuts none.
-func (r OtherRuns) State(endedAt time.Time) OtherRunsState {
+// state returns what the other calls show of the exit of an upstream behind an answer that ended at a time: an exit cuts none.
+func (r OtherRuns) state(endedAt time.Time) otherRunsState {
 	switch {
 	case endedAt.Sub(r.BrokenAt) <= sameEndTime:
-		return OthersBroken
+		return othersBroken
 	case r.Here > 0 || r.Elsewhere > 0:
-		return OthersUnderWay
+		return othersUnderWay
 	}
-	return OthersEnded
+	return othersEnded
 }
 
 // OtherRuns returns the calls beside one that runs.
@@ -86,10 +109,10 @@
 	return others
 }
 
-// RemovalUntil returns the time until which a removal of the upstream's entry shows that it has exited, for an answer that
-// ended at a time and a call with a deadline.
-func RemovalUntil(endedAt, deadline time.Time) time.Time {
-	until := endedAt.Add(removalTime)
+// ExitKnownBy returns the time at which the signs of an exit are judged at the latest, for an answer that ended at a time and
+// a call with a deadline.
+func ExitKnownBy(endedAt, deadline time.Time) time.Time {
+	until := endedAt.Add(exitKnownTime)
 	if deadline.Before(until) {
 		return deadline
 	}
