--- a/edge/killed_engine_test.go
+++ b/edge/killed_engine_test.go
@@ -198,15 +198,12 @@
 	})
 }
 
-// callKilled makes a call at an engine that dies in the given way after it has sent the body, while another one runs.
-func callKilled(t *testing.T, c call, body, death string) result {
-	t.Helper()
-	d := start(t, 0)
-	d.awaitApplied()
-	killed := d.startEngineProcess(body)
+// sendUntilPlaced sends a call until an engine gets it, and returns its result.
+func (d *deployment) sendUntilPlaced(c call) <-chan result {
+	d.t.Helper()
 	received := make(chan result, 1)
 	go func() {
-		awaitTrue(t, "no call placed", func() bool {
+		awaitTrue(d.t, "no call placed", func() bool {
 			got, err := d.send(c)
 			isPlaced := got.status != http.StatusServiceUnavailable && got.status != 0
 			if isPlaced {
@@ -215,6 +212,16 @@
 			return isPlaced
 		})
 	}()
+	return received
+}
+
+// callKilled makes a call at an engine that dies in the given way after it has sent the body, while another one runs.
+func callKilled(t *testing.T, c call, body, death string) result {
+	t.Helper()
+	d := start(t, 0)
+	d.awaitApplied()
+	killed := d.startEngineProcess(body)
+	received := d.sendUntilPlaced(c)
 	killed.awaitSent()
 	if body != cutBody {
 		awaitTrue(t, "stream not begun", func() bool { return d.hasLogged("stream began") })
--- a/edge/leaving_end_test.go
+++ b/edge/leaving_end_test.go
@@ -22,31 +22,28 @@
 	d := start(t, 0)
 	d.awaitApplied()
 	leaving := d.startEngineProcess(body, environment...)
-	received := make([]chan result, len(calls))
-	for i, c := range calls {
-		received[i] = make(chan result, 1)
-		go func() {
-			got, err := d.send(c)
-			for deadline := time.Now().Add(time.Second); got.status == http.StatusServiceUnavailable && time.Now().Before(deadline); {
-				got, err = d.send(c)
-			}
-			received[i] <- result{got, err}
-		}()
-	}
-	for range calls {
+	var received []<-chan result
+	for _, c := range calls {
+		received = append(received, d.sendUntilPlaced(c))
 		leaving.awaitSent()
 	}
-	assert.NilError(t, leaving.listener.Close())
-	leaving.leave()
-	time.Sleep(servedNotice)
+	leaving.serveNotice()
 	end(leaving)
 	var all []result
-	for i := range calls {
-		all = append(all, <-received[i])
+	for _, got := range received {
+		all = append(all, <-got)
 	}
 	return all
 }
 
+// serveNotice announces that the engine leaves and waits until it may exit. Its listener is its own from then on.
+func (k *killedEngine) serveNotice() {
+	k.d.t.Helper()
+	assert.NilError(k.d.t, k.listener.Close())
+	k.leave()
+	time.Sleep(servedNotice)
+}
+
 // exits makes an engine end its answers whole and exit right behind them; its entry goes with it.
 func exits(k *killedEngine) {
 	k.goOn()
@@ -114,30 +111,19 @@
 	hosts := startHostsWith(t, 2, 0)
 	hosts[0].awaitApplied()
 	leaving := hosts[0].startEngineProcess(twoEvents, engineRest+"=id: 3\ndata: piece 3\n\n", engineStays+"=1")
-	received := make(chan result, len(hosts))
+	var received []<-chan result
 	for _, host := range hosts {
-		go func() {
-			awaitTrue(t, "no call placed", func() bool {
-				got, err := host.send(quoteCall("call-" + string(host.settings.Host)))
-				isPlaced := got.status != http.StatusServiceUnavailable && got.status != 0
-				if isPlaced {
-					received <- result{got, err}
-				}
-				return isPlaced
-			})
-		}()
+		received = append(received, host.sendUntilPlaced(quoteCall("call-"+string(host.settings.Host))))
 		leaving.awaitSent()
 	}
-	assert.NilError(t, leaving.listener.Close())
-	leaving.leave()
-	time.Sleep(servedNotice)
+	leaving.serveNotice()
 	leaving.goOn()
 	for range hosts {
 		leaving.awaitSent()
 	}
 	leaving.kill()
 	hosts[0].store.Remove("servers/" + killedID)
-	for range hosts {
-		assert.ErrorIs(t, (<-received).err, io.ErrUnexpectedEOF)
+	for _, got := range received {
+		assert.ErrorIs(t, (<-got).err, io.ErrUnexpectedEOF)
 	}
 }
