edge: do not let hosts await each other's last answers

Change: hosts report how many of their answers have ended without being known as whole, and how long ago the newest did (checked, checked-ms, optional). One that ended more than 100 ms before is not awaited; delays of reports can only make it seem later, which keeps it awaited.

Result: TestHostsDoNotAwaitEachOther; tests of killed engines pass.

--- a/edge/answerend.go
+++ b/edge/answerend.go
@@ -56,6 +56,9 @@
 		IsStaying:  !a.isLeaving(),
 		LeavingFor: a.listed.leavingFor(a.grant.Upstream.ID, a.endedAt), Notice: a.leaveNotice, LastBytesAt: a.heardAt, EndedAt: a.endedAt,
 	}
+	if !signs.IsStaying {
+		a.planner.in <- schedulerMessage{message: place.AnswerEnded{Call: a.grant.Call}}
+	}
 	evidence := a.askUntilKnown(ctx)
 	if evidence != place.EndUpstreamRefused {
 		return evidence
@@ -70,7 +73,7 @@
 	for {
 		signs.IsRemoved = signs.IsRemoved || isClosed(removed)
 		signs.HeardAt = a.heard.lastBeside(a.grant.Upstream.ID, a.heardAnswer, a.endedAt)
-		others, isKnown := a.planner.otherRuns(ctx, a.grant.Call)
+		others, isKnown := a.planner.otherRuns(ctx, a.grant.Call, a.endedAt)
 		if !isKnown {
 			return place.EndUpstreamRefused
 		}
--- a/edge/planner.go
+++ b/edge/planner.go
@@ -30,8 +30,10 @@
 type (
 	// runsQuery asks for the other calls at the upstream of a call.
 	runsQuery struct {
-		call  spoke.CallNumber
-		reply chan place.OtherRuns
+		call spoke.CallNumber
+		// endedAt is when the answer to the call ended.
+		endedAt time.Time
+		reply   chan place.OtherRuns
 	}
 
 	// schedulerMessage is a message for the scheduler, with the channel for the answer to a call, or a query.
@@ -149,7 +151,7 @@
 
 func (p *planner) handle(m schedulerMessage) {
 	if m.query != nil {
-		m.query.reply <- p.scheduler.OtherRuns(m.query.call)
+		m.query.reply <- p.scheduler.OtherRuns(m.query.call, m.query.endedAt)
 		return
 	}
 	switch message := m.message.(type) {
@@ -172,8 +174,8 @@
 }
 
 // otherRuns returns the other calls at the upstream of a call, after all messages before the query; false if ctx has ended.
-func (p *planner) otherRuns(ctx context.Context, call spoke.CallNumber) (place.OtherRuns, bool) {
-	query := &runsQuery{call: call, reply: make(chan place.OtherRuns, 1)}
+func (p *planner) otherRuns(ctx context.Context, call spoke.CallNumber, endedAt time.Time) (place.OtherRuns, bool) {
+	query := &runsQuery{call: call, endedAt: endedAt, reply: make(chan place.OtherRuns, 1)}
 	p.in <- schedulerMessage{query: query}
 	select {
 	case others := <-query.reply:
--- a/peers/codec.go
+++ b/peers/codec.go
@@ -69,6 +69,8 @@
 		SlackMs      int64 `json:"slack-ms,omitempty"`
 		SlackStreams int   `json:"slack-streams,omitempty"`
 		BrokenMs     int64 `json:"broken-ms,omitempty"`
+		Checked      int   `json:"checked,omitempty"`
+		CheckedMs    int64 `json:"checked-ms,omitempty"`
 	}
 
 	copyRow struct {
@@ -143,7 +145,7 @@
 		row.Table = &tableRow{uint64(table.Version), table.Content.Key, string(table.Content.ID)}
 	}
 	for _, u := range report.Upstreams {
-		row.Upstreams = append(row.Upstreams, upstreamRow{string(u.Upstream), int64(u.Prefill), int64(u.Memory), u.Runs, u.CopyTime.Milliseconds(), u.HasGivenUp, u.Slack.Milliseconds(), u.SlackStreams, u.BrokenAge.Milliseconds()})
+		row.Upstreams = append(row.Upstreams, upstreamRow{string(u.Upstream), int64(u.Prefill), int64(u.Memory), u.Runs, u.CopyTime.Milliseconds(), u.HasGivenUp, u.Slack.Milliseconds(), u.SlackStreams, u.BrokenAge.Milliseconds(), u.Checked, u.CheckedAge.Milliseconds()})
 	}
 	for _, w := range report.Waiting {
 		row.Waiting = append(row.Waiting, encodeWaiting(w))
@@ -220,6 +222,7 @@
 		report.Upstreams = append(report.Upstreams, spoke.HostUpstreamLoad{
 			Upstream: spoke.UpstreamID(u.ID), Prefill: spoke.TokenCount(u.Prefill), Memory: spoke.TokenCount(u.Memory), Runs: u.Runs,
 			CopyTime: time.Duration(u.CopyTimeMs) * time.Millisecond, HasGivenUp: u.HasGivenUp, BrokenAge: decodeMilliseconds(u.BrokenMs),
+			Checked: min(max(u.Checked, 0), max(u.Runs, 0)), CheckedAge: decodeMilliseconds(u.CheckedMs),
 			Slack: time.Duration(u.SlackMs) * time.Millisecond, SlackStreams: min(max(u.SlackStreams, 0), max(u.Runs, 0)),
 		})
 	}
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -18,7 +18,7 @@
 	return spoke.HostReport{
 		Host: "host-1", Sequence: 7, IsSnapshot: true, TakesNoDetours: true,
 		Sent:      spoke.SentTime{Clock: 1 << 60, Reading: 11 * time.Millisecond},
-		Upstreams: []spoke.HostUpstreamLoad{{Upstream: "e", Prefill: 5, Memory: 6, Runs: 7, CopyTime: 8 * time.Millisecond, HasGivenUp: true, Slack: 9 * time.Millisecond, SlackStreams: 3, BrokenAge: 10 * time.Millisecond}},
+		Upstreams: []spoke.HostUpstreamLoad{{Upstream: "e", Prefill: 5, Memory: 6, Runs: 7, CopyTime: 8 * time.Millisecond, HasGivenUp: true, Slack: 9 * time.Millisecond, SlackStreams: 3, BrokenAge: 10 * time.Millisecond, Checked: 2, CheckedAge: 11 * time.Millisecond}},
 		Waiting:   []spoke.WaitingWork{{Service: "s", Urgency: 2, Calls: 4, Tokens: 9}, {Service: "t", Calls: 3, Tokens: 3}},
 		Placed:    []spoke.PlacedPrompt{{Upstream: "e", Prefixes: []spoke.PromptPrefix{{Key: 1 << 63, Part: 2, Total: 3}}}},
 		Paused:    map[spoke.UpstreamID]time.Duration{"e": time.Second},
--- a/place/exit_signs.go
+++ b/place/exit_signs.go
@@ -93,22 +93,59 @@
 	return othersEnded
 }
 
-// OtherRuns returns the calls beside one that runs.
-func (s *Scheduler) OtherRuns(call spoke.CallNumber) OtherRuns {
+// OtherRuns returns the calls beside one that runs. Those whose answers ended long before that of the call are left out:
+// they were not cut at the same time, and their hosts may wait for this one in turn.
+func (s *Scheduler) OtherRuns(call spoke.CallNumber, endedAt time.Time) OtherRuns {
 	run := s.running[call]
 	if run == nil {
 		return OtherRuns{}
 	}
-	others := OtherRuns{Here: len(run.node.runs) - 1, BrokenAt: run.node.brokenAt}
-	if run.node.brokenElsewhereAt.After(others.BrokenAt) {
-		others.BrokenAt = run.node.brokenElsewhereAt
+	n, isEarlier := run.node, func(at time.Time) bool { return endedAt.Sub(at) > sameEndTime }
+	others := OtherRuns{BrokenAt: n.brokenAt}
+	if n.brokenElsewhereAt.After(n.brokenAt) {
+		others.BrokenAt = n.brokenElsewhereAt
 	}
-	for _, load := range run.node.peers {
+	for _, other := range n.runs {
+		if other != run && (other.answerEndedAt.IsZero() || !isEarlier(other.answerEndedAt)) {
+			others.Here++
+		}
+	}
+	for host, load := range n.peers {
 		others.Elsewhere += load.Runs
+		if isEarlier(n.checkedAt[host]) {
+			others.Elsewhere -= load.Checked
+		}
 	}
 	return others
 }
 
+// answerEnded records that the answer to a call has ended and is not known to be whole yet.
+func (s *Scheduler) answerEnded(now time.Time, call spoke.CallNumber) {
+	if run := s.running[call]; run != nil {
+		run.answerEndedAt = now
+		s.report.changed(run.node)
+	}
+}
+
+// checked returns the number of this host's calls whose answers are not known to be whole yet, and the time since the newest
+// of their ends.
+func (n *node) checked(now time.Time) (count int, age time.Duration) {
+	var newest time.Time
+	for _, run := range n.runs {
+		if run.answerEndedAt.IsZero() {
+			continue
+		}
+		count++
+		if run.answerEndedAt.After(newest) {
+			newest = run.answerEndedAt
+		}
+	}
+	if count == 0 {
+		return 0, 0
+	}
+	return count, now.Sub(newest)
+}
+
 // ExitKnownBy returns the time at which the signs of an exit are judged at the latest, for an answer that ended at a time and
 // a call with a deadline.
 func ExitKnownBy(endedAt, deadline time.Time) time.Time {
--- a/place/exit_signs_test.go
+++ b/place/exit_signs_test.go
@@ -67,16 +67,39 @@
 		ts.handle(place.ReceiveReport{Report: other.scheduler.LoadReport(other.now, isFull)})
 	}
 	report(false)
-	assert.Equal(t, ts.scheduler.OtherRuns(first.Call), place.OtherRuns{Here: 1, Elsewhere: 1})
+	assert.Equal(t, ts.scheduler.OtherRuns(first.Call, ts.now), place.OtherRuns{Here: 1, Elsewhere: 1})
 	for _, host := range []*testScheduler{ts, other} {
 		host.handle(place.SetUpstreams{Removed: []spoke.UpstreamID{"engine-0"}})
 	}
 	ts.handle(place.Ended{Call: second.Call, Ending: place.EndBroken})
 	report(true)
-	assert.Equal(t, ts.scheduler.OtherRuns(first.Call), place.OtherRuns{Elsewhere: 1, BrokenAt: ts.now})
+	assert.Equal(t, ts.scheduler.OtherRuns(first.Call, ts.now), place.OtherRuns{Elsewhere: 1, BrokenAt: ts.now})
 	ts.advance(time.Second)
 	other.advance(time.Second)
 	other.handle(place.Ended{Call: elsewhere.Call, Ending: place.EndBroken})
 	report(false)
-	assert.Equal(t, ts.scheduler.OtherRuns(first.Call), place.OtherRuns{BrokenAt: ts.now.Add(-time.Millisecond)})
+	assert.Equal(t, ts.scheduler.OtherRuns(first.Call, ts.now), place.OtherRuns{BrokenAt: ts.now.Add(-time.Millisecond)})
+}
+
+// Guards against hosts that await each other: the answers of two hosts end one after the other, and the engine exits behind
+// the second. A third, which ends at the same time, is awaited as one that was cut with it.
+func TestHostsDoNotAwaitEachOther(t *testing.T) {
+	ts, other := newTestScheduler(t, 1), newTestSchedulerFor(t, "host-2", 1)
+	last, earlier := ts.grant(ts.request(0, "a", 500, 200)), ts.grant(ts.request(0, "b", 500, 200))
+	elsewhere, beside := other.grant(other.request(0, "c", 500, 200)), other.grant(other.request(0, "d", 500, 200))
+	ts.handle(place.AnswerEnded{Call: earlier.Call})
+	other.handle(place.AnswerEnded{Call: elsewhere.Call})
+	ts.advance(101 * time.Millisecond)
+	other.advance(101 * time.Millisecond)
+	report := func() { ts.handle(place.ReceiveReport{Report: other.scheduler.LoadReport(other.now, false)}) }
+	report()
+	assert.Equal(t, ts.scheduler.OtherRuns(last.Call, ts.now), place.OtherRuns{Elsewhere: 1})
+	// The end of the earlier one came before this one.
+	assert.Equal(t, ts.scheduler.OtherRuns(earlier.Call, ts.now.Add(-101*time.Millisecond)), place.OtherRuns{Here: 1, Elsewhere: 2})
+	other.handle(place.AnswerEnded{Call: beside.Call})
+	report()
+	assert.Equal(t, ts.scheduler.OtherRuns(last.Call, ts.now), place.OtherRuns{Elsewhere: 2})
+	other.handle(place.Ended{Call: beside.Call, Ending: place.EndServed})
+	report()
+	assert.Equal(t, ts.scheduler.OtherRuns(last.Call, ts.now), place.OtherRuns{})
 }
--- a/place/messages.go
+++ b/place/messages.go
@@ -146,6 +146,9 @@
 		Limit spoke.RequestRate
 	}
 
+	// AnswerEnded reports that the answer to a call has ended and is not known to be whole yet.
+	AnswerEnded struct{ Call spoke.CallNumber }
+
 	// Ended reports the end of an attempt.
 	Ended struct {
 		Call    spoke.CallNumber
@@ -350,6 +353,7 @@
 )
 
 func (Request) isMessage()          {}
+func (AnswerEnded) isMessage()      {}
 func (Suspended) isMessage()        {}
 func (Withdraw) isMessage()         {}
 func (Began) isMessage()            {}
--- a/place/node.go
+++ b/place/node.go
@@ -62,6 +62,8 @@
 		isNamedBrittle bool
 		// isRecalled marks a call that was recalled since its weights are outdated or its upstream is evacuated.
 		isRecalled bool
+		// answerEndedAt is when the answer ended that is not known to be whole yet, the zero time if it has not ended.
+		answerEndedAt time.Time
 		// isLost marks a call that had not begun when this host found its ways to the upstreams lost.
 		isLost bool
 	}
@@ -101,6 +103,8 @@
 		serviceTime time.Duration
 		failures    float64
 		failedAt    time.Time
+		// checkedAt is when the newest answer ended that each other host has not found to be whole yet, or later.
+		checkedAt map[spoke.HostID]time.Time
 		// brokenAt and brokenElsewhereAt are when a call of this host or of another one was last broken off, the zero time
 		// if none was.
 		brokenAt, brokenElsewhereAt time.Time
@@ -128,7 +132,7 @@
 func newNode(listed spoke.ListedUpstream, capacity spoke.TokenCount, prefill *prefillModel) *node {
 	n := &node{
 		runs:  make(map[spoke.CallNumber]*runningCall),
-		peers: make(map[spoke.HostID]spoke.HostUpstreamLoad), doubts: make(map[spoke.HostID]doubt),
+		peers: make(map[spoke.HostID]spoke.HostUpstreamLoad), checkedAt: make(map[spoke.HostID]time.Time), doubts: make(map[spoke.HostID]doubt),
 		cache: newPrefixCache(capacity), weights: make(map[spoke.ModelName]spoke.WeightVersion),
 		prefill: prefill, pace: 1, serviceTime: defaultPlainService,
 		speed: speed.NewUpstream(speed.Key{UpstreamStart: startOf(listed), Software: listed.Software}, listed.Slots),
--- a/place/scheduler.go
+++ b/place/scheduler.go
@@ -130,6 +130,8 @@
 		s.withdraw(m.Call)
 	case Began:
 		s.began(now, m)
+	case AnswerEnded:
+		s.answerEnded(now, m.Call)
 	case LimitNamed:
 		s.limitNamed(now, m)
 	case BrittleNamed:
--- a/place/unanswered.go
+++ b/place/unanswered.go
@@ -75,6 +75,7 @@
 func (s *Scheduler) reportedLoad(now time.Time, n *node) spoke.HostUpstreamLoad {
 	load := n.ownLoad()
 	load.BrokenAge = n.brokenAge(now)
+	load.Checked, load.CheckedAge = n.checked(now)
 	load.HasGivenUp = s.report.givenUp[load.Upstream]
 	slack := s.slackOf(now, n)
 	load.Slack, load.SlackStreams = slack.Least, slack.Streams
--- a/placement.go
+++ b/placement.go
@@ -42,6 +42,10 @@
 		// streams near it, zero if no stream is at risk.
 		Slack        time.Duration
 		SlackStreams int
+		// Checked counts the runs whose answers have ended and are not known to be whole yet, CheckedAge is the time since the
+		// newest of these ends.
+		Checked    int
+		CheckedAge time.Duration
 		// BrokenAge is the time since a call of the host was broken off there, zero if none was in the last second.
 		BrokenAge time.Duration
 	}
