--- a/cmd/trial/soak/verdict.go
+++ b/cmd/trial/soak/verdict.go
@@ -158,8 +158,8 @@
 	return r.boot.isKilled() && r.ended.IsZero() && r.boot.endedAt.Before(x.endedAt)
 }
 
-// wasKilledBehind reports whether the engine was killed behind the run, but before the call ended: an impairment that is not
-// planned, within the time of the request.
+// wasKilledBehind reports whether the engine was killed behind the run, but before the call ended: a fault that is not planned,
+// within the time of the call.
 func (r engineRun) wasKilledBehind(x exchange) bool {
 	return r.boot.isKilled() && !r.ended.IsZero() && r.boot.endedAt.Before(x.endedAt)
 }
