edge: keep one record of when an upstream was heard

An attempt held the time of the last bytes twice, for itself and for other attempts, and each read of an answer allocated a time. It has one record now, in nanoseconds since activityEpoch as on connections (timeOf), and lastBeside has the plainer name lastHeardElsewhere.

Behaviour is unchanged.

--- a/edge/answerend.go
+++ b/edge/answerend.go
@@ -54,7 +54,7 @@
 	defer endWatch()
 	signs := place.ExitSigns{
 		IsStaying:  !a.isLeaving(),
-		LeavingFor: a.listed.leavingFor(a.grant.Upstream.ID, a.endedAt), Notice: a.leaveNotice, LastBytesAt: a.heardAt, EndedAt: a.endedAt,
+		LeavingFor: a.listed.leavingFor(a.grant.Upstream.ID, a.endedAt), Notice: a.leaveNotice, LastBytesAt: a.answer.heardAt(), EndedAt: a.endedAt,
 	}
 	if !signs.IsStaying {
 		a.planner.in <- schedulerMessage{message: place.AnswerEnded{Call: a.grant.Call}}
@@ -72,7 +72,7 @@
 func (a *attempt) awaitExit(ctx context.Context, signs place.ExitSigns, removed <-chan struct{}) place.EndEvidence {
 	for {
 		signs.IsRemoved = signs.IsRemoved || isClosed(removed)
-		signs.HeardAt = a.heard.lastBeside(a.grant.Upstream.ID, a.heardAnswer, a.endedAt)
+		signs.HeardAt = a.heard.lastHeardElsewhere(a.grant.Upstream.ID, a.answer, a.endedAt)
 		others, isKnown := a.planner.otherRuns(ctx, a.grant.Call, a.endedAt)
 		if !isKnown {
 			return place.EndUpstreamRefused
--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -56,10 +56,8 @@
 		hasNewEvent bool
 		// idle looks for another upstream while this one sends nothing; nil if no other may take the call.
 		idle *idleWatcher
-		// heardAt is when the upstream sent the last bytes, or when the attempt began.
-		heardAt time.Time
-		// heardAnswer is heardAt for other attempts at the upstream.
-		heardAnswer *heardAnswer
+		// answer is when the upstream was last heard.
+		answer *heardAnswer
 		// sentAt is when the attempt began.
 		sentAt time.Time
 		// endedAt is when an answer that needed evidence ended, the zero time if there was none.
@@ -85,9 +83,8 @@
 	a.cancel = cancel
 	a.idle = a.watchIdle(callCtx, cancel)
 	now := time.Now()
-	a.heardAt, a.sentAt = now, now
-	a.heardAnswer = a.heard.add(a.grant.Upstream.ID, now)
-	defer a.heardAnswer.isEnded.Store(true)
+	a.sentAt, a.answer = now, a.heard.add(a.grant.Upstream.ID, now)
+	defer a.answer.isEnded.Store(true)
 	a.quarantine.registry.Begin(now, a.id, a.grant.Upstream.ID, a.fingerprint)
 	result := a.roundTrip(ctx)
 	a.endWatch()
@@ -250,7 +247,7 @@
 	a.progress.lastFault = err.Error()
 	a.log.WithError(err).WithFields(logrus.Fields{
 		"upstream": a.grant.Upstream.ID, "may-have-run": a.progress.mayHaveRun, "held": time.Since(a.arrived).String(),
-		"ended-by": endedBy(ctx), "silent": time.Since(a.heardAt).String(),
+		"ended-by": endedBy(ctx), "silent": time.Since(a.answer.heardAt()).String(),
 	}).WithFields(a.answerFields()).WithFields(evidenceFields(a.evidence)).WithFields(a.stoppingFields()).WithFields(a.totalFields()).Warn("attempt failed")
 	return false
 }
@@ -304,9 +301,7 @@
 // recordBytes records that the upstream has sent bytes of its answer. Bytes of a stream are no progress until an event
 // is complete.
 func (a *attempt) recordBytes() {
-	now := time.Now()
-	a.heardAt = now
-	a.heardAnswer.heardAt.Store(&now)
+	a.answer.hear()
 	if a.route.Rule != spoke.RuleStream {
 		a.idle.heard(a.idlePeriod(), a.requiredSoftware(a.progress))
 	}
--- a/edge/heardanswers.go
+++ b/edge/heardanswers.go
@@ -15,7 +15,7 @@
 	// heardAnswer is when an upstream last sent bytes of its answer to an attempt. One attempt writes it and others read.
 	heardAnswer struct {
 		sentAt  time.Time
-		heardAt atomic.Pointer[time.Time]
+		lastAt  atomic.Int64
 		isEnded atomic.Bool
 	}
 
@@ -30,6 +30,12 @@
 	return &heardAnswers{byUpstream: make(map[spoke.UpstreamID]map[*heardAnswer]struct{})}
 }
 
+// hear records that the upstream has sent bytes.
+func (a *heardAnswer) hear() { a.lastAt.Store(int64(time.Since(activityEpoch))) }
+
+// heardAt returns when the upstream sent the last bytes, or when the attempt began.
+func (a *heardAnswer) heardAt() time.Time { return timeOf(a.lastAt.Load()) }
+
 // add adds an attempt that begins now.
 func (h *heardAnswers) add(id spoke.UpstreamID, now time.Time) *heardAnswer {
 	h.mu.Lock()
@@ -38,19 +44,19 @@
 		h.byUpstream[id] = make(map[*heardAnswer]struct{})
 	}
 	answer := &heardAnswer{sentAt: now}
-	answer.heardAt.Store(&now)
+	answer.hear()
 	h.byUpstream[id][answer] = struct{}{}
 	return answer
 }
 
-// lastBeside returns when the upstream last sent bytes to another attempt that was sent before a time, the zero time if
+// lastHeardElsewhere returns when the upstream last sent bytes to another attempt that was sent before a time, the zero time if
 // there is none. Bytes to a later one may come from another start of the upstream.
-func (h *heardAnswers) lastBeside(id spoke.UpstreamID, own *heardAnswer, before time.Time) time.Time {
+func (h *heardAnswers) lastHeardElsewhere(id spoke.UpstreamID, own *heardAnswer, before time.Time) time.Time {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	var last time.Time
 	for answer := range h.byUpstream[id] {
-		heardAt := *answer.heardAt.Load()
+		heardAt := answer.heardAt()
 		if answer != own && answer.sentAt.Before(before) && heardAt.After(last) {
 			last = heardAt
 		}
@@ -64,7 +70,7 @@
 	defer h.mu.Unlock()
 	for id, answers := range h.byUpstream {
 		for answer := range answers {
-			if answer.isEnded.Load() && now.Sub(*answer.heardAt.Load()) > heardRetention {
+			if answer.isEnded.Load() && now.Sub(answer.heardAt()) > heardRetention {
 				delete(answers, answer)
 			}
 		}
--- a/edge/wayconn.go
+++ b/edge/wayconn.go
@@ -13,7 +13,7 @@
 	"magnoliaspoke.example/spoke/reach"
 )
 
-// activityEpoch is the time from which wayActivity counts.
+// activityEpoch is the time from which wayActivity and heardAnswer count.
 var activityEpoch = time.Now()
 
 type (
