place: keep what another host reports of an upstream in one map

The time of the newest unchecked end stood in a map beside that of the loads and outlived its entry there. It is a field of the load now.

Behaviour is unchanged.

--- a/place/answer_end.go
+++ b/place/answer_end.go
@@ -102,11 +102,14 @@
 
 // NewEndCheck returns the check of an answer that ended now, which is decided at the deadline of its call at the latest.
 func NewEndCheck(now, deadline time.Time) *EndCheck {
-	until := now.Add(endCheckTime)
-	if deadline.Before(until) {
-		until = deadline
+	return &EndCheck{until: earlier(now.Add(endCheckTime), deadline), firstAt: now.Add(endSettleTime), pause: minEndPause}
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
 	}
-	return &EndCheck{until: until, firstAt: now.Add(endSettleTime), pause: minEndPause}
+	return a
 }
 
 // FirstAt returns the time of the first try.
--- a/place/exit_signs.go
+++ b/place/exit_signs.go
@@ -110,9 +110,9 @@
 			others.Here++
 		}
 	}
-	for host, load := range n.peers {
+	for _, load := range n.peers {
 		others.Elsewhere += load.Runs
-		if isEarlier(n.checkedAt[host]) {
+		if isEarlier(load.checkedAt) {
 			others.Elsewhere -= load.Checked
 		}
 	}
@@ -149,11 +149,7 @@
 // ExitKnownBy returns the time at which the signs of an exit are judged at the latest, for an answer that ended at a time and
 // a call with a deadline.
 func ExitKnownBy(endedAt, deadline time.Time) time.Time {
-	until := endedAt.Add(exitKnownTime)
-	if deadline.Before(until) {
-		return deadline
-	}
-	return until
+	return earlier(endedAt.Add(exitKnownTime), deadline)
 }
 
 // removeUpstream removes an upstream. While this host has calls there, it still counts those of other hosts.
--- a/place/node.go
+++ b/place/node.go
@@ -68,11 +68,18 @@
 		isLost bool
 	}
 
+	// peerLoad is the work of another host at an upstream.
+	peerLoad struct {
+		spoke.HostUpstreamLoad
+		// checkedAt is when the newest answer ended that the host has not found to be whole yet, or later.
+		checkedAt time.Time
+	}
+
 	// node is the state of one upstream.
 	node struct {
 		listed spoke.ListedUpstream
 		runs   map[spoke.CallNumber]*runningCall
-		peers  map[spoke.HostID]spoke.HostUpstreamLoad
+		peers  map[spoke.HostID]peerLoad
 		cache  *prefixCache
 		// weights may be newer than the versions that the directory lists.
 		weights map[spoke.ModelName]spoke.WeightVersion
@@ -103,8 +110,6 @@
 		serviceTime time.Duration
 		failures    float64
 		failedAt    time.Time
-		// checkedAt is when the newest answer ended that each other host has not found to be whole yet, or later.
-		checkedAt map[spoke.HostID]time.Time
 		// brokenAt and brokenElsewhereAt are when a call of this host or of another one was last broken off, the zero time
 		// if none was.
 		brokenAt, brokenElsewhereAt time.Time
@@ -132,7 +137,7 @@
 func newNode(listed spoke.ListedUpstream, capacity spoke.TokenCount, prefill *prefillModel) *node {
 	n := &node{
 		runs:  make(map[spoke.CallNumber]*runningCall),
-		peers: make(map[spoke.HostID]spoke.HostUpstreamLoad), checkedAt: make(map[spoke.HostID]time.Time), doubts: make(map[spoke.HostID]doubt),
+		peers: make(map[spoke.HostID]peerLoad), doubts: make(map[spoke.HostID]doubt),
 		cache: newPrefixCache(capacity), weights: make(map[spoke.ModelName]spoke.WeightVersion),
 		prefill: prefill, pace: 1, serviceTime: defaultPlainService,
 		speed: speed.NewUpstream(speed.Key{UpstreamStart: startOf(listed), Software: listed.Software}, listed.Slots),
--- a/place/report.go
+++ b/place/report.go
@@ -309,9 +309,8 @@
 	if added > 0 || copyTime > 0 {
 		n.addWork(now, added, copyTime)
 	}
-	n.peers[host] = load
 	// The report was under way for a time that is not known, so that the end may have been earlier.
-	n.checkedAt[host] = now.Add(-load.CheckedAge)
+	n.peers[host] = peerLoad{HostUpstreamLoad: load, checkedAt: now.Add(-load.CheckedAge)}
 	if load.BrokenAge > 0 {
 		n.brokenElsewhereAt = now.Add(-load.BrokenAge)
 	}
