--- a/link/exchange.go
+++ b/link/exchange.go
@@ -17,6 +17,7 @@
 
 	"magnoliaspoke.example/spoke"
 	"magnoliaspoke.example/spoke/dial"
+	"magnoliaspoke.example/spoke/fetch"
 )
 
 const (
@@ -27,8 +28,6 @@
 	maxForeignResponses = 2
 	// maxForeignBodyBytes bounds the body of a response that is skipped.
 	maxForeignBodyBytes = 1 << 20
-	// maxStatus is the highest status of a response.
-	maxStatus = 599
 )
 
 var (
@@ -270,8 +269,11 @@
 		if isMixed(response, request.Key) {
 			return nil, errMixedHead
 		}
+		if fetch.IsFinalStatus(response.StatusCode) {
+			return response, nil
+		}
 		if !isInformational(response.StatusCode) {
-			return response, checkStatus(response.StatusCode)
+			return nil, eris.Wrapf(ErrInvalidStatus, "status %03d", response.StatusCode)
 		}
 	}
 	return nil, ErrHeadTooLong
@@ -283,14 +285,6 @@
 	return status >= http.StatusContinue && status < http.StatusOK && status != http.StatusSwitchingProtocols
 }
 
-// checkStatus returns an error unless a status is that of a final response.
-func checkStatus(status int) error {
-	if status < http.StatusOK || status > maxStatus {
-		return eris.Wrapf(ErrInvalidStatus, "status %03d", status)
-	}
-	return nil
-}
-
 // isMixed reports whether another head begins inside the head of a response. Its fields may belong to either. A key that
 // looks like a status line is no head.
 func isMixed(response *http.Response, key string) bool {
--- a/plain/client.go
+++ b/plain/client.go
@@ -32,8 +32,6 @@
 	idlePerHost = 32
 	// idleConnTimeout closes idle connections before they are likely to be stale.
 	idleConnTimeout = 20 * time.Second
-	// maxStatus is the highest status of a response.
-	maxStatus = 599
 )
 
 type (
@@ -96,7 +94,7 @@
 		return spoke.PlainAnswer{}, tracker.wrapError(err, at, call)
 	}
 	defer response.Body.Close()
-	if !isFinal(response.StatusCode) {
+	if !fetch.IsFinalStatus(response.StatusCode) {
 		tracker.close()
 		return spoke.PlainAnswer{}, eris.Wrapf(spoke.ErrIncomplete, "answer of %s to attempt %s has status %03d", at, call.Attempt, response.StatusCode)
 	}
@@ -117,9 +115,6 @@
 	return spoke.PlainAnswer{Status: response.StatusCode, Header: response.Header, Body: body, EndsWithConnection: endsWithConnection(response)}, nil
 }
 
-// isFinal reports whether a status is that of a final response.
-func isFinal(status int) bool { return status >= http.StatusOK && status <= maxStatus }
-
 // endsWithConnection reports whether an answer has neither a length nor chunks.
 func endsWithConnection(response *http.Response) bool {
 	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
