--- a/cmd/trial/soak/verdict.go
+++ b/cmd/trial/soak/verdict.go
@@ -155,13 +155,17 @@
 
 // brokeOff reports whether the engine was killed while the run went on, before the call ended.
 func (r engineRun) brokeOff(x exchange) bool {
-	return r.boot.isKilled() && r.ended.IsZero() && r.boot.endedAt.Before(x.endedAt)
+	return r.ended.IsZero() && r.wasKilledBefore(x.endedAt)
 }
 
 // wasKilledBehind reports whether the engine was killed behind the run, but before the call ended: a fault that is not planned,
 // within the time of the call.
 func (r engineRun) wasKilledBehind(x exchange) bool {
-	return r.boot.isKilled() && !r.ended.IsZero() && r.boot.endedAt.Before(x.endedAt)
+	return !r.ended.IsZero() && r.wasKilledBefore(x.endedAt)
+}
+
+func (r engineRun) wasKilledBefore(at time.Time) bool {
+	return r.boot.isKilled() && r.boot.endedAt.Before(at)
 }
 
 // isAtWork reports whether the run goes on at a time.
--- a/edge/heldreport_test.go
+++ b/edge/heldreport_test.go
@@ -1,7 +1,6 @@
 package edge_test
 
 import (
-	"net/netip"
 	"testing"
 	"time"
 
@@ -31,11 +30,7 @@
 
 // sendFull sends a full report that was written at the given reading of the peer's clock.
 func (p *fakePeer) sendFull(d *deployment, sent time.Duration, ages ...spoke.WantedAge) {
-	p.sequence++
-	report := spoke.HostReport{
-		Host: p.id, Sequence: p.sequence, IsSnapshot: true, Sent: spoke.SentTime{Clock: 7, Reading: sent}, WantedAges: ages,
-	}
-	p.socket.Send(report, []netip.AddrPort{netip.AddrPortFrom(d.settings.Address, uint16(d.settings.PeerPort))})
+	p.send(d, spoke.HostReport{IsSnapshot: true, Sent: spoke.SentTime{Clock: 7, Reading: sent}, WantedAges: ages})
 }
 
 // Guards against full reports that do not say when they were sent, by one clock that advances.
--- a/edge/part_mark_test.go
+++ b/edge/part_mark_test.go
@@ -92,12 +92,17 @@
 	return tokens
 }
 
+// send sends the next load report of the peer to a host.
+func (p *fakePeer) send(d *deployment, report spoke.HostReport) {
+	p.sequence++
+	report.Host, report.Sequence = p.id, p.sequence
+	p.socket.Send(report, []netip.AddrPort{netip.AddrPortFrom(d.settings.Address, uint16(d.settings.PeerPort))})
+}
+
 // sendMark reports a mark of the crashing part, or the end of one.
 func (p *fakePeer) sendMark(d *deployment, revision uint64, isEnded bool) {
-	p.sequence++
 	mark := spoke.PartMark{Part: crash.HashPart(crashingPart), Revision: revision, Term: 30 * time.Second, Remaining: p.remaining, IsEnded: isEnded}
-	report := spoke.HostReport{Host: p.id, Sequence: p.sequence, Crashes: spoke.CrashReport{Marks: []spoke.PartMark{mark}}}
-	p.socket.Send(report, []netip.AddrPort{netip.AddrPortFrom(d.settings.Address, uint16(d.settings.PeerPort))})
+	p.send(d, spoke.HostReport{Crashes: spoke.CrashReport{Marks: []spoke.PartMark{mark}}})
 }
 
 // quarantine makes the host adopt a mark of the crashing part from a peer.
--- a/edge/watchers_silent_test.go
+++ b/edge/watchers_silent_test.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"net/http"
-	"net/netip"
 	"sync"
 	"testing"
 	"time"
@@ -186,9 +185,7 @@
 func (p *fakePeer) reportFreshViews(ctx context.Context, d *deployment) {
 	go func() {
 		for ctx.Err() == nil {
-			p.sequence++
-			report := spoke.HostReport{Host: p.id, Sequence: p.sequence, Directory: spoke.DirectoryView{Revision: 1}}
-			p.socket.Send(report, []netip.AddrPort{netip.AddrPortFrom(d.settings.Address, uint16(d.settings.PeerPort))})
+			p.send(d, spoke.HostReport{Directory: spoke.DirectoryView{Revision: 1}})
 			time.Sleep(20 * time.Millisecond)
 		}
 	}()
--- a/link/early_test.go
+++ b/link/early_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"magnoliaspoke.example/spoke"
+	"magnoliaspoke.example/spoke/dial"
 	"magnoliaspoke.example/spoke/link"
 )
 
@@ -52,11 +53,6 @@
 	return string(body), err
 }
 
-func reset(conn *net.TCPConn) {
-	_ = conn.SetLinger(0)
-	_ = conn.Close()
-}
-
 // Guards against a part of a body that looks whole: its connection is reset while the request is still being written, and
 // the writer gets the error of the reset.
 func TestResetDuringUploadIsAnError(t *testing.T) {
@@ -65,7 +61,7 @@
 			for range 6 {
 				body, err := upload(t, size, func(conn *net.TCPConn) {
 					time.Sleep(delay)
-					reset(conn)
+					_ = dial.Reset(conn)
 				})
 				assert.Check(t, err != nil, "%d bytes, reset after %s: %q", size, delay, body)
 			}
@@ -96,7 +92,7 @@
 		"closes its side and resets": {func(conn *net.TCPConn) {
 			_ = conn.CloseWrite()
 			time.Sleep(readBehind)
-			reset(conn)
+			_ = dial.Reset(conn)
 		}, false},
 		"closes": {func(conn *net.TCPConn) { _ = conn.Close() }, false},
 	} {
